Keep want of room at the origin apart from want of room at the caches

Cause: one measure of turned-away retrievals stood for the origin and the caches, so a short origin had reads that the caches hold turned away at the door.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -94,36 +94,45 @@
 
 // memo is what the Router remembers of a retrieval in hand.
 type memo struct {
-	met    bool
-	cheap  float64 // how readily it is turned away
-	key    uint64
-	keptAt CacheID // a shared fetch has put the value here
+	met      bool
+	cheap    float64 // how readily it is turned away
+	key      uint64
+	atOrigin bool    // it was let through to the origin
+	keptAt   CacheID // a shared fetch has put the value here
 }
 
+// The places that can lack room. They are kept apart: a short origin is no reason to turn away what a cache holds.
+const (
+	atCaches = iota
+	atOrigin
+	places
+)
+
 // Router makes the decisions of one node.
 type Router struct {
-	rules                    HouseRules
-	seed, draws              uint32
-	caches                   map[CacheID]*cache
-	listed, origins          []*cache // by hashed id
-	segs                     [segments][]*cache
-	fetches                  map[uint64]*fetch
-	took                     histogram
-	typical, slow, patience  time.Duration // the median, the slow twentieth, and when no word means silence
-	usual                    float64       // legs a warm cache of weight 1 was sent in the span of the cold rule
-	othersLoad               float64       // mean foreign load of those that report
-	blind                    bool          // most caches seem silent, so the trouble is not theirs
-	hedges, squeeze, benefit float64
-	originRoom               float64
-	originCut                Instant
-	quotas                   []float64
-	metered, upkept          Instant
-	upkeeps                  int
-	following, asking        bool
-	askedAt, askNext         Instant
-	askFails                 int
-	ranks                    [segments]rank
-	grade                    []Grade
+	rules                   HouseRules
+	seed, draws             uint32
+	caches                  map[CacheID]*cache
+	listed, origins         []*cache // by hashed id
+	segs                    [segments][]*cache
+	fetches                 map[uint64]*fetch
+	took                    histogram
+	typical, slow, patience time.Duration // the median, the slow twentieth, and when no word means silence
+	usual                   float64       // legs a warm cache of weight 1 was sent in the span of the cold rule
+	othersLoad              float64       // mean foreign load of those that report
+	blind                   bool          // most caches seem silent, so the trouble is not theirs
+	hedges, benefit         float64
+	squeeze                 [places]float64 // share turned away for want of room, at the caches and at the origin
+	originRoom              float64
+	originCut               Instant
+	quotas                  []float64
+	metered, upkept         Instant
+	upkeeps                 int
+	following, asking       bool
+	askedAt, askNext        Instant
+	askFails                int
+	ranks                   [segments]rank
+	grade                   []Grade
 }
 
 type rank struct {
@@ -440,12 +449,17 @@
 	return out
 }
 
-// noRoom gives up for want of room, and turns away a little more at the door from now on.
-func (p *Router) noRoom(r *Retrieval) Move {
-	p.squeeze = min(squeezeMost, p.squeeze+squeezeUp)
+// noRoom gives up for want of room, and from now on a little more is turned away there at once.
+func (p *Router) noRoom(r *Retrieval, place int) Move {
+	p.squeeze[place] = min(squeezeMost, p.squeeze[place]+squeezeUp)
 	return p.giveUp(r)
 }
 
+// squeezed turns away by chance, the cheaper ones more often.
+func (p *Router) squeezed(r *Retrieval, place int) bool {
+	return p.squeeze[place] > 0 && p.chance() < p.squeeze[place]*r.memo.cheap
+}
+
 // locate returns the cache at a segment's location for a key; a dead slot has passed its keys leftward.
 func (p *Router) locate(now Instant, seg int, key uint64) *cache {
 	slots := p.segs[seg]
@@ -555,7 +569,7 @@
 	}
 	if !r.memo.met {
 		p.meet(now, r)
-		if p.squeeze > 0 && p.chance() < p.squeeze*r.memo.cheap {
+		if !(r.Write && p.rules.Aside) && p.squeezed(r, atCaches) {
 			return p.giveUp(r)
 		}
 	}
@@ -596,7 +610,7 @@
 	g, _ := p.gradeOf(r)
 	left := r.HardStop.Since(now) - 2*p.rules.Round
 	if len(r.Legs) >= p.rules.MostLegs || left <= p.typical/4 {
-		return p.noRoom(r)
+		return p.giveUp(r)
 	}
 	missed := slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.Result == Missed })
 	if p.rules.Aside && (r.Write || missed) {
@@ -619,7 +633,7 @@
 		if now.Since(r.Arrived) < g.SoftLimit/2 {
 			return p.notYet(now, r, p.typical/4)
 		}
-		return p.noRoom(r)
+		return p.noRoom(r, atCaches)
 	case p.rules.Aside && g.Effect == Redoable:
 		return p.toOrigin(now, r)
 	}
@@ -660,6 +674,11 @@
 	if !r.Write && f != nil && f.leader != r && !f.leader.Over {
 		return p.join(now, r, f)
 	}
+	if !r.memo.atOrigin {
+		if r.memo.atOrigin = true; p.squeezed(r, atOrigin) {
+			return p.giveUp(r)
+		}
+	}
 	var to *cache
 	for _, c := range p.origins {
 		if p.lawful(now, r, c) && (to == nil || c.out < to.out) {
@@ -686,11 +705,10 @@
 	if to != nil && float64(to.out) < room {
 		return p.send(now, r, to)
 	}
-	g, _ := p.gradeOf(r)
-	if now.Since(r.Arrived) < g.SoftLimit {
+	if g, _ := p.gradeOf(r); now.Since(r.Arrived) < g.SoftLimit {
 		return p.notYet(now, r, p.typical/4)
 	}
-	return p.giveUp(r)
+	return p.noRoom(r, atOrigin)
 }
 
 // After decides what follows a leg's outcome.
@@ -712,7 +730,11 @@
 		}
 	}
 	if leg.Result == Answered && now.Since(r.Arrived) <= g.SoftLimit {
-		p.squeeze = max(0, p.squeeze-squeezeDown)
+		place := atCaches
+		if c != nil && slices.Contains(p.origins, c) {
+			place = atOrigin
+		}
+		p.squeeze[place] = max(0, p.squeeze[place]-squeezeDown)
 	}
 	m := Move{}
 	switch {
