--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,18 +38,20 @@
 type cache struct {
 	Entry
 	hash      uint64
-	out       int      // own legs in hand
-	waitingOn Instant  // first sending since the last word from it
-	heard     Instant  // last word from it
-	fails     int      // legs in a row without a word
-	refused   int      // connections in a row not made
-	restUntil Instant  // no ordinary legs before this
-	room      float64  // own legs in hand at which it turns more away, as learned
-	foreign   float64  // retrievals of others it holds, by its last report
-	reported  bool     // foreign is known
-	erred     []uint16 // by grade, halved now and then
-	answered  []uint16 // by grade, halved now and then
-	sent      float64  // legs sent, fading over the span of the cold rule
+	out       int           // own legs in hand
+	waitingOn Instant       // first sending since the last word from it
+	heard     Instant       // last word from it
+	fails     int           // legs in a row without a word
+	refused   int           // connections in a row not made
+	restUntil Instant       // no ordinary legs before this
+	room      float64       // own legs in hand at which it turns more away, as learned
+	pace      histogram     // time a retrieval took for each one in hand when it was sent
+	per       time.Duration // median of pace
+	foreign   float64       // retrievals of others it holds, by its last report
+	reported  bool          // foreign is known
+	erred     []uint16      // by grade, halved now and then
+	answered  []uint16      // by grade, halved now and then
+	sent      float64       // legs sent, fading over the span of the cold rule
 	sentAt    Instant
 }
 
@@ -485,7 +487,8 @@
 			p.ranks[i], p.ranks[i-1] = p.ranks[i-1], p.ranks[i]
 		}
 	}
-	_, g := p.gradeOf(r)
+	grade, g := p.gradeOf(r)
+	left := max(grade.SoftLimit-now.Since(r.Arrived), grade.SoftLimit/2)
 	least, ties, holders := math.Inf(1), 0.0, 0
 	var last *cache
 	for _, q := range p.ranks {
@@ -501,7 +504,7 @@
 			last = c
 			continue
 		}
-		if holders++; float64(c.out) >= c.room {
+		if holders++; float64(c.out) >= c.room || time.Duration(c.out+1)*c.per > left {
 			full = true
 		} else if l := p.load(c); l < least {
 			best, least, ties = c, l, 1
@@ -755,7 +758,7 @@
 
 // learn takes from an outcome what it says of the cache.
 func (p *Router) learn(now Instant, c *cache, leg Leg, o Outcome, g Grade, grade int) {
-	held := c.out
+	held := max(1, c.out)
 	c.out = max(0, c.out-1)
 	origin := slices.Contains(p.origins, c)
 	switch leg.Result {
@@ -771,6 +774,7 @@
 		c.answered[grade]++
 		if !origin {
 			p.took.add(o.Took)
+			c.pace.add(o.Took / time.Duration(held))
 		}
 		if float64(held) >= c.room-1 {
 			c.room += roomGrows
@@ -798,6 +802,7 @@
 	if p.upkeeps++; p.upkeeps%halveEvery == 0 {
 		p.took.halve()
 		for _, c := range p.caches {
+			c.pace.halve()
 			for g := range c.erred {
 				c.erred[g] /= 2
 				c.answered[g] /= 2
@@ -807,6 +812,7 @@
 	p.retime()
 	legs, weight, foreign, reporters, quiet := 0.0, 0.0, 0.0, 0.0, 0
 	for _, c := range p.listed {
+		c.per = c.pace.quantile(0.5, 0)
 		legs += p.fade(now, c)
 		weight += c.Weight * p.warmth(now, c)
 		if c.reported {
