--- a/policy/policy.go
+++ b/policy/policy.go
@@ -509,7 +509,7 @@
 		} else if l := p.load(c); l < least {
 			best, least, ties = c, l, 1
 		} else if l == least {
-			if ties++; false && p.chance()*ties < 1 {
+			if ties++; p.chance()*ties < 1 {
 				best = c
 			}
 		}
