--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,6 +40,7 @@
 	hash      uint64
 	out       int           // own legs in hand
 	waitingOn Instant       // first sending since the last word from it
+	ghosts    []Instant     // sendings of legs given up on that it may still be at work for
 	heard     Instant       // last word from it
 	fails     int           // legs in a row without a word
 	refused   int           // connections in a row not made
@@ -379,9 +380,13 @@
 	return float64(mix(key^c.hash)) > w*w*(1<<64) || p.fade(now, c) > w*p.usual*c.Weight+0.5
 }
 
+// inHand counts own legs there. It guards against caches that go on with what was given up: such a leg counts until
+// the answer to a later one shows that its turn is over.
+func (c *cache) inHand() int { return c.out + len(c.ghosts) }
+
 // load is a cache's work in hand: own legs and what it reports beside them; unreported, the others' mean.
 func (p *Router) load(c *cache) float64 {
-	l := float64(c.out)
+	l := float64(c.inHand())
 	if p.rules.InFlightAt >= 0 {
 		if c.reported {
 			l += c.foreign
@@ -504,7 +509,7 @@
 			last = c
 			continue
 		}
-		if holders++; float64(c.out) >= c.room || time.Duration(c.out+1)*c.per > left {
+		if holders++; float64(c.out) >= c.room || time.Duration(c.inHand()+1)*c.per > left {
 			full = true
 		} else if l := p.load(c); l < least {
 			best, least, ties = c, l, 1
@@ -758,7 +763,7 @@
 
 // learn takes from an outcome what it says of the cache.
 func (p *Router) learn(now Instant, c *cache, leg Leg, o Outcome, g Grade, grade int) {
-	held := max(1, c.out)
+	held := max(1, c.inHand())
 	c.out = max(0, c.out-1)
 	origin := slices.Contains(p.origins, c)
 	switch leg.Result {
@@ -770,7 +775,11 @@
 		}
 	}
 	switch leg.Result {
+	case TimedOut, Cancelled:
+		c.ghosts = append(c.ghosts, leg.Sent)
+		c.pace.add(o.Took / time.Duration(held))
 	case Answered:
+		c.ghosts = slices.DeleteFunc(c.ghosts, func(sent Instant) bool { return sent < leg.Sent })
 		c.answered[grade]++
 		if !origin {
 			p.took.add(o.Took)
