Turn away by how much is asked for each answer in time

Cause: through caches whose origin is jammed answer nothing while full load goes on; what was turned away for want of room only did not fall with the answers.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,9 +27,9 @@
 	failsToRest  = 2                      // failures in a row before a cache rests: one may be chance
 	hedgeShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	hedgeBurst   = 10                     // second copies saved up: covers one cache that falls silent
-	squeezeUp    = 0.02                   // more turned away per retrieval lost for want of room: full effect in 50
-	squeezeDown  = 0.002                  // less per retrieval in time: steady where a tenth finds no room
-	squeezeMost  = 0.9                    // share turned away at most: some must get in to see the load end
+	lostLeast    = 1.5                    // asked for each one answered before any is turned away: a third may be lost to a few bad caches
+	trialsLeast  = 4.0                    // asked in a memory that always get in, so that a recovery is seen: about two a second
+	fadeEvery    = 10                     // upkeeps between halvings of what was asked and answered: about a second
 	roomGrows    = 0.1                    // legs more per answer at the brim: a cache's queue is tried every ten answers
 	originFirst  = 8                      // legs at the origin before anything is known of it: a handful per core
 	crossingLegs = 16                     // legs in hand that a full crossing price is set against
@@ -125,7 +125,7 @@
 	othersLoad              float64       // mean foreign load of those that report
 	blind                   bool          // most caches seem silent, so the trouble is not theirs
 	hedges, benefit         float64
-	squeeze                 [places]float64 // share turned away for want of room, at the caches and at the origin
+	asked, good             [places]float64 // retrievals that wanted a place, and those it answered in time; halved now and then
 	originRoom              float64
 	originCut               Instant
 	quotas                  []float64
@@ -456,15 +456,12 @@
 	return out
 }
 
-// noRoom gives up for want of room, and from now on a little more is turned away there at once.
-func (p *Router) noRoom(r *Retrieval, place int) Move {
-	p.squeeze[place] = min(squeezeMost, p.squeeze[place]+squeezeUp)
-	return p.giveUp(r)
-}
-
-// squeezed turns away by chance, the cheaper ones more often.
-func (p *Router) squeezed(r *Retrieval, place int) bool {
-	return p.squeeze[place] > 0 && p.chance() < p.squeeze[place]*r.memo.cheap
+// turnAway guards against collapse, when most of what is sent ends in nothing: where far more is asked than answered,
+// it turns away by chance, the cheaper ones more often, until what gets in is answered again.
+func (p *Router) turnAway(r *Retrieval, place int) bool {
+	p.asked[place]++
+	over := p.asked[place] - lostLeast*p.good[place] - trialsLeast
+	return over > 0 && p.chance() < over/p.asked[place]*r.memo.cheap
 }
 
 // locate returns the cache at a segment's location for a key; a dead slot has passed its keys leftward.
@@ -577,7 +574,7 @@
 	}
 	if !r.memo.met {
 		p.meet(now, r)
-		if !(r.Write && p.rules.Aside) && p.squeezed(r, atCaches) {
+		if !(r.Write && p.rules.Aside) && p.turnAway(r, atCaches) {
 			return p.giveUp(r)
 		}
 	}
@@ -641,7 +638,7 @@
 		if now.Since(r.Arrived) < g.SoftLimit/2 {
 			return p.notYet(now, r, p.typical/4)
 		}
-		return p.noRoom(r, atCaches)
+		return p.giveUp(r)
 	case p.rules.Aside && g.Effect == Redoable:
 		return p.toOrigin(now, r)
 	}
@@ -683,7 +680,7 @@
 		return p.join(now, r, f)
 	}
 	if !r.memo.atOrigin {
-		if r.memo.atOrigin = true; p.squeezed(r, atOrigin) {
+		if r.memo.atOrigin = true; p.turnAway(r, atOrigin) {
 			return p.giveUp(r)
 		}
 	}
@@ -716,7 +713,7 @@
 	if g, _ := p.gradeOf(r); now.Since(r.Arrived) < g.SoftLimit {
 		return p.notYet(now, r, p.typical/4)
 	}
-	return p.noRoom(r, atOrigin)
+	return p.giveUp(r)
 }
 
 // After decides what follows a leg's outcome.
@@ -737,12 +734,12 @@
 			}
 		}
 	}
-	if leg.Result == Answered && now.Since(r.Arrived) <= g.SoftLimit {
+	if (leg.Result == Answered || leg.Result == Missed) && now.Since(r.Arrived) <= g.SoftLimit {
 		place := atCaches
 		if c != nil && slices.Contains(p.origins, c) {
 			place = atOrigin
 		}
-		p.squeeze[place] = max(0, p.squeeze[place]-squeezeDown)
+		p.good[place]++
 	}
 	m := Move{}
 	switch {
@@ -808,6 +805,11 @@
 // Wait returns how long until it wants to be called again, and the chores due now.
 func (p *Router) Wait(now Instant) (time.Duration, []Chore) {
 	var chores []Chore
+	if p.upkeeps%fadeEvery == 0 {
+		for i := range places {
+			p.asked[i], p.good[i] = p.asked[i]/2, p.good[i]/2
+		}
+	}
 	if p.upkeeps++; p.upkeeps%halveEvery == 0 {
 		p.took.halve()
 		for _, c := range p.caches {
