--- a/policy/policy.go
+++ b/policy/policy.go
@@ -459,9 +459,12 @@
 // turnAway guards against collapse, when most of what is sent ends in nothing: where far more is asked than answered,
 // it turns away by chance, the cheaper ones more often, until what gets in is answered again.
 func (p *Router) turnAway(r *Retrieval, place int) bool {
-	p.asked[place]++
 	over := p.asked[place] - lostLeast*p.good[place] - trialsLeast
-	return over > 0 && p.chance() < over/p.asked[place]*r.memo.cheap
+	if over <= 0 || p.chance() >= over/p.asked[place]*r.memo.cheap {
+		return false
+	}
+	p.asked[place]++
+	return true
 }
 
 // locate returns the cache at a segment's location for a key; a dead slot has passed its keys leftward.
@@ -734,12 +737,15 @@
 			}
 		}
 	}
-	if (leg.Result == Answered || leg.Result == Missed) && now.Since(r.Arrived) <= g.SoftLimit {
+	if leg.Result != Cancelled && leg.Result != NeverSent {
 		place := atCaches
 		if c != nil && slices.Contains(p.origins, c) {
 			place = atOrigin
 		}
-		p.good[place]++
+		p.asked[place]++
+		if (leg.Result == Answered || leg.Result == Missed) && o.Took <= g.SoftLimit {
+			p.good[place]++
+		}
 	}
 	m := Move{}
 	switch {
