--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,6 +25,7 @@
 	halveEvery   = 20                     // upkeeps between halvings: a memory of a few seconds
 	trialMost    = 4 * time.Second        // longest pause between trials of a failing cache: drains take about that
 	failsToRest  = 2                      // failures in a row before a cache rests: one may be chance
+	rankLegs     = 4.0                    // legs more in hand that an earlier holder may have: about one hit for a fetch saved
 	hedgeShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	hedgeBurst   = 10                     // second copies saved up: covers one cache that falls silent
 	lostLeast    = 1.5                    // asked for each one answered before any is turned away: a third may be lost to a few bad caches
@@ -511,7 +512,7 @@
 		}
 		if holders++; float64(c.out) >= c.room || time.Duration(c.inHand()+1)*c.per > left {
 			full = true
-		} else if l := p.load(c); l < least {
+		} else if l := p.load(c) + rankLegs*float64(holders-1); l < least {
 			best, least, ties = c, l, 1
 		} else if l == least {
 			if ties++; p.chance()*ties < 1 {
