Queue for the origin by benefit and turn away at once what would wait in vain

Cause: retrievals waiting for the origin polled, so newer ones passed older, and many waited in vain.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,7 +25,6 @@
 	halveEvery   = 20                     // upkeeps between halvings: a memory of a few seconds
 	trialMost    = 4 * time.Second        // longest pause between trials of a failing cache: drains take about that
 	failsToRest  = 2                      // failures in a row before a cache rests: one may be chance
-	rankLegs     = 4.0                    // legs more in hand that an earlier holder may have: about one hit for a fetch saved
 	hedgeShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	hedgeBurst   = 10                     // second copies saved up: covers one cache that falls silent
 	lostLeast    = 1.5                    // asked for each one answered before any is turned away: a third may be lost to a few bad caches
@@ -98,20 +97,12 @@
 
 // memo is what the Router remembers of a retrieval in hand.
 type memo struct {
-	met      bool
-	cheap    float64 // how readily it is turned away
-	key      uint64
-	atOrigin bool    // it was let through to the origin
-	keptAt   CacheID // a shared fetch has put the value here
+	met    bool
+	cheap  float64 // how readily it is turned away
+	key    uint64
+	keptAt CacheID // a shared fetch has put the value here
 }
 
-// The places that can lack room. They are kept apart: a short origin is no reason to turn away what a cache holds.
-const (
-	atCaches = iota
-	atOrigin
-	places
-)
-
 // Router makes the decisions of one node.
 type Router struct {
 	rules                   HouseRules
@@ -126,7 +117,8 @@
 	othersLoad              float64       // mean foreign load of those that report
 	blind                   bool          // most caches seem silent, so the trouble is not theirs
 	hedges, benefit         float64
-	asked, good             [places]float64 // retrievals that wanted a place, and those it answered in time; halved now and then
+	asked, good             float64      // legs to caches that ended, and those answered in time; halved now and then
+	queue                   []*Retrieval // waiting for the origin
 	originRoom              float64
 	originCut               Instant
 	quotas                  []float64
@@ -459,12 +451,12 @@
 
 // turnAway guards against collapse, when most of what is sent ends in nothing: where far more is asked than answered,
 // it turns away by chance, the cheaper ones more often, until what gets in is answered again.
-func (p *Router) turnAway(r *Retrieval, place int) bool {
-	over := p.asked[place] - lostLeast*p.good[place] - trialsLeast
-	if over <= 0 || p.chance() >= over/p.asked[place]*r.memo.cheap {
+func (p *Router) turnAway(r *Retrieval) bool {
+	over := p.asked - lostLeast*p.good - trialsLeast
+	if over <= 0 || p.chance() >= over/p.asked*r.memo.cheap {
 		return false
 	}
-	p.asked[place]++
+	p.asked++
 	return true
 }
 
@@ -512,7 +504,7 @@
 		}
 		if holders++; float64(c.out) >= c.room || time.Duration(c.inHand()+1)*c.per > left {
 			full = true
-		} else if l := p.load(c) + rankLegs*float64(holders-1); l < least {
+		} else if l := p.load(c); l < least {
 			best, least, ties = c, l, 1
 		} else if l == least {
 			if ties++; p.chance()*ties < 1 {
@@ -578,7 +570,7 @@
 	}
 	if !r.memo.met {
 		p.meet(now, r)
-		if !(r.Write && p.rules.Aside) && p.turnAway(r, atCaches) {
+		if !(r.Write && p.rules.Aside) && p.turnAway(r) {
 			return p.giveUp(r)
 		}
 	}
@@ -683,11 +675,6 @@
 	if !r.Write && f != nil && f.leader != r && !f.leader.Over {
 		return p.join(now, r, f)
 	}
-	if !r.memo.atOrigin {
-		if r.memo.atOrigin = true; p.turnAway(r, atOrigin) {
-			return p.giveUp(r)
-		}
-	}
 	var to *cache
 	for _, c := range p.origins {
 		if p.lawful(now, r, c) && (to == nil || c.out < to.out) {
@@ -707,17 +694,52 @@
 			}
 		}
 	}
-	room := p.originRoom
-	if r.Write {
-		room *= 2 // writes are few and have nowhere else to go
+	if to == nil {
+		return p.giveUp(r)
 	}
-	if to != nil && float64(to.out) < room {
+	if p.originFree(to, r) >= 1 {
 		return p.send(now, r, to)
 	}
-	if g, _ := p.gradeOf(r); now.Since(r.Arrived) < g.SoftLimit {
-		return p.notYet(now, r, p.typical/4)
+	g, _ := p.gradeOf(r)
+	left := g.SoftLimit - now.Since(r.Arrived)
+	if !slices.Contains(p.queue, r) {
+		ahead := to.inHand() + 1
+		for _, q := range p.queue {
+			if q.memo.cheap <= r.memo.cheap {
+				ahead++
+			}
+		}
+		if p.chance() < float64(ahead)*float64(to.per)/float64(max(left, 1))-0.5 {
+			return p.giveUp(r) // the wait would mostly be in vain
+		}
+		p.queue = append(p.queue, r)
+	} else if left <= 0 {
+		return p.giveUp(r)
 	}
-	return p.giveUp(r)
+	return p.notYet(now, r, left)
+}
+
+// originFree is how many more legs the origin may get; writes, being few and with nowhere else to go, get double.
+func (p *Router) originFree(to *cache, r *Retrieval) float64 {
+	if r.Write {
+		return 2*p.originRoom - float64(to.out)
+	}
+	return p.originRoom - float64(to.out)
+}
+
+// dequeue wakes those waiting for the origin that it now has room for, the dearest first, then the oldest.
+func (p *Router) dequeue(to *cache) (wake []RetrievalID) {
+	p.queue = slices.DeleteFunc(p.queue, func(q *Retrieval) bool {
+		return q.Over || slices.ContainsFunc(q.Legs, func(l Leg) bool { return l.Out })
+	})
+	slices.SortStableFunc(p.queue, func(a, b *Retrieval) int { return cmp.Compare(a.memo.cheap, b.memo.cheap) })
+	for _, q := range p.queue {
+		if p.originFree(to, q) < float64(len(wake)+1) {
+			break
+		}
+		wake = append(wake, q.ID)
+	}
+	return wake
 }
 
 // After decides what follows a leg's outcome.
@@ -738,14 +760,12 @@
 			}
 		}
 	}
-	if leg.Result != Cancelled && leg.Result != NeverSent {
-		place := atCaches
-		if c != nil && slices.Contains(p.origins, c) {
-			place = atOrigin
-		}
-		p.asked[place]++
+	if c != nil && slices.Contains(p.origins, c) {
+		wake = append(wake, p.dequeue(c)...)
+	} else if leg.Result != Cancelled && leg.Result != NeverSent {
+		p.asked++
 		if (leg.Result == Answered || leg.Result == Missed) && o.Took <= g.SoftLimit {
-			p.good[place]++
+			p.good++
 		}
 	}
 	m := Move{}
@@ -785,9 +805,9 @@
 	case Answered:
 		c.ghosts = slices.DeleteFunc(c.ghosts, func(sent Instant) bool { return sent < leg.Sent })
 		c.answered[grade]++
+		c.pace.add(o.Took / time.Duration(held))
 		if !origin {
 			p.took.add(o.Took)
-			c.pace.add(o.Took / time.Duration(held))
 		}
 		if float64(held) >= c.room-1 {
 			c.room += roomGrows
@@ -813,9 +833,7 @@
 func (p *Router) Wait(now Instant) (time.Duration, []Chore) {
 	var chores []Chore
 	if p.upkeeps%fadeEvery == 0 {
-		for i := range places {
-			p.asked[i], p.good[i] = p.asked[i]/2, p.good[i]/2
-		}
+		p.asked, p.good = p.asked/2, p.good/2
 	}
 	if p.upkeeps++; p.upkeeps%halveEvery == 0 {
 		p.took.halve()
@@ -829,6 +847,9 @@
 	}
 	p.retime()
 	legs, weight, foreign, reporters, quiet := 0.0, 0.0, 0.0, 0.0, 0
+	for _, c := range p.origins {
+		c.per = c.pace.quantile(0.5, 0)
+	}
 	for _, c := range p.listed {
 		c.per = c.pace.quantile(0.5, 0)
 		legs += p.fade(now, c)
