--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,6 +25,8 @@
 	halveEvery   = 20                     // upkeeps between halvings: a memory of a few seconds
 	trialMost    = 4 * time.Second        // longest pause between trials of a failing cache: drains take about that
 	failsToRest  = 2                      // failures in a row before a cache rests: one may be chance
+	rankLegs     = 4.0                    // legs more that an earlier holder may have while the origin is short: a fetch costs about that
+	shortOver    = 50                     // retrievals bound for the origin that tell whether it is short: a second or two
 	hedgeShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	hedgeBurst   = 10                     // second copies saved up: covers one cache that falls silent
 	lostLeast    = 1.5                    // asked for each one answered before any is turned away: a third may be lost to a few bad caches
@@ -118,6 +120,7 @@
 	blind                   bool          // most caches seem silent, so the trouble is not theirs
 	hedges, benefit         float64
 	asked, good             float64      // legs to caches that ended, and those answered in time; halved now and then
+	short                   float64      // share of those bound for the origin that found no room
 	queue                   []*Retrieval // waiting for the origin
 	originRoom              float64
 	originCut               Instant
@@ -477,7 +480,8 @@
 }
 
 // pick chooses the least loaded of a key's holders, ties by chance. A holder that drains, is silent, errs or is too
-// cold for the key yields to the next ranked spare. full tells that holders were passed over only for want of room.
+// cold for the key yields to the next ranked spare. While the origin is short, an earlier ranked holder may have some
+// legs more in hand, which guards against filling three caches with a key that can hardly be fetched once. full tells that holders were passed over only for want of room.
 func (p *Router) pick(now Instant, r *Retrieval) (best *cache, full bool) {
 	for s := range p.ranks {
 		p.ranks[s] = rank{salted(r.memo.key, s), s}
@@ -504,7 +508,7 @@
 		}
 		if holders++; float64(c.out) >= c.room || time.Duration(c.inHand()+1)*c.per > left {
 			full = true
-		} else if l := p.load(c); l < least {
+		} else if l := p.load(c) + rankLegs*p.short*float64(holders-1); l < least {
 			best, least, ties = c, l, 1
 		} else if l == least {
 			if ties++; p.chance()*ties < 1 {
@@ -697,7 +701,14 @@
 	if to == nil {
 		return p.giveUp(r)
 	}
-	if p.originFree(to, r) >= 1 {
+	free := p.originFree(to, r) >= 1
+	if !slices.Contains(p.queue, r) {
+		p.short -= p.short / shortOver
+		if !free {
+			p.short += 1.0 / shortOver
+		}
+	}
+	if free {
 		return p.send(now, r, to)
 	}
 	g, _ := p.gradeOf(r)
