--- a/policy/policy.go
+++ b/policy/policy.go
@@ -508,7 +508,7 @@
 		}
 		if holders++; float64(c.out) >= c.room || time.Duration(c.inHand()+1)*c.per > left {
 			full = true
-		} else if l := p.load(c) + rankLegs*p.short*float64(holders-1); l < least {
+		} else if l := (p.load(c) + 1 + rankLegs*p.short*float64(holders-1)) * float64(max(c.per, firstBin)); l < least {
 			best, least, ties = c, l, 1
 		} else if l == least {
 			if ties++; p.chance()*ties < 1 {
