Write the module anew in fewer lines; measure cold caches against what warm ones answer

Cause of the broken rule: a cold cache got up to the legs that warm ones were sent, but misses and refusals cost those little, so it was sent 4.4 times what it could do. Legs answered are the measure now.

--- /dev/null
+++ b/internal/tally/tally.go
@@ -0,0 +1,62 @@
+// Package tally keeps times in small histograms with few coarse bins.
+package tally
+
+import (
+	"math/bits"
+	"time"
+)
+
+const (
+	bins  = 14               // each twice the last: from under 1 ms to over 4 s
+	First = time.Millisecond // upper end of the first bin; below this all caches look alike
+	known = 2 * bins         // samples below which a histogram says nothing
+)
+
+// Histogram counts times by size.
+type Histogram [bins]uint32
+
+// Add counts one time.
+func (h *Histogram) Add(d time.Duration) {
+	h[min(bins-1, bits.Len64(uint64(max(0, d)/First)))]++
+}
+
+// Halve lets what is old count for less.
+func (h *Histogram) Halve() {
+	for i := range h {
+		h[i] /= 2
+	}
+}
+
+func (h *Histogram) total() (n float64) {
+	for _, c := range h {
+		n += float64(c)
+	}
+	return n
+}
+
+// Quantile returns the time that the share q stays under, or otherwise while little is known.
+func (h *Histogram) Quantile(q float64, otherwise time.Duration) time.Duration {
+	want, low := q*h.total(), time.Duration(0)
+	if h.total() < known {
+		return otherwise
+	}
+	for i, n := range h {
+		high := First << i
+		if float64(n) >= want {
+			return low + time.Duration(want/float64(max(n, 1))*float64(high-low))
+		}
+		want, low = want-float64(n), high
+	}
+	return low
+}
+
+// Above returns about how many times were longer than d.
+func (h *Histogram) Above(d time.Duration) (n float64) {
+	low := time.Duration(0)
+	for i, c := range h {
+		high := First << i
+		n += float64(c) * min(1, max(0, float64(high-d)/float64(high-low)))
+		low = high
+	}
+	return n
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -14,80 +14,52 @@
 	"math/bits"
 	"slices"
 	"time"
+
+	"dahliapin/internal/tally"
 )
 
 const (
-	segments     = 7                      // segments; the design's k
-	copies       = 3                      // holders of a key; fewer would leave a hot key no choice, more waste memory
-	bins         = 14                     // histogram bins, each twice the last: from under 1 ms to over 4 s
-	firstBin     = time.Millisecond       // upper end of the first bin; below this all servers look alike
+	segments     = 7                      // segments: the design's k
+	copies       = 3                      // holders of a key: the design's number
 	upkeepEvery  = 100 * time.Millisecond // upkeep period: a few service times, so that trouble is seen soon
-	halveEvery   = 20                     // upkeeps between halvings: a memory of a few seconds
-	trialMost    = 4 * time.Second        // longest pause between trials of a failing cache: drains take about that
+	halveEvery   = 20                     // upkeeps between halvings of times: a memory of a few seconds
+	fadeEvery    = 10                     // upkeeps between halvings of losses: a memory of a second or two
+	trialMost    = 4 * time.Second        // longest rest of a failing cache: soon enough to see it come back
 	failsToRest  = 2                      // failures in a row before a cache rests: one may be chance
-	rankLegs     = 4.0                    // legs more that an earlier holder may have while the origin is short: a fetch costs about that
-	shortOver    = 50                     // retrievals bound for the origin that tell whether it is short: a second or two
-	hedgeShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
-	hedgeBurst   = 10                     // second copies saved up: covers one cache that falls silent
-	lostLeast    = 1.5                    // asked for each one answered before any is turned away: a third may be lost to a few bad caches
-	trialsLeast  = 4.0                    // asked in a memory that always get in, so that a recovery is seen: about two a second
-	fadeEvery    = 10                     // upkeeps between halvings of what was asked and answered: about a second
+	errsToRest   = 3                      // errors, each answer halving them, before a grade avoids a cache
+	rankLegs     = 4.0                    // legs more an earlier holder may have while the origin is short: a fetch's price
+	shortOver    = 50                     // retrievals bound for the origin that tell if it is short: a second or two
+	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
+	spareMost    = 10                     // second copies saved up: covers one cache falling silent
+	lostLeast    = 1.5                    // asked per answer before any is turned away: a third may be lost to bad caches
+	trialsLeast  = 4.0                    // asked in a memory that always get in, to see a recovery: about two a second
 	roomGrows    = 0.1                    // legs more per answer at the brim: a cache's queue is tried every ten answers
 	originFirst  = 8                      // legs at the origin before anything is known of it: a handful per core
+	originCut    = 0.7                    // room left at the origin after a late or lost answer: three cuts to a third
+	originLeast  = 2                      // legs the origin may always have: one waiting, one at work
 	crossingLegs = 16                     // legs in hand that a full crossing price is set against
 )
 
 type cache struct {
 	Entry
 	hash      uint64
-	out       int           // own legs in hand
-	waitingOn Instant       // first sending since the last word from it
-	ghosts    []Instant     // sendings of legs given up on that it may still be at work for
-	heard     Instant       // last word from it
-	fails     int           // legs in a row without a word
-	refused   int           // connections in a row not made
-	restUntil Instant       // no ordinary legs before this
-	room      float64       // own legs in hand at which it turns more away, as learned
-	pace      histogram     // time a retrieval took for each one in hand when it was sent
-	per       time.Duration // median of pace
-	foreign   float64       // retrievals of others it holds, by its last report
-	reported  bool          // foreign is known
-	erred     []uint16      // by grade, halved now and then
-	answered  []uint16      // by grade, halved now and then
-	sent      float64       // legs sent, fading over the span of the cold rule
-	sentAt    Instant
-}
-
-type histogram [bins]uint32
-
-func (h *histogram) add(d time.Duration) {
-	h[min(bins-1, bits.Len64(uint64(d/firstBin)))]++
-}
-
-func (h *histogram) halve() {
-	for i := range h {
-		h[i] /= 2
-	}
-}
-
-// quantile returns the time that the share q stays under, or otherwise while little is known.
-func (h *histogram) quantile(q float64, otherwise time.Duration) time.Duration {
-	total := uint32(0)
-	for _, n := range h {
-		total += n
-	}
-	if total < 2*bins {
-		return otherwise
-	}
-	want, low := q*float64(total), time.Duration(0)
-	for i, n := range h {
-		high := firstBin << i
-		if float64(n) >= want {
-			return low + time.Duration(want/float64(max(n, 1))*float64(high-low))
-		}
-		want, low = want-float64(n), high
-	}
-	return low
+	origin    bool
+	out       int             // own legs in hand
+	ghosts    []Instant       // sendings of legs given up on that it may still be at work for
+	waitingOn Instant         // first sending since the last word from it
+	heard     Instant         // last word from it
+	fails     int             // legs in a row without a word
+	refused   int             // connections in a row not made
+	restUntil Instant         // no legs before this
+	room      float64         // own legs in hand at which it turns more away, as learned
+	cutAt     Instant         // when the origin's room was last cut
+	pace      tally.Histogram // time a leg took for each one in hand when it was sent
+	per       time.Duration   // median of pace
+	foreign   float64         // retrievals of others it holds by its last report; -1 while unreported
+	erred     []uint8         // errors by grade, halved by answers and by time
+	sent      float64         // legs sent, fading over the span of the cold rule
+	served    float64         // legs answered, fading likewise
+	fadedAt   Instant
 }
 
 // fetch is one retrieval's way to the origin, which others that miss the same key wait for.
@@ -100,8 +72,8 @@
 // memo is what the Router remembers of a retrieval in hand.
 type memo struct {
 	met    bool
-	cheap  float64 // how readily it is turned away
 	key    uint64
+	cheap  float64 // how readily it is turned away; 1 is the mean
 	keptAt CacheID // a shared fetch has put the value here
 }
 
@@ -113,44 +85,28 @@
 	listed, origins         []*cache // by hashed id
 	segs                    [segments][]*cache
 	fetches                 map[uint64]*fetch
-	took                    histogram
+	queue                   []*Retrieval // waiting for the origin
+	short                   float64      // share of those bound for the origin that found no room
+	took                    tally.Histogram
 	typical, slow, patience time.Duration // the median, the slow twentieth, and when no word means silence
-	usual                   float64       // legs a warm cache of weight 1 was sent in the span of the cold rule
+	usual                   float64       // legs a warm cache of weight 1 answered in the span of the cold rule
 	othersLoad              float64       // mean foreign load of those that report
 	blind                   bool          // most caches seem silent, so the trouble is not theirs
-	hedges, benefit         float64
-	asked, good             float64      // legs to caches that ended, and those answered in time; halved now and then
-	short                   float64      // share of those bound for the origin that found no room
-	queue                   []*Retrieval // waiting for the origin
-	originRoom              float64
-	originCut               Instant
-	quotas                  []float64
-	metered, upkept         Instant
-	upkeeps                 int
+	asked, good             float64       // legs to caches that ended, and those answered in time; halved now and then
+	spare, benefit          float64       // second copies saved up; mean benefit of a retrieval
+	quotas                  []float64     // what each league may still ask within its share
+	metered                 Instant
+	upkeeps, askFails       int
 	following, asking       bool
 	askedAt, askNext        Instant
-	askFails                int
-	ranks                   [segments]rank
-	grade                   []Grade
-}
-
-type rank struct {
-	score uint64
-	seg   int
 }
 
 // New returns a Router for one node's life.
 func New(now Instant, seed int64, rules HouseRules) *Router {
-	p := &Router{rules: rules, seed: uint32(seed ^ seed>>32), caches: map[CacheID]*cache{}, fetches: map[uint64]*fetch{},
-		originRoom: originFirst, metered: now, upkept: now}
-	p.rules.Nodes = max(1, rules.Nodes)
-	if rules.MostLegs <= 0 {
-		p.rules.MostLegs = 1
-	}
-	if rules.Round <= 0 {
-		p.rules.Round = time.Millisecond
-	}
-	p.quotas = make([]float64, len(rules.Leagues))
+	rules.Nodes, rules.MostLegs = max(1, rules.Nodes), max(1, rules.MostLegs)
+	rules.Round = max(time.Millisecond, rules.Round)
+	p := &Router{rules: rules, seed: uint32(seed ^ seed>>32), caches: map[CacheID]*cache{}, metered: now,
+		fetches: map[uint64]*fetch{}, quotas: make([]float64, len(rules.Leagues))}
 	p.retime()
 	return p
 }
@@ -161,7 +117,9 @@
 	return x ^ x>>31
 }
 
-func hashText(s string) uint64 {
+func salted(h uint64, salt int) uint64 { return mix(h ^ mix(uint64(salt+1)*0x9e3779b97f4a7c15)) }
+
+func hashText(s string) uint64 { // FNV-1a, the same in every process
 	h := uint64(14695981039346656037)
 	for i := 0; i < len(s); i++ {
 		h = (h ^ uint64(s[i])) * 1099511628211
@@ -169,8 +127,6 @@
 	return mix(h)
 }
 
-func salted(h uint64, salt int) uint64 { return mix(h ^ mix(uint64(salt+1)*0x9e3779b97f4a7c15)) }
-
 func (p *Router) chance() float64 {
 	var b [8]byte
 	p.draws++
@@ -194,9 +150,7 @@
 			pairs = append(pairs, pair{salted(h, salt+j), i, j})
 		}
 	}
-	slices.SortFunc(pairs, func(a, b pair) int {
-		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(hashes[a.id], hashes[b.id]))
-	})
+	slices.SortFunc(pairs, func(a, b pair) int { return cmp.Or(cmp.Compare(a.score, b.score), a.id-b.id) })
 	least, extra := len(hashes)/n, len(hashes)%n
 	for _, q := range pairs {
 		if place[q.id] >= 0 || held[q.place] > least || held[q.place] == least && extra == 0 {
@@ -220,12 +174,12 @@
 	return int(h & (1<<l - 1))
 }
 
-// leftOf returns the slot next to the left in the key space, where slots lie by their bits reversed.
+// leftOf returns the slot next to the left in the key space, where slots lie by their bits reversed (Fig. 2).
 func leftOf(slot, n int) int {
-	at := func(s int) uint64 { return bits.Reverse64(uint64(s)) }
+	left := func(s int) uint64 { return bits.Reverse64(uint64(slot)) - bits.Reverse64(uint64(s)) } // wraps round
 	best := slot
-	for s := range n { // the distance leftward, wrapping round, is the difference modulo 2^64
-		if s != slot && (best == slot || at(slot)-at(s) < at(slot)-at(best)) {
+	for s := range n {
+		if s != slot && (best == slot || left(s) < left(best)) {
 			best = s
 		}
 	}
@@ -236,7 +190,7 @@
 func (p *Router) redeal() {
 	p.listed, p.origins = p.listed[:0], p.origins[:0]
 	for _, c := range p.caches {
-		if p.rules.Aside && c.Kind == p.rules.OriginKind {
+		if c.origin {
 			p.origins = append(p.origins, c)
 		} else {
 			p.listed = append(p.listed, c)
@@ -245,109 +199,91 @@
 	byHash := func(a, b *cache) int { return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.ID, b.ID)) }
 	slices.SortFunc(p.listed, byHash)
 	slices.SortFunc(p.origins, byHash)
-	hashes := func(cs []*cache) (hs []uint64) {
-		for _, c := range cs {
-			hs = append(hs, c.hash)
+	over := func(cs []*cache, n, salt int) [][]*cache {
+		hashes, places := make([]uint64, len(cs)), make([][]*cache, n)
+		for i, c := range cs {
+			hashes[i] = c.hash
 		}
-		return hs
-	}
-	p.segs = [segments][]*cache{}
-	for i, s := range deal(hashes(p.listed), segments, 0) {
-		p.segs[s] = append(p.segs[s], p.listed[i])
+		for i, at := range deal(hashes, n, salt) {
+			places[at] = append(places[at], cs[i])
+		}
+		return places
 	}
-	for s, in := range p.segs {
-		slots := make([]*cache, len(in))
-		for i, n := range deal(hashes(in), max(1, len(in)), segments) {
-			slots[n] = in[i]
+	for s, in := range over(p.listed, segments, 0) {
+		p.segs[s] = p.segs[s][:0]
+		for _, slot := range over(in, max(1, len(in)), segments) { // within a segment, one cache a slot
+			p.segs[s] = append(p.segs[s], slot...)
 		}
-		p.segs[s] = slots
 	}
 }
 
 // Listed tells of news from the list.
 func (p *Router) Listed(now Instant, form ListForm, entries []Entry) {
 	if form == AskFailed {
-		p.asking, p.following = false, false
-		p.askFails = min(p.askFails+1, 5)
+		p.asking, p.following, p.askFails = false, false, min(p.askFails+1, 5)
 		p.askNext = now.Add(time.Duration((0.5 + p.chance()) * float64(upkeepEvery<<p.askFails)))
 		return
 	}
 	if form != LastHeld && p.asking {
 		p.asking, p.following, p.askFails = false, true, 0
 	}
-	if form != Changes {
-		named := map[CacheID]bool{}
-		for _, e := range entries {
-			named[e.ID] = true
-		}
-		for id := range p.caches {
-			if !named[id] {
-				delete(p.caches, id)
-			}
-		}
-	}
+	named := map[CacheID]bool{}
 	for _, e := range entries {
 		c := p.caches[e.ID]
-		switch {
-		case e.State == Gone:
-			delete(p.caches, e.ID)
-			continue
-		case c == nil:
-			c = &cache{hash: hashText(string(e.ID))}
+		if named[e.ID] = e.State != Gone; c == nil || e.Born > c.Born { // what was learned of an old process says nothing
+			fresh := &cache{hash: hashText(string(e.ID)), origin: p.rules.Aside && e.Kind == p.rules.OriginKind, foreign: -1,
+				room: math.Inf(1), erred: make([]uint8, len(p.rules.Grades)+1)}
+			if fresh.origin {
+				fresh.room = originFirst
+			}
+			if c != nil {
+				fresh.out = c.out
+			}
+			c = fresh
 			p.caches[e.ID] = c
-			fallthrough
-		case e.Born > c.Born: // started anew: what was learned of the old process says nothing
-			*c = cache{hash: c.hash, out: c.out, room: math.Inf(1)}
-			c.erred, c.answered = make([]uint16, len(p.rules.Grades)+1), make([]uint16, len(p.rules.Grades)+1)
 		}
-		c.Entry = e
-		if !(c.Weight > 0) {
+		if c.Entry = e; !(c.Weight > 0) {
 			c.Weight = 1
 		}
 	}
-	p.redeal()
-}
-
-// Probed tells what a probe found.
-func (p *Router) Probed(now Instant, id CacheID, found Result) {
-	if c := p.caches[id]; c != nil {
-		if found == Answered {
-			p.alive(now, c)
-		} else {
-			p.failed(now, c, found)
+	for id, c := range p.caches {
+		if c.State == Gone || form != Changes && !named[id] {
+			delete(p.caches, id)
 		}
 	}
+	p.redeal()
 }
 
-func (p *Router) alive(now Instant, c *cache) {
-	c.heard, c.waitingOn, c.fails, c.refused, c.restUntil = now, 0, 0, 0, 0
-	if c.out > 0 {
-		c.waitingOn = now
+// Probed tells what a probe found. One that was answered lets legs try the cache again.
+func (p *Router) Probed(now Instant, id CacheID, found Result) {
+	c := p.caches[id]
+	if c != nil && found == Answered {
+		c.fails, c.refused, c.restUntil = min(c.fails, failsToRest-1), 0, 0
+	} else if c != nil {
+		p.failed(now, c, found)
 	}
 }
 
 func (p *Router) failed(now Instant, c *cache, how Result) {
-	c.fails++
 	if how == Unconnected {
 		c.refused++
 	}
-	if c.fails >= failsToRest {
+	if c.fails++; c.fails >= failsToRest {
 		c.restUntil = now.Add(min(trialMost, max(upkeepEvery, p.patience)<<min(c.fails-failsToRest, 6)))
 	}
 }
 
-// silent tells whether a cache has said nothing for so long that its keys should go elsewhere.
+// silent tells whether a cache has said nothing for so long that its keys should go elsewhere. One that has rested
+// gets a single leg, or a probe where those are allowed, to show that it is back.
 func (p *Router) silent(now Instant, c *cache) bool {
 	wait := p.patience
 	if c.out == 1 {
 		wait *= 2 // a lone leg may just be a long one
 	}
-	return now < c.restUntil || c.fails >= failsToRest && c.out > 0 || c.out > 0 && now.Since(c.waitingOn) > wait
+	return now < c.restUntil || c.fails >= failsToRest && (c.out > 0 || p.rules.MayProbe) ||
+		c.out > 0 && now.Since(c.waitingOn) > wait
 }
 
-// erring guards against a cache that fails a grade fast and so looks idle: its errors there outnumber its answers.
-func (c *cache) erring(g int) bool { return c.erred[g] > 2 && c.erred[g] > c.answered[g] }
-
 // warmth is the share of its capacity that a cache is sure to have by now.
 func (p *Router) warmth(now Instant, c *cache) float64 {
 	age := now.Since(c.Born)
@@ -357,23 +293,22 @@
 	return p.rules.ColdFrom + (1-p.rules.ColdFrom)*max(0, float64(age)/float64(p.rules.ColdFor))
 }
 
-// fade brings the count of legs sent up to now.
-func (p *Router) fade(now Instant, c *cache) float64 {
-	if now > c.sentAt {
-		c.sent *= math.Exp(-float64(now.Since(c.sentAt)) / float64(max(p.rules.FallFor, time.Second)))
-		c.sentAt = now
-	}
-	return c.sent
+// fade brings the counts of legs up to now.
+func (p *Router) fade(now Instant, c *cache) {
+	f := math.Exp(-float64(now.Since(c.fadedAt)) / float64(max(p.rules.FallFor, time.Second)))
+	c.sent, c.served, c.fadedAt = c.sent*f, c.served*f, now
 }
 
 // coldTo guards against pushing a cold cache over: it takes a thin slice of the keys that widens with its warmth,
-// and never more legs than a warm one bears, cut by its warmth. As each node keeps to its own share, all together do.
+// and never more legs than a warm one answers, cut by its warmth. (Legs sent to warm ones would be no measure: misses
+// cost them little.) As each node keeps to its own share of the answers, all nodes together do.
 func (p *Router) coldTo(now Instant, c *cache, key uint64) bool {
 	w := p.warmth(now, c)
 	if w >= 1 {
 		return false
 	}
-	return float64(mix(key^c.hash)) > w*w*(1<<64) || p.fade(now, c) > w*p.usual*c.Weight+0.5
+	p.fade(now, c)
+	return float64(mix(key^c.hash)) > w*w*(1<<64) || c.sent > w*p.usual*c.Weight+0.5
 }
 
 // inHand counts own legs there. It guards against caches that go on with what was given up: such a leg counts until
@@ -383,12 +318,10 @@
 // load is a cache's work in hand: own legs and what it reports beside them; unreported, the others' mean.
 func (p *Router) load(c *cache) float64 {
 	l := float64(c.inHand())
-	if p.rules.InFlightAt >= 0 {
-		if c.reported {
-			l += c.foreign
-		} else {
-			l += p.othersLoad
-		}
+	if c.foreign >= 0 {
+		l += c.foreign
+	} else {
+		l += p.othersLoad
 	}
 	if c.Zone != p.rules.Zone {
 		l += crossingLegs * p.rules.CrossingPrice
@@ -396,8 +329,8 @@
 	return l
 }
 
-// Grade lookups of an unknown grade give the strictest there is.
-func (p *Router) gradeOf(r *Retrieval) (g Grade, at int) {
+// gradeOf returns a retrieval's grade and its place; an unknown grade is the strictest there is.
+func (p *Router) gradeOf(r *Retrieval) (Grade, int) {
 	if r.Grade < 0 || int(r.Grade) >= len(p.rules.Grades) {
 		return Grade{SoftLimit: r.HardStop.Since(r.Arrived)}, len(p.rules.Grades)
 	}
@@ -432,12 +365,9 @@
 // giveUp ends a retrieval at once: with a dismissal where a retry is sure to do no harm.
 func (p *Router) giveUp(r *Retrieval) Move {
 	g, _ := p.gradeOf(r)
-	harmless := g.Effect == Redoable || g.Effect == Labelled && g.Scope == AllCaches
-	if !harmless {
-		harmless = !slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.Out || !l.Result.NeverRan() })
-	}
 	m := Move{Answer: Scrap, Cancel: p.outLegs(r)}
-	if harmless {
+	if g.Effect == Redoable || g.Effect == Labelled && g.Scope == AllCaches ||
+		!slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.Out || !l.Result.NeverRan() }) {
 		m.Answer, m.ComeBack = Dismiss, min(p.rules.MaxComeBack, g.SoftLimit/2)
 	}
 	return m
@@ -472,64 +402,69 @@
 	at := linear(salted(key, segments+seg), len(slots))
 	for range slots {
 		if c := slots[at]; c.refused < failsToRest || now >= c.restUntil {
-			return c
+			break
 		}
 		at = leftOf(at, len(slots))
 	}
 	return slots[at]
 }
 
-// pick chooses the least loaded of a key's holders, ties by chance. A holder that drains, is silent, errs or is too
-// cold for the key yields to the next ranked spare. While the origin is short, an earlier ranked holder may have some
-// legs more in hand, which guards against filling three caches with a key that can hardly be fetched once. full tells that holders were passed over only for want of room.
-func (p *Router) pick(now Instant, r *Retrieval) (best *cache, full bool) {
-	for s := range p.ranks {
-		p.ranks[s] = rank{salted(r.memo.key, s), s}
-		for i := s; i > 0 && p.ranks[i].score < p.ranks[i-1].score; i-- {
-			p.ranks[i], p.ranks[i-1] = p.ranks[i-1], p.ranks[i]
+// holders lists the caches that hold a key now and may get this retrieval, first ranked first. A holder that drains,
+// is silent, fails this grade fast and so looks idle, or is too cold for the key yields to the next ranked spare.
+func (p *Router) holders(now Instant, r *Retrieval) (hs []*cache) {
+	var order [segments]int
+	score := func(i int) uint64 { return salted(r.memo.key, order[i]) }
+	for i := range order {
+		order[i] = i
+		for j := i; j > 0 && score(j) < score(j-1); j-- {
+			order[j], order[j-1] = order[j-1], order[j]
 		}
 	}
-	grade, g := p.gradeOf(r)
-	left := max(grade.SoftLimit-now.Since(r.Arrived), grade.SoftLimit/2)
-	least, ties, holders := math.Inf(1), 0.0, 0
+	_, g := p.gradeOf(r)
 	var last *cache
-	for _, q := range p.ranks {
-		c := p.locate(now, q.seg, r.memo.key)
-		if c == nil || !p.lawful(now, r, c) || p.coldTo(now, c, r.memo.key) {
+	for _, seg := range order {
+		c := p.locate(now, seg, r.memo.key)
+		if c == nil || len(hs) == copies || !p.lawful(now, r, c) || p.coldTo(now, c, r.memo.key) {
 			continue
 		}
-		if p.tried(r, c.ID) {
-			holders++
+		if !p.blind && p.silent(now, c) || c.erred[g] >= errsToRest {
+			last = c
 			continue
 		}
-		if !p.blind && p.silent(now, c) || c.erring(g) {
-			last = c
+		hs = append(hs, c)
+	}
+	if len(hs) == 0 && last != nil {
+		hs = append(hs, last)
+	}
+	return hs
+}
+
+// pick chooses the least loaded holder not yet tried, ties by chance; full tells that they lack room. While the
+// origin is short, an earlier ranked holder may have some legs more in hand, which guards against filling three
+// caches with a key that can hardly be fetched once.
+func (p *Router) pick(now Instant, r *Retrieval, hs []*cache) (best *cache, full bool) {
+	g, _ := p.gradeOf(r)
+	left := max(g.SoftLimit-now.Since(r.Arrived), g.SoftLimit/2)
+	least, ties := math.Inf(1), 0.0
+	for i, c := range hs {
+		if slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.To == c.ID }) {
 			continue
 		}
-		if holders++; float64(c.out) >= c.room || time.Duration(c.inHand()+1)*c.per > left {
+		l := p.load(c) + rankLegs*p.short*float64(i)
+		if float64(c.out) >= c.room || time.Duration(c.inHand()+1)*c.per > left {
 			full = true
-		} else if l := (p.load(c) + 1 + rankLegs*p.short*float64(holders-1)) * float64(max(c.per, firstBin)); l < least {
+		} else if l < least {
 			best, least, ties = c, l, 1
 		} else if l == least {
 			if ties++; p.chance()*ties < 1 {
 				best = c
 			}
 		}
-		if holders >= copies {
-			break
-		}
-	}
-	if best == nil && !full {
-		best = last
 	}
 	return best, full && best == nil
 }
 
-func (p *Router) tried(r *Retrieval, id CacheID) bool {
-	return slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.To == id })
-}
-
-// send books a leg and returns the move that makes it.
+// send books legs and returns the move that makes them.
 func (p *Router) send(now Instant, r *Retrieval, cs ...*cache) Move {
 	m := Move{GiveUpAt: r.HardStop.Add(-2 * p.rules.Round)}
 	for _, c := range cs {
@@ -540,7 +475,7 @@
 		c.sent++
 		m.To = append(m.To, c.ID)
 	}
-	if g, _ := p.gradeOf(r); g.Effect != Irreversible {
+	if g, _ := p.gradeOf(r); g.Effect != Irreversible && !r.Write {
 		m.AskAgain = now.Add(p.slow)
 	}
 	return m
@@ -550,20 +485,18 @@
 func (p *Router) meet(now Instant, r *Retrieval) {
 	g, _ := p.gradeOf(r)
 	benefit := g.Benefit
-	for i := range p.quotas {
-		share := p.rules.Leagues[i].QuotaPerSecond / float64(p.rules.Nodes)
+	for i, l := range p.rules.Leagues {
+		share := l.QuotaPerSecond / float64(p.rules.Nodes)
 		p.quotas[i] = min(share, p.quotas[i]+share*now.Since(p.metered).Seconds())
 	}
 	p.metered = now
 	if l := int(r.League); l >= 0 && l < len(p.quotas) && p.rules.Leagues[l].QuotaPerSecond > 0 {
-		if p.quotas[l] < 1 {
-			benefit *= p.rules.ExcessBenefit
-		} else {
-			p.quotas[l]--
+		if p.quotas[l]--; p.quotas[l] < 0 {
+			p.quotas[l], benefit = 0, benefit*p.rules.ExcessBenefit
 		}
 	}
 	p.benefit += (benefit - p.benefit) / 100
-	p.hedges = min(hedgeBurst, p.hedges+hedgeShare)
+	p.spare = min(spareMost, p.spare+spareShare)
 	r.memo = memo{met: true, key: hashText(r.Key), cheap: math.Sqrt(max(p.benefit, 0.01) / max(benefit, 0.01))}
 }
 
@@ -578,33 +511,26 @@
 			return p.giveUp(r)
 		}
 	}
-	for i, l := range r.Legs {
-		if l.Out {
-			return p.further(now, r, i)
-		}
+	if i := slices.IndexFunc(r.Legs, func(l Leg) bool { return l.Out }); i >= 0 {
+		return p.further(now, r, i)
 	}
 	return p.next(now, r)
 }
 
-// further decides on a retrieval whose leg is out for long: a second copy beside it, or calling it off.
+// further decides on a read whose leg is out for long: a second copy beside it, or calling it off.
 func (p *Router) further(now Instant, r *Retrieval, leg int) Move {
 	to := p.caches[r.Legs[leg].To]
 	again := Move{AskAgain: now.Add(max(p.slow, 2*p.rules.Round))}
-	if len(r.Legs) >= p.rules.MostLegs || to != nil && slices.Contains(p.origins, to) || r.Write {
+	silent := to == nil || p.silent(now, to)
+	switch {
+	case len(r.Legs) >= p.rules.MostLegs || to != nil && to.origin:
 		return Move{}
-	}
-	if p.rules.SecondCopies {
-		if p.hedges < 1 {
-			return again
-		}
-		c, _ := p.pick(now, r)
-		if c == nil || p.silent(now, c) {
-			return again
+	case p.rules.SecondCopies && p.spare >= 1:
+		if c, _ := p.pick(now, r, p.holders(now, r)); c != nil && !p.silent(now, c) {
+			p.spare--
+			return p.send(now, r, c)
 		}
-		p.hedges--
-		return p.send(now, r, c)
-	}
-	if p.rules.MayCancel && (to == nil || p.silent(now, to)) && r.HardStop.Since(now) > p.slow {
+	case !p.rules.SecondCopies && p.rules.MayCancel && silent && r.HardStop.Since(now) > p.slow:
 		return Move{Cancel: []int{leg}}
 	}
 	return again
@@ -613,51 +539,37 @@
 // next decides on a retrieval with nothing out.
 func (p *Router) next(now Instant, r *Retrieval) Move {
 	g, _ := p.gradeOf(r)
-	left := r.HardStop.Since(now) - 2*p.rules.Round
-	if len(r.Legs) >= p.rules.MostLegs || left <= p.typical/4 {
+	if len(r.Legs) >= p.rules.MostLegs || r.HardStop.Since(now)-2*p.rules.Round <= p.typical/4 {
 		return p.giveUp(r)
 	}
-	missed := slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.Result == Missed })
-	if p.rules.Aside && (r.Write || missed) {
-		if kept := p.caches[r.memo.keptAt]; kept != nil && p.lawful(now, r, kept) {
-			r.memo.keptAt = ""
+	if p.rules.Aside && (r.Write || slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.Result == Missed })) {
+		kept := p.caches[r.memo.keptAt]
+		if r.memo.keptAt = ""; kept != nil && p.lawful(now, r, kept) {
 			return p.send(now, r, kept)
 		}
 		return p.toOrigin(now, r)
 	}
-	c, full := p.pick(now, r)
+	hs := p.holders(now, r)
+	c, full := p.pick(now, r, hs)
 	switch {
-	case c != nil && r.Write && g.Effect == Labelled && p.rules.SecondCopies && len(r.Legs) == 0:
-		return p.toAll(now, r, c)
+	case c != nil && r.Write && g.Effect == Labelled && g.Scope == AllCaches && p.rules.SecondCopies && len(r.Legs) == 0:
+		return p.send(now, r, hs[:min(len(hs), p.rules.MostLegs)]...) // through mode: writes go to all holders
 	case c != nil:
 		if f := p.fetches[r.memo.key]; f != nil && f.at == c.ID && !f.leader.Over && !r.Write {
 			return p.join(now, r, f)
 		}
 		return p.send(now, r, c)
-	case full || len(p.listed) == 0:
-		if now.Since(r.Arrived) < g.SoftLimit/2 {
-			return p.notYet(now, r, p.typical/4)
-		}
-		return p.giveUp(r)
-	case p.rules.Aside && g.Effect == Redoable:
+	case (full || len(p.listed) == 0) && now.Since(r.Arrived) < g.SoftLimit/2:
+		return p.notYet(now, r, p.typical/4)
+	case !full && len(p.listed) > 0 && p.rules.Aside && g.Effect == Redoable:
 		return p.toOrigin(now, r)
 	}
 	return p.giveUp(r)
 }
 
-// toAll sends a write to all three holders, as far as the second rule lets copies run beside each other.
-func (p *Router) toAll(now Instant, r *Retrieval, first *cache) Move {
-	to, legs := []*cache{first}, r.Legs
-	for len(to) < copies {
-		r.Legs = append(r.Legs, Leg{To: to[len(to)-1].ID, Sent: now, Out: true})
-		c, _ := p.pick(now, r)
-		if c == nil || p.silent(now, c) {
-			break
-		}
-		to = append(to, c)
-	}
-	r.Legs = legs
-	return p.send(now, r, to...)
+// notYet keeps a retrieval waiting with nothing out, never past the time at which it must be given up.
+func (p *Router) notYet(now Instant, r *Retrieval, wait time.Duration) Move {
+	return Move{AskAgain: min(now.Add(max(wait, 2*p.rules.Round)), r.HardStop.Add(-2*p.rules.Round))}
 }
 
 func (p *Router) join(now Instant, r *Retrieval, f *fetch) Move {
@@ -667,13 +579,8 @@
 	return p.notYet(now, r, p.slow)
 }
 
-// notYet keeps a retrieval waiting with nothing out, never past the time at which it must be given up.
-func (p *Router) notYet(now Instant, r *Retrieval, wait time.Duration) Move {
-	return Move{AskAgain: min(now.Add(max(wait, 2*p.rules.Round)), r.HardStop.Add(-2*p.rules.Round))}
-}
-
 // toOrigin sends a write, or a read that missed, to the origin. It guards against miss storms: one read fetches a
-// key and the others wait for it, and the legs out there are bounded.
+// key and the others wait for it, and the legs out there are bounded. Who would mostly wait in vain is turned away.
 func (p *Router) toOrigin(now Instant, r *Retrieval) Move {
 	f := p.fetches[r.memo.key]
 	if !r.Write && f != nil && f.leader != r && !f.leader.Over {
@@ -685,35 +592,34 @@
 			to = c
 		}
 	}
+	if to == nil {
+		return p.giveUp(r)
+	}
 	if !r.Write {
 		if f == nil {
 			f = &fetch{}
 			p.fetches[r.memo.key] = f
 		}
 		f.leader, f.at = r, ""
-		for _, l := range r.Legs {
-			if l.Result == Missed {
-				f.at = l.To
-				break
-			}
+		if i := slices.IndexFunc(r.Legs, func(l Leg) bool { return l.Result == Missed }); i >= 0 {
+			f.at = r.Legs[i].To
 		}
 	}
-	if to == nil {
-		return p.giveUp(r)
-	}
-	free := p.originFree(to, r) >= 1
-	if !slices.Contains(p.queue, r) {
+	free, queued := originFree(to, r) >= 1, slices.Contains(p.queue, r)
+	if !queued {
 		p.short -= p.short / shortOver
 		if !free {
 			p.short += 1.0 / shortOver
 		}
 	}
-	if free {
-		return p.send(now, r, to)
-	}
 	g, _ := p.gradeOf(r)
 	left := g.SoftLimit - now.Since(r.Arrived)
-	if !slices.Contains(p.queue, r) {
+	switch {
+	case free:
+		return p.send(now, r, to)
+	case queued && left <= 0:
+		return p.giveUp(r)
+	case !queued:
 		ahead := to.inHand() + 1
 		for _, q := range p.queue {
 			if q.memo.cheap <= r.memo.cheap {
@@ -721,21 +627,19 @@
 			}
 		}
 		if p.chance() < float64(ahead)*float64(to.per)/float64(max(left, 1))-0.5 {
-			return p.giveUp(r) // the wait would mostly be in vain
+			return p.giveUp(r)
 		}
 		p.queue = append(p.queue, r)
-	} else if left <= 0 {
-		return p.giveUp(r)
 	}
 	return p.notYet(now, r, left)
 }
 
 // originFree is how many more legs the origin may get; writes, being few and with nowhere else to go, get double.
-func (p *Router) originFree(to *cache, r *Retrieval) float64 {
+func originFree(to *cache, r *Retrieval) float64 {
 	if r.Write {
-		return 2*p.originRoom - float64(to.out)
+		return 2*to.room - float64(to.out)
 	}
-	return p.originRoom - float64(to.out)
+	return to.room - float64(to.out)
 }
 
 // dequeue wakes those waiting for the origin that it now has room for, the dearest first, then the oldest.
@@ -745,7 +649,7 @@
 	})
 	slices.SortStableFunc(p.queue, func(a, b *Retrieval) int { return cmp.Compare(a.memo.cheap, b.memo.cheap) })
 	for _, q := range p.queue {
-		if p.originFree(to, q) < float64(len(wake)+1) {
+		if originFree(to, q) < float64(len(wake)+1) {
 			break
 		}
 		wake = append(wake, q.ID)
@@ -754,129 +658,119 @@
 }
 
 // After decides what follows a leg's outcome.
-func (p *Router) After(now Instant, r *Retrieval, o Outcome) Move {
+func (p *Router) After(now Instant, r *Retrieval, o Outcome) (m Move) {
 	leg := r.Legs[o.Leg]
-	c := p.caches[leg.To]
-	g, at := p.gradeOf(r)
-	var wake []RetrievalID
+	c, f := p.caches[leg.To], p.fetches[r.memo.key]
 	if c != nil {
-		p.learn(now, c, leg, o, g, at)
-		if f := p.fetches[r.memo.key]; f != nil && f.leader == r && slices.Contains(p.origins, c) {
-			if leg.Result == Answered || r.Over {
-				wake = f.waiters
-				delete(p.fetches, r.memo.key)
-			}
-			if leg.Result == Answered {
-				r.memo.keptAt = f.at
-			}
-		}
-	}
-	if c != nil && slices.Contains(p.origins, c) {
-		wake = append(wake, p.dequeue(c)...)
-	} else if leg.Result != Cancelled && leg.Result != NeverSent {
-		p.asked++
-		if (leg.Result == Answered || leg.Result == Missed) && o.Took <= g.SoftLimit {
-			p.good++
-		}
+		p.learn(now, c, r, leg, o)
 	}
-	m := Move{}
 	switch {
 	case r.Over:
 		m.Cancel = p.outLegs(r)
 	case !slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.Out }):
 		m = p.next(now, r)
 	}
-	if m.Answer != Nothing {
-		if f := p.fetches[r.memo.key]; f != nil && f.leader == r {
-			wake = append(wake, f.waiters...)
-			delete(p.fetches, r.memo.key)
-		}
+	if f != nil && f.leader == r && (r.Over || m.Answer != Nothing) { // the fetch is over, well or not
+		m.Wake = f.waiters
+		delete(p.fetches, r.memo.key)
+	}
+	if c != nil && c.origin {
+		m.Wake = append(m.Wake, p.dequeue(c)...)
 	}
-	m.Wake = wake
 	return m
 }
 
 // learn takes from an outcome what it says of the cache.
-func (p *Router) learn(now Instant, c *cache, leg Leg, o Outcome, g Grade, grade int) {
+func (p *Router) learn(now Instant, c *cache, r *Retrieval, leg Leg, o Outcome) {
+	g, at := p.gradeOf(r)
 	held := max(1, c.inHand())
 	c.out = max(0, c.out-1)
-	origin := slices.Contains(p.origins, c)
+	intime := (leg.Result == Answered || leg.Result == Missed) && o.Took <= g.SoftLimit
 	switch leg.Result {
 	case Answered, Missed, Errored, TurnedAway:
-		p.alive(now, c)
+		c.heard, c.waitingOn, c.fails, c.refused, c.restUntil = now, now, 0, 0, 0
 	case TimedOut, Broken, Unconnected, Cancelled:
 		if c.heard < leg.Sent && (leg.Result != Cancelled || now.Since(leg.Sent) > p.patience) {
 			p.failed(now, c, leg.Result)
 		}
 	}
 	switch leg.Result {
-	case TimedOut, Cancelled:
-		c.ghosts = append(c.ghosts, leg.Sent)
-		c.pace.add(o.Took / time.Duration(held))
 	case Answered:
 		c.ghosts = slices.DeleteFunc(c.ghosts, func(sent Instant) bool { return sent < leg.Sent })
-		c.answered[grade]++
-		c.pace.add(o.Took / time.Duration(held))
-		if !origin {
-			p.took.add(o.Took)
-		}
-		if float64(held) >= c.room-1 {
-			c.room += roomGrows
-		}
-		if origin && o.Took < g.SoftLimit/2 {
-			p.originRoom += 1 / p.originRoom
+		c.pace.Add(o.Took / time.Duration(held))
+		c.erred[at] /= 2
+		p.fade(now, c)
+		if c.served++; !c.origin {
+			p.took.Add(o.Took)
+			if float64(held) >= c.room-1 {
+				c.room += roomGrows
+			}
 		}
+	case TimedOut, Cancelled:
+		c.ghosts = append(c.ghosts, leg.Sent)
+		c.pace.Add(o.Took / time.Duration(held))
 	case Errored, Broken:
-		c.erred[grade]++
+		c.erred[at] = min(c.erred[at]+1, 2*errsToRest)
 	case TurnedAway:
-		c.room = max(1, float64(held-1))
+		if !c.origin {
+			c.room = max(1, float64(held-1))
+		}
+	}
+	if !c.origin && leg.Result != Cancelled && leg.Result != NeverSent {
+		if p.asked++; intime {
+			p.good++
+		}
 	}
-	if origin && (leg.Result != Answered && leg.Result != Cancelled || o.Took > g.SoftLimit) &&
-		now.Since(p.originCut) > p.slow {
-		p.originRoom, p.originCut = max(2, p.originRoom*0.7), now
+	if c.origin && intime && o.Took < g.SoftLimit/2 {
+		c.room += 1 / c.room
+	} else if c.origin && !intime && leg.Result != Cancelled && now.Since(c.cutAt) > p.slow {
+		c.room, c.cutAt = max(originLeast, c.room*originCut), now
 	}
 	if i := p.rules.InFlightAt; i >= 0 && i < len(o.Report) {
-		c.foreign, c.reported = max(0, o.Report[i]-float64(held)), true // the report counts own legs too
+		c.foreign = max(0, o.Report[i]-float64(held)) // the report counts own legs too
 	}
 }
 
 // Wait returns how long until it wants to be called again, and the chores due now.
 func (p *Router) Wait(now Instant) (time.Duration, []Chore) {
 	var chores []Chore
+	p.upkeeps++
 	if p.upkeeps%fadeEvery == 0 {
 		p.asked, p.good = p.asked/2, p.good/2
 	}
-	if p.upkeeps++; p.upkeeps%halveEvery == 0 {
-		p.took.halve()
-		for _, c := range p.caches {
-			c.pace.halve()
+	halve := p.upkeeps%halveEvery == 0
+	if halve {
+		p.took.Halve()
+	}
+	p.retime()
+	served, weight, foreign, reporters, quiet := 0.0, 0.0, 0.0, 0.0, 0
+	for _, c := range slices.Concat(p.listed, p.origins) {
+		c.per = c.pace.Quantile(0.5, 0)
+		if halve {
+			c.pace.Halve()
 			for g := range c.erred {
 				c.erred[g] /= 2
-				c.answered[g] /= 2
 			}
 		}
-	}
-	p.retime()
-	legs, weight, foreign, reporters, quiet := 0.0, 0.0, 0.0, 0.0, 0
-	for _, c := range p.origins {
-		c.per = c.pace.quantile(0.5, 0)
-	}
-	for _, c := range p.listed {
-		c.per = c.pace.quantile(0.5, 0)
-		legs += p.fade(now, c)
+		if c.origin {
+			continue
+		}
+		p.fade(now, c)
+		served += c.served
 		weight += c.Weight * p.warmth(now, c)
-		if c.reported {
+		if c.foreign >= 0 {
 			foreign += c.foreign
 			reporters++
 		}
 		if p.silent(now, c) {
 			quiet++
-			if p.rules.MayProbe && now >= c.restUntil {
+			if p.rules.MayProbe && c.fails >= failsToRest && now >= c.restUntil {
 				chores = append(chores, Chore{Kind: ProbeCache, Cache: c.ID})
+				c.restUntil = now.Add(p.patience)
 			}
 		}
 	}
-	p.usual, p.othersLoad = legs/max(weight, 1e-9), foreign/max(reporters, 1)
+	p.usual, p.othersLoad = served/max(weight, 1e-9), foreign/max(reporters, 1)
 	p.blind = 2*quiet > len(p.listed)
 	if p.rules.MustAsk && !p.following && now >= p.askNext && (!p.asking || now.Since(p.askedAt) > p.rules.AskWithin) {
 		p.asking, p.askedAt = true, now
@@ -888,12 +782,10 @@
 // retime derives the time limits from the answers seen.
 func (p *Router) retime() {
 	soft := time.Second
-	for i, g := range p.rules.Grades {
-		if i == 0 || g.SoftLimit < soft {
-			soft = g.SoftLimit
-		}
+	for _, g := range p.rules.Grades {
+		soft = min(soft, g.SoftLimit)
 	}
-	p.typical = p.took.quantile(0.5, soft/4)
-	p.slow = max(p.took.quantile(0.95, soft/2), 2*p.rules.Round)
-	p.patience = max(2*p.took.quantile(0.99, soft), 4*p.rules.Round)
+	p.typical = p.took.Quantile(0.5, soft/4)
+	p.slow = max(p.took.Quantile(0.95, soft/2), 2*p.rules.Round)
+	p.patience = max(2*p.took.Quantile(0.99, soft), 4*p.rules.Round)
 }
