--- a/policy/policy.go
+++ b/policy/policy.go
@@ -8,13 +8,12 @@
 
 import (
 	"cmp"
-	"encoding/binary"
-	"hash/crc32"
 	"math"
 	"math/bits"
 	"slices"
 	"time"
 
+	"dahliapin/internal/keyhash"
 	"dahliapin/internal/tally"
 )
 
@@ -64,9 +63,8 @@
 
 // fetch is one retrieval's way to the origin, which others that miss the same key wait for.
 type fetch struct {
-	leader  *Retrieval
-	at      CacheID // where the value will be kept
-	waiters []RetrievalID
+	leader *Retrieval
+	at     CacheID // where the value will be kept
 }
 
 // memo is what the Router remembers of a retrieval in hand.
@@ -80,12 +78,12 @@
 // Router makes the decisions of one node.
 type Router struct {
 	rules                   HouseRules
-	seed, draws             uint32
+	chance                  keyhash.Source
 	caches                  map[CacheID]*cache
 	listed, origins         []*cache // by hashed id
 	segs                    [segments][]*cache
 	fetches                 map[uint64]*fetch
-	queue                   []*Retrieval // waiting for the origin
+	queue                   []*Retrieval // waiting for room at the origin or for another's fetch
 	short                   float64      // share of those bound for the origin that found no room
 	took                    tally.Histogram
 	typical, slow, patience time.Duration // the median, the slow twentieth, and when no word means silence
@@ -105,36 +103,12 @@
 func New(now Instant, seed int64, rules HouseRules) *Router {
 	rules.Nodes, rules.MostLegs = max(1, rules.Nodes), max(1, rules.MostLegs)
 	rules.Round = max(time.Millisecond, rules.Round)
-	p := &Router{rules: rules, seed: uint32(seed ^ seed>>32), caches: map[CacheID]*cache{}, metered: now,
+	p := &Router{rules: rules, chance: keyhash.Source{Seed: uint32(seed ^ seed>>32)}, caches: map[CacheID]*cache{}, metered: now,
 		fetches: map[uint64]*fetch{}, quotas: make([]float64, len(rules.Leagues))}
 	p.retime()
 	return p
 }
 
-func mix(x uint64) uint64 { // splitmix64's finaliser: unlike CRC32 its values for two segments are independent
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
-func salted(h uint64, salt int) uint64 { return mix(h ^ mix(uint64(salt+1)*0x9e3779b97f4a7c15)) }
-
-func hashText(s string) uint64 { // FNV-1a, the same in every process
-	h := uint64(14695981039346656037)
-	for i := 0; i < len(s); i++ {
-		h = (h ^ uint64(s[i])) * 1099511628211
-	}
-	return mix(h)
-}
-
-func (p *Router) chance() float64 {
-	var b [8]byte
-	p.draws++
-	binary.LittleEndian.PutUint32(b[:4], p.seed)
-	binary.LittleEndian.PutUint32(b[4:], p.draws)
-	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
-}
-
 // deal spreads hashed ids evenly over n places, the nearest pairs first. It depends on the set alone, so nodes with
 // the same list agree, and one id less moves few others.
 func deal(hashes []uint64, n, salt int) []int {
@@ -147,7 +121,7 @@
 	for i, h := range hashes {
 		place[i] = -1
 		for j := range n {
-			pairs = append(pairs, pair{salted(h, salt+j), i, j})
+			pairs = append(pairs, pair{keyhash.Salted(h, salt+j), i, j})
 		}
 	}
 	slices.SortFunc(pairs, func(a, b pair) int { return cmp.Or(cmp.Compare(a.score, b.score), a.id-b.id) })
@@ -221,7 +195,7 @@
 func (p *Router) Listed(now Instant, form ListForm, entries []Entry) {
 	if form == AskFailed {
 		p.asking, p.following, p.askFails = false, false, min(p.askFails+1, 5)
-		p.askNext = now.Add(time.Duration((0.5 + p.chance()) * float64(upkeepEvery<<p.askFails)))
+		p.askNext = now.Add(time.Duration((0.5 + p.chance.Next()) * float64(upkeepEvery<<p.askFails)))
 		return
 	}
 	if form != LastHeld && p.asking {
@@ -231,7 +205,7 @@
 	for _, e := range entries {
 		c := p.caches[e.ID]
 		if named[e.ID] = e.State != Gone; c == nil || e.Born > c.Born { // what was learned of an old process says nothing
-			fresh := &cache{hash: hashText(string(e.ID)), origin: p.rules.Aside && e.Kind == p.rules.OriginKind, foreign: -1,
+			fresh := &cache{hash: keyhash.Text(string(e.ID)), origin: p.rules.Aside && e.Kind == p.rules.OriginKind, foreign: -1,
 				room: math.Inf(1), erred: make([]uint8, len(p.rules.Grades)+1)}
 			if fresh.origin {
 				fresh.room = originFirst
@@ -308,7 +282,7 @@
 		return false
 	}
 	p.fade(now, c)
-	return float64(mix(key^c.hash)) > w*w*(1<<64) || c.sent > w*p.usual*c.Weight+0.5
+	return float64(keyhash.Mix(key^c.hash)) > w*w*(1<<64) || c.sent > w*p.usual*c.Weight+0.5
 }
 
 // inHand counts own legs there. It guards against caches that go on with what was given up: such a leg counts until
@@ -386,7 +360,7 @@
 // it turns away by chance, the cheaper ones more often, until what gets in is answered again.
 func (p *Router) turnAway(r *Retrieval) bool {
 	over := p.asked - lostLeast*p.good - trialsLeast
-	if over <= 0 || p.chance() >= over/p.asked*r.memo.cheap {
+	if over <= 0 || p.chance.Next() >= over/p.asked*r.memo.cheap {
 		return false
 	}
 	p.asked++
@@ -399,7 +373,7 @@
 	if len(slots) == 0 {
 		return nil
 	}
-	at := linear(salted(key, segments+seg), len(slots))
+	at := linear(keyhash.Salted(key, segments+seg), len(slots))
 	for range slots {
 		if c := slots[at]; c.refused < failsToRest || now >= c.restUntil {
 			break
@@ -413,7 +387,7 @@
 // is silent, fails this grade fast and so looks idle, or is too cold for the key yields to the next ranked spare.
 func (p *Router) holders(now Instant, r *Retrieval) (hs []*cache) {
 	var order [segments]int
-	score := func(i int) uint64 { return salted(r.memo.key, order[i]) }
+	score := func(i int) uint64 { return keyhash.Salted(r.memo.key, order[i]) }
 	for i := range order {
 		order[i] = i
 		for j := i; j > 0 && score(j) < score(j-1); j-- {
@@ -451,12 +425,12 @@
 			continue
 		}
 		l := p.load(c) + rankLegs*p.short*float64(i)
-		if float64(c.out) >= c.room || time.Duration(c.inHand()+1)*c.per > left {
+		if c.free(false) < 1 || time.Duration(c.inHand()+1)*c.per > left {
 			full = true
 		} else if l < least {
 			best, least, ties = c, l, 1
 		} else if l == least {
-			if ties++; p.chance()*ties < 1 {
+			if ties++; p.chance.Next()*ties < 1 {
 				best = c
 			}
 		}
@@ -497,7 +471,7 @@
 	}
 	p.benefit += (benefit - p.benefit) / 100
 	p.spare = min(spareMost, p.spare+spareShare)
-	r.memo = memo{met: true, key: hashText(r.Key), cheap: math.Sqrt(max(p.benefit, 0.01) / max(benefit, 0.01))}
+	r.memo = memo{met: true, key: keyhash.Text(r.Key), cheap: math.Sqrt(max(p.benefit, 0.01) / max(benefit, 0.01))}
 }
 
 // Where decides where a retrieval goes now: at its arrival, when it was to be asked again, and when woken.
@@ -556,7 +530,7 @@
 		return p.send(now, r, hs[:min(len(hs), p.rules.MostLegs)]...) // through mode: writes go to all holders
 	case c != nil:
 		if f := p.fetches[r.memo.key]; f != nil && f.at == c.ID && !f.leader.Over && !r.Write {
-			return p.join(now, r, f)
+			return p.enqueue(now, r)
 		}
 		return p.send(now, r, c)
 	case (full || len(p.listed) == 0) && now.Since(r.Arrived) < g.SoftLimit/2:
@@ -572,20 +546,9 @@
 	return Move{AskAgain: min(now.Add(max(wait, 2*p.rules.Round)), r.HardStop.Add(-2*p.rules.Round))}
 }
 
-func (p *Router) join(now Instant, r *Retrieval, f *fetch) Move {
-	if !slices.Contains(f.waiters, r.ID) {
-		f.waiters = append(f.waiters, r.ID)
-	}
-	return p.notYet(now, r, p.slow)
-}
-
 // toOrigin sends a write, or a read that missed, to the origin. It guards against miss storms: one read fetches a
-// key and the others wait for it, and the legs out there are bounded. Who would mostly wait in vain is turned away.
+// key and the others wait for it, and legs out there are bounded. Who would mostly wait in vain is turned away.
 func (p *Router) toOrigin(now Instant, r *Retrieval) Move {
-	f := p.fetches[r.memo.key]
-	if !r.Write && f != nil && f.leader != r && !f.leader.Over {
-		return p.join(now, r, f)
-	}
 	var to *cache
 	for _, c := range p.origins {
 		if p.lawful(now, r, c) && (to == nil || c.out < to.out) {
@@ -595,64 +558,78 @@
 	if to == nil {
 		return p.giveUp(r)
 	}
-	if !r.Write {
-		if f == nil {
-			f = &fetch{}
-			p.fetches[r.memo.key] = f
-		}
-		f.leader, f.at = r, ""
+	f, queued := p.fetches[r.memo.key], slices.Contains(p.queue, r)
+	shared := !r.Write && f != nil && f.leader != r && !f.leader.Over
+	if !r.Write && !shared {
+		f = &fetch{leader: r}
 		if i := slices.IndexFunc(r.Legs, func(l Leg) bool { return l.Result == Missed }); i >= 0 {
 			f.at = r.Legs[i].To
 		}
-	}
-	free, queued := originFree(to, r) >= 1, slices.Contains(p.queue, r)
-	if !queued {
-		p.short -= p.short / shortOver
-		if !free {
-			p.short += 1.0 / shortOver
-		}
+		p.fetches[r.memo.key] = f
 	}
 	g, _ := p.gradeOf(r)
 	left := g.SoftLimit - now.Since(r.Arrived)
-	switch {
-	case free:
-		return p.send(now, r, to)
-	case queued && left <= 0:
-		return p.giveUp(r)
-	case !queued:
+	if !shared {
+		free := to.free(r.Write) >= 1
 		ahead := to.inHand() + 1
-		for _, q := range p.queue {
-			if q.memo.cheap <= r.memo.cheap {
-				ahead++
+		if !queued {
+			p.short -= p.short / shortOver
+			for _, q := range p.queue {
+				if q.memo.cheap <= r.memo.cheap {
+					ahead++
+				}
 			}
 		}
-		if p.chance() < float64(ahead)*float64(to.per)/float64(max(left, 1))-0.5 {
-			return p.giveUp(r)
+		if free {
+			return p.send(now, r, to)
+		}
+		if !queued {
+			p.short += 1.0 / shortOver
+			if p.chance.Next() < float64(ahead)*float64(to.per)/float64(max(left, 1))-0.5 {
+				return p.giveUp(r)
+			}
 		}
+	}
+	if queued && left <= 0 {
+		return p.giveUp(r)
+	}
+	return p.enqueue(now, r)
+}
+
+// enqueue lets a retrieval wait with nothing out until its answer would come late.
+func (p *Router) enqueue(now Instant, r *Retrieval) Move {
+	if !slices.Contains(p.queue, r) {
 		p.queue = append(p.queue, r)
 	}
-	return p.notYet(now, r, left)
+	g, _ := p.gradeOf(r)
+	return p.notYet(now, r, g.SoftLimit-now.Since(r.Arrived))
 }
 
-// originFree is how many more legs the origin may get; writes, being few and with nowhere else to go, get double.
-func originFree(to *cache, r *Retrieval) float64 {
-	if r.Write {
-		return 2*to.room - float64(to.out)
+// free is how many more legs a cache has room for; writes, being few and with nowhere else to go, get double.
+func (c *cache) free(write bool) float64 {
+	if write {
+		return 2*c.room - float64(c.out)
 	}
-	return to.room - float64(to.out)
+	return c.room - float64(c.out)
 }
 
-// dequeue wakes those waiting for the origin that it now has room for, the dearest first, then the oldest.
-func (p *Router) dequeue(to *cache) (wake []RetrievalID) {
+// dequeue wakes those who waited for a fetch that is over, and those that the origin now has room for, the dearest
+// first, then the oldest.
+func (p *Router) dequeue(origin *cache, over *fetch, key uint64) (wake []RetrievalID) {
 	p.queue = slices.DeleteFunc(p.queue, func(q *Retrieval) bool {
 		return q.Over || slices.ContainsFunc(q.Legs, func(l Leg) bool { return l.Out })
 	})
 	slices.SortStableFunc(p.queue, func(a, b *Retrieval) int { return cmp.Compare(a.memo.cheap, b.memo.cheap) })
+	freed := 0.0
 	for _, q := range p.queue {
-		if originFree(to, q) < float64(len(wake)+1) {
-			break
+		f := p.fetches[q.memo.key]
+		if over != nil && q.memo.key == key {
+			q.memo.keptAt = over.at
+			wake = append(wake, q.ID)
+		} else if (f == nil || f.leader == q || f.leader.Over) && origin != nil && origin.free(q.Write) >= freed+1 {
+			freed++
+			wake = append(wake, q.ID)
 		}
-		wake = append(wake, q.ID)
 	}
 	return wake
 }
@@ -670,12 +647,19 @@
 	case !slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.Out }):
 		m = p.next(now, r)
 	}
-	if f != nil && f.leader == r && (r.Over || m.Answer != Nothing) { // the fetch is over, well or not
-		m.Wake = f.waiters
+	if f == nil || f.leader != r || !r.Over && m.Answer == Nothing {
+		f = nil
+	} else { // the fetch is over, well or not
 		delete(p.fetches, r.memo.key)
+		if leg.Result != Answered {
+			f.at = ""
+		}
+	}
+	if c == nil || !c.origin {
+		c = nil
 	}
-	if c != nil && c.origin {
-		m.Wake = append(m.Wake, p.dequeue(c)...)
+	if c != nil || f != nil {
+		m.Wake = p.dequeue(c, f, r.memo.key)
 	}
 	return m
 }
