Fetch first for the key whose waiters are worth most together

Cause: the queue for the origin was ordered by each retrieval's own benefit, so a fetch that many waited for came late.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -65,14 +65,16 @@
 type fetch struct {
 	leader *Retrieval
 	at     CacheID // where the value will be kept
+	worth  float64 // benefit of all that wait for it
 }
 
 // memo is what the Router remembers of a retrieval in hand.
 type memo struct {
-	met    bool
-	key    uint64
-	cheap  float64 // how readily it is turned away; 1 is the mean
-	keptAt CacheID // a shared fetch has put the value here
+	met     bool
+	key     uint64
+	benefit float64
+	cheap   float64 // how readily it is turned away; 1 is the mean
+	keptAt  CacheID // a shared fetch has put the value here
 }
 
 // Router makes the decisions of one node.
@@ -471,7 +473,7 @@
 	}
 	p.benefit += (benefit - p.benefit) / 100
 	p.spare = min(spareMost, p.spare+spareShare)
-	r.memo = memo{met: true, key: keyhash.Text(r.Key), cheap: math.Sqrt(max(p.benefit, 0.01) / max(benefit, 0.01))}
+	r.memo = memo{met: true, key: keyhash.Text(r.Key), benefit: benefit, cheap: math.Sqrt(max(p.benefit, 0.01) / max(benefit, 0.01))}
 }
 
 // Where decides where a retrieval goes now: at its arrival, when it was to be asked again, and when woken.
@@ -561,7 +563,12 @@
 	f, queued := p.fetches[r.memo.key], slices.Contains(p.queue, r)
 	shared := !r.Write && f != nil && f.leader != r && !f.leader.Over
 	if !r.Write && !shared {
-		f = &fetch{leader: r}
+		f = &fetch{leader: r, worth: r.memo.benefit}
+		for _, q := range p.queue {
+			if q != r && q.memo.key == r.memo.key {
+				f.worth += q.memo.benefit
+			}
+		}
 		if i := slices.IndexFunc(r.Legs, func(l Leg) bool { return l.Result == Missed }); i >= 0 {
 			f.at = r.Legs[i].To
 		}
@@ -575,7 +582,7 @@
 		if !queued {
 			p.short -= p.short / shortOver
 			for _, q := range p.queue {
-				if q.memo.cheap <= r.memo.cheap {
+				if p.worth(q) >= p.worth(r) {
 					ahead++
 				}
 			}
@@ -600,11 +607,22 @@
 func (p *Router) enqueue(now Instant, r *Retrieval) Move {
 	if !slices.Contains(p.queue, r) {
 		p.queue = append(p.queue, r)
+		if f := p.fetches[r.memo.key]; f != nil && f.leader != r && !r.Write {
+			f.worth += r.memo.benefit
+		}
 	}
 	g, _ := p.gradeOf(r)
 	return p.notYet(now, r, g.SoftLimit-now.Since(r.Arrived))
 }
 
+// worth is what an origin leg for r would bring: its benefit and that of all who wait for its fetch.
+func (p *Router) worth(r *Retrieval) float64 {
+	if f := p.fetches[r.memo.key]; f != nil && f.leader == r {
+		return f.worth
+	}
+	return r.memo.benefit
+}
+
 // free is how many more legs a cache has room for; writes, being few and with nowhere else to go, get double.
 func (c *cache) free(write bool) float64 {
 	if write {
@@ -613,13 +631,13 @@
 	return c.room - float64(c.out)
 }
 
-// dequeue wakes those who waited for a fetch that is over, and those that the origin now has room for, the dearest
-// first, then the oldest.
+// dequeue wakes those who waited for a fetch that is over, and those that the origin now has room for, those worth
+// most first, then the oldest.
 func (p *Router) dequeue(origin *cache, over *fetch, key uint64) (wake []RetrievalID) {
 	p.queue = slices.DeleteFunc(p.queue, func(q *Retrieval) bool {
 		return q.Over || slices.ContainsFunc(q.Legs, func(l Leg) bool { return l.Out })
 	})
-	slices.SortStableFunc(p.queue, func(a, b *Retrieval) int { return cmp.Compare(a.memo.cheap, b.memo.cheap) })
+	slices.SortStableFunc(p.queue, func(a, b *Retrieval) int { return cmp.Compare(p.worth(b), p.worth(a)) })
 	freed := 0.0
 	for _, q := range p.queue {
 		f := p.fetches[q.memo.key]
