--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,9 +1,9 @@
 // Package policy decides, for one node, where retrievals go. Its interface and id types are in types.go.
 //
-// A caller makes one Router with New and asks it through three calls: Where (send this retrieval there, or not yet,
-// or never), After (what to do after a leg's outcome) and Wait (how long until the next upkeep, and the chores due
-// now). Listed and Probed tell it what was heard and return nothing. The caller keeps the timers and the retrievals
-// and carries out each Move as it stands. Nothing here is shared between Routers.
+// A caller makes one Router with New and asks it through three calls: Where (send this retrieval there, or not
+// yet, or never), After (what to do after a leg's outcome) and Wait (how long until the next upkeep, and the chores
+// due now). Listed and Probed tell it what was heard. The caller keeps the timers and the retrievals and carries
+// out each Move as it stands. Routers share nothing.
 package policy
 
 import (
@@ -41,24 +41,21 @@
 
 type cache struct {
 	Entry
-	hash      uint64
-	origin    bool
-	out       int             // own legs in hand
-	ghosts    []Instant       // sendings of legs given up on that it may still be at work for
-	waitingOn Instant         // first sending since the last word from it
-	heard     Instant         // last word from it
-	fails     int             // legs in a row without a word
-	refused   int             // connections in a row not made
-	restUntil Instant         // no legs before this
-	room      float64         // own legs in hand at which it turns more away, as learned
-	cutAt     Instant         // when the origin's room was last cut
-	pace      tally.Histogram // time a leg took for each one in hand when it was sent
-	per       time.Duration   // median of pace
-	foreign   float64         // retrievals of others it holds by its last report; -1 while unreported
-	erred     []uint8         // errors by grade, halved by answers and by time
-	sent      float64         // legs sent, fading over the span of the cold rule
-	served    float64         // legs answered, fading likewise
-	fadedAt   Instant
+	hash             uint64
+	origin           bool
+	out              int             // own legs in hand
+	ghosts           []Instant       // sendings of legs given up on that it may still be at work for
+	waitingOn, heard Instant         // first sending since the last word from it, and that word
+	fails, refused   int             // legs in a row without a word, and without a connection
+	restUntil        Instant         // no legs before this
+	room             float64         // own legs in hand at which it turns more away, as learned
+	cutAt            Instant         // when the origin's room was last cut
+	pace             tally.Histogram // time a leg took for each one in hand when it was sent
+	per              time.Duration   // median of pace
+	foreign          float64         // retrievals of others it holds by its last report; -1 while unreported
+	erred            []uint8         // errors by grade, halved by answers and by time
+	sent, served     float64         // legs sent and answered, fading over the span of the cold rule
+	fadedAt          Instant
 }
 
 // fetch is one retrieval's way to the origin, which others that miss the same key wait for.
@@ -71,6 +68,8 @@
 // memo is what the Router remembers of a retrieval in hand.
 type memo struct {
 	met     bool
+	grade   Grade
+	at      int // place of the grade among all
 	key     uint64
 	benefit float64
 	cheap   float64 // how readily it is turned away; 1 is the mean
@@ -289,15 +288,13 @@
 
 // inHand counts own legs there. It guards against caches that go on with what was given up: such a leg counts until
 // the answer to a later one shows that its turn is over.
-func (c *cache) inHand() int { return c.out + len(c.ghosts) }
+func (c *cache) inHand() float64 { return float64(c.out + len(c.ghosts)) }
 
 // load is a cache's work in hand: own legs and what it reports beside them; unreported, the others' mean.
 func (p *Router) load(c *cache) float64 {
-	l := float64(c.inHand())
-	if c.foreign >= 0 {
-		l += c.foreign
-	} else {
-		l += p.othersLoad
+	l := c.inHand() + c.foreign
+	if c.foreign < 0 {
+		l = c.inHand() + p.othersLoad
 	}
 	if c.Zone != p.rules.Zone {
 		l += crossingLegs * p.rules.CrossingPrice
@@ -305,20 +302,12 @@
 	return l
 }
 
-// gradeOf returns a retrieval's grade and its place; an unknown grade is the strictest there is.
-func (p *Router) gradeOf(r *Retrieval) (Grade, int) {
-	if r.Grade < 0 || int(r.Grade) >= len(p.rules.Grades) {
-		return Grade{SoftLimit: r.HardStop.Since(r.Arrived)}, len(p.rules.Grades)
-	}
-	return p.rules.Grades[r.Grade], int(r.Grade)
-}
-
 // lawful is the second rule and the third: may this retrieval go to this cache now, whatever else seems wise?
 func (p *Router) lawful(now Instant, r *Retrieval, c *cache) bool {
 	if r.Over || c.State != Ready || len(r.Legs) >= p.rules.MostLegs || r.HardStop.Since(now) < 2*p.rules.Round {
 		return false
 	}
-	g, _ := p.gradeOf(r)
+	g := r.memo.grade
 	for _, leg := range r.Legs {
 		if leg.Out && (!p.rules.SecondCopies || g.Effect == Irreversible) {
 			return false
@@ -340,7 +329,7 @@
 
 // giveUp ends a retrieval at once: with a dismissal where a retry is sure to do no harm.
 func (p *Router) giveUp(r *Retrieval) Move {
-	g, _ := p.gradeOf(r)
+	g := r.memo.grade
 	m := Move{Answer: Scrap, Cancel: p.outLegs(r)}
 	if g.Effect == Redoable || g.Effect == Labelled && g.Scope == AllCaches ||
 		!slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.Out || !l.Result.NeverRan() }) {
@@ -349,6 +338,9 @@
 	return m
 }
 
+func isOut(l Leg) bool  { return l.Out }
+func missed(l Leg) bool { return l.Result == Missed }
+
 func (p *Router) outLegs(r *Retrieval) (out []int) {
 	for i, l := range r.Legs {
 		if l.Out && p.rules.MayCancel {
@@ -396,14 +388,13 @@
 			order[j], order[j-1] = order[j-1], order[j]
 		}
 	}
-	_, g := p.gradeOf(r)
 	var last *cache
 	for _, seg := range order {
 		c := p.locate(now, seg, r.memo.key)
 		if c == nil || len(hs) == copies || !p.lawful(now, r, c) || p.coldTo(now, c, r.memo.key) {
 			continue
 		}
-		if !p.blind && p.silent(now, c) || c.erred[g] >= errsToRest {
+		if !p.blind && p.silent(now, c) || c.erred[r.memo.at] >= errsToRest {
 			last = c
 			continue
 		}
@@ -419,7 +410,7 @@
 // origin is short, an earlier ranked holder may have some legs more in hand, which guards against filling three
 // caches with a key that can hardly be fetched once.
 func (p *Router) pick(now Instant, r *Retrieval, hs []*cache) (best *cache, full bool) {
-	g, _ := p.gradeOf(r)
+	g := r.memo.grade
 	left := max(g.SoftLimit-now.Since(r.Arrived), g.SoftLimit/2)
 	least, ties := math.Inf(1), 0.0
 	for i, c := range hs {
@@ -427,7 +418,7 @@
 			continue
 		}
 		l := p.load(c) + rankLegs*p.short*float64(i)
-		if c.free(false) < 1 || time.Duration(c.inHand()+1)*c.per > left {
+		if c.free(false) < 1 || time.Duration((c.inHand()+1)*float64(c.per)) > left {
 			full = true
 		} else if l < least {
 			best, least, ties = c, l, 1
@@ -451,15 +442,18 @@
 		c.sent++
 		m.To = append(m.To, c.ID)
 	}
-	if g, _ := p.gradeOf(r); g.Effect != Irreversible && !r.Write {
+	if r.memo.grade.Effect != Irreversible && !r.Write {
 		m.AskAgain = now.Add(p.slow)
 	}
 	return m
 }
 
-// meet takes note of a new retrieval: its key, and how readily it may be turned away.
+// meet takes note of a new retrieval; one of an unknown grade counts as of the strictest there is.
 func (p *Router) meet(now Instant, r *Retrieval) {
-	g, _ := p.gradeOf(r)
+	g, at := Grade{SoftLimit: r.HardStop.Since(r.Arrived)}, len(p.rules.Grades)
+	if r.Grade >= 0 && int(r.Grade) < at {
+		g, at = p.rules.Grades[r.Grade], int(r.Grade)
+	}
 	benefit := g.Benefit
 	for i, l := range p.rules.Leagues {
 		share := l.QuotaPerSecond / float64(p.rules.Nodes)
@@ -467,13 +461,14 @@
 	}
 	p.metered = now
 	if l := int(r.League); l >= 0 && l < len(p.quotas) && p.rules.Leagues[l].QuotaPerSecond > 0 {
-		if p.quotas[l]--; p.quotas[l] < 0 {
+		if p.quotas[l]--; p.quotas[l] < 0 { // beyond its share
 			p.quotas[l], benefit = 0, benefit*p.rules.ExcessBenefit
 		}
 	}
 	p.benefit += (benefit - p.benefit) / 100
 	p.spare = min(spareMost, p.spare+spareShare)
-	r.memo = memo{met: true, key: keyhash.Text(r.Key), benefit: benefit, cheap: math.Sqrt(max(p.benefit, 0.01) / max(benefit, 0.01))}
+	cheap := math.Sqrt(max(p.benefit, 0.01) / max(benefit, 0.01))
+	r.memo = memo{true, g, at, keyhash.Text(r.Key), benefit, cheap, ""}
 }
 
 // Where decides where a retrieval goes now: at its arrival, when it was to be asked again, and when woken.
@@ -487,7 +482,7 @@
 			return p.giveUp(r)
 		}
 	}
-	if i := slices.IndexFunc(r.Legs, func(l Leg) bool { return l.Out }); i >= 0 {
+	if i := slices.IndexFunc(r.Legs, isOut); i >= 0 {
 		return p.further(now, r, i)
 	}
 	return p.next(now, r)
@@ -514,11 +509,11 @@
 
 // next decides on a retrieval with nothing out.
 func (p *Router) next(now Instant, r *Retrieval) Move {
-	g, _ := p.gradeOf(r)
+	g := r.memo.grade
 	if len(r.Legs) >= p.rules.MostLegs || r.HardStop.Since(now)-2*p.rules.Round <= p.typical/4 {
 		return p.giveUp(r)
 	}
-	if p.rules.Aside && (r.Write || slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.Result == Missed })) {
+	if p.rules.Aside && (r.Write || slices.ContainsFunc(r.Legs, missed)) {
 		kept := p.caches[r.memo.keptAt]
 		if r.memo.keptAt = ""; kept != nil && p.lawful(now, r, kept) {
 			return p.send(now, r, kept)
@@ -557,53 +552,49 @@
 			to = c
 		}
 	}
-	if to == nil {
+	left := r.memo.grade.SoftLimit - now.Since(r.Arrived)
+	f, queued := p.fetches[r.memo.key], slices.Contains(p.queue, r)
+	if to == nil || queued && left <= 0 {
 		return p.giveUp(r)
 	}
-	f, queued := p.fetches[r.memo.key], slices.Contains(p.queue, r)
-	shared := !r.Write && f != nil && f.leader != r && !f.leader.Over
-	if !r.Write && !shared {
+	if !r.Write && f != nil && f.leader != r && !f.leader.Over {
+		return p.enqueue(now, r)
+	}
+	if !r.Write {
 		f = &fetch{leader: r, worth: r.memo.benefit}
 		for _, q := range p.queue {
 			if q != r && q.memo.key == r.memo.key {
 				f.worth += q.memo.benefit
 			}
 		}
-		if i := slices.IndexFunc(r.Legs, func(l Leg) bool { return l.Result == Missed }); i >= 0 {
+		if i := slices.IndexFunc(r.Legs, missed); i >= 0 {
 			f.at = r.Legs[i].To
 		}
 		p.fetches[r.memo.key] = f
 	}
-	g, _ := p.gradeOf(r)
-	left := g.SoftLimit - now.Since(r.Arrived)
-	if !shared {
-		free := to.free(r.Write) >= 1
+	free := to.free(r.Write) >= 1
+	if !queued {
+		p.short -= p.short / shortOver
+	}
+	if !queued && !free {
+		p.short += 1.0 / shortOver
 		ahead := to.inHand() + 1
-		if !queued {
-			p.short -= p.short / shortOver
-			for _, q := range p.queue {
-				if p.worth(q) >= p.worth(r) {
-					ahead++
-				}
+		for _, q := range p.queue {
+			if p.worth(q) >= p.worth(r) {
+				ahead++
 			}
 		}
-		if free {
-			return p.send(now, r, to)
-		}
-		if !queued {
-			p.short += 1.0 / shortOver
-			if p.chance.Next() < float64(ahead)*float64(to.per)/float64(max(left, 1))-0.5 {
-				return p.giveUp(r)
-			}
+		if p.chance.Next() < ahead*float64(to.per)/float64(max(left, 1))-0.5 {
+			return p.giveUp(r)
 		}
 	}
-	if queued && left <= 0 {
-		return p.giveUp(r)
+	if free {
+		return p.send(now, r, to)
 	}
 	return p.enqueue(now, r)
 }
 
-// enqueue lets a retrieval wait with nothing out until its answer would come late.
+// enqueue lets a retrieval wait for the origin, or for another's fetch, until its answer would come late.
 func (p *Router) enqueue(now Instant, r *Retrieval) Move {
 	if !slices.Contains(p.queue, r) {
 		p.queue = append(p.queue, r)
@@ -611,8 +602,7 @@
 			f.worth += r.memo.benefit
 		}
 	}
-	g, _ := p.gradeOf(r)
-	return p.notYet(now, r, g.SoftLimit-now.Since(r.Arrived))
+	return p.notYet(now, r, r.memo.grade.SoftLimit-now.Since(r.Arrived))
 }
 
 // worth is what an origin leg for r would bring: its benefit and that of all who wait for its fetch.
@@ -633,18 +623,17 @@
 
 // dequeue wakes those who waited for a fetch that is over, and those that the origin now has room for, those worth
 // most first, then the oldest.
-func (p *Router) dequeue(origin *cache, over *fetch, key uint64) (wake []RetrievalID) {
-	p.queue = slices.DeleteFunc(p.queue, func(q *Retrieval) bool {
-		return q.Over || slices.ContainsFunc(q.Legs, func(l Leg) bool { return l.Out })
-	})
+func (p *Router) dequeue(from *cache, over bool, f *fetch, key uint64) (wake []RetrievalID) {
+	p.queue = slices.DeleteFunc(p.queue, func(q *Retrieval) bool { return q.Over || slices.ContainsFunc(q.Legs, isOut) })
 	slices.SortStableFunc(p.queue, func(a, b *Retrieval) int { return cmp.Compare(p.worth(b), p.worth(a)) })
 	freed := 0.0
 	for _, q := range p.queue {
-		f := p.fetches[q.memo.key]
-		if over != nil && q.memo.key == key {
-			q.memo.keptAt = over.at
+		other := p.fetches[q.memo.key]
+		if over && q.memo.key == key {
+			q.memo.keptAt = f.at
 			wake = append(wake, q.ID)
-		} else if (f == nil || f.leader == q || f.leader.Over) && origin != nil && origin.free(q.Write) >= freed+1 {
+		} else if (other == nil || other.leader == q || other.leader.Over) && from != nil && from.origin &&
+			from.free(q.Write) >= freed+1 {
 			freed++
 			wake = append(wake, q.ID)
 		}
@@ -662,30 +651,27 @@
 	switch {
 	case r.Over:
 		m.Cancel = p.outLegs(r)
-	case !slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.Out }):
+	case !slices.ContainsFunc(r.Legs, isOut):
 		m = p.next(now, r)
 	}
-	if f == nil || f.leader != r || !r.Over && m.Answer == Nothing {
-		f = nil
-	} else { // the fetch is over, well or not
+	over := f != nil && f.leader == r && (r.Over || m.Answer != Nothing)
+	if over { // the fetch, well or not
 		delete(p.fetches, r.memo.key)
 		if leg.Result != Answered {
 			f.at = ""
 		}
 	}
-	if c == nil || !c.origin {
-		c = nil
-	}
-	if c != nil || f != nil {
-		m.Wake = p.dequeue(c, f, r.memo.key)
+	if origin := c != nil && c.origin; over || origin {
+		m.Wake = p.dequeue(c, over, f, r.memo.key)
 	}
 	return m
 }
 
 // learn takes from an outcome what it says of the cache.
 func (p *Router) learn(now Instant, c *cache, r *Retrieval, leg Leg, o Outcome) {
-	g, at := p.gradeOf(r)
+	g, at := r.memo.grade, r.memo.at
 	held := max(1, c.inHand())
+	each := time.Duration(float64(o.Took) / held)
 	c.out = max(0, c.out-1)
 	intime := (leg.Result == Answered || leg.Result == Missed) && o.Took <= g.SoftLimit
 	switch leg.Result {
@@ -699,23 +685,23 @@
 	switch leg.Result {
 	case Answered:
 		c.ghosts = slices.DeleteFunc(c.ghosts, func(sent Instant) bool { return sent < leg.Sent })
-		c.pace.Add(o.Took / time.Duration(held))
+		c.pace.Add(each)
 		c.erred[at] /= 2
 		p.fade(now, c)
 		if c.served++; !c.origin {
 			p.took.Add(o.Took)
-			if float64(held) >= c.room-1 {
+			if held >= c.room-1 {
 				c.room += roomGrows
 			}
 		}
 	case TimedOut, Cancelled:
 		c.ghosts = append(c.ghosts, leg.Sent)
-		c.pace.Add(o.Took / time.Duration(held))
+		c.pace.Add(each)
 	case Errored, Broken:
 		c.erred[at] = min(c.erred[at]+1, 2*errsToRest)
 	case TurnedAway:
 		if !c.origin {
-			c.room = max(1, float64(held-1))
+			c.room = max(1, held-1)
 		}
 	}
 	if !c.origin && leg.Result != Cancelled && leg.Result != NeverSent {
@@ -729,7 +715,7 @@
 		c.room, c.cutAt = max(originLeast, c.room*originCut), now
 	}
 	if i := p.rules.InFlightAt; i >= 0 && i < len(o.Report) {
-		c.foreign = max(0, o.Report[i]-float64(held)) // the report counts own legs too
+		c.foreign = max(0, o.Report[i]-held) // the report counts own legs too
 	}
 }
 
