--- a/policy/policy.go
+++ b/policy/policy.go
@@ -701,7 +701,7 @@
 		c.erred[at] = min(c.erred[at]+1, 2*errsToRest)
 	case TurnedAway:
 		if !c.origin {
-			c.room = max(1, held-1)
+			c.room = math.Inf(1)
 		}
 	}
 	if !c.origin && leg.Result != Cancelled && leg.Result != NeverSent {
