--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,9 +1,9 @@
 // Package policy decides, for one node, where retrievals go. Its interface and id types are in types.go.
 //
 // A caller makes one Router with New and asks it through three calls: Where (send this retrieval there, or not
-// yet, or never), After (what to do after a leg's outcome) and Wait (how long until the next upkeep, and the chores
-// due now). Listed and Probed tell it what was heard. The caller keeps the timers and the retrievals and carries
-// out each Move as it stands. Routers share nothing.
+// yet, or never), After (what to do after a leg's outcome) and Wait (how long until the next upkeep, and chores).
+// Listed and Probed tell it what was heard. The caller keeps the timers and the retrievals and carries out each
+// Move as it stands. Routers share nothing.
 package policy
 
 import (
@@ -25,16 +25,15 @@
 	fadeEvery    = 10                     // upkeeps between halvings of losses: a memory of a second or two
 	trialMost    = 4 * time.Second        // longest rest of a failing cache: soon enough to see it come back
 	failsToRest  = 2                      // failures in a row before a cache rests: one may be chance
-	errsToRest   = 3                      // errors, each answer halving them, before a grade avoids a cache
-	rankLegs     = 4.0                    // legs more an earlier holder may have while the origin is short: a fetch's price
-	shortOver    = 50                     // retrievals bound for the origin that tell if it is short: a second or two
+	errsToRest   = 3                      // errors, halved by each answer, before a grade avoids a cache
+	rankLegs     = 4.0                    // legs more for an earlier holder while the origin is short: a fetch's price
+	lately       = 50                     // retrievals over which shares are taken: a second or two
 	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	spareMost    = 10                     // second copies saved up: covers one cache falling silent
-	lostLeast    = 1.5                    // asked per answer before any is turned away: a third may be lost to bad caches
-	trialsLeast  = 4.0                    // asked in a memory that always get in, to see a recovery: about two a second
-	roomGrows    = 0.1                    // legs more per answer at the brim: a cache's queue is tried every ten answers
+	lostLeast    = 1.5                    // asked per answer before any is turned away: a third may be bad luck
+	trialsLeast  = 4.0                    // asked that always get in, to see a recovery: about two a second
 	originFirst  = 8                      // legs at the origin before anything is known of it: a handful per core
-	originCut    = 0.7                    // room left at the origin after a late or lost answer: three cuts to a third
+	originCut    = 0.7                    // room left after a late or lost answer: three cuts to a third
 	originLeast  = 2                      // legs the origin may always have: one waiting, one at work
 	crossingLegs = 16                     // legs in hand that a full crossing price is set against
 )
@@ -42,14 +41,11 @@
 type cache struct {
 	Entry
 	hash             uint64
-	origin           bool
 	out              int             // own legs in hand
 	ghosts           []Instant       // sendings of legs given up on that it may still be at work for
 	waitingOn, heard Instant         // first sending since the last word from it, and that word
 	fails, refused   int             // legs in a row without a word, and without a connection
 	restUntil        Instant         // no legs before this
-	room             float64         // own legs in hand at which it turns more away, as learned
-	cutAt            Instant         // when the origin's room was last cut
 	pace             tally.Histogram // time a leg took for each one in hand when it was sent
 	per              time.Duration   // median of pace
 	foreign          float64         // retrievals of others it holds by its last report; -1 while unreported
@@ -81,17 +77,20 @@
 	rules                   HouseRules
 	chance                  keyhash.Source
 	caches                  map[CacheID]*cache
-	listed, origins         []*cache // by hashed id
+	listed                  []*cache // without the origin
 	segs                    [segments][]*cache
+	origin                  *cache  // nil in through mode
+	room                    float64 // legs the origin may have, as learned
+	roomCut                 Instant
 	fetches                 map[uint64]*fetch
 	queue                   []*Retrieval // waiting for room at the origin or for another's fetch
 	short                   float64      // share of those bound for the origin that found no room
 	took                    tally.Histogram
 	typical, slow, patience time.Duration // the median, the slow twentieth, and when no word means silence
-	usual                   float64       // legs a warm cache of weight 1 answered in the span of the cold rule
-	othersLoad              float64       // mean foreign load of those that report
+	usual                   float64       // legs that a warm cache of weight 1 answered lately
+	othersLoad              float64       // mean foreign load by the reports
 	blind                   bool          // most caches seem silent, so the trouble is not theirs
-	asked, good             float64       // legs to caches that ended, and those answered in time; halved now and then
+	asked, good             float64       // legs to caches that ended, and those in time; halved now and then
 	spare, benefit          float64       // second copies saved up; mean benefit of a retrieval
 	quotas                  []float64     // what each league may still ask within its share
 	metered                 Instant
@@ -104,38 +103,31 @@
 func New(now Instant, seed int64, rules HouseRules) *Router {
 	rules.Nodes, rules.MostLegs = max(1, rules.Nodes), max(1, rules.MostLegs)
 	rules.Round = max(time.Millisecond, rules.Round)
-	p := &Router{rules: rules, chance: keyhash.Source{Seed: uint32(seed ^ seed>>32)}, caches: map[CacheID]*cache{}, metered: now,
-		fetches: map[uint64]*fetch{}, quotas: make([]float64, len(rules.Leagues))}
+	p := &Router{rules: rules, caches: map[CacheID]*cache{}, fetches: map[uint64]*fetch{}, metered: now,
+		room: originFirst, quotas: make([]float64, len(rules.Leagues))}
+	p.chance.Seed = uint32(seed ^ seed>>32)
 	p.retime()
 	return p
 }
 
-// deal spreads hashed ids evenly over n places, the nearest pairs first. It depends on the set alone, so nodes with
-// the same list agree, and one id less moves few others.
-func deal(hashes []uint64, n, salt int) []int {
-	type pair struct {
-		score     uint64
-		id, place int
+// deal spreads hashed ids evenly over n places, the nearest pairs first. It depends on the set alone, so nodes
+// with the same list agree, and one id less moves few others.
+func deal(cs []*cache, n, salt int) []int {
+	pairs, place, held := make([]int, len(cs)*n), make([]int, len(cs)), make([]int, n)
+	for i := range pairs {
+		pairs[i], place[i/n] = i, -1
 	}
-	var pairs []pair
-	place, held := make([]int, len(hashes)), make([]int, n)
-	for i, h := range hashes {
-		place[i] = -1
-		for j := range n {
-			pairs = append(pairs, pair{keyhash.Salted(h, salt+j), i, j})
-		}
-	}
-	slices.SortFunc(pairs, func(a, b pair) int { return cmp.Or(cmp.Compare(a.score, b.score), a.id-b.id) })
-	least, extra := len(hashes)/n, len(hashes)%n
+	score := func(q int) uint64 { return keyhash.Salted(cs[q/n].hash, salt+q%n) }
+	slices.SortFunc(pairs, func(a, b int) int { return cmp.Or(cmp.Compare(score(a), score(b)), a-b) })
+	least, extra := len(cs)/n, len(cs)%n
 	for _, q := range pairs {
-		if place[q.id] >= 0 || held[q.place] > least || held[q.place] == least && extra == 0 {
-			continue
-		}
-		if held[q.place] == least {
-			extra--
+		id, at := q/n, q%n
+		if place[id] < 0 && (held[at] < least || held[at] == least && extra > 0) {
+			if held[at]++; held[at] > least {
+				extra--
+			}
+			place[id] = at
 		}
-		place[q.id] = q.place
-		held[q.place]++
 	}
 	return place
 }
@@ -151,10 +143,10 @@
 
 // leftOf returns the slot next to the left in the key space, where slots lie by their bits reversed (Fig. 2).
 func leftOf(slot, n int) int {
-	left := func(s int) uint64 { return bits.Reverse64(uint64(slot)) - bits.Reverse64(uint64(s)) } // wraps round
+	at := func(s int) uint64 { return bits.Reverse64(uint64(s)) }
 	best := slot
-	for s := range n {
-		if s != slot && (best == slot || left(s) < left(best)) {
+	for s := range n { // distances wrap round
+		if s != slot && (best == slot || at(slot)-at(s) < at(slot)-at(best)) {
 			best = s
 		}
 	}
@@ -163,31 +155,27 @@
 
 // redeal lays the listed caches out anew.
 func (p *Router) redeal() {
-	p.listed, p.origins = p.listed[:0], p.origins[:0]
+	p.listed, p.segs, p.origin = nil, [segments][]*cache{}, nil
 	for _, c := range p.caches {
-		if c.origin {
-			p.origins = append(p.origins, c)
-		} else {
-			p.listed = append(p.listed, c)
-		}
+		p.listed = append(p.listed, c)
 	}
-	byHash := func(a, b *cache) int { return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.ID, b.ID)) }
-	slices.SortFunc(p.listed, byHash)
-	slices.SortFunc(p.origins, byHash)
-	over := func(cs []*cache, n, salt int) [][]*cache {
-		hashes, places := make([]uint64, len(cs)), make([][]*cache, n)
-		for i, c := range cs {
-			hashes[i] = c.hash
+	slices.SortFunc(p.listed, func(a, b *cache) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.ID, b.ID))
+	})
+	p.listed = slices.DeleteFunc(p.listed, func(c *cache) bool {
+		origin := p.rules.Aside && c.Kind == p.rules.OriginKind
+		if origin && (p.origin == nil || c.State == Ready) {
+			p.origin = c
 		}
-		for i, at := range deal(hashes, n, salt) {
-			places[at] = append(places[at], cs[i])
-		}
-		return places
+		return origin
+	})
+	for i, s := range deal(p.listed, segments, 0) {
+		p.segs[s] = append(p.segs[s], p.listed[i])
 	}
-	for s, in := range over(p.listed, segments, 0) {
-		p.segs[s] = p.segs[s][:0]
-		for _, slot := range over(in, max(1, len(in)), segments) { // within a segment, one cache a slot
-			p.segs[s] = append(p.segs[s], slot...)
+	for s, in := range p.segs {
+		p.segs[s] = make([]*cache, len(in))
+		for i, slot := range deal(in, max(1, len(in)), segments) {
+			p.segs[s][slot] = in[i]
 		}
 	}
 }
@@ -205,16 +193,9 @@
 	named := map[CacheID]bool{}
 	for _, e := range entries {
 		c := p.caches[e.ID]
-		if named[e.ID] = e.State != Gone; c == nil || e.Born > c.Born { // what was learned of an old process says nothing
-			fresh := &cache{hash: keyhash.Text(string(e.ID)), origin: p.rules.Aside && e.Kind == p.rules.OriginKind, foreign: -1,
-				room: math.Inf(1), erred: make([]uint8, len(p.rules.Grades)+1)}
-			if fresh.origin {
-				fresh.room = originFirst
-			}
-			if c != nil {
-				fresh.out = c.out
-			}
-			c = fresh
+		named[e.ID] = true
+		if c == nil || e.Born > c.Born { // started anew: what was learned of the old process says nothing
+			c = &cache{hash: keyhash.Text(string(e.ID)), foreign: -1, erred: make([]uint8, len(p.rules.Grades)+1)}
 			p.caches[e.ID] = c
 		}
 		if c.Entry = e; !(c.Weight > 0) {
@@ -248,8 +229,8 @@
 	}
 }
 
-// silent tells whether a cache has said nothing for so long that its keys should go elsewhere. One that has rested
-// gets a single leg, or a probe where those are allowed, to show that it is back.
+// silent tells whether a cache has said nothing for so long that its keys should go elsewhere. One that has
+// rested gets a single leg, or a probe where those are allowed, to show that it is back.
 func (p *Router) silent(now Instant, c *cache) bool {
 	wait := p.patience
 	if c.out == 1 {
@@ -275,8 +256,8 @@
 }
 
 // coldTo guards against pushing a cold cache over: it takes a thin slice of the keys that widens with its warmth,
-// and never more legs than a warm one answers, cut by its warmth. (Legs sent to warm ones would be no measure: misses
-// cost them little.) As each node keeps to its own share of the answers, all nodes together do.
+// and never more legs than a warm one answers, cut by its warmth. (Legs sent to warm ones would be no measure:
+// misses cost those little.) As each node keeps to its own share of the answers, all nodes together do.
 func (p *Router) coldTo(now Instant, c *cache, key uint64) bool {
 	w := p.warmth(now, c)
 	if w >= 1 {
@@ -286,8 +267,8 @@
 	return float64(keyhash.Mix(key^c.hash)) > w*w*(1<<64) || c.sent > w*p.usual*c.Weight+0.5
 }
 
-// inHand counts own legs there. It guards against caches that go on with what was given up: such a leg counts until
-// the answer to a later one shows that its turn is over.
+// inHand counts own legs there. It guards against caches that go on with what was given up: such a leg counts
+// until the answer to a later one shows that its turn is over.
 func (c *cache) inHand() float64 { return float64(c.out + len(c.ghosts)) }
 
 // load is a cache's work in hand: own legs and what it reports beside them; unreported, the others' mean.
@@ -304,7 +285,7 @@
 
 // lawful is the second rule and the third: may this retrieval go to this cache now, whatever else seems wise?
 func (p *Router) lawful(now Instant, r *Retrieval, c *cache) bool {
-	if r.Over || c.State != Ready || len(r.Legs) >= p.rules.MostLegs || r.HardStop.Since(now) < 2*p.rules.Round {
+	if r.Over || c.State != Ready || len(r.Legs) >= p.rules.MostLegs || p.left(now, r) <= 0 {
 		return false
 	}
 	g := r.memo.grade
@@ -327,31 +308,26 @@
 	return true
 }
 
-// giveUp ends a retrieval at once: with a dismissal where a retry is sure to do no harm.
-func (p *Router) giveUp(r *Retrieval) Move {
-	g := r.memo.grade
-	m := Move{Answer: Scrap, Cancel: p.outLegs(r)}
-	if g.Effect == Redoable || g.Effect == Labelled && g.Scope == AllCaches ||
-		!slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.Out || !l.Result.NeverRan() }) {
-		m.Answer, m.ComeBack = Dismiss, min(p.rules.MaxComeBack, g.SoftLimit/2)
-	}
-	return m
+// left is the time in which a leg can still end and be followed by an answer before the hard stop.
+func (p *Router) left(now Instant, r *Retrieval) time.Duration {
+	return r.HardStop.Since(now) - 2*p.rules.Round
 }
 
 func isOut(l Leg) bool  { return l.Out }
 func missed(l Leg) bool { return l.Result == Missed }
 
-func (p *Router) outLegs(r *Retrieval) (out []int) {
-	for i, l := range r.Legs {
-		if l.Out && p.rules.MayCancel {
-			out = append(out, i)
-		}
+// giveUp ends a retrieval at once: with a dismissal where a retry is sure to do no harm.
+func (p *Router) giveUp(r *Retrieval) Move {
+	g := r.memo.grade
+	if g.Effect == Redoable || g.Effect == Labelled && g.Scope == AllCaches ||
+		!slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.Out || !l.Result.NeverRan() }) {
+		return Move{Answer: Dismiss, ComeBack: min(p.rules.MaxComeBack, g.SoftLimit/2)}
 	}
-	return out
+	return Move{Answer: Scrap}
 }
 
-// turnAway guards against collapse, when most of what is sent ends in nothing: where far more is asked than answered,
-// it turns away by chance, the cheaper ones more often, until what gets in is answered again.
+// turnAway guards against collapse, when most of what is sent ends in nothing: where far more is asked than
+// answered, it turns away by chance, the cheaper ones more often, until what gets in is answered again.
 func (p *Router) turnAway(r *Retrieval) bool {
 	over := p.asked - lostLeast*p.good - trialsLeast
 	if over <= 0 || p.chance.Next() >= over/p.asked*r.memo.cheap {
@@ -377,8 +353,8 @@
 	return slots[at]
 }
 
-// holders lists the caches that hold a key now and may get this retrieval, first ranked first. A holder that drains,
-// is silent, fails this grade fast and so looks idle, or is too cold for the key yields to the next ranked spare.
+// holders lists the caches that hold a key now and may get this retrieval, first ranked first. A holder that
+// drains, is silent, fails this grade fast and so looks idle, or is too cold yields to the next ranked spare.
 func (p *Router) holders(now Instant, r *Retrieval) (hs []*cache) {
 	var order [segments]int
 	score := func(i int) uint64 { return keyhash.Salted(r.memo.key, order[i]) }
@@ -406,9 +382,9 @@
 	return hs
 }
 
-// pick chooses the least loaded holder not yet tried, ties by chance; full tells that they lack room. While the
-// origin is short, an earlier ranked holder may have some legs more in hand, which guards against filling three
-// caches with a key that can hardly be fetched once.
+// pick chooses the least loaded holder not yet tried, ties by chance; full tells that they lack room, which guards
+// against queues that outlast the soft limit. While the origin is short, an earlier ranked holder may have some
+// legs more in hand, which guards against filling three caches with a key that can hardly be fetched once.
 func (p *Router) pick(now Instant, r *Retrieval, hs []*cache) (best *cache, full bool) {
 	g := r.memo.grade
 	left := max(g.SoftLimit-now.Since(r.Arrived), g.SoftLimit/2)
@@ -418,7 +394,7 @@
 			continue
 		}
 		l := p.load(c) + rankLegs*p.short*float64(i)
-		if c.free(false) < 1 || time.Duration((c.inHand()+1)*float64(c.per)) > left {
+		if (c.inHand()+1)*float64(c.per) > float64(left) {
 			full = true
 		} else if l < least {
 			best, least, ties = c, l, 1
@@ -465,7 +441,7 @@
 			p.quotas[l], benefit = 0, benefit*p.rules.ExcessBenefit
 		}
 	}
-	p.benefit += (benefit - p.benefit) / 100
+	p.benefit += (benefit - p.benefit) / lately
 	p.spare = min(spareMost, p.spare+spareShare)
 	cheap := math.Sqrt(max(p.benefit, 0.01) / max(benefit, 0.01))
 	r.memo = memo{true, g, at, keyhash.Text(r.Key), benefit, cheap, ""}
@@ -494,14 +470,14 @@
 	again := Move{AskAgain: now.Add(max(p.slow, 2*p.rules.Round))}
 	silent := to == nil || p.silent(now, to)
 	switch {
-	case len(r.Legs) >= p.rules.MostLegs || to != nil && to.origin:
+	case len(r.Legs) >= p.rules.MostLegs || to != nil && to == p.origin:
 		return Move{}
 	case p.rules.SecondCopies && p.spare >= 1:
 		if c, _ := p.pick(now, r, p.holders(now, r)); c != nil && !p.silent(now, c) {
 			p.spare--
 			return p.send(now, r, c)
 		}
-	case !p.rules.SecondCopies && p.rules.MayCancel && silent && r.HardStop.Since(now) > p.slow:
+	case !p.rules.SecondCopies && p.rules.MayCancel && silent && p.left(now, r) > p.slow:
 		return Move{Cancel: []int{leg}}
 	}
 	return again
@@ -510,7 +486,7 @@
 // next decides on a retrieval with nothing out.
 func (p *Router) next(now Instant, r *Retrieval) Move {
 	g := r.memo.grade
-	if len(r.Legs) >= p.rules.MostLegs || r.HardStop.Since(now)-2*p.rules.Round <= p.typical/4 {
+	if len(r.Legs) >= p.rules.MostLegs || p.left(now, r) <= p.typical/4 {
 		return p.giveUp(r)
 	}
 	if p.rules.Aside && (r.Write || slices.ContainsFunc(r.Legs, missed)) {
@@ -523,8 +499,9 @@
 	hs := p.holders(now, r)
 	c, full := p.pick(now, r, hs)
 	switch {
-	case c != nil && r.Write && g.Effect == Labelled && g.Scope == AllCaches && p.rules.SecondCopies && len(r.Legs) == 0:
-		return p.send(now, r, hs[:min(len(hs), p.rules.MostLegs)]...) // through mode: writes go to all holders
+	case c != nil && r.Write && g.Effect == Labelled && g.Scope == AllCaches && p.rules.SecondCopies &&
+		len(r.Legs) == 0:
+		return p.send(now, r, hs[:min(len(hs), p.rules.MostLegs)]...) // through mode: to all holders
 	case c != nil:
 		if f := p.fetches[r.memo.key]; f != nil && f.at == c.ID && !f.leader.Over && !r.Write {
 			return p.enqueue(now, r)
@@ -540,28 +517,39 @@
 
 // notYet keeps a retrieval waiting with nothing out, never past the time at which it must be given up.
 func (p *Router) notYet(now Instant, r *Retrieval, wait time.Duration) Move {
-	return Move{AskAgain: min(now.Add(max(wait, 2*p.rules.Round)), r.HardStop.Add(-2*p.rules.Round))}
+	return Move{AskAgain: min(now.Add(max(wait, 2*p.rules.Round)), now.Add(p.left(now, r)))}
+}
+
+// enqueue lets a retrieval wait for the origin, or for another's fetch, until its answer would come late.
+func (p *Router) enqueue(now Instant, r *Retrieval) Move {
+	if !slices.Contains(p.queue, r) {
+		p.queue = append(p.queue, r)
+		if !p.leads(r) {
+			p.fetches[r.memo.key].worth += r.memo.benefit
+		}
+	}
+	return p.notYet(now, r, r.memo.grade.SoftLimit-now.Since(r.Arrived))
+}
+
+// leads tells whether r is to go to the origin itself and has no other's fetch to wait for.
+func (p *Router) leads(r *Retrieval) bool {
+	f := p.fetches[r.memo.key]
+	return r.Write || f == nil || f.leader == r || f.leader.Over
 }
 
 // toOrigin sends a write, or a read that missed, to the origin. It guards against miss storms: one read fetches a
 // key and the others wait for it, and legs out there are bounded. Who would mostly wait in vain is turned away.
 func (p *Router) toOrigin(now Instant, r *Retrieval) Move {
-	var to *cache
-	for _, c := range p.origins {
-		if p.lawful(now, r, c) && (to == nil || c.out < to.out) {
-			to = c
-		}
-	}
 	left := r.memo.grade.SoftLimit - now.Since(r.Arrived)
-	f, queued := p.fetches[r.memo.key], slices.Contains(p.queue, r)
-	if to == nil || queued && left <= 0 {
+	queued := slices.Contains(p.queue, r)
+	if p.origin == nil || !p.lawful(now, r, p.origin) || queued && left <= 0 {
 		return p.giveUp(r)
 	}
-	if !r.Write && f != nil && f.leader != r && !f.leader.Over {
+	if !p.leads(r) {
 		return p.enqueue(now, r)
 	}
 	if !r.Write {
-		f = &fetch{leader: r, worth: r.memo.benefit}
+		f := &fetch{leader: r, worth: r.memo.benefit}
 		for _, q := range p.queue {
 			if q != r && q.memo.key == r.memo.key {
 				f.worth += q.memo.benefit
@@ -572,39 +560,27 @@
 		}
 		p.fetches[r.memo.key] = f
 	}
-	free := to.free(r.Write) >= 1
 	if !queued {
-		p.short -= p.short / shortOver
+		p.short -= p.short / lately
 	}
-	if !queued && !free {
-		p.short += 1.0 / shortOver
-		ahead := to.inHand() + 1
+	if p.free(r) >= 1 {
+		return p.send(now, r, p.origin)
+	}
+	if !queued {
+		p.short += 1.0 / lately
+		ahead := p.origin.inHand() + 1
 		for _, q := range p.queue {
 			if p.worth(q) >= p.worth(r) {
 				ahead++
 			}
 		}
-		if p.chance.Next() < ahead*float64(to.per)/float64(max(left, 1))-0.5 {
+		if p.chance.Next() < ahead*float64(p.origin.per)/float64(max(left, 1))-0.5 {
 			return p.giveUp(r)
 		}
 	}
-	if free {
-		return p.send(now, r, to)
-	}
 	return p.enqueue(now, r)
 }
 
-// enqueue lets a retrieval wait for the origin, or for another's fetch, until its answer would come late.
-func (p *Router) enqueue(now Instant, r *Retrieval) Move {
-	if !slices.Contains(p.queue, r) {
-		p.queue = append(p.queue, r)
-		if f := p.fetches[r.memo.key]; f != nil && f.leader != r && !r.Write {
-			f.worth += r.memo.benefit
-		}
-	}
-	return p.notYet(now, r, r.memo.grade.SoftLimit-now.Since(r.Arrived))
-}
-
 // worth is what an origin leg for r would bring: its benefit and that of all who wait for its fetch.
 func (p *Router) worth(r *Retrieval) float64 {
 	if f := p.fetches[r.memo.key]; f != nil && f.leader == r {
@@ -613,27 +589,25 @@
 	return r.memo.benefit
 }
 
-// free is how many more legs a cache has room for; writes, being few and with nowhere else to go, get double.
-func (c *cache) free(write bool) float64 {
-	if write {
-		return 2*c.room - float64(c.out)
+// free is how many more legs the origin may have; for writes, few and with nowhere else to go, double.
+func (p *Router) free(r *Retrieval) float64 {
+	if r.Write {
+		return 2*p.room - float64(p.origin.out)
 	}
-	return c.room - float64(c.out)
+	return p.room - float64(p.origin.out)
 }
 
-// dequeue wakes those who waited for a fetch that is over, and those that the origin now has room for, those worth
-// most first, then the oldest.
-func (p *Router) dequeue(from *cache, over bool, f *fetch, key uint64) (wake []RetrievalID) {
-	p.queue = slices.DeleteFunc(p.queue, func(q *Retrieval) bool { return q.Over || slices.ContainsFunc(q.Legs, isOut) })
+// dequeue wakes those whose fetch is over and those that the origin has room for, worth most first, then oldest.
+func (p *Router) dequeue() (wake []RetrievalID) {
+	p.queue = slices.DeleteFunc(p.queue, func(q *Retrieval) bool {
+		return q.Over || slices.ContainsFunc(q.Legs, isOut)
+	})
 	slices.SortStableFunc(p.queue, func(a, b *Retrieval) int { return cmp.Compare(p.worth(b), p.worth(a)) })
 	freed := 0.0
 	for _, q := range p.queue {
-		other := p.fetches[q.memo.key]
-		if over && q.memo.key == key {
-			q.memo.keptAt = f.at
+		if q.memo.keptAt != "" {
 			wake = append(wake, q.ID)
-		} else if (other == nil || other.leader == q || other.leader.Over) && from != nil && from.origin &&
-			from.free(q.Write) >= freed+1 {
+		} else if p.leads(q) && p.origin != nil && p.free(q) >= freed+1 {
 			freed++
 			wake = append(wake, q.ID)
 		}
@@ -643,124 +617,110 @@
 
 // After decides what follows a leg's outcome.
 func (p *Router) After(now Instant, r *Retrieval, o Outcome) (m Move) {
-	leg := r.Legs[o.Leg]
-	c, f := p.caches[leg.To], p.fetches[r.memo.key]
-	if c != nil {
+	leg, f := r.Legs[o.Leg], p.fetches[r.memo.key]
+	if c := p.caches[leg.To]; c != nil {
 		p.learn(now, c, r, leg, o)
 	}
-	switch {
-	case r.Over:
-		m.Cancel = p.outLegs(r)
-	case !slices.ContainsFunc(r.Legs, isOut):
+	if !r.Over && !slices.ContainsFunc(r.Legs, isOut) {
 		m = p.next(now, r)
 	}
-	over := f != nil && f.leader == r && (r.Over || m.Answer != Nothing)
-	if over { // the fetch, well or not
-		delete(p.fetches, r.memo.key)
-		if leg.Result != Answered {
-			f.at = ""
+	for i, l := range r.Legs {
+		if r.Over && l.Out && p.rules.MayCancel {
+			m.Cancel = append(m.Cancel, i)
 		}
 	}
-	if origin := c != nil && c.origin; over || origin {
-		m.Wake = p.dequeue(c, over, f, r.memo.key)
+	if f != nil && f.leader == r && (r.Over || m.Answer != Nothing) { // its fetch is over, well or not
+		delete(p.fetches, r.memo.key)
+		for _, q := range p.queue {
+			if q.memo.key == r.memo.key && leg.Result == Answered {
+				q.memo.keptAt = f.at
+			}
+		}
 	}
+	m.Wake = p.dequeue()
 	return m
 }
 
 // learn takes from an outcome what it says of the cache.
 func (p *Router) learn(now Instant, c *cache, r *Retrieval, leg Leg, o Outcome) {
-	g, at := r.memo.grade, r.memo.at
+	soft, at := r.memo.grade.SoftLimit, r.memo.at
 	held := max(1, c.inHand())
-	each := time.Duration(float64(o.Took) / held)
 	c.out = max(0, c.out-1)
-	intime := (leg.Result == Answered || leg.Result == Missed) && o.Took <= g.SoftLimit
-	switch leg.Result {
-	case Answered, Missed, Errored, TurnedAway:
-		c.heard, c.waitingOn, c.fails, c.refused, c.restUntil = now, now, 0, 0, 0
-	case TimedOut, Broken, Unconnected, Cancelled:
-		if c.heard < leg.Sent && (leg.Result != Cancelled || now.Since(leg.Sent) > p.patience) {
-			p.failed(now, c, leg.Result)
-		}
-	}
 	switch leg.Result {
 	case Answered:
 		c.ghosts = slices.DeleteFunc(c.ghosts, func(sent Instant) bool { return sent < leg.Sent })
-		c.pace.Add(each)
 		c.erred[at] /= 2
 		p.fade(now, c)
-		if c.served++; !c.origin {
+		if c.served++; c != p.origin {
 			p.took.Add(o.Took)
-			if held >= c.room-1 {
-				c.room += roomGrows
-			}
 		}
-	case TimedOut, Cancelled:
-		c.ghosts = append(c.ghosts, leg.Sent)
-		c.pace.Add(each)
 	case Errored, Broken:
 		c.erred[at] = min(c.erred[at]+1, 2*errsToRest)
-	case TurnedAway:
-		if !c.origin {
-			c.room = math.Inf(1)
-		}
+	case TimedOut, Cancelled:
+		c.ghosts = append(c.ghosts, leg.Sent)
 	}
-	if !c.origin && leg.Result != Cancelled && leg.Result != NeverSent {
-		if p.asked++; intime {
-			p.good++
-		}
+	switch leg.Result {
+	case Answered, TimedOut, Cancelled:
+		c.pace.Add(time.Duration(float64(o.Took) / held))
 	}
-	if c.origin && intime && o.Took < g.SoftLimit/2 {
-		c.room += 1 / c.room
-	} else if c.origin && !intime && leg.Result != Cancelled && now.Since(c.cutAt) > p.slow {
-		c.room, c.cutAt = max(originLeast, c.room*originCut), now
+	switch leg.Result {
+	case Answered, Missed, Errored, TurnedAway:
+		c.heard, c.waitingOn, c.fails, c.refused, c.restUntil = now, now, 0, 0, 0
+	case TimedOut, Broken, Unconnected, Cancelled:
+		if c.heard < leg.Sent && (leg.Result != Cancelled || now.Since(leg.Sent) > p.patience) {
+			p.failed(now, c, leg.Result)
+		}
 	}
 	if i := p.rules.InFlightAt; i >= 0 && i < len(o.Report) {
 		c.foreign = max(0, o.Report[i]-held) // the report counts own legs too
+		p.othersLoad += (c.foreign - p.othersLoad) / lately
+	}
+	inTime := (leg.Result == Answered || leg.Result == Missed) && o.Took <= soft
+	switch {
+	case leg.Result == Cancelled || leg.Result == NeverSent:
+	case c != p.origin:
+		if p.asked++; inTime {
+			p.good++
+		}
+	case inTime && o.Took < soft/2:
+		p.room += 1 / p.room
+	case !inTime && now.Since(p.roomCut) > p.slow:
+		p.room, p.roomCut = max(originLeast, p.room*originCut), now
 	}
 }
 
 // Wait returns how long until it wants to be called again, and the chores due now.
 func (p *Router) Wait(now Instant) (time.Duration, []Chore) {
 	var chores []Chore
-	p.upkeeps++
-	if p.upkeeps%fadeEvery == 0 {
+	if p.upkeeps++; p.upkeeps%fadeEvery == 0 {
 		p.asked, p.good = p.asked/2, p.good/2
 	}
-	halve := p.upkeeps%halveEvery == 0
-	if halve {
+	if p.upkeeps%halveEvery == 0 {
 		p.took.Halve()
-	}
-	p.retime()
-	served, weight, foreign, reporters, quiet := 0.0, 0.0, 0.0, 0.0, 0
-	for _, c := range slices.Concat(p.listed, p.origins) {
-		c.per = c.pace.Quantile(0.5, 0)
-		if halve {
+		for _, c := range p.caches {
 			c.pace.Halve()
 			for g := range c.erred {
 				c.erred[g] /= 2
 			}
 		}
-		if c.origin {
-			continue
-		}
+	}
+	p.retime()
+	served, weight, quiet := 0.0, 0.0, 0
+	for _, c := range p.listed {
 		p.fade(now, c)
 		served += c.served
 		weight += c.Weight * p.warmth(now, c)
-		if c.foreign >= 0 {
-			foreign += c.foreign
-			reporters++
-		}
 		if p.silent(now, c) {
 			quiet++
-			if p.rules.MayProbe && c.fails >= failsToRest && now >= c.restUntil {
-				chores = append(chores, Chore{Kind: ProbeCache, Cache: c.ID})
-				c.restUntil = now.Add(p.patience)
-			}
+		}
+		if p.rules.MayProbe && c.fails >= failsToRest && now >= c.restUntil {
+			chores = append(chores, Chore{Kind: ProbeCache, Cache: c.ID})
+			c.restUntil = now.Add(p.patience)
 		}
 	}
-	p.usual, p.othersLoad = served/max(weight, 1e-9), foreign/max(reporters, 1)
-	p.blind = 2*quiet > len(p.listed)
-	if p.rules.MustAsk && !p.following && now >= p.askNext && (!p.asking || now.Since(p.askedAt) > p.rules.AskWithin) {
+	p.usual, p.blind = served/max(weight, 1e-9), 2*quiet > len(p.listed)
+	if p.rules.MustAsk && !p.following && now >= p.askNext &&
+		(!p.asking || now.Since(p.askedAt) > p.rules.AskWithin) {
 		p.asking, p.askedAt = true, now
 		chores = append(chores, Chore{Kind: FollowList})
 	}
@@ -773,6 +733,9 @@
 	for _, g := range p.rules.Grades {
 		soft = min(soft, g.SoftLimit)
 	}
+	for _, c := range p.caches {
+		c.per = c.pace.Quantile(0.5, 0)
+	}
 	p.typical = p.took.Quantile(0.5, soft/4)
 	p.slow = max(p.took.Quantile(0.95, soft/2), 2*p.rules.Round)
 	p.patience = max(2*p.took.Quantile(0.99, soft), 4*p.rules.Round)
