--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,9 +1,9 @@
 // Package policy decides, for one node, where retrievals go. Its interface and id types are in types.go.
 //
-// A caller makes one Router with New and asks it through three calls: Where (send this retrieval there, or not
-// yet, or never), After (what to do after a leg's outcome) and Wait (how long until the next upkeep, and chores).
-// Listed and Probed tell it what was heard. The caller keeps the timers and the retrievals and carries out each
-// Move as it stands. Routers share nothing.
+// A caller makes one Router with New and asks it through three calls: Where (send this retrieval there, or
+// not yet, or never), After (what to do after a leg's outcome) and Wait (how long until the next upkeep,
+// and chores). Listed and Probed tell it what was heard. The caller keeps the timers and the retrievals and
+// carries out each Move as it stands. Routers share nothing.
 package policy
 
 import (
@@ -50,8 +50,7 @@
 	per              time.Duration   // median of pace
 	foreign          float64         // retrievals of others it holds by its last report; -1 while unreported
 	erred            []uint8         // errors by grade, halved by answers and by time
-	sent, served     float64         // legs sent and answered, fading over the span of the cold rule
-	fadedAt          Instant
+	sent, served     float64         // legs sent and answered, halved once in the span of the cold rule
 }
 
 // fetch is one retrieval's way to the origin, which others that miss the same key wait for.
@@ -110,8 +109,8 @@
 	return p
 }
 
-// deal spreads hashed ids evenly over n places, the nearest pairs first. It depends on the set alone, so nodes
-// with the same list agree, and one id less moves few others.
+// deal spreads hashed ids evenly over n places, the nearest pairs first. It depends on the set alone, so
+// nodes with the same list agree, and one id less moves few others.
 func deal(cs []*cache, n, salt int) []int {
 	pairs, place, held := make([]int, len(cs)*n), make([]int, len(cs)), make([]int, n)
 	for i := range pairs {
@@ -141,7 +140,8 @@
 	return int(h & (1<<l - 1))
 }
 
-// leftOf returns the slot next to the left in the key space, where slots lie by their bits reversed (Fig. 2).
+// leftOf returns the slot next to the left in the key space, where slots lie by their bits reversed (Fig.
+// 2).
 func leftOf(slot, n int) int {
 	at := func(s int) uint64 { return bits.Reverse64(uint64(s)) }
 	best := slot
@@ -249,26 +249,20 @@
 	return p.rules.ColdFrom + (1-p.rules.ColdFrom)*max(0, float64(age)/float64(p.rules.ColdFor))
 }
 
-// fade brings the counts of legs up to now.
-func (p *Router) fade(now Instant, c *cache) {
-	f := math.Exp(-float64(now.Since(c.fadedAt)) / float64(max(p.rules.FallFor, time.Second)))
-	c.sent, c.served, c.fadedAt = c.sent*f, c.served*f, now
-}
-
-// coldTo guards against pushing a cold cache over: it takes a thin slice of the keys that widens with its warmth,
-// and never more legs than a warm one answers, cut by its warmth. (Legs sent to warm ones would be no measure:
-// misses cost those little.) As each node keeps to its own share of the answers, all nodes together do.
+// coldTo guards against pushing a cold cache over: it takes a thin slice of the keys that widens with its
+// warmth, and never more legs than a warm one answers, cut by its warmth. (Legs sent to warm ones would be
+// no measure: misses cost those little.) As each node keeps to its own share of the answers, all nodes
+// together do.
 func (p *Router) coldTo(now Instant, c *cache, key uint64) bool {
 	w := p.warmth(now, c)
 	if w >= 1 {
 		return false
 	}
-	p.fade(now, c)
 	return float64(keyhash.Mix(key^c.hash)) > w*w*(1<<64) || c.sent > w*p.usual*c.Weight+0.5
 }
 
-// inHand counts own legs there. It guards against caches that go on with what was given up: such a leg counts
-// until the answer to a later one shows that its turn is over.
+// inHand counts own legs there. It guards against caches that go on with what was given up: such a leg
+// counts until the answer to a later one shows that its turn is over.
 func (c *cache) inHand() float64 { return float64(c.out + len(c.ghosts)) }
 
 // load is a cache's work in hand: own legs and what it reports beside them; unreported, the others' mean.
@@ -283,7 +277,8 @@
 	return l
 }
 
-// lawful is the second rule and the third: may this retrieval go to this cache now, whatever else seems wise?
+// lawful is the second rule and the third: may this retrieval go to this cache now, whatever else seems
+// wise?
 func (p *Router) lawful(now Instant, r *Retrieval, c *cache) bool {
 	if r.Over || c.State != Ready || len(r.Legs) >= p.rules.MostLegs || p.left(now, r) <= 0 {
 		return false
@@ -353,8 +348,9 @@
 	return slots[at]
 }
 
-// holders lists the caches that hold a key now and may get this retrieval, first ranked first. A holder that
-// drains, is silent, fails this grade fast and so looks idle, or is too cold yields to the next ranked spare.
+// holders lists the caches that hold a key now and may get this retrieval, first ranked first. A holder
+// that drains, is silent, fails this grade fast and so looks idle, or is too cold yields to the next ranked
+// spare.
 func (p *Router) holders(now Instant, r *Retrieval) (hs []*cache) {
 	var order [segments]int
 	score := func(i int) uint64 { return keyhash.Salted(r.memo.key, order[i]) }
@@ -382,9 +378,10 @@
 	return hs
 }
 
-// pick chooses the least loaded holder not yet tried, ties by chance; full tells that they lack room, which guards
-// against queues that outlast the soft limit. While the origin is short, an earlier ranked holder may have some
-// legs more in hand, which guards against filling three caches with a key that can hardly be fetched once.
+// pick chooses the least loaded holder not yet tried, ties by chance; full tells that they lack room, which
+// guards against queues that outlast the soft limit. While the origin is short, an earlier ranked holder
+// may have some legs more in hand, which guards against filling three caches with a key that can hardly be
+// fetched once.
 func (p *Router) pick(now Instant, r *Retrieval, hs []*cache) (best *cache, full bool) {
 	g := r.memo.grade
 	left := max(g.SoftLimit-now.Since(r.Arrived), g.SoftLimit/2)
@@ -414,7 +411,6 @@
 		if c.out++; c.out == 1 {
 			c.waitingOn = now
 		}
-		p.fade(now, c)
 		c.sent++
 		m.To = append(m.To, c.ID)
 	}
@@ -503,9 +499,6 @@
 		len(r.Legs) == 0:
 		return p.send(now, r, hs[:min(len(hs), p.rules.MostLegs)]...) // through mode: to all holders
 	case c != nil:
-		if f := p.fetches[r.memo.key]; f != nil && f.at == c.ID && !f.leader.Over && !r.Write {
-			return p.enqueue(now, r)
-		}
 		return p.send(now, r, c)
 	case (full || len(p.listed) == 0) && now.Since(r.Arrived) < g.SoftLimit/2:
 		return p.notYet(now, r, p.typical/4)
@@ -520,25 +513,15 @@
 	return Move{AskAgain: min(now.Add(max(wait, 2*p.rules.Round)), now.Add(p.left(now, r)))}
 }
 
-// enqueue lets a retrieval wait for the origin, or for another's fetch, until its answer would come late.
-func (p *Router) enqueue(now Instant, r *Retrieval) Move {
-	if !slices.Contains(p.queue, r) {
-		p.queue = append(p.queue, r)
-		if !p.leads(r) {
-			p.fetches[r.memo.key].worth += r.memo.benefit
-		}
-	}
-	return p.notYet(now, r, r.memo.grade.SoftLimit-now.Since(r.Arrived))
-}
-
 // leads tells whether r is to go to the origin itself and has no other's fetch to wait for.
 func (p *Router) leads(r *Retrieval) bool {
 	f := p.fetches[r.memo.key]
 	return r.Write || f == nil || f.leader == r || f.leader.Over
 }
 
-// toOrigin sends a write, or a read that missed, to the origin. It guards against miss storms: one read fetches a
-// key and the others wait for it, and legs out there are bounded. Who would mostly wait in vain is turned away.
+// toOrigin sends a write, or a read that missed, to the origin. It guards against miss storms: one read
+// fetches a key and the others wait for it, and legs out there are bounded. Who would mostly wait in vain
+// is turned away.
 func (p *Router) toOrigin(now Instant, r *Retrieval) Move {
 	left := r.memo.grade.SoftLimit - now.Since(r.Arrived)
 	queued := slices.Contains(p.queue, r)
@@ -546,7 +529,11 @@
 		return p.giveUp(r)
 	}
 	if !p.leads(r) {
-		return p.enqueue(now, r)
+		if !queued {
+			p.queue = append(p.queue, r)
+			p.fetches[r.memo.key].worth += r.memo.benefit
+		}
+		return p.notYet(now, r, left)
 	}
 	if !r.Write {
 		f := &fetch{leader: r, worth: r.memo.benefit}
@@ -563,7 +550,7 @@
 	if !queued {
 		p.short -= p.short / lately
 	}
-	if p.free(r) >= 1 {
+	if float64(p.origin.out)+1 <= p.room {
 		return p.send(now, r, p.origin)
 	}
 	if !queued {
@@ -577,8 +564,9 @@
 		if p.chance.Next() < ahead*float64(p.origin.per)/float64(max(left, 1))-0.5 {
 			return p.giveUp(r)
 		}
+		p.queue = append(p.queue, r)
 	}
-	return p.enqueue(now, r)
+	return p.notYet(now, r, left)
 }
 
 // worth is what an origin leg for r would bring: its benefit and that of all who wait for its fetch.
@@ -589,15 +577,8 @@
 	return r.memo.benefit
 }
 
-// free is how many more legs the origin may have; for writes, few and with nowhere else to go, double.
-func (p *Router) free(r *Retrieval) float64 {
-	if r.Write {
-		return 2*p.room - float64(p.origin.out)
-	}
-	return p.room - float64(p.origin.out)
-}
-
-// dequeue wakes those whose fetch is over and those that the origin has room for, worth most first, then oldest.
+// dequeue wakes those whose fetch is over and those that the origin has room for, worth most first, then
+// oldest.
 func (p *Router) dequeue() (wake []RetrievalID) {
 	p.queue = slices.DeleteFunc(p.queue, func(q *Retrieval) bool {
 		return q.Over || slices.ContainsFunc(q.Legs, isOut)
@@ -607,7 +588,7 @@
 	for _, q := range p.queue {
 		if q.memo.keptAt != "" {
 			wake = append(wake, q.ID)
-		} else if p.leads(q) && p.origin != nil && p.free(q) >= freed+1 {
+		} else if p.leads(q) && p.origin != nil && float64(p.origin.out)+freed+1 <= p.room {
 			freed++
 			wake = append(wake, q.ID)
 		}
@@ -650,7 +631,6 @@
 	case Answered:
 		c.ghosts = slices.DeleteFunc(c.ghosts, func(sent Instant) bool { return sent < leg.Sent })
 		c.erred[at] /= 2
-		p.fade(now, c)
 		if c.served++; c != p.origin {
 			p.took.Add(o.Took)
 		}
@@ -707,7 +687,9 @@
 	p.retime()
 	served, weight, quiet := 0.0, 0.0, 0
 	for _, c := range p.listed {
-		p.fade(now, c)
+		if p.upkeeps%max(1, int(p.rules.FallFor/upkeepEvery)) == 0 {
+			c.sent, c.served = c.sent/2, c.served/2
+		}
 		served += c.served
 		weight += c.Weight * p.warmth(now, c)
 		if p.silent(now, c) {
