--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,13 +26,13 @@
 	trialMost    = 4 * time.Second        // longest rest of a failing cache: soon enough to see it come back
 	failsToRest  = 2                      // failures in a row before a cache rests: one may be chance
 	errsToRest   = 3                      // errors, halved by each answer, before a grade avoids a cache
-	rankLegs     = 4.0                    // legs more for an earlier holder while the origin is short: a fetch's price
+	rankLegs     = 4.0                    // legs more for an earlier holder while the origin is short: a fetch
 	lately       = 50                     // retrievals over which shares are taken: a second or two
 	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	spareMost    = 10                     // second copies saved up: covers one cache falling silent
 	lostLeast    = 1.5                    // asked per answer before any is turned away: a third may be bad luck
 	trialsLeast  = 4.0                    // asked that always get in, to see a recovery: about two a second
-	originFirst  = 8                      // legs at the origin before anything is known of it: a handful per core
+	originFirst  = 8                      // legs at the origin before anything is known of it: a few a core
 	originCut    = 0.7                    // room left after a late or lost answer: three cuts to a third
 	originLeast  = 2                      // legs the origin may always have: one waiting, one at work
 	crossingLegs = 16                     // legs in hand that a full crossing price is set against
@@ -550,7 +550,7 @@
 	if !queued {
 		p.short -= p.short / lately
 	}
-	if float64(p.origin.out)+1 <= p.room {
+	if p.fits(r, 1) {
 		return p.send(now, r, p.origin)
 	}
 	if !queued {
@@ -577,6 +577,11 @@
 	return r.memo.benefit
 }
 
+// fits tells whether the origin has room for n legs more; writes, few and with nowhere else to go, get double.
+func (p *Router) fits(r *Retrieval, n float64) bool {
+	return float64(p.origin.out)+n <= p.room || r.Write && float64(p.origin.out)+n <= 2*p.room
+}
+
 // dequeue wakes those whose fetch is over and those that the origin has room for, worth most first, then
 // oldest.
 func (p *Router) dequeue() (wake []RetrievalID) {
@@ -588,7 +593,7 @@
 	for _, q := range p.queue {
 		if q.memo.keptAt != "" {
 			wake = append(wake, q.ID)
-		} else if p.leads(q) && p.origin != nil && float64(p.origin.out)+freed+1 <= p.room {
+		} else if p.leads(q) && p.origin != nil && p.fits(q, freed+1) {
 			freed++
 			wake = append(wake, q.ID)
 		}
