--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,6 +24,7 @@
 	halveEvery   = 20                     // upkeeps between halvings of times: a memory of a few seconds
 	fadeEvery    = 10                     // upkeeps between halvings of losses: a memory of a second or two
 	trialMost    = 4 * time.Second        // longest rest of a failing cache: soon enough to see it come back
+	ghostMost    = 2 * time.Second        // longest a leg given up on counts: by then no client waits for what is behind it
 	failsToRest  = 2                      // failures in a row before a cache rests: one may be chance
 	errsToRest   = 3                      // errors, halved by each answer, before a grade avoids a cache
 	rankLegs     = 4.0                    // legs more for an earlier holder while the origin is short: a fetch
@@ -212,19 +213,18 @@
 
 // Probed tells what a probe found. One that was answered lets legs try the cache again.
 func (p *Router) Probed(now Instant, id CacheID, found Result) {
-	c := p.caches[id]
-	if c != nil && found == Answered {
-		c.fails, c.refused, c.restUntil = min(c.fails, failsToRest-1), 0, 0
-	} else if c != nil {
+	if c := p.caches[id]; c != nil && found != Answered {
 		p.failed(now, c, found)
+	} else if c != nil {
+		c.fails, c.refused, c.restUntil = min(c.fails, failsToRest-1), 0, 0
 	}
 }
 
 func (p *Router) failed(now Instant, c *cache, how Result) {
-	if how == Unconnected {
+	if c.fails++; how == Unconnected {
 		c.refused++
 	}
-	if c.fails++; c.fails >= failsToRest {
+	if c.fails >= failsToRest {
 		c.restUntil = now.Add(min(trialMost, max(upkeepEvery, p.patience)<<min(c.fails-failsToRest, 6)))
 	}
 }
@@ -242,11 +242,10 @@
 
 // warmth is the share of its capacity that a cache is sure to have by now.
 func (p *Router) warmth(now Instant, c *cache) float64 {
-	age := now.Since(c.Born)
-	if c.Born == 0 || age >= p.rules.ColdFor {
+	if c.Born == 0 || now.Since(c.Born) >= p.rules.ColdFor {
 		return 1
 	}
-	return p.rules.ColdFrom + (1-p.rules.ColdFrom)*max(0, float64(age)/float64(p.rules.ColdFor))
+	return p.rules.ColdFrom + (1-p.rules.ColdFrom)*max(0, float64(now.Since(c.Born))/float64(p.rules.ColdFor))
 }
 
 // coldTo guards against pushing a cold cache over: it takes a thin slice of the keys that widens with its
@@ -255,10 +254,7 @@
 // together do.
 func (p *Router) coldTo(now Instant, c *cache, key uint64) bool {
 	w := p.warmth(now, c)
-	if w >= 1 {
-		return false
-	}
-	return float64(keyhash.Mix(key^c.hash)) > w*w*(1<<64) || c.sent > w*p.usual*c.Weight+0.5
+	return w < 1 && (float64(keyhash.Mix(key^c.hash)) > w*w*(1<<64) || c.sent > w*p.usual*c.Weight+0.5)
 }
 
 // inHand counts own legs there. It guards against caches that go on with what was given up: such a leg
@@ -269,7 +265,7 @@
 func (p *Router) load(c *cache) float64 {
 	l := c.inHand() + c.foreign
 	if c.foreign < 0 {
-		l = c.inHand() + p.othersLoad
+		l += p.othersLoad - c.foreign
 	}
 	if c.Zone != p.rules.Zone {
 		l += crossingLegs * p.rules.CrossingPrice
@@ -325,11 +321,7 @@
 // answered, it turns away by chance, the cheaper ones more often, until what gets in is answered again.
 func (p *Router) turnAway(r *Retrieval) bool {
 	over := p.asked - lostLeast*p.good - trialsLeast
-	if over <= 0 || p.chance.Next() >= over/p.asked*r.memo.cheap {
-		return false
-	}
-	p.asked++
-	return true
+	return over > 0 && p.chance.Next() < over/p.asked*r.memo.cheap
 }
 
 // locate returns the cache at a segment's location for a key; a dead slot has passed its keys leftward.
@@ -339,10 +331,7 @@
 		return nil
 	}
 	at := linear(keyhash.Salted(key, segments+seg), len(slots))
-	for range slots {
-		if c := slots[at]; c.refused < failsToRest || now >= c.restUntil {
-			break
-		}
+	for i := 0; i < len(slots) && slots[at].refused >= failsToRest && now < slots[at].restUntil; i++ {
 		at = leftOf(at, len(slots))
 	}
 	return slots[at]
@@ -352,14 +341,9 @@
 // that drains, is silent, fails this grade fast and so looks idle, or is too cold yields to the next ranked
 // spare.
 func (p *Router) holders(now Instant, r *Retrieval) (hs []*cache) {
-	var order [segments]int
-	score := func(i int) uint64 { return keyhash.Salted(r.memo.key, order[i]) }
-	for i := range order {
-		order[i] = i
-		for j := i; j > 0 && score(j) < score(j-1); j-- {
-			order[j], order[j-1] = order[j-1], order[j]
-		}
-	}
+	order := [segments]int{0, 1, 2, 3, 4, 5, 6}
+	score := func(seg int) uint64 { return keyhash.Salted(r.memo.key, seg) }
+	slices.SortFunc(order[:], func(a, b int) int { return cmp.Compare(score(a), score(b)) })
 	var last *cache
 	for _, seg := range order {
 		c := p.locate(now, seg, r.memo.key)
@@ -368,9 +352,9 @@
 		}
 		if !p.blind && p.silent(now, c) || c.erred[r.memo.at] >= errsToRest {
 			last = c
-			continue
+		} else {
+			hs = append(hs, c)
 		}
-		hs = append(hs, c)
 	}
 	if len(hs) == 0 && last != nil {
 		hs = append(hs, last)
@@ -451,6 +435,7 @@
 	if !r.memo.met {
 		p.meet(now, r)
 		if !(r.Write && p.rules.Aside) && p.turnAway(r) {
+			p.asked++
 			return p.giveUp(r)
 		}
 	}
@@ -644,8 +629,7 @@
 	case TimedOut, Cancelled:
 		c.ghosts = append(c.ghosts, leg.Sent)
 	}
-	switch leg.Result {
-	case Answered, TimedOut, Cancelled:
+	if leg.Result == Answered || leg.Result == TimedOut || leg.Result == Cancelled {
 		c.pace.Add(time.Duration(float64(o.Took) / held))
 	}
 	switch leg.Result {
@@ -697,6 +681,7 @@
 		}
 		served += c.served
 		weight += c.Weight * p.warmth(now, c)
+		c.ghosts = slices.DeleteFunc(c.ghosts, func(sent Instant) bool { return now.Since(sent) > ghostMost })
 		if p.silent(now, c) {
 			quiet++
 		}
