Send a second copy only where the chance of lateness outweighs the price of waste

Cause: each slow twentieth got a copy, though most would have been in time and a copy costs its whole work where waste is priced and nothing can be called off.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -445,15 +445,17 @@
 	return p.next(now, r)
 }
 
-// further decides on a read whose leg is out for long: a second copy beside it, or calling it off.
+// further decides on a read whose leg is out for long: a second copy beside it, where the chance that the first
+// is late is worth what a wasted copy costs, or calling it off.
 func (p *Router) further(now Instant, r *Retrieval, leg int) Move {
 	to := p.caches[r.Legs[leg].To]
 	again := Move{AskAgain: now.Add(max(p.slow, 2*p.rules.Round))}
 	silent := to == nil || p.silent(now, to)
+	late := p.took.Above(r.memo.grade.SoftLimit) / max(1, p.took.Above(now.Since(r.Legs[leg].Sent)))
 	switch {
 	case len(r.Legs) >= p.rules.MostLegs || to != nil && to == p.origin:
 		return Move{}
-	case p.rules.SecondCopies && p.spare >= 1:
+	case p.rules.SecondCopies && p.spare >= 1 && (silent || late >= p.rules.WastePrice):
 		if c, _ := p.pick(now, r, p.holders(now, r)); c != nil && !p.silent(now, c) {
 			p.spare--
 			return p.send(now, r, c)
