--- a/policy/policy.go
+++ b/policy/policy.go
@@ -595,7 +595,13 @@
 		p.learn(now, c, r, leg, o)
 	}
 	if !r.Over && !slices.ContainsFunc(r.Legs, isOut) {
-		m = p.next(now, r)
+		if leg.Result.NeverRan() {
+			m = p.next(now, r)
+		} else if p.spare--; p.spare >= 0 {
+			m = p.next(now, r)
+		} else {
+			p.spare, m = 0, p.giveUp(r)
+		}
 	}
 	for i, l := range r.Legs {
 		if r.Over && l.Out && p.rules.MayCancel {
