--- a/policy/policy.go
+++ b/policy/policy.go
@@ -46,7 +46,6 @@
 	ghosts           []Instant       // sendings of legs given up on that it may still be at work for
 	waitingOn, heard Instant         // first sending since the last word from it, and that word
 	fails, refused   int             // legs in a row without a word, and without a connection
-	fullUntil        Instant         // it has just turned one away
 	restUntil        Instant         // no legs before this
 	pace             tally.Histogram // time a leg took for each one in hand when it was sent
 	per              time.Duration   // median of pace
@@ -376,7 +375,7 @@
 			continue
 		}
 		l := p.load(c) + rankLegs*p.short*float64(i)
-		if now < c.fullUntil || (c.inHand()+1)*float64(c.per) > float64(left) {
+		if (c.inHand()+1)*float64(c.per) > float64(left) {
 			full = true
 		} else if l < least {
 			best, least, ties = c, l, 1
@@ -635,8 +634,6 @@
 		}
 	case Errored, Broken:
 		c.erred[at] = min(c.erred[at]+1, 2*errsToRest)
-	case TurnedAway:
-		c.fullUntil = now.Add(c.per)
 	case TimedOut, Cancelled:
 		c.ghosts = append(c.ghosts, leg.Sent)
 	}
