--- a/internal/simwire/rules.go
+++ b/internal/simwire/rules.go
@@ -91,16 +91,13 @@
 	r.AskWithin = span(rules.Get("ask_within_s"))
 	r.ColdFrom, r.ColdFor = rules.GetFloat64("cold_from"), span(rules.Get("cold_s"))
 	r.FallFactor, r.FallFor = rules.GetFloat64("overload_factor"), span(rules.Get("overload_for_s"))
-	r.InFlightAt, r.FetchesAt = -1, -1
+	r.InFlightAt = -1
 	for i, c := range env.GetArray("telemetry", "columns") {
 		name := string(c.GetStringBytes())
 		n.columns = append(n.columns, name)
 		if name == "outstanding" || name == "backlog" && r.InFlightAt < 0 {
 			r.InFlightAt = i
 		}
-		if name == "x1" && !r.Aside && string(family.GetStringBytes("report_x1")) == "fetches out" {
-			r.FetchesAt = i
-		}
 	}
 	return r, n, nil
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -652,9 +652,6 @@
 		c.foreign = max(0, o.Report[i]-held) // the report counts own legs too
 		p.othersLoad += (c.foreign - p.othersLoad) / lately
 	}
-	if i := p.rules.FetchesAt; i >= 0 && i < len(o.Report) {
-		p.short += (min(1, o.Report[i]/rankLegs) - p.short) / lately
-	}
 	inTime := (leg.Result == Answered || leg.Result == Missed) && o.Took <= soft
 	switch {
 	case leg.Result == Cancelled || leg.Result == NeverSent:
--- a/policy/types.go
+++ b/policy/types.go
@@ -82,7 +82,6 @@
 	FallFactor    float64
 	FallFor       time.Duration
 	InFlightAt    int // which report value counts retrievals in hand; -1 for none
-	FetchesAt     int // which report value counts a cache's own fetches from the origin; -1 for none
 }
 
 // ListForm says how a list is to be read.
