Leave even the cheapest a chance to get in when most is turned away

Cause: chance times cheapness reached one, so the cheapest grade was turned away whole and, with nothing of it asked and answered, for ever, though all that got in was answered.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -321,7 +321,7 @@
 // answered, it turns away by chance, the cheaper ones more often, until what gets in is answered again.
 func (p *Router) turnAway(r *Retrieval) bool {
 	over := p.asked - lostLeast*p.good - trialsLeast
-	return over > 0 && p.chance.Next() < over/p.asked*r.memo.cheap
+	return over > 0 && p.chance.Next() >= math.Pow(1-over/p.asked, r.memo.cheap)
 }
 
 // locate returns the cache at a segment's location for a key; a dead slot has passed its keys leftward.
