--- a/policy/policy.go
+++ b/policy/policy.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"math/bits"
 	"slices"
@@ -58,7 +59,6 @@
 type fetch struct {
 	leader *Retrieval
 	at     CacheID // where the value will be kept
-	worth  float64 // benefit of all that wait for it
 }
 
 // memo is what the Router remembers of a retrieval in hand.
@@ -70,6 +70,7 @@
 	benefit float64
 	cheap   float64 // how readily it is turned away; 1 is the mean
 	keptAt  CacheID // a shared fetch has put the value here
+	worth   float64 // benefit of all that wait for the key
 }
 
 // Router makes the decisions of one node.
@@ -92,8 +93,7 @@
 	blind                   bool          // most caches seem silent, so the trouble is not theirs
 	asked, good             float64       // legs to caches that ended, and those in time; halved now and then
 	spare, benefit          float64       // second copies saved up; mean benefit of a retrieval
-	quotas                  []float64     // what each league may still ask within its share
-	metered                 Instant
+	metered                 []Instant     // up to when each league has used its share
 	upkeeps, askFails       int
 	following, asking       bool
 	askedAt, askNext        Instant
@@ -103,8 +103,8 @@
 func New(now Instant, seed int64, rules HouseRules) *Router {
 	rules.Nodes, rules.MostLegs = max(1, rules.Nodes), max(1, rules.MostLegs)
 	rules.Round = max(time.Millisecond, rules.Round)
-	p := &Router{rules: rules, caches: map[CacheID]*cache{}, fetches: map[uint64]*fetch{}, metered: now,
-		room: originFirst, quotas: make([]float64, len(rules.Leagues))}
+	p := &Router{rules: rules, caches: map[CacheID]*cache{}, fetches: map[uint64]*fetch{}, room: originFirst,
+		metered: make([]Instant, len(rules.Leagues))}
 	p.chance.Seed = uint32(seed ^ seed>>32)
 	p.retime()
 	return p
@@ -411,20 +411,18 @@
 		g, at = p.rules.Grades[r.Grade], int(r.Grade)
 	}
 	benefit := g.Benefit
-	for i, l := range p.rules.Leagues {
-		share := l.QuotaPerSecond / float64(p.rules.Nodes)
-		p.quotas[i] = min(share, p.quotas[i]+share*now.Since(p.metered).Seconds())
-	}
-	p.metered = now
-	if l := int(r.League); l >= 0 && l < len(p.quotas) && p.rules.Leagues[l].QuotaPerSecond > 0 {
-		if p.quotas[l]--; p.quotas[l] < 0 { // beyond its share
-			p.quotas[l], benefit = 0, benefit*p.rules.ExcessBenefit
+	if l := int(r.League); l >= 0 && l < len(p.metered) && p.rules.Leagues[l].QuotaPerSecond > 0 {
+		each := float64(time.Second) * float64(p.rules.Nodes) / p.rules.Leagues[l].QuotaPerSecond
+		if at := max(p.metered[l].Add(time.Duration(each)), now.Add(-time.Second)); at <= now {
+			p.metered[l] = at
+		} else { // beyond its share
+			benefit *= p.rules.ExcessBenefit
 		}
 	}
 	p.benefit += (benefit - p.benefit) / lately
 	p.spare = min(spareMost, p.spare+spareShare)
 	cheap := math.Sqrt(max(p.benefit, 0.01) / max(benefit, 0.01))
-	r.memo = memo{true, g, at, keyhash.Text(r.Key), benefit, cheap, ""}
+	r.memo = memo{true, g, at, keyhash.Text(r.Key), benefit, cheap, "", benefit}
 }
 
 // Where decides where a retrieval goes now: at its arrival, when it was to be asked again, and when woken.
@@ -515,55 +513,38 @@
 	if p.origin == nil || !p.lawful(now, r, p.origin) || queued && left <= 0 {
 		return p.giveUp(r)
 	}
-	if !p.leads(r) {
-		if !queued {
-			p.queue = append(p.queue, r)
-			p.fetches[r.memo.key].worth += r.memo.benefit
-		}
-		return p.notYet(now, r, left)
-	}
-	if !r.Write {
-		f := &fetch{leader: r, worth: r.memo.benefit}
-		for _, q := range p.queue {
-			if q != r && q.memo.key == r.memo.key {
-				f.worth += q.memo.benefit
-			}
-		}
+	leads := p.leads(r)
+	if leads && !r.Write {
+		f := &fetch{leader: r}
 		if i := slices.IndexFunc(r.Legs, missed); i >= 0 {
 			f.at = r.Legs[i].To
 		}
 		p.fetches[r.memo.key] = f
 	}
-	if !queued {
+	if leads && !queued {
 		p.short -= p.short / lately
 	}
-	if p.fits(r, 1) {
+	if leads && p.fits(r, 1) {
 		return p.send(now, r, p.origin)
 	}
-	if !queued {
+	if leads && !queued {
 		p.short += 1.0 / lately
 		ahead := p.origin.inHand() + 1
 		for _, q := range p.queue {
-			if p.worth(q) >= p.worth(r) {
+			if p.leads(q) && q.memo.worth >= r.memo.worth {
 				ahead++
 			}
 		}
 		if p.chance.Next() < ahead*float64(p.origin.per)/float64(max(left, 1))-0.5 {
 			return p.giveUp(r)
 		}
+	}
+	if !queued {
 		p.queue = append(p.queue, r)
 	}
 	return p.notYet(now, r, left)
 }
 
-// worth is what an origin leg for r would bring: its benefit and that of all who wait for its fetch.
-func (p *Router) worth(r *Retrieval) float64 {
-	if f := p.fetches[r.memo.key]; f != nil && f.leader == r {
-		return f.worth
-	}
-	return r.memo.benefit
-}
-
 // fits tells whether the origin has room for n legs more; writes, few and with nowhere else to go, get double.
 func (p *Router) fits(r *Retrieval, n float64) bool {
 	return float64(p.origin.out)+n <= p.room || r.Write && float64(p.origin.out)+n <= 2*p.room
@@ -575,8 +556,14 @@
 	p.queue = slices.DeleteFunc(p.queue, func(q *Retrieval) bool {
 		return q.Over || slices.ContainsFunc(q.Legs, isOut)
 	})
-	slices.SortStableFunc(p.queue, func(a, b *Retrieval) int { return cmp.Compare(p.worth(b), p.worth(a)) })
-	freed := 0.0
+	worth, freed := map[uint64]float64{}, 0.0
+	for _, q := range p.queue {
+		worth[q.memo.key] += q.memo.benefit
+	}
+	for _, q := range p.queue {
+		q.memo.worth = worth[q.memo.key]
+	}
+	slices.SortStableFunc(p.queue, func(a, b *Retrieval) int { return cmp.Compare(b.memo.worth, a.memo.worth) })
 	for _, q := range p.queue {
 		if q.memo.keptAt != "" {
 			wake = append(wake, q.ID)
@@ -595,12 +582,13 @@
 		p.learn(now, c, r, leg, o)
 	}
 	if !r.Over && !slices.ContainsFunc(r.Legs, isOut) {
-		if leg.Result.NeverRan() {
-			m = p.next(now, r)
-		} else if p.spare--; p.spare >= 0 {
-			m = p.next(now, r)
+		if ran := !leg.Result.NeverRan(); ran && p.spare < 1 {
+			m = p.giveUp(r)
 		} else {
-			p.spare, m = 0, p.giveUp(r)
+			if ran {
+				p.spare--
+			}
+			m = p.next(now, r)
 		}
 	}
 	for i, l := range r.Legs {
@@ -616,7 +604,9 @@
 			}
 		}
 	}
-	m.Wake = p.dequeue()
+	if len(p.queue) > 0 {
+		m.Wake = p.dequeue()
+	}
 	return m
 }
 
@@ -628,6 +618,7 @@
 	switch leg.Result {
 	case Answered:
 		c.ghosts = slices.DeleteFunc(c.ghosts, func(sent Instant) bool { return sent < leg.Sent })
+		c.pace.Add(time.Duration(float64(o.Took) / held))
 		c.erred[at] /= 2
 		if c.served++; c != p.origin {
 			p.took.Add(o.Took)
@@ -636,8 +627,6 @@
 		c.erred[at] = min(c.erred[at]+1, 2*errsToRest)
 	case TimedOut, Cancelled:
 		c.ghosts = append(c.ghosts, leg.Sent)
-	}
-	if leg.Result == Answered || leg.Result == TimedOut || leg.Result == Cancelled {
 		c.pace.Add(time.Duration(float64(o.Took) / held))
 	}
 	switch leg.Result {
@@ -674,6 +663,7 @@
 	}
 	if p.upkeeps%halveEvery == 0 {
 		p.took.Halve()
+		maps.DeleteFunc(p.fetches, func(_ uint64, f *fetch) bool { return f.leader.Over })
 		for _, c := range p.caches {
 			c.pace.Halve()
 			for g := range c.erred {
