--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,12 +55,6 @@
 	sent, served     float64         // legs sent and answered, halved once in the span of the cold rule
 }
 
-// fetch is one retrieval's way to the origin, which others that miss the same key wait for.
-type fetch struct {
-	leader *Retrieval
-	at     CacheID // where the value will be kept
-}
-
 // memo is what the Router remembers of a retrieval in hand.
 type memo struct {
 	met     bool
@@ -83,9 +77,9 @@
 	origin                  *cache  // nil in through mode
 	room                    float64 // legs the origin may have, as learned
 	roomCut                 Instant
-	fetches                 map[uint64]*fetch
-	queue                   []*Retrieval // waiting for room at the origin or for another's fetch
-	short                   float64      // share of those bound for the origin that found no room
+	fetches                 map[uint64]*Retrieval // who fetches a key from the origin; others that miss it wait
+	queue                   []*Retrieval          // waiting for room at the origin or for another's fetch
+	short                   float64               // share of those bound for the origin that found no room
 	took                    tally.Histogram
 	typical, slow, patience time.Duration // the median, the slow twentieth, and when no word means silence
 	usual                   float64       // legs that a warm cache of weight 1 answered lately
@@ -95,15 +89,14 @@
 	spare, benefit          float64       // second copies saved up; mean benefit of a retrieval
 	metered                 []Instant     // up to when each league has used its share
 	upkeeps, askFails       int
-	following, asking       bool
-	askedAt, askNext        Instant
+	askAt                   Instant // when to ask to follow the list again
 }
 
 // New returns a Router for one node's life.
 func New(now Instant, seed int64, rules HouseRules) *Router {
 	rules.Nodes, rules.MostLegs = max(1, rules.Nodes), max(1, rules.MostLegs)
 	rules.Round = max(time.Millisecond, rules.Round)
-	p := &Router{rules: rules, caches: map[CacheID]*cache{}, fetches: map[uint64]*fetch{}, room: originFirst,
+	p := &Router{rules: rules, caches: map[CacheID]*cache{}, fetches: map[uint64]*Retrieval{}, room: originFirst,
 		metered: make([]Instant, len(rules.Leagues))}
 	p.chance.Seed = uint32(seed ^ seed>>32)
 	p.retime()
@@ -184,12 +177,12 @@
 // Listed tells of news from the list.
 func (p *Router) Listed(now Instant, form ListForm, entries []Entry) {
 	if form == AskFailed {
-		p.asking, p.following, p.askFails = false, false, min(p.askFails+1, 5)
-		p.askNext = now.Add(time.Duration((0.5 + p.chance.Next()) * float64(upkeepEvery<<p.askFails)))
+		p.askFails = min(p.askFails+1, 5)
+		p.askAt = now.Add(time.Duration((0.5 + p.chance.Next()) * float64(upkeepEvery<<p.askFails)))
 		return
 	}
-	if form != LastHeld && p.asking {
-		p.asking, p.following, p.askFails = false, true, 0
+	if form != LastHeld { // it is being followed
+		p.askFails, p.askAt = 0, math.MaxInt64
 	}
 	named := map[CacheID]bool{}
 	for _, e := range entries {
@@ -357,7 +350,7 @@
 		}
 	}
 	if len(hs) == 0 && last != nil {
-		hs = append(hs, last)
+		return []*cache{last}
 	}
 	return hs
 }
@@ -501,7 +494,7 @@
 // leads tells whether r is to go to the origin itself and has no other's fetch to wait for.
 func (p *Router) leads(r *Retrieval) bool {
 	f := p.fetches[r.memo.key]
-	return r.Write || f == nil || f.leader == r || f.leader.Over
+	return r.Write || f == nil || f == r || f.Over
 }
 
 // toOrigin sends a write, or a read that missed, to the origin. It guards against miss storms: one read
@@ -515,11 +508,7 @@
 	}
 	leads := p.leads(r)
 	if leads && !r.Write {
-		f := &fetch{leader: r}
-		if i := slices.IndexFunc(r.Legs, missed); i >= 0 {
-			f.at = r.Legs[i].To
-		}
-		p.fetches[r.memo.key] = f
+		p.fetches[r.memo.key] = r
 	}
 	if leads && !queued {
 		p.short -= p.short / lately
@@ -577,7 +566,7 @@
 
 // After decides what follows a leg's outcome.
 func (p *Router) After(now Instant, r *Retrieval, o Outcome) (m Move) {
-	leg, f := r.Legs[o.Leg], p.fetches[r.memo.key]
+	leg, leads := r.Legs[o.Leg], p.fetches[r.memo.key] == r
 	if c := p.caches[leg.To]; c != nil {
 		p.learn(now, c, r, leg, o)
 	}
@@ -596,11 +585,12 @@
 			m.Cancel = append(m.Cancel, i)
 		}
 	}
-	if f != nil && f.leader == r && (r.Over || m.Answer != Nothing) { // its fetch is over, well or not
+	if leads && (r.Over || m.Answer != Nothing) { // its fetch is over, well or not
 		delete(p.fetches, r.memo.key)
+		first := slices.IndexFunc(r.Legs, missed) // where the value is kept now
 		for _, q := range p.queue {
-			if q.memo.key == r.memo.key && leg.Result == Answered {
-				q.memo.keptAt = f.at
+			if q.memo.key == r.memo.key && leg.Result == Answered && first >= 0 {
+				q.memo.keptAt = r.Legs[first].To
 			}
 		}
 	}
@@ -663,7 +653,7 @@
 	}
 	if p.upkeeps%halveEvery == 0 {
 		p.took.Halve()
-		maps.DeleteFunc(p.fetches, func(_ uint64, f *fetch) bool { return f.leader.Over })
+		maps.DeleteFunc(p.fetches, func(_ uint64, r *Retrieval) bool { return r.Over })
 		for _, c := range p.caches {
 			c.pace.Halve()
 			for g := range c.erred {
@@ -689,9 +679,8 @@
 		}
 	}
 	p.usual, p.blind = served/max(weight, 1e-9), 2*quiet > len(p.listed)
-	if p.rules.MustAsk && !p.following && now >= p.askNext &&
-		(!p.asking || now.Since(p.askedAt) > p.rules.AskWithin) {
-		p.asking, p.askedAt = true, now
+	if p.rules.MustAsk && now >= p.askAt {
+		p.askAt = now.Add(max(p.rules.AskWithin, time.Second))
 		chores = append(chores, Chore{Kind: FollowList})
 	}
 	return upkeepEvery, chores
