--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,10 +22,9 @@
 	segments     = 7                      // segments: the design's k
 	copies       = 3                      // holders of a key: the design's number
 	upkeepEvery  = 100 * time.Millisecond // upkeep period: a few service times, so that trouble is seen soon
-	halveEvery   = 20                     // upkeeps between halvings of times: a memory of a few seconds
-	fadeEvery    = 10                     // upkeeps between halvings of losses: a memory of a second or two
+	halveEvery   = 15                     // upkeeps between halvings of what is measured: a memory of a few seconds
 	trialMost    = 4 * time.Second        // longest rest of a failing cache: soon enough to see it come back
-	ghostMost    = 2 * time.Second        // longest a leg given up on counts: by then no client waits for what is behind it
+	ghostMost    = 2 * time.Second        // longest a leg given up on counts: none waits for it so long
 	failsToRest  = 2                      // failures in a row before a cache rests: one may be chance
 	errsToRest   = 3                      // errors, halved by each answer, before a grade avoids a cache
 	rankLegs     = 4.0                    // legs more for an earlier holder while the origin is short: a fetch
@@ -97,7 +96,7 @@
 	rules.Nodes, rules.MostLegs = max(1, rules.Nodes), max(1, rules.MostLegs)
 	rules.Round = max(time.Millisecond, rules.Round)
 	p := &Router{rules: rules, caches: map[CacheID]*cache{}, fetches: map[uint64]*Retrieval{}, room: originFirst,
-		metered: make([]Instant, len(rules.Leagues))}
+		metered: make([]Instant, len(rules.Leagues)), askAt: now}
 	p.chance.Seed = uint32(seed ^ seed>>32)
 	p.retime()
 	return p
@@ -242,9 +241,8 @@
 }
 
 // coldTo guards against pushing a cold cache over: it takes a thin slice of the keys that widens with its
-// warmth, and never more legs than a warm one answers, cut by its warmth. (Legs sent to warm ones would be
-// no measure: misses cost those little.) As each node keeps to its own share of the answers, all nodes
-// together do.
+// warmth, and no more legs than a warm one answers (misses would cost that one little), cut by its warmth. As
+// each node keeps to its own share of the answers, all together do.
 func (p *Router) coldTo(now Instant, c *cache, key uint64) bool {
 	w := p.warmth(now, c)
 	return w < 1 && (float64(keyhash.Mix(key^c.hash)) > w*w*(1<<64) || c.sent > w*p.usual*c.Weight+0.5)
@@ -266,8 +264,7 @@
 	return l
 }
 
-// lawful is the second rule and the third: may this retrieval go to this cache now, whatever else seems
-// wise?
+// lawful is the second rule and the third: may this retrieval go to this cache now, however wise it seems?
 func (p *Router) lawful(now Instant, r *Retrieval, c *cache) bool {
 	if r.Over || c.State != Ready || len(r.Legs) >= p.rules.MostLegs || p.left(now, r) <= 0 {
 		return false
@@ -330,9 +327,8 @@
 	return slots[at]
 }
 
-// holders lists the caches that hold a key now and may get this retrieval, first ranked first. A holder
-// that drains, is silent, fails this grade fast and so looks idle, or is too cold yields to the next ranked
-// spare.
+// holders lists a key's caches for this retrieval, first ranked first. One that drains, is silent, fails this
+// grade fast and so looks idle, or is too cold for the key yields to the next ranked spare.
 func (p *Router) holders(now Instant, r *Retrieval) (hs []*cache) {
 	order := [segments]int{0, 1, 2, 3, 4, 5, 6}
 	score := func(seg int) uint64 { return keyhash.Salted(r.memo.key, seg) }
@@ -355,10 +351,9 @@
 	return hs
 }
 
-// pick chooses the least loaded holder not yet tried, ties by chance; full tells that they lack room, which
-// guards against queues that outlast the soft limit. While the origin is short, an earlier ranked holder
-// may have some legs more in hand, which guards against filling three caches with a key that can hardly be
-// fetched once.
+// pick chooses the least loaded holder not yet tried, ties by chance; full tells that their queues would outlast
+// the soft limit. While the origin is short, an earlier ranked holder may have some legs more in hand, which
+// guards against filling three caches with a key that can hardly be fetched once.
 func (p *Router) pick(now Instant, r *Retrieval, hs []*cache) (best *cache, full bool) {
 	g := r.memo.grade
 	left := max(g.SoftLimit-now.Since(r.Arrived), g.SoftLimit/2)
@@ -460,9 +455,13 @@
 // next decides on a retrieval with nothing out.
 func (p *Router) next(now Instant, r *Retrieval) Move {
 	g := r.memo.grade
-	if len(r.Legs) >= p.rules.MostLegs || p.left(now, r) <= p.typical/4 {
+	ran := len(r.Legs) > 0 && !r.Legs[len(r.Legs)-1].Result.NeverRan()
+	if len(r.Legs) >= p.rules.MostLegs || p.left(now, r) <= p.typical/4 || ran && p.spare < 1 {
 		return p.giveUp(r)
 	}
+	if ran { // guards against storms of further legs when most fail
+		p.spare--
+	}
 	if p.rules.Aside && (r.Write || slices.ContainsFunc(r.Legs, missed)) {
 		kept := p.caches[r.memo.keptAt]
 		if r.memo.keptAt = ""; kept != nil && p.lawful(now, r, kept) {
@@ -497,9 +496,8 @@
 	return r.Write || f == nil || f == r || f.Over
 }
 
-// toOrigin sends a write, or a read that missed, to the origin. It guards against miss storms: one read
-// fetches a key and the others wait for it, and legs out there are bounded. Who would mostly wait in vain
-// is turned away.
+// toOrigin sends a write, or a read that missed, to the origin. It guards against miss storms: one read fetches
+// a key and the others wait, legs out there are bounded, and who would mostly wait in vain is turned away.
 func (p *Router) toOrigin(now Instant, r *Retrieval) Move {
 	left := r.memo.grade.SoftLimit - now.Since(r.Arrived)
 	queued := slices.Contains(p.queue, r)
@@ -539,8 +537,7 @@
 	return float64(p.origin.out)+n <= p.room || r.Write && float64(p.origin.out)+n <= 2*p.room
 }
 
-// dequeue wakes those whose fetch is over and those that the origin has room for, worth most first, then
-// oldest.
+// dequeue wakes those whose fetch is over, or that the origin has room for: worth most first, then oldest.
 func (p *Router) dequeue() (wake []RetrievalID) {
 	p.queue = slices.DeleteFunc(p.queue, func(q *Retrieval) bool {
 		return q.Over || slices.ContainsFunc(q.Legs, isOut)
@@ -571,14 +568,7 @@
 		p.learn(now, c, r, leg, o)
 	}
 	if !r.Over && !slices.ContainsFunc(r.Legs, isOut) {
-		if ran := !leg.Result.NeverRan(); ran && p.spare < 1 {
-			m = p.giveUp(r)
-		} else {
-			if ran {
-				p.spare--
-			}
-			m = p.next(now, r)
-		}
+		m = p.next(now, r)
 	}
 	for i, l := range r.Legs {
 		if r.Over && l.Out && p.rules.MayCancel {
@@ -648,24 +638,22 @@
 // Wait returns how long until it wants to be called again, and the chores due now.
 func (p *Router) Wait(now Instant) (time.Duration, []Chore) {
 	var chores []Chore
-	if p.upkeeps++; p.upkeeps%fadeEvery == 0 {
+	p.upkeeps++
+	halve := p.upkeeps%halveEvery == 0
+	if halve {
 		p.asked, p.good = p.asked/2, p.good/2
-	}
-	if p.upkeeps%halveEvery == 0 {
 		p.took.Halve()
 		maps.DeleteFunc(p.fetches, func(_ uint64, r *Retrieval) bool { return r.Over })
-		for _, c := range p.caches {
-			c.pace.Halve()
-			for g := range c.erred {
-				c.erred[g] /= 2
-			}
-		}
 	}
 	p.retime()
 	served, weight, quiet := 0.0, 0.0, 0
 	for _, c := range p.listed {
-		if p.upkeeps%max(1, int(p.rules.FallFor/upkeepEvery)) == 0 {
+		if halve {
 			c.sent, c.served = c.sent/2, c.served/2
+			c.pace.Halve()
+			for g := range c.erred {
+				c.erred[g] /= 2
+			}
 		}
 		served += c.served
 		weight += c.Weight * p.warmth(now, c)
