--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,7 +22,7 @@
 	segments     = 7                      // segments: the design's k
 	copies       = 3                      // holders of a key: the design's number
 	upkeepEvery  = 100 * time.Millisecond // upkeep period: a few service times, so that trouble is seen soon
-	halveEvery   = 15                     // upkeeps between halvings of what is measured: a memory of a few seconds
+	halveEvery   = 10                     // upkeeps between halvings of measurements: a memory of a second or two
 	trialMost    = 4 * time.Second        // longest rest of a failing cache: soon enough to see it come back
 	ghostMost    = 2 * time.Second        // longest a leg given up on counts: none waits for it so long
 	failsToRest  = 2                      // failures in a row before a cache rests: one may be chance
