--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,6 +28,7 @@
 	failsToRest  = 2                      // failures in a row before a cache rests: one may be chance
 	errsToRest   = 3                      // errors, halved by each answer, before a grade avoids a cache
 	rankLegs     = 4.0                    // legs more for an earlier holder while the origin is short: a fetch
+	tieBreak     = 1e-6                   // legs by which chance tells equal loads apart: far less than any real difference
 	lately       = 50                     // retrievals over which shares are taken: a second or two
 	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	spareMost    = 10                     // second copies saved up: covers one cache falling silent
@@ -48,7 +49,6 @@
 	fails, refused   int             // legs in a row without a word, and without a connection
 	restUntil        Instant         // no legs before this
 	pace             tally.Histogram // time a leg took for each one in hand when it was sent
-	per              time.Duration   // median of pace
 	foreign          float64         // retrievals of others it holds by its last report; -1 while unreported
 	erred            []uint8         // errors by grade, halved by answers and by time
 	sent, served     float64         // legs sent and answered, halved once in the span of the cold rule
@@ -63,7 +63,6 @@
 	benefit float64
 	cheap   float64 // how readily it is turned away; 1 is the mean
 	keptAt  CacheID // a shared fetch has put the value here
-	worth   float64 // benefit of all that wait for the key
 }
 
 // Router makes the decisions of one node.
@@ -81,8 +80,7 @@
 	short                   float64               // share of those bound for the origin that found no room
 	took                    tally.Histogram
 	typical, slow, patience time.Duration // the median, the slow twentieth, and when no word means silence
-	usual                   float64       // legs that a warm cache of weight 1 answered lately
-	othersLoad              float64       // mean foreign load by the reports
+	usual, othersLoad       float64       // legs a warm cache of weight 1 answered lately; mean foreign load reported
 	blind                   bool          // most caches seem silent, so the trouble is not theirs
 	asked, good             float64       // legs to caches that ended, and those in time; halved now and then
 	spare, benefit          float64       // second copies saved up; mean benefit of a retrieval
@@ -150,18 +148,15 @@
 func (p *Router) redeal() {
 	p.listed, p.segs, p.origin = nil, [segments][]*cache{}, nil
 	for _, c := range p.caches {
-		p.listed = append(p.listed, c)
+		if !p.rules.Aside || c.Kind != p.rules.OriginKind {
+			p.listed = append(p.listed, c)
+		} else if p.origin == nil || c.ID < p.origin.ID {
+			p.origin = c
+		}
 	}
 	slices.SortFunc(p.listed, func(a, b *cache) int {
 		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.ID, b.ID))
 	})
-	p.listed = slices.DeleteFunc(p.listed, func(c *cache) bool {
-		origin := p.rules.Aside && c.Kind == p.rules.OriginKind
-		if origin && (p.origin == nil || c.State == Ready) {
-			p.origin = c
-		}
-		return origin
-	})
 	for i, s := range deal(p.listed, segments, 0) {
 		p.segs[s] = append(p.segs[s], p.listed[i])
 	}
@@ -224,12 +219,8 @@
 // silent tells whether a cache has said nothing for so long that its keys should go elsewhere. One that has
 // rested gets a single leg, or a probe where those are allowed, to show that it is back.
 func (p *Router) silent(now Instant, c *cache) bool {
-	wait := p.patience
-	if c.out == 1 {
-		wait *= 2 // a lone leg may just be a long one
-	}
 	return now < c.restUntil || c.fails >= failsToRest && (c.out > 0 || p.rules.MayProbe) ||
-		c.out > 0 && now.Since(c.waitingOn) > wait
+		c.out > 0 && now.Since(c.waitingOn) > p.patience
 }
 
 // warmth is the share of its capacity that a cache is sure to have by now.
@@ -241,8 +232,8 @@
 }
 
 // coldTo guards against pushing a cold cache over: it takes a thin slice of the keys that widens with its
-// warmth, and no more legs than a warm one answers (misses would cost that one little), cut by its warmth. As
-// each node keeps to its own share of the answers, all together do.
+// warmth, and no more legs than a warm one answers (misses would cost that one little), cut by its warmth.
+// As each node keeps to its own share of the answers, all together do.
 func (p *Router) coldTo(now Instant, c *cache, key uint64) bool {
 	w := p.warmth(now, c)
 	return w < 1 && (float64(keyhash.Mix(key^c.hash)) > w*w*(1<<64) || c.sent > w*p.usual*c.Weight+0.5)
@@ -252,6 +243,9 @@
 // counts until the answer to a later one shows that its turn is over.
 func (c *cache) inHand() float64 { return float64(c.out + len(c.ghosts)) }
 
+// per is the time that each leg in hand there takes, in nanoseconds.
+func (c *cache) per() float64 { return float64(c.pace.Quantile(0.5, 0)) }
+
 // load is a cache's work in hand: own legs and what it reports beside them; unreported, the others' mean.
 func (p *Router) load(c *cache) float64 {
 	l := c.inHand() + c.foreign
@@ -327,8 +321,8 @@
 	return slots[at]
 }
 
-// holders lists a key's caches for this retrieval, first ranked first. One that drains, is silent, fails this
-// grade fast and so looks idle, or is too cold for the key yields to the next ranked spare.
+// holders lists a key's caches for this retrieval, first ranked first. One that drains, is silent, fails
+// this grade fast and so looks idle, or is too cold for the key yields to the next ranked spare.
 func (p *Router) holders(now Instant, r *Retrieval) (hs []*cache) {
 	order := [segments]int{0, 1, 2, 3, 4, 5, 6}
 	score := func(seg int) uint64 { return keyhash.Salted(r.memo.key, seg) }
@@ -351,26 +345,22 @@
 	return hs
 }
 
-// pick chooses the least loaded holder not yet tried, ties by chance; full tells that their queues would outlast
-// the soft limit. While the origin is short, an earlier ranked holder may have some legs more in hand, which
-// guards against filling three caches with a key that can hardly be fetched once.
+// pick chooses the least loaded holder not yet tried, ties by chance; full tells that their queues would
+// outlast the soft limit. While the origin is short, an earlier ranked holder may have some legs more in
+// hand, which guards against filling three caches with a key that can hardly be fetched once.
 func (p *Router) pick(now Instant, r *Retrieval, hs []*cache) (best *cache, full bool) {
 	g := r.memo.grade
 	left := max(g.SoftLimit-now.Since(r.Arrived), g.SoftLimit/2)
-	least, ties := math.Inf(1), 0.0
+	least := math.Inf(1)
 	for i, c := range hs {
+		l := p.load(c) + rankLegs*p.short*float64(i) + tieBreak*p.chance.Next()
 		if slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.To == c.ID }) {
 			continue
 		}
-		l := p.load(c) + rankLegs*p.short*float64(i)
-		if (c.inHand()+1)*float64(c.per) > float64(left) {
+		if (c.inHand()+1)*c.per() > float64(left) {
 			full = true
 		} else if l < least {
-			best, least, ties = c, l, 1
-		} else if l == least {
-			if ties++; p.chance.Next()*ties < 1 {
-				best = c
-			}
+			best, least = c, l
 		}
 	}
 	return best, full && best == nil
@@ -410,7 +400,7 @@
 	p.benefit += (benefit - p.benefit) / lately
 	p.spare = min(spareMost, p.spare+spareShare)
 	cheap := math.Sqrt(max(p.benefit, 0.01) / max(benefit, 0.01))
-	r.memo = memo{true, g, at, keyhash.Text(r.Key), benefit, cheap, "", benefit}
+	r.memo = memo{true, g, at, keyhash.Text(r.Key), benefit, cheap, ""}
 }
 
 // Where decides where a retrieval goes now: at its arrival, when it was to be asked again, and when woken.
@@ -431,8 +421,8 @@
 	return p.next(now, r)
 }
 
-// further decides on a read whose leg is out for long: a second copy beside it, where the chance that the first
-// is late is worth what a wasted copy costs, or calling it off.
+// further decides on a read whose leg is out for long: a second copy beside it, where the chance that the
+// first is late is worth what a wasted copy costs, or calling it off.
 func (p *Router) further(now Instant, r *Retrieval, leg int) Move {
 	to := p.caches[r.Legs[leg].To]
 	again := Move{AskAgain: now.Add(max(p.slow, 2*p.rules.Round))}
@@ -496,8 +486,9 @@
 	return r.Write || f == nil || f == r || f.Over
 }
 
-// toOrigin sends a write, or a read that missed, to the origin. It guards against miss storms: one read fetches
-// a key and the others wait, legs out there are bounded, and who would mostly wait in vain is turned away.
+// toOrigin sends a write, or a read that missed, to the origin. It guards against miss storms: one read
+// fetches a key and the others wait, legs out there are bounded, and who would mostly wait in vain is
+// turned away.
 func (p *Router) toOrigin(now Instant, r *Retrieval) Move {
 	left := r.memo.grade.SoftLimit - now.Since(r.Arrived)
 	queued := slices.Contains(p.queue, r)
@@ -518,11 +509,11 @@
 		p.short += 1.0 / lately
 		ahead := p.origin.inHand() + 1
 		for _, q := range p.queue {
-			if p.leads(q) && q.memo.worth >= r.memo.worth {
+			if p.leads(q) && q.memo.benefit >= r.memo.benefit {
 				ahead++
 			}
 		}
-		if p.chance.Next() < ahead*float64(p.origin.per)/float64(max(left, 1))-0.5 {
+		if p.chance.Next() < ahead*p.origin.per()/float64(max(left, 1))-0.5 {
 			return p.giveUp(r)
 		}
 	}
@@ -532,24 +523,22 @@
 	return p.notYet(now, r, left)
 }
 
-// fits tells whether the origin has room for n legs more; writes, few and with nowhere else to go, get double.
+// fits tells whether the origin has room for n legs more; writes, few and with nowhere else to go, get
+// double.
 func (p *Router) fits(r *Retrieval, n float64) bool {
 	return float64(p.origin.out)+n <= p.room || r.Write && float64(p.origin.out)+n <= 2*p.room
 }
 
 // dequeue wakes those whose fetch is over, or that the origin has room for: worth most first, then oldest.
 func (p *Router) dequeue() (wake []RetrievalID) {
+	worth, freed := map[uint64]float64{}, 0.0
 	p.queue = slices.DeleteFunc(p.queue, func(q *Retrieval) bool {
+		worth[q.memo.key] += q.memo.benefit
 		return q.Over || slices.ContainsFunc(q.Legs, isOut)
 	})
-	worth, freed := map[uint64]float64{}, 0.0
-	for _, q := range p.queue {
-		worth[q.memo.key] += q.memo.benefit
-	}
-	for _, q := range p.queue {
-		q.memo.worth = worth[q.memo.key]
-	}
-	slices.SortStableFunc(p.queue, func(a, b *Retrieval) int { return cmp.Compare(b.memo.worth, a.memo.worth) })
+	slices.SortStableFunc(p.queue, func(a, b *Retrieval) int {
+		return cmp.Compare(worth[b.memo.key], worth[a.memo.key])
+	})
 	for _, q := range p.queue {
 		if q.memo.keptAt != "" {
 			wake = append(wake, q.ID)
@@ -680,9 +669,6 @@
 	for _, g := range p.rules.Grades {
 		soft = min(soft, g.SoftLimit)
 	}
-	for _, c := range p.caches {
-		c.per = c.pace.Quantile(0.5, 0)
-	}
 	p.typical = p.took.Quantile(0.5, soft/4)
 	p.slow = max(p.took.Quantile(0.95, soft/2), 2*p.rules.Round)
 	p.patience = max(2*p.took.Quantile(0.99, soft), 4*p.rules.Round)
