--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,13 +22,13 @@
 	segments     = 7                      // segments: the design's k
 	copies       = 3                      // holders of a key: the design's number
 	upkeepEvery  = 100 * time.Millisecond // upkeep period: a few service times, so that trouble is seen soon
-	halveEvery   = 10                     // upkeeps between halvings of measurements: a memory of a second or two
+	halveEvery   = 10                     // upkeeps between halvings of what is measured: about a second
 	trialMost    = 4 * time.Second        // longest rest of a failing cache: soon enough to see it come back
 	ghostMost    = 2 * time.Second        // longest a leg given up on counts: none waits for it so long
 	failsToRest  = 2                      // failures in a row before a cache rests: one may be chance
 	errsToRest   = 3                      // errors, halved by each answer, before a grade avoids a cache
 	rankLegs     = 4.0                    // legs more for an earlier holder while the origin is short: a fetch
-	tieBreak     = 1e-6                   // legs by which chance tells equal loads apart: far less than any real difference
+	tieBreak     = 1e-6                   // legs by which chance parts equal loads: far below a real difference
 	lately       = 50                     // retrievals over which shares are taken: a second or two
 	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	spareMost    = 10                     // second copies saved up: covers one cache falling silent
@@ -80,7 +80,7 @@
 	short                   float64               // share of those bound for the origin that found no room
 	took                    tally.Histogram
 	typical, slow, patience time.Duration // the median, the slow twentieth, and when no word means silence
-	usual, othersLoad       float64       // legs a warm cache of weight 1 answered lately; mean foreign load reported
+	usual, othersLoad       float64       // legs a warm cache of weight 1 answered lately; mean foreign load
 	blind                   bool          // most caches seem silent, so the trouble is not theirs
 	asked, good             float64       // legs to caches that ended, and those in time; halved now and then
 	spare, benefit          float64       // second copies saved up; mean benefit of a retrieval
@@ -327,21 +327,13 @@
 	order := [segments]int{0, 1, 2, 3, 4, 5, 6}
 	score := func(seg int) uint64 { return keyhash.Salted(r.memo.key, seg) }
 	slices.SortFunc(order[:], func(a, b int) int { return cmp.Compare(score(a), score(b)) })
-	var last *cache
 	for _, seg := range order {
 		c := p.locate(now, seg, r.memo.key)
-		if c == nil || len(hs) == copies || !p.lawful(now, r, c) || p.coldTo(now, c, r.memo.key) {
-			continue
-		}
-		if !p.blind && p.silent(now, c) || c.erred[r.memo.at] >= errsToRest {
-			last = c
-		} else {
+		if c != nil && len(hs) < copies && p.lawful(now, r, c) && !p.coldTo(now, c, r.memo.key) &&
+			(p.blind || !p.silent(now, c)) && c.erred[r.memo.at] < errsToRest {
 			hs = append(hs, c)
 		}
 	}
-	if len(hs) == 0 && last != nil {
-		return []*cache{last}
-	}
 	return hs
 }
 
