Let room by time count others' load, and use the fleet's pace where little is known

Cause: with many nodes each sees few answers of each cache, so none knew a cache's pace and all queued past the soft limit on crowded ones; and the pace was taken by own legs alone, though others' stood in the same queue.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -78,13 +78,13 @@
 	fetches                 map[uint64]*Retrieval // who fetches a key from the origin; others that miss it wait
 	queue                   []*Retrieval          // waiting for room at the origin or for another's fetch
 	short                   float64               // share of those bound for the origin that found no room
-	took                    tally.Histogram
-	typical, slow, patience time.Duration // the median, the slow twentieth, and when no word means silence
-	usual, othersLoad       float64       // legs a warm cache of weight 1 answered lately; mean foreign load
-	blind                   bool          // most caches seem silent, so the trouble is not theirs
-	asked, good             float64       // legs to caches that ended, and those in time; halved now and then
-	spare, benefit          float64       // second copies saved up; mean benefit of a retrieval
-	metered                 []Instant     // up to when each league has used its share
+	took, pace              tally.Histogram       // of legs to caches: their time, and that by each in hand
+	typical, slow, patience time.Duration         // the median, the slow twentieth, and what means silence
+	usual, othersLoad       float64               // legs that a warm cache of weight 1 answered; mean foreign load
+	blind                   bool                  // most caches seem silent, so the trouble is not theirs
+	asked, good             float64               // legs to caches that ended, and those in time
+	spare, benefit          float64               // second copies saved up; mean benefit of a retrieval
+	metered                 []Instant             // up to when each league has used its share
 	upkeeps, askFails       int
 	askAt                   Instant // when to ask to follow the list again
 }
@@ -243,19 +243,15 @@
 // counts until the answer to a later one shows that its turn is over.
 func (c *cache) inHand() float64 { return float64(c.out + len(c.ghosts)) }
 
-// per is the time that each leg in hand there takes, in nanoseconds.
-func (c *cache) per() float64 { return float64(c.pace.Quantile(0.5, 0)) }
+// per is the time that each retrieval in hand there takes, in nanoseconds; with little known, the fleet's.
+func (p *Router) per(c *cache) float64 { return float64(c.pace.Quantile(0.5, p.pace.Quantile(0.5, 0))) }
 
 // load is a cache's work in hand: own legs and what it reports beside them; unreported, the others' mean.
 func (p *Router) load(c *cache) float64 {
-	l := c.inHand() + c.foreign
 	if c.foreign < 0 {
-		l += p.othersLoad - c.foreign
+		return c.inHand() + p.othersLoad
 	}
-	if c.Zone != p.rules.Zone {
-		l += crossingLegs * p.rules.CrossingPrice
-	}
-	return l
+	return c.inHand() + c.foreign
 }
 
 // lawful is the second rule and the third: may this retrieval go to this cache now, however wise it seems?
@@ -349,7 +345,10 @@
 		if slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.To == c.ID }) {
 			continue
 		}
-		if (c.inHand()+1)*c.per() > float64(left) {
+		if c.Zone != p.rules.Zone {
+			l += crossingLegs * p.rules.CrossingPrice
+		}
+		if (p.load(c)+1)*p.per(c) > float64(left) {
 			full = true
 		} else if l < least {
 			best, least = c, l
@@ -505,7 +504,7 @@
 				ahead++
 			}
 		}
-		if p.chance.Next() < ahead*p.origin.per()/float64(max(left, 1))-0.5 {
+		if p.chance.Next() < ahead*p.per(p.origin)/float64(max(left, 1))-0.5 {
 			return p.giveUp(r)
 		}
 	}
@@ -574,21 +573,22 @@
 // learn takes from an outcome what it says of the cache.
 func (p *Router) learn(now Instant, c *cache, r *Retrieval, leg Leg, o Outcome) {
 	soft, at := r.memo.grade.SoftLimit, r.memo.at
-	held := max(1, c.inHand())
+	own, each := c.inHand(), time.Duration(float64(o.Took)/max(1, p.load(c)))
 	c.out = max(0, c.out-1)
 	switch leg.Result {
 	case Answered:
 		c.ghosts = slices.DeleteFunc(c.ghosts, func(sent Instant) bool { return sent < leg.Sent })
-		c.pace.Add(time.Duration(float64(o.Took) / held))
+		c.pace.Add(each)
 		c.erred[at] /= 2
 		if c.served++; c != p.origin {
 			p.took.Add(o.Took)
+			p.pace.Add(each)
 		}
 	case Errored, Broken:
 		c.erred[at] = min(c.erred[at]+1, 2*errsToRest)
 	case TimedOut, Cancelled:
 		c.ghosts = append(c.ghosts, leg.Sent)
-		c.pace.Add(time.Duration(float64(o.Took) / held))
+		c.pace.Add(each)
 	}
 	switch leg.Result {
 	case Answered, Missed, Errored, TurnedAway:
@@ -599,7 +599,7 @@
 		}
 	}
 	if i := p.rules.InFlightAt; i >= 0 && i < len(o.Report) {
-		c.foreign = max(0, o.Report[i]-held) // the report counts own legs too
+		c.foreign = max(0, o.Report[i]-own) // the report counts own legs too
 		p.othersLoad += (c.foreign - p.othersLoad) / lately
 	}
 	inTime := (leg.Result == Answered || leg.Result == Missed) && o.Took <= soft
@@ -624,6 +624,7 @@
 	if halve {
 		p.asked, p.good = p.asked/2, p.good/2
 		p.took.Halve()
+		p.pace.Halve()
 		maps.DeleteFunc(p.fetches, func(_ uint64, r *Retrieval) bool { return r.Over })
 	}
 	p.retime()
