--- a/policy/policy.go
+++ b/policy/policy.go
@@ -77,10 +77,11 @@
 	roomCut                 Instant
 	fetches                 map[uint64]*Retrieval // who fetches a key from the origin; others that miss it wait
 	queue                   []*Retrieval          // waiting for room at the origin or for another's fetch
+	wanted                  map[uint64]float64    // benefit asked of each key by reads; halved now and then
 	short                   float64               // share of those bound for the origin that found no room
 	took, pace              tally.Histogram       // of legs to caches: their time, and that by each in hand
 	typical, slow, patience time.Duration         // the median, the slow twentieth, and what means silence
-	usual, othersLoad       float64               // legs that a warm cache of weight 1 answered; mean foreign load
+	usual, othersLoad       float64               // legs a warm cache of weight 1 answered; mean foreign load
 	blind                   bool                  // most caches seem silent, so the trouble is not theirs
 	asked, good             float64               // legs to caches that ended, and those in time
 	spare, benefit          float64               // second copies saved up; mean benefit of a retrieval
@@ -94,6 +95,7 @@
 	rules.Nodes, rules.MostLegs = max(1, rules.Nodes), max(1, rules.MostLegs)
 	rules.Round = max(time.Millisecond, rules.Round)
 	p := &Router{rules: rules, caches: map[CacheID]*cache{}, fetches: map[uint64]*Retrieval{}, room: originFirst,
+		wanted:  map[uint64]float64{},
 		metered: make([]Instant, len(rules.Leagues)), askAt: now}
 	p.chance.Seed = uint32(seed ^ seed>>32)
 	p.retime()
@@ -391,6 +393,7 @@
 	p.benefit += (benefit - p.benefit) / lately
 	p.spare = min(spareMost, p.spare+spareShare)
 	cheap := math.Sqrt(max(p.benefit, 0.01) / max(benefit, 0.01))
+	p.wanted[keyhash.Text(r.Key)] += benefit
 	r.memo = memo{true, g, at, keyhash.Text(r.Key), benefit, cheap, ""}
 }
 
@@ -500,7 +503,7 @@
 		p.short += 1.0 / lately
 		ahead := p.origin.inHand() + 1
 		for _, q := range p.queue {
-			if p.leads(q) && q.memo.benefit >= r.memo.benefit {
+			if p.leads(q) && p.worth(q) >= p.worth(r) {
 				ahead++
 			}
 		}
@@ -514,22 +517,28 @@
 	return p.notYet(now, r, left)
 }
 
+// worth is what an origin leg for r brings: a write its benefit, a read that of all who lately wanted its key, as
+// the copy then serves those to come.
+func (p *Router) worth(r *Retrieval) float64 {
+	if r.Write {
+		return r.memo.benefit
+	}
+	return p.wanted[r.memo.key]
+}
+
 // fits tells whether the origin has room for n legs more; writes, few and with nowhere else to go, get
 // double.
 func (p *Router) fits(r *Retrieval, n float64) bool {
-	return float64(p.origin.out)+n <= p.room || r.Write && float64(p.origin.out)+n <= 2*p.room
+	return float64(p.origin.out)+n <= p.room
 }
 
 // dequeue wakes those whose fetch is over, or that the origin has room for: worth most first, then oldest.
 func (p *Router) dequeue() (wake []RetrievalID) {
-	worth, freed := map[uint64]float64{}, 0.0
+	freed := 0.0
 	p.queue = slices.DeleteFunc(p.queue, func(q *Retrieval) bool {
-		worth[q.memo.key] += q.memo.benefit
 		return q.Over || slices.ContainsFunc(q.Legs, isOut)
 	})
-	slices.SortStableFunc(p.queue, func(a, b *Retrieval) int {
-		return cmp.Compare(worth[b.memo.key], worth[a.memo.key])
-	})
+	slices.SortStableFunc(p.queue, func(a, b *Retrieval) int { return cmp.Compare(p.worth(b), p.worth(a)) })
 	for _, q := range p.queue {
 		if q.memo.keptAt != "" {
 			wake = append(wake, q.ID)
@@ -625,6 +634,10 @@
 		p.asked, p.good = p.asked/2, p.good/2
 		p.took.Halve()
 		p.pace.Halve()
+		maps.DeleteFunc(p.wanted, func(key uint64, w float64) bool {
+			p.wanted[key] = w / 2
+			return w < p.benefit/2
+		})
 		maps.DeleteFunc(p.fetches, func(_ uint64, r *Retrieval) bool { return r.Over })
 	}
 	p.retime()
