--- a/policy/policy.go
+++ b/policy/policy.go
@@ -618,7 +618,7 @@
 		if p.asked++; inTime {
 			p.good++
 		}
-	case inTime && o.Took < soft/2:
+	case inTime:
 		p.room += 1 / p.room
 	case !inTime && now.Since(p.roomCut) > p.slow:
 		p.room, p.roomCut = max(originLeast, p.room*originCut), now
