--- a/policy/policy.go
+++ b/policy/policy.go
@@ -188,9 +188,7 @@
 			c = &cache{hash: keyhash.Text(string(e.ID)), foreign: -1, erred: make([]uint8, len(p.rules.Grades)+1)}
 			p.caches[e.ID] = c
 		}
-		if c.Entry = e; !(c.Weight > 0) {
-			c.Weight = 1
-		}
+		c.Entry, c.Weight = e, cmp.Or(max(e.Weight, 0), 1)
 	}
 	for id, c := range p.caches {
 		if c.State == Gone || form != Changes && !named[id] {
@@ -281,7 +279,7 @@
 	return true
 }
 
-// left is the time in which a leg can still end and be followed by an answer before the hard stop.
+// left is the time in which a leg can still end and be answered before the hard stop.
 func (p *Router) left(now Instant, r *Retrieval) time.Duration {
 	return r.HardStop.Since(now) - 2*p.rules.Round
 }
@@ -496,7 +494,7 @@
 	if leads && !queued {
 		p.short -= p.short / lately
 	}
-	if leads && p.fits(r, 1) {
+	if leads && float64(p.origin.out)+1 <= p.room {
 		return p.send(now, r, p.origin)
 	}
 	if leads && !queued {
@@ -517,8 +515,7 @@
 	return p.notYet(now, r, left)
 }
 
-// worth is what an origin leg for r brings: a write its benefit, a read that of all who lately wanted its key, as
-// the copy then serves those to come.
+// worth is what an origin leg brings: a write its benefit, a read that of all who will want the copy.
 func (p *Router) worth(r *Retrieval) float64 {
 	if r.Write {
 		return r.memo.benefit
@@ -526,24 +523,18 @@
 	return p.wanted[r.memo.key]
 }
 
-// fits tells whether the origin has room for n legs more; writes, few and with nowhere else to go, get
-// double.
-func (p *Router) fits(r *Retrieval, n float64) bool {
-	return float64(p.origin.out)+n <= p.room
-}
-
 // dequeue wakes those whose fetch is over, or that the origin has room for: worth most first, then oldest.
 func (p *Router) dequeue() (wake []RetrievalID) {
-	freed := 0.0
 	p.queue = slices.DeleteFunc(p.queue, func(q *Retrieval) bool {
 		return q.Over || slices.ContainsFunc(q.Legs, isOut)
 	})
 	slices.SortStableFunc(p.queue, func(a, b *Retrieval) int { return cmp.Compare(p.worth(b), p.worth(a)) })
+	free := int(p.room) - p.origin.out
 	for _, q := range p.queue {
 		if q.memo.keptAt != "" {
 			wake = append(wake, q.ID)
-		} else if p.leads(q) && p.origin != nil && p.fits(q, freed+1) {
-			freed++
+		} else if free > 0 && p.leads(q) {
+			free--
 			wake = append(wake, q.ID)
 		}
 	}
@@ -573,7 +564,7 @@
 			}
 		}
 	}
-	if len(p.queue) > 0 {
+	if len(p.queue) > 0 && p.origin != nil {
 		m.Wake = p.dequeue()
 	}
 	return m
@@ -626,8 +617,7 @@
 }
 
 // Wait returns how long until it wants to be called again, and the chores due now.
-func (p *Router) Wait(now Instant) (time.Duration, []Chore) {
-	var chores []Chore
+func (p *Router) Wait(now Instant) (wait time.Duration, chores []Chore) {
 	p.upkeeps++
 	halve := p.upkeeps%halveEvery == 0
 	if halve {
