--- a/policy/policy.go
+++ b/policy/policy.go
@@ -630,6 +630,9 @@
 		})
 		maps.DeleteFunc(p.fetches, func(_ uint64, r *Retrieval) bool { return r.Over })
 	}
+	if !p.rules.Aside { // caches that lose legs are short of their origin, as far as a node can see
+		p.short = max(0, p.asked-p.good) / max(1, p.asked)
+	}
 	p.retime()
 	served, weight, quiet := 0.0, 0.0, 0
 	for _, c := range p.listed {
