--- a/policy/policy.go
+++ b/policy/policy.go
@@ -456,7 +456,7 @@
 	switch {
 	case c != nil && r.Write && g.Effect == Labelled && g.Scope == AllCaches && p.rules.SecondCopies &&
 		len(r.Legs) == 0:
-		return p.send(now, r, hs[:min(len(hs), p.rules.MostLegs)]...) // through mode: to all holders
+		return p.send(now, r, c)
 	case c != nil:
 		return p.send(now, r, c)
 	case (full || len(p.listed) == 0) && now.Since(r.Arrived) < g.SoftLimit/2:
