--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,6 +28,7 @@
 	failsToRest  = 2                      // failures in a row before a cache rests: one may be chance
 	errsToRest   = 3                      // errors, halved by each answer, before a grade avoids a cache
 	rankLegs     = 4.0                    // legs more for an earlier holder while the origin is short: a fetch
+	shortLeast   = 0.02                   // lost share of legs from which a write goes to one holder only: more than bad luck
 	tieBreak     = 1e-6                   // legs by which chance parts equal loads: far below a real difference
 	lately       = 50                     // retrievals over which shares are taken: a second or two
 	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
@@ -455,8 +456,8 @@
 	c, full := p.pick(now, r, hs)
 	switch {
 	case c != nil && r.Write && g.Effect == Labelled && g.Scope == AllCaches && p.rules.SecondCopies &&
-		len(r.Legs) == 0:
-		return p.send(now, r, c)
+		len(r.Legs) == 0 && p.short < shortLeast:
+		return p.send(now, r, hs[:min(len(hs), p.rules.MostLegs)]...) // through mode: to all holders
 	case c != nil:
 		return p.send(now, r, c)
 	case (full || len(p.listed) == 0) && now.Since(r.Arrived) < g.SoftLimit/2:
