--- a/policy/policy.go
+++ b/policy/policy.go
@@ -320,13 +320,13 @@
 
 // holders lists a key's caches for this retrieval, first ranked first. One that drains, is silent, fails
 // this grade fast and so looks idle, or is too cold for the key yields to the next ranked spare.
-func (p *Router) holders(now Instant, r *Retrieval, most int) (hs []*cache) {
+func (p *Router) holders(now Instant, r *Retrieval) (hs []*cache) {
 	order := [segments]int{0, 1, 2, 3, 4, 5, 6}
 	score := func(seg int) uint64 { return keyhash.Salted(r.memo.key, seg) }
 	slices.SortFunc(order[:], func(a, b int) int { return cmp.Compare(score(a), score(b)) })
 	for _, seg := range order {
 		c := p.locate(now, seg, r.memo.key)
-		if c != nil && len(hs) < most && p.lawful(now, r, c) && !p.coldTo(now, c, r.memo.key) &&
+		if c != nil && len(hs) < copies && p.lawful(now, r, c) && !p.coldTo(now, c, r.memo.key) &&
 			(p.blind || !p.silent(now, c)) && c.erred[r.memo.at] < errsToRest {
 			hs = append(hs, c)
 		}
@@ -425,7 +425,7 @@
 	case len(r.Legs) >= p.rules.MostLegs || to != nil && to == p.origin:
 		return Move{}
 	case p.rules.SecondCopies && p.spare >= 1 && (silent || late >= p.rules.WastePrice):
-		if c, _ := p.pick(now, r, p.holders(now, r, copies)); c != nil && !p.silent(now, c) {
+		if c, _ := p.pick(now, r, p.holders(now, r)); c != nil && !p.silent(now, c) {
 			p.spare--
 			return p.send(now, r, c)
 		}
@@ -452,11 +452,8 @@
 		}
 		return p.toOrigin(now, r)
 	}
-	hs := p.holders(now, r, copies)
+	hs := p.holders(now, r)
 	c, full := p.pick(now, r, hs)
-	if full && p.chance.Next() >= p.short { // crowded holders yield to spares, as far as the origin can fill those
-		c, full = p.pick(now, r, p.holders(now, r, segments))
-	}
 	switch {
 	case c != nil && r.Write && g.Effect == Labelled && g.Scope == AllCaches && p.rules.SecondCopies &&
 		len(r.Legs) == 0 && p.short < shortLeast:
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -25,7 +25,7 @@
 func holdersOf(p *Router, key string) (ids []CacheID) {
 	r := &Retrieval{Key: key, HardStop: 1e12}
 	p.meet(0, r)
-	for _, c := range p.holders(0, r, copies) {
+	for _, c := range p.holders(0, r) {
 		ids = append(ids, c.ID)
 	}
 	return ids
