--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,7 +36,7 @@
 	lostLeast    = 1.5                    // asked per answer before any is turned away: a third may be bad luck
 	trialsLeast  = 4.0                    // asked that always get in, to see a recovery: about two a second
 	originFirst  = 8                      // legs at the origin before anything is known of it: a few a core
-	originCut    = 0.95                   // room left after a late or lost answer: a few may be chance, twenty cut to a third
+	originCut    = 0.9                    // room left after a late or lost answer: a few may be chance, ten cut to a third
 	originLeast  = 2                      // legs the origin may always have: one waiting, one at work
 	crossingLegs = 16                     // legs in hand that a full crossing price is set against
 )
