Turn away at the origin what is worth less than the best that finds no room

Cause: whether a wait would be in vain was guessed from the queue ahead, but those worth more overtake; a third of the refused had waited their whole soft limit.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,5 @@
-// Package policy decides, for one node, where retrievals go. Its interface and id types are in types.go.
-//
-// A caller makes one Router with New and asks it through three calls: Where (send this retrieval there, or
+// Package policy decides, for one node, where retrievals go. Its interface and id types are in types.go. A
+// caller makes one Router with New and asks it through three calls: Where (send this retrieval there, or
 // not yet, or never), After (what to do after a leg's outcome) and Wait (how long until the next upkeep,
 // and chores). Listed and Probed tell it what was heard. The caller keeps the timers and the retrievals and
 // carries out each Move as it stands. Routers share nothing.
@@ -80,6 +79,7 @@
 	queue                   []*Retrieval          // waiting for room at the origin or for another's fetch
 	wanted                  map[uint64]float64    // benefit asked of each key by reads; halved now and then
 	short                   float64               // share of those bound for the origin that found no room
+	bar                     float64               // worth of the best that lately found no room at the origin
 	took, pace              tally.Histogram       // of legs to caches: their time, and that by each in hand
 	typical, slow, patience time.Duration         // the median, the slow twentieth, and what means silence
 	usual, othersLoad       float64               // legs a warm cache of weight 1 answered; mean foreign load
@@ -500,15 +500,9 @@
 	}
 	if leads && !queued {
 		p.short += 1.0 / lately
-		ahead := p.origin.inHand() + 1
-		for _, q := range p.queue {
-			if p.leads(q) && p.worth(q) >= p.worth(r) {
-				ahead++
-			}
-		}
-		if p.chance.Next() < ahead*p.per(p.origin)/float64(max(left, 1))-0.5 {
-			return p.giveUp(r)
-		}
+	}
+	if !queued && p.chance.Next()*p.bar > p.worth(r) {
+		return p.giveUp(r)
 	}
 	if !queued {
 		p.queue = append(p.queue, r)
@@ -530,15 +524,18 @@
 		return q.Over || slices.ContainsFunc(q.Legs, isOut)
 	})
 	slices.SortStableFunc(p.queue, func(a, b *Retrieval) int { return cmp.Compare(p.worth(b), p.worth(a)) })
-	free := int(p.room) - p.origin.out
+	free, unserved := int(p.room)-p.origin.out, 0.0
 	for _, q := range p.queue {
-		if q.memo.keptAt != "" {
+		if q.memo.keptAt != "" || free > 0 && p.leads(q) {
 			wake = append(wake, q.ID)
-		} else if free > 0 && p.leads(q) {
+		} else if p.leads(q) {
+			unserved = max(unserved, p.worth(q))
+		}
+		if q.memo.keptAt == "" && p.leads(q) {
 			free--
-			wake = append(wake, q.ID)
 		}
 	}
+	p.bar += (unserved - p.bar) / lately
 	return wake
 }
 
