--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,7 +32,7 @@
 	lately       = 50                     // retrievals over which shares are taken: a second or two
 	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	spareMost    = 10                     // second copies saved up: covers one cache falling silent
-	lostLeast    = 1.5                    // asked per answer before any is turned away: a third may be bad luck
+	lostLeast    = 1.25                   // asked per answer before any is turned away: a fifth may be bad luck
 	trialsLeast  = 4.0                    // asked that always get in, to see a recovery: about two a second
 	originFirst  = 8                      // legs at the origin before anything is known of it: a few a core
 	originCut    = 0.9                    // room left after a late or lost answer: a few may be chance, ten cut to a third
