--- a/policy/policy.go
+++ b/policy/policy.go
@@ -602,7 +602,7 @@
 	}
 	inTime := (leg.Result == Answered || leg.Result == Missed) && o.Took <= soft
 	switch {
-	case leg.Result == Cancelled || leg.Result == NeverSent:
+	case leg.Result == Cancelled || leg.Result == NeverSent || leg.Result == TurnedAway && c != p.origin: // no work lost
 	case c != p.origin:
 		if p.asked++; inTime {
 			p.good++
