--- a/internal/simwire/rules.go
+++ b/internal/simwire/rules.go
@@ -63,7 +63,7 @@
 	scopes := map[string]policy.Scope{"all": policy.AllCaches, "zone": policy.SameZone}
 	for _, g := range grades {
 		r.Grades = append(r.Grades, policy.Grade{
-			Benefit: g.GetFloat64("benefit"), LateBenefit: g.GetFloat64("late_benefit"), SoftLimit: span(g.Get("soft_limit_s")),
+			Benefit: g.GetFloat64("benefit"), SoftLimit: span(g.Get("soft_limit_s")),
 			Effect: effects[string(g.GetStringBytes("effect"))], Scope: scopes[string(g.GetStringBytes("group"))],
 			Window: span(g.Get("key_ttl_s")),
 		})
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -606,8 +606,6 @@
 	case c != p.origin:
 		if p.asked++; inTime {
 			p.good++
-		} else if leg.Result == Answered {
-			p.good += r.memo.grade.LateBenefit
 		}
 	case inTime:
 		p.room += 1 / p.room
--- a/policy/types.go
+++ b/policy/types.go
@@ -45,12 +45,11 @@
 
 // Grade is one service grade.
 type Grade struct {
-	Benefit     float64
-	SoftLimit   time.Duration
-	LateBenefit float64 // share of the benefit that an answer after the soft limit still brings
-	Effect      Effect
-	Scope       Scope
-	Window      time.Duration // how long repeats of a labelled retrieval are dropped
+	Benefit   float64
+	SoftLimit time.Duration
+	Effect    Effect
+	Scope     Scope
+	Window    time.Duration // how long repeats of a labelled retrieval are dropped
 }
 
 // League is one customer's share.
