Set cheapness at the door against its mean

Cause: a league beyond its share is twenty times as cheap; raised to that power its chance was nothing, and the rest got no more for it, so the door let in less than was answered and closed on itself. Settings and chores that nothing read are dropped.

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -1,4 +1,5 @@
-// Command adapter runs nodes' decisions on the simulator's wire: batches on standard input, replies on standard output.
+// Command adapter runs nodes' decisions on the simulator's wire: batches on standard input, replies on
+// standard output.
 package main
 
 import (
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -1,5 +1,5 @@
-// Package host keeps one node's timers and retrievals in hand and carries out what its policy.Router says. It decides
-// nothing, and two hosts share nothing.
+// Package host keeps one node's timers and retrievals in hand and carries out what its policy.Router says.
+// It decides nothing, and two hosts share nothing.
 package host
 
 import (
@@ -17,7 +17,6 @@
 	Timer(in time.Duration, token string)
 	Probe(id policy.CacheID)
 	Follow()
-	AskWhole()
 }
 
 const upkeep = "upkeep" // a token that no retrieval's id can be, being shorter
@@ -48,8 +47,6 @@
 		switch c.Kind {
 		case policy.FollowList:
 			h.do.Follow()
-		case policy.AskWholeList:
-			h.do.AskWhole()
 		case policy.ProbeCache:
 			h.do.Probe(c.Cache)
 		}
@@ -78,7 +75,8 @@
 }
 
 // Ended takes a leg's outcome; one that is not out any more is ignored.
-func (h *Host) Ended(now policy.Instant, id policy.RetrievalID, how policy.Result, over bool, o policy.Outcome) {
+func (h *Host) Ended(now policy.Instant, id policy.RetrievalID, how policy.Result, over bool,
+	o policy.Outcome) {
 	in := h.hand[id]
 	if in == nil || o.Leg < 0 || o.Leg >= len(in.Legs) || !in.Legs[o.Leg].Out {
 		return
--- a/internal/keyhash/keyhash.go
+++ b/internal/keyhash/keyhash.go
@@ -6,7 +6,8 @@
 	"hash/crc32"
 )
 
-// Mix is splitmix64's finaliser. CRC32 would not do here: being linear, its values under two salts depend on each other.
+// Mix is splitmix64's finaliser. CRC32 would not do here: being linear, its values under two salts depend
+// on each other.
 func Mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
@@ -28,8 +29,8 @@
 // Source draws numbers from a seed and a counter.
 type Source struct{ Seed, drawn uint32 }
 
-// Next returns a number from 0 up to 1. Without the mix, CRC32 being linear, draws that follow a low one are not
-// chance: a door of 15% that draws thrice more for each one let in would let in 10%.
+// Next returns a number from 0 up to 1. Without the mix, CRC32 being linear, draws that follow a low one
+// are not chance: a door of 15% that draws thrice more for each one let in would let in 10%.
 func (s *Source) Next() float64 {
 	var b [8]byte
 	s.drawn++
--- a/internal/simwire/decode.go
+++ b/internal/simwire/decode.go
@@ -1,5 +1,5 @@
-// Package simwire reads the simulator's batches and writes its replies. Wire names end here: events become calls on a
-// Node, and what the Node does is written through a Writer.
+// Package simwire reads the simulator's batches and writes its replies. Wire names end here: events become
+// calls on a Node, and what the Node does is written through a Writer.
 package simwire
 
 import (
@@ -46,7 +46,8 @@
 	last  []policy.Entry
 }
 
-// Serve answers batches from in on out until in ends. What is odd within a batch is passed over and noted on log.
+// Serve answers batches from in on out until in ends. What is odd within a batch is passed over and noted
+// on log.
 func Serve(in io.Reader, out, log io.Writer, start Start) error {
 	s := &server{start: start, nodes: map[int]*instance{}, names: map[string]policy.CacheID{}, log: log}
 	r := bufio.NewReaderSize(in, 1<<20)
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -104,7 +104,8 @@
 	return m
 }
 
-// pass lets time go by in rounds: what is due is asked, legs time out, and nothing may be open at its hard stop.
+// pass lets time go by in rounds: what is due is asked, legs time out, and nothing may be open at its hard
+// stop.
 func (w *world) pass(d time.Duration) {
 	for end := w.now.Add(d); w.now < end; {
 		w.now = w.now.Add(w.rules.Round)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,7 +27,7 @@
 	failsToRest  = 2                      // failures in a row before a cache rests: one may be chance
 	errsToRest   = 3                      // errors, halved by each answer, before a grade avoids a cache
 	rankLegs     = 4.0                    // legs more for an earlier holder while the origin is short: a fetch
-	shortLeast   = 0.02                   // lost share of legs from which a write goes to one holder only: more than bad luck
+	shortLeast   = 0.02                   // lost share of legs from which a write goes to one holder only
 	tieBreak     = 1e-6                   // legs by which chance parts equal loads: far below a real difference
 	lately       = 50                     // retrievals over which shares are taken: a second or two
 	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
@@ -35,7 +35,7 @@
 	lostLeast    = 1.25                   // asked per answer before any is turned away: a fifth may be bad luck
 	trialsLeast  = 4.0                    // asked that always get in, to see a recovery: about two a second
 	originFirst  = 8                      // legs at the origin before anything is known of it: a few a core
-	originCut    = 0.9                    // room left after a late or lost answer: a few may be chance, ten cut to a third
+	originCut    = 0.9                    // room left after a late or lost answer: some are chance, ten a sign
 	originLeast  = 2                      // legs the origin may always have: one waiting, one at work
 	crossingLegs = 16                     // legs in hand that a full crossing price is set against
 )
@@ -85,7 +85,7 @@
 	usual, othersLoad       float64               // legs a warm cache of weight 1 answered; mean foreign load
 	blind                   bool                  // most caches seem silent, so the trouble is not theirs
 	asked, good             float64               // legs to caches that ended, and those in time
-	spare, benefit          float64               // second copies saved up; mean benefit of a retrieval
+	spare, cheap            float64               // second copies saved up; mean cheapness of a retrieval
 	metered                 []Instant             // up to when each league has used its share
 	upkeeps, askFails       int
 	askAt                   Instant // when to ask to follow the list again
@@ -95,9 +95,8 @@
 func New(now Instant, seed int64, rules HouseRules) *Router {
 	rules.Nodes, rules.MostLegs = max(1, rules.Nodes), max(1, rules.MostLegs)
 	rules.Round = max(time.Millisecond, rules.Round)
-	p := &Router{rules: rules, caches: map[CacheID]*cache{}, fetches: map[uint64]*Retrieval{}, room: originFirst,
-		wanted:  map[uint64]float64{},
-		metered: make([]Instant, len(rules.Leagues)), askAt: now}
+	p := &Router{rules: rules, room: originFirst, cheap: 1, askAt: now, caches: map[CacheID]*cache{},
+		fetches: map[uint64]*Retrieval{}, wanted: map[uint64]float64{}, metered: make([]Instant, len(rules.Leagues))}
 	p.chance.Seed = uint32(seed ^ seed>>32)
 	p.retime()
 	return p
@@ -389,11 +388,11 @@
 			benefit *= p.rules.ExcessBenefit
 		}
 	}
-	p.benefit += (benefit - p.benefit) / lately
+	cheap := 1 / math.Sqrt(max(benefit, 0.01))
+	p.cheap += (cheap - p.cheap) / lately
 	p.spare = min(spareMost, p.spare+spareShare)
-	cheap := math.Sqrt(max(p.benefit, 0.01) / max(benefit, 0.01))
 	p.wanted[keyhash.Text(r.Key)] += benefit
-	r.memo = memo{true, g, at, keyhash.Text(r.Key), benefit, cheap, ""}
+	r.memo = memo{true, g, at, keyhash.Text(r.Key), benefit, cheap / p.cheap, ""}
 }
 
 // Where decides where a retrieval goes now: at its arrival, when it was to be asked again, and when woken.
@@ -602,7 +601,8 @@
 	}
 	inTime := (leg.Result == Answered || leg.Result == Missed) && o.Took <= soft
 	switch {
-	case leg.Result == Cancelled || leg.Result == NeverSent || leg.Result == TurnedAway && c != p.origin: // no work lost
+	case leg.Result == Cancelled || leg.Result == NeverSent: // it says nothing
+	case leg.Result == TurnedAway && c != p.origin: // no work is lost by it
 	case c != p.origin:
 		if p.asked++; inTime {
 			p.good++
@@ -624,7 +624,7 @@
 		p.pace.Halve()
 		maps.DeleteFunc(p.wanted, func(key uint64, w float64) bool {
 			p.wanted[key] = w / 2
-			return w < p.benefit/2
+			return w*p.cheap*p.cheap < 0.5
 		})
 		maps.DeleteFunc(p.fetches, func(_ uint64, r *Retrieval) bool { return r.Over })
 	}
--- a/policy/types.go
+++ b/policy/types.go
@@ -1,4 +1,5 @@
-// Package policy decides where retrievals go. This file holds its interface and id types; policy.go decides.
+// Package policy decides where retrievals go. This file holds its interface and id types; policy.go
+// decides.
 package policy
 
 import "time"
@@ -20,7 +21,6 @@
 	GroupID     int64 // caches that remember the same labelled writes
 	GradeID     int   // index into HouseRules.Grades; any other value is an unknown grade
 	LeagueID    int   // index into HouseRules.Leagues; any other value is no league
-	PeerID      int
 )
 
 // Effect says what a second run of a retrieval would do.
@@ -62,7 +62,6 @@
 	Grades        []Grade
 	Leagues       []League
 	Zone          ZoneID
-	Me            PeerID
 	Nodes         int
 	Aside         bool
 	OriginKind    int
@@ -79,7 +78,6 @@
 	AskWithin     time.Duration
 	ColdFrom      float64
 	ColdFor       time.Duration
-	FallFactor    float64
 	FallFor       time.Duration
 	InFlightAt    int // which report value counts retrievals in hand; -1 for none
 }
@@ -142,8 +140,8 @@
 	Result Result // once it is no longer out
 }
 
-// Retrieval is one in hand. The caller fills in the exported fields, appends a Leg for each sending it was told
-// to make, and closes the Leg before it tells of the outcome.
+// Retrieval is one in hand. The caller fills in the exported fields, appends a Leg for each sending it was
+// told to make, and closes the Leg before it tells of the outcome.
 type Retrieval struct {
 	ID       RetrievalID
 	Key      string
@@ -190,7 +188,6 @@
 
 const (
 	FollowList ChoreKind = iota
-	AskWholeList
 	ProbeCache
 )
 
