--- a/policy/policy.go
+++ b/policy/policy.go
@@ -95,8 +95,8 @@
 func New(now Instant, seed int64, rules HouseRules) *Router {
 	rules.Nodes, rules.MostLegs = max(1, rules.Nodes), max(1, rules.MostLegs)
 	rules.Round = max(time.Millisecond, rules.Round)
-	p := &Router{rules: rules, room: originFirst, cheap: 1, askAt: now, caches: map[CacheID]*cache{},
-		fetches: map[uint64]*Retrieval{}, wanted: map[uint64]float64{}, metered: make([]Instant, len(rules.Leagues))}
+	p := &Router{rules: rules, caches: map[CacheID]*cache{}, fetches: map[uint64]*Retrieval{}, cheap: 1,
+		room: originFirst, askAt: now, wanted: map[uint64]float64{}, metered: make([]Instant, len(rules.Leagues))}
 	p.chance.Seed = uint32(seed ^ seed>>32)
 	p.retime()
 	return p
