--- a/policy/policy.go
+++ b/policy/policy.go
@@ -323,12 +323,11 @@
 	order := [segments]int{0, 1, 2, 3, 4, 5, 6}
 	score := func(seg int) uint64 { return keyhash.Salted(r.memo.key, seg) }
 	slices.SortFunc(order[:], func(a, b int) int { return cmp.Compare(score(a), score(b)) })
-	home := p.rules.CrossingPrice == 0
 	for _, seg := range order {
 		c := p.locate(now, seg, r.memo.key)
-		if c != nil && (len(hs) < copies || !home && c.Zone == p.rules.Zone) && p.lawful(now, r, c) &&
-			!p.coldTo(now, c, r.memo.key) && (p.blind || !p.silent(now, c)) && c.erred[r.memo.at] < errsToRest {
-			hs, home = append(hs, c), home || c.Zone == p.rules.Zone
+		if c != nil && len(hs) < copies && p.lawful(now, r, c) && !p.coldTo(now, c, r.memo.key) &&
+			(p.blind || !p.silent(now, c)) && c.erred[r.memo.at] < errsToRest {
+			hs = append(hs, c)
 		}
 	}
 	return hs
