--- a/policy/policy.go
+++ b/policy/policy.go
@@ -342,9 +342,6 @@
 	least := math.Inf(1)
 	for i, c := range hs {
 		l := p.load(c) + rankLegs*p.short*float64(i) + tieBreak*p.chance.Next()
-		if r.memo.grade.Effect == Irreversible {
-			l = (l + 1) * p.per(c)
-		}
 		if slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.To == c.ID }) {
 			continue
 		}
