--- a/policy/policy.go
+++ b/policy/policy.go
@@ -441,9 +441,6 @@
 	if len(r.Legs) >= p.rules.MostLegs || p.left(now, r) <= p.typical/4 || ran && p.spare < 1 {
 		return p.giveUp(r)
 	}
-	if n := len(r.Legs); n > 0 && r.Legs[n-1].Result == TurnedAway && now.Since(r.Legs[n-1].Sent) < p.typical/2 {
-		return p.notYet(now, r, p.typical/2)
-	}
 	if ran { // guards against storms of further legs when most fail
 		p.spare--
 	}
