--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,7 +27,7 @@
 	failsToRest  = 2                      // failures in a row before a cache rests: one may be chance
 	errsToRest   = 3                      // errors, halved by each answer, before a grade avoids a cache
 	rankLegs     = 4.0                    // legs more for an earlier holder while the origin is short: a fetch
-	shortLeast   = 0.02                   // lost share of legs from which a write goes to one holder only
+	shortLeast   = 0.01                   // lost share of legs from which a write goes to one holder only
 	tieBreak     = 1e-6                   // legs by which chance parts equal loads: far below a real difference
 	lately       = 50                     // retrievals over which shares are taken: a second or two
 	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
@@ -423,7 +423,8 @@
 	switch {
 	case len(r.Legs) >= p.rules.MostLegs || to != nil && to == p.origin:
 		return Move{}
-	case p.rules.SecondCopies && p.spare >= 1 && (silent || late >= p.rules.WastePrice):
+	case p.rules.SecondCopies && p.spare >= 1 && p.chance.Next() >= p.short &&
+		(silent || late >= p.rules.WastePrice):
 		if c, _ := p.pick(now, r, p.holders(now, r)); c != nil && !p.silent(now, c) {
 			p.spare--
 			return p.send(now, r, c)
@@ -601,8 +602,7 @@
 	}
 	inTime := (leg.Result == Answered || leg.Result == Missed) && o.Took <= soft
 	switch {
-	case leg.Result == Cancelled || leg.Result == NeverSent: // it says nothing
-	case leg.Result == TurnedAway && c != p.origin: // no work is lost by it
+	case leg.Result == Cancelled, leg.Result == NeverSent, leg.Result == TurnedAway && c != p.origin: // no loss
 	case c != p.origin:
 		if p.asked++; inTime {
 			p.good++
