--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,6 +32,7 @@
 	lately       = 50                     // retrievals over which shares are taken: a second or two
 	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	spareMost    = 10                     // second copies saved up: covers one cache falling silent
+	lostLeast    = 1.25                   // asked per answer before any is turned away: a fifth may be bad luck
 	trialsLeast  = 4.0                    // asked that always get in, to see a recovery: about two a second
 	originFirst  = 8                      // legs at the origin before anything is known of it: a few a core
 	originCut    = 0.9                    // room left after a late or lost answer: some are chance, ten a sign
@@ -83,7 +84,7 @@
 	typical, slow, patience time.Duration         // the median, the slow twentieth, and what means silence
 	usual, othersLoad       float64               // legs a warm cache of weight 1 answered; mean foreign load
 	blind                   bool                  // most caches seem silent, so the trouble is not theirs
-	asked, legs, good       float64               // legs to caches and who was turned away before; those legs; those in time
+	asked, good             float64               // legs to caches that ended, and those in time
 	spare, cheap            float64               // second copies saved up; mean cheapness of a retrieval
 	metered                 []Instant             // up to when each league has used its share
 	upkeeps, askFails       int
@@ -299,8 +300,7 @@
 // turnAway guards against collapse, when most of what is sent ends in nothing: where far more is asked than
 // answered, it turns away by chance, the cheaper ones more often, until what gets in is answered again.
 func (p *Router) turnAway(r *Retrieval) bool {
-	well := p.good / max(1, p.legs)
-	over := p.asked - (1+well*well*well*well)*p.good - trialsLeast
+	over := p.asked - lostLeast*p.good - trialsLeast
 	return over > 0 && p.chance.Next() >= math.Pow(1-over/p.asked, r.memo.cheap)
 }
 
@@ -604,8 +604,7 @@
 	switch {
 	case leg.Result == Cancelled, leg.Result == NeverSent, leg.Result == TurnedAway && c != p.origin: // no loss
 	case c != p.origin:
-		p.asked++
-		if p.legs++; inTime {
+		if p.asked++; inTime {
 			p.good++
 		}
 	case inTime:
@@ -620,7 +619,7 @@
 	p.upkeeps++
 	halve := p.upkeeps%halveEvery == 0
 	if halve {
-		p.asked, p.legs, p.good = p.asked/2, p.legs/2, p.good/2
+		p.asked, p.good = p.asked/2, p.good/2
 		p.took.Halve()
 		p.pace.Halve()
 		maps.DeleteFunc(p.wanted, func(key uint64, w float64) bool {
