--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -87,6 +87,13 @@
 	h.carryOut(now, in, h.router.After(now, &in.Retrieval, o))
 }
 
+// Started tells that an answer has begun to stream: from now on nothing is due for it but its end.
+func (h *Host) Started(id policy.RetrievalID) {
+	if in := h.hand[id]; in != nil {
+		in.askAt = 0
+	}
+}
+
 // Left tells that a client has gone.
 func (h *Host) Left(now policy.Instant, id policy.RetrievalID) {
 	if in := h.hand[id]; in != nil {
--- a/internal/simwire/decode.go
+++ b/internal/simwire/decode.go
@@ -22,6 +22,7 @@
 	Listed(now policy.Instant, form policy.ListForm, entries []policy.Entry)
 	Arrived(now policy.Instant, r *policy.Retrieval)
 	Ended(now policy.Instant, id policy.RetrievalID, how policy.Result, over bool, o policy.Outcome)
+	Started(id policy.RetrievalID)
 	Left(now policy.Instant, id policy.RetrievalID)
 	Probed(now policy.Instant, id policy.CacheID, found policy.Result)
 	Woken(now policy.Instant, token string)
@@ -180,7 +181,9 @@
 		}
 	case "wake":
 		in.node.Woken(now, string(at(1).GetStringBytes()))
-	case "inbox", "established": // nothing here streams, and nodes tell each other nothing
+	case "established":
+		in.node.Started(policy.RetrievalID(at(1).GetStringBytes()))
+	case "inbox": // nodes tell each other nothing yet
 	default:
 		fmt.Fprintf(s.log, "passed over an unknown event %q\n", name)
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -389,7 +389,7 @@
 		}
 	}
 	cheap := 1 / math.Sqrt(max(benefit, 0.01))
-	p.cheap += (cheap - p.cheap) / lately
+	p.cheap += (cheap - p.cheap) / lately // set against its mean, or a few very cheap ones would close the door
 	p.spare = min(spareMost, p.spare+spareShare)
 	p.wanted[keyhash.Text(r.Key)] += benefit
 	r.memo = memo{true, g, at, keyhash.Text(r.Key), benefit, cheap / p.cheap, ""}
