Charge a failed leg once, not at each asking while the holders are full

Cause: read in the module: a retrieval that had failed once and waited for room paid a saved copy each time it was asked again.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -439,12 +439,9 @@
 func (p *Router) next(now Instant, r *Retrieval) Move {
 	g := r.memo.grade
 	ran := len(r.Legs) > 0 && !r.Legs[len(r.Legs)-1].Result.NeverRan()
-	if len(r.Legs) >= p.rules.MostLegs || p.left(now, r) <= p.typical/4 || ran && p.spare < 1 {
+	if len(r.Legs) >= p.rules.MostLegs || p.left(now, r) <= p.typical/4 || ran && p.spare < 0 {
 		return p.giveUp(r)
 	}
-	if ran { // guards against storms of further legs when most fail
-		p.spare--
-	}
 	if p.rules.Aside && (r.Write || slices.ContainsFunc(r.Legs, missed)) {
 		kept := p.caches[r.memo.keptAt]
 		if r.memo.keptAt = ""; kept != nil && p.lawful(now, r, kept) {
@@ -545,6 +542,9 @@
 	if c := p.caches[leg.To]; c != nil {
 		p.learn(now, c, r, leg, o)
 	}
+	if !r.Over && !leg.Result.NeverRan() { // guards against storms of further legs when most fail
+		p.spare = max(-1, p.spare-1)
+	}
 	if !r.Over && !slices.ContainsFunc(r.Legs, isOut) {
 		m = p.next(now, r)
 	}
