--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,7 +47,6 @@
 	ghosts           []Instant       // sendings of legs given up on that it may still be at work for
 	waitingOn, heard Instant         // first sending since the last word from it, and that word
 	fails, refused   int             // legs in a row without a word, and without a connection
-	fullUntil        Instant         // it has just turned one away
 	restUntil        Instant         // no legs before this
 	pace             tally.Histogram // time a leg took for each one in hand when it was sent
 	foreign          float64         // retrievals of others it holds by its last report; -1 while unreported
@@ -349,7 +348,7 @@
 		if c.Zone != p.rules.Zone {
 			l += crossingLegs * p.rules.CrossingPrice
 		}
-		if now < c.fullUntil || (p.load(c)+1)*p.per(c) > float64(left) {
+		if (p.load(c)+1)*p.per(c) > float64(left) {
 			full = true
 		} else if l < least {
 			best, least = c, l
@@ -585,8 +584,6 @@
 		}
 	case Errored, Broken:
 		c.erred[at] = min(c.erred[at]+1, 2*errsToRest)
-	case TurnedAway:
-		c.fullUntil = now.Add(time.Duration(p.per(c)))
 	case TimedOut, Cancelled:
 		c.ghosts = append(c.ghosts, leg.Sent)
 		c.pace.Add(each)
