--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,6 +33,7 @@
 	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	spareMost    = 10                     // second copies saved up: covers one cache falling silent
 	lostLeast    = 1.25                   // asked per answer before any is turned away: a fifth may be bad luck
+	fullShare    = 0.1                    // of a lost leg that one turned away as full counts for: it cost little but was in vain
 	trialsLeast  = 4.0                    // asked that always get in, to see a recovery: about two a second
 	originFirst  = 8                      // legs at the origin before anything is known of it: a few a core
 	originCut    = 0.9                    // room left after a late or lost answer: some are chance, ten a sign
@@ -146,7 +147,6 @@
 	return best
 }
 
-// redeal lays the listed caches out anew.
 func (p *Router) redeal() {
 	p.listed, p.segs, p.origin = nil, [segments][]*cache{}, nil
 	for _, c := range p.caches {
@@ -568,7 +568,6 @@
 	return m
 }
 
-// learn takes from an outcome what it says of the cache.
 func (p *Router) learn(now Instant, c *cache, r *Retrieval, leg Leg, o Outcome) {
 	soft, at := r.memo.grade.SoftLimit, r.memo.at
 	own, each := c.inHand(), time.Duration(float64(o.Took)/max(1, p.load(c)))
@@ -602,7 +601,9 @@
 	}
 	inTime := (leg.Result == Answered || leg.Result == Missed) && o.Took <= soft
 	switch {
-	case leg.Result == Cancelled, leg.Result == NeverSent, leg.Result == TurnedAway && c != p.origin: // no loss
+	case leg.Result == Cancelled, leg.Result == NeverSent:
+	case leg.Result == TurnedAway && c != p.origin:
+		p.asked += fullShare
 	case c != p.origin:
 		if p.asked++; inTime {
 			p.good++
@@ -660,7 +661,6 @@
 	return upkeepEvery, chores
 }
 
-// retime derives the time limits from the answers seen.
 func (p *Router) retime() {
 	soft := time.Second
 	for _, g := range p.rules.Grades {
