--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,7 +33,7 @@
 	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	spareMost    = 10                     // second copies saved up: covers one cache falling silent
 	lostLeast    = 1.25                   // asked per answer before any is turned away: a fifth may be bad luck
-	fullShare    = 0.1                    // of a lost leg that one turned away as full counts for: it cost little but was in vain
+	fullShare    = 0.1                    // lost legs that one turned away as full counts for: cheap but vain
 	trialsLeast  = 4.0                    // asked that always get in, to see a recovery: about two a second
 	originFirst  = 8                      // legs at the origin before anything is known of it: a few a core
 	originCut    = 0.9                    // room left after a late or lost answer: some are chance, ten a sign
