--- a/policy/policy.go
+++ b/policy/policy.go
@@ -333,9 +333,9 @@
 	return hs
 }
 
-// pick chooses the least loaded holder not yet tried, ties by chance; full tells that their queues would
-// outlast the soft limit. While the origin is short, an earlier ranked holder may have some legs more in
-// hand, which guards against filling three caches with a key that can hardly be fetched once.
+// pick chooses the least loaded holder not yet tried, ties by chance; full tells that their queues would take
+// half the soft limit, which guards against queues that stand. While the origin is short, an earlier ranked
+// holder may have some legs more, which guards against filling three caches with what can hardly be fetched.
 func (p *Router) pick(now Instant, r *Retrieval, hs []*cache) (best *cache, full bool) {
 	g := r.memo.grade
 	left := max(g.SoftLimit-now.Since(r.Arrived), g.SoftLimit/2)
@@ -348,7 +348,7 @@
 		if c.Zone != p.rules.Zone {
 			l += crossingLegs * p.rules.CrossingPrice
 		}
-		if (p.load(c)+1)*p.per(c) > float64(left) {
+		if (p.load(c)+1)*p.per(c) > float64(left)/2 {
 			full = true
 		} else if l < least {
 			best, least = c, l
