--- a/internal/simwire/rules.go
+++ b/internal/simwire/rules.go
@@ -90,7 +90,6 @@
 	r.Round = span(env.Get("round_s"))
 	r.AskWithin = span(rules.Get("ask_within_s"))
 	r.ColdFrom, r.ColdFor = rules.GetFloat64("cold_from"), span(rules.Get("cold_s"))
-	r.FallFor = span(rules.Get("overload_for_s"))
 	r.InFlightAt = -1
 	for i, c := range env.GetArray("telemetry", "columns") {
 		name := string(c.GetStringBytes())
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,7 +52,7 @@
 	pace             tally.Histogram // time a leg took for each one in hand when it was sent
 	foreign          float64         // retrievals of others it holds by its last report; -1 while unreported
 	erred            []uint8         // errors by grade, halved by answers and by time
-	sent, served     float64         // legs sent and answered, halved once in the span of the cold rule
+	sent, served     float64         // legs sent and answered lately: two seconds' worth at most
 }
 
 // memo is what the Router remembers of a retrieval in hand.
--- a/policy/types.go
+++ b/policy/types.go
@@ -78,7 +78,6 @@
 	AskWithin     time.Duration
 	ColdFrom      float64
 	ColdFor       time.Duration
-	FallFor       time.Duration
 	InFlightAt    int // which report value counts retrievals in hand; -1 for none
 }
 
