--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -168,6 +168,7 @@
 	w := newWorld(t, testRules(), fleet(12, false))
 	legs := 0
 	for range 200 {
+		w.p.asked = 0 // the door stays open
 		r, _ := w.arrive("k", 0, false)
 		for i := 0; i < len(r.Legs); i++ {
 			w.end(r, i, Broken)
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -64,7 +64,7 @@
 		rnd := rand.New(rand.NewSource(seed))
 		rules := testRules()
 		rules.SecondCopies, rules.MostLegs = rnd.Intn(2) == 0, 1+rnd.Intn(4)
-		rules.Grades[3].Scope = Scope(rnd.Intn(3))
+		rules.Grades[1].Window, rules.Grades[3].Scope = 400*ms, Scope(rnd.Intn(3))
 		w := newWorld(t, rules, fleet(6, false))
 		r := &Retrieval{Grade: GradeID(rnd.Intn(6) - 1), HardStop: Instant(800 * ms), Over: rnd.Intn(9) == 0}
 		w.p.meet(0, r)
