--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -3,6 +3,7 @@
 package host
 
 import (
+	"slices"
 	"time"
 
 	"dahliapin/policy"
@@ -31,7 +32,6 @@
 type held struct {
 	policy.Retrieval
 	askAt policy.Instant // when Where is to be called again; 0 for not
-	out   int
 }
 
 // New starts a node and its upkeep.
@@ -82,7 +82,6 @@
 		return
 	}
 	in.Legs[o.Leg].Out, in.Legs[o.Leg].Result = false, how
-	in.out--
 	in.Over = in.Over || over
 	h.carryOut(now, in, h.router.After(now, &in.Retrieval, o))
 }
@@ -131,7 +130,6 @@
 	for _, to := range m.To {
 		h.do.Send(in.ID, to, m.GiveUpAt)
 		in.Legs = append(in.Legs, policy.Leg{To: to, Sent: now, Out: true})
-		in.out++
 	}
 	if m.AskAgain != 0 && !in.Over {
 		in.askAt = m.AskAgain
@@ -147,7 +145,7 @@
 
 // drop forgets a retrieval once it is answered and nothing is out for it.
 func (h *Host) drop(in *held) {
-	if in.Over && in.out == 0 {
+	if in.Over && !slices.ContainsFunc(in.Legs, func(l policy.Leg) bool { return l.Out }) {
 		delete(h.hand, in.ID)
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -78,14 +78,14 @@
 	roomCut                 Instant
 	fetches                 map[uint64]*Retrieval // who fetches a key from the origin; others that miss it wait
 	queue                   []*Retrieval          // waiting for room at the origin or for another's fetch
-	wanted                  map[uint64]float64    // benefit asked of each key by reads; halved now and then
+	wanted                  map[uint64]float64    // benefit asked of each key; halved now and then
 	short                   float64               // share of those bound for the origin that found no room
 	bar                     float64               // worth of the best that lately found no room at the origin
 	took, pace              tally.Histogram       // of legs to caches: their time, and that by each in hand
 	typical, slow, patience time.Duration         // the median, the slow twentieth, and what means silence
 	usual, othersLoad       float64               // legs a warm cache of weight 1 answered; mean foreign load
 	blind                   bool                  // most caches seem silent, so the trouble is not theirs
-	asked, good             float64               // legs to caches that ended, and those in time
+	asked, good             float64               // turned away or ended at a cache; those in time
 	spare, cheap            float64               // second copies saved up; mean cheapness of a retrieval
 	metered                 []Instant             // up to when each league has used its share
 	upkeeps, askFails       int
@@ -134,8 +134,7 @@
 	return int(h & (1<<l - 1))
 }
 
-// leftOf returns the slot next to the left in the key space, where slots lie by their bits reversed (Fig.
-// 2).
+// leftOf returns the slot next to the left in the key space (Fig. 2), where slots lie by their bits reversed.
 func leftOf(slot, n int) int {
 	at := func(s int) uint64 { return bits.Reverse64(uint64(s)) }
 	best := slot
@@ -341,14 +340,15 @@
 	left := max(g.SoftLimit-now.Since(r.Arrived), g.SoftLimit/2)
 	least := math.Inf(1)
 	for i, c := range hs {
-		l := p.load(c) + rankLegs*p.short*float64(i) + tieBreak*p.chance.Next()
+		load := p.load(c)
+		l := load + rankLegs*p.short*float64(i) + tieBreak*p.chance.Next()
 		if slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.To == c.ID }) {
 			continue
 		}
 		if c.Zone != p.rules.Zone {
 			l += crossingLegs * p.rules.CrossingPrice
 		}
-		if (p.load(c)+1)*p.per(c) > float64(left)/2 {
+		if (load+1)*p.per(c) > float64(left)/2 {
 			full = true
 		} else if l < least {
 			best, least = c, l
@@ -359,7 +359,7 @@
 
 // send books legs and returns the move that makes them.
 func (p *Router) send(now Instant, r *Retrieval, cs ...*cache) Move {
-	m := Move{GiveUpAt: r.HardStop.Add(-2 * p.rules.Round)}
+	m := Move{GiveUpAt: now.Add(p.left(now, r))}
 	for _, c := range cs {
 		if c.out++; c.out == 1 {
 			c.waitingOn = now
@@ -391,8 +391,9 @@
 	cheap := 1 / math.Sqrt(max(benefit, 0.01))
 	p.cheap += (cheap - p.cheap) / lately // set against its mean, or a few very cheap ones would close the door
 	p.spare = min(spareMost, p.spare+spareShare)
-	p.wanted[keyhash.Text(r.Key)] += benefit
-	r.memo = memo{true, g, at, keyhash.Text(r.Key), benefit, cheap / p.cheap, ""}
+	key := keyhash.Text(r.Key)
+	p.wanted[key] += benefit
+	r.memo = memo{true, g, at, key, benefit, cheap / p.cheap, ""}
 }
 
 // Where decides where a retrieval goes now: at its arrival, when it was to be asked again, and when woken.
@@ -417,14 +418,13 @@
 // first is late is worth what a wasted copy costs, or calling it off.
 func (p *Router) further(now Instant, r *Retrieval, leg int) Move {
 	to := p.caches[r.Legs[leg].To]
-	again := Move{AskAgain: now.Add(max(p.slow, 2*p.rules.Round))}
+	again := Move{AskAgain: now.Add(p.slow)}
 	silent := to == nil || p.silent(now, to)
-	late := p.took.Above(r.memo.grade.SoftLimit) / max(1, p.took.Above(now.Since(r.Legs[leg].Sent)))
 	switch {
 	case len(r.Legs) >= p.rules.MostLegs || to != nil && to == p.origin:
 		return Move{}
-	case p.rules.SecondCopies && p.spare >= 1 && p.chance.Next() >= p.short &&
-		(silent || late >= p.rules.WastePrice):
+	case p.rules.SecondCopies && p.spare >= 1 && p.chance.Next() >= p.short && (silent || p.rules.WastePrice <=
+		p.took.Above(r.memo.grade.SoftLimit)/max(1, p.took.Above(now.Since(r.Legs[leg].Sent)))):
 		if c, _ := p.pick(now, r, p.holders(now, r)); c != nil && !p.silent(now, c) {
 			p.spare--
 			return p.send(now, r, c)
@@ -477,8 +477,7 @@
 }
 
 // toOrigin sends a write, or a read that missed, to the origin. It guards against miss storms: one read
-// fetches a key and the others wait, legs out there are bounded, and who would mostly wait in vain is
-// turned away.
+// fetches a key, the others wait, legs out there are bounded, and who would mostly wait in vain is turned away.
 func (p *Router) toOrigin(now Instant, r *Retrieval) Move {
 	left := r.memo.grade.SoftLimit - now.Since(r.Arrived)
 	queued := slices.Contains(p.queue, r)
@@ -489,19 +488,19 @@
 	if leads && !r.Write {
 		p.fetches[r.memo.key] = r
 	}
+	full := float64(p.origin.out)+1 > p.room
 	if leads && !queued {
-		p.short -= p.short / lately
+		if p.short -= p.short / lately; full {
+			p.short += 1.0 / lately
+		}
 	}
-	if leads && float64(p.origin.out)+1 <= p.room {
+	if leads && !full {
 		return p.send(now, r, p.origin)
 	}
-	if leads && !queued {
-		p.short += 1.0 / lately
-	}
-	if !queued && p.chance.Next()*p.bar > p.worth(r) {
-		return p.giveUp(r)
-	}
 	if !queued {
+		if p.chance.Next()*p.bar > p.worth(r) {
+			return p.giveUp(r)
+		}
 		p.queue = append(p.queue, r)
 	}
 	return p.notYet(now, r, left)
@@ -523,12 +522,13 @@
 	slices.SortStableFunc(p.queue, func(a, b *Retrieval) int { return cmp.Compare(p.worth(b), p.worth(a)) })
 	free, unserved := int(p.room)-p.origin.out, 0.0
 	for _, q := range p.queue {
-		if q.memo.keptAt != "" || free > 0 && p.leads(q) {
+		kept, leads := q.memo.keptAt != "", p.leads(q)
+		if kept || leads && free > 0 {
 			wake = append(wake, q.ID)
-		} else if p.leads(q) {
+		} else if leads {
 			unserved = max(unserved, p.worth(q))
 		}
-		if q.memo.keptAt == "" && p.leads(q) {
+		if leads && !kept {
 			free--
 		}
 	}
@@ -610,7 +610,7 @@
 		}
 	case inTime:
 		p.room += 1 / p.room
-	case !inTime && now.Since(p.roomCut) > p.slow:
+	case now.Since(p.roomCut) > p.slow:
 		p.room, p.roomCut = max(originLeast, p.room*originCut), now
 	}
 }
