--- a/policy/policy.go
+++ b/policy/policy.go
@@ -477,7 +477,7 @@
 }
 
 // toOrigin sends a write, or a read that missed, to the origin. It guards against miss storms: one read
-// fetches a key, the others wait, legs out there are bounded, and who would mostly wait in vain is turned away.
+// fetches a key, the others wait, legs there are bounded, and who would mostly wait in vain is turned away.
 func (p *Router) toOrigin(now Instant, r *Retrieval) Move {
 	left := r.memo.grade.SoftLimit - now.Since(r.Arrived)
 	queued := slices.Contains(p.queue, r)
