--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,16 +43,16 @@
 
 type cache struct {
 	Entry
-	hash             uint64
-	out              int             // own legs in hand
-	ghosts           []Instant       // sendings of legs given up on that it may still be at work for
-	waitingOn, heard Instant         // first sending since the last word from it, and that word
-	fails, refused   int             // legs in a row without a word, and without a connection
-	restUntil        Instant         // no legs before this
-	pace             tally.Histogram // time a leg took for each one in hand when it was sent
-	foreign          float64         // retrievals of others it holds by its last report; -1 while unreported
-	erred            []uint8         // errors by grade, halved by answers and by time
-	sent, served     float64         // legs sent and answered lately: two seconds' worth at most
+	hash              uint64
+	out               int             // own legs in hand
+	ghosts            []Instant       // sendings of legs given up on that it may still be at work for
+	waitingOn, heard  Instant         // first sending since the last word from it, and that word
+	fails, refused    int             // legs in a row without a word, and without a connection
+	restUntil, coldAt Instant         // no legs before these; the second counts while it is cold
+	pace              tally.Histogram // time a leg took for each one in hand when it was sent
+	foreign           float64         // retrievals of others it holds by its last report; -1 while unreported
+	erred             []uint8         // errors by grade, halved by answers and by time
+	served            float64         // legs answered lately: two seconds' worth at most
 }
 
 // memo is what the Router remembers of a retrieval in hand.
@@ -73,14 +73,12 @@
 	caches                  map[CacheID]*cache
 	listed                  []*cache // without the origin
 	segs                    [segments][]*cache
-	origin                  *cache  // nil in through mode
-	room                    float64 // legs the origin may have, as learned
-	roomCut                 Instant
+	origin                  *cache                // nil in through mode
+	room                    float64               // legs the origin may have, as learned
 	fetches                 map[uint64]*Retrieval // who fetches a key from the origin; others that miss it wait
 	queue                   []*Retrieval          // waiting for room at the origin or for another's fetch
 	wanted                  map[uint64]float64    // benefit asked of each key; halved now and then
-	short                   float64               // share of those bound for the origin that found no room
-	bar                     float64               // worth of the best that lately found no room at the origin
+	short, bar              float64               // share of those for the origin without room; the best one.s worth
 	took, pace              tally.Histogram       // of legs to caches: their time, and that by each in hand
 	typical, slow, patience time.Duration         // the median, the slow twentieth, and what means silence
 	usual, othersLoad       float64               // legs a warm cache of weight 1 answered; mean foreign load
@@ -89,7 +87,7 @@
 	spare, cheap            float64               // second copies saved up; mean cheapness of a retrieval
 	metered                 []Instant             // up to when each league has used its share
 	upkeeps, askFails       int
-	askAt                   Instant // when to ask to follow the list again
+	roomCut, askAt          Instant // when the room was last cut; when to ask to follow the list again
 }
 
 // New returns a Router for one node's life.
@@ -215,8 +213,8 @@
 	}
 }
 
-// silent tells whether a cache has said nothing for so long that its keys should go elsewhere. One that has
-// rested gets a single leg, or a probe where those are allowed, to show that it is back.
+// silent tells whether a cache's keys should go elsewhere, since it says nothing. One that has rested gets a
+// single leg, or a probe where those are allowed, to show that it is back.
 func (p *Router) silent(now Instant, c *cache) bool {
 	return now < c.restUntil || c.fails >= failsToRest && (c.out > 0 || p.rules.MayProbe) ||
 		c.out > 0 && now.Since(c.waitingOn) > p.patience
@@ -231,18 +229,25 @@
 }
 
 // coldTo guards against pushing a cold cache over: it takes a thin slice of the keys that widens with its
-// warmth, and no more legs than a warm one answers (misses would cost that one little), cut by its warmth.
-// As each node keeps to its own share of the answers, all together do.
+// warmth, and legs no closer than a warm one answers them, cut by its warmth. As each node keeps to its share
+// of the answers, all do; the first is at a time by chance, or hundreds of nodes would send theirs at once.
 func (p *Router) coldTo(now Instant, c *cache, key uint64) bool {
 	w := p.warmth(now, c)
-	return w < 1 && (float64(keyhash.Mix(key^c.hash)) > w*w*(1<<64) || c.sent > w*p.usual*c.Weight+0.5)
+	if w < 1 && c.coldAt == 0 {
+		p.spaceOut(now, c, p.chance.Next())
+	}
+	return w < 1 && (float64(keyhash.Mix(key^c.hash)) > w*w*(1<<64) || now < c.coldAt)
+}
+
+func (p *Router) spaceOut(now Instant, c *cache, share float64) {
+	gap := 2 * halveEvery * float64(upkeepEvery) / (p.warmth(now, c) * p.usual * c.Weight)
+	c.coldAt = now.Add(time.Duration(share * min(float64(p.rules.ColdFor), gap)))
 }
 
-// inHand counts own legs there. It guards against caches that go on with what was given up: such a leg
-// counts until the answer to a later one shows that its turn is over.
+// inHand counts own legs there, given up or not: such a one counts until a later one's answer ends its turn.
 func (c *cache) inHand() float64 { return float64(c.out + len(c.ghosts)) }
 
-// per is the time that each retrieval in hand there takes, in nanoseconds; with little known, the fleet's.
+// per is the nanoseconds that each retrieval in hand there takes; with little known, the fleet's.
 func (p *Router) per(c *cache) float64 { return float64(c.pace.Quantile(0.5, p.pace.Quantile(0.5, 0))) }
 
 // load is a cache's work in hand: own legs and what it reports beside them; unreported, the others' mean.
@@ -278,7 +283,7 @@
 	return true
 }
 
-// left is the time in which a leg can still end and be answered before the hard stop.
+// left is the time in which a leg can still be answered before the hard stop.
 func (p *Router) left(now Instant, r *Retrieval) time.Duration {
 	return r.HardStop.Since(now) - 2*p.rules.Round
 }
@@ -296,8 +301,8 @@
 	return Move{Answer: Scrap}
 }
 
-// turnAway guards against collapse, when most of what is sent ends in nothing: where far more is asked than
-// answered, it turns away by chance, the cheaper ones more often, until what gets in is answered again.
+// turnAway guards against collapse: where far more is asked than answered, it turns away by chance, the
+// cheaper ones more often, until what gets in is answered again.
 func (p *Router) turnAway(r *Retrieval) bool {
 	over := p.asked - lostLeast*p.good - trialsLeast
 	return over > 0 && p.chance.Next() >= math.Pow(1-over/p.asked, r.memo.cheap)
@@ -316,8 +321,8 @@
 	return slots[at]
 }
 
-// holders lists a key's caches for this retrieval, first ranked first. One that drains, is silent, fails
-// this grade fast and so looks idle, or is too cold for the key yields to the next ranked spare.
+// holders lists a key's caches, first ranked first. One that drains, is silent, fails this grade fast and so
+// looks idle, or is too cold for the key yields to the next ranked spare.
 func (p *Router) holders(now Instant, r *Retrieval) (hs []*cache) {
 	order := [segments]int{0, 1, 2, 3, 4, 5, 6}
 	score := func(seg int) uint64 { return keyhash.Salted(r.memo.key, seg) }
@@ -332,39 +337,35 @@
 	return hs
 }
 
-// pick chooses the least loaded holder not yet tried, ties by chance; full tells that their queues would take
-// half the soft limit, which guards against queues that stand. While the origin is short, an earlier ranked
-// holder may have some legs more, which guards against filling three caches with what can hardly be fetched.
+// pick chooses the least loaded holder not yet tried; full tells that their queues would take half the soft
+// limit, which guards against queues that stand. While the origin is short, an earlier ranked holder may have
+// some legs more, which guards against filling three caches with what can hardly be fetched.
 func (p *Router) pick(now Instant, r *Retrieval, hs []*cache) (best *cache, full bool) {
-	g := r.memo.grade
-	left := max(g.SoftLimit-now.Since(r.Arrived), g.SoftLimit/2)
-	least := math.Inf(1)
+	soft, least := r.memo.grade.SoftLimit, math.Inf(1)
 	for i, c := range hs {
 		load := p.load(c)
 		l := load + rankLegs*p.short*float64(i) + tieBreak*p.chance.Next()
-		if slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.To == c.ID }) {
-			continue
-		}
 		if c.Zone != p.rules.Zone {
 			l += crossingLegs * p.rules.CrossingPrice
 		}
-		if (load+1)*p.per(c) > float64(left)/2 {
+		switch {
+		case slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.To == c.ID }):
+		case (load+1)*p.per(c) > float64(max(soft-now.Since(r.Arrived), soft/2))/2:
 			full = true
-		} else if l < least {
+		case l < least:
 			best, least = c, l
 		}
 	}
 	return best, full && best == nil
 }
 
-// send books legs and returns the move that makes them.
 func (p *Router) send(now Instant, r *Retrieval, cs ...*cache) Move {
 	m := Move{GiveUpAt: now.Add(p.left(now, r))}
 	for _, c := range cs {
 		if c.out++; c.out == 1 {
 			c.waitingOn = now
 		}
-		c.sent++
+		p.spaceOut(now, c, 1)
 		m.To = append(m.To, c.ID)
 	}
 	if r.memo.grade.Effect != Irreversible && !r.Write {
@@ -435,7 +436,6 @@
 	return again
 }
 
-// next decides on a retrieval with nothing out.
 func (p *Router) next(now Instant, r *Retrieval) Move {
 	g := r.memo.grade
 	ran := len(r.Legs) > 0 && !r.Legs[len(r.Legs)-1].Result.NeverRan()
@@ -476,8 +476,8 @@
 	return r.Write || f == nil || f == r || f.Over
 }
 
-// toOrigin sends a write, or a read that missed, to the origin. It guards against miss storms: one read
-// fetches a key, the others wait, legs there are bounded, and who would mostly wait in vain is turned away.
+// toOrigin sends a write, or a read that missed, to the origin. Against miss storms one read fetches a key,
+// the others wait, legs there are bounded, and who would mostly wait in vain is turned away.
 func (p *Router) toOrigin(now Instant, r *Retrieval) Move {
 	left := r.memo.grade.SoftLimit - now.Since(r.Arrived)
 	queued := slices.Contains(p.queue, r)
@@ -636,7 +636,7 @@
 	served, weight, quiet := 0.0, 0.0, 0
 	for _, c := range p.listed {
 		if halve {
-			c.sent, c.served = c.sent/2, c.served/2
+			c.served /= 2
 			c.pace.Halve()
 			for g := range c.erred {
 				c.erred[g] /= 2
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -224,6 +224,40 @@
 	}
 }
 
+// The same over all nodes: a leg each, harmless from one node, pushes a cold cache over from hundreds.
+func TestColdCacheGetsLittleFromManyNodes(t *testing.T) {
+	cold, each := 0, 0
+	for node := range 200 {
+		w := newWorld(t, testRules(), fleet(11, false))
+		w.p.chance.Seed = uint32(node)
+		for i := range 44 {
+			if i == 22 {
+				w.list(Changes, Entry{ID: "cold", Born: w.now, Zone: "here", Weight: 1})
+			}
+			r, m := w.arrive(fmt.Sprint("key", node, i), 0, false)
+			for range 20 { // a retry storm asks again and again
+				if i >= 22 && len(m.To) > 0 && m.To[0] != "cold" {
+					r, m = w.arrive(fmt.Sprint("key", node, i, len(w.hand)), 0, false)
+				}
+			}
+			if len(m.To) > 0 && m.To[0] == "cold" {
+				cold++
+			} else if i >= 22 {
+				each++
+			}
+			w.pass(50 * ms)
+			for _, r = range w.hand {
+				if !r.Over {
+					w.end(r, 0, Answered)
+				}
+			}
+		}
+	}
+	if each /= 11; cold > each {
+		t.Errorf("a cold cache got %d legs from 200 nodes in its first second, a warm one about %d", cold, each)
+	}
+}
+
 func asideWorld(t *testing.T) *world {
 	rules := testRules()
 	rules.Aside, rules.SecondCopies = true, false
