--- a/internal/simwire/rules.go
+++ b/internal/simwire/rules.go
@@ -81,7 +81,7 @@
 	r.MustAsk = string(env.GetStringBytes("discovery")) == "ask"
 	r.ExcessBenefit = env.GetFloat64("excess_benefit")
 	r.CrossingPrice, r.WastePrice = env.GetFloat64("tariffs", "cross_zone"), env.GetFloat64("tariffs", "waste")
-	r.MostLegs = bounds.GetInt("most_legs")
+	r.MostLegs, r.IdleConnection = bounds.GetInt("most_legs"), span(bounds.Get("conn_idle_s"))
 	r.SecondCopies, r.MayCancel = bounds.GetBool("second_copies"), bounds.GetBool("cancel")
 	r.MayProbe = bounds.GetBool("probes")
 	if bounds.GetBool("retry_after") {
@@ -90,13 +90,16 @@
 	r.Round = span(env.Get("round_s"))
 	r.AskWithin = span(rules.Get("ask_within_s"))
 	r.ColdFrom, r.ColdFor = rules.GetFloat64("cold_from"), span(rules.Get("cold_s"))
-	r.InFlightAt = -1
+	r.InFlightAt, r.BusyAt = -1, -1
 	for i, c := range env.GetArray("telemetry", "columns") {
 		name := string(c.GetStringBytes())
 		n.columns = append(n.columns, name)
 		if name == "outstanding" || name == "backlog" && r.InFlightAt < 0 {
 			r.InFlightAt = i
 		}
+		if name == "utilization" {
+			r.BusyAt = i
+		}
 	}
 	return r, n, nil
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,23 +18,25 @@
 )
 
 const (
+	never        = math.MinInt64 / 2      // an Instant longer ago than any
 	segments     = 7                      // segments: the design's k
 	copies       = 3                      // holders of a key: the design's number
 	upkeepEvery  = 100 * time.Millisecond // upkeep period: a few service times, so that trouble is seen soon
 	halveEvery   = 10                     // upkeeps between halvings of what is measured: about a second
-	trialMost    = 4 * time.Second        // longest rest of a failing cache: soon enough to see it come back
-	ghostMost    = 2 * time.Second        // longest a leg given up on counts: none waits for it so long
-	failsToRest  = 2                      // failures in a row before a cache rests: one may be chance
-	errsToRest   = 3                      // errors, halved by each answer, before a grade avoids a cache
+	holds        = 4 * time.Second        // longest rest; legs given up on count so long, half a report twice it
+	failsToRest  = 2                      // failures, or errors in a grade, that a cache may have: one is chance
 	rankLegs     = 4.0                    // legs more for an earlier holder while the origin is short: a fetch
 	shortLeast   = 0.01                   // lost share of legs from which a write goes to one holder only
-	tieBreak     = 1e-6                   // legs by which chance parts equal loads: far below a real difference
+	tieBreak     = 1e-3                   // legs by which equal loads are parted: far below a real difference
+	opening      = 8.0                    // own legs lately that a new connection weighs
+	busyMost     = 0.9                    // share of time busy above which queues can't be told apart
+	trialShare   = 0.03                   // of those asked that always get in, to see a recovery
+	evidence     = 8.0                    // asked that are not halved: fewer would make chance a sign
 	lately       = 50                     // retrievals over which shares are taken: a second or two
 	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	spareMost    = 10                     // second copies saved up: covers one cache falling silent
 	lostLeast    = 1.25                   // asked per answer before any is turned away: a fifth may be bad luck
 	fullShare    = 0.1                    // lost legs that one turned away as full counts for: cheap but vain
-	trialsLeast  = 4.0                    // asked that always get in, to see a recovery: about two a second
 	originFirst  = 8                      // legs at the origin before anything is known of it: a few a core
 	originCut    = 0.9                    // room left after a late or lost answer: some are chance, ten a sign
 	originLeast  = 2                      // legs the origin may always have: one waiting, one at work
@@ -44,18 +46,17 @@
 type cache struct {
 	Entry
 	hash              uint64
-	out               int             // own legs in hand
-	ghosts            []Instant       // sendings of legs given up on that it may still be at work for
-	waitingOn, heard  Instant         // first sending since the last word from it, and that word
-	fails, refused    int             // legs in a row without a word, and without a connection
-	restUntil, coldAt Instant         // no legs before these; the second counts while it is cold
-	pace              tally.Histogram // time a leg took for each one in hand when it was sent
-	foreign           float64         // retrievals of others it holds by its last report; -1 while unreported
-	erred             []uint8         // errors by grade, halved by answers and by time
-	served            float64         // legs answered lately: two seconds' worth at most
-}
-
-// memo is what the Router remembers of a retrieval in hand.
+	out               int       // own legs in hand
+	ghosts            []Instant // sendings of legs given up on that it may still be at work for
+	waitingOn, heard  Instant   // first sending since the last word from it, and that word
+	fails, refused    int       // legs in a row without a word, and without a connection
+	restUntil, coldAt Instant   // no legs before these; the second counts while it is cold
+	foreign           float64   // retrievals of others it holds by its last report
+	erred             []uint8   // errors by grade, halved by answers and by time
+	served            float64   // legs answered lately: two seconds' worth at most
+	usedAt, toldAt    Instant   // when a connection there was last in use; when it last reported
+}
+
 type memo struct {
 	met     bool
 	grade   Grade
@@ -66,7 +67,6 @@
 	keptAt  CacheID // a shared fetch has put the value here
 }
 
-// Router makes the decisions of one node.
 type Router struct {
 	rules                   HouseRules
 	chance                  keyhash.Source
@@ -78,7 +78,7 @@
 	fetches                 map[uint64]*Retrieval // who fetches a key from the origin; others that miss it wait
 	queue                   []*Retrieval          // waiting for room at the origin or for another's fetch
 	wanted                  map[uint64]float64    // benefit asked of each key; halved now and then
-	short, bar              float64               // share of those for the origin without room; the best one.s worth
+	short, bar              float64               // share of those for the origin without room; best worth
 	took, pace              tally.Histogram       // of legs to caches: their time, and that by each in hand
 	typical, slow, patience time.Duration         // the median, the slow twentieth, and what means silence
 	usual, othersLoad       float64               // legs a warm cache of weight 1 answered; mean foreign load
@@ -90,12 +90,11 @@
 	roomCut, askAt          Instant // when the room was last cut; when to ask to follow the list again
 }
 
-// New returns a Router for one node's life.
 func New(now Instant, seed int64, rules HouseRules) *Router {
-	rules.Nodes, rules.MostLegs = max(1, rules.Nodes), max(1, rules.MostLegs)
-	rules.Round = max(time.Millisecond, rules.Round)
+	rules.MostLegs, rules.Round = max(1, rules.MostLegs), max(time.Millisecond, rules.Round)
 	p := &Router{rules: rules, caches: map[CacheID]*cache{}, fetches: map[uint64]*Retrieval{}, cheap: 1,
-		room: originFirst, askAt: now, wanted: map[uint64]float64{}, metered: make([]Instant, len(rules.Leagues))}
+		room: originFirst, asked: evidence, good: evidence, askAt: now, wanted: map[uint64]float64{},
+		metered: make([]Instant, len(rules.Leagues))}
 	p.chance.Seed = uint32(seed ^ seed>>32)
 	p.retime()
 	return p
@@ -167,7 +166,6 @@
 	}
 }
 
-// Listed tells of news from the list.
 func (p *Router) Listed(now Instant, form ListForm, entries []Entry) {
 	if form == AskFailed {
 		p.askFails = min(p.askFails+1, 5)
@@ -182,10 +180,11 @@
 		c := p.caches[e.ID]
 		named[e.ID] = true
 		if c == nil || e.Born > c.Born { // started anew: what was learned of the old process says nothing
-			c = &cache{hash: keyhash.Text(string(e.ID)), foreign: -1, erred: make([]uint8, len(p.rules.Grades)+1)}
+			c = &cache{hash: keyhash.Text(string(e.ID)), toldAt: never, usedAt: never,
+				erred: make([]uint8, len(p.rules.Grades)+1)}
 			p.caches[e.ID] = c
 		}
-		c.Entry, c.Weight = e, cmp.Or(max(e.Weight, 0), 1)
+		c.Entry, c.Weight, c.Born = e, cmp.Or(max(e.Weight, 0), 1), cmp.Or(e.Born, never)
 	}
 	for id, c := range p.caches {
 		if c.State == Gone || form != Changes && !named[id] {
@@ -209,12 +208,11 @@
 		c.refused++
 	}
 	if c.fails >= failsToRest {
-		c.restUntil = now.Add(min(trialMost, max(upkeepEvery, p.patience)<<min(c.fails-failsToRest, 6)))
+		c.restUntil = now.Add(min(holds, max(upkeepEvery, p.patience)<<min(c.fails-failsToRest, 6)))
 	}
 }
 
-// silent tells whether a cache's keys should go elsewhere, since it says nothing. One that has rested gets a
-// single leg, or a probe where those are allowed, to show that it is back.
+// silent tells whether a cache says nothing. After a rest a single leg, or a probe, may show that it is back.
 func (p *Router) silent(now Instant, c *cache) bool {
 	return now < c.restUntil || c.fails >= failsToRest && (c.out > 0 || p.rules.MayProbe) ||
 		c.out > 0 && now.Since(c.waitingOn) > p.patience
@@ -222,15 +220,12 @@
 
 // warmth is the share of its capacity that a cache is sure to have by now.
 func (p *Router) warmth(now Instant, c *cache) float64 {
-	if c.Born == 0 || now.Since(c.Born) >= p.rules.ColdFor {
-		return 1
-	}
-	return p.rules.ColdFrom + (1-p.rules.ColdFrom)*max(0, float64(now.Since(c.Born))/float64(p.rules.ColdFor))
+	old := max(0, float64(now.Since(c.Born))) / max(1, float64(p.rules.ColdFor))
+	return min(1, p.rules.ColdFrom+(1-p.rules.ColdFrom)*old)
 }
 
-// coldTo guards against pushing a cold cache over: it takes a thin slice of the keys that widens with its
-// warmth, and legs no closer than a warm one answers them, cut by its warmth. As each node keeps to its share
-// of the answers, all do; the first is at a time by chance, or hundreds of nodes would send theirs at once.
+// coldTo guards against pushing a cold cache over: it takes a slice of the keys that widens with its warmth,
+// and legs as far apart as a warm one answers them, cut by its warmth; the first by chance, for many nodes.
 func (p *Router) coldTo(now Instant, c *cache, key uint64) bool {
 	w := p.warmth(now, c)
 	if w < 1 && c.coldAt == 0 {
@@ -247,15 +242,10 @@
 // inHand counts own legs there, given up or not: such a one counts until a later one's answer ends its turn.
 func (c *cache) inHand() float64 { return float64(c.out + len(c.ghosts)) }
 
-// per is the nanoseconds that each retrieval in hand there takes; with little known, the fleet's.
-func (p *Router) per(c *cache) float64 { return float64(c.pace.Quantile(0.5, p.pace.Quantile(0.5, 0))) }
-
-// load is a cache's work in hand: own legs and what it reports beside them; unreported, the others' mean.
-func (p *Router) load(c *cache) float64 {
-	if c.foreign < 0 {
-		return c.inHand() + p.othersLoad
-	}
-	return c.inHand() + c.foreign
+// load is own legs there and what it reports beside them: the others' mean if it does not, or as that ages.
+func (p *Router) load(now Instant, c *cache) float64 {
+	old := float64(now.Since(c.toldAt)) / float64(2*holds)
+	return c.inHand() + p.othersLoad + (c.foreign-p.othersLoad)*math.Exp2(-old)
 }
 
 // lawful is the second rule and the third: may this retrieval go to this cache now, however wise it seems?
@@ -301,11 +291,14 @@
 	return Move{Answer: Scrap}
 }
 
-// turnAway guards against collapse: where far more is asked than answered, it turns away by chance, the
-// cheaper ones more often, until what gets in is answered again.
+// turnAway guards against collapse: while far more is asked than answered, by chance, cheaper ones more.
 func (p *Router) turnAway(r *Retrieval) bool {
-	over := p.asked - lostLeast*p.good - trialsLeast
-	return over > 0 && p.chance.Next() >= math.Pow(1-over/p.asked, r.memo.cheap)
+	over := (1-trialShare)*p.asked - lostLeast*p.good
+	if over <= 0 || p.chance.Next() < math.Pow(1-over/p.asked, r.memo.cheap) {
+		return false
+	}
+	p.asked++
+	return true
 }
 
 // locate returns the cache at a segment's location for a key; a dead slot has passed its keys leftward.
@@ -330,27 +323,26 @@
 	for _, seg := range order {
 		c := p.locate(now, seg, r.memo.key)
 		if c != nil && len(hs) < copies && p.lawful(now, r, c) && !p.coldTo(now, c, r.memo.key) &&
-			(p.blind || !p.silent(now, c)) && c.erred[r.memo.at] < errsToRest {
+			(p.blind || !p.silent(now, c)) && c.erred[r.memo.at] < failsToRest {
 			hs = append(hs, c)
 		}
 	}
 	return hs
 }
 
-// pick chooses the least loaded holder not yet tried; full tells that their queues would take half the soft
-// limit, which guards against queues that stand. While the origin is short, an earlier ranked holder may have
-// some legs more, which guards against filling three caches with what can hardly be fetched.
+// pick chooses the least loaded holder not yet tried; full: queues would take half the soft limit, and stand.
+// While the origin is short, earlier ranked ones may have some legs more, lest three fill with one key.
 func (p *Router) pick(now Instant, r *Retrieval, hs []*cache) (best *cache, full bool) {
-	soft, least := r.memo.grade.SoftLimit, math.Inf(1)
+	soft, least, per := r.memo.grade.SoftLimit, math.Inf(1), float64(p.pace.Quantile(0.5, 0))
 	for i, c := range hs {
-		load := p.load(c)
-		l := load + rankLegs*p.short*float64(i) + tieBreak*p.chance.Next()
+		load := p.load(now, c)
+		l := load + rankLegs*p.short*float64(i) + tieBreak*p.tie(now, c)
 		if c.Zone != p.rules.Zone {
 			l += crossingLegs * p.rules.CrossingPrice
 		}
 		switch {
 		case slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.To == c.ID }):
-		case (load+1)*p.per(c) > float64(max(soft-now.Since(r.Arrived), soft/2))/2:
+		case (load+1)*per > float64(max(soft-now.Since(r.Arrived), soft/2))/2:
 			full = true
 		case l < least:
 			best, least = c, l
@@ -359,6 +351,16 @@
 	return best, full && best == nil
 }
 
+// tie parts holders of equal load. A node that sees few retrievals has mostly nought in hand everywhere, so
+// it goes by its own legs lately for what the cache is worth, by chance, and by whether a connection is open.
+func (p *Router) tie(now Instant, c *cache) float64 {
+	t := -math.Log(1 - p.chance.Next())
+	if c.out == 0 && now.Since(c.usedAt) > p.rules.IdleConnection-time.Second {
+		t += opening
+	}
+	return t / c.Weight
+}
+
 func (p *Router) send(now Instant, r *Retrieval, cs ...*cache) Move {
 	m := Move{GiveUpAt: now.Add(p.left(now, r))}
 	for _, c := range cs {
@@ -366,6 +368,7 @@
 			c.waitingOn = now
 		}
 		p.spaceOut(now, c, 1)
+		c.usedAt = now
 		m.To = append(m.To, c.ID)
 	}
 	if r.memo.grade.Effect != Irreversible && !r.Write {
@@ -399,17 +402,16 @@
 
 // Where decides where a retrieval goes now: at its arrival, when it was to be asked again, and when woken.
 func (p *Router) Where(now Instant, r *Retrieval) Move {
-	if r.Over {
-		return Move{}
-	}
-	if !r.memo.met {
+	i, known := slices.IndexFunc(r.Legs, isOut), r.memo.met
+	if !known {
 		p.meet(now, r)
-		if !(r.Write && p.rules.Aside) && p.turnAway(r) {
-			p.asked++
-			return p.giveUp(r)
-		}
 	}
-	if i := slices.IndexFunc(r.Legs, isOut); i >= 0 {
+	switch {
+	case r.Over:
+		return Move{}
+	case !known && !(r.Write && p.rules.Aside) && p.turnAway(r):
+		return p.giveUp(r)
+	case i >= 0:
 		return p.further(now, r, i)
 	}
 	return p.next(now, r)
@@ -419,7 +421,6 @@
 // first is late is worth what a wasted copy costs, or calling it off.
 func (p *Router) further(now Instant, r *Retrieval, leg int) Move {
 	to := p.caches[r.Legs[leg].To]
-	again := Move{AskAgain: now.Add(p.slow)}
 	silent := to == nil || p.silent(now, to)
 	switch {
 	case len(r.Legs) >= p.rules.MostLegs || to != nil && to == p.origin:
@@ -433,7 +434,7 @@
 	case !p.rules.SecondCopies && p.rules.MayCancel && silent && p.left(now, r) > p.slow:
 		return Move{Cancel: []int{leg}}
 	}
-	return again
+	return Move{AskAgain: now.Add(p.slow)}
 }
 
 func (p *Router) next(now Instant, r *Retrieval) Move {
@@ -457,19 +458,12 @@
 		return p.send(now, r, hs[:min(len(hs), p.rules.MostLegs)]...) // through mode: to all holders
 	case c != nil:
 		return p.send(now, r, c)
-	case (full || len(p.listed) == 0) && now.Since(r.Arrived) < g.SoftLimit/2:
-		return p.notYet(now, r, p.typical/4)
 	case !full && len(p.listed) > 0 && p.rules.Aside && g.Effect == Redoable:
 		return p.toOrigin(now, r)
 	}
 	return p.giveUp(r)
 }
 
-// notYet keeps a retrieval waiting with nothing out, never past the time at which it must be given up.
-func (p *Router) notYet(now Instant, r *Retrieval, wait time.Duration) Move {
-	return Move{AskAgain: min(now.Add(max(wait, 2*p.rules.Round)), now.Add(p.left(now, r)))}
-}
-
 // leads tells whether r is to go to the origin itself and has no other's fetch to wait for.
 func (p *Router) leads(r *Retrieval) bool {
 	f := p.fetches[r.memo.key]
@@ -503,7 +497,7 @@
 		}
 		p.queue = append(p.queue, r)
 	}
-	return p.notYet(now, r, left)
+	return Move{AskAgain: now.Add(min(max(left, 2*p.rules.Round), p.left(now, r)))}
 }
 
 // worth is what an origin leg brings: a write its benefit, a read that of all who will want the copy.
@@ -536,7 +530,6 @@
 	return wake
 }
 
-// After decides what follows a leg's outcome.
 func (p *Router) After(now Instant, r *Retrieval, o Outcome) (m Move) {
 	leg, leads := r.Legs[o.Leg], p.fetches[r.memo.key] == r
 	if c := p.caches[leg.To]; c != nil {
@@ -570,22 +563,21 @@
 
 func (p *Router) learn(now Instant, c *cache, r *Retrieval, leg Leg, o Outcome) {
 	soft, at := r.memo.grade.SoftLimit, r.memo.at
-	own, each := c.inHand(), time.Duration(float64(o.Took)/max(1, p.load(c)))
+	c.usedAt = now
+	own, each := c.inHand(), time.Duration(float64(o.Took)/max(1, p.load(now, c)))
 	c.out = max(0, c.out-1)
 	switch leg.Result {
 	case Answered:
 		c.ghosts = slices.DeleteFunc(c.ghosts, func(sent Instant) bool { return sent < leg.Sent })
-		c.pace.Add(each)
 		c.erred[at] /= 2
 		if c.served++; c != p.origin {
 			p.took.Add(o.Took)
 			p.pace.Add(each)
 		}
 	case Errored, Broken:
-		c.erred[at] = min(c.erred[at]+1, 2*errsToRest)
+		c.erred[at] = min(c.erred[at]+1, 2*failsToRest)
 	case TimedOut, Cancelled:
 		c.ghosts = append(c.ghosts, leg.Sent)
-		c.pace.Add(each)
 	}
 	switch leg.Result {
 	case Answered, Missed, Errored, TurnedAway:
@@ -595,8 +587,17 @@
 			p.failed(now, c, leg.Result)
 		}
 	}
-	if i := p.rules.InFlightAt; i >= 0 && i < len(o.Report) {
-		c.foreign = max(0, o.Report[i]-own) // the report counts own legs too
+	lost, busy := leg.Result == TimedOut || leg.Result == TurnedAway, busyMost
+	switch i, b := p.rules.InFlightAt, p.rules.BusyAt; {
+	case i >= 0 && i < len(o.Report): // it counts own legs too
+		c.foreign, c.toldAt = max(0, o.Report[i]-own), now
+	case b >= 0 && (lost || b < len(o.Report)): // many own legs tell more, and all would follow one report
+		if !lost {
+			busy = min(max(0, o.Report[b]), busy)
+		}
+		c.foreign, c.toldAt = busy/(1-busy)/(1+c.served), now
+	}
+	if c.toldAt == now {
 		p.othersLoad += (c.foreign - p.othersLoad) / lately
 	}
 	inTime := (leg.Result == Answered || leg.Result == Missed) && o.Took <= soft
@@ -615,12 +616,12 @@
 	}
 }
 
-// Wait returns how long until it wants to be called again, and the chores due now.
 func (p *Router) Wait(now Instant) (wait time.Duration, chores []Chore) {
-	p.upkeeps++
-	halve := p.upkeeps%halveEvery == 0
-	if halve {
-		p.asked, p.good = p.asked/2, p.good/2
+	halve := p.upkeeps%halveEvery == halveEvery-1
+	if p.upkeeps++; halve {
+		if p.asked > 2*evidence {
+			p.asked, p.good = p.asked/2, p.good/2
+		}
 		p.took.Halve()
 		p.pace.Halve()
 		maps.DeleteFunc(p.wanted, func(key uint64, w float64) bool {
@@ -637,14 +638,13 @@
 	for _, c := range p.listed {
 		if halve {
 			c.served /= 2
-			c.pace.Halve()
 			for g := range c.erred {
 				c.erred[g] /= 2
 			}
 		}
 		served += c.served
 		weight += c.Weight * p.warmth(now, c)
-		c.ghosts = slices.DeleteFunc(c.ghosts, func(sent Instant) bool { return now.Since(sent) > ghostMost })
+		c.ghosts = slices.DeleteFunc(c.ghosts, func(sent Instant) bool { return now.Since(sent) > holds })
 		if p.silent(now, c) {
 			quiet++
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -82,7 +82,7 @@
 	first := holdersOf(w.p, "k")
 	w.p.caches[first[0]].restUntil = 1e9
 	w.p.caches[first[1]].State = Draining
-	w.p.caches[first[2]].erred[0] = errsToRest
+	w.p.caches[first[2]].erred[0] = failsToRest
 	now := holdersOf(w.p, "k")
 	if same := func(id CacheID) bool { return slices.Contains(first, id) }; slices.ContainsFunc(now, same) {
 		t.Errorf("holders %v became %v", first, now)
@@ -114,7 +114,7 @@
 	if c.inHand() != 1 {
 		t.Errorf("a cache at work on a lost leg seems to hold %v", c.inHand())
 	}
-	w.pass(ghostMost + time.Second)
+	w.pass(holds + time.Second)
 	if c.inHand() != 0 {
 		t.Error("a lost leg counts for ever, so the cache never gets another")
 	}
@@ -124,11 +124,11 @@
 	w := newWorld(t, testRules(), fleet(12, false))
 	for _, c := range w.p.listed {
 		for range 40 {
-			c.pace.Add(200 * ms)
+			w.p.pace.Add(200 * ms)
 		}
 		c.out = 3
 	}
-	if r, m := w.arrive("k", 0, false); len(m.To) > 0 || m.AskAgain == 0 {
+	if r, m := w.arrive("k", 0, false); len(m.To) > 0 || m.Answer != Dismiss {
 		t.Errorf("sent behind a queue longer than the soft limit: %v %v", r, m)
 	}
 }
@@ -258,6 +258,64 @@
 	}
 }
 
+// A node that sees a retrieval now and then must notice a collapse as soon as one that sees hundreds.
+func TestFewLossesShutTheDoorOfANodeThatSeesFew(t *testing.T) {
+	w, in := newWorld(t, testRules(), fleet(45, false)), 0
+	for i := range 120 {
+		r, m := w.arrive(fmt.Sprint("key", i), 0, false)
+		if len(m.To) > 0 && i >= 60 {
+			in++
+		}
+		w.pass(250 * ms)
+		for leg := range r.Legs {
+			if r.Legs[leg].Out {
+				w.end(r, leg, TimedOut)
+			}
+		}
+	}
+	if in == 0 || in > 20 {
+		t.Errorf("%d of 60 were let in while all was lost", in)
+	}
+}
+
+// Many nodes have nothing in hand; what caches say of their cores, and a leg lost there, must count instead.
+func TestBusyOrLosingHoldersAreNotTheLeastLoaded(t *testing.T) {
+	rules := testRules()
+	rules.BusyAt = 0
+	for _, how := range []Result{Answered, TimedOut} {
+		w := newWorld(t, rules, fleet(45, false))
+		r, m := w.arrive("k", 0, false)
+		busy := m.To[0]
+		r.Legs[0].Out, r.Legs[0].Result, r.Over = false, how, true
+		w.p.After(w.now, r, Outcome{Took: 50 * ms, Report: []float64{0.95}})
+		for range 20 {
+			r, m = w.arrive("k", 0, false)
+			if slices.Contains(m.To, busy) {
+				t.Errorf("sent to a cache just seen busy (%v)", how)
+			}
+			w.end(r, 0, Answered)
+		}
+	}
+}
+
+// Hundreds of nodes open a connection for most legs unless equal loads go where one is open.
+func TestEqualLoadsGoWhereAConnectionIsOpen(t *testing.T) {
+	rules := testRules()
+	rules.IdleConnection = 15 * time.Second
+	w := newWorld(t, rules, fleet(45, false))
+	var first CacheID
+	for i := range 30 {
+		r, m := w.arrive("k", 0, false)
+		if i == 0 {
+			first = m.To[0]
+		} else if m.To[0] != first {
+			t.Fatalf("leg %d opened a connection to %v though one to %v was idle", i, m.To[0], first)
+		}
+		w.pass(50 * ms)
+		w.end(r, 0, Answered)
+	}
+}
+
 func asideWorld(t *testing.T) *world {
 	rules := testRules()
 	rules.Aside, rules.SecondCopies = true, false
--- a/policy/types.go
+++ b/policy/types.go
@@ -59,26 +59,28 @@
 
 // HouseRules is what a deployment states at the start, as far as the decisions read it.
 type HouseRules struct {
-	Grades        []Grade
-	Leagues       []League
-	Zone          ZoneID
-	Nodes         int
-	Aside         bool
-	OriginKind    int
-	MustAsk       bool // the list comes only when asked for
-	ExcessBenefit float64
-	CrossingPrice float64 // points off for each leg that crosses zones, as a share of a retrieval
-	WastePrice    float64
-	MostLegs      int
-	SecondCopies  bool
-	MayCancel     bool
-	MayProbe      bool
-	MaxComeBack   time.Duration // 0: clients are told no time
-	Round         time.Duration
-	AskWithin     time.Duration
-	ColdFrom      float64
-	ColdFor       time.Duration
-	InFlightAt    int // which report value counts retrievals in hand; -1 for none
+	Grades         []Grade
+	Leagues        []League
+	Zone           ZoneID
+	Nodes          int
+	Aside          bool
+	OriginKind     int
+	MustAsk        bool // the list comes only when asked for
+	ExcessBenefit  float64
+	CrossingPrice  float64 // points off for each leg that crosses zones, as a share of a retrieval
+	WastePrice     float64
+	MostLegs       int
+	IdleConnection time.Duration // a connection not in use closes after this
+	SecondCopies   bool
+	MayCancel      bool
+	MayProbe       bool
+	MaxComeBack    time.Duration // 0: clients are told no time
+	Round          time.Duration
+	AskWithin      time.Duration
+	ColdFrom       float64
+	ColdFor        time.Duration
+	BusyAt         int // which report value is the share of time its cores are busy; -1 for none
+	InFlightAt     int // which report value counts retrievals in hand; -1 for none
 }
 
 // ListForm says how a list is to be read.
