--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,12 +23,13 @@
 	copies       = 3                      // holders of a key: the design's number
 	upkeepEvery  = 100 * time.Millisecond // upkeep period: a few service times, so that trouble is seen soon
 	halveEvery   = 10                     // upkeeps between halvings of what is measured: about a second
-	holds        = 4 * time.Second        // longest rest; legs given up on count so long, half a report twice it
+	holds        = 4 * time.Second        // longest rest of a failing cache; half a report holds twice as long
 	failsToRest  = 2                      // failures, or errors in a grade, that a cache may have: one is chance
 	rankLegs     = 4.0                    // legs more for an earlier holder while the origin is short: a fetch
 	shortLeast   = 0.01                   // lost share of legs from which a write goes to one holder only
 	tieBreak     = 1e-3                   // legs by which equal loads are parted: far below a real difference
-	opening      = 8.0                    // own legs lately that a new connection weighs
+	rankTie      = 0.7                    // what a rank weighs among equal loads, chance being 1 on the mean
+	opening      = 8.0                    // the same for a new connection: more than the ranks do
 	busyMost     = 0.9                    // share of time busy above which queues can't be told apart
 	trialShare   = 0.03                   // of those asked that always get in, to see a recovery
 	evidence     = 8.0                    // asked that are not halved: fewer would make chance a sign
@@ -37,24 +38,24 @@
 	spareMost    = 10                     // second copies saved up: covers one cache falling silent
 	lostLeast    = 1.25                   // asked per answer before any is turned away: a fifth may be bad luck
 	fullShare    = 0.1                    // lost legs that one turned away as full counts for: cheap but vain
-	originFirst  = 8                      // legs at the origin before anything is known of it: a few a core
+	originFirst  = 16.0                   // legs there over all nodes, but one each, before anything is known
+	originGrow   = 0.1                    // room gained by an answer in time, where that is under a leg
 	originCut    = 0.9                    // room left after a late or lost answer: some are chance, ten a sign
-	originLeast  = 2                      // legs the origin may always have: one waiting, one at work
+	originLeast  = 8.0                    // legs there that all nodes together may always have: a few a core
 	crossingLegs = 16                     // legs in hand that a full crossing price is set against
 )
 
 type cache struct {
 	Entry
 	hash              uint64
-	out               int       // own legs in hand
-	ghosts            []Instant // sendings of legs given up on that it may still be at work for
-	waitingOn, heard  Instant   // first sending since the last word from it, and that word
-	fails, refused    int       // legs in a row without a word, and without a connection
-	restUntil, coldAt Instant   // no legs before these; the second counts while it is cold
-	foreign           float64   // retrievals of others it holds by its last report
-	erred             []uint8   // errors by grade, halved by answers and by time
-	served            float64   // legs answered lately: two seconds' worth at most
-	usedAt, toldAt    Instant   // when a connection there was last in use; when it last reported
+	out               int     // own legs in hand
+	waitingOn, heard  Instant // first sending since the last word from it, and that word
+	fails, refused    int     // legs in a row without a word, and without a connection
+	restUntil, coldAt Instant // no legs before these; the second counts while it is cold
+	foreign           float64 // retrievals of others it holds by its last report
+	erred             []uint8 // errors by grade, halved by answers and by time
+	served            float64 // legs answered lately: two seconds' worth at most
+	usedAt, toldAt    Instant // when a connection there was last in use; when it last reported
 }
 
 type memo struct {
@@ -68,33 +69,34 @@
 }
 
 type Router struct {
-	rules                   HouseRules
-	chance                  keyhash.Source
-	caches                  map[CacheID]*cache
-	listed                  []*cache // without the origin
-	segs                    [segments][]*cache
-	origin                  *cache                // nil in through mode
-	room                    float64               // legs the origin may have, as learned
-	fetches                 map[uint64]*Retrieval // who fetches a key from the origin; others that miss it wait
-	queue                   []*Retrieval          // waiting for room at the origin or for another's fetch
-	wanted                  map[uint64]float64    // benefit asked of each key; halved now and then
-	short, bar              float64               // share of those for the origin without room; best worth
-	took, pace              tally.Histogram       // of legs to caches: their time, and that by each in hand
-	typical, slow, patience time.Duration         // the median, the slow twentieth, and what means silence
-	usual, othersLoad       float64               // legs a warm cache of weight 1 answered; mean foreign load
-	blind                   bool                  // most caches seem silent, so the trouble is not theirs
-	asked, good             float64               // turned away or ended at a cache; those in time
-	spare, cheap            float64               // second copies saved up; mean cheapness of a retrieval
-	metered                 []Instant             // up to when each league has used its share
-	upkeeps, askFails       int
-	roomCut, askAt          Instant // when the room was last cut; when to ask to follow the list again
+	rules                    HouseRules
+	chance                   keyhash.Source
+	caches                   map[CacheID]*cache
+	listed                   []*cache // without the origin
+	segs                     [segments][]*cache
+	origin                   *cache                // nil in through mode
+	room                     float64               // legs the origin may have, as learned
+	fetches                  map[uint64]*Retrieval // who fetches a key from the origin; others that miss it wait
+	queue                    []*Retrieval          // waiting for room at the origin or for another's fetch
+	wanted                   map[uint64]float64    // benefit asked of each key; halved now and then
+	short, bar               float64               // share of those for the origin without room; best worth
+	took, pace               tally.Histogram       // of legs to caches: their time, and that by each in hand
+	originTook               time.Duration         // by a leg there, smoothed
+	typical, slow, patience  time.Duration         // the median, the slow twentieth, and what means silence
+	usual, othersLoad        float64               // legs a warm cache of weight 1 answered; mean foreign load
+	asked, good              float64               // turned away or ended at a cache; those in time
+	spare, cheap             float64               // second copies saved up; mean cheapness of a retrieval
+	metered                  []Instant             // up to when each league has used its share
+	upkeeps, askFails        int
+	roomCut, originAt, askAt Instant // last cut; next leg in a small room; when to ask for the list
 }
 
 func New(now Instant, seed int64, rules HouseRules) *Router {
-	rules.MostLegs, rules.Round = max(1, rules.MostLegs), max(time.Millisecond, rules.Round)
+	rules.Nodes, rules.MostLegs = max(1, rules.Nodes), max(1, rules.MostLegs)
+	rules.Round = max(time.Millisecond, rules.Round)
 	p := &Router{rules: rules, caches: map[CacheID]*cache{}, fetches: map[uint64]*Retrieval{}, cheap: 1,
-		room: originFirst, asked: evidence, good: evidence, askAt: now, wanted: map[uint64]float64{},
-		metered: make([]Instant, len(rules.Leagues))}
+		room: max(1, originFirst/float64(rules.Nodes)), asked: evidence, good: evidence, askAt: now,
+		wanted: map[uint64]float64{}, metered: make([]Instant, len(rules.Leagues))}
 	p.chance.Seed = uint32(seed ^ seed>>32)
 	p.retime()
 	return p
@@ -239,13 +241,10 @@
 	c.coldAt = now.Add(time.Duration(share * min(float64(p.rules.ColdFor), gap)))
 }
 
-// inHand counts own legs there, given up or not: such a one counts until a later one's answer ends its turn.
-func (c *cache) inHand() float64 { return float64(c.out + len(c.ghosts)) }
-
 // load is own legs there and what it reports beside them: the others' mean if it does not, or as that ages.
 func (p *Router) load(now Instant, c *cache) float64 {
 	old := float64(now.Since(c.toldAt)) / float64(2*holds)
-	return c.inHand() + p.othersLoad + (c.foreign-p.othersLoad)*math.Exp2(-old)
+	return float64(c.out) + p.othersLoad + (c.foreign-p.othersLoad)*math.Exp2(-old)
 }
 
 // lawful is the second rule and the third: may this retrieval go to this cache now, however wise it seems?
@@ -323,7 +322,7 @@
 	for _, seg := range order {
 		c := p.locate(now, seg, r.memo.key)
 		if c != nil && len(hs) < copies && p.lawful(now, r, c) && !p.coldTo(now, c, r.memo.key) &&
-			(p.blind || !p.silent(now, c)) && c.erred[r.memo.at] < failsToRest {
+			!p.silent(now, c) && c.erred[r.memo.at] < failsToRest {
 			hs = append(hs, c)
 		}
 	}
@@ -334,9 +333,10 @@
 // While the origin is short, earlier ranked ones may have some legs more, lest three fill with one key.
 func (p *Router) pick(now Instant, r *Retrieval, hs []*cache) (best *cache, full bool) {
 	soft, least, per := r.memo.grade.SoftLimit, math.Inf(1), float64(p.pace.Quantile(0.5, 0))
+	rank := max(0, rankLegs*p.short-p.chance.Next()) // by chance, or the least of it would part all equal loads
 	for i, c := range hs {
 		load := p.load(now, c)
-		l := load + rankLegs*p.short*float64(i) + tieBreak*p.tie(now, c)
+		l := load + rank*float64(i) + p.tie(now, c, i)
 		if c.Zone != p.rules.Zone {
 			l += crossingLegs * p.rules.CrossingPrice
 		}
@@ -351,14 +351,14 @@
 	return best, full && best == nil
 }
 
-// tie parts holders of equal load. A node that sees few retrievals has mostly nought in hand everywhere, so
-// it goes by its own legs lately for what the cache is worth, by chance, and by whether a connection is open.
-func (p *Router) tie(now Instant, c *cache) float64 {
-	t := -math.Log(1 - p.chance.Next())
+// tie parts holders of equal load, as most are at a node that sees few retrievals: by chance, by what they
+// are listed as worth, by rank, as each cache that takes a key fetches it, and by where a connection is open.
+func (p *Router) tie(now Instant, c *cache, rank int) float64 {
+	t := rankTie*float64(rank) - math.Log(1-p.chance.Next())
 	if c.out == 0 && now.Since(c.usedAt) > p.rules.IdleConnection-time.Second {
 		t += opening
 	}
-	return t / c.Weight
+	return tieBreak * t / c.Weight
 }
 
 func (p *Router) send(now Instant, r *Retrieval, cs ...*cache) Move {
@@ -417,8 +417,7 @@
 	return p.next(now, r)
 }
 
-// further decides on a read whose leg is out for long: a second copy beside it, where the chance that the
-// first is late is worth what a wasted copy costs, or calling it off.
+// further decides on a read whose leg is out long: a copy beside it, if lateness costs more, or calling off.
 func (p *Router) further(now Instant, r *Retrieval, leg int) Move {
 	to := p.caches[r.Legs[leg].To]
 	silent := to == nil || p.silent(now, to)
@@ -482,13 +481,14 @@
 	if leads && !r.Write {
 		p.fetches[r.memo.key] = r
 	}
-	full := float64(p.origin.out)+1 > p.room
+	full := p.free(now) <= 0
 	if leads && !queued {
 		if p.short -= p.short / lately; full {
 			p.short += 1.0 / lately
 		}
 	}
 	if leads && !full {
+		p.originAt = now.Add(time.Duration(float64(p.originTook) / p.room))
 		return p.send(now, r, p.origin)
 	}
 	if !queued {
@@ -500,6 +500,14 @@
 	return Move{AskAgain: now.Add(min(max(left, 2*p.rules.Round), p.left(now, r)))}
 }
 
+// free is how many legs more the origin may have; in a room for less than one, one now and then.
+func (p *Router) free(now Instant) int {
+	if now < p.origin.restUntil || p.room < 1 && now < p.originAt {
+		return 0
+	}
+	return int(max(1, p.room)) - p.origin.out
+}
+
 // worth is what an origin leg brings: a write its benefit, a read that of all who will want the copy.
 func (p *Router) worth(r *Retrieval) float64 {
 	if r.Write {
@@ -509,12 +517,12 @@
 }
 
 // dequeue wakes those whose fetch is over, or that the origin has room for: worth most first, then oldest.
-func (p *Router) dequeue() (wake []RetrievalID) {
+func (p *Router) dequeue(now Instant) (wake []RetrievalID) {
 	p.queue = slices.DeleteFunc(p.queue, func(q *Retrieval) bool {
 		return q.Over || slices.ContainsFunc(q.Legs, isOut)
 	})
 	slices.SortStableFunc(p.queue, func(a, b *Retrieval) int { return cmp.Compare(p.worth(b), p.worth(a)) })
-	free, unserved := int(p.room)-p.origin.out, 0.0
+	free, unserved := p.free(now), 0.0
 	for _, q := range p.queue {
 		kept, leads := q.memo.keptAt != "", p.leads(q)
 		if kept || leads && free > 0 {
@@ -556,29 +564,24 @@
 		}
 	}
 	if len(p.queue) > 0 && p.origin != nil {
-		m.Wake = p.dequeue()
+		m.Wake = p.dequeue(now)
 	}
 	return m
 }
 
 func (p *Router) learn(now Instant, c *cache, r *Retrieval, leg Leg, o Outcome) {
-	soft, at := r.memo.grade.SoftLimit, r.memo.at
-	c.usedAt = now
-	own, each := c.inHand(), time.Duration(float64(o.Took)/max(1, p.load(now, c)))
-	c.out = max(0, c.out-1)
-	switch leg.Result {
-	case Answered:
-		c.ghosts = slices.DeleteFunc(c.ghosts, func(sent Instant) bool { return sent < leg.Sent })
+	at, own, lost := r.memo.at, float64(c.out), leg.Result == TimedOut || leg.Result == TurnedAway
+	inTime := (leg.Result == Answered || leg.Result == Missed) && o.Took <= r.memo.grade.SoftLimit
+	if leg.Result == Errored || leg.Result == Broken {
+		c.erred[at] = min(c.erred[at]+1, 2*failsToRest)
+	} else if leg.Result == Answered {
 		c.erred[at] /= 2
 		if c.served++; c != p.origin {
 			p.took.Add(o.Took)
-			p.pace.Add(each)
+			p.pace.Add(time.Duration(float64(o.Took) / max(1, p.load(now, c))))
 		}
-	case Errored, Broken:
-		c.erred[at] = min(c.erred[at]+1, 2*failsToRest)
-	case TimedOut, Cancelled:
-		c.ghosts = append(c.ghosts, leg.Sent)
 	}
+	c.out, c.usedAt = max(0, c.out-1), now
 	switch leg.Result {
 	case Answered, Missed, Errored, TurnedAway:
 		c.heard, c.waitingOn, c.fails, c.refused, c.restUntil = now, now, 0, 0, 0
@@ -587,20 +590,19 @@
 			p.failed(now, c, leg.Result)
 		}
 	}
-	lost, busy := leg.Result == TimedOut || leg.Result == TurnedAway, busyMost
 	switch i, b := p.rules.InFlightAt, p.rules.BusyAt; {
 	case i >= 0 && i < len(o.Report): // it counts own legs too
 		c.foreign, c.toldAt = max(0, o.Report[i]-own), now
 	case b >= 0 && (lost || b < len(o.Report)): // many own legs tell more, and all would follow one report
+		busy := busyMost
 		if !lost {
 			busy = min(max(0, o.Report[b]), busy)
 		}
 		c.foreign, c.toldAt = busy/(1-busy)/(1+c.served), now
 	}
-	if c.toldAt == now {
+	if c.toldAt == now && c != p.origin {
 		p.othersLoad += (c.foreign - p.othersLoad) / lately
 	}
-	inTime := (leg.Result == Answered || leg.Result == Missed) && o.Took <= soft
 	switch {
 	case leg.Result == Cancelled, leg.Result == NeverSent:
 	case leg.Result == TurnedAway && c != p.origin:
@@ -609,10 +611,12 @@
 		if p.asked++; inTime {
 			p.good++
 		}
-	case inTime:
-		p.room += 1 / p.room
-	case now.Since(p.roomCut) > p.slow:
-		p.room, p.roomCut = max(originLeast, p.room*originCut), now
+	default:
+		if p.originTook += (o.Took - p.originTook) / 8; inTime {
+			p.room += min(1/p.room, originGrow*p.room)
+		} else if now.Since(p.roomCut) > p.slow {
+			p.room, p.roomCut = max(originLeast/float64(p.rules.Nodes), p.room*originCut), now
+		}
 	}
 }
 
@@ -634,7 +638,7 @@
 		p.short = max(0, p.asked-p.good) / max(1, p.asked)
 	}
 	p.retime()
-	served, weight, quiet := 0.0, 0.0, 0
+	served, weight := 0.0, 0.0
 	for _, c := range p.listed {
 		if halve {
 			c.served /= 2
@@ -644,16 +648,12 @@
 		}
 		served += c.served
 		weight += c.Weight * p.warmth(now, c)
-		c.ghosts = slices.DeleteFunc(c.ghosts, func(sent Instant) bool { return now.Since(sent) > holds })
-		if p.silent(now, c) {
-			quiet++
-		}
 		if p.rules.MayProbe && c.fails >= failsToRest && now >= c.restUntil {
 			chores = append(chores, Chore{Kind: ProbeCache, Cache: c.ID})
 			c.restUntil = now.Add(p.patience)
 		}
 	}
-	p.usual, p.blind = served/max(weight, 1e-9), 2*quiet > len(p.listed)
+	p.usual = served / max(weight, 1e-9)
 	if p.rules.MustAsk && now >= p.askAt {
 		p.askAt = now.Add(max(p.rules.AskWithin, time.Second))
 		chores = append(chores, Chore{Kind: FollowList})
