Keep evidence, not a second's worth, and let what is known of load fade

Cause: histograms halved each second never hold enough at 1.5 retrievals a second, so no queue ever looked full at size, and the mean of reports, once high, locked nodes out: nothing was sent, so nothing was reported. A few crowded caches answer most and raised it for all. Histograms keep 14 samples; a report counts at most about twice the mean, the mean halves in a second without news, and a cache's own report fades over twenty seconds.

--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -9,7 +9,7 @@
 const (
 	bins  = 14               // each twice the last: from under 1 ms to over 4 s
 	First = time.Millisecond // upper end of the first bin; below this all caches look alike
-	known = 2 * bins         // samples below which a histogram says nothing
+	known = bins             // samples below which a histogram says nothing
 )
 
 // Histogram counts times by size.
@@ -20,8 +20,11 @@
 	h[min(bins-1, bits.Len64(uint64(max(0, d)/First)))]++
 }
 
-// Halve lets what is old count for less.
+// Halve lets what is old count for less, as long as enough is left to say something.
 func (h *Histogram) Halve() {
+	if h.total() < 2*known {
+		return
+	}
 	for i := range h {
 		h[i] /= 2
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,21 +18,20 @@
 )
 
 const (
-	never        = math.MinInt64 / 2      // an Instant longer ago than any
 	segments     = 7                      // segments: the design's k
 	copies       = 3                      // holders of a key: the design's number
 	upkeepEvery  = 100 * time.Millisecond // upkeep period: a few service times, so that trouble is seen soon
 	halveEvery   = 10                     // upkeeps between halvings of what is measured: about a second
-	holds        = 4 * time.Second        // longest rest of a failing cache; half a report holds twice as long
+	holds        = 4 * time.Second        // longest rest of a failing cache; a report fades over five times that
 	failsToRest  = 2                      // failures, or errors in a grade, that a cache may have: one is chance
 	rankLegs     = 4.0                    // legs more for an earlier holder while the origin is short: a fetch
 	shortLeast   = 0.01                   // lost share of legs from which a write goes to one holder only
 	tieBreak     = 1e-3                   // legs by which equal loads are parted: far below a real difference
-	rankTie      = 0.7                    // what a rank weighs among equal loads, chance being 1 on the mean
+	rankTie      = 0.5                    // what a rank weighs among equal loads, chance being 1 on the mean
 	opening      = 8.0                    // the same for a new connection: more than the ranks do
 	busyMost     = 0.9                    // share of time busy above which queues can't be told apart
 	trialShare   = 0.03                   // of those asked that always get in, to see a recovery
-	evidence     = 8.0                    // asked that are not halved: fewer would make chance a sign
+	evidence     = 10.0                   // asked, or reports, not halved or outweighed: fewer make chance a sign
 	lately       = 50                     // retrievals over which shares are taken: a second or two
 	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	spareMost    = 10                     // second copies saved up: covers one cache falling silent
@@ -69,26 +68,27 @@
 }
 
 type Router struct {
-	rules                    HouseRules
-	chance                   keyhash.Source
-	caches                   map[CacheID]*cache
-	listed                   []*cache // without the origin
-	segs                     [segments][]*cache
-	origin                   *cache                // nil in through mode
-	room                     float64               // legs the origin may have, as learned
-	fetches                  map[uint64]*Retrieval // who fetches a key from the origin; others that miss it wait
-	queue                    []*Retrieval          // waiting for room at the origin or for another's fetch
-	wanted                   map[uint64]float64    // benefit asked of each key; halved now and then
-	short, bar               float64               // share of those for the origin without room; best worth
-	took, pace               tally.Histogram       // of legs to caches: their time, and that by each in hand
-	originTook               time.Duration         // by a leg there, smoothed
-	typical, slow, patience  time.Duration         // the median, the slow twentieth, and what means silence
-	usual, othersLoad        float64               // legs a warm cache of weight 1 answered; mean foreign load
-	asked, good              float64               // turned away or ended at a cache; those in time
-	spare, cheap             float64               // second copies saved up; mean cheapness of a retrieval
-	metered                  []Instant             // up to when each league has used its share
-	upkeeps, askFails        int
-	roomCut, originAt, askAt Instant // last cut; next leg in a small room; when to ask for the list
+	rules                   HouseRules
+	chance                  keyhash.Source
+	caches                  map[CacheID]*cache
+	listed                  []*cache // without the origin
+	segs                    [segments][]*cache
+	origin                  *cache                // nil in through mode
+	room                    float64               // legs the origin may have, as learned
+	fetches                 map[uint64]*Retrieval // who fetches a key from the origin; others that miss it wait
+	queue                   []*Retrieval          // waiting for room at the origin or for another's fetch
+	wanted                  map[uint64]float64    // benefit asked of each key; halved now and then
+	short, bar              float64               // share of those for the origin without room; best worth
+	took, pace              tally.Histogram       // of legs to caches: their time, and that by each in hand
+	originTook              time.Duration         // by a leg there, smoothed
+	typical, slow, patience time.Duration         // the median, the slow twentieth, and what means silence
+	usual, othersLoad       float64               // legs a warm cache of weight 1 answered; mean foreign load
+	asked, good             float64               // turned away or ended at a cache; those in time
+	spare, cheap            float64               // second copies saved up; mean cheapness of a retrieval
+	metered                 []Instant             // up to when each league has used its share
+	upkeeps, askFails       int
+	newsAt, roomCut         Instant // of the last report; of the last cut of the room
+	originAt, askAt         Instant // when a small room may have its next leg; when to ask for the list
 }
 
 func New(now Instant, seed int64, rules HouseRules) *Router {
@@ -135,8 +135,7 @@
 
 // leftOf returns the slot next to the left in the key space (Fig. 2), where slots lie by their bits reversed.
 func leftOf(slot, n int) int {
-	at := func(s int) uint64 { return bits.Reverse64(uint64(s)) }
-	best := slot
+	at, best := func(s int) uint64 { return bits.Reverse64(uint64(s)) }, slot
 	for s := range n { // distances wrap round
 		if s != slot && (best == slot || at(slot)-at(s) < at(slot)-at(best)) {
 			best = s
@@ -180,13 +179,13 @@
 	named := map[CacheID]bool{}
 	for _, e := range entries {
 		c := p.caches[e.ID]
-		named[e.ID] = true
+		named[e.ID], e.Born, e.Weight = true, cmp.Or(e.Born, Never), cmp.Or(max(e.Weight, 0), 1)
 		if c == nil || e.Born > c.Born { // started anew: what was learned of the old process says nothing
-			c = &cache{hash: keyhash.Text(string(e.ID)), toldAt: never, usedAt: never,
+			c = &cache{hash: keyhash.Text(string(e.ID)), toldAt: Never, usedAt: Never,
 				erred: make([]uint8, len(p.rules.Grades)+1)}
 			p.caches[e.ID] = c
 		}
-		c.Entry, c.Weight, c.Born = e, cmp.Or(max(e.Weight, 0), 1), cmp.Or(e.Born, never)
+		c.Entry = e
 	}
 	for id, c := range p.caches {
 		if c.State == Gone || form != Changes && !named[id] {
@@ -220,8 +219,7 @@
 		c.out > 0 && now.Since(c.waitingOn) > p.patience
 }
 
-// warmth is the share of its capacity that a cache is sure to have by now.
-func (p *Router) warmth(now Instant, c *cache) float64 {
+func (p *Router) warmth(now Instant, c *cache) float64 { // the share of capacity it is sure to have by now
 	old := max(0, float64(now.Since(c.Born))) / max(1, float64(p.rules.ColdFor))
 	return min(1, p.rules.ColdFrom+(1-p.rules.ColdFrom)*old)
 }
@@ -243,8 +241,7 @@
 
 // load is own legs there and what it reports beside them: the others' mean if it does not, or as that ages.
 func (p *Router) load(now Instant, c *cache) float64 {
-	old := float64(now.Since(c.toldAt)) / float64(2*holds)
-	return float64(c.out) + p.othersLoad + (c.foreign-p.othersLoad)*math.Exp2(-old)
+	return float64(c.out) + p.othersLoad + (c.foreign-p.othersLoad)*max(0, 1-float64(now.Since(c.toldAt))/float64(5*holds))
 }
 
 // lawful is the second rule and the third: may this retrieval go to this cache now, however wise it seems?
@@ -463,8 +460,7 @@
 	return p.giveUp(r)
 }
 
-// leads tells whether r is to go to the origin itself and has no other's fetch to wait for.
-func (p *Router) leads(r *Retrieval) bool {
+func (p *Router) leads(r *Retrieval) bool { // to the origin itself: it has no other's fetch to wait for
 	f := p.fetches[r.memo.key]
 	return r.Write || f == nil || f == r || f.Over
 }
@@ -508,8 +504,7 @@
 	return int(max(1, p.room)) - p.origin.out
 }
 
-// worth is what an origin leg brings: a write its benefit, a read that of all who will want the copy.
-func (p *Router) worth(r *Retrieval) float64 {
+func (p *Router) worth(r *Retrieval) float64 { // of an origin leg: a read's is that of all who want the copy
 	if r.Write {
 		return r.memo.benefit
 	}
@@ -601,7 +596,8 @@
 		c.foreign, c.toldAt = busy/(1-busy)/(1+c.served), now
 	}
 	if c.toldAt == now && c != p.origin {
-		p.othersLoad += (c.foreign - p.othersLoad) / lately
+		p.othersLoad += (min(c.foreign, 2*p.othersLoad+1) - p.othersLoad) / evidence
+		p.newsAt = now
 	}
 	switch {
 	case leg.Result == Cancelled, leg.Result == NeverSent:
@@ -626,6 +622,9 @@
 		if p.asked > 2*evidence {
 			p.asked, p.good = p.asked/2, p.good/2
 		}
+		if now.Since(p.newsAt) > halveEvery*upkeepEvery { // or where all look full, no leg would ever find out
+			p.othersLoad /= 2
+		}
 		p.took.Halve()
 		p.pace.Halve()
 		maps.DeleteFunc(p.wanted, func(key uint64, w float64) bool {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -281,6 +281,41 @@
 	}
 }
 
+// After a burst a few crowded caches, and news that nothing renews, must not make all others look full.
+func TestFewCrowdedCachesDoNotMakeTheOthersLookFull(t *testing.T) {
+	rules := testRules()
+	rules.InFlightAt = 0
+	w, sent := newWorld(t, rules, fleet(45, false)), 0
+	for i := range 600 {
+		r, m := w.arrive(fmt.Sprint("key", i), 0, false)
+		w.pass(60 * ms)
+		if len(m.To) == 0 {
+			continue
+		}
+		held := 1.0
+		if i < 100 || i%5 == 0 {
+			held = 60
+		}
+		if i >= 500 {
+			sent++
+		}
+		r.Legs[0].Out, r.Legs[0].Result, r.Over = false, Answered, true
+		w.p.After(w.now, r, Outcome{Took: 60 * ms, Report: []float64{held}})
+	}
+	if sent < 40 {
+		t.Errorf("%d of 100 retrievals went out though four of five caches are idle", sent)
+	}
+}
+
+func TestCacheListedAgainKeepsWhatWasLearned(t *testing.T) {
+	w := newWorld(t, testRules(), fleet(12, false))
+	was := w.p.caches["cache-3"]
+	w.list(Changes, w.state["cache-3"])
+	if w.p.caches["cache-3"] != was {
+		t.Error("a cache that did not start anew was forgotten")
+	}
+}
+
 // Hundreds of nodes open a connection for most legs unless equal loads go where one is open.
 func TestEqualLoadsGoWhereAConnectionIsOpen(t *testing.T) {
 	rules := testRules()
--- a/policy/types.go
+++ b/policy/types.go
@@ -7,6 +7,9 @@
 // Instant is a reading of the caller's clock in whole nanoseconds. Only differences mean anything.
 type Instant int64
 
+// Never is an Instant longer ago than any.
+const Never Instant = -1 << 62
+
 // Add returns the instant d later.
 func (t Instant) Add(d time.Duration) Instant { return t + Instant(d) }
 
