--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,10 +28,11 @@
 	shortLeast   = 0.01                   // lost share of legs from which a write goes to one holder only
 	tieBreak     = 1e-3                   // legs by which equal loads are parted: far below a real difference
 	rankTie      = 0.5                    // what a rank weighs among equal loads, chance being 1 on the mean
+	hotLeast     = 3.0                    // asked for a key before it may have more holders: two may be chance
 	opening      = 8.0                    // the same for a new connection: more than the ranks do
 	busyMost     = 0.9                    // share of time busy above which queues can't be told apart
 	trialShare   = 0.03                   // of those asked that always get in, to see a recovery
-	evidence     = 10.0                   // asked, or reports, not halved or outweighed: fewer make chance a sign
+	evidence     = 10.0                   // asked, or reports, that are kept: fewer make chance a sign
 	lately       = 50                     // retrievals over which shares are taken: a second or two
 	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	spareMost    = 10                     // second copies saved up: covers one cache falling silent
@@ -68,27 +69,27 @@
 }
 
 type Router struct {
-	rules                   HouseRules
-	chance                  keyhash.Source
-	caches                  map[CacheID]*cache
-	listed                  []*cache // without the origin
-	segs                    [segments][]*cache
-	origin                  *cache                // nil in through mode
-	room                    float64               // legs the origin may have, as learned
-	fetches                 map[uint64]*Retrieval // who fetches a key from the origin; others that miss it wait
-	queue                   []*Retrieval          // waiting for room at the origin or for another's fetch
-	wanted                  map[uint64]float64    // benefit asked of each key; halved now and then
-	short, bar              float64               // share of those for the origin without room; best worth
-	took, pace              tally.Histogram       // of legs to caches: their time, and that by each in hand
-	originTook              time.Duration         // by a leg there, smoothed
-	typical, slow, patience time.Duration         // the median, the slow twentieth, and what means silence
-	usual, othersLoad       float64               // legs a warm cache of weight 1 answered; mean foreign load
-	asked, good             float64               // turned away or ended at a cache; those in time
-	spare, cheap            float64               // second copies saved up; mean cheapness of a retrieval
-	metered                 []Instant             // up to when each league has used its share
-	upkeeps, askFails       int
-	newsAt, roomCut         Instant // of the last report; of the last cut of the room
-	originAt, askAt         Instant // when a small room may have its next leg; when to ask for the list
+	rules                HouseRules
+	chance               keyhash.Source
+	caches               map[CacheID]*cache
+	listed               []*cache // without the origin
+	segs                 [segments][]*cache
+	origin               *cache                // nil in through mode
+	room                 float64               // legs the origin may have, as learned
+	fetches              map[uint64]*Retrieval // who fetches a key from the origin; others that miss it wait
+	queue                []*Retrieval          // waiting for room at the origin or for another's fetch
+	wanted               map[uint64]float64    // benefit asked of each key; halved now and then
+	short, bar           float64               // share of those for the origin without room; best worth
+	took, pace           tally.Histogram       // of legs to caches: their time, and that by each in hand
+	originTook           time.Duration         // by a leg there, smoothed
+	slow, patience       time.Duration         // the slow twentieth, and what means silence
+	usual, othersLoad    float64               // legs a warm cache of weight 1 answered; mean foreign load
+	asked, good          float64               // turned away or ended at a cache; those in time
+	spare, cheap, asking float64               // second copies saved up; mean cheapness; benefit asked
+	metered              []Instant             // up to when each league has used its share
+	upkeeps, askFails    int
+	newsAt, roomCut      Instant // of the last report; of the last cut of the room
+	originAt, askAt      Instant // when a small room may have its next leg; when to ask for the list
 }
 
 func New(now Instant, seed int64, rules HouseRules) *Router {
@@ -102,8 +103,7 @@
 	return p
 }
 
-// deal spreads hashed ids evenly over n places, the nearest pairs first. It depends on the set alone, so
-// nodes with the same list agree, and one id less moves few others.
+// deal spreads hashed ids evenly over n places, nearest pairs first: by the set alone, and few move.
 func deal(cs []*cache, n, salt int) []int {
 	pairs, place, held := make([]int, len(cs)*n), make([]int, len(cs)), make([]int, n)
 	for i := range pairs {
@@ -195,7 +195,6 @@
 	p.redeal()
 }
 
-// Probed tells what a probe found. One that was answered lets legs try the cache again.
 func (p *Router) Probed(now Instant, id CacheID, found Result) {
 	if c := p.caches[id]; c != nil && found != Answered {
 		p.failed(now, c, found)
@@ -241,7 +240,8 @@
 
 // load is own legs there and what it reports beside them: the others' mean if it does not, or as that ages.
 func (p *Router) load(now Instant, c *cache) float64 {
-	return float64(c.out) + p.othersLoad + (c.foreign-p.othersLoad)*max(0, 1-float64(now.Since(c.toldAt))/float64(5*holds))
+	fresh := max(0, 1-float64(now.Since(c.toldAt))/float64(5*holds))
+	return float64(c.out) + p.othersLoad + (c.foreign-p.othersLoad)*fresh
 }
 
 // lawful is the second rule and the third: may this retrieval go to this cache now, however wise it seems?
@@ -311,14 +311,19 @@
 }
 
 // holders lists a key's caches, first ranked first. One that drains, is silent, fails this grade fast and so
-// looks idle, or is too cold for the key yields to the next ranked spare.
+// looks idle, or is too cold for the key yields to the next ranked spare. Reads of a key that is asked for
+// more than three caches' even share have more holders, or those would be full while all others had room.
 func (p *Router) holders(now Instant, r *Retrieval) (hs []*cache) {
+	n, w := copies, p.wanted[r.memo.key]
+	if !r.Write && w*p.cheap*p.cheap >= hotLeast {
+		n = max(n, min(segments, int(w/p.asking*float64(len(p.listed)))))
+	}
 	order := [segments]int{0, 1, 2, 3, 4, 5, 6}
 	score := func(seg int) uint64 { return keyhash.Salted(r.memo.key, seg) }
 	slices.SortFunc(order[:], func(a, b int) int { return cmp.Compare(score(a), score(b)) })
 	for _, seg := range order {
 		c := p.locate(now, seg, r.memo.key)
-		if c != nil && len(hs) < copies && p.lawful(now, r, c) && !p.coldTo(now, c, r.memo.key) &&
+		if c != nil && len(hs) < n && p.lawful(now, r, c) && !p.coldTo(now, c, r.memo.key) &&
 			!p.silent(now, c) && c.erred[r.memo.at] < failsToRest {
 			hs = append(hs, c)
 		}
@@ -327,13 +332,16 @@
 }
 
 // pick chooses the least loaded holder not yet tried; full: queues would take half the soft limit, and stand.
-// While the origin is short, earlier ranked ones may have some legs more, lest three fill with one key.
 func (p *Router) pick(now Instant, r *Retrieval, hs []*cache) (best *cache, full bool) {
 	soft, least, per := r.memo.grade.SoftLimit, math.Inf(1), float64(p.pace.Quantile(0.5, 0))
-	rank := max(0, rankLegs*p.short-p.chance.Next()) // by chance, or the least of it would part all equal loads
+	// while the origin is short, earlier ones may have legs more, by chance, or it would part all equal loads
+	rank, lean := max(0, rankLegs*p.short-p.chance.Next()), rankTie
+	if len(hs) > copies { // a key that is spread has no first holder
+		rank, lean = 0, 0
+	}
 	for i, c := range hs {
 		load := p.load(now, c)
-		l := load + rank*float64(i) + p.tie(now, c, i)
+		l := load + rank*float64(i) + p.tie(now, c, lean*float64(i))
 		if c.Zone != p.rules.Zone {
 			l += crossingLegs * p.rules.CrossingPrice
 		}
@@ -348,10 +356,9 @@
 	return best, full && best == nil
 }
 
-// tie parts holders of equal load, as most are at a node that sees few retrievals: by chance, by what they
-// are listed as worth, by rank, as each cache that takes a key fetches it, and by where a connection is open.
-func (p *Router) tie(now Instant, c *cache, rank int) float64 {
-	t := rankTie*float64(rank) - math.Log(1-p.chance.Next())
+// tie parts equal loads, as most are at a node that sees few: by chance, worth, rank and open connections.
+func (p *Router) tie(now Instant, c *cache, rank float64) float64 {
+	t := rank - math.Log(1-p.chance.Next())
 	if c.out == 0 && now.Since(c.usedAt) > p.rules.IdleConnection-time.Second {
 		t += opening
 	}
@@ -359,7 +366,7 @@
 }
 
 func (p *Router) send(now Instant, r *Retrieval, cs ...*cache) Move {
-	m := Move{GiveUpAt: now.Add(p.left(now, r))}
+	m := Move{GiveUpAt: now.Add(p.left(now, r)), AskAgain: now.Add(p.slow)}
 	for _, c := range cs {
 		if c.out++; c.out == 1 {
 			c.waitingOn = now
@@ -368,9 +375,6 @@
 		c.usedAt = now
 		m.To = append(m.To, c.ID)
 	}
-	if r.memo.grade.Effect != Irreversible && !r.Write {
-		m.AskAgain = now.Add(p.slow)
-	}
 	return m
 }
 
@@ -394,10 +398,10 @@
 	p.spare = min(spareMost, p.spare+spareShare)
 	key := keyhash.Text(r.Key)
 	p.wanted[key] += benefit
+	p.asking += benefit
 	r.memo = memo{true, g, at, key, benefit, cheap / p.cheap, ""}
 }
 
-// Where decides where a retrieval goes now: at its arrival, when it was to be asked again, and when woken.
 func (p *Router) Where(now Instant, r *Retrieval) Move {
 	i, known := slices.IndexFunc(r.Legs, isOut), r.memo.met
 	if !known {
@@ -419,7 +423,7 @@
 	to := p.caches[r.Legs[leg].To]
 	silent := to == nil || p.silent(now, to)
 	switch {
-	case len(r.Legs) >= p.rules.MostLegs || to != nil && to == p.origin:
+	case r.Write || r.memo.grade.Effect == Irreversible || to != nil && to == p.origin:
 		return Move{}
 	case p.rules.SecondCopies && p.spare >= 1 && p.chance.Next() >= p.short && (silent || p.rules.WastePrice <=
 		p.took.Above(r.memo.grade.SoftLimit)/max(1, p.took.Above(now.Since(r.Legs[leg].Sent)))):
@@ -436,7 +440,7 @@
 func (p *Router) next(now Instant, r *Retrieval) Move {
 	g := r.memo.grade
 	ran := len(r.Legs) > 0 && !r.Legs[len(r.Legs)-1].Result.NeverRan()
-	if len(r.Legs) >= p.rules.MostLegs || p.left(now, r) <= p.typical/4 || ran && p.spare < 0 {
+	if len(r.Legs) >= p.rules.MostLegs || p.left(now, r) <= p.slow/8 || ran && p.spare < 0 {
 		return p.giveUp(r)
 	}
 	if p.rules.Aside && (r.Write || slices.ContainsFunc(r.Legs, missed)) {
@@ -465,8 +469,8 @@
 	return r.Write || f == nil || f == r || f.Over
 }
 
-// toOrigin sends a write, or a read that missed, to the origin. Against miss storms one read fetches a key,
-// the others wait, legs there are bounded, and who would mostly wait in vain is turned away.
+// toOrigin sends a write, or a read that missed, to the origin. Against storms of misses one read fetches a
+// key and others wait, legs are bounded, and who would mostly wait in vain is turned away.
 func (p *Router) toOrigin(now Instant, r *Retrieval) Move {
 	left := r.memo.grade.SoftLimit - now.Since(r.Arrived)
 	queued := slices.Contains(p.queue, r)
@@ -504,12 +508,7 @@
 	return int(max(1, p.room)) - p.origin.out
 }
 
-func (p *Router) worth(r *Retrieval) float64 { // of an origin leg: a read's is that of all who want the copy
-	if r.Write {
-		return r.memo.benefit
-	}
-	return p.wanted[r.memo.key]
-}
+func (p *Router) worth(r *Retrieval) float64 { return p.wanted[r.memo.key] } // of a leg at the origin
 
 // dequeue wakes those whose fetch is over, or that the origin has room for: worth most first, then oldest.
 func (p *Router) dequeue(now Instant) (wake []RetrievalID) {
@@ -627,10 +626,13 @@
 		}
 		p.took.Halve()
 		p.pace.Halve()
-		maps.DeleteFunc(p.wanted, func(key uint64, w float64) bool {
-			p.wanted[key] = w / 2
-			return w*p.cheap*p.cheap < 0.5
-		})
+		if len(p.wanted) > lately { // else there is too little to tell which are popular
+			p.asking /= 2
+			maps.DeleteFunc(p.wanted, func(key uint64, w float64) bool {
+				p.wanted[key] = w / 2
+				return w*p.cheap*p.cheap < 0.5
+			})
+		}
 		maps.DeleteFunc(p.fetches, func(_ uint64, r *Retrieval) bool { return r.Over })
 	}
 	if !p.rules.Aside { // caches that lose legs are short of their origin, as far as a node can see
@@ -665,7 +667,6 @@
 	for _, g := range p.rules.Grades {
 		soft = min(soft, g.SoftLimit)
 	}
-	p.typical = p.took.Quantile(0.5, soft/4)
 	p.slow = max(p.took.Quantile(0.95, soft/2), 2*p.rules.Round)
 	p.patience = max(2*p.took.Quantile(0.99, soft), 4*p.rules.Round)
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -401,7 +401,7 @@
 func TestShortOriginKeepsAKeyAtItsFirstHolder(t *testing.T) {
 	spread := func(short float64) int {
 		w, to := asideWorld(t), map[CacheID]bool{}
-		w.p.short = short
+		w.p.short, w.p.asking = short, 1e6
 		for range 400 {
 			r, m := w.arrive("k", 0, false)
 			to[m.To[0]] = true
@@ -414,6 +414,28 @@
 	}
 }
 
+// A key hotter than three caches has nowhere to go unless more take it; others must not be scattered.
+func TestOnlyAKeyHotterThanThreeCachesHasMoreHolders(t *testing.T) {
+	w, to := newWorld(t, testRules(), fleet(90, false)), map[string]map[CacheID]bool{"hot": {}, "warm": {}}
+	for i := range 900 {
+		key := fmt.Sprint("key", i)
+		if i%5 == 0 {
+			key = "hot"
+		} else if i%100 == 1 {
+			key = "warm"
+		}
+		r, m := w.arrive(key, 0, false)
+		if to[key] != nil {
+			to[key][m.To[0]] = true
+		}
+		w.pass(20 * ms)
+		w.end(r, 0, Answered)
+	}
+	if hot, warm := len(to["hot"]), len(to["warm"]); hot != segments || warm > copies {
+		t.Errorf("the hot key went to %d caches, the other to %d", hot, warm)
+	}
+}
+
 func TestListIsAskedForAgainAfterAFailure(t *testing.T) {
 	rules := testRules()
 	rules.MustAsk = true
