--- a/policy/policy.go
+++ b/policy/policy.go
@@ -82,7 +82,7 @@
 	short, bar           float64               // share of those for the origin without room; best worth
 	took, pace           tally.Histogram       // of legs to caches: their time, and that by each in hand
 	originTook           time.Duration         // by a leg there, smoothed
-	soft, slow, patience time.Duration         // the shortest soft limit, the slow twentieth, and what means silence
+	slow, patience       time.Duration         // the slow twentieth, and what means silence
 	usual, othersLoad    float64               // legs a warm cache of weight 1 answered; mean foreign load
 	asked, good          float64               // turned away or ended at a cache; those in time
 	spare, cheap, asking float64               // second copies saved up; mean cheapness; benefit asked
@@ -607,7 +607,7 @@
 			p.good++
 		}
 	default:
-		if p.originTook += (o.Took - p.originTook) / 8; inTime && o.Took <= p.soft/2 {
+		if p.originTook += (o.Took - p.originTook) / 8; inTime && o.Took <= r.memo.grade.SoftLimit/2 {
 			p.room += min(1/p.room, originGrow*p.room)
 		} else if now.Since(p.roomCut) > p.slow {
 			p.room, p.roomCut = max(originLeast/float64(p.rules.Nodes), p.room*originCut), now
@@ -663,10 +663,10 @@
 }
 
 func (p *Router) retime() {
-	p.soft = time.Second
+	soft := time.Second
 	for _, g := range p.rules.Grades {
-		p.soft = min(p.soft, g.SoftLimit)
+		soft = min(soft, g.SoftLimit)
 	}
-	p.slow = max(p.took.Quantile(0.95, p.soft/2), 2*p.rules.Round)
-	p.patience = max(2*p.took.Quantile(0.99, p.soft), 4*p.rules.Round)
+	p.slow = max(p.took.Quantile(0.95, soft/2), 2*p.rules.Round)
+	p.patience = max(2*p.took.Quantile(0.99, soft), 4*p.rules.Round)
 }
