--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,7 +29,7 @@
 	tieBreak     = 1e-3                   // legs by which equal loads are parted: far below a real difference
 	rankTie      = 0.5                    // what a rank weighs among equal loads, chance being 1 on the mean
 	hotLeast     = 3.0                    // asked for a key before it may have more holders: two may be chance
-	opening      = 8.0                    // the same for a new connection: more than the ranks do
+	opening      = 8.0                    // the same for a new connection, or legs all in vain: more than ranks
 	busyMost     = 0.9                    // share of time busy above which queues can't be told apart
 	trialShare   = 0.03                   // of those asked that always get in, to see a recovery
 	evidence     = 10.0                   // asked, or reports, that are kept: fewer make chance a sign
@@ -54,6 +54,7 @@
 	restUntil, coldAt Instant // no legs before these; the second counts while it is cold
 	foreign           float64 // retrievals of others it holds by its last report
 	erred             []uint8 // errors by grade, halved by answers and by time
+	vain              float64 // share of the last few legs that were full, late or lost
 	served            float64 // legs answered lately: two seconds' worth at most
 	usedAt, toldAt    Instant // when a connection there was last in use; when it last reported
 }
@@ -358,7 +359,7 @@
 
 // tie parts equal loads, as most are at a node that sees few: by chance, worth, rank and open connections.
 func (p *Router) tie(now Instant, c *cache, rank float64) float64 {
-	t := rank - math.Log(1-p.chance.Next())
+	t := rank + opening*c.vain - math.Log(1-p.chance.Next())
 	if c.out == 0 && now.Since(c.usedAt) > p.rules.IdleConnection-time.Second {
 		t += opening
 	}
@@ -397,8 +398,7 @@
 	p.cheap += (cheap - p.cheap) / lately // set against its mean, or a few very cheap ones would close the door
 	p.spare = min(spareMost, p.spare+spareShare)
 	key := keyhash.Text(r.Key)
-	p.wanted[key] += benefit
-	p.asking += benefit
+	p.wanted[key], p.asking = p.wanted[key]+benefit, p.asking+benefit
 	r.memo = memo{true, g, at, key, benefit, cheap / p.cheap, ""}
 }
 
@@ -565,7 +565,10 @@
 
 func (p *Router) learn(now Instant, c *cache, r *Retrieval, leg Leg, o Outcome) {
 	at, own, lost := r.memo.at, float64(c.out), leg.Result == TimedOut || leg.Result == TurnedAway
-	inTime := (leg.Result == Answered || leg.Result == Missed) && o.Took <= r.memo.grade.SoftLimit
+	inTime := 0.0
+	if (leg.Result == Answered || leg.Result == Missed) && o.Took <= r.memo.grade.SoftLimit {
+		inTime = 1
+	}
 	if leg.Result == Errored || leg.Result == Broken {
 		c.erred[at] = min(c.erred[at]+1, 2*failsToRest)
 	} else if leg.Result == Answered {
@@ -601,13 +604,11 @@
 	switch {
 	case leg.Result == Cancelled, leg.Result == NeverSent:
 	case leg.Result == TurnedAway && c != p.origin:
-		p.asked += fullShare
+		p.asked, c.vain = p.asked+fullShare, c.vain+(1-c.vain)/evidence
 	case c != p.origin:
-		if p.asked++; inTime {
-			p.good++
-		}
+		p.asked, p.good, c.vain = p.asked+1, p.good+inTime, c.vain+(1-inTime-c.vain)/evidence
 	default:
-		if p.originTook += (o.Took - p.originTook) / 8; inTime && o.Took <= r.memo.grade.SoftLimit/2 {
+		if p.originTook += (o.Took - p.originTook) / 8; inTime > 0 && o.Took <= r.memo.grade.SoftLimit/2 {
 			p.room += min(1/p.room, originGrow*p.room)
 		} else if now.Since(p.roomCut) > p.slow {
 			p.room, p.roomCut = max(originLeast/float64(p.rules.Nodes), p.room*originCut), now
@@ -647,8 +648,7 @@
 				c.erred[g] /= 2
 			}
 		}
-		served += c.served
-		weight += c.Weight * p.warmth(now, c)
+		served, weight = served+c.served, weight+c.Weight*p.warmth(now, c)
 		if p.rules.MayProbe && c.fails >= failsToRest && now >= c.restUntil {
 			chores = append(chores, Chore{Kind: ProbeCache, Cache: c.ID})
 			c.restUntil = now.Add(p.patience)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -307,6 +307,31 @@
 	}
 }
 
+// Where caches report nothing, one that slowed down for long is known by legs that come to nothing there.
+func TestHolderWhoseLegsComeToNothingIsTheLastOfEquals(t *testing.T) {
+	w, bad := newWorld(t, testRules(), fleet(45, false)), 0
+	r, _ := w.arrive("k", 0, false)
+	slow := w.p.holders(w.now, r)[0]
+	w.end(r, 0, Cancelled)
+	r.Over = true
+	for i := range 300 {
+		r, m := w.arrive("k", 0, false)
+		w.pass(20 * ms)
+		how := Answered
+		if m.To[0] == slow.ID {
+			how = TurnedAway
+			if i >= 100 {
+				bad++
+			}
+		}
+		r.Over = true
+		w.end(r, 0, how)
+	}
+	if bad > 10 {
+		t.Errorf("%d of 200 legs went first to a holder that turns all away", bad)
+	}
+}
+
 func TestCacheListedAgainKeepsWhatWasLearned(t *testing.T) {
 	w := newWorld(t, testRules(), fleet(12, false))
 	was := w.p.caches["cache-3"]
