--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,7 +36,7 @@
 	lately       = 50                     // retrievals over which shares are taken: a second or two
 	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	spareMost    = 10                     // second copies saved up: covers one cache falling silent
-	lostLeast    = 1.25                   // asked per answer before any is turned away: a fifth may be bad luck
+	lostLeast    = 1.05                   // asked per answer before any is turned away: a twentieth may be bad luck
 	fullShare    = 0.1                    // lost legs that one turned away as full counts for: cheap but vain
 	originFirst  = 16.0                   // legs there over all nodes, but one each, before anything is known
 	originGrow   = 0.1                    // room gained by an answer in time, where that is under a leg
@@ -403,16 +403,12 @@
 }
 
 func (p *Router) Where(now Instant, r *Retrieval) Move {
-	i, known := slices.IndexFunc(r.Legs, isOut), r.memo.met
-	if !known {
+	if r.Over {
+		return Move{}
+	} else if !r.memo.met {
 		p.meet(now, r)
 	}
-	switch {
-	case r.Over:
-		return Move{}
-	case !known && !(r.Write && p.rules.Aside) && p.turnAway(r):
-		return p.giveUp(r)
-	case i >= 0:
+	if i := slices.IndexFunc(r.Legs, isOut); i >= 0 {
 		return p.further(now, r, i)
 	}
 	return p.next(now, r)
@@ -453,6 +449,8 @@
 	hs := p.holders(now, r)
 	c, full := p.pick(now, r, hs)
 	switch {
+	case c != nil && len(r.Legs) == 0 && p.turnAway(r): // of those that would be sent: full queues are no loss
+		return p.giveUp(r)
 	case c != nil && r.Write && g.Effect == Labelled && g.Scope == AllCaches && p.rules.SecondCopies &&
 		len(r.Legs) == 0 && p.short < shortLeast:
 		return p.send(now, r, hs[:min(len(hs), p.rules.MostLegs)]...) // through mode: to all holders
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -111,8 +111,8 @@
 		}
 		c.out = 3
 	}
-	if r, m := w.arrive("k", 0, false); len(m.To) > 0 || m.Answer != Dismiss {
-		t.Errorf("sent behind a queue longer than the soft limit: %v %v", r, m)
+	if r, m := w.arrive("k", 0, false); len(m.To) > 0 || m.Answer != Dismiss || w.p.asked > evidence {
+		t.Errorf("sent behind a queue longer than the soft limit, or closed the door for it: %v %v", r, m)
 	}
 }
 
