Leave a zone that takes no connection to one leg in ten, and mind the price of crossing

Cause of the first: a node meets each cache of a cut-off hall once in half a minute and never gathers two refusals of it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,6 +30,7 @@
 	rankTie      = 0.5                    // what a rank weighs among equal loads, chance being 1 on the mean
 	hotLeast     = 3.0                    // asked for a key before it may have more holders: two may be chance
 	opening      = 8.0                    // the same for a new connection, or legs all in vain: more than ranks
+	sooner       = 2.0                    // times shorter that queues are full for what is cheap, at the most
 	busyMost     = 0.9                    // share of time busy above which queues can't be told apart
 	trialShare   = 0.03                   // of those asked that always get in, to see a recovery
 	evidence     = 10.0                   // asked, or reports, that are kept: fewer make chance a sign
@@ -42,7 +43,7 @@
 	originGrow   = 0.1                    // room gained by an answer in time, where that is under a leg
 	originCut    = 0.9                    // room left after a late or lost answer: some are chance, ten a sign
 	originLeast  = 8.0                    // legs there that all nodes together may always have: a few a core
-	crossingLegs = 16                     // legs in hand that a full crossing price is set against
+	crossingLegs = 48                     // legs in hand that a full crossing price is set against: it is sure
 )
 
 type cache struct {
@@ -87,6 +88,7 @@
 	usual, othersLoad    float64               // legs a warm cache of weight 1 answered; mean foreign load
 	asked, good          float64               // turned away or ended at a cache; those in time
 	spare, cheap, asking float64               // second copies saved up; mean cheapness; benefit asked
+	cut                  map[ZoneID]int        // legs in a row that no cache of a zone took a connection for
 	metered              []Instant             // up to when each league has used its share
 	upkeeps, askFails    int
 	newsAt, roomCut      Instant // of the last report; of the last cut of the room
@@ -98,7 +100,7 @@
 	rules.Round = max(time.Millisecond, rules.Round)
 	p := &Router{rules: rules, caches: map[CacheID]*cache{}, fetches: map[uint64]*Retrieval{}, cheap: 1,
 		room: max(1, originFirst/float64(rules.Nodes)), asked: evidence, good: evidence, askAt: now,
-		wanted: map[uint64]float64{}, metered: make([]Instant, len(rules.Leagues))}
+		wanted: map[uint64]float64{}, cut: map[ZoneID]int{}, metered: make([]Instant, len(rules.Leagues))}
 	p.chance.Seed = uint32(seed ^ seed>>32)
 	p.retime()
 	return p
@@ -206,7 +208,7 @@
 
 func (p *Router) failed(now Instant, c *cache, how Result) {
 	if c.fails++; how == Unconnected {
-		c.refused++
+		c.refused, p.cut[c.Zone] = c.refused+1, p.cut[c.Zone]+1
 	}
 	if c.fails >= failsToRest {
 		c.restUntil = now.Add(min(holds, max(upkeepEvery, p.patience)<<min(c.fails-failsToRest, 6)))
@@ -325,6 +327,7 @@
 	for _, seg := range order {
 		c := p.locate(now, seg, r.memo.key)
 		if c != nil && len(hs) < n && p.lawful(now, r, c) && !p.coldTo(now, c, r.memo.key) &&
+			(c.Zone == p.rules.Zone || p.cut[c.Zone] < copies || p.chance.Next()*evidence < 1) && // cut off: a few try
 			!p.silent(now, c) && c.erred[r.memo.at] < failsToRest {
 			hs = append(hs, c)
 		}
@@ -348,7 +351,7 @@
 		}
 		switch {
 		case slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.To == c.ID }):
-		case (load+1)*per > float64(max(soft-now.Since(r.Arrived), soft/2))/2:
+		case (load+1)*per*min(sooner, max(1, r.memo.cheap)) > float64(max(soft-now.Since(r.Arrived), soft/2))/2:
 			full = true
 		case l < least:
 			best, least = c, l
@@ -379,8 +382,7 @@
 	return m
 }
 
-// meet takes note of a new retrieval; one of an unknown grade counts as of the strictest there is.
-func (p *Router) meet(now Instant, r *Retrieval) {
+func (p *Router) meet(now Instant, r *Retrieval) { // an unknown grade counts as of the strictest there is
 	g, at := Grade{SoftLimit: r.HardStop.Since(r.Arrived)}, len(p.rules.Grades)
 	if r.Grade >= 0 && int(r.Grade) < at {
 		g, at = p.rules.Grades[r.Grade], int(r.Grade)
@@ -579,7 +581,7 @@
 	c.out, c.usedAt = max(0, c.out-1), now
 	switch leg.Result {
 	case Answered, Missed, Errored, TurnedAway:
-		c.heard, c.waitingOn, c.fails, c.refused, c.restUntil = now, now, 0, 0, 0
+		c.heard, c.waitingOn, c.fails, c.refused, c.restUntil, p.cut[c.Zone] = now, now, 0, 0, 0, 0
 	case TimedOut, Broken, Unconnected, Cancelled:
 		if c.heard < leg.Sent && (leg.Result != Cancelled || now.Since(leg.Sent) > p.patience) {
 			p.failed(now, c, leg.Result)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -103,6 +103,30 @@
 	}
 }
 
+// A cut between zones is met at hundreds of caches, each seldom: what one takes no connection for counts for all.
+func TestZoneThatTakesNoConnectionIsLeftToAFew(t *testing.T) {
+	es := fleet(60, false)
+	for i := range es[:40] {
+		es[i].Zone = "there"
+	}
+	w, tried := newWorld(t, testRules(), es), 0
+	to, _ := w.drive(200, 50*ms, anyKey, func(_ int, to CacheID) Result {
+		w.p.asked, w.p.good = evidence, evidence // the door stays open
+		if w.state[to].Zone == "there" {
+			return Unconnected
+		}
+		return Answered
+	})
+	for id, n := range to {
+		if w.state[id].Zone == "there" {
+			tried += n
+		}
+	}
+	if tried > 45 || len(to) < 20 {
+		t.Errorf("%d of 200 legs went to a zone that is cut off", tried)
+	}
+}
+
 func TestFullQueueIsNoRoom(t *testing.T) {
 	w := newWorld(t, testRules(), fleet(12, false))
 	for _, c := range w.p.listed {
