--- /dev/null
+++ b/cmd/dahliapin/main.go
@@ -0,0 +1,77 @@
+// Command dahliapin runs one router on sockets.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"dahliapin/node"
+)
+
+var version = "0.1.0"
+
+func main() {
+	var config string
+	root := &cobra.Command{Use: "dahliapin", Short: "A router for fleets of cache servers", SilenceUsage: true,
+		SilenceErrors: true}
+	root.PersistentFlags().StringVar(&config, "config", os.Getenv("RELAY_CONFIG"), "the configuration's file")
+	root.AddCommand(
+		&cobra.Command{Use: "serve", Short: "Run one node until SIGTERM", Args: cobra.NoArgs,
+			RunE: func(*cobra.Command, []string) error { return serve(config) }},
+		&cobra.Command{Use: "check", Short: "Say whether a configuration can be used", Args: cobra.NoArgs,
+			RunE: func(c *cobra.Command, _ []string) error {
+				p, err := node.ReadPosting(config)
+				if err == nil {
+					fmt.Fprintf(c.OutOrStdout(), "%s: can be used; listens on %s\n", p.Name, p.Listen)
+				}
+				return err
+			}},
+		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "dahliapin", version, built()) }},
+	)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "dahliapin:", err)
+		os.Exit(1)
+	}
+}
+
+func built() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		return info.GoVersion
+	}
+	return ""
+}
+
+func serve(config string) error {
+	p, err := node.ReadPosting(config)
+	if err != nil {
+		return err
+	}
+	if err := node.Fit(p); err != nil {
+		return err
+	}
+	n, err := node.New(p, logrus.StandardLogger())
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	go func() {
+		for s := range signals {
+			if s == syscall.SIGUSR1 {
+				n.LogCounts()
+			} else {
+				n.End()
+			}
+		}
+	}()
+	n.Serve()
+	n.LogCounts()
+	return nil
+}
--- /dev/null
+++ b/internal/net/buffer/buffer.go
@@ -0,0 +1,34 @@
+// Package buffer is the one buffer of a connection: it grows as needed, is compacted in place, and is given back
+// when it is empty.
+package buffer
+
+const keep = 4 << 10 // bytes that an empty buffer may keep: a few command lines, so that most never grow
+
+// Buffer holds what was read and not yet used. Bounds are the parsers': none waits for more than it allows.
+type Buffer struct {
+	data []byte
+	used int
+}
+
+// Add puts bytes behind those there, first moving these to the front if that makes room.
+func (b *Buffer) Add(p []byte) {
+	if b.used > 0 && len(b.data)+len(p) > cap(b.data) {
+		b.data = b.data[:copy(b.data, b.data[b.used:])]
+		b.used = 0
+	}
+	b.data = append(b.data, p...)
+}
+
+// Unused is what is there; it stays valid until the next Add.
+func (b *Buffer) Unused() []byte { return b.data[b.used:] }
+
+// Use passes over n bytes.
+func (b *Buffer) Use(n int) {
+	if b.used += n; b.used < len(b.data) {
+		return
+	}
+	b.used, b.data = 0, b.data[:0]
+	if cap(b.data) > keep {
+		b.data = nil
+	}
+}
--- /dev/null
+++ b/internal/net/counters/counters.go
@@ -0,0 +1,38 @@
+// Package counters counts what a node takes in, sends and answers.
+package counters
+
+import "dahliapin/policy"
+
+// Counters are counted by one loop; a copy may be read anywhere.
+type Counters struct {
+	Clients, Retrievals, Malformed  uint64 // connections taken, retrievals taken, commands that were none
+	Satisfied, Dismissed, Scrapped  uint64 // final answers
+	Crowded, Left                   uint64 // dismissed for want of room; clients that went before the answer
+	Legs, Dials, Reused, Probes     uint64 // sent; connections opened for them, or used again; caches checked
+	Lists, Reconnects               uint64 // lists heard; new calls after one that failed
+	IdleClosed, RoomClosed, Strange uint64 // connections closed when idle, to make room, for a wrong answer
+	Ended                           [policy.Missed + 1]uint64
+}
+
+var endings = [policy.Missed + 1]string{policy.Answered: "answered", policy.Errored: "errored",
+	policy.TurnedAway: "turned_away", policy.TimedOut: "timed_out", policy.Unconnected: "unconnected",
+	policy.Broken: "broken", policy.Cancelled: "cancelled", policy.NeverSent: "never_sent", policy.Missed: "missed"}
+
+// Each calls f for every counter, always in the same order.
+func (c *Counters) Each(f func(name string, n uint64)) {
+	for _, row := range []struct {
+		name string
+		n    uint64
+	}{
+		{"clients", c.Clients}, {"retrievals", c.Retrievals}, {"malformed", c.Malformed},
+		{"satisfied", c.Satisfied}, {"dismissed", c.Dismissed}, {"scrapped", c.Scrapped},
+		{"crowded", c.Crowded}, {"left", c.Left}, {"legs", c.Legs}, {"dials", c.Dials}, {"reused", c.Reused},
+		{"probes", c.Probes}, {"lists", c.Lists}, {"reconnects", c.Reconnects},
+		{"idle_closed", c.IdleClosed}, {"room_closed", c.RoomClosed}, {"strange", c.Strange},
+	} {
+		f(row.name, row.n)
+	}
+	for how, n := range c.Ended {
+		f("legs_"+endings[how], n)
+	}
+}
--- /dev/null
+++ b/internal/net/meta/answer.go
@@ -0,0 +1,107 @@
+package meta
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+)
+
+// Said is what an answer says.
+type Said int
+
+const (
+	Odd    Said = iota // a line that means nothing here
+	Value              // a value, or a receipt
+	Done               // a receipt for a write
+	Miss               // nothing is kept under the key
+	Failed             // it may have run
+	Busy               // it never ran
+	Up                 // the answer to mn
+	Stat               // one line of a report
+	End                // the end of a report
+)
+
+// Answer is one answer of a cache. Its parts lie in the buffer it was read from.
+type Answer struct {
+	Said  Said
+	ID    []byte
+	Value []byte // the value, the receipt, or a report's name and value
+}
+
+var (
+	errLong  = errors.New("an answer is longer than the protocol allows")
+	errValue = errors.New("a value does not end where it should")
+)
+
+// ReadAnswer reads the first answer in b. A size of 0 asks for more bytes.
+func ReadAnswer(b []byte) (a Answer, size int, err error) {
+	text, size, long := line(b)
+	if long {
+		return a, 0, errLong
+	}
+	if size == 0 {
+		return a, 0, nil
+	}
+	first, rest := word(text)
+	switch string(first) {
+	case "VA":
+		digits, flags := word(rest)
+		n, ok := length(digits)
+		if !ok || n > MaxValue {
+			return a, 0, errLong
+		}
+		if len(b) < size+n+2 {
+			return a, 0, nil
+		}
+		if !bytes.Equal(b[size+n:size+n+2], crlf) {
+			return a, 0, errValue
+		}
+		a.Said, a.Value = Value, b[size:size+n]
+		a.ID, _ = Flag(flags, 'O')
+		size += n + 2
+	case "HD":
+		a.Said = Done
+		a.ID, _ = Flag(rest, 'O')
+		a.Value, _ = Flag(rest, 'c')
+	case "EN":
+		a.Said = Miss
+		a.ID, _ = Flag(rest, 'O')
+	case "SERVER_ERROR":
+		a.Said = Failed
+		if reason, _ := word(rest); string(reason) == "busy" {
+			a.Said = Busy
+		}
+	case "MN":
+		a.Said = Up
+	case "STAT":
+		a.Said, a.Value = Stat, rest
+	case "END":
+		a.Said = End
+	}
+	return a, size, nil
+}
+
+// AppendValue writes a value.
+func AppendValue(to, id, value []byte) []byte {
+	to = strconv.AppendInt(append(to, "VA "...), int64(len(value)), 10)
+	to = append(append(append(to, " O"...), id...), crlf...)
+	return append(append(to, value...), crlf...)
+}
+
+// AppendDone writes a receipt.
+func AppendDone(to, id, receipt []byte) []byte {
+	to = append(append(append(to, "HD O"...), id...), " c"...)
+	return append(append(to, receipt...), crlf...)
+}
+
+// AppendBusy writes a dismissal, with the time to come back after unless that is 0.
+func AppendBusy(to []byte, comeBackMs int64) []byte {
+	to = append(to, "SERVER_ERROR busy"...)
+	if comeBackMs > 0 {
+		to = strconv.AppendInt(append(to, ' '), comeBackMs, 10)
+	}
+	return append(to, crlf...)
+}
+
+// AppendFailed writes a scrapping.
+func AppendFailed(to []byte) []byte { return append(to, "SERVER_ERROR failed\r\n"...) }
--- /dev/null
+++ b/internal/net/relay/caches.go
@@ -0,0 +1,452 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"time"
+
+	"dahliapin/internal/net/buffer"
+	"dahliapin/internal/net/http1"
+	"dahliapin/internal/net/meta"
+	"dahliapin/internal/net/sockets"
+	"dahliapin/policy"
+)
+
+const (
+	idleShare = 0.8                    // of the idle limit that a connection is kept: closing must not cross a leg
+	ownIdle   = 10 * time.Second       // the same where no limit is stated
+	connect   = 250 * time.Millisecond // to come up, where no time is stated
+)
+
+// cache is what the list says of a cache, and the connections to it.
+type cache struct {
+	id     policy.CacheID
+	addr   string
+	origin bool
+	born   policy.Instant
+	idle   []linkID // the latest used last
+}
+
+// errand is what a link is used for.
+type errand int
+
+const (
+	nothing errand = iota
+	aLeg
+	aProbe
+	theList
+)
+
+// link is a connection from this node, for one thing at a time.
+type link struct {
+	id     linkID
+	wire   *sockets.Wire // nil until it is up
+	cache  *cache        // nil for the list
+	buf    buffer.Buffer
+	does   errand
+	leg    legRef
+	usedAt policy.Instant
+	stopAt policy.Instant // when a probe, or the wait for the connection, is over; 0 for no need
+	idleAt policy.Instant // when to see whether it is idle for long; 0 for not yet
+}
+
+type leg struct {
+	to       policy.CacheID
+	out      bool
+	link     linkID
+	sent     policy.Instant
+	giveUpAt policy.Instant
+}
+
+func (r *Relay) connectTime() time.Duration {
+	if r.Terms.Connect > 0 {
+		return r.Terms.Connect
+	}
+	return connect
+}
+
+func (r *Relay) idleTime() time.Duration {
+	if limit := r.Terms.Rules.IdleConnection; limit > 0 {
+		return time.Duration(idleShare * float64(limit))
+	}
+	return ownIdle
+}
+
+// Send starts a leg on the connection used last, or on a new one.
+func (r *Relay) Send(id policy.RetrievalID, to policy.CacheID, giveUpAt policy.Instant) {
+	v := r.hand.Get(slotOf(id))
+	if v == nil {
+		return
+	}
+	now := r.now()
+	ref := legRef{v.id, len(v.legs)}
+	v.legs = append(v.legs, leg{to: to, out: true, sent: now, giveUpAt: giveUpAt})
+	r.count.Legs++
+	c := r.caches[to]
+	if c == nil {
+		r.end(v, ref.leg, policy.Unconnected, nil)
+		return
+	}
+	l, err := r.linkTo(c, aLeg)
+	if err != nil {
+		how := policy.Unconnected
+		if errors.Is(err, sockets.ErrNoDescriptor) { // the cache is not to blame
+			how = policy.NeverSent
+		}
+		r.end(v, ref.leg, how, nil)
+		return
+	}
+	l.leg, v.legs[ref.leg].link = ref, l.id
+	r.due.Put(giveUpAt, due{leg: ref})
+	if l.wire != nil {
+		r.write(l, v, ref.leg)
+	}
+}
+
+// linkTo finds the idle link used last or dials a new one.
+func (r *Relay) linkTo(c *cache, does errand) (*link, error) {
+	if n := len(c.idle); n > 0 {
+		l := r.links.Get(c.idle[n-1])
+		c.idle = c.idle[:n-1]
+		l.does = does
+		r.count.Reused++
+		return l, nil
+	}
+	l := &link{cache: c, does: does, usedAt: r.now(), stopAt: r.now().Add(r.connectTime())}
+	l.id = r.links.Add(l)
+	if err := r.dial(c.addr, l.id); err != nil {
+		r.links.Drop(l.id)
+		return nil, err
+	}
+	r.count.Dials++
+	r.due.Put(l.stopAt, due{link: l.id})
+	return l, nil
+}
+
+// write hands a leg to the kernel. Only if that fails is it sure that its last byte never was.
+func (r *Relay) write(l *link, v *retrieval, n int) {
+	wait := max(1, int64(v.legs[n].giveUpAt.Since(r.now())/time.Millisecond))
+	var out []byte
+	if l.cache.origin {
+		out = originRequest(&v.command, l.cache.addr, wait)
+	} else {
+		out = meta.AppendCommand(nil, &v.command, wait)
+	}
+	if l.wire.Write(out) != nil {
+		r.lose(l, policy.Unconnected)
+	}
+}
+
+// Cancel calls a leg off by closing its connection, which carries no other. One that is still coming up is kept.
+func (r *Relay) Cancel(id policy.RetrievalID, n int) {
+	v := r.hand.Get(slotOf(id))
+	if v == nil || n < 0 || n >= len(v.legs) || !v.legs[n].out {
+		return
+	}
+	r.stopWaiting(v, n, policy.Cancelled)
+}
+
+func (r *Relay) giveUp(ref legRef) {
+	if v := r.hand.Get(ref.hand); v != nil && v.legs[ref.leg].out {
+		r.stopWaiting(v, ref.leg, policy.TimedOut)
+	}
+}
+
+func (r *Relay) stopWaiting(v *retrieval, n int, how policy.Result) {
+	if l := r.links.Get(v.legs[n].link); l != nil {
+		l.does = nothing
+		if l.wire != nil {
+			r.dropLink(l)
+		}
+	}
+	r.end(v, n, how, nil)
+}
+
+// end closes a leg with its one outcome; the host hears of it once it has carried out what it is at.
+func (r *Relay) end(v *retrieval, n int, how policy.Result, report []float64) {
+	l := &v.legs[n]
+	l.out = false
+	r.count.Ended[how]++
+	o := policy.Outcome{Leg: n, Took: r.now().Since(l.sent), Report: report}
+	r.later = append(r.later, func() {
+		r.host.Ended(r.now(), token(v.id), how, v.answered, o)
+		r.release(v)
+	})
+}
+
+// release forgets a retrieval that is answered and has nothing out.
+func (r *Relay) release(v *retrieval) {
+	for _, l := range v.legs {
+		if l.out {
+			return
+		}
+	}
+	if v.answered {
+		r.hand.Drop(v.id)
+	}
+}
+
+// dialled tells of a connection that is up, or never will be.
+func (r *Relay) dialled(ev sockets.Event) {
+	l := r.links.Get(linkID(ev.Dial))
+	switch {
+	case ev.What == sockets.Refused:
+		if l != nil {
+			r.lose(l, policy.Unconnected)
+		}
+	case l == nil:
+		ev.Wire.Close()
+	default:
+		ev.Wire.Tag = ev.Dial
+		l.wire, l.stopAt, l.usedAt = ev.Wire, 0, r.now()
+		r.begin(l)
+	}
+}
+
+// begin does what a link was dialled for.
+func (r *Relay) begin(l *link) {
+	switch l.does {
+	case aLeg:
+		if v := r.hand.Get(l.leg.hand); v != nil {
+			r.write(l, v, l.leg.leg)
+		}
+	case aProbe:
+		r.writeProbe(l)
+	case theList:
+		r.askForList(l)
+	case nothing:
+		r.rest(l)
+	}
+}
+
+// rest keeps a link for the next leg.
+func (r *Relay) rest(l *link) {
+	l.does, l.usedAt, l.stopAt = nothing, r.now(), 0
+	if r.caches[l.cache.id] != l.cache { // the list does not name it any more
+		r.dropLink(l)
+		return
+	}
+	l.cache.idle = append(l.cache.idle, l.id)
+	if l.idleAt == 0 {
+		l.idleAt = l.usedAt.Add(r.idleTime())
+		r.due.Put(l.idleAt, due{link: l.id})
+	}
+}
+
+// tend looks after a link whose time has come: it may not have come up, a probe may have gone unanswered, or it
+// may have been idle for long.
+func (r *Relay) tend(id linkID) {
+	l, now := r.links.Get(id), r.now()
+	if l == nil {
+		return
+	}
+	if l.stopAt != 0 && now >= l.stopAt {
+		how := policy.Unconnected
+		if l.wire != nil {
+			how = policy.TimedOut
+		}
+		r.lose(l, how)
+		return
+	}
+	if l.idleAt == 0 || now < l.idleAt {
+		return
+	}
+	if l.does == nothing && now.Since(l.usedAt) >= r.idleTime() {
+		r.count.IdleClosed++
+		r.dropLink(l)
+		return
+	}
+	l.idleAt = max(l.usedAt, now-policy.Instant(r.idleTime())+1).Add(r.idleTime())
+	r.due.Put(l.idleAt, due{link: l.id})
+}
+
+// dropLink closes a link that is in use for nothing.
+func (r *Relay) dropLink(l *link) {
+	r.links.Drop(l.id)
+	if l.wire != nil {
+		l.wire.Close()
+	}
+	if l.cache == nil {
+		return
+	}
+	for i, id := range l.cache.idle {
+		if id == l.id {
+			l.cache.idle = append(l.cache.idle[:i], l.cache.idle[i+1:]...)
+			break
+		}
+	}
+}
+
+// lose drops a link, and tells what that means for what it was used for.
+func (r *Relay) lose(l *link, how policy.Result) {
+	does := l.does
+	l.does = nothing
+	r.dropLink(l)
+	switch does {
+	case aLeg:
+		if v := r.hand.Get(l.leg.hand); v != nil && v.legs[l.leg.leg].out {
+			r.end(v, l.leg.leg, how, nil)
+		}
+	case aProbe:
+		r.probed(l.cache.id, how)
+	case theList:
+		r.listLost()
+	}
+}
+
+func (r *Relay) linkClosed(id linkID, unsent bool) {
+	l := r.links.Get(id)
+	switch {
+	case l == nil:
+	case unsent:
+		r.lose(l, policy.Unconnected)
+	default:
+		r.lose(l, policy.Broken)
+	}
+}
+
+func (r *Relay) linkData(id linkID, data []byte) {
+	l := r.links.Get(id)
+	if l == nil {
+		return
+	}
+	l.buf.Add(data)
+	switch {
+	case l.does == theList:
+		r.listData(l)
+	case l.does == nothing: // nobody asked
+		r.count.Strange++
+		r.dropLink(l)
+	case l.does == aProbe:
+		r.probeData(l)
+	case l.cache.origin:
+		r.originData(l)
+	default:
+		r.cacheData(l)
+	}
+}
+
+// cacheData reads a cache's answer to a leg.
+func (r *Relay) cacheData(l *link) {
+	a, size, err := meta.ReadAnswer(l.buf.Unused())
+	if err == nil && size == 0 {
+		return
+	}
+	v := r.hand.Get(l.leg.hand)
+	if v == nil {
+		r.dropLink(l)
+		return
+	}
+	set := v.command.Verb == meta.Set
+	ours := bytes.Equal(a.ID, v.command.ID)
+	how, out := policy.Broken, []byte(nil)
+	switch {
+	case err != nil:
+	case a.Said == meta.Value && ours && !set:
+		how, out = policy.Answered, meta.AppendValue(nil, a.ID, a.Value)
+	case a.Said == meta.Done && ours && set:
+		how, out = policy.Answered, meta.AppendDone(nil, a.ID, a.Value)
+	case a.Said == meta.Miss && ours:
+		how = policy.Missed
+	case a.Said == meta.Failed, a.Said == meta.Odd:
+		how = policy.Errored
+	case a.Said == meta.Busy:
+		how = policy.TurnedAway
+	}
+	r.answered(l, v, how, size, out, nil)
+}
+
+// answered ends a leg by what came back. What answers another retrieval is served to nobody, and its connection
+// closed: whatever else comes on it can't be trusted.
+func (r *Relay) answered(l *link, v *retrieval, how policy.Result, size int, out []byte, report []float64) {
+	if how == policy.Broken {
+		r.count.Strange++
+		r.lose(l, policy.Broken)
+		return
+	}
+	l.buf.Use(size)
+	n := l.leg.leg
+	if len(l.buf.Unused()) > 0 {
+		r.count.Strange++
+		r.dropLink(l)
+	} else {
+		r.rest(l)
+	}
+	if how == policy.Answered && !v.answered {
+		r.count.Satisfied++
+		r.answer(v, out)
+	}
+	r.end(v, n, how, report)
+}
+
+// Probe checks on a cache.
+func (r *Relay) Probe(id policy.CacheID) {
+	c := r.caches[id]
+	if c == nil {
+		return
+	}
+	r.count.Probes++
+	l, err := r.linkTo(c, aProbe)
+	if err != nil {
+		r.probed(id, policy.Unconnected)
+		return
+	}
+	if l.wire != nil {
+		r.writeProbe(l)
+	}
+}
+
+func (r *Relay) writeProbe(l *link) {
+	l.stopAt = r.now().Add(r.connectTime())
+	r.due.Put(l.stopAt, due{link: l.id})
+	out := []byte("mn\r\n")
+	if l.cache.origin {
+		out = http1.AppendRequest(nil, "GET", []byte(originHealth), l.cache.addr, nil, nil)
+	}
+	if l.wire.Write(out) != nil {
+		r.lose(l, policy.Unconnected)
+	}
+}
+
+func (r *Relay) probeData(l *link) {
+	var size int
+	var err error
+	how := policy.Errored
+	if l.cache.origin {
+		var a http1.Answer
+		if a, size, err = http1.ReadAnswer(l.buf.Unused(), meta.MaxValue, false); a.Status == 200 {
+			how = policy.Answered
+		}
+	} else {
+		var a meta.Answer
+		if a, size, err = meta.ReadAnswer(l.buf.Unused()); a.Said == meta.Up {
+			how = policy.Answered
+		}
+	}
+	switch {
+	case err != nil:
+		r.lose(l, policy.Broken)
+	case size > 0:
+		l.buf.Use(size)
+		r.rest(l)
+		r.probed(l.cache.id, how)
+	}
+}
+
+func (r *Relay) probed(id policy.CacheID, found policy.Result) {
+	r.later = append(r.later, func() { r.host.Probed(r.now(), id, found) })
+}
+
+// longestIdleLink is the one whose loss costs least.
+func (r *Relay) longestIdleLink() (oldest *link) {
+	for _, c := range r.caches {
+		if len(c.idle) == 0 {
+			continue
+		}
+		if l := r.links.Get(c.idle[0]); oldest == nil || l.usedAt < oldest.usedAt ||
+			l.usedAt == oldest.usedAt && l.id < oldest.id {
+			oldest = l
+		}
+	}
+	return oldest
+}
--- /dev/null
+++ b/internal/net/relay/clients.go
@@ -0,0 +1,254 @@
+package relay
+
+import (
+	"strconv"
+	"time"
+
+	"dahliapin/internal/net/buffer"
+	"dahliapin/internal/net/meta"
+	"dahliapin/internal/net/sockets"
+	"dahliapin/policy"
+)
+
+const (
+	mostTurns  = 256              // commands in hand on one connection; more are dismissed
+	mostWait   = 10 * time.Minute // that a client may say it waits: no deployment's is near it
+	flushFor   = time.Second      // that a connection to be closed may take to be read out
+	flushEvery = 20 * time.Millisecond
+	shareHeld  = 8 // part of the memory that answers may take which wait for others or for slow readers
+)
+
+// client is a connection that somebody opened to this node.
+type client struct {
+	id      clientID
+	wire    *sockets.Wire
+	buf     buffer.Buffer
+	turns   []turn // one for each command not yet answered, in their order
+	first   uint64 // the number of the first turn
+	usedAt  policy.Instant
+	closing bool // nothing more is read; it closes once all is answered
+	until   policy.Instant
+}
+
+type turn struct {
+	hand handID // 0 for what is no retrieval
+	done bool
+	out  []byte
+}
+
+func (c *client) idle() bool {
+	return len(c.turns) == 0 && len(c.buf.Unused()) == 0 && c.wire.Unsent() == 0
+}
+
+// retrieval is one in hand. The host keeps its own part of it.
+type retrieval struct {
+	id       handID
+	client   clientID
+	turn     uint64
+	command  meta.Command // its parts lie in a copy
+	answered bool         // or nobody waits any more
+	legs     []leg
+}
+
+func (r *Relay) opened(ev sockets.Event) {
+	c := &client{wire: ev.Wire, usedAt: r.at(ev.At)}
+	c.id = r.clients.Add(c)
+	c.wire.Tag = uint64(c.id)
+	r.count.Clients++
+	r.lastCame = c.usedAt
+}
+
+func (r *Relay) clientData(id clientID, data []byte, at policy.Instant) {
+	c := r.clients.Get(id)
+	if c == nil || c.closing {
+		return
+	}
+	c.usedAt = at
+	c.buf.Add(data)
+	for !c.closing {
+		command, size, fault := meta.ReadCommand(c.buf.Unused())
+		if size == 0 && fault == nil {
+			break
+		}
+		switch {
+		case fault != nil:
+			r.count.Malformed++
+			c.closing = fault.Close
+			r.say(c, []byte(fault.Answer))
+		case command.Verb == meta.Ready:
+			r.say(c, r.readiness())
+		case command.Verb == meta.Stats:
+			r.say(c, r.stats())
+		default:
+			r.take(c, &command, at)
+		}
+		if r.clients.Get(id) == nil { // it was closed on the way
+			return
+		}
+		c.buf.Use(size)
+	}
+	r.flush(c)
+}
+
+// say answers a command that is no retrieval in hand, in its turn.
+func (r *Relay) say(c *client, out []byte) {
+	r.held += len(out)
+	c.turns = append(c.turns, turn{done: true, out: out})
+}
+
+func (r *Relay) readiness() []byte {
+	if r.phase == Serving || r.phase == Draining {
+		return []byte("MN\r\n")
+	}
+	return []byte("SERVER_ERROR " + r.phase.String() + "\r\n")
+}
+
+func (r *Relay) stats() (out []byte) {
+	r.count.Each(func(name string, n uint64) {
+		out = strconv.AppendUint(append(append(append(out, "STAT "...), name...), ' '), n, 10)
+		out = append(out, "\r\n"...)
+	})
+	return append(out, "END\r\n"...)
+}
+
+// take takes a retrieval in hand. One whose hard stop can't be told is malformed.
+func (r *Relay) take(c *client, command *meta.Command, at policy.Instant) {
+	items, _ := meta.Flag(command.Flags, 'P')
+	said, _ := meta.Item(items, "d")
+	wait, err := strconv.ParseFloat(string(said), 64)
+	if err != nil || !(wait > 0) {
+		r.count.Malformed++
+		r.say(c, []byte(meta.BadLine))
+		return
+	}
+	r.count.Retrievals++
+	if len(c.turns) >= mostTurns || r.phase == Starting ||
+		int64(r.held)+r.eng.Unsent() > r.Memory/shareHeld {
+		r.count.Crowded++
+		r.count.Dismissed++
+		r.say(c, meta.AppendBusy(nil, 0))
+		return
+	}
+	v := &retrieval{client: c.id, turn: c.first + uint64(len(c.turns)), command: copyOf(command)}
+	v.id = r.hand.Add(v)
+	c.turns = append(c.turns, turn{hand: v.id})
+	grade, _ := meta.Item(items, "c")
+	league, _ := meta.Item(items, "tenant")
+	stop := at.Add(time.Duration(min(wait*float64(time.Millisecond), float64(mostWait))))
+	r.host.Arrived(r.now(), &policy.Retrieval{ID: token(v.id), Key: string(command.Key),
+		Grade: r.Terms.Names.Grade(grade), League: r.Terms.Names.League(league),
+		Write: command.Verb == meta.Set, Arrived: at, HardStop: stop})
+}
+
+// copyOf keeps a command beyond the buffer that it was read from.
+func copyOf(c *meta.Command) meta.Command {
+	b := make([]byte, 0, len(c.Key)+len(c.Flags)+len(c.ID)+len(c.Value))
+	keep := func(p []byte) []byte {
+		b = append(b, p...)
+		return b[len(b)-len(p):]
+	}
+	return meta.Command{Verb: c.Verb, Key: keep(c.Key), Flags: keep(c.Flags), ID: keep(c.ID), Value: keep(c.Value)}
+}
+
+// answer gives a retrieval its one final answer.
+func (r *Relay) answer(v *retrieval, out []byte) {
+	v.answered = true
+	c := r.clients.Get(v.client)
+	if c == nil || v.turn < c.first {
+		return
+	}
+	t := &c.turns[v.turn-c.first]
+	t.done, t.out, t.hand = true, out, 0
+	r.held += len(out)
+	r.later = append(r.later, func() {
+		if r.clients.Get(c.id) != nil {
+			r.flush(c)
+		}
+	})
+}
+
+// flush writes what is answered, in the order of the commands.
+func (r *Relay) flush(c *client) {
+	var out []byte
+	n := 0
+	for ; n < len(c.turns) && c.turns[n].done; n++ {
+		if n == 0 {
+			out = c.turns[0].out
+		} else {
+			out = append(out, c.turns[n].out...)
+		}
+	}
+	if n > 0 {
+		r.held -= len(out)
+		c.first += uint64(n)
+		c.turns = c.turns[:copy(c.turns, c.turns[n:])]
+		c.usedAt = r.now()
+		if err := c.wire.Write(out); err != nil {
+			r.clientClosed(c.id)
+			return
+		}
+	}
+	if c.closing && len(c.turns) == 0 && c.until == 0 {
+		c.until = r.now().Add(flushFor)
+		r.closeFlushed(c.id)
+	}
+}
+
+// closeFlushed closes a connection once its last answer is with the kernel, or its reader too slow.
+func (r *Relay) closeFlushed(id clientID) {
+	c := r.clients.Get(id)
+	switch now := r.now(); {
+	case c == nil:
+	case c.wire.Unsent() == 0 || now >= c.until:
+		c.wire.Close()
+		r.dropClient(c)
+	default:
+		r.due.Put(now.Add(flushEvery), due{flush: id})
+	}
+}
+
+func (r *Relay) clientClosed(id clientID) {
+	if c := r.clients.Get(id); c != nil {
+		r.dropClient(c)
+	}
+}
+
+// dropClient forgets a connection. Those whose answers it waited for have left: their legs are called off where
+// that is allowed.
+func (r *Relay) dropClient(c *client) {
+	r.clients.Drop(c.id)
+	for _, t := range c.turns {
+		r.held -= len(t.out)
+		v := r.hand.Get(t.hand)
+		if v == nil || v.answered {
+			continue
+		}
+		v.answered = true
+		r.count.Left++
+		r.host.Left(r.now(), token(v.id))
+		for n := range v.legs {
+			if r.Terms.Rules.MayCancel {
+				r.Cancel(token(v.id), n)
+			}
+		}
+		r.release(v)
+	}
+}
+
+// Dismiss answers that a retry is harmless.
+func (r *Relay) Dismiss(id policy.RetrievalID, comeBack time.Duration) {
+	if v := r.hand.Get(slotOf(id)); v != nil && !v.answered {
+		r.count.Dismissed++
+		r.answer(v, meta.AppendBusy(nil, int64((comeBack+time.Millisecond-1)/time.Millisecond)))
+		r.release(v)
+	}
+}
+
+// Scrap answers that it failed.
+func (r *Relay) Scrap(id policy.RetrievalID) {
+	if v := r.hand.Get(slotOf(id)); v != nil && !v.answered {
+		r.count.Scrapped++
+		r.answer(v, meta.AppendFailed(nil))
+		r.release(v)
+	}
+}
--- /dev/null
+++ b/internal/net/relay/origin.go
@@ -0,0 +1,65 @@
+package relay
+
+import (
+	"bytes"
+	"strconv"
+
+	"dahliapin/internal/net/http1"
+	"dahliapin/internal/net/meta"
+	"dahliapin/policy"
+)
+
+const originHealth = "/health/live" // the origin's page for probes
+
+// originRequest writes a leg to the origin: a read gets the key's page, a write puts its value there.
+func originRequest(c *meta.Command, host string, waitMs int64) []byte {
+	headers := append([]byte("X-Call-Id: "), c.ID...)
+	headers = append(headers, "\r\nX-Call-Info: "...)
+	items, _ := meta.Flag(c.Flags, 'P')
+	headers = append(meta.AppendItems(headers, items, waitMs), "\r\n"...)
+	method := "GET"
+	if c.Verb == meta.Set {
+		method = "PUT"
+	}
+	return http1.AppendRequest(nil, method, http1.AppendPath(nil, c.Key), host, headers, c.Value)
+}
+
+// originData reads the origin's answer to a leg.
+func (r *Relay) originData(l *link) {
+	a, size, err := http1.ReadAnswer(l.buf.Unused(), meta.MaxValue, false)
+	if err == nil && size == 0 {
+		return
+	}
+	v := r.hand.Get(l.leg.hand)
+	if v == nil {
+		r.dropLink(l)
+		return
+	}
+	how, out := policy.Errored, []byte(nil)
+	named := a.Header("X-Call-Id")
+	switch {
+	case err != nil, named != nil && !bytes.Equal(named, v.command.ID):
+		how = policy.Broken
+	case a.Status == 200 && v.command.Verb == meta.Get:
+		how, out = policy.Answered, meta.AppendValue(nil, v.command.ID, a.Body)
+	case a.Status == 200:
+		if how = policy.Broken; bytes.IndexByte(a.Body, '\n') < 0 {
+			how, out = policy.Answered, meta.AppendDone(nil, v.command.ID, bytes.TrimSpace(a.Body))
+		}
+	case a.Header("X-Rejected") != nil && string(a.Header("X-Rejected")) == "1":
+		how = policy.TurnedAway
+	}
+	var report []float64
+	if load := a.Header("X-Load-Report"); load != nil {
+		report = r.Terms.Names.Report(func(column string) (float64, bool) {
+			said, _ := meta.Item(load, column)
+			x, err := strconv.ParseFloat(string(bytes.TrimSpace(said)), 64)
+			return x, err == nil
+		})
+	}
+	last := a.Last
+	r.answered(l, v, how, size, out, report)
+	if last && r.links.Get(l.id) != nil {
+		r.dropLink(l)
+	}
+}
--- /dev/null
+++ b/internal/net/relay/relay.go
@@ -0,0 +1,347 @@
+// Package relay is a node on sockets: one loop that holds all state and drives a host, as the adapter does on the
+// simulator's wire. It decides nothing about retrievals. The loop and its clock are in this file; clients.go
+// faces the clients, caches.go the caches, origin.go the origin and discovery.go the list.
+package relay
+
+import (
+	"encoding/binary"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fastjson"
+
+	"dahliapin/internal/host"
+	"dahliapin/internal/houserules"
+	"dahliapin/internal/net/counters"
+	"dahliapin/internal/net/deadlines"
+	"dahliapin/internal/net/slots"
+	"dahliapin/internal/net/sockets"
+	"dahliapin/policy"
+)
+
+const (
+	epoch       = policy.Instant(time.Second) // the clock's first reading: instants are never 0, which means none
+	readyBy     = 250 * time.Millisecond      // from the start, to serve by the last list if no newer one comes
+	comingFor   = 500 * time.Millisecond      // after the call to end, connections may still come: 0.2 to 0.4 s
+	quietFor    = 150 * time.Millisecond      // without a new connection before clients are closed
+	lingerFor   = 50 * time.Millisecond       // a client's silence after which it is idle, while draining
+	drainEvery  = 10 * time.Millisecond       // between looks for idle clients while draining
+	spareToStop = 500 * time.Millisecond      // over the longest hard stop, by which a node is to have ended
+	eventsAtOne = 256                         // events handled between looks at the deadlines
+)
+
+// The kinds of slot.
+type (
+	clientID uint64
+	linkID   uint64
+	handID   uint64
+)
+
+// Phase is how far a node has come.
+type Phase int32
+
+const (
+	Starting Phase = iota
+	Serving
+	Draining
+	Stopped
+)
+
+var phaseNames = [...]string{"starting", "serving", "draining", "stopped"}
+
+func (p Phase) String() string { return phaseNames[p] }
+
+// Berth is where and with what a node runs.
+type Berth struct {
+	Listen, Discovery string
+	Seed              int64
+	Descriptors       int
+	Memory            int64 // bytes it may use in all
+	Terms             houserules.Terms
+	Known             *fastjson.Value // the list as last held, or nil
+	Log               *logrus.Logger
+	Moved             func(Phase) // told of each phase; nil for nobody
+}
+
+// Relay is one node.
+type Relay struct {
+	Berth
+	phase    Phase
+	eng      *sockets.Engine
+	host     *host.Host
+	began    time.Time // with the monotonic clock's reading
+	due      deadlines.Queue[due]
+	clients  slots.Table[clientID, client]
+	links    slots.Table[linkID, link]
+	hand     slots.Table[handID, retrieval]
+	caches   map[policy.CacheID]*cache
+	list     discovery
+	later    []func() // what must not happen within a call into the host
+	count    counters.Counters
+	held     int            // bytes of answers that wait for those before them
+	ending   policy.Instant // when the call to end came
+	lastCame policy.Instant // when somebody last connected
+	asks     chan func()
+	done     chan struct{}
+}
+
+// due is one deadline; exactly one of its parts is set.
+type due struct {
+	token string // a timer of the host's
+	leg   legRef // time to give a leg up
+	link  linkID // time to look after a link
+	list  uint64 // time to look after the list, if this call is still the one
+	drain bool   // time to look for idle clients
+	ready bool   // time to serve by the last list
+	flush clientID
+}
+
+type legRef struct {
+	hand handID
+	leg  int
+}
+
+// New listens and starts; Run is to follow.
+func New(b Berth) (*Relay, error) {
+	eng, err := sockets.New(b.Listen, b.Descriptors)
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{Berth: b, eng: eng, began: time.Now(), caches: map[policy.CacheID]*cache{},
+		asks: make(chan func(), 16), done: make(chan struct{})}
+	r.host = host.New(r.now(), b.Seed, b.Terms.Rules, r)
+	if b.Known != nil {
+		r.hear(b.Known, policy.LastHeld)
+	}
+	r.list.since = unknownSince
+	r.due.Put(r.now().Add(readyBy), due{ready: true})
+	r.follow()
+	return r, nil
+}
+
+// Addr is where it listens.
+func (r *Relay) Addr() string { return r.eng.Addr().String() }
+
+func (r *Relay) now() policy.Instant { return r.at(time.Now()) }
+
+func (r *Relay) at(t time.Time) policy.Instant { return epoch.Add(t.Sub(r.began)) }
+
+// wall turns Unix milliseconds into an instant: always the same for the same start, whatever the clocks do.
+func (r *Relay) wall(ms float64) policy.Instant {
+	if ms == 0 {
+		return 0
+	}
+	return epoch.Add(time.Duration(ms*float64(time.Millisecond))-time.Duration(r.began.UnixNano())) | 1
+}
+
+func (r *Relay) enter(p Phase) {
+	r.phase = p
+	if r.Moved != nil {
+		r.Moved(p)
+	}
+}
+
+// End asks the node to drain and stop. It may be called from anywhere, and more than once.
+func (r *Relay) End() { r.ask(r.drain) }
+
+// Counts returns the counters as they stand. It may be called from anywhere.
+func (r *Relay) Counts() (c counters.Counters) {
+	answer := make(chan counters.Counters, 1)
+	if !r.ask(func() { answer <- r.count }) {
+		return r.count
+	}
+	select {
+	case c = <-answer:
+	case <-r.done:
+		c = r.count
+	}
+	return c
+}
+
+func (r *Relay) ask(f func()) bool {
+	select {
+	case r.asks <- f:
+		return true
+	case <-r.done:
+		return false
+	}
+}
+
+// Run is the loop. It returns once the node has stopped.
+func (r *Relay) Run() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for r.phase != Stopped {
+		for i, ev := range r.eng.Take() {
+			r.event(ev)
+			if i%eventsAtOne == eventsAtOne-1 {
+				r.deadlines()
+			}
+		}
+		r.deadlines()
+		if at, ok := r.due.Next(); ok {
+			timer.Reset(at.Since(r.now()))
+		}
+		if r.phase == Stopped {
+			break
+		}
+		select {
+		case <-r.eng.Wake():
+		case <-timer.C:
+		case f := <-r.asks:
+			f()
+			r.settle()
+		}
+	}
+	r.eng.Stop()
+	close(r.done)
+}
+
+// settle does what calls into the host left to do.
+func (r *Relay) settle() {
+	for len(r.later) > 0 {
+		next := r.later
+		r.later = nil
+		for _, f := range next {
+			f()
+		}
+	}
+}
+
+func (r *Relay) event(ev sockets.Event) {
+	switch ev.What {
+	case sockets.Opened:
+		r.opened(ev)
+	case sockets.Connected, sockets.Refused:
+		r.dialled(ev)
+	case sockets.Crowded:
+		r.makeRoom()
+	case sockets.Data:
+		if ev.Wire.Out {
+			r.linkData(linkID(ev.Wire.Tag), ev.Bytes)
+		} else {
+			r.clientData(clientID(ev.Wire.Tag), ev.Bytes, r.at(ev.At))
+		}
+	case sockets.Closed:
+		if ev.Wire.Out {
+			r.linkClosed(linkID(ev.Wire.Tag), ev.Lost > 0)
+		} else {
+			r.clientClosed(clientID(ev.Wire.Tag))
+		}
+	}
+	r.settle()
+}
+
+func (r *Relay) deadlines() {
+	for {
+		d, ok := r.due.Due(r.now())
+		if !ok {
+			return
+		}
+		switch {
+		case d.token != "":
+			r.host.Woken(r.now(), d.token)
+		case d.leg.hand != 0:
+			r.giveUp(d.leg)
+		case d.link != 0:
+			r.tend(d.link)
+		case d.list != 0:
+			r.listSilent(d.list)
+		case d.flush != 0:
+			r.closeFlushed(d.flush)
+		case d.ready:
+			r.ready()
+		case d.drain:
+			r.drainStep()
+		}
+		r.settle()
+	}
+}
+
+func (r *Relay) ready() {
+	if r.phase == Starting && len(r.caches) > 0 {
+		r.Log.WithField("caches", len(r.caches)).Info("serving")
+		r.enter(Serving)
+	}
+}
+
+func (r *Relay) drain() {
+	if r.phase == Draining || r.phase == Stopped {
+		return
+	}
+	r.ending = r.now()
+	r.Log.WithField("in_hand", r.hand.Len()).Info("draining")
+	r.enter(Draining)
+	r.drainStep()
+}
+
+// drainStep goes on serving while connections may still come, then closes clients as they fall idle.
+func (r *Relay) drainStep() {
+	now := r.now()
+	if now.Since(r.ending) >= comingFor && now.Since(r.lastCame) >= quietFor {
+		r.clients.Each(func(_ clientID, c *client) {
+			if c.idle() && now.Since(c.usedAt) >= lingerFor {
+				c.wire.Close()
+				r.dropClient(c)
+			}
+		})
+		over := now.Since(r.ending) >= r.Terms.LongestStop+spareToStop
+		if r.clients.Len() == 0 && r.hand.Len() == 0 || over {
+			r.enter(Stopped)
+			return
+		}
+	}
+	r.due.Put(now.Add(drainEvery), due{drain: true})
+}
+
+// token is a retrieval's id towards the host: a slot's, so that no client can name another's.
+func token(id handID) policy.RetrievalID {
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], uint64(id))
+	return policy.RetrievalID(b[:])
+}
+
+func slotOf(id policy.RetrievalID) handID {
+	if len(id) != 8 {
+		return 0
+	}
+	return handID(binary.BigEndian.Uint64([]byte(id)))
+}
+
+// Timer wakes the host.
+func (r *Relay) Timer(in time.Duration, token string) { r.due.Put(r.now().Add(in), due{token: token}) }
+
+// Follow needs nothing: the list is always followed.
+func (r *Relay) Follow() {}
+
+// makeRoom frees one descriptor of the least use: an idle link first, then an idle client.
+func (r *Relay) makeRoom() bool {
+	if l := r.longestIdleLink(); l != nil {
+		r.count.RoomClosed++
+		r.dropLink(l)
+		return true
+	}
+	var oldest *client
+	r.clients.Each(func(_ clientID, c *client) {
+		if c.idle() && (oldest == nil || c.usedAt < oldest.usedAt) {
+			oldest = c
+		}
+	})
+	if oldest == nil {
+		return false
+	}
+	r.count.RoomClosed++
+	oldest.wire.Close()
+	r.dropClient(oldest)
+	return true
+}
+
+// dial opens a connection for a link, making room for it if need be.
+func (r *Relay) dial(addr string, id linkID) error {
+	err := r.eng.Dial(addr, r.Terms.Connect, uint64(id))
+	if errors.Is(err, sockets.ErrNoDescriptor) && r.makeRoom() {
+		err = r.eng.Dial(addr, r.Terms.Connect, uint64(id))
+	}
+	return err
+}
--- /dev/null
+++ b/internal/net/sockets/sockets.go
@@ -0,0 +1,304 @@
+// Package sockets puts nbio under a node: its callbacks only hand bytes and events over, in order, to the one
+// loop that takes them. Nothing is lost, and neither side can wait for the other for good: the loop never waits,
+// and only the reading of more bytes waits for the loop.
+package sockets
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+)
+
+const (
+	readAtOnce  = 64 << 10             // bytes read at once: the longest value
+	mostHanded  = 4 << 20              // bytes handed over and not taken at which reading waits
+	keepArena   = 256 << 10            // bytes an emptied store may keep for the next turn
+	mostUnsent  = 1 << 20              // bytes a connection may have waiting for a slow reader
+	acceptPause = 5 * time.Millisecond // after an accept that failed, so that it does not spin
+	ownFiles    = 24                   // descriptors not for connections: poller, listener, log, runtime
+	forDials    = 8                    // descriptors kept from those who come, so that legs can go out
+)
+
+// What an Event tells.
+type What int
+
+const (
+	Opened    What = iota // somebody connected here
+	Connected             // a dialled connection is up
+	Refused               // a dialled connection never comes up
+	Data                  // bytes came
+	Closed                // a connection has ended
+	Crowded               // somebody waits for a descriptor
+)
+
+// Event is one thing that happened. Bytes are valid until the next Take.
+type Event struct {
+	What  What
+	Wire  *Wire
+	Dial  uint64 // whose dialling it was: Connected and Refused
+	At    time.Time
+	Bytes []byte
+	Lost  int64 // bytes that were written to a closed connection and not taken by the kernel
+	from  int
+	long  int
+}
+
+// Wire is one connection.
+type Wire struct {
+	Tag    uint64 // for the loop's use alone
+	Out    bool   // dialled from here
+	dial   uint64
+	e      *Engine
+	conn   *nbio.Conn
+	unsent atomic.Int64
+	gone   atomic.Bool // its descriptor is counted as free
+}
+
+// Engine is all of a node's connections.
+type Engine struct {
+	nb     *nbio.Engine
+	most   int64
+	open   atomic.Int64
+	unsent atomic.Int64
+
+	mu      sync.Mutex
+	room    *sync.Cond // reading waits here for the loop, accepting for a descriptor
+	events  []Event
+	arena   []byte
+	spare   []Event
+	spareA  []byte
+	stopped bool
+	wake    chan struct{}
+	addr    net.Addr
+}
+
+// ErrNoDescriptor says that the budget of descriptors is spent.
+var ErrNoDescriptor = errors.New("all descriptors are in use")
+
+// New listens and starts. It holds at most so many descriptors.
+func New(listen string, descriptors int) (*Engine, error) {
+	e := &Engine{most: int64(max(16, descriptors-ownFiles)), wake: make(chan struct{}, 1)}
+	e.room = sync.NewCond(&e.mu)
+	logging.SetLevel(logging.LevelError)
+	e.nb = nbio.NewEngine(nbio.Config{
+		Network: "tcp", Addrs: []string{listen}, NPoller: 1, ReadBufferSize: readAtOnce,
+		MaxWriteBufferSize: mostUnsent,
+		// by edges: by levels, nbio forgets to wait for room on a connection written to as it comes up
+		EpollMod: nbio.EPOLLET,
+		Listen: func(network, addr string) (net.Listener, error) {
+			plain := net.ListenConfig{KeepAlive: -1}
+			plain.SetMultipathTCP(false)
+			l, err := plain.Listen(context.Background(), network, addr)
+			if err != nil {
+				return nil, err
+			}
+			e.addr = l.Addr()
+			return &gate{l, e}, nil
+		},
+	})
+	e.nb.OnOpen(func(c *nbio.Conn) {
+		if w, ok := c.Session().(*Wire); ok { // dialled
+			e.hand(Event{What: Connected, Wire: w, Dial: w.dial}, nil)
+			return
+		}
+		w := &Wire{e: e, conn: c}
+		c.SetSession(w)
+		e.hand(Event{What: Opened, Wire: w}, nil)
+	})
+	e.nb.OnData(func(c *nbio.Conn, data []byte) {
+		if w, ok := c.Session().(*Wire); ok {
+			e.hand(Event{What: Data, Wire: w}, data)
+		}
+	})
+	e.nb.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
+		if w, ok := c.Session().(*Wire); ok {
+			w.unsent.Add(int64(-n))
+			e.unsent.Add(int64(-n))
+		}
+	})
+	e.nb.OnClose(func(c *nbio.Conn, _ error) {
+		if w, ok := c.Session().(*Wire); ok {
+			w.free()
+			e.hand(Event{What: Closed, Wire: w, Lost: w.forget()}, nil)
+		} else {
+			e.freed()
+		}
+	})
+	if err := e.nb.Start(); err != nil {
+		return nil, fmt.Errorf("cannot listen on %s: %w", listen, err)
+	}
+	return e, nil
+}
+
+// Addr is where it listens.
+func (e *Engine) Addr() net.Addr { return e.addr }
+
+// Wake tells that there may be events to take.
+func (e *Engine) Wake() <-chan struct{} { return e.wake }
+
+// hand puts an event into the queue. Only bytes wait for room, and only the poller brings them.
+func (e *Engine) hand(ev Event, data []byte) {
+	ev.At = time.Now()
+	e.mu.Lock()
+	for len(data) > 0 && len(e.arena) > 0 && len(e.arena)+len(data) > mostHanded && !e.stopped {
+		e.room.Wait()
+	}
+	ev.from, ev.long = len(e.arena), len(data)
+	e.arena = append(e.arena, data...)
+	e.events = append(e.events, ev)
+	e.mu.Unlock()
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Take returns what has happened since the last call, in order.
+func (e *Engine) Take() []Event {
+	e.mu.Lock()
+	events, arena := e.events, e.arena
+	if cap(e.spareA) > keepArena {
+		e.spareA = nil
+	}
+	e.events, e.arena = e.spare[:0], e.spareA[:0]
+	e.spare, e.spareA = events, arena
+	e.room.Broadcast()
+	e.mu.Unlock()
+	for i := range events {
+		if ev := &events[i]; ev.long > 0 {
+			ev.Bytes = arena[ev.from : ev.from+ev.long]
+		}
+	}
+	return events
+}
+
+// Open counts the connections, those dialled and not yet up among them.
+func (e *Engine) Open() int { return int(e.open.Load()) }
+
+// Unsent counts the bytes that wait for slow readers.
+func (e *Engine) Unsent() int64 { return e.unsent.Load() }
+
+// Dial starts a connection; Connected or Refused follows. The connecting itself is the standard library's: nbio's
+// own reads the first four bytes of a sixteen-byte address, and so calls 0.0.0.0 whatever it is given.
+func (e *Engine) Dial(addr string, within time.Duration, dial uint64) error {
+	if e.open.Add(1) > e.most {
+		e.open.Add(-1)
+		return ErrNoDescriptor
+	}
+	go func() {
+		d := net.Dialer{Timeout: within, KeepAlive: -1}
+		d.SetMultipathTCP(false)
+		conn, err := d.Dial("tcp", addr)
+		var c *nbio.Conn
+		if err == nil {
+			if c, err = nbio.NBConn(conn); err != nil {
+				_ = conn.Close()
+			}
+		}
+		if err != nil {
+			e.freed()
+			e.hand(Event{What: Refused, Dial: dial}, nil)
+			return
+		}
+		c.SetSession(&Wire{e: e, conn: c, Out: true, dial: dial})
+		_, _ = e.nb.AddConn(c) // one that can't be added is closed, and that is told
+	}()
+	return nil
+}
+
+// Stop closes everything.
+func (e *Engine) Stop() {
+	e.mu.Lock()
+	e.stopped = true
+	e.room.Broadcast()
+	e.mu.Unlock()
+	e.nb.Stop()
+}
+
+// Write hands bytes on; what the kernel does not take at once follows later. An error says that the last byte
+// was not handed to it and never will be.
+func (w *Wire) Write(b []byte) error {
+	w.unsent.Add(int64(len(b)))
+	w.e.unsent.Add(int64(len(b)))
+	_, err := w.conn.Write(b)
+	if err != nil {
+		w.forget()
+	}
+	return err
+}
+
+// forget takes what was never sent out of the count of the whole, once.
+func (w *Wire) forget() int64 {
+	lost := w.unsent.Swap(0)
+	w.e.unsent.Add(-lost)
+	return lost
+}
+
+func (w *Wire) free() {
+	if w.gone.CompareAndSwap(false, true) {
+		w.e.freed()
+	}
+}
+
+func (e *Engine) freed() {
+	e.open.Add(-1)
+	e.mu.Lock()
+	e.room.Broadcast()
+	e.mu.Unlock()
+}
+
+// Unsent counts the bytes that the kernel has not taken yet.
+func (w *Wire) Unsent() int64 { return w.unsent.Load() }
+
+// Close ends the connection; Closed follows.
+func (w *Wire) Close() {
+	_ = w.conn.Close()
+	w.free()
+}
+
+// gate holds back accepting while no descriptor is free. Who waits stands in the kernel's queue meanwhile.
+type gate struct {
+	net.Listener
+	e *Engine
+}
+
+func (g *gate) Accept() (net.Conn, error) {
+	e := g.e
+	for {
+		conn, err := g.Listener.Accept()
+		if err == nil {
+			e.open.Add(1)
+			e.waitForRoom()
+			return conn, nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return nil, err
+		}
+		time.Sleep(acceptPause)
+	}
+}
+
+// waitForRoom holds the acceptor while the budget is spent; it tells the loop to make room.
+func (e *Engine) waitForRoom() {
+	told := false
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for e.open.Load() > e.most-forDials && !e.stopped {
+		if !told {
+			told = true
+			e.events = append(e.events, Event{What: Crowded, At: time.Now(), from: len(e.arena)})
+			select {
+			case e.wake <- struct{}{}:
+			default:
+			}
+		}
+		e.room.Wait()
+	}
+}
--- a/internal/simwire/decode.go
+++ b/internal/simwire/decode.go
@@ -9,11 +9,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
-	"time"
 
 	"github.com/valyala/fastjson"
 
+	"dahliapin/internal/houserules"
 	"dahliapin/policy"
 )
 
@@ -43,7 +42,7 @@
 
 type instance struct {
 	node  Node
-	names vocabulary
+	names houserules.Vocabulary
 	last  []policy.Entry
 }
 
@@ -115,14 +114,14 @@
 	name := at(0).GetStringBytes()
 	switch string(name) {
 	case "begin":
-		rules, names, err := houseRules(at(2))
+		terms, err := houserules.Decode(at(2))
 		if err != nil {
 			return err
 		}
-		s.nodes[node] = &instance{s.start(now, at(1).GetInt64(), rules, &s.out), names, nil}
+		s.nodes[node] = &instance{s.start(now, at(1).GetInt64(), terms.Rules, &s.out), terms.Names, nil}
 		return nil
 	case "ledger":
-		if n := number(at(1)); n >= 0 && n < 16 {
+		if n := houserules.Number(at(1)); n >= 0 && n < 16 {
 			s.lists[int(n)] = copyOf(at(2))
 		}
 		return nil
@@ -137,7 +136,7 @@
 		delete(s.nodes, node)
 	case "fleet":
 		form, ok := listForms[string(at(1).GetStringBytes())]
-		n := int(number(at(3)))
+		n := int(houserules.Number(at(3)))
 		if !ok || n < 0 || n > 15 {
 			fmt.Fprintln(s.log, "passed over a list of an unknown form or number")
 			break
@@ -152,11 +151,11 @@
 		}
 		in.node.Listed(now, form, in.last)
 	case "job_in":
-		flags := int(number(at(8)))
+		flags := int(houserules.Number(at(8)))
 		r := &policy.Retrieval{
 			ID: policy.RetrievalID(at(1).GetStringBytes()), Key: string(at(6).GetStringBytes()),
-			Grade:  policy.GradeID(in.names.lookup(in.names.grades, at(3))),
-			League: policy.LeagueID(in.names.lookup(in.names.leagues, at(4))),
+			Grade:  in.names.Grade(at(3).GetStringBytes()),
+			League: in.names.League(at(4).GetStringBytes()),
 			Write:  flags&4 != 0, Arrived: now, HardStop: instant(at(5)),
 		}
 		if r.ID == "" || r.HardStop <= 0 {
@@ -172,7 +171,7 @@
 			break
 		}
 		in.node.Ended(now, policy.RetrievalID(at(1).GetStringBytes()), how, at(3).GetBool(),
-			policy.Outcome{Leg: leg.GetInt(), Took: span(at(6)), Report: in.names.report(at(8))})
+			policy.Outcome{Leg: leg.GetInt(), Took: houserules.Span(at(6)), Report: report(&in.names, at(8))})
 	case "timed_out_client":
 		in.node.Left(now, policy.RetrievalID(at(1).GetStringBytes()))
 	case "sampled":
@@ -222,8 +221,8 @@
 		state = policy.Draining
 	}
 	return policy.Entry{
-		Weight: number(f[0]), Kind: in.names.lookup(in.names.kinds, f[1]), State: state, Born: instant(f[3]),
-		Zone: policy.ZoneID(f[4].GetStringBytes()), ID: s.cacheID(f[5]), Group: policy.GroupID(number(f[6])),
+		Weight: houserules.Number(f[0]), Kind: in.names.Kind(f[1].GetStringBytes()), State: state, Born: instant(f[3]),
+		Zone: policy.ZoneID(f[4].GetStringBytes()), ID: s.cacheID(f[5]), Group: policy.GroupID(houserules.Number(f[6])),
 	}, true
 }
 
@@ -246,22 +245,17 @@
 	return results[n], true
 }
 
-func number(v *fastjson.Value) float64 {
-	if v == nil {
-		return 0
-	}
-	x := v.GetFloat64()
-	if math.IsInf(x, 0) || math.IsNaN(x) {
-		return 0
+func report(names *houserules.Vocabulary, v *fastjson.Value) []float64 {
+	if v == nil || v.Type() != fastjson.TypeObject {
+		return nil
 	}
-	return x
-}
-
-func span(v *fastjson.Value) time.Duration {
-	return time.Duration(math.Round(min(max(number(v), -1e9), 1e9)*1e6)) * time.Microsecond
+	return names.Report(func(column string) (float64, bool) {
+		x := v.Get(column)
+		return houserules.Number(x), x != nil && x.Type() == fastjson.TypeNumber
+	})
 }
 
-func instant(v *fastjson.Value) policy.Instant { return policy.Instant(span(v)) }
+func instant(v *fastjson.Value) policy.Instant { return policy.Instant(houserules.Span(v)) }
 
 func appendQuoted(b []byte, s string) []byte {
 	q, _ := json.Marshal(s) // a string always marshals
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,103 @@
+// Package node is dahliapin as a library: one router on sockets that another program may embed.
+package node
+
+import (
+	"errors"
+	"fmt"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"dahliapin/internal/net/counters"
+	"dahliapin/internal/net/relay"
+)
+
+const (
+	fewestSockets = 64   // descriptors that a node can do anything with
+	usualSockets  = 1024 // descriptors where no limit is stated: what most systems allow
+	usualMemory   = 192  // MB where no limit is stated
+	heapShare     = 0.6  // of the memory limit at which the collector works harder: stacks and sockets need some
+	fewestThreads = 2    // so that the loop need not wait for the poller to come back from its wait
+)
+
+// Phase is how far a node has come.
+type Phase = relay.Phase
+
+// The phases, in their order.
+const (
+	Starting = relay.Starting
+	Serving  = relay.Serving
+	Draining = relay.Draining
+	Stopped  = relay.Stopped
+)
+
+// Node is one node.
+type Node struct {
+	relay *relay.Relay
+	phase atomic.Int32
+	log   *logrus.Logger
+}
+
+// New listens as the posting says and starts. Serve is to follow.
+func New(p *Posting, log *logrus.Logger) (*Node, error) {
+	n := &Node{log: log}
+	memory, sockets := p.MemoryMB, p.Sockets
+	if memory == 0 {
+		memory = usualMemory
+	}
+	if sockets == 0 {
+		sockets = usualSockets
+	}
+	var err error
+	n.relay, err = relay.New(relay.Berth{
+		Listen: p.Listen, Discovery: p.Discovery, Seed: p.Seed, Descriptors: sockets,
+		Memory: int64(memory) << 20, Terms: p.terms, Known: p.known, Log: log,
+		Moved: func(to Phase) { n.phase.Store(int32(to)) },
+	})
+	if err != nil {
+		return nil, err
+	}
+	log.WithFields(logrus.Fields{"name": p.Name, "listen": n.relay.Addr()}).Info("listening")
+	return n, nil
+}
+
+// Serve runs until the node has stopped.
+func (n *Node) Serve() { n.relay.Run() }
+
+// End asks the node to drain and stop. It may be called from anywhere.
+func (n *Node) End() { n.relay.End() }
+
+// Phase tells how far it has come.
+func (n *Node) Phase() Phase { return Phase(n.phase.Load()) }
+
+// Addr is where it listens.
+func (n *Node) Addr() string { return n.relay.Addr() }
+
+// Counts returns its counters.
+func (n *Node) Counts() counters.Counters { return n.relay.Counts() }
+
+// Fit makes the process keep within a posting's limits. It is for a program that runs one node and nothing else.
+func Fit(p *Posting) error {
+	if p == nil {
+		return errors.New("there is no posting to fit")
+	}
+	if runtime.GOMAXPROCS(0) < fewestThreads {
+		runtime.GOMAXPROCS(fewestThreads)
+	}
+	memory := p.MemoryMB
+	if memory == 0 {
+		memory = usualMemory
+	}
+	debug.SetMemoryLimit(int64(heapShare * float64(memory<<20)))
+	return nil
+}
+
+// LogCounts writes the counters to the log, in one line.
+func (n *Node) LogCounts() {
+	fields := logrus.Fields{}
+	c := n.Counts()
+	c.Each(func(name string, count uint64) { fields[name] = count })
+	n.log.WithFields(fields).Info(fmt.Sprintf("counters, %s", n.Phase()))
+}
--- /dev/null
+++ b/node/posting.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"dahliapin/internal/houserules"
+	"dahliapin/internal/keyhash"
+)
+
+// Posting is what a node is told at its start: its name, where it stands, and the terms it works under.
+type Posting struct {
+	Name, Listen, Discovery string
+	Seed                    int64
+	MemoryMB, Sockets       int
+	terms                   houserules.Terms
+	known                   *fastjson.Value
+}
+
+// ReadPosting reads a posting from a file.
+func ReadPosting(path string) (*Posting, error) {
+	if path == "" {
+		return nil, errors.New("no configuration is named: set RELAY_CONFIG or give --config")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("the configuration cannot be read: %w", err)
+	}
+	return ParsePosting(text)
+}
+
+// ParsePosting reads a posting. What it names wrongly or not at all is told in one line.
+func ParsePosting(text []byte) (*Posting, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil || v.Type() != fastjson.TypeObject {
+		return nil, errors.New("the configuration is not a JSON object")
+	}
+	p := &Posting{Name: string(v.GetStringBytes("name")), Listen: string(v.GetStringBytes("listen")),
+		Discovery: string(v.GetStringBytes("discovery")), MemoryMB: v.GetInt("limits", "memory_mb"),
+		Sockets: v.GetInt("limits", "sockets"), known: v.Get("known")}
+	for what, addr := range map[string]string{"listen": p.Listen, "discovery": p.Discovery} {
+		host, _, err := net.SplitHostPort(addr)
+		if err != nil || net.ParseIP(host) == nil {
+			return nil, fmt.Errorf("the configuration's %q is not an address and a port: %q", what, addr)
+		}
+	}
+	if p.terms, err = houserules.Decode(v.Get("settings")); err != nil {
+		return nil, fmt.Errorf("the configuration cannot be used: %w", err)
+	}
+	if p.MemoryMB < 0 || p.Sockets < 0 || p.Sockets > 0 && p.Sockets < fewestSockets {
+		return nil, fmt.Errorf("the configuration's limits are too low: %d MB, %d sockets", p.MemoryMB, p.Sockets)
+	}
+	seed := string(v.GetStringBytes("seed"))
+	if n, err := strconv.ParseUint(seed, 16, 64); err == nil {
+		p.Seed = int64(n)
+	} else {
+		p.Seed = int64(keyhash.Text(seed))
+	}
+	return p, nil
+}
