Leave a link in use at its idle time for later: it was looked after without end

Ruled out: memory (8 MB), descriptors (142 of 1,024, clients opening more because of the stall), the poller (by edges it is not called again for the same event).

At fault: tend in internal/net/relay/caches.go. A link whose idle time came just after it had been taken up for a leg was put back at one nanosecond from now, and the loop over the deadlines read the clock anew each turn, so it went round until the leg ended and took no events. Now it is looked after again an idle time later, and what a deadline puts in waits until events have been handled, however soon it is due.

--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -256,7 +256,10 @@
 		r.dropLink(l)
 		return
 	}
-	l.idleAt = max(l.usedAt, now-policy.Instant(r.idleTime())+1).Add(r.idleTime())
+	l.idleAt = l.usedAt.Add(r.idleTime())
+	if l.does != nothing { // taken up just before its time: looked after at once, it would be until its leg ends
+		l.idleAt = now.Add(r.idleTime())
+	}
 	r.due.Put(l.idleAt, due{link: l.id})
 }
 
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -233,9 +233,11 @@
 	r.settle()
 }
 
+// deadlines does what is due. What that puts in anew waits until events have been handled, however soon it is due.
 func (r *Relay) deadlines() {
+	now := r.now()
 	for {
-		d, ok := r.due.Due(r.now())
+		d, ok := r.due.Due(now)
 		if !ok {
 			return
 		}
