Split descriptors between clients and links, and bound what commands and answers hold

Links now have half of the descriptors, clients beyond their half are dismissed at their first retrieval and closed.

Also: retrievals in hand, commands that have not come whole and answers that wait count against the memory; a leg given up before its last byte went to the kernel ends as never connected; while draining, a client is closed as soon as it has its answer, and what comes later than 0.6 s is dismissed; the acceptor is parked before nbio stops, whose wait group one more connection would upset. Parsers are fuzzed, split at every byte.

--- /dev/null
+++ b/internal/net/buffer/buffer_test.go
@@ -0,0 +1,31 @@
+package buffer
+
+import (
+	"bytes"
+	"testing"
+)
+
+func FuzzLikeAPlainSlice(f *testing.F) {
+	f.Add([]byte{10, 4, 200, 206, 7, 7})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		var b Buffer
+		var plain []byte
+		for i, s := range steps {
+			if i%2 == 0 {
+				p := bytes.Repeat([]byte{s}, int(s)*50)
+				b.Add(p)
+				plain = append(plain, p...)
+			} else {
+				n := min(int(s)*50, len(plain))
+				b.Use(n)
+				plain = plain[n:]
+			}
+			if !bytes.Equal(b.Unused(), plain) {
+				t.Fatalf("step %d: %d bytes, want %d", i, len(b.Unused()), len(plain))
+			}
+			if len(plain) == 0 && cap(b.data) > keep {
+				t.Fatalf("step %d: empty, yet %d bytes are kept", i, cap(b.data))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/net/deadlines/deadlines_test.go
@@ -0,0 +1,33 @@
+package deadlines
+
+import (
+	"slices"
+	"testing"
+
+	"dahliapin/policy"
+)
+
+func FuzzDueInOrder(f *testing.F) {
+	f.Add([]byte{3, 1, 2, 1, 255, 0})
+	f.Fuzz(func(t *testing.T, times []byte) {
+		var q Queue[int]
+		order := make([]int, len(times))
+		for i, at := range times {
+			q.Put(policy.Instant(at), i)
+			order[i] = i
+		}
+		slices.SortStableFunc(order, func(a, b int) int { return int(times[a]) - int(times[b]) })
+		for _, want := range order {
+			at, _ := q.Next()
+			if _, early := q.Due(at - 1); early {
+				t.Fatal("handed out early")
+			}
+			if got, ok := q.Due(at); !ok || got != want || at != policy.Instant(times[want]) {
+				t.Fatalf("got %d at %d, want %d", got, at, want)
+			}
+		}
+		if _, ok := q.Next(); ok {
+			t.Fatal("something is left")
+		}
+	})
+}
--- /dev/null
+++ b/internal/net/http1/http1_test.go
@@ -0,0 +1,57 @@
+package http1
+
+import (
+	"bytes"
+	"testing"
+)
+
+func FuzzAnswersSplitAnywhereReadAlike(f *testing.F) {
+	for _, s := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Call-Id: a\r\n\r\nhello",
+		"HTTP/1.1 503 No\r\nx-rejected: 1\r\ncontent-length: 0\r\n\r\n", "HTTP/1.1 204 None\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=1\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\n",
+		"HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+		"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", "nonsense\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		want, size, err := ReadAnswer(b, 1000, false)
+		if size > len(b) || len(want.Body) > 1000 {
+			t.Fatalf("%d of %d bytes, a body of %d", size, len(b), len(want.Body))
+		}
+		for at := range b {
+			got, n, wrong := ReadAnswer(b[:at], 1000, false)
+			if n != 0 && (n != size || got.Status != want.Status || !bytes.Equal(got.Body, want.Body)) || wrong != nil && err == nil {
+				t.Fatalf("%d of %q: %d %v, whole: %d %v", at, b, n, wrong, size, err)
+			}
+		}
+	})
+}
+
+func TestAnswers(t *testing.T) {
+	for _, c := range []struct {
+		in     string
+		ended  bool
+		status int
+		body   string
+		last   bool
+	}{
+		{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhelloHTTP", false, 200, "hello", false},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n", false, 200, "abcde", false},
+		{"HTTP/1.1 500 Oh\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", false, 500, "", true},
+		{"HTTP/1.0 200 OK\r\n\r\nrest", true, 200, "rest", true},
+		{"HTTP/1.0 200 OK\r\n\r\nrest", false, 0, "", false},
+	} {
+		a, size, err := ReadAnswer([]byte(c.in), 100, c.ended)
+		if err != nil || (size > 0) != (c.status > 0) || size > 0 && (a.Status != c.status || string(a.Body) != c.body || a.Last != c.last) {
+			t.Errorf("%q: %v %d %v", c.in, a, size, err)
+		}
+	}
+}
+
+func TestRequest(t *testing.T) {
+	got := string(AppendRequest(nil, "PUT", AppendPath(nil, []byte("obj:a%b?c")), "h:1", []byte("A: b\r\n"), []byte("xy")))
+	if want := "PUT /obj:a%25b%3Fc HTTP/1.1\r\nHost: h:1\r\nA: b\r\nContent-Length: 2\r\n\r\nxy"; got != want {
+		t.Errorf("%q", got)
+	}
+}
--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -152,11 +152,14 @@
 	}
 }
 
+// stopWaiting ends a leg. If its last byte never went to the kernel, it never ran.
 func (r *Relay) stopWaiting(v *retrieval, n int, how policy.Result) {
-	if l := r.links.Get(v.legs[n].link); l != nil {
-		l.does = nothing
-		if l.wire != nil {
-			r.dropLink(l)
+	l := r.links.Get(v.legs[n].link)
+	if l != nil && (l.wire == nil || r.dropLink(l) > 0) {
+		if l.does = nothing; how == policy.TimedOut {
+			how = policy.Unconnected
+		} else {
+			how = policy.NeverSent
 		}
 	}
 	r.end(v, n, how, nil)
@@ -181,8 +184,9 @@
 			return
 		}
 	}
-	if v.answered {
+	if v.answered && r.hand.Get(v.id) != nil {
 		r.hand.Drop(v.id)
+		r.held -= v.bytes
 	}
 }
 
@@ -263,14 +267,14 @@
 	r.due.Put(l.idleAt, due{link: l.id})
 }
 
-// dropLink closes a link that is in use for nothing.
-func (r *Relay) dropLink(l *link) {
+// dropLink closes a link, and returns how much of what was written to it never went to the kernel.
+func (r *Relay) dropLink(l *link) (lost int64) {
 	r.links.Drop(l.id)
 	if l.wire != nil {
-		l.wire.Close()
+		lost = l.wire.Close()
 	}
 	if l.cache == nil {
-		return
+		return lost
 	}
 	for i, id := range l.cache.idle {
 		if id == l.id {
@@ -278,6 +282,7 @@
 			break
 		}
 	}
+	return lost
 }
 
 // lose drops a link, and tells what that means for what it was used for.
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -10,12 +10,16 @@
 	"dahliapin/policy"
 )
 
+const noMemory = "SERVER_ERROR out of memory\r\n"
+
 const (
 	mostTurns  = 256              // commands in hand on one connection; more are dismissed
 	mostWait   = 10 * time.Minute // that a client may say it waits: no deployment's is near it
 	flushFor   = time.Second      // that a connection to be closed may take to be read out
 	flushEvery = 20 * time.Millisecond
-	shareHeld  = 8 // part of the memory that answers may take which wait for others or for slow readers
+	shareHeld  = 8 // part of the memory that retrievals and answers may take: the rest is for what grows with them
+	sharePart  = 4 // part of the memory that commands may take which have not come whole
+	shareLinks = 2 // part of the descriptors that links may have, and clients leave them: a leg or two each
 )
 
 // client is a connection that somebody opened to this node.
@@ -27,6 +31,8 @@
 	first   uint64 // the number of the first turn
 	usedAt  policy.Instant
 	closing bool // nothing more is read; it closes once all is answered
+	excess  bool // came when there were too many: dismissed and closed at its first retrieval
+	partial int  // bytes of a command that has not come whole
 	until   policy.Instant
 }
 
@@ -47,6 +53,7 @@
 	turn     uint64
 	command  meta.Command // its parts lie in a copy
 	answered bool         // or nobody waits any more
+	bytes    int
 	legs     []leg
 }
 
@@ -56,8 +63,15 @@
 	c.wire.Tag = uint64(c.id)
 	r.count.Clients++
 	r.lastCame = c.usedAt
+	if r.tooManyClients() {
+		c.excess = !r.closeIdleClient()
+	}
 }
 
+func (r *Relay) tooManyClients() bool { return r.clients.Len() > r.eng.Most()-r.mostLinks() }
+
+func (r *Relay) mostLinks() int { return r.eng.Most() / shareLinks }
+
 func (r *Relay) clientData(id clientID, data []byte, at policy.Instant) {
 	c := r.clients.Get(id)
 	if c == nil || c.closing {
@@ -87,6 +101,13 @@
 		}
 		c.buf.Use(size)
 	}
+	r.partial += len(c.buf.Unused()) - c.partial
+	c.partial = len(c.buf.Unused())
+	if c.partial > 0 && int64(r.partial) > r.Memory/sharePart {
+		r.count.Crowded++
+		r.say(c, []byte(noMemory))
+		c.closing = true
+	}
 	r.flush(c)
 }
 
@@ -97,7 +118,7 @@
 }
 
 func (r *Relay) readiness() []byte {
-	if r.phase == Serving || r.phase == Draining {
+	if r.phase == Serving {
 		return []byte("MN\r\n")
 	}
 	return []byte("SERVER_ERROR " + r.phase.String() + "\r\n")
@@ -122,14 +143,18 @@
 		return
 	}
 	r.count.Retrievals++
-	if len(c.turns) >= mostTurns || r.phase == Starting ||
+	if len(c.turns) >= mostTurns || r.phase == Starting || r.tooLate(at) || c.excess && r.tooManyClients() ||
 		int64(r.held)+r.eng.Unsent() > r.Memory/shareHeld {
 		r.count.Crowded++
 		r.count.Dismissed++
 		r.say(c, meta.AppendBusy(nil, 0))
+		c.closing = c.closing || c.excess
 		return
 	}
-	v := &retrieval{client: c.id, turn: c.first + uint64(len(c.turns)), command: copyOf(command)}
+	c.excess = false
+	v := &retrieval{client: c.id, turn: c.first + uint64(len(c.turns))}
+	v.command, v.bytes = copyOf(command)
+	r.held += v.bytes
 	v.id = r.hand.Add(v)
 	c.turns = append(c.turns, turn{hand: v.id})
 	grade, _ := meta.Item(items, "c")
@@ -141,13 +166,15 @@
 }
 
 // copyOf keeps a command beyond the buffer that it was read from.
-func copyOf(c *meta.Command) meta.Command {
-	b := make([]byte, 0, len(c.Key)+len(c.Flags)+len(c.ID)+len(c.Value))
+func copyOf(c *meta.Command) (whole meta.Command, size int) {
+	size = len(c.Key) + len(c.Flags) + len(c.ID) + len(c.Value)
+	b := make([]byte, 0, size)
 	keep := func(p []byte) []byte {
 		b = append(b, p...)
 		return b[len(b)-len(p):]
 	}
-	return meta.Command{Verb: c.Verb, Key: keep(c.Key), Flags: keep(c.Flags), ID: keep(c.ID), Value: keep(c.Value)}
+	return meta.Command{Verb: c.Verb, Key: keep(c.Key), Flags: keep(c.Flags), ID: keep(c.ID),
+		Value: keep(c.Value)}, size
 }
 
 // answer gives a retrieval its one final answer.
@@ -200,13 +227,17 @@
 	switch now := r.now(); {
 	case c == nil:
 	case c.wire.Unsent() == 0 || now >= c.until:
-		c.wire.Close()
-		r.dropClient(c)
+		r.closeClient(c)
 	default:
 		r.due.Put(now.Add(flushEvery), due{flush: id})
 	}
 }
 
+func (r *Relay) closeClient(c *client) {
+	c.wire.Close()
+	r.dropClient(c)
+}
+
 func (r *Relay) clientClosed(id clientID) {
 	if c := r.clients.Get(id); c != nil {
 		r.dropClient(c)
@@ -217,6 +248,7 @@
 // that is allowed.
 func (r *Relay) dropClient(c *client) {
 	r.clients.Drop(c.id)
+	r.partial -= c.partial
 	for _, t := range c.turns {
 		r.held -= len(t.out)
 		v := r.hand.Get(t.hand)
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -25,7 +25,8 @@
 	readyBy     = 250 * time.Millisecond      // from the start, to serve by the last list if no newer one comes
 	comingFor   = 500 * time.Millisecond      // after the call to end, connections may still come: 0.2 to 0.4 s
 	quietFor    = 150 * time.Millisecond      // without a new connection before clients are closed
-	lingerFor   = 50 * time.Millisecond       // a client's silence after which it is idle, while draining
+	lingerFor   = 50 * time.Millisecond       // while draining, for the first command of who has just connected
+	takingFor   = 600 * time.Millisecond      // after the call to end; later retrievals might outlast the node
 	drainEvery  = 10 * time.Millisecond       // between looks for idle clients while draining
 	spareToStop = 500 * time.Millisecond      // over the longest hard stop, by which a node is to have ended
 	eventsAtOne = 256                         // events handled between looks at the deadlines
@@ -79,7 +80,9 @@
 	list     discovery
 	later    []func() // what must not happen within a call into the host
 	count    counters.Counters
-	held     int            // bytes of answers that wait for those before them
+	held     int            // bytes of retrievals in hand, and of answers that wait for those before them
+	partial  int            // bytes of commands that have not come whole
+	crowded  bool           // somebody waits for a descriptor
 	ending   policy.Instant // when the call to end came
 	lastCame policy.Instant // when somebody last connected
 	asks     chan func()
@@ -180,6 +183,10 @@
 			}
 		}
 		r.deadlines()
+		if r.crowded {
+			r.crowded = !r.makeRoom()
+			r.settle()
+		}
 		if at, ok := r.due.Next(); ok {
 			timer.Reset(at.Since(r.now()))
 		}
@@ -216,7 +223,7 @@
 	case sockets.Connected, sockets.Refused:
 		r.dialled(ev)
 	case sockets.Crowded:
-		r.makeRoom()
+		r.crowded = true
 	case sockets.Data:
 		if ev.Wire.Out {
 			r.linkData(linkID(ev.Wire.Tag), ev.Bytes)
@@ -283,9 +290,8 @@
 	now := r.now()
 	if now.Since(r.ending) >= comingFor && now.Since(r.lastCame) >= quietFor {
 		r.clients.Each(func(_ clientID, c *client) {
-			if c.idle() && now.Since(c.usedAt) >= lingerFor {
-				c.wire.Close()
-				r.dropClient(c)
+			if c.idle() && (c.first > 0 || now.Since(c.usedAt) >= lingerFor) {
+				r.closeClient(c)
 			}
 		})
 		over := now.Since(r.ending) >= r.Terms.LongestStop+spareToStop
@@ -297,6 +303,10 @@
 	r.due.Put(now.Add(drainEvery), due{drain: true})
 }
 
+func (r *Relay) tooLate(at policy.Instant) bool {
+	return r.phase == Draining && at.Since(r.ending) > takingFor
+}
+
 // token is a retrieval's id towards the host: a slot's, so that no client can name another's.
 func token(id handID) policy.RetrievalID {
 	var b [8]byte
@@ -324,9 +334,14 @@
 		r.dropLink(l)
 		return true
 	}
+	return r.closeIdleClient()
+}
+
+func (r *Relay) closeIdleClient() bool {
 	var oldest *client
 	r.clients.Each(func(_ clientID, c *client) {
-		if c.idle() && (oldest == nil || c.usedAt < oldest.usedAt) {
+		if c.idle() && (c.first > 0 || r.now().Since(c.usedAt) >= lingerFor) &&
+			(oldest == nil || c.usedAt < oldest.usedAt) {
 			oldest = c
 		}
 	})
@@ -334,16 +349,24 @@
 		return false
 	}
 	r.count.RoomClosed++
-	oldest.wire.Close()
-	r.dropClient(oldest)
+	r.closeClient(oldest)
 	return true
 }
 
-// dial opens a connection for a link, making room for it if need be.
+// dial opens a connection for a link, making room for it if need be. Links never take the clients' share: who
+// comes could not be let in then, and what it had sent would be lost.
 func (r *Relay) dial(addr string, id linkID) error {
-	err := r.eng.Dial(addr, r.Terms.Connect, uint64(id))
+	if r.links.Len() > r.mostLinks() {
+		l := r.longestIdleLink()
+		if l == nil {
+			return sockets.ErrNoDescriptor
+		}
+		r.count.RoomClosed++
+		r.dropLink(l)
+	}
+	err := r.eng.Dial(addr, r.connectTime(), uint64(id))
 	if errors.Is(err, sockets.ErrNoDescriptor) && r.makeRoom() {
-		err = r.eng.Dial(addr, r.Terms.Connect, uint64(id))
+		err = r.eng.Dial(addr, r.connectTime(), uint64(id))
 	}
 	return err
 }
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -1,12 +1,351 @@
 package relay
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fastjson"
+
+	"dahliapin/internal/houserules"
+	"dahliapin/internal/net/counters"
 	"dahliapin/policy"
 )
 
+const patience = 10 * time.Second // that a test waits for what must come: a slow machine's, never a measure
+
+const terms = `{"service_grades":[
+{"name":"read","benefit":1,"effect":"idempotent","group":"all","soft_limit_s":0.5,"hard_stop_s":1},
+{"name":"put","benefit":8,"effect":"deduplicated","group":"all","soft_limit_s":0.5,"hard_stop_s":1,"key_ttl_s":5}],
+"bounds":{"cancel":true,"conn_idle_s":15,"connect_timeout_s":1,"most_legs":3,"probes":true,"retry_after":true,
+"max_retry_after_s":0.6,"second_copies":%v},"family_info":{"mode":"aside","origin_kind":1},"kinds":["box","origin"],
+"n_instances":1,"round_s":0.005,"rules":{"cold_from":0.3,"cold_s":1},"zone":"z"}`
+
+// rig is a node with one cache, an origin and discovery, which are the test's own.
+type rig struct {
+	*Relay
+	t     *testing.T
+	addr  string
+	lines chan string // what the cache was sent
+	ended chan bool   // a connection to the cache has ended
+	calls chan string // what the origin was asked
+	list  chan string // what discovery answers next
+	asked chan string // what it was asked
+	over  chan bool
+	serve sync.WaitGroup
+}
+
+// newRig starts one. The cache answers each line by the function; "" leaves it unanswered.
+func newRig(t *testing.T, descriptors int, answer func(line string) string) *rig {
+	g := &rig{t: t, lines: make(chan string, 999), ended: make(chan bool, 999), calls: make(chan string, 99),
+		list: make(chan string, 9), asked: make(chan string, 99), over: make(chan bool)}
+	cache := g.listen(func(c net.Conn) {
+		for r := bufio.NewReader(c); ; {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				g.ended <- true
+				return
+			}
+			g.lines <- strings.TrimSpace(line)
+			io.WriteString(c, answer(strings.TrimSpace(line)))
+		}
+	})
+	web := func(h http.HandlerFunc) string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := &http.Server{Handler: h}
+		go s.Serve(l)
+		t.Cleanup(func() { s.Close() })
+		return l.Addr().String()
+	}
+	origin := web(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		g.calls <- fmt.Sprintf("%s %s %s %s %s", r.Method, r.URL.Path, r.Header.Get("X-Call-Id"), r.Header.Get("X-Call-Info"), body)
+		io.WriteString(w, "from-origin")
+	})
+	known := fmt.Sprintf(`{"generation":7,"reset":true,"instances":[
+{"instanceId":"c","hostPort":"%s","machineType":"box","lifecycle":"in_service","zone":"z"},
+{"instanceId":"o","hostPort":"%s","machineType":"origin","lifecycle":"in_service","zone":"z"}]}`, cache, origin)
+	g.list <- known
+	list := web(func(w http.ResponseWriter, r *http.Request) {
+		g.asked <- r.URL.String()
+		select {
+		case next := <-g.list:
+			io.WriteString(w, next)
+		case <-r.Context().Done():
+		case <-g.over:
+		}
+	})
+	rules, err := houserules.Decode(fastjson.MustParse(fmt.Sprintf(terms, false)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	up := make(chan bool, 9)
+	if g.Relay, err = New(Berth{Listen: "127.0.0.1:0", Discovery: list, Descriptors: descriptors, Memory: 64 << 20,
+		Terms: rules, Log: quiet, Moved: func(p Phase) { up <- p == Serving }}); err != nil {
+		t.Fatal(err)
+	}
+	g.addr = g.Addr()
+	g.serve.Add(1)
+	go func() { defer g.serve.Done(); g.Run() }()
+	t.Cleanup(func() { close(g.over); g.End(); g.serve.Wait() })
+	if !wait(t, up) {
+		t.Fatal("not serving")
+	}
+	return g
+}
+
+func (g *rig) listen(serve func(net.Conn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func wait[T any](t *testing.T, from chan T) (got T) {
+	t.Helper()
+	select {
+	case got = <-from:
+	case <-time.After(patience):
+		t.Fatal("nothing came")
+	}
+	return got
+}
+
+// client connects to the node.
+func (g *rig) client() (net.Conn, *bufio.Reader) {
+	c, err := net.Dial("tcp", g.addr)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(patience))
+	g.t.Cleanup(func() { c.Close() })
+	return c, bufio.NewReader(c)
+}
+
+func (g *rig) expect(r *bufio.Reader, want ...string) {
+	g.t.Helper()
+	for _, w := range want {
+		if got, err := r.ReadString('\n'); strings.TrimSpace(got) != w {
+			g.t.Fatalf("got %q (%v), want %q", got, err, w)
+		}
+	}
+}
+
+func (g *rig) until(what string, ok func(counters.Counters) bool) {
+	g.t.Helper()
+	for by := time.Now().Add(patience); !ok(g.Counts()); {
+		if time.Now().After(by) {
+			g.t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func id(line string) string {
+	for _, f := range strings.Fields(line) {
+		if f[0] == 'O' {
+			return f
+		}
+	}
+	return ""
+}
+
+func value(line string) string { return "VA 5 " + id(line) + " h1\r\nhello\r\n" }
+
+func TestAnswersKeepTheOrderOfTheirCommands(t *testing.T) {
+	slow := make(chan bool)
+	g := newRig(t, 200, func(line string) string {
+		if strings.Contains(line, "Oa") {
+			<-slow
+		}
+		return value(line)
+	})
+	c, r := g.client()
+	fmt.Fprint(c, "mg k1 v Oa Pc=read,d=9000\r\nmg k2 v Ob Pc=read,d=9000,size=3\r\nget x\r\nmg k3 v\r\nmn\r\n")
+	g.until("the second is answered", func(n counters.Counters) bool { return n.Satisfied == 1 })
+	close(slow)
+	g.expect(r, "VA 5 Oa", "hello", "VA 5 Ob", "hello", "ERROR", "CLIENT_ERROR bad command line", "MN")
+	for range 2 {
+		if line := wait(t, g.lines); !strings.HasPrefix(line, "mg k") || strings.Contains(line, "d=9000") {
+			t.Errorf("the cache was sent %q", line)
+		}
+	}
+}
+
+func TestMissIsFetchedAndAWriteGoesToTheOrigin(t *testing.T) {
+	g := newRig(t, 200, func(line string) string { return "EN " + id(line) + "\r\n" })
+	c, r := g.client()
+	fmt.Fprint(c, "mg k1 v Oa Pc=read,d=9000\r\n")
+	g.expect(r, "VA 11 Oa", "from-origin")
+	fmt.Fprint(c, "ms k2 3 Ob Pc=put,d=9000,k=77\r\nabc\r\n")
+	g.expect(r, "HD Ob cfrom-origin")
+	if got := wait(t, g.calls); !strings.HasPrefix(got, "GET /k1 a c=read,d=") {
+		t.Error(got)
+	}
+	if got := wait(t, g.calls); !strings.HasPrefix(got, "PUT /k2 b c=put,d=") || !strings.HasSuffix(got, ",k=77 abc") {
+		t.Error(got)
+	}
+}
+
+func TestAnothersValueIsServedToNobody(t *testing.T) {
+	g := newRig(t, 200, func(line string) string { return "VA 5 Oanother\r\nhello\r\n" })
+	c, r := g.client()
+	fmt.Fprint(c, "mg k1 v Oa Pc=read,d=9000\r\n")
+	if got, err := r.ReadString('\n'); err != nil || strings.HasPrefix(got, "VA 5") {
+		t.Errorf("%q %v", got, err)
+	}
+	wait(t, g.ended)
+}
+
+func TestAClientThatLeavesTakesItsLegsAlong(t *testing.T) {
+	g := newRig(t, 200, func(line string) string { return "" })
+	c, _ := g.client()
+	fmt.Fprint(c, "mg k1 v Oa Pc=read,d=9000\r\n")
+	wait(t, g.lines)
+	c.Close()
+	wait(t, g.ended)
+	g.until("it has left", func(n counters.Counters) bool {
+		return n.Left == 1 && n.Ended[policy.Cancelled] == 1 && n.Satisfied+n.Dismissed+n.Scrapped == 0
+	})
+}
+
+func TestEveryRetrievalIsAnsweredByItsHardStop(t *testing.T) {
+	g := newRig(t, 200, func(line string) string { return "" })
+	c, r := g.client()
+	fmt.Fprint(c, "mg k1 v Oa Pc=read,d=200\r\nmg k1 v Ob Pc=nobody,d=200\r\n")
+	g.expect(r, "SERVER_ERROR busy 250", "SERVER_ERROR failed")
+}
+
+func TestWhatCantBeReadOnEndsTheConnection(t *testing.T) {
+	g := newRig(t, 200, value)
+	for _, bad := range []string{strings.Repeat("x", 5000), "ms k 70000 Oa Pc=put,d=9\r\n", "ms k 2 Oa Pc=put,d=9\r\nabcd\r\n"} {
+		c, r := g.client()
+		fmt.Fprint(c, "mg k v Oa Pc=read,d=9000\r\n", bad)
+		g.expect(r, "VA 5 Oa", "hello")
+		rest, _ := io.ReadAll(r)
+		if !strings.Contains(string(rest), "_ERROR ") {
+			t.Errorf("after %.20q: %q", bad, rest)
+		}
+	}
+	g.until("all are gone", func(n counters.Counters) bool { return n.Malformed == 3 && n.Legs == 3 })
+}
+
+func TestASlowReaderIsCutOffBeforeItCostsMemory(t *testing.T) {
+	big := strings.Repeat("v", 64<<10)
+	g := newRig(t, 200, func(line string) string { return "VA 65536 " + id(line) + "\r\n" + big + "\r\n" })
+	c, _ := g.client()
+	for n := 0; ; n++ {
+		if _, err := fmt.Fprintf(c, "mg k%d v Oa Pc=read,d=9000\r\n", n); err != nil {
+			break
+		}
+		if n%50 == 0 && g.eng.Unsent() > g.Memory/4 {
+			t.Fatalf("%d bytes wait for a slow reader", g.eng.Unsent())
+		}
+	}
+}
+
+func TestTheListIsWatchedAndFollowed(t *testing.T) {
+	g := newRig(t, 200, value)
+	if first, second := wait(t, g.asked), wait(t, g.asked); first != listPath || !strings.HasPrefix(second, listPath+"?since=7&") {
+		t.Errorf("asked %q, then %q", first, second)
+	}
+	g.list <- `{"generation":9,"reset":false,"instances":[{"instanceId":"c","lifecycle":"terminated"}]}`
+	if third := wait(t, g.asked); !strings.HasPrefix(third, listPath+"?since=9&") {
+		t.Errorf("asked %q", third)
+	}
+	c, r := g.client()
+	fmt.Fprint(c, "mg k v Oa Pc=read,d=9000\r\n")
+	if got, _ := r.ReadString('\n'); strings.HasPrefix(got, "VA 5") {
+		t.Errorf("a cache that is gone answered %q", got)
+	}
+}
+
+func TestDrainingServesWhatStillComesAndEnds(t *testing.T) {
+	hold := make(chan bool)
+	g := newRig(t, 200, func(line string) string {
+		if strings.Contains(line, "Oa") {
+			<-hold
+		}
+		return value(line)
+	})
+	before, slow := g.client()
+	fmt.Fprint(before, "mg k v Oa Pc=read,d=900\r\n")
+	wait(t, g.lines)
+	g.End()
+	g.End()
+	after, r := g.client()
+	fmt.Fprint(after, "mn\r\nmg k2 v Ob Pc=read,d=900\r\n")
+	g.expect(r, "SERVER_ERROR draining", "VA 5 Ob", "hello")
+	close(hold)
+	g.expect(slow, "VA 5 Oa", "hello")
+	g.serve.Wait()
+	if _, err := slow.ReadByte(); err != io.EOF {
+		t.Errorf("left open: %v", err)
+	}
+}
+
+func TestRoomIsMadeByClosingWhatIsIdle(t *testing.T) {
+	g := newRig(t, 64, value)
+	for n := range 100 {
+		c, r := g.client()
+		fmt.Fprintf(c, "mg k%d v Oa Pc=read,d=9000\r\n", n)
+		g.expect(r, "VA 5 Oa", "hello")
+	}
+	if n := g.Counts(); n.RoomClosed < 50 || n.Crowded > 0 {
+		t.Errorf("%d closed to make room, %d dismissed for want of it", n.RoomClosed, n.Crowded)
+	}
+}
+
+func TestWithoutRoomRetrievalsAreDismissedNotCutOff(t *testing.T) {
+	hold := make(chan bool)
+	g := newRig(t, 64, func(line string) string { <-hold; return value(line) })
+	var rs []*bufio.Reader
+	for n := range 38 { // sixteen connections may be clients' before legs want for theirs
+		c, r := g.client()
+		fmt.Fprintf(c, "mg k%d v Oa Pc=read,d=9000\r\n", n)
+		rs = append(rs, r)
+		g.until("it is taken", func(c counters.Counters) bool { return c.Retrievals == uint64(n+1) })
+	}
+	close(hold)
+	served, busy := 0, 0
+	for _, r := range rs {
+		got, err := r.ReadString('\n')
+		switch {
+		case err != nil:
+			t.Fatal(err)
+		case strings.HasPrefix(got, "VA"):
+			served++
+		case strings.HasPrefix(got, "SERVER_ERROR busy"):
+			busy++
+		}
+	}
+	if served == 0 || busy == 0 || served+busy != len(rs) {
+		t.Errorf("%d served, %d dismissed, of %d", served, busy, len(rs))
+	}
+}
+
 // A link that is taken up just before its idle time was looked after again at once until its leg ended, and no
 // event was handled meanwhile: eight retrievals were lost on a rough day.
 func TestLinkInUseAtItsIdleTimeIsLeftForLater(t *testing.T) {
--- a/internal/net/sockets/sockets.go
+++ b/internal/net/sockets/sockets.go
@@ -76,7 +76,8 @@
 	spareA  []byte
 	stopped bool
 	wake    chan struct{}
-	addr    net.Addr
+	gate    *gate
+	dialing sync.RWMutex // held for writing to stop
 }
 
 // ErrNoDescriptor says that the budget of descriptors is spent.
@@ -99,8 +100,8 @@
 			if err != nil {
 				return nil, err
 			}
-			e.addr = l.Addr()
-			return &gate{l, e}, nil
+			e.gate = &gate{Listener: l, e: e, parked: make(chan struct{}), closed: make(chan struct{})}
+			return e.gate, nil
 		},
 	})
 	e.nb.OnOpen(func(c *nbio.Conn) {
@@ -138,7 +139,7 @@
 }
 
 // Addr is where it listens.
-func (e *Engine) Addr() net.Addr { return e.addr }
+func (e *Engine) Addr() net.Addr { return e.gate.Addr() }
 
 // Wake tells that there may be events to take.
 func (e *Engine) Wake() <-chan struct{} { return e.wake }
@@ -179,8 +180,8 @@
 	return events
 }
 
-// Open counts the connections, those dialled and not yet up among them.
-func (e *Engine) Open() int { return int(e.open.Load()) }
+// Most is how many connections there may be before those who come have to wait.
+func (e *Engine) Most() int { return int(e.most - forDials) }
 
 // Unsent counts the bytes that wait for slow readers.
 func (e *Engine) Unsent() int64 { return e.unsent.Load() }
@@ -207,18 +208,29 @@
 			e.hand(Event{What: Refused, Dial: dial}, nil)
 			return
 		}
+		e.dialing.RLock()
+		defer e.dialing.RUnlock()
+		if e.stopped {
+			_ = c.Close()
+			return
+		}
 		c.SetSession(&Wire{e: e, conn: c, Out: true, dial: dial})
 		_, _ = e.nb.AddConn(c) // one that can't be added is closed, and that is told
 	}()
 	return nil
 }
 
-// Stop closes everything.
+// Stop closes everything. Nobody is let in or called any more before nbio stops: it counts its connections with a
+// wait group, which one that came up meanwhile would upset.
 func (e *Engine) Stop() {
+	e.dialing.Lock()
 	e.mu.Lock()
 	e.stopped = true
 	e.room.Broadcast()
 	e.mu.Unlock()
+	e.dialing.Unlock()
+	_ = e.gate.Listener.Close()
+	<-e.gate.parked
 	e.nb.Stop()
 }
 
@@ -257,32 +269,46 @@
 // Unsent counts the bytes that the kernel has not taken yet.
 func (w *Wire) Unsent() int64 { return w.unsent.Load() }
 
-// Close ends the connection; Closed follows.
-func (w *Wire) Close() {
+// Close ends the connection; Closed follows. It returns how many bytes the kernel is sure never to take.
+func (w *Wire) Close() (lost int64) {
 	_ = w.conn.Close()
 	w.free()
+	return w.forget()
 }
 
 // gate holds back accepting while no descriptor is free. Who waits stands in the kernel's queue meanwhile.
 type gate struct {
 	net.Listener
-	e *Engine
+	e      *Engine
+	parked chan struct{} // closed once the acceptor does nothing any more
+	closed chan struct{} // closed by nbio, which then asks no more
+	ended  bool
 }
 
 func (g *gate) Accept() (net.Conn, error) {
-	e := g.e
-	for {
+	for !g.ended {
 		conn, err := g.Listener.Accept()
 		if err == nil {
-			e.open.Add(1)
-			e.waitForRoom()
+			g.e.open.Add(1)
+			g.e.waitForRoom()
 			return conn, nil
 		}
-		if errors.Is(err, net.ErrClosed) {
-			return nil, err
+		if g.ended = errors.Is(err, net.ErrClosed); !g.ended {
+			time.Sleep(acceptPause)
 		}
-		time.Sleep(acceptPause)
 	}
+	select {
+	case <-g.parked:
+	default:
+		close(g.parked)
+	}
+	<-g.closed // else nbio would ask without end
+	return nil, net.ErrClosed
+}
+
+func (g *gate) Close() error {
+	close(g.closed)
+	return nil
 }
 
 // waitForRoom holds the acceptor while the budget is spent; it tells the loop to make room.
