--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -208,7 +208,9 @@
 	if n > 0 {
 		r.held -= len(out)
 		c.first += uint64(n)
-		c.turns = c.turns[:copy(c.turns, c.turns[n:])]
+		left := copy(c.turns, c.turns[n:])
+		clear(c.turns[left:]) // their answers are not to be kept
+		c.turns = c.turns[:left]
 		c.usedAt = r.now()
 		if err := c.wire.Write(out); err != nil {
 			r.clientClosed(c.id)
--- a/internal/net/relay/discovery.go
+++ b/internal/net/relay/discovery.go
@@ -85,6 +85,7 @@
 		return
 	}
 	if err != nil || a.Status != 200 {
+		r.list.since = unknownSince // it may not know our version any more
 		r.lose(l, policy.Broken)
 		return
 	}
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -294,12 +294,15 @@
 				r.closeClient(c)
 			}
 		})
-		over := now.Since(r.ending) >= r.Terms.LongestStop+spareToStop
-		if r.clients.Len() == 0 && r.hand.Len() == 0 || over {
+		if r.clients.Len() == 0 && r.hand.Len() == 0 {
 			r.enter(Stopped)
 			return
 		}
 	}
+	if now.Since(r.ending) >= r.Terms.LongestStop+spareToStop { // whoever still comes, nobody waits any more
+		r.enter(Stopped)
+		return
+	}
 	r.due.Put(now.Add(drainEvery), due{drain: true})
 }
 
--- /dev/null
+++ b/internal/net/sockets/sockets_test.go
@@ -0,0 +1,120 @@
+package sockets
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+const patience = 10 * time.Second // that a test waits for what must come
+
+func engine(t *testing.T) *Engine {
+	e, err := New("127.0.0.1:0", 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Stop)
+	return e
+}
+
+// until takes events until one of this kind has come, and returns that and the bytes that came before.
+func until(t *testing.T, e *Engine, what What) (Event, []byte) {
+	t.Helper()
+	var data []byte
+	for by := time.After(patience); ; {
+		for _, ev := range e.Take() {
+			data = append(data, ev.Bytes...)
+			if ev.What == what {
+				return ev, data
+			}
+		}
+		select {
+		case <-e.Wake():
+		case <-by:
+			t.Fatal("it never happened")
+		}
+	}
+}
+
+// nbio's own connecting calls 0.0.0.0 whatever address it is given, and takes a refusal for a connection.
+func TestDialReachesTheAddressOrTellsThatItCant(t *testing.T) {
+	e := engine(t)
+	l, err := net.Listen("tcp", "127.7.7.7:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := e.Dial(l.Addr().String(), patience, 7); err != nil {
+		t.Fatal(err)
+	}
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ev, _ := until(t, e, Connected)
+	if ev.Dial != 7 || ev.Wire.Write([]byte("hello")) != nil {
+		t.Error(ev)
+	}
+	got := make([]byte, 5)
+	if _, err := io.ReadFull(c, got); err != nil || string(got) != "hello" {
+		t.Error(got, err)
+	}
+	c.Close()
+	until(t, e, Closed)
+	l.Close()
+	if err := e.Dial(l.Addr().String(), patience, 8); err != nil {
+		t.Fatal(err)
+	}
+	if ev, _ := until(t, e, Refused); ev.Dial != 8 || e.open.Load() != 0 {
+		t.Error(ev, e.open.Load())
+	}
+}
+
+// More than the queue holds must neither be lost nor stop both sides, though the loop is late and writes meanwhile.
+func TestAFullQueueLosesNothingAndStopsNobody(t *testing.T) {
+	e := engine(t)
+	c, err := net.Dial("tcp", e.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	sent := bytes.Repeat([]byte("0123456789abcdef"), 3*mostHanded/16)
+	go func() {
+		c.Write(sent)
+		io.ReadFull(c, make([]byte, len("in between"))) // who closes on unread bytes takes back what is not sent yet
+		c.Close()
+	}()
+	for e.mu.Lock(); len(e.arena) < mostHanded-readAtOnce; e.mu.Lock() {
+		e.mu.Unlock()
+	}
+	w := e.events[0].Wire
+	e.mu.Unlock()
+	if err := w.Write([]byte("in between")); err != nil {
+		t.Fatal(err)
+	}
+	if _, got := until(t, e, Closed); !bytes.Equal(got, sent) {
+		t.Errorf("%d bytes came of %d", len(got), len(sent))
+	}
+}
+
+func TestDescriptorsAreNeverOverTheBudget(t *testing.T) {
+	e := engine(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for range e.most {
+		if err := e.Dial(l.Addr().String(), patience, 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := e.Dial(l.Addr().String(), patience, 1); err != ErrNoDescriptor {
+		t.Error(err)
+	}
+	ev, _ := until(t, e, Connected)
+	ev.Wire.Close()
+	if err := e.Dial(l.Addr().String(), patience, 1); err != nil {
+		t.Error("what is closed is not free again:", err)
+	}
+}
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+)
+
+const posting = `{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+"limits":{"memory_mb":64,"sockets":100},"settings":{"service_grades":[{"name":"read","hard_stop_s":0.1}]}}`
+
+func TestAPostingThatCantBeUsedIsToldInOneLine(t *testing.T) {
+	for _, bad := range []string{"", "no", "[1]", "{}", strings.Replace(posting, "127.0.0.1:0", "nowhere", 1),
+		strings.Replace(posting, "127.0.0.1:1", "host.name:1", 1), strings.Replace(posting, "100", "3", 1),
+		strings.Replace(posting, "service_grades", "x", 1)} {
+		if _, err := ParsePosting([]byte(bad)); err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+	if _, err := ReadPosting("/nowhere/at/all"); err == nil {
+		t.Error("read what is not there")
+	}
+}
+
+func TestANodeGoesThroughItsPhases(t *testing.T) {
+	p, err := ParsePosting([]byte(posting))
+	if err != nil {
+		t.Fatal(err)
+	}
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	n, err := New(p, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan bool)
+	go func() { n.Serve(); close(done) }()
+	c, err := net.Dial("tcp", n.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, "mn\r\nmg k v Oa Pc=read,d=9\r\n")
+	b := make([]byte, 99)
+	k, _ := io.ReadAtLeast(c, b, len("SERVER_ERROR starting\r\nSERVER_ERROR busy\r\n"))
+	if got := string(b[:k]); n.Phase() != Starting || got != "SERVER_ERROR starting\r\nSERVER_ERROR busy\r\n" {
+		t.Errorf("%v, %q", n.Phase(), got)
+	}
+	if _, err := New(&Posting{Listen: n.Addr()}, quiet); err == nil {
+		t.Error("listens where another does")
+	}
+	n.End()
+	<-done
+	if n.LogCounts(); n.Phase() != Stopped || n.Counts().Retrievals != 1 {
+		t.Error(n.Phase(), n.Counts())
+	}
+}
