Read the load report in each answer of a cache, and the league of a retrieval

A trace of the bytes read showed that a cache's answer carries its report in a flag: 'SERVER_ERROR failed Lutilization=0.414,x1=0.996', 'VA .. h1 Lrecent_ms=0,..,outstanding=1.957', and a retrieval its league under t.

--- a/internal/net/meta/answer.go
+++ b/internal/net/meta/answer.go
@@ -26,6 +26,7 @@
 	Said  Said
 	ID    []byte
 	Value []byte // the value, the receipt, or a report's name and value
+	Load  []byte // the load report, as names and values, or nil
 }
 
 var (
@@ -57,18 +58,17 @@
 			return a, 0, errValue
 		}
 		a.Said, a.Value = Value, b[size:size+n]
-		a.ID, _ = Flag(flags, 'O')
+		rest = flags
 		size += n + 2
 	case "HD":
 		a.Said = Done
-		a.ID, _ = Flag(rest, 'O')
 		a.Value, _ = Flag(rest, 'c')
 	case "EN":
 		a.Said = Miss
-		a.ID, _ = Flag(rest, 'O')
 	case "SERVER_ERROR":
 		a.Said = Failed
-		if reason, _ := word(rest); string(reason) == "busy" {
+		var reason []byte
+		if reason, rest = word(rest); string(reason) == "busy" {
 			a.Said = Busy
 		}
 	case "MN":
@@ -78,6 +78,8 @@
 	case "END":
 		a.Said = End
 	}
+	a.ID, _ = Flag(rest, 'O')
+	a.Load, _ = Flag(rest, 'L')
 	return a, size, nil
 }
 
--- a/internal/net/meta/meta_test.go
+++ b/internal/net/meta/meta_test.go
@@ -47,7 +47,7 @@
 
 func FuzzAnswersSplitAnywhereReadAlike(f *testing.F) {
 	for _, s := range []string{"VA 5 Oab h1\r\nhello\r\n", "HD Oab c77\r\n", "EN Oab h0 Z\r\n", "SERVER_ERROR busy\r\n",
-		"SERVER_ERROR failed\r\n", "MN\r\n", "STAT a 1\r\nEND\r\n", "VA 3 Oab\r\nhello\r\n", "VA 99999 O1\r\n", "what\r\n"} {
+		"SERVER_ERROR failed\r\n", "EN Oab Lutilization=0.4,x1=1\r\n", "MN\r\n", "STAT a 1\r\nEND\r\n", "VA 3 Oab\r\nhello\r\n", "VA 99999 O1\r\n", "what\r\n"} {
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
@@ -75,6 +75,17 @@
 	})
 }
 
+// Without the reports two of three deployments were served by guess.
+func TestLoadStandsInEveryAnswer(t *testing.T) {
+	for _, s := range []string{"VA 2 Oab h1 Lx=0.4,y=2\r\nab\r\n", "HD Oab c77 Lx=0.4,y=2\r\n", "EN Oab Lx=0.4,y=2\r\n",
+		"SERVER_ERROR failed Lx=0.4,y=2\r\n", "SERVER_ERROR busy Lx=0.4,y=2\r\n"} {
+		a, _, err := ReadAnswer([]byte(s))
+		if y, ok := Item(a.Load, "y"); err != nil || !ok || string(y) != "2" {
+			t.Errorf("%q: %q %v", s, a.Load, err)
+		}
+	}
+}
+
 func TestOnlyTheWaitIsRewritten(t *testing.T) {
 	c, _, _ := ReadCommand([]byte("ms key 2 Oid Pc=put,d=480,k=5c,size=9 v\r\nab\r\n"))
 	want := "ms key 2 Oid Pc=put,d=61,k=5c,size=9 v\r\nab\r\n"
--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"errors"
+	"math"
+	"strconv"
 	"time"
 
 	"dahliapin/internal/net/buffer"
@@ -361,17 +363,18 @@
 	case a.Said == meta.Busy:
 		how = policy.TurnedAway
 	}
-	r.answered(l, v, how, size, out, nil)
+	r.answered(l, v, how, size, out, a.Load)
 }
 
 // answered ends a leg by what came back. What answers another retrieval is served to nobody, and its connection
 // closed: whatever else comes on it can't be trusted.
-func (r *Relay) answered(l *link, v *retrieval, how policy.Result, size int, out []byte, report []float64) {
+func (r *Relay) answered(l *link, v *retrieval, how policy.Result, size int, out, load []byte) {
 	if how == policy.Broken {
 		r.count.Strange++
 		r.lose(l, policy.Broken)
 		return
 	}
+	report := r.report(load)
 	l.buf.Use(size)
 	n := l.leg.leg
 	if len(l.buf.Unused()) > 0 {
@@ -387,6 +390,18 @@
 	r.end(v, n, how, report)
 }
 
+// report reads a load report: names and values, of which only the stated columns count.
+func (r *Relay) report(load []byte) []float64 {
+	if len(load) == 0 {
+		return nil
+	}
+	return r.Terms.Names.Report(func(column string) (float64, bool) {
+		said, _ := meta.Item(load, column)
+		x, err := strconv.ParseFloat(string(said), 64)
+		return x, err == nil && !math.IsNaN(x) && !math.IsInf(x, 0)
+	})
+}
+
 // Probe checks on a cache.
 func (r *Relay) Probe(id policy.CacheID) {
 	c := r.caches[id]
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -158,7 +158,7 @@
 	v.id = r.hand.Add(v)
 	c.turns = append(c.turns, turn{hand: v.id})
 	grade, _ := meta.Item(items, "c")
-	league, _ := meta.Item(items, "tenant")
+	league, _ := meta.Item(items, "t")
 	stop := at.Add(time.Duration(min(wait*float64(time.Millisecond), float64(mostWait))))
 	r.host.Arrived(r.now(), &policy.Retrieval{ID: token(v.id), Key: string(command.Key),
 		Grade: r.Terms.Names.Grade(grade), League: r.Terms.Names.League(league),
--- a/internal/net/relay/origin.go
+++ b/internal/net/relay/origin.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"strconv"
 
 	"dahliapin/internal/net/http1"
 	"dahliapin/internal/net/meta"
@@ -49,16 +48,8 @@
 	case a.Header("X-Rejected") != nil && string(a.Header("X-Rejected")) == "1":
 		how = policy.TurnedAway
 	}
-	var report []float64
-	if load := a.Header("X-Load-Report"); load != nil {
-		report = r.Terms.Names.Report(func(column string) (float64, bool) {
-			said, _ := meta.Item(load, column)
-			x, err := strconv.ParseFloat(string(bytes.TrimSpace(said)), 64)
-			return x, err == nil
-		})
-	}
 	last := a.Last
-	r.answered(l, v, how, size, out, report)
+	r.answered(l, v, how, size, out, a.Header("X-Load-Report"))
 	if last && r.links.Get(l.id) != nil {
 		r.dropLink(l)
 	}
