--- a/internal/net/http1/http1.go
+++ b/internal/net/http1/http1.go
@@ -114,24 +114,32 @@
 	return a, len(b), nil
 }
 
+// row cuts off the line that starts at n; next is 0 until it has ended.
+func row(b []byte, n int) (text []byte, next int, err error) {
+	end := bytes.Index(b[n:], []byte("\r\n"))
+	if end < 0 && len(b)-n > maxHead {
+		return nil, 0, errHead
+	}
+	if end < 0 {
+		return nil, 0, nil
+	}
+	return b[n : n+end], n + end + 2, nil
+}
+
 // chunks joins a body sent in chunks; n is 0 until it has ended.
 func chunks(b []byte, maxBody int) (body []byte, n int, err error) {
 	for {
-		end := bytes.Index(b[n:], []byte("\r\n"))
-		if end < 0 {
-			if len(b)-n > maxHead {
-				return nil, 0, errLength
-			}
-			return nil, 0, nil
+		text, next, err := row(b, n)
+		if next == 0 {
+			return nil, 0, err
 		}
-		digits, _, _ := bytes.Cut(b[n:n+end], []byte(";"))
+		digits, _, _ := bytes.Cut(text, []byte(";"))
 		long, bad := strconv.ParseUint(string(bytes.TrimSpace(digits)), 16, 32)
 		if bad != nil || len(body)+int(long) > maxBody {
 			return nil, 0, errLength
 		}
-		n += end + 2
-		if long == 0 {
-			return trailer(b, body, n)
+		if n = next; long == 0 {
+			break
 		}
 		if len(b) < n+int(long)+2 {
 			return nil, 0, nil
@@ -142,19 +150,11 @@
 		}
 		n += 2
 	}
-}
-
-func trailer(b, body []byte, n int) ([]byte, int, error) {
-	for {
-		end := bytes.Index(b[n:], []byte("\r\n"))
-		if end < 0 {
-			if len(b)-n > maxHead {
-				return nil, 0, errHead
-			}
-			return nil, 0, nil
-		}
-		if n += end + 2; end == 0 {
-			return body, n, nil
+	for { // a trailer, and the empty line behind it
+		text, next, err := row(b, n)
+		if next == 0 || len(text) == 0 {
+			return body, next, err
 		}
+		n = next
 	}
 }
--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -329,24 +329,22 @@
 		r.dropLink(l)
 	case l.does == aProbe:
 		r.probeData(l)
-	case l.cache.origin:
-		r.originData(l)
 	default:
-		r.cacheData(l)
+		v := r.hand.Get(l.leg.hand) // it is in hand as long as a leg of it is out
+		if l.cache.origin {
+			r.originData(l, v)
+		} else {
+			r.cacheData(l, v)
+		}
 	}
 }
 
 // cacheData reads a cache's answer to a leg.
-func (r *Relay) cacheData(l *link) {
+func (r *Relay) cacheData(l *link, v *retrieval) {
 	a, size, err := meta.ReadAnswer(l.buf.Unused())
 	if err == nil && size == 0 {
 		return
 	}
-	v := r.hand.Get(l.leg.hand)
-	if v == nil {
-		r.dropLink(l)
-		return
-	}
 	set := v.command.Verb == meta.Set
 	ours := bytes.Equal(a.ID, v.command.ID)
 	how, out := policy.Broken, []byte(nil)
--- a/internal/net/relay/origin.go
+++ b/internal/net/relay/origin.go
@@ -24,16 +24,11 @@
 }
 
 // originData reads the origin's answer to a leg.
-func (r *Relay) originData(l *link) {
+func (r *Relay) originData(l *link, v *retrieval) {
 	a, size, err := http1.ReadAnswer(l.buf.Unused(), meta.MaxValue, false)
 	if err == nil && size == 0 {
 		return
 	}
-	v := r.hand.Get(l.leg.hand)
-	if v == nil {
-		r.dropLink(l)
-		return
-	}
 	how, out := policy.Errored, []byte(nil)
 	named := a.Header("X-Call-Id")
 	switch {
