Close idle clients by a reset and only over an empty queue, and make room until nobody waits

Three causes, each found by itself:

With every close and every retrieval logged, a lost one was never read at all: it had crossed the close (makeRoom, to the hundredth of a second). Reads, descriptors (77 of 96) and refusals by the kernel were ruled out. After an orderly end a client can't tell such a retrieval from one that was taken; a reset says it was not read. The loop now sees it wait until it is let in.

--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -193,7 +193,7 @@
 }
 
 // dialled tells of a connection that is up, or never will be.
-func (r *Relay) dialled(ev sockets.Event) {
+func (r *Relay) dialled(ev *sockets.Event) {
 	l := r.links.Get(linkID(ev.Dial))
 	switch {
 	case ev.What == sockets.Refused:
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -19,6 +19,7 @@
 	flushEvery = 20 * time.Millisecond
 	shareHeld  = 8 // part of the memory that retrievals and answers may take: the rest is for what grows with them
 	sharePart  = 4 // part of the memory that commands may take which have not come whole
+	shareSpare = 8 // part of the descriptors kept for links that are not open yet
 	shareLinks = 2 // part of the descriptors that links may have, and clients leave them: a leg or two each
 )
 
@@ -31,7 +32,7 @@
 	first   uint64 // the number of the first turn
 	usedAt  policy.Instant
 	closing bool // nothing more is read; it closes once all is answered
-	excess  bool // came when there were too many: dismissed and closed at its first retrieval
+	excess  bool // came when there were too many: its retrievals are dismissed, and it is closed when idle
 	partial int  // bytes of a command that has not come whole
 	until   policy.Instant
 }
@@ -57,7 +58,7 @@
 	legs     []leg
 }
 
-func (r *Relay) opened(ev sockets.Event) {
+func (r *Relay) opened(ev *sockets.Event) {
 	c := &client{wire: ev.Wire, usedAt: r.at(ev.At)}
 	c.id = r.clients.Add(c)
 	c.wire.Tag = uint64(c.id)
@@ -68,7 +69,11 @@
 	}
 }
 
-func (r *Relay) tooManyClients() bool { return r.clients.Len() > r.eng.Most()-r.mostLinks() }
+// tooManyClients tells whether they take what links need: half, or more while there are few links.
+func (r *Relay) tooManyClients() bool {
+	most := r.eng.Most()
+	return r.clients.Len() > max(most-r.mostLinks(), most-most/shareSpare-r.links.Len())
+}
 
 func (r *Relay) mostLinks() int { return r.eng.Most() / shareLinks }
 
@@ -148,7 +153,6 @@
 		r.count.Crowded++
 		r.count.Dismissed++
 		r.say(c, meta.AppendBusy(nil, 0))
-		c.closing = c.closing || c.excess
 		return
 	}
 	c.excess = false
@@ -217,6 +221,9 @@
 			return
 		}
 	}
+	if c.excess && c.idle() && r.tooManyClients() && r.closeIdle(c) {
+		return
+	}
 	if c.closing && len(c.turns) == 0 && c.until == 0 {
 		c.until = r.now().Add(flushFor)
 		r.closeFlushed(c.id)
@@ -235,6 +242,15 @@
 	}
 }
 
+// closeIdle closes a client between commands; one whose next is on its way through the queue stays.
+func (r *Relay) closeIdle(c *client) bool {
+	if !c.wire.CloseIfQuiet() {
+		return false
+	}
+	r.dropClient(c)
+	return true
+}
+
 func (r *Relay) closeClient(c *client) {
 	c.wire.Close()
 	r.dropClient(c)
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -4,8 +4,10 @@
 package relay
 
 import (
+	"cmp"
 	"encoding/binary"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -82,7 +84,6 @@
 	count    counters.Counters
 	held     int            // bytes of retrievals in hand, and of answers that wait for those before them
 	partial  int            // bytes of commands that have not come whole
-	crowded  bool           // somebody waits for a descriptor
 	ending   policy.Instant // when the call to end came
 	lastCame policy.Instant // when somebody last connected
 	asks     chan func()
@@ -176,15 +177,14 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for r.phase != Stopped {
-		for i, ev := range r.eng.Take() {
-			r.event(ev)
+		for i, events := 0, r.eng.Take(); i < len(events); i++ {
+			r.event(&events[i])
 			if i%eventsAtOne == eventsAtOne-1 {
 				r.deadlines()
 			}
 		}
 		r.deadlines()
-		if r.crowded {
-			r.crowded = !r.makeRoom()
+		for r.eng.Crowded() && r.makeRoom() {
 			r.settle()
 		}
 		if at, ok := r.due.Next(); ok {
@@ -216,19 +216,17 @@
 	}
 }
 
-func (r *Relay) event(ev sockets.Event) {
+func (r *Relay) event(ev *sockets.Event) {
 	switch ev.What {
 	case sockets.Opened:
 		r.opened(ev)
 	case sockets.Connected, sockets.Refused:
 		r.dialled(ev)
-	case sockets.Crowded:
-		r.crowded = true
 	case sockets.Data:
 		if ev.Wire.Out {
-			r.linkData(linkID(ev.Wire.Tag), ev.Bytes)
+			r.linkData(linkID(ev.Wire.Tag), ev.Bytes())
 		} else {
-			r.clientData(clientID(ev.Wire.Tag), ev.Bytes, r.at(ev.At))
+			r.clientData(clientID(ev.Wire.Tag), ev.Bytes(), r.at(ev.At))
 		}
 	case sockets.Closed:
 		if ev.Wire.Out {
@@ -291,7 +289,7 @@
 	if now.Since(r.ending) >= comingFor && now.Since(r.lastCame) >= quietFor {
 		r.clients.Each(func(_ clientID, c *client) {
 			if c.idle() && (c.first > 0 || now.Since(c.usedAt) >= lingerFor) {
-				r.closeClient(c)
+				r.closeIdle(c)
 			}
 		})
 		if r.clients.Len() == 0 && r.hand.Len() == 0 {
@@ -340,20 +338,22 @@
 	return r.closeIdleClient()
 }
 
+// closeIdleClient closes the one that has been idle longest.
 func (r *Relay) closeIdleClient() bool {
-	var oldest *client
+	var idle []*client
 	r.clients.Each(func(_ clientID, c *client) {
-		if c.idle() && (c.first > 0 || r.now().Since(c.usedAt) >= lingerFor) &&
-			(oldest == nil || c.usedAt < oldest.usedAt) {
-			oldest = c
+		if c.idle() && (c.first > 0 || r.now().Since(c.usedAt) >= lingerFor) {
+			idle = append(idle, c)
 		}
 	})
-	if oldest == nil {
-		return false
+	slices.SortFunc(idle, func(a, b *client) int { return cmp.Compare(a.usedAt, b.usedAt) })
+	for _, c := range idle {
+		if r.closeIdle(c) {
+			r.count.RoomClosed++
+			return true
+		}
 	}
-	r.count.RoomClosed++
-	r.closeClient(oldest)
-	return true
+	return false
 }
 
 // dial opens a connection for a link, making room for it if need be. Links never take the clients' share: who
--- a/internal/net/sockets/sockets.go
+++ b/internal/net/sockets/sockets.go
@@ -10,10 +10,12 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -35,16 +37,15 @@
 	Refused               // a dialled connection never comes up
 	Data                  // bytes came
 	Closed                // a connection has ended
-	Crowded               // somebody waits for a descriptor
 )
 
-// Event is one thing that happened. Bytes are valid until the next Take.
+// Event is one thing that happened. Its bytes are valid until the next Take.
 type Event struct {
 	What  What
 	Wire  *Wire
 	Dial  uint64 // whose dialling it was: Connected and Refused
 	At    time.Time
-	Bytes []byte
+	bytes []byte
 	Lost  int64 // bytes that were written to a closed connection and not taken by the kernel
 	from  int
 	long  int
@@ -59,6 +60,10 @@
 	conn   *nbio.Conn
 	unsent atomic.Int64
 	gone   atomic.Bool // its descriptor is counted as free
+	mu     sync.Mutex  // held from reading bytes until they are handed over
+	handed int64       // bytes handed over
+	taken  int64       // of them, those that the loop has taken; its own
+	shut   bool        // nothing more is read
 }
 
 // Engine is all of a node's connections.
@@ -76,6 +81,7 @@
 	spareA  []byte
 	stopped bool
 	wake    chan struct{}
+	waiting atomic.Bool // somebody stands before the gate
 	gate    *gate
 	dialing sync.RWMutex // held for writing to stop
 }
@@ -113,9 +119,10 @@
 		c.SetSession(w)
 		e.hand(Event{What: Opened, Wire: w}, nil)
 	})
-	e.nb.OnData(func(c *nbio.Conn, data []byte) {
+	buf := make([]byte, readAtOnce) // the one poller's
+	e.nb.OnRead(func(c *nbio.Conn) {
 		if w, ok := c.Session().(*Wire); ok {
-			e.hand(Event{What: Data, Wire: w}, data)
+			w.read(buf)
 		}
 	})
 	e.nb.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
@@ -174,12 +181,18 @@
 	e.mu.Unlock()
 	for i := range events {
 		if ev := &events[i]; ev.long > 0 {
-			ev.Bytes = arena[ev.from : ev.from+ev.long]
+			ev.bytes = arena[ev.from : ev.from+ev.long]
 		}
 	}
 	return events
 }
 
+// Bytes counts what an event brought as taken, and returns it.
+func (ev *Event) Bytes() []byte {
+	ev.Wire.taken += int64(len(ev.bytes))
+	return ev.bytes
+}
+
 // Most is how many connections there may be before those who come have to wait.
 func (e *Engine) Most() int { return int(e.most - forDials) }
 
@@ -234,6 +247,49 @@
 	e.nb.Stop()
 }
 
+// read hands over all there is to read, which by edges it must.
+func (w *Wire) read(buf []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for !w.shut {
+		_, n, err := w.conn.ReadAndGetConn(&buf)
+		switch {
+		case errors.Is(err, syscall.EINTR):
+		case errors.Is(err, syscall.EAGAIN):
+			return
+		case err != nil || n == 0:
+			_ = w.conn.CloseWithError(err)
+			return
+		default:
+			w.handed += int64(n)
+			w.e.hand(Event{What: Data, Wire: w}, buf[:n])
+		}
+	}
+}
+
+// CloseIfQuiet closes the connection by a reset, unless bytes have been read from it that the loop has not taken, or
+// what was written has not arrived. A reset tells the other side that whatever it has just sent was not read: after
+// an orderly end it could not tell that from a retrieval that was taken and never answered.
+func (w *Wire) CloseIfQuiet() bool {
+	if !w.mu.TryLock() { // bytes are being handed over, and may wait for the very loop that asks
+		return false
+	}
+	defer w.mu.Unlock()
+	raw, err := w.conn.SyscallConn()
+	if err != nil || w.handed != w.taken {
+		return false
+	}
+	waiting := 0
+	_ = raw.Control(func(fd uintptr) { waiting, err = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
+	if err == nil && waiting > 0 {
+		return false
+	}
+	w.shut = true
+	_ = w.conn.SetLinger(1, 0)
+	w.Close()
+	return true
+}
+
 // Write hands bytes on; what the kernel does not take at once follows later. An error says that the last byte
 // was not handed to it and never will be.
 func (w *Wire) Write(b []byte) error {
@@ -311,20 +367,20 @@
 	return nil
 }
 
-// waitForRoom holds the acceptor while the budget is spent; it tells the loop to make room.
+// waitForRoom holds the acceptor while the budget is spent, and wakes the loop to make room.
 func (e *Engine) waitForRoom() {
-	told := false
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for e.open.Load() > e.most-forDials && !e.stopped {
-		if !told {
-			told = true
-			e.events = append(e.events, Event{What: Crowded, At: time.Now(), from: len(e.arena)})
-			select {
-			case e.wake <- struct{}{}:
-			default:
-			}
+		e.waiting.Store(true)
+		select {
+		case e.wake <- struct{}{}:
+		default:
 		}
 		e.room.Wait()
 	}
+	e.waiting.Store(false)
 }
+
+// Crowded tells whether somebody waits for a descriptor, and still must.
+func (e *Engine) Crowded() bool { return e.waiting.Load() && e.open.Load() > e.most-forDials }
