--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -148,7 +148,9 @@
 		return
 	}
 	r.count.Retrievals++
-	if len(c.turns) >= mostTurns || r.phase == Starting || r.tooLate(at) || c.excess && r.tooManyClients() ||
+	stop := at.Add(time.Duration(min(wait*float64(time.Millisecond), float64(mostWait))))
+	outlasts := r.phase == Draining && stop > r.endBy()
+	if len(c.turns) >= mostTurns || r.phase == Starting || outlasts || c.excess && r.tooManyClients() ||
 		int64(r.held)+r.eng.Unsent() > r.Memory/shareHeld {
 		r.count.Crowded++
 		r.count.Dismissed++
@@ -163,7 +165,6 @@
 	c.turns = append(c.turns, turn{hand: v.id})
 	grade, _ := meta.Item(items, "c")
 	league, _ := meta.Item(items, "t")
-	stop := at.Add(time.Duration(min(wait*float64(time.Millisecond), float64(mostWait))))
 	r.host.Arrived(r.now(), &policy.Retrieval{ID: token(v.id), Key: string(command.Key),
 		Grade: r.Terms.Names.Grade(grade), League: r.Terms.Names.League(league),
 		Write: command.Verb == meta.Set, Arrived: at, HardStop: stop})
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -28,7 +28,6 @@
 	comingFor   = 500 * time.Millisecond      // after the call to end, connections may still come: 0.2 to 0.4 s
 	quietFor    = 150 * time.Millisecond      // without a new connection before clients are closed
 	lingerFor   = 50 * time.Millisecond       // while draining, for the first command of who has just connected
-	takingFor   = 600 * time.Millisecond      // after the call to end; later retrievals might outlast the node
 	drainEvery  = 10 * time.Millisecond       // between looks for idle clients while draining
 	spareToStop = 500 * time.Millisecond      // over the longest hard stop, by which a node is to have ended
 	eventsAtOne = 256                         // events handled between looks at the deadlines
@@ -297,16 +296,15 @@
 			return
 		}
 	}
-	if now.Since(r.ending) >= r.Terms.LongestStop+spareToStop { // whoever still comes, nobody waits any more
+	if now >= r.endBy() { // whoever still comes, nobody waits any more
 		r.enter(Stopped)
 		return
 	}
 	r.due.Put(now.Add(drainEvery), due{drain: true})
 }
 
-func (r *Relay) tooLate(at policy.Instant) bool {
-	return r.phase == Draining && at.Since(r.ending) > takingFor
-}
+// endBy is when a node that drains ends at the latest.
+func (r *Relay) endBy() policy.Instant { return r.ending.Add(r.Terms.LongestStop + spareToStop) }
 
 // token is a retrieval's id towards the host: a slot's, so that no client can name another's.
 func token(id handID) policy.RetrievalID {
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -298,8 +298,8 @@
 	g.End()
 	g.End()
 	after, r := g.client()
-	fmt.Fprint(after, "mn\r\nmg k2 v Ob Pc=read,d=900\r\n")
-	g.expect(r, "SERVER_ERROR draining", "VA 5 Ob", "hello")
+	fmt.Fprint(after, "mn\r\nmg k2 v Ob Pc=read,d=900\r\nmg k3 v Oc Pc=read,d=9000\r\n")
+	g.expect(r, "SERVER_ERROR draining", "VA 5 Ob", "hello", "SERVER_ERROR busy") // the last would outlast the node
 	close(hold)
 	g.expect(slow, "VA 5 Oa", "hello")
 	g.serve.Wait()
