--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -30,6 +30,8 @@
 "max_retry_after_s":0.6,"second_copies":%v},"family_info":{"mode":"aside","origin_kind":1},"kinds":["box","origin"],
 "n_instances":1,"round_s":0.005,"rules":{"cold_from":0.3,"cold_s":1},"zone":"z"}`
 
+const breaksOff = "(and closes)" // at the end of a cache's answer
+
 // rig is a node with one cache, an origin and discovery, which are the test's own.
 type rig struct {
 	*Relay
@@ -56,7 +58,10 @@
 				return
 			}
 			g.lines <- strings.TrimSpace(line)
-			io.WriteString(c, answer(strings.TrimSpace(line)))
+			said, breaks := strings.CutSuffix(answer(strings.TrimSpace(line)), breaksOff)
+			if io.WriteString(c, said); breaks {
+				c.Close()
+			}
 		}
 	})
 	web := func(h http.HandlerFunc) string {
@@ -82,6 +87,9 @@
 		g.asked <- r.URL.String()
 		select {
 		case next := <-g.list:
+			if next == breaksOff {
+				panic(http.ErrAbortHandler)
+			}
 			io.WriteString(w, next)
 		case <-r.Context().Done():
 		case <-g.over:
@@ -211,6 +219,23 @@
 	}
 }
 
+func TestOutcomesAreTheProtocols(t *testing.T) {
+	for said, how := range map[string]policy.Result{"EN Oa\r\n": policy.Missed, "SERVER_ERROR failed\r\n": policy.Errored,
+		"SERVER_ERROR busy\r\n": policy.TurnedAway, "ERROR\r\n": policy.Errored, breaksOff: policy.Broken,
+		"VA 5 Oa\r\nhe" + breaksOff: policy.Broken, "VA 5 Oa\r\nhelloo\r\n": policy.Broken, "HD Oa c1\r\n": policy.Broken,
+		"VA 5 Oa\r\nhello\r\n" + breaksOff: policy.Answered} {
+		g := newRig(t, 200, func(line string) string { return said })
+		c, r := g.client()
+		fmt.Fprint(c, "mg k1 v Oa Pc=read,d=9000\r\n")
+		if got, err := r.ReadString('\n'); err != nil || strings.HasPrefix(got, "VA 5") != (how == policy.Answered) {
+			t.Errorf("after %q: %q %v", said, got, err)
+		}
+		if n := g.Counts(); n.Ended[how] == 0 || n.Legs > 3 {
+			t.Errorf("after %q: %v of %d legs", said, n.Ended, n.Legs)
+		}
+	}
+}
+
 func TestAnothersValueIsServedToNobody(t *testing.T) {
 	g := newRig(t, 200, func(line string) string { return "VA 5 Oanother\r\nhello\r\n" })
 	c, r := g.client()
@@ -273,6 +298,10 @@
 	if first, second := wait(t, g.asked), wait(t, g.asked); first != listPath || !strings.HasPrefix(second, listPath+"?since=7&") {
 		t.Errorf("asked %q, then %q", first, second)
 	}
+	g.list <- breaksOff
+	if again := wait(t, g.asked); !strings.HasPrefix(again, listPath+"?since=7&") {
+		t.Errorf("after a call that broke off, asked %q", again)
+	}
 	g.list <- `{"generation":9,"reset":false,"instances":[{"instanceId":"c","lifecycle":"terminated"}]}`
 	if third := wait(t, g.asked); !strings.HasPrefix(third, listPath+"?since=9&") {
 		t.Errorf("asked %q", third)
