Send nothing after the final answer on a link that comes up late

Found on reading: where a deployment forbids calling legs off, a leg that waited for its connection was written when that came up, though its retrieval had been answered or its client had left meanwhile (caches.go, begin). A connection that nbio closes while it is read is also marked, so that closing it as idle can't touch a descriptor that has been given out again.

--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -213,9 +213,14 @@
 func (r *Relay) begin(l *link) {
 	switch l.does {
 	case aLeg:
-		if v := r.hand.Get(l.leg.hand); v != nil {
-			r.write(l, v, l.leg.leg)
+		v := r.hand.Get(l.leg.hand)
+		if v.answered { // nothing goes out after the final answer, though the leg could not be called off
+			ref := l.leg
+			r.rest(l)
+			r.end(v, ref.leg, policy.NeverSent, nil)
+			return
 		}
+		r.write(l, v, l.leg.leg)
 	case aProbe:
 		r.writeProbe(l)
 	case theList:
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -389,3 +389,15 @@
 		t.Errorf("to be looked after %v from now", at.Since(r.now()))
 	}
 }
+
+// Where legs may not be called off, a link that comes up late must not carry a leg of what is answered by then.
+func TestNothingGoesOutAfterTheAnswer(t *testing.T) {
+	r := &Relay{began: time.Now()}
+	v := &retrieval{answered: true, legs: []leg{{out: true}}}
+	v.id = r.hand.Add(v)
+	l := &link{does: aLeg, leg: legRef{hand: v.id}, cache: &cache{}}
+	l.id = r.links.Add(l)
+	if r.begin(l); r.count.Ended[policy.NeverSent] != 1 || v.legs[0].out || l.does != nothing {
+		t.Errorf("%v, still out: %v", r.count.Ended, v.legs[0].out)
+	}
+}
--- a/internal/net/sockets/sockets.go
+++ b/internal/net/sockets/sockets.go
@@ -258,8 +258,8 @@
 		case errors.Is(err, syscall.EAGAIN):
 			return
 		case err != nil || n == 0:
+			w.shut = true
 			_ = w.conn.CloseWithError(err)
-			return
 		default:
 			w.handed += int64(n)
 			w.e.hand(Event{What: Data, Wire: w}, buf[:n])
@@ -276,7 +276,7 @@
 	}
 	defer w.mu.Unlock()
 	raw, err := w.conn.SyscallConn()
-	if err != nil || w.handed != w.taken {
+	if err != nil || w.shut || w.handed != w.taken {
 		return false
 	}
 	waiting := 0
