Read answers that end with their connection, and drop what nothing used

Found on reading: http1 could read a body without a stated length, but nobody told it that the connection had ended, so such an answer of the origin was lost and such a list never heard. It counts only after an orderly end, with all read; one cut off by a reset is broken, not whole. Report lines that nothing read, a check that could not fail and a second copy of the default limits are gone.

--- a/cmd/dahliapin/main.go
+++ b/cmd/dahliapin/main.go
@@ -53,9 +53,7 @@
 	if err != nil {
 		return err
 	}
-	if err := node.Fit(p); err != nil {
-		return err
-	}
+	node.Fit(p)
 	n, err := node.New(p, logrus.StandardLogger())
 	if err != nil {
 		return err
--- a/internal/net/meta/answer.go
+++ b/internal/net/meta/answer.go
@@ -11,21 +11,19 @@
 
 const (
 	Odd    Said = iota // a line that means nothing here
-	Value              // a value, or a receipt
+	Value              // a value
 	Done               // a receipt for a write
 	Miss               // nothing is kept under the key
 	Failed             // it may have run
 	Busy               // it never ran
 	Up                 // the answer to mn
-	Stat               // one line of a report
-	End                // the end of a report
 )
 
 // Answer is one answer of a cache. Its parts lie in the buffer it was read from.
 type Answer struct {
 	Said  Said
 	ID    []byte
-	Value []byte // the value, the receipt, or a report's name and value
+	Value []byte // the value or the receipt
 	Load  []byte // the load report, as names and values, or nil
 }
 
@@ -73,10 +71,6 @@
 		}
 	case "MN":
 		a.Said = Up
-	case "STAT":
-		a.Said, a.Value = Stat, rest
-	case "END":
-		a.Said = End
 	}
 	a.ID, _ = Flag(rest, 'O')
 	a.Load, _ = Flag(rest, 'L')
--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -49,6 +49,7 @@
 	leg    legRef
 	usedAt policy.Instant
 	stopAt policy.Instant // when a probe, or the wait for the connection, is over; 0 for no need
+	ended  bool           // all that was sent has come
 	idleAt policy.Instant // when to see whether it is idle for long; 0 for not yet
 }
 
@@ -309,10 +310,16 @@
 	}
 }
 
-func (r *Relay) linkClosed(id linkID, unsent bool) {
+func (r *Relay) linkClosed(id linkID, unsent, orderly bool) {
 	l := r.links.Get(id)
+	if l == nil {
+		return
+	}
+	if l.ended = orderly; orderly && len(l.buf.Unused()) > 0 { // an answer of the origin or of discovery may end with its connection
+		r.read(l)
+	}
 	switch {
-	case l == nil:
+	case r.links.Get(id) == nil:
 	case unsent:
 		r.lose(l, policy.Unconnected)
 	default:
@@ -326,6 +333,10 @@
 		return
 	}
 	l.buf.Add(data)
+	r.read(l)
+}
+
+func (r *Relay) read(l *link) {
 	switch {
 	case l.does == theList:
 		r.listData(l)
@@ -440,7 +451,7 @@
 	how := policy.Errored
 	if l.cache.origin {
 		var a http1.Answer
-		if a, size, err = http1.ReadAnswer(l.buf.Unused(), meta.MaxValue, false); a.Status == 200 {
+		if a, size, err = http1.ReadAnswer(l.buf.Unused(), meta.MaxValue, l.ended); a.Status == 200 {
 			how = policy.Answered
 		}
 	} else {
--- a/internal/net/relay/discovery.go
+++ b/internal/net/relay/discovery.go
@@ -80,7 +80,7 @@
 }
 
 func (r *Relay) listData(l *link) {
-	a, size, err := http1.ReadAnswer(l.buf.Unused(), maxList, false)
+	a, size, err := http1.ReadAnswer(l.buf.Unused(), maxList, l.ended)
 	if err == nil && size == 0 {
 		return
 	}
--- a/internal/net/relay/origin.go
+++ b/internal/net/relay/origin.go
@@ -25,7 +25,7 @@
 
 // originData reads the origin's answer to a leg.
 func (r *Relay) originData(l *link, v *retrieval) {
-	a, size, err := http1.ReadAnswer(l.buf.Unused(), meta.MaxValue, false)
+	a, size, err := http1.ReadAnswer(l.buf.Unused(), meta.MaxValue, l.ended)
 	if err == nil && size == 0 {
 		return
 	}
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -229,7 +229,7 @@
 		}
 	case sockets.Closed:
 		if ev.Wire.Out {
-			r.linkClosed(linkID(ev.Wire.Tag), ev.Lost > 0)
+			r.linkClosed(linkID(ev.Wire.Tag), ev.Lost > 0, ev.Orderly)
 		} else {
 			r.clientClosed(clientID(ev.Wire.Tag))
 		}
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -77,6 +77,15 @@
 	origin := web(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		g.calls <- fmt.Sprintf("%s %s %s %s %s", r.Method, r.URL.Path, r.Header.Get("X-Call-Id"), r.Header.Get("X-Call-Info"), body)
+		if r.URL.Path == "/bare" || r.URL.Path == "/cut" { // its end is that of the connection
+			c, _, _ := w.(http.Hijacker).Hijack()
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nbare")
+			if r.URL.Path == "/cut" {
+				c.(*net.TCPConn).SetLinger(0)
+			}
+			c.Close()
+			return
+		}
 		io.WriteString(w, "from-origin")
 	})
 	known := fmt.Sprintf(`{"generation":7,"reset":true,"instances":[
@@ -209,12 +218,22 @@
 	c, r := g.client()
 	fmt.Fprint(c, "mg k1 v Oa Pc=read,d=9000\r\n")
 	g.expect(r, "VA 11 Oa", "from-origin")
+	fmt.Fprint(c, "mg bare v Oc Pc=read,d=9000\r\n")
+	g.expect(r, "VA 4 Oc", "bare")
+	fmt.Fprint(c, "mg cut v Od Pc=read,d=9000\r\n")
+	if got, _ := r.ReadString('\n'); strings.HasPrefix(got, "VA") {
+		t.Errorf("a value cut off is served as whole: %q", got)
+	}
 	fmt.Fprint(c, "ms k2 3 Ob Pc=put,d=9000,k=77\r\nabc\r\n")
 	g.expect(r, "HD Ob cfrom-origin")
 	if got := wait(t, g.calls); !strings.HasPrefix(got, "GET /k1 a c=read,d=") {
 		t.Error(got)
 	}
-	if got := wait(t, g.calls); !strings.HasPrefix(got, "PUT /k2 b c=put,d=") || !strings.HasSuffix(got, ",k=77 abc") {
+	got := wait(t, g.calls)
+	for strings.HasPrefix(got, "GET ") {
+		got = wait(t, g.calls)
+	}
+	if !strings.HasPrefix(got, "PUT /k2 b c=put,d=") || !strings.HasSuffix(got, ",k=77 abc") {
 		t.Error(got)
 	}
 }
--- a/internal/net/sockets/sockets.go
+++ b/internal/net/sockets/sockets.go
@@ -41,29 +41,31 @@
 
 // Event is one thing that happened. Its bytes are valid until the next Take.
 type Event struct {
-	What  What
-	Wire  *Wire
-	Dial  uint64 // whose dialling it was: Connected and Refused
-	At    time.Time
-	bytes []byte
-	Lost  int64 // bytes that were written to a closed connection and not taken by the kernel
-	from  int
-	long  int
+	What    What
+	Wire    *Wire
+	Dial    uint64 // whose dialling it was: Connected and Refused
+	At      time.Time
+	bytes   []byte
+	Lost    int64 // bytes that were written to a closed connection and not taken by the kernel
+	Orderly bool  // the other side has ended it, and all it sent was read
+	from    int
+	long    int
 }
 
 // Wire is one connection.
 type Wire struct {
-	Tag    uint64 // for the loop's use alone
-	Out    bool   // dialled from here
-	dial   uint64
-	e      *Engine
-	conn   *nbio.Conn
-	unsent atomic.Int64
-	gone   atomic.Bool // its descriptor is counted as free
-	mu     sync.Mutex  // held from reading bytes until they are handed over
-	handed int64       // bytes handed over
-	taken  int64       // of them, those that the loop has taken; its own
-	shut   bool        // nothing more is read
+	Tag     uint64 // for the loop's use alone
+	Out     bool   // dialled from here
+	dial    uint64
+	e       *Engine
+	conn    *nbio.Conn
+	unsent  atomic.Int64
+	gone    atomic.Bool // its descriptor is counted as free
+	mu      sync.Mutex  // held from reading bytes until they are handed over
+	handed  int64       // bytes handed over
+	taken   int64       // of them, those that the loop has taken; its own
+	shut    bool        // nothing more is read
+	orderly bool        // the other side has ended it, and all it sent was read
 }
 
 // Engine is all of a node's connections.
@@ -134,7 +136,7 @@
 	e.nb.OnClose(func(c *nbio.Conn, _ error) {
 		if w, ok := c.Session().(*Wire); ok {
 			w.free()
-			e.hand(Event{What: Closed, Wire: w, Lost: w.forget()}, nil)
+			e.hand(Event{What: Closed, Wire: w, Lost: w.forget(), Orderly: w.orderly}, nil)
 		} else {
 			e.freed()
 		}
@@ -258,7 +260,7 @@
 		case errors.Is(err, syscall.EAGAIN):
 			return
 		case err != nil || n == 0:
-			w.shut = true
+			w.shut, w.orderly = true, err == nil
 			_ = w.conn.CloseWithError(err)
 		default:
 			w.handed += int64(n)
--- a/node/node.go
+++ b/node/node.go
@@ -2,7 +2,7 @@
 package node
 
 import (
-	"errors"
+	"cmp"
 	"fmt"
 	"runtime"
 	"runtime/debug"
@@ -43,17 +43,10 @@
 // New listens as the posting says and starts. Serve is to follow.
 func New(p *Posting, log *logrus.Logger) (*Node, error) {
 	n := &Node{log: log}
-	memory, sockets := p.MemoryMB, p.Sockets
-	if memory == 0 {
-		memory = usualMemory
-	}
-	if sockets == 0 {
-		sockets = usualSockets
-	}
 	var err error
 	n.relay, err = relay.New(relay.Berth{
-		Listen: p.Listen, Discovery: p.Discovery, Seed: p.Seed, Descriptors: sockets,
-		Memory: int64(memory) << 20, Terms: p.terms, Known: p.known, Log: log,
+		Listen: p.Listen, Discovery: p.Discovery, Seed: p.Seed, Descriptors: cmp.Or(p.Sockets, usualSockets),
+		Memory: p.memory(), Terms: p.terms, Known: p.known, Log: log,
 		Moved: func(to Phase) { n.phase.Store(int32(to)) },
 	})
 	if err != nil {
@@ -79,21 +72,13 @@
 func (n *Node) Counts() counters.Counters { return n.relay.Counts() }
 
 // Fit makes the process keep within a posting's limits. It is for a program that runs one node and nothing else.
-func Fit(p *Posting) error {
-	if p == nil {
-		return errors.New("there is no posting to fit")
-	}
-	if runtime.GOMAXPROCS(0) < fewestThreads {
-		runtime.GOMAXPROCS(fewestThreads)
-	}
-	memory := p.MemoryMB
-	if memory == 0 {
-		memory = usualMemory
-	}
-	debug.SetMemoryLimit(int64(heapShare * float64(memory<<20)))
-	return nil
+func Fit(p *Posting) {
+	runtime.GOMAXPROCS(max(fewestThreads, runtime.GOMAXPROCS(0)))
+	debug.SetMemoryLimit(int64(heapShare * float64(p.memory())))
 }
 
+func (p *Posting) memory() int64 { return int64(cmp.Or(p.MemoryMB, usualMemory)) << 20 }
+
 // LogCounts writes the counters to the log, in one line.
 func (n *Node) LogCounts() {
 	fields := logrus.Fields{}
--- a/node/posting.go
+++ b/node/posting.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 	"fmt"
-	"net"
+	"net/netip"
 	"os"
 	"strconv"
 
@@ -43,10 +43,9 @@
 	p := &Posting{Name: string(v.GetStringBytes("name")), Listen: string(v.GetStringBytes("listen")),
 		Discovery: string(v.GetStringBytes("discovery")), MemoryMB: v.GetInt("limits", "memory_mb"),
 		Sockets: v.GetInt("limits", "sockets"), known: v.Get("known")}
-	for what, addr := range map[string]string{"listen": p.Listen, "discovery": p.Discovery} {
-		host, _, err := net.SplitHostPort(addr)
-		if err != nil || net.ParseIP(host) == nil {
-			return nil, fmt.Errorf("the configuration's %q is not an address and a port: %q", what, addr)
+	for _, addr := range []string{p.Listen, p.Discovery} {
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			return nil, fmt.Errorf("the configuration's listen or discovery is not an address and a port: %q", addr)
 		}
 	}
 	if p.terms, err = houserules.Decode(v.Get("settings")); err != nil {
