Bound what piles up on a connection behind one retrieval that takes long

Found on reading the node once more: commands that need no leg (mn, stats, malformed and dismissed ones) were answered at once, but their answers wait for those before them without bound, as long as one retrieval ahead says it waits (clients.go, clientData). After 1,024 the connection gets an error, is read no more and closes once all is answered.

--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -10,10 +10,14 @@
 	"dahliapin/policy"
 )
 
-const noMemory = "SERVER_ERROR out of memory\r\n"
+const (
+	noMemory = "SERVER_ERROR out of memory\r\n"
+	tooMany  = "SERVER_ERROR too many commands at once\r\n"
+)
 
 const (
 	mostTurns  = 256              // commands in hand on one connection; more are dismissed
+	mostSaid   = 4 * mostTurns    // answers that may wait on one for those before them; more end it
 	mostWait   = 10 * time.Minute // that a client may say it waits: no deployment's is near it
 	flushFor   = time.Second      // that a connection to be closed may take to be read out
 	flushEvery = 20 * time.Millisecond
@@ -101,10 +105,11 @@
 		default:
 			r.take(c, &command, at)
 		}
-		if r.clients.Get(id) == nil { // it was closed on the way
-			return
-		}
 		c.buf.Use(size)
+		if len(c.turns) >= mostSaid { // else one retrieval that takes long would let anything pile up behind it
+			r.say(c, []byte(tooMany))
+			c.closing = true
+		}
 	}
 	r.partial += len(c.buf.Unused()) - c.partial
 	c.partial = len(c.buf.Unused())
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -298,6 +298,26 @@
 	g.until("all are gone", func(n counters.Counters) bool { return n.Malformed == 3 && n.Legs == 3 })
 }
 
+func TestWhatPilesUpBehindOneRetrievalIsBounded(t *testing.T) {
+	hold := make(chan bool)
+	g := newRig(t, 200, func(line string) string { <-hold; return value(line) })
+	c, r := g.client()
+	fmt.Fprint(c, "mg k v Oa Pc=read,d=9000\r\n")
+	wait(t, g.lines)
+	go fmt.Fprint(c, strings.Repeat("mn\r\n", 2*mostSaid))
+	g.until("it is no more read", func(counters.Counters) bool {
+		closing := make(chan bool, 1)
+		g.ask(func() { g.clients.Each(func(_ clientID, c *client) { closing <- c.closing }) })
+		return <-closing
+	})
+	close(hold)
+	g.expect(r, "VA 5 Oa", "hello")
+	rest, _ := io.ReadAll(r)
+	if n := strings.Count(string(rest), "MN"); n != mostSaid-1 || !strings.HasSuffix(string(rest), tooMany) {
+		t.Errorf("%d answers, then %q", n, rest[max(0, len(rest)-50):])
+	}
+}
+
 func TestASlowReaderIsCutOffBeforeItCostsMemory(t *testing.T) {
 	big := strings.Repeat("v", 64<<10)
 	g := newRig(t, 200, func(line string) string { return "VA 65536 " + id(line) + "\r\n" + big + "\r\n" })
