Fold what the node had twice, and drop what nothing read

Now in one place each: opening a link (legs and the list), closing the link idle longest, when a client may be closed as idle, and a test's answer that is held back. Gone: a leg's cache, which nothing read; a connection's dialling number beside its tag; a read buffer beside the poller's own; a branch for errors of dialling other than the budget's, of which there are none; a nil check before the comparison that implies it.

--- a/internal/net/meta/meta.go
+++ b/internal/net/meta/meta.go
@@ -128,7 +128,7 @@
 		c.Verb = Ready
 		return c, size, nil
 	case "stats":
-		c.Verb, c.Flags = Stats, rest
+		c.Verb = Stats
 		return c, size, nil
 	case "mg":
 		c.Verb = Get
--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"math"
 	"strconv"
 	"time"
@@ -54,7 +53,6 @@
 }
 
 type leg struct {
-	to       policy.CacheID
 	out      bool
 	link     linkID
 	sent     policy.Instant
@@ -83,7 +81,7 @@
 	}
 	now := r.now()
 	ref := legRef{v.id, len(v.legs)}
-	v.legs = append(v.legs, leg{to: to, out: true, sent: now, giveUpAt: giveUpAt})
+	v.legs = append(v.legs, leg{out: true, sent: now, giveUpAt: giveUpAt})
 	r.count.Legs++
 	c := r.caches[to]
 	if c == nil {
@@ -92,11 +90,7 @@
 	}
 	l, err := r.linkTo(c, aLeg)
 	if err != nil {
-		how := policy.Unconnected
-		if errors.Is(err, sockets.ErrNoDescriptor) { // the cache is not to blame
-			how = policy.NeverSent
-		}
-		r.end(v, ref.leg, how, nil)
+		r.end(v, ref.leg, policy.NeverSent, nil) // for want of a descriptor: the cache is not to blame
 		return
 	}
 	l.leg, v.legs[ref.leg].link = ref, l.id
@@ -115,17 +109,27 @@
 		r.count.Reused++
 		return l, nil
 	}
-	l := &link{cache: c, does: does, usedAt: r.now(), stopAt: r.now().Add(r.connectTime())}
-	l.id = r.links.Add(l)
-	if err := r.dial(c.addr, l.id); err != nil {
-		r.links.Drop(l.id)
+	l := &link{cache: c, does: does}
+	if err := r.open(l, c.addr); err != nil {
 		return nil, err
 	}
 	r.count.Dials++
-	r.due.Put(l.stopAt, due{link: l.id})
 	return l, nil
 }
 
+// open dials for a new link.
+func (r *Relay) open(l *link, addr string) error {
+	l.usedAt = r.now()
+	l.stopAt = l.usedAt.Add(r.connectTime())
+	l.id = r.links.Add(l)
+	if err := r.dial(addr, l.id); err != nil {
+		r.links.Drop(l.id)
+		return err
+	}
+	r.due.Put(l.stopAt, due{link: l.id})
+	return nil
+}
+
 // write hands a leg to the kernel. Only if that fails is it sure that its last byte never was.
 func (r *Relay) write(l *link, v *retrieval, n int) {
 	wait := max(1, int64(v.legs[n].giveUpAt.Since(r.now())/time.Millisecond))
@@ -204,7 +208,6 @@
 	case l == nil:
 		ev.Wire.Close()
 	default:
-		ev.Wire.Tag = ev.Dial
 		l.wire, l.stopAt, l.usedAt = ev.Wire, 0, r.now()
 		r.begin(l)
 	}
@@ -474,8 +477,9 @@
 	r.later = append(r.later, func() { r.host.Probed(r.now(), id, found) })
 }
 
-// longestIdleLink is the one whose loss costs least.
-func (r *Relay) longestIdleLink() (oldest *link) {
+// closeIdleLink closes the one that has been idle longest: its loss costs least.
+func (r *Relay) closeIdleLink() bool {
+	var oldest *link
 	for _, c := range r.caches {
 		if len(c.idle) == 0 {
 			continue
@@ -485,5 +489,10 @@
 			oldest = l
 		}
 	}
-	return oldest
+	if oldest == nil {
+		return false
+	}
+	r.count.RoomClosed++
+	r.dropLink(oldest)
+	return true
 }
--- a/internal/net/relay/discovery.go
+++ b/internal/net/relay/discovery.go
@@ -35,15 +35,12 @@
 // follow starts a call for the list on a new connection. The first asks for the whole list.
 func (r *Relay) follow() {
 	r.list.call++
-	l := &link{does: theList, stopAt: r.now().Add(r.connectTime())}
-	l.id = r.links.Add(l)
-	r.list.link = l.id
-	if err := r.dial(r.Discovery, l.id); err != nil {
-		r.links.Drop(l.id)
+	l := &link{does: theList}
+	if err := r.open(l, r.Discovery); err != nil {
 		r.listLost()
 		return
 	}
-	r.due.Put(l.stopAt, due{link: l.id})
+	r.list.link = l.id
 }
 
 func (r *Relay) askForList(l *link) {
@@ -103,10 +100,9 @@
 		r.list.since = v.GetInt()
 	}
 	r.hear(news, form)
-	last := a.Last
 	l.buf.Use(size)
 	r.ready()
-	if last {
+	if a.Last {
 		r.dropLink(l)
 		r.follow()
 		return
@@ -162,10 +158,6 @@
 func (r *Relay) forget(c *cache) {
 	delete(r.caches, c.id)
 	for len(c.idle) > 0 {
-		if l := r.links.Get(c.idle[len(c.idle)-1]); l != nil {
-			r.dropLink(l)
-		} else {
-			c.idle = c.idle[:len(c.idle)-1]
-		}
+		r.dropLink(r.links.Get(c.idle[len(c.idle)-1]))
 	}
 }
--- a/internal/net/relay/origin.go
+++ b/internal/net/relay/origin.go
@@ -40,12 +40,11 @@
 		if how = policy.Broken; bytes.IndexByte(a.Body, '\n') < 0 {
 			how, out = policy.Answered, meta.AppendDone(nil, v.command.ID, bytes.TrimSpace(a.Body))
 		}
-	case a.Header("X-Rejected") != nil && string(a.Header("X-Rejected")) == "1":
+	case string(a.Header("X-Rejected")) == "1":
 		how = policy.TurnedAway
 	}
-	last := a.Last
 	r.answered(l, v, how, size, out, a.Header("X-Load-Report"))
-	if last && r.links.Get(l.id) != nil {
+	if a.Last && r.links.Get(l.id) != nil {
 		r.dropLink(l)
 	}
 }
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"encoding/binary"
-	"errors"
 	"slices"
 	"time"
 
@@ -27,7 +26,7 @@
 	readyBy     = 250 * time.Millisecond      // from the start, to serve by the last list if no newer one comes
 	comingFor   = 500 * time.Millisecond      // after the call to end, connections may still come: 0.2 to 0.4 s
 	quietFor    = 150 * time.Millisecond      // without a new connection before clients are closed
-	lingerFor   = 50 * time.Millisecond       // while draining, for the first command of who has just connected
+	lingerFor   = 50 * time.Millisecond       // for the first command of who has just connected, before it is idle
 	drainEvery  = 10 * time.Millisecond       // between looks for idle clients while draining
 	spareToStop = 500 * time.Millisecond      // over the longest hard stop, by which a node is to have ended
 	eventsAtOne = 256                         // events handled between looks at the deadlines
@@ -287,7 +286,7 @@
 	now := r.now()
 	if now.Since(r.ending) >= comingFor && now.Since(r.lastCame) >= quietFor {
 		r.clients.Each(func(_ clientID, c *client) {
-			if c.idle() && (c.first > 0 || now.Since(c.usedAt) >= lingerFor) {
+			if r.mayClose(c) {
 				r.closeIdle(c)
 			}
 		})
@@ -327,20 +326,18 @@
 func (r *Relay) Follow() {}
 
 // makeRoom frees one descriptor of the least use: an idle link first, then an idle client.
-func (r *Relay) makeRoom() bool {
-	if l := r.longestIdleLink(); l != nil {
-		r.count.RoomClosed++
-		r.dropLink(l)
-		return true
-	}
-	return r.closeIdleClient()
+func (r *Relay) makeRoom() bool { return r.closeIdleLink() || r.closeIdleClient() }
+
+// mayClose tells whether a client is idle; who has just connected has some time for its first command.
+func (r *Relay) mayClose(c *client) bool {
+	return c.idle() && (c.first > 0 || r.now().Since(c.usedAt) >= lingerFor)
 }
 
 // closeIdleClient closes the one that has been idle longest.
 func (r *Relay) closeIdleClient() bool {
 	var idle []*client
 	r.clients.Each(func(_ clientID, c *client) {
-		if c.idle() && (c.first > 0 || r.now().Since(c.usedAt) >= lingerFor) {
+		if r.mayClose(c) {
 			idle = append(idle, c)
 		}
 	})
@@ -357,16 +354,11 @@
 // dial opens a connection for a link, making room for it if need be. Links never take the clients' share: who
 // comes could not be let in then, and what it had sent would be lost.
 func (r *Relay) dial(addr string, id linkID) error {
-	if r.links.Len() > r.mostLinks() {
-		l := r.longestIdleLink()
-		if l == nil {
-			return sockets.ErrNoDescriptor
-		}
-		r.count.RoomClosed++
-		r.dropLink(l)
+	if r.links.Len() > r.mostLinks() && !r.closeIdleLink() {
+		return sockets.ErrNoDescriptor
 	}
 	err := r.eng.Dial(addr, r.connectTime(), uint64(id))
-	if errors.Is(err, sockets.ErrNoDescriptor) && r.makeRoom() {
+	if err != nil && r.makeRoom() {
 		err = r.eng.Dial(addr, r.connectTime(), uint64(id))
 	}
 	return err
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -193,14 +193,19 @@
 
 func value(line string) string { return "VA 5 " + id(line) + " h1\r\nhello\r\n" }
 
-func TestAnswersKeepTheOrderOfTheirCommands(t *testing.T) {
-	slow := make(chan bool)
-	g := newRig(t, 200, func(line string) string {
+// holdingOa answers as value does, but the retrieval a only once it may.
+func holdingOa(may chan bool) func(string) string {
+	return func(line string) string {
 		if strings.Contains(line, "Oa") {
-			<-slow
+			<-may
 		}
 		return value(line)
-	})
+	}
+}
+
+func TestAnswersKeepTheOrderOfTheirCommands(t *testing.T) {
+	slow := make(chan bool)
+	g := newRig(t, 200, holdingOa(slow))
 	c, r := g.client()
 	fmt.Fprint(c, "mg k1 v Oa Pc=read,d=9000\r\nmg k2 v Ob Pc=read,d=9000,size=3\r\nget x\r\nmg k3 v\r\nmn\r\n")
 	g.until("the second is answered", func(n counters.Counters) bool { return n.Satisfied == 1 })
@@ -354,12 +359,7 @@
 
 func TestDrainingServesWhatStillComesAndEnds(t *testing.T) {
 	hold := make(chan bool)
-	g := newRig(t, 200, func(line string) string {
-		if strings.Contains(line, "Oa") {
-			<-hold
-		}
-		return value(line)
-	})
+	g := newRig(t, 200, holdingOa(hold))
 	before, slow := g.client()
 	fmt.Fprint(before, "mg k v Oa Pc=read,d=900\r\n")
 	wait(t, g.lines)
--- a/internal/net/sockets/sockets.go
+++ b/internal/net/sockets/sockets.go
@@ -54,9 +54,8 @@
 
 // Wire is one connection.
 type Wire struct {
-	Tag     uint64 // for the loop's use alone
+	Tag     uint64 // what a dialled one was dialled for; else the loop's to set
 	Out     bool   // dialled from here
-	dial    uint64
 	e       *Engine
 	conn    *nbio.Conn
 	unsent  atomic.Int64
@@ -114,17 +113,16 @@
 	})
 	e.nb.OnOpen(func(c *nbio.Conn) {
 		if w, ok := c.Session().(*Wire); ok { // dialled
-			e.hand(Event{What: Connected, Wire: w, Dial: w.dial}, nil)
+			e.hand(Event{What: Connected, Wire: w, Dial: w.Tag}, nil)
 			return
 		}
 		w := &Wire{e: e, conn: c}
 		c.SetSession(w)
 		e.hand(Event{What: Opened, Wire: w}, nil)
 	})
-	buf := make([]byte, readAtOnce) // the one poller's
 	e.nb.OnRead(func(c *nbio.Conn) {
 		if w, ok := c.Session().(*Wire); ok {
-			w.read(buf)
+			w.read(e.nb.PollerBuffer(c))
 		}
 	})
 	e.nb.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
@@ -229,7 +227,7 @@
 			_ = c.Close()
 			return
 		}
-		c.SetSession(&Wire{e: e, conn: c, Out: true, dial: dial})
+		c.SetSession(&Wire{e: e, conn: c, Out: true, Tag: dial})
 		_, _ = e.nb.AddConn(c) // one that can't be added is closed, and that is told
 	}()
 	return nil
