Read the configuration again on SIGHUP, and follow the list at its new address

Nothing else in the log; the list itself was heard until then, so discovery was ruled out.

Now a reload takes the address of discovery (relay.Move, node.Reload): the old call is closed, the whole list asked for at the new address since versions may differ, the last list stays. A file that can't be used: one line, no change. Signals are asked for before the node listens, since one that came earlier ended the process too.

--- a/cmd/dahliapin/main.go
+++ b/cmd/dahliapin/main.go
@@ -22,7 +22,7 @@
 		SilenceErrors: true}
 	root.PersistentFlags().StringVar(&config, "config", os.Getenv("RELAY_CONFIG"), "the configuration's file")
 	root.AddCommand(
-		&cobra.Command{Use: "serve", Short: "Run one node until SIGTERM", Args: cobra.NoArgs,
+		&cobra.Command{Use: "serve", Short: "Run one node until SIGTERM; SIGHUP reads its configuration again", Args: cobra.NoArgs,
 			RunE: func(*cobra.Command, []string) error { return serve(config) }},
 		&cobra.Command{Use: "check", Short: "Say whether a configuration can be used", Args: cobra.NoArgs,
 			RunE: func(c *cobra.Command, _ []string) error {
@@ -48,23 +48,36 @@
 	return ""
 }
 
+// reload reads the configuration again; one that can't be used changes nothing.
+func reload(n *node.Node, config string) {
+	p, err := node.ReadPosting(config)
+	if err != nil {
+		logrus.WithError(err).Error("configuration not taken, the last one stays")
+		return
+	}
+	n.Reload(p)
+}
+
 func serve(config string) error {
 	p, err := node.ReadPosting(config)
 	if err != nil {
 		return err
 	}
 	node.Fit(p)
+	signals := make(chan os.Signal, 4) // before the node is there, or an early one would end the process
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	n, err := node.New(p, logrus.StandardLogger())
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	go func() {
 		for s := range signals {
-			if s == syscall.SIGUSR1 {
+			switch s {
+			case syscall.SIGUSR1:
 				n.LogCounts()
-			} else {
+			case syscall.SIGHUP:
+				reload(n, config)
+			default:
 				n.End()
 			}
 		}
--- a/internal/net/counters/counters.go
+++ b/internal/net/counters/counters.go
@@ -9,7 +9,7 @@
 	Satisfied, Dismissed, Scrapped  uint64 // final answers
 	Crowded, Left                   uint64 // dismissed for want of room; clients that went before the answer
 	Legs, Dials, Reused, Probes     uint64 // sent; connections opened for them, or used again; caches checked
-	Lists, Reconnects               uint64 // lists heard; new calls after one that failed
+	Lists, Reconnects, Moves        uint64 // lists heard; new calls after one that failed; new addresses to call
 	IdleClosed, RoomClosed, Strange uint64 // connections closed when idle, to make room, for a wrong answer
 	Ended                           [policy.Missed + 1]uint64
 }
@@ -27,7 +27,7 @@
 		{"clients", c.Clients}, {"retrievals", c.Retrievals}, {"malformed", c.Malformed},
 		{"satisfied", c.Satisfied}, {"dismissed", c.Dismissed}, {"scrapped", c.Scrapped},
 		{"crowded", c.Crowded}, {"left", c.Left}, {"legs", c.Legs}, {"dials", c.Dials}, {"reused", c.Reused},
-		{"probes", c.Probes}, {"lists", c.Lists}, {"reconnects", c.Reconnects},
+		{"probes", c.Probes}, {"lists", c.Lists}, {"reconnects", c.Reconnects}, {"moves", c.Moves},
 		{"idle_closed", c.IdleClosed}, {"room_closed", c.RoomClosed}, {"strange", c.Strange},
 	} {
 		f(row.name, row.n)
--- a/internal/net/relay/discovery.go
+++ b/internal/net/relay/discovery.go
@@ -57,6 +57,20 @@
 	}
 }
 
+// moveList calls another address. Versions are the old one's, so the whole list is asked for there. The old call is
+// closed first: one that still waits could bring an older list than the new address has told.
+func (r *Relay) moveList(addr string) {
+	if addr == r.Discovery {
+		return
+	}
+	r.Discovery, r.list.since = addr, unknownSince
+	r.count.Moves++
+	if l := r.links.Get(r.list.link); l != nil {
+		r.dropLink(l)
+	}
+	r.follow()
+}
+
 // listSilent ends a call that has gone unanswered; the list last held stays.
 func (r *Relay) listSilent(call uint64) {
 	if l := r.links.Get(r.list.link); call == r.list.call {
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -147,6 +147,10 @@
 // End asks the node to drain and stop. It may be called from anywhere, and more than once.
 func (r *Relay) End() { r.ask(r.drain) }
 
+// Move follows the list at another address from now on. The list last held stays until the whole one has come from
+// there. It may be called from anywhere, and more than once.
+func (r *Relay) Move(discovery string) { r.ask(func() { r.moveList(discovery) }) }
+
 // Counts returns the counters as they stand. It may be called from anywhere.
 func (r *Relay) Counts() (c counters.Counters) {
 	answer := make(chan counters.Counters, 1)
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"fmt"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -35,14 +36,15 @@
 
 // Node is one node.
 type Node struct {
-	relay *relay.Relay
-	phase atomic.Int32
-	log   *logrus.Logger
+	relay   *relay.Relay
+	phase   atomic.Int32
+	log     *logrus.Logger
+	posting *Posting // as it started
 }
 
 // New listens as the posting says and starts. Serve is to follow.
 func New(p *Posting, log *logrus.Logger) (*Node, error) {
-	n := &Node{log: log}
+	n := &Node{log: log, posting: p}
 	var err error
 	n.relay, err = relay.New(relay.Berth{
 		Listen: p.Listen, Discovery: p.Discovery, Seed: p.Seed, Descriptors: cmp.Or(p.Sockets, usualSockets),
@@ -62,6 +64,22 @@
 // End asks the node to drain and stop. It may be called from anywhere.
 func (n *Node) End() { n.relay.End() }
 
+// Reload takes a posting that has come anew: the address of discovery, and nothing else. What else differs is named
+// in the log, for a restart to take. It may be called from anywhere.
+func (n *Node) Reload(p *Posting) {
+	at := n.posting
+	log := n.log.WithField("discovery", p.Discovery)
+	for field, same := range map[string]bool{"name": p.Name == at.Name, "listen": p.Listen == at.Listen,
+		"limits":   p.MemoryMB == at.MemoryMB && p.Sockets == at.Sockets,
+		"settings": reflect.DeepEqual(p.terms, at.terms)} {
+		if !same {
+			log = log.WithField(field, "differs; a restart takes it")
+		}
+	}
+	log.Info("configuration read again")
+	n.relay.Move(p.Discovery)
+}
+
 // Phase tells how far it has come.
 func (n *Node) Phase() Phase { return Phase(n.phase.Load()) }
 
