Fail a leg at once by an answer that can't be read, and use no link that brings more

A probe in relay's answered() wrote down what was served: answers of the origin with two Content-Length headers, 3 and the true one, cut to three bytes (http1.ReadAnswer took the first). The probe also showed noise lines counted as plain errors whose link was used again (meta.Odd), so that what followed on it was read as the next leg's answer.

Now heads are read strictly (lengths that differ, signs, codings, rows that are none), interim answers and trailers end, noise is known by its first wrong byte, a receipt must be there. Such a leg counts as errored: the cache has spoken. A link is taken for a leg only if nothing has come on it since (sockets.Quiet); an unreadable report is still ignored.

--- a/internal/net/http1/http1.go
+++ b/internal/net/http1/http1.go
@@ -8,7 +8,7 @@
 	"strconv"
 )
 
-const maxHead = 16 << 10 // bytes of a status line and headers: far above any honest one
+const maxHead = 16 << 10 // bytes of the heads of an answer, interim ones among them: far above any honest ones
 
 // Answer is one answer. Its parts lie in the buffer it was read from, but for a body that came in chunks.
 type Answer struct {
@@ -48,63 +48,63 @@
 	return to
 }
 
-// Header returns a header's value, or nil.
+// Header returns a header's value, or nil where it does not stand.
 func (a *Answer) Header(name string) []byte {
+	value, _ := a.header(name)
+	return value
+}
+
+// header also tells whether the header says the same each time it stands.
+func (a *Answer) header(name string) (value []byte, agreed bool) {
+	agreed = true
 	for rest := a.headers; len(rest) > 0; {
 		var row []byte
 		row, rest, _ = bytes.Cut(rest, []byte("\r\n"))
 		if n, v, ok := bytes.Cut(row, []byte(":")); ok && bytes.EqualFold(n, []byte(name)) {
-			return bytes.TrimSpace(v)
+			if v = bytes.TrimSpace(v); value == nil {
+				value = append([]byte{}, v...)
+			}
+			agreed = agreed && bytes.Equal(v, value)
 		}
 	}
-	return nil
+	return value, agreed
 }
 
 // ReadAnswer reads the first answer in b, with a body of at most so many bytes. A size of 0 asks for more; ended
 // says that no more will come.
 func ReadAnswer(b []byte, maxBody int, ended bool) (a Answer, size int, err error) {
-	head := bytes.Index(b[:min(len(b), maxHead)], []byte("\r\n\r\n"))
-	if head < 0 {
-		if len(b) >= maxHead {
-			return a, 0, errHead
+	for a.Status < 200 { // interim ones say nothing; the real one follows
+		n := 0
+		if a, n, err = readHead(b[size:], maxHead-size); n == 0 {
+			return a, 0, err
 		}
-		return a, 0, nil
-	}
-	status, headers, _ := bytes.Cut(b[:head+2], []byte("\r\n"))
-	a.headers = headers
-	if len(status) < 12 || !bytes.HasPrefix(status, []byte("HTTP/1.")) || status[8] != ' ' {
-		return a, 0, errHead
+		size += n
 	}
-	if a.Status, err = strconv.Atoi(string(status[9:12])); err != nil || a.Status < 100 {
-		return a, 0, errHead
-	}
-	a.Last = status[7] == '0' || bytes.EqualFold(a.Header("Connection"), []byte("close"))
-	size = head + 4
-	switch declared := a.Header("Content-Length"); {
-	case a.Status < 200: // an interim answer says nothing; the real one follows
-		rest, n, err := ReadAnswer(b[size:], maxBody, ended)
-		if n > 0 {
-			n += size
-		}
-		return rest, n, err
+	declared, coded := a.Header("Content-Length"), a.Header("Transfer-Encoding")
+	switch {
+	case coded != nil && (declared != nil || !bytes.EqualFold(coded, []byte("chunked"))):
+		return a, 0, errLength
 	case a.Status == 204 || a.Status == 304:
 		return a, size, nil
-	case bytes.EqualFold(a.Header("Transfer-Encoding"), []byte("chunked")):
+	case coded != nil:
 		n := 0
 		if a.Body, n, err = chunks(b[size:], maxBody); n == 0 {
+			if err == nil && len(b) > size+2*maxBody+maxHead {
+				err = errLength // a trailer without end, or a body in single bytes
+			}
 			return a, 0, err
 		}
 		return a, size + n, nil
 	case declared != nil:
-		n, bad := strconv.Atoi(string(declared))
-		if bad != nil || n < 0 || n > maxBody {
+		n, bad := strconv.ParseUint(string(declared), 10, 32) // not signed: no sign is taken
+		if bad != nil || n > uint64(maxBody) {
 			return a, 0, errLength
 		}
-		if len(b) < size+n {
+		if uint64(len(b)-size) < n {
 			return a, 0, nil
 		}
-		a.Body = b[size : size+n]
-		return a, size + n, nil
+		a.Body = b[size : size+int(n)]
+		return a, size + int(n), nil
 	case len(b)-size > maxBody:
 		return a, 0, errLength
 	case !ended:
@@ -114,6 +114,51 @@
 	return a, len(b), nil
 }
 
+// readHead reads a status line and headers of at most so many bytes. What has come of one that has not ended is
+// looked at as well: who sends noise may never end it.
+func readHead(b []byte, most int) (a Answer, size int, err error) {
+	const version, ends = "HTTP/1.", "\r\n"
+	if n := min(len(b), len(version)); string(b[:n]) != version[:n] {
+		return a, 0, errHead
+	}
+	status, headers, whole := bytes.Cut(b[:min(len(b), max(0, most))], []byte(ends))
+	if !whole {
+		if len(b) >= most {
+			return a, 0, errHead
+		}
+		return a, 0, nil
+	}
+	if len(status) < 12 || status[8] != ' ' || len(status) > 12 && status[12] != ' ' {
+		return a, 0, errHead
+	}
+	code, bad := strconv.ParseUint(string(status[9:12]), 10, 16)
+	if bad != nil || code < 100 {
+		return a, 0, errHead
+	}
+	a.Status = int(code)
+	for rest := headers; ; {
+		row, next, whole := bytes.Cut(rest, []byte(ends))
+		switch name, _, named := bytes.Cut(row, []byte(":")); {
+		case !whole && len(b) >= most:
+			return a, 0, errHead
+		case !whole:
+			return a, 0, nil
+		case len(row) == 0:
+			a.headers = headers[:len(headers)-len(rest)]
+			for _, once := range []string{"Content-Length", "Transfer-Encoding"} { // two that differ tell nothing
+				if _, agreed := a.header(once); !agreed {
+					return a, 0, errLength
+				}
+			}
+			a.Last = status[7] == '0' || bytes.EqualFold(a.Header("Connection"), []byte("close"))
+			return a, len(status) + len(ends) + len(headers) - len(next), nil
+		case !named || len(name) == 0 || bytes.ContainsAny(name, " \t"):
+			return a, 0, errHead
+		}
+		rest = next
+	}
+}
+
 // row cuts off the line that starts at n; next is 0 until it has ended.
 func row(b []byte, n int) (text []byte, next int, err error) {
 	end := bytes.Index(b[n:], []byte("\r\n"))
--- a/internal/net/http1/http1_test.go
+++ b/internal/net/http1/http1_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 )
 
@@ -49,6 +50,25 @@
 	}
 }
 
+// One with two lengths was served by the first of them: 49 values cut to three bytes on one day.
+func TestWhatCantBeReadIsToldAtOnce(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for _, bad := range []string{"\x8c", "HTTP/2", "HTTP/1.1 20x OK\r\n", "HTTP/1.1 2000\r\n", "HTTP/1.1 +20 OK\r\n", "HTTP/1.1_200_OK\r\n",
+		ok + "no colon\r\n", ok + "Content-Length : 5\r\n", ok + "Content-Length: 3\r\nContent-Length: 5\r\n\r\nhello",
+		ok + "Content-Length: -5\r\n\r\n", ok + "Content-Length: +5\r\n\r\n", ok + "Content-Length: 3221225472\r\n\r\n",
+		ok + "Content-Length:\r\n\r\n", ok + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+		ok + "Transfer-Encoding: zip\r\n\r\n", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + strings.Repeat("T: 1\r\n", maxHead),
+		ok + strings.Repeat("x", maxHead), ok + strings.Repeat("X: y\r\n", maxHead), strings.Repeat("HTTP/1.1 102 Wait\r\n\r\n", maxHead)} {
+		if a, size, err := ReadAnswer([]byte(bad), 100, false); err == nil {
+			t.Errorf("%.90q: %v, %d", bad, a, size)
+		}
+	}
+	const twice = ok + "content-length: 5\r\nContent-Length: 5\r\nX-Load-Report: \x01\xff=,\r\n\r\nhello"
+	if a, _, err := ReadAnswer([]byte(strings.Repeat("HTTP/1.1 103 Hint\r\nA: b\r\n\r\n", 3)+twice), 100, false); err != nil || string(a.Body) != "hello" {
+		t.Errorf("%v %v", a, err)
+	}
+}
+
 func TestRequest(t *testing.T) {
 	got := string(AppendRequest(nil, "PUT", AppendPath(nil, []byte("obj:a%b?c")), "h:1", []byte("A: b\r\n"), []byte("xy")))
 	if want := "PUT /obj:a%25b%3Fc HTTP/1.1\r\nHost: h:1\r\nA: b\r\nContent-Length: 2\r\n\r\nxy"; got != want {
--- a/internal/net/meta/answer.go
+++ b/internal/net/meta/answer.go
@@ -10,8 +10,7 @@
 type Said int
 
 const (
-	Odd    Said = iota // a line that means nothing here
-	Value              // a value
+	Value  Said = iota // a value
 	Done               // a receipt for a write
 	Miss               // nothing is kept under the key
 	Failed             // it may have run
@@ -30,20 +29,41 @@
 var (
 	errLong  = errors.New("an answer is longer than the protocol allows")
 	errValue = errors.New("a value does not end where it should")
+	errOdd   = errors.New("an answer says nothing that the protocol knows")
 )
 
-// ReadAnswer reads the first answer in b. A size of 0 asks for more bytes.
+var said = map[string]Said{"VA": Value, "HD": Done, "EN": Miss, "SERVER_ERROR": Failed, "MN": Up}
+
+// begins tells whether what has come of a line may be the beginning of an answer. Who sends noise may never end it.
+func begins(b []byte) bool {
+	for word := range said {
+		if n := min(len(b), len(word)); string(b[:n]) == word[:n] {
+			return true
+		}
+	}
+	return false
+}
+
+// ReadAnswer reads the first answer in b. A size of 0 asks for more bytes. An error is final: nothing that follows
+// can be told apart any more. Flags that nothing here needs may hold anything.
 func ReadAnswer(b []byte) (a Answer, size int, err error) {
 	text, size, long := line(b)
 	if long {
 		return a, 0, errLong
 	}
+	if !begins(b) {
+		return a, 0, errOdd
+	}
 	if size == 0 {
 		return a, 0, nil
 	}
 	first, rest := word(text)
-	switch string(first) {
-	case "VA":
+	known := false
+	if a.Said, known = said[string(first)]; !known {
+		return a, 0, errOdd
+	}
+	switch a.Said {
+	case Value:
 		digits, flags := word(rest)
 		n, ok := length(digits)
 		if !ok || n > MaxValue {
@@ -55,24 +75,22 @@
 		if !bytes.Equal(b[size+n:size+n+2], crlf) {
 			return a, 0, errValue
 		}
-		a.Said, a.Value = Value, b[size:size+n]
+		a.Value = b[size : size+n]
 		rest = flags
 		size += n + 2
-	case "HD":
-		a.Said = Done
-		a.Value, _ = Flag(rest, 'c')
-	case "EN":
-		a.Said = Miss
-	case "SERVER_ERROR":
-		a.Said = Failed
+	case Done:
+		if a.Value, _ = Flag(rest, 'c'); !Plain(a.Value) {
+			return a, 0, errOdd
+		}
+	case Failed:
 		var reason []byte
 		if reason, rest = word(rest); string(reason) == "busy" {
 			a.Said = Busy
 		}
-	case "MN":
-		a.Said = Up
 	}
-	a.ID, _ = Flag(rest, 'O')
+	if a.ID, _ = Flag(rest, 'O'); a.Said <= Miss && len(a.ID) == 0 {
+		return a, 0, errOdd
+	}
 	a.Load, _ = Flag(rest, 'L')
 	return a, size, nil
 }
--- a/internal/net/meta/meta.go
+++ b/internal/net/meta/meta.go
@@ -80,7 +80,8 @@
 	return n, true
 }
 
-func plain(b []byte) bool {
+// Plain tells whether something can stand as one word of a line.
+func Plain(b []byte) bool {
 	for _, c := range b {
 		if c <= ' ' || c == 0x7f {
 			return false
@@ -155,7 +156,7 @@
 		return c, size, &Fault{NoSuch, false}
 	}
 	c.ID, _ = Flag(c.Flags, 'O')
-	if !plain(c.Key) || len(c.Key) > maxKey || !plain(c.ID) || !printable(c.Flags) {
+	if !Plain(c.Key) || len(c.Key) > maxKey || !Plain(c.ID) || !printable(c.Flags) {
 		return c, size, &Fault{BadLine, false}
 	}
 	return c, size, nil
--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -28,6 +29,9 @@
 	idle   []linkID // the latest used last
 }
 
+// spoilt is the outcome of a leg whose answer can't be read, until it is told as one that the module knows.
+const spoilt policy.Result = -1
+
 // errand is what a link is used for.
 type errand int
 
@@ -102,9 +106,16 @@
 
 // linkTo finds the idle link used last or dials a new one.
 func (r *Relay) linkTo(c *cache, does errand) (*link, error) {
-	if n := len(c.idle); n > 0 {
-		l := r.links.Get(c.idle[n-1])
-		c.idle = c.idle[:n-1]
+	for i := len(c.idle) - 1; i >= 0; i-- {
+		l := r.links.Get(c.idle[i])
+		if quiet, sure := l.wire.Quiet(); !quiet {
+			if sure { // more has come than belongs to the last answer, or its end: that is not the next one's
+				r.count.Strange++
+				r.dropLink(l)
+			}
+			continue
+		}
+		c.idle = slices.Delete(c.idle, i, i+1)
 		l.does = does
 		r.count.Reused++
 		return l, nil
@@ -366,7 +377,7 @@
 	}
 	set := v.command.Verb == meta.Set
 	ours := bytes.Equal(a.ID, v.command.ID)
-	how, out := policy.Broken, []byte(nil)
+	how, out := spoilt, []byte(nil)
 	switch {
 	case err != nil:
 	case a.Said == meta.Value && ours && !set:
@@ -375,7 +386,7 @@
 		how, out = policy.Answered, meta.AppendDone(nil, a.ID, a.Value)
 	case a.Said == meta.Miss && ours:
 		how = policy.Missed
-	case a.Said == meta.Failed, a.Said == meta.Odd:
+	case a.Said == meta.Failed:
 		how = policy.Errored
 	case a.Said == meta.Busy:
 		how = policy.TurnedAway
@@ -383,12 +394,12 @@
 	r.answered(l, v, how, size, out, a.Load)
 }
 
-// answered ends a leg by what came back. What answers another retrieval is served to nobody, and its connection
-// closed: whatever else comes on it can't be trusted.
+// answered ends a leg by what came back. What can't be read or answers another retrieval is served to nobody: the
+// leg has failed and may have run, though the cache lives; whatever else comes on its connection can't be trusted.
 func (r *Relay) answered(l *link, v *retrieval, how policy.Result, size int, out, load []byte) {
-	if how == policy.Broken {
+	if how == spoilt {
 		r.count.Strange++
-		r.lose(l, policy.Broken)
+		r.lose(l, policy.Errored)
 		return
 	}
 	report := r.report(load)
--- a/internal/net/relay/origin.go
+++ b/internal/net/relay/origin.go
@@ -33,11 +33,11 @@
 	named := a.Header("X-Call-Id")
 	switch {
 	case err != nil, named != nil && !bytes.Equal(named, v.command.ID):
-		how = policy.Broken
+		how = spoilt
 	case a.Status == 200 && v.command.Verb == meta.Get:
 		how, out = policy.Answered, meta.AppendValue(nil, v.command.ID, a.Body)
 	case a.Status == 200:
-		if how = policy.Broken; bytes.IndexByte(a.Body, '\n') < 0 {
+		if how = spoilt; meta.Plain(bytes.TrimSpace(a.Body)) {
 			how, out = policy.Answered, meta.AppendDone(nil, v.command.ID, bytes.TrimSpace(a.Body))
 		}
 	case string(a.Header("X-Rejected")) == "1":
--- a/internal/net/sockets/sockets.go
+++ b/internal/net/sockets/sockets.go
@@ -267,6 +267,24 @@
 	}
 }
 
+// Quiet tells whether nothing has come on the connection that the loop has not taken, and no end of it. Where that can't
+// be told without waiting for who may wait for the loop, it is not sure.
+func (w *Wire) Quiet() (quiet, sure bool) {
+	if !w.mu.TryLock() {
+		return false, false
+	}
+	defer w.mu.Unlock()
+	raw, err := w.conn.SyscallConn()
+	if err != nil || w.shut || w.handed != w.taken {
+		return false, true
+	}
+	var ahead [1]byte
+	_ = raw.Control(func(fd uintptr) {
+		_, _, err = unix.Recvfrom(int(fd), ahead[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return errors.Is(err, unix.EAGAIN), true
+}
+
 // CloseIfQuiet closes the connection by a reset, unless bytes have been read from it that the loop has not taken, or
 // what was written has not arrived. A reset tells the other side that whatever it has just sent was not read: after
 // an orderly end it could not tell that from a retrieval that was taken and never answered.
