Tell bad clients at once or close them in time, and let none of theirs reach a cache

By reading: take() took any float for a wait (NaN aside), an unknown grade as the strictest, and an id that another in hand had; caches could not tell those two apart. Connections that never spoke, and half commands, had no deadline at all.

Now such retrievals get CLIENT_ERROR; a connection on which nothing whole has come for 2.5 s is closed, half a command told so (relay.overdue). For want of room those that never spoke go before usual idle clients. Bursts, endless lines and huge lengths were checked by reading and the existing tests: they are refused at the line, unbuffered.

--- a/internal/net/counters/counters.go
+++ b/internal/net/counters/counters.go
@@ -7,7 +7,7 @@
 type Counters struct {
 	Clients, Retrievals, Malformed  uint64 // connections taken, retrievals taken, commands that were none
 	Satisfied, Dismissed, Scrapped  uint64 // final answers
-	Crowded, Left                   uint64 // dismissed for want of room; clients that went before the answer
+	Crowded, Left, Overdue          uint64 // dismissed for want of room; clients that went before the answer, or said nothing whole in time
 	Legs, Dials, Reused, Probes     uint64 // sent; connections opened for them, or used again; caches checked
 	Lists, Reconnects, Moves        uint64 // lists heard; new calls after one that failed; new addresses to call
 	IdleClosed, RoomClosed, Strange uint64 // connections closed when idle, to make room, for a wrong answer
@@ -26,7 +26,7 @@
 	}{
 		{"clients", c.Clients}, {"retrievals", c.Retrievals}, {"malformed", c.Malformed},
 		{"satisfied", c.Satisfied}, {"dismissed", c.Dismissed}, {"scrapped", c.Scrapped},
-		{"crowded", c.Crowded}, {"left", c.Left}, {"legs", c.Legs}, {"dials", c.Dials}, {"reused", c.Reused},
+		{"crowded", c.Crowded}, {"left", c.Left}, {"overdue", c.Overdue}, {"legs", c.Legs}, {"dials", c.Dials}, {"reused", c.Reused},
 		{"probes", c.Probes}, {"lists", c.Lists}, {"reconnects", c.Reconnects}, {"moves", c.Moves},
 		{"idle_closed", c.IdleClosed}, {"room_closed", c.RoomClosed}, {"strange", c.Strange},
 	} {
--- a/internal/net/meta/meta.go
+++ b/internal/net/meta/meta.go
@@ -80,6 +80,17 @@
 	return n, true
 }
 
+// Decimal reads a number as it is written by hand: digits, perhaps with a point among them.
+func Decimal(b []byte) (float64, bool) {
+	for _, c := range b {
+		if (c < '0' || c > '9') && c != '.' {
+			return 0, false
+		}
+	}
+	x, err := strconv.ParseFloat(string(b), 64)
+	return x, err == nil
+}
+
 // Plain tells whether something can stand as one word of a line.
 func Plain(b []byte) bool {
 	for _, c := range b {
--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -204,6 +204,7 @@
 	}
 	if v.answered && r.hand.Get(v.id) != nil {
 		r.hand.Drop(v.id)
+		delete(r.taken, string(v.command.ID))
 		r.held -= v.bytes
 	}
 }
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -13,13 +13,16 @@
 const (
 	noMemory = "SERVER_ERROR out of memory\r\n"
 	tooMany  = "SERVER_ERROR too many commands at once\r\n"
+	tooLate  = "CLIENT_ERROR command not whole in time\r\n"
+	sameID   = "CLIENT_ERROR id in use\r\n"
 )
 
 const (
-	mostTurns  = 256              // commands in hand on one connection; more are dismissed
-	mostSaid   = 4 * mostTurns    // answers that may wait on one for those before them; more end it
-	mostWait   = 10 * time.Minute // that a client may say it waits: no deployment's is near it
-	flushFor   = time.Second      // that a connection to be closed may take to be read out
+	mostTurns  = 256                 // commands in hand on one connection; more are dismissed
+	mostSaid   = 4 * mostTurns       // answers that may wait on one for those before them; more end it
+	mostWait   = 10 * time.Minute    // that a client may say it waits: no deployment's is near it
+	wholeBy    = 5 * time.Second / 2 // for a command to come whole, and for the first word: a usual one takes milliseconds
+	flushFor   = time.Second         // that a connection to be closed may take to be read out
 	flushEvery = 20 * time.Millisecond
 	shareHeld  = 8 // part of the memory that retrievals and answers may take: the rest is for what grows with them
 	sharePart  = 4 // part of the memory that commands may take which have not come whole
@@ -35,9 +38,11 @@
 	turns   []turn // one for each command not yet answered, in their order
 	first   uint64 // the number of the first turn
 	usedAt  policy.Instant
-	closing bool // nothing more is read; it closes once all is answered
-	excess  bool // came when there were too many: its retrievals are dismissed, and it is closed when idle
-	partial int  // bytes of a command that has not come whole
+	closing bool           // nothing more is read; it closes once all is answered
+	excess  bool           // came when there were too many: its retrievals are dismissed, and it is closed when idle
+	partial int            // bytes of a command that has not come whole
+	since   policy.Instant // when that began, or the connection, while nothing has been said on it; 0 for neither
+	watched bool           // a deadline hangs for that
 	until   policy.Instant
 }
 
@@ -63,8 +68,9 @@
 }
 
 func (r *Relay) opened(ev *sockets.Event) {
-	c := &client{wire: ev.Wire, usedAt: r.at(ev.At)}
+	c := &client{wire: ev.Wire, usedAt: r.at(ev.At), since: r.at(ev.At)}
 	c.id = r.clients.Add(c)
+	r.watch(c)
 	c.wire.Tag = uint64(c.id)
 	r.count.Clients++
 	r.lastCame = c.usedAt
@@ -88,6 +94,10 @@
 	}
 	c.usedAt = at
 	c.buf.Add(data)
+	began := at
+	if c.partial > 0 {
+		began = c.since
+	}
 	for !c.closing {
 		command, size, fault := meta.ReadCommand(c.buf.Unused())
 		if size == 0 && fault == nil {
@@ -106,6 +116,7 @@
 			r.take(c, &command, at)
 		}
 		c.buf.Use(size)
+		began = at
 		if len(c.turns) >= mostSaid { // else one retrieval that takes long would let anything pile up behind it
 			r.say(c, []byte(tooMany))
 			c.closing = true
@@ -113,6 +124,10 @@
 	}
 	r.partial += len(c.buf.Unused()) - c.partial
 	c.partial = len(c.buf.Unused())
+	if c.since = 0; c.partial > 0 {
+		c.since = began
+		r.watch(c)
+	}
 	if c.partial > 0 && int64(r.partial) > r.Memory/sharePart {
 		r.count.Crowded++
 		r.say(c, []byte(noMemory))
@@ -121,6 +136,38 @@
 	r.flush(c)
 }
 
+// watch hangs in one deadline for what is to come whole on a connection.
+func (r *Relay) watch(c *client) {
+	if !c.watched {
+		c.watched = true
+		r.due.Put(c.since.Add(wholeBy), due{whole: c.id})
+	}
+}
+
+// overdue ends a connection on which nothing was said, or a command has not come whole, in time.
+func (r *Relay) overdue(id clientID) {
+	c, now := r.clients.Get(id), r.now()
+	if c == nil || c.closing {
+		return
+	}
+	c.watched = false
+	switch {
+	case c.since == 0:
+	case now.Since(c.since) < wholeBy: // another command has begun meanwhile
+		r.watch(c)
+	case c.partial > 0:
+		r.count.Overdue++
+		r.say(c, []byte(tooLate))
+		c.closing = true
+		r.flush(c)
+	case r.closeIdle(c):
+		r.count.Overdue++
+	default: // its first command stands in the queue
+		c.since = now
+		r.watch(c)
+	}
+}
+
 // say answers a command that is no retrieval in hand, in its turn.
 func (r *Relay) say(c *client, out []byte) {
 	r.held += len(out)
@@ -142,16 +189,24 @@
 	return append(out, "END\r\n"...)
 }
 
-// take takes a retrieval in hand. One whose hard stop can't be told is malformed.
+// take takes a retrieval in hand. One whose hard stop or grade can't be told is malformed, and so is one with the id
+// of another in hand: caches could not tell the two apart.
 func (r *Relay) take(c *client, command *meta.Command, at policy.Instant) {
 	items, _ := meta.Flag(command.Flags, 'P')
 	said, _ := meta.Item(items, "d")
-	wait, err := strconv.ParseFloat(string(said), 64)
-	if err != nil || !(wait > 0) {
+	wait, isNumber := meta.Decimal(said)
+	name, _ := meta.Item(items, "c")
+	grade := r.Terms.Names.Grade(name)
+	if !isNumber || wait == 0 || grade < 0 {
 		r.count.Malformed++
 		r.say(c, []byte(meta.BadLine))
 		return
 	}
+	if r.taken[string(command.ID)] {
+		r.count.Malformed++
+		r.say(c, []byte(sameID))
+		return
+	}
 	r.count.Retrievals++
 	stop := at.Add(time.Duration(min(wait*float64(time.Millisecond), float64(mostWait))))
 	outlasts := r.phase == Draining && stop > r.endBy()
@@ -167,11 +222,11 @@
 	v.command, v.bytes = copyOf(command)
 	r.held += v.bytes
 	v.id = r.hand.Add(v)
+	r.taken[string(v.command.ID)] = true
 	c.turns = append(c.turns, turn{hand: v.id})
-	grade, _ := meta.Item(items, "c")
 	league, _ := meta.Item(items, "t")
 	r.host.Arrived(r.now(), &policy.Retrieval{ID: token(v.id), Key: string(command.Key),
-		Grade: r.Terms.Names.Grade(grade), League: r.Terms.Names.League(league),
+		Grade: grade, League: r.Terms.Names.League(league),
 		Write: command.Verb == meta.Set, Arrived: at, HardStop: stop})
 }
 
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -76,6 +76,7 @@
 	clients  slots.Table[clientID, client]
 	links    slots.Table[linkID, link]
 	hand     slots.Table[handID, retrieval]
+	taken    map[string]bool // the clients' ids of those in hand
 	caches   map[policy.CacheID]*cache
 	list     discovery
 	later    []func() // what must not happen within a call into the host
@@ -97,6 +98,7 @@
 	drain bool   // time to look for idle clients
 	ready bool   // time to serve by the last list
 	flush clientID
+	whole clientID // time for a command to be whole
 }
 
 type legRef struct {
@@ -110,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{Berth: b, eng: eng, began: time.Now(), caches: map[policy.CacheID]*cache{},
+	r := &Relay{Berth: b, eng: eng, began: time.Now(), caches: map[policy.CacheID]*cache{}, taken: map[string]bool{},
 		asks: make(chan func(), 16), done: make(chan struct{})}
 	r.host = host.New(r.now(), b.Seed, b.Terms.Rules, r)
 	if b.Known != nil {
@@ -259,6 +261,8 @@
 			r.listSilent(d.list)
 		case d.flush != 0:
 			r.closeFlushed(d.flush)
+		case d.whole != 0:
+			r.overdue(d.whole)
 		case d.ready:
 			r.ready()
 		case d.drain:
@@ -337,7 +341,7 @@
 	return c.idle() && (c.first > 0 || r.now().Since(c.usedAt) >= lingerFor)
 }
 
-// closeIdleClient closes the one that has been idle longest.
+// closeIdleClient closes the one that has been idle longest, but first those that have never said anything.
 func (r *Relay) closeIdleClient() bool {
 	var idle []*client
 	r.clients.Each(func(_ clientID, c *client) {
@@ -345,7 +349,9 @@
 			idle = append(idle, c)
 		}
 	})
-	slices.SortFunc(idle, func(a, b *client) int { return cmp.Compare(a.usedAt, b.usedAt) })
+	slices.SortFunc(idle, func(a, b *client) int {
+		return cmp.Or(cmp.Compare(min(a.first, 1), min(b.first, 1)), cmp.Compare(a.usedAt, b.usedAt))
+	})
 	for _, c := range idle {
 		if r.closeIdle(c) {
 			r.count.RoomClosed++
