Serve values of up to 1 MB that come back, within a bound on the memory they take

A probe wrote down what could not be read: 1166 values of 65 to 400 KB with the right id, the same length from each holder and from the origin, so neither noise nor a wrong length. meta.MaxValue (64 KB, what clients may write) was the bound for answers too; one read in twelve failed on all its holders. Errors said by caches were 2 of 1168, so they are ruled out.

Now 1 MB may come back, what clients write stays at 64 KB, and answers that have not come whole may take a quarter of the memory together (relay.linkData); beyond that their legs break. A buffer grows by what an answer announces.

--- a/internal/net/buffer/buffer.go
+++ b/internal/net/buffer/buffer.go
@@ -2,7 +2,10 @@
 // when it is empty.
 package buffer
 
-const keep = 4 << 10 // bytes that an empty buffer may keep: a few command lines, so that most never grow
+const (
+	keep  = 4 << 10 // bytes that an empty buffer may keep: a few command lines, so that most never grow
+	ahead = 4       // times what is there that room may be made for: the longest value grows it three times
+)
 
 // Buffer holds what was read and not yet used. Bounds are the parsers': none waits for more than it allows.
 type Buffer struct {
@@ -19,6 +22,13 @@
 	b.data = append(b.data, p...)
 }
 
+// Expect makes room for n bytes in all, but no more than a few times what is there: who announces much may send little.
+func (b *Buffer) Expect(n int) {
+	if n = min(n, ahead*len(b.Unused())); n > cap(b.data)-b.used {
+		b.data, b.used = append(make([]byte, 0, n), b.Unused()...), 0
+	}
+}
+
 // Unused is what is there; it stays valid until the next Add.
 func (b *Buffer) Unused() []byte { return b.data[b.used:] }
 
--- a/internal/net/buffer/buffer_test.go
+++ b/internal/net/buffer/buffer_test.go
@@ -13,6 +13,7 @@
 		for i, s := range steps {
 			if i%2 == 0 {
 				p := bytes.Repeat([]byte{s}, int(s)*50)
+				b.Expect(len(b.Unused()) + 3*len(p)) // changes nothing that is there
 				b.Add(p)
 				plain = append(plain, p...)
 			} else {
--- a/internal/net/http1/http1.go
+++ b/internal/net/http1/http1.go
@@ -15,6 +15,7 @@
 	Status  int
 	Body    []byte
 	Last    bool // the connection ends with it
+	Wants   int  // with a size of 0: how many bytes it will have in all, where that is known
 	headers []byte
 }
 
@@ -101,7 +102,7 @@
 			return a, 0, errLength
 		}
 		if uint64(len(b)-size) < n {
-			return a, 0, nil
+			return Answer{Wants: size + int(n)}, 0, nil
 		}
 		a.Body = b[size : size+int(n)]
 		return a, size + int(n), nil
--- a/internal/net/meta/answer.go
+++ b/internal/net/meta/answer.go
@@ -24,6 +24,7 @@
 	ID    []byte
 	Value []byte // the value or the receipt
 	Load  []byte // the load report, as names and values, or nil
+	Wants int    // with a size of 0: how many bytes it will have in all, where that is known
 }
 
 var (
@@ -70,7 +71,7 @@
 			return a, 0, errLong
 		}
 		if len(b) < size+n+2 {
-			return a, 0, nil
+			return Answer{Wants: size + n + 2}, 0, nil
 		}
 		if !bytes.Equal(b[size+n:size+n+2], crlf) {
 			return a, 0, errValue
--- a/internal/net/meta/meta.go
+++ b/internal/net/meta/meta.go
@@ -10,7 +10,8 @@
 const (
 	maxLine  = 2048     // bytes of a line: a key, an id and a dozen names with values fit several times
 	maxKey   = 250      // bytes of a key: the protocol's own limit
-	MaxValue = 64 << 10 // bytes of a value: the protocol's limit here
+	maxWrite = 64 << 10 // bytes of a value that a client writes: the protocol's limit here
+	MaxValue = 1 << 20  // bytes of a value that comes back: some keep far larger ones than clients write
 )
 
 // Verb is what a command asks.
@@ -154,7 +155,7 @@
 		switch {
 		case !ok: // nobody can tell where the value ends
 			return c, len(b), &Fault{BadLine, true}
-		case n > MaxValue:
+		case n > maxWrite:
 			return c, len(b), &Fault{LongValue, true}
 		case len(b) < size+n+2:
 			return c, 0, nil
--- a/internal/net/meta/meta_test.go
+++ b/internal/net/meta/meta_test.go
@@ -99,7 +99,7 @@
 	for line, want := range map[string]Fault{
 		"get a\r\n": {NoSuch, false}, "mg k v\r\n": {BadLine, false}, "mg " + long + " O1\r\n": {BadLine, false},
 		"ms k 3 Oa\r\nabcd\r\n": {BadValue, true}, "ms k -1 Oa\r\n": {BadLine, true},
-		"ms k 65537 Oa\r\n": {LongValue, true}, strings.Repeat("m", maxLine): {LongLine, true},
+		"ms k 65537 Oa\r\n": {LongValue, true}, "ms k 60000000 Oa\r\n": {LongValue, true}, strings.Repeat("m", maxLine): {LongLine, true},
 	} {
 		if _, _, fault := ReadCommand([]byte(line)); fault == nil || *fault != want {
 			t.Errorf("%.40q: %v", line, fault)
--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -18,6 +18,9 @@
 	idleShare = 0.8                    // of the idle limit that a connection is kept: closing must not cross a leg
 	ownIdle   = 10 * time.Second       // the same where no limit is stated
 	connect   = 250 * time.Millisecond // to come up, where no time is stated
+
+	shareComing = 4       // part of the memory that answers may take which have not come whole
+	fewBytes    = 4 << 10 // of such an answer that are never too many: with all links they stay under that part
 )
 
 // cache is what the list says of a cache, and the connections to it.
@@ -54,6 +57,7 @@
 	stopAt policy.Instant // when a probe, or the wait for the connection, is over; 0 for no need
 	ended  bool           // all that was sent has come
 	idleAt policy.Instant // when to see whether it is idle for long; 0 for not yet
+	coming int            // bytes of an answer that has not come whole
 }
 
 type leg struct {
@@ -293,6 +297,8 @@
 // dropLink closes a link, and returns how much of what was written to it never went to the kernel.
 func (r *Relay) dropLink(l *link) (lost int64) {
 	r.links.Drop(l.id)
+	r.coming -= l.coming
+	l.coming = 0
 	if l.wire != nil {
 		lost = l.wire.Close()
 	}
@@ -348,7 +354,14 @@
 		return
 	}
 	l.buf.Add(data)
-	r.read(l)
+	if r.read(l); r.links.Get(id) == nil {
+		return
+	}
+	r.coming += len(l.buf.Unused()) - l.coming
+	if l.coming = len(l.buf.Unused()); l.coming > fewBytes && l.cache != nil && int64(r.coming) > r.Memory/shareComing {
+		r.count.Crowded++
+		r.lose(l, policy.Broken) // for want of memory: the cache is not to blame
+	}
 }
 
 func (r *Relay) read(l *link) {
@@ -374,6 +387,7 @@
 func (r *Relay) cacheData(l *link, v *retrieval) {
 	a, size, err := meta.ReadAnswer(l.buf.Unused())
 	if err == nil && size == 0 {
+		l.buf.Expect(a.Wants)
 		return
 	}
 	set := v.command.Verb == meta.Set
--- a/internal/net/relay/origin.go
+++ b/internal/net/relay/origin.go
@@ -27,6 +27,7 @@
 func (r *Relay) originData(l *link, v *retrieval) {
 	a, size, err := http1.ReadAnswer(l.buf.Unused(), meta.MaxValue, l.ended)
 	if err == nil && size == 0 {
+		l.buf.Expect(a.Wants)
 		return
 	}
 	how, out := policy.Errored, []byte(nil)
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -83,6 +83,7 @@
 	count    counters.Counters
 	held     int            // bytes of retrievals in hand, and of answers that wait for those before them
 	partial  int            // bytes of commands that have not come whole
+	coming   int            // the same of answers of caches and origin
 	ending   policy.Instant // when the call to end came
 	lastCame policy.Instant // when somebody last connected
 	asks     chan func()
--- a/internal/net/sockets/sockets.go
+++ b/internal/net/sockets/sockets.go
@@ -19,10 +19,10 @@
 )
 
 const (
-	readAtOnce  = 64 << 10             // bytes read at once: the longest value
+	readAtOnce  = 64 << 10             // bytes read at once: most values whole
 	mostHanded  = 4 << 20              // bytes handed over and not taken at which reading waits
 	keepArena   = 256 << 10            // bytes an emptied store may keep for the next turn
-	mostUnsent  = 1 << 20              // bytes a connection may have waiting for a slow reader
+	mostUnsent  = 4 << 20              // bytes a connection may have waiting for a slow reader: a few of the longest values
 	acceptPause = 5 * time.Millisecond // after an accept that failed, so that it does not spin
 	ownFiles    = 24                   // descriptors not for connections: poller, listener, log, runtime
 	forDials    = 8                    // descriptors kept from those who come, so that legs can go out
