Call off a read's leg at the origin once it is long lost, so that it frees its room

A count in the module of why each is given up, and of how legs end by place: 10 legs a second time out at the origin, each 0.25 s of a room of 8 to 13, a third of it; the door, spent legs and full caches are a tenth of the refusals (ruled out). further() asked nothing of a leg at the origin until its hard stop.

Now one that is out for three times the origin's usual time, and for half the soft limit, is called off and made up for, as long as a leg is saved up. Writes are left alone.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,6 +43,7 @@
 	originFirst  = 16.0                   // legs there over all nodes, but one each, before anything is known
 	originGrow   = 0.1                    // room gained by an answer in time, where that is under a leg
 	originCut    = 0.9                    // room left after a late or lost answer: some are chance, ten a sign
+	originLate   = 3                      // times its usual time, and half the soft limit: a leg there is lost
 	originLeast  = 8.0                    // legs there that all nodes together may always have: a few a core
 	crossingLegs = 48                     // legs in hand that a full crossing price is set against: it is sure
 )
@@ -397,10 +398,9 @@
 			benefit *= p.rules.ExcessBenefit
 		}
 	}
-	cheap := 1 / math.Sqrt(max(benefit, 0.01))
+	cheap, key := 1/math.Sqrt(max(benefit, 0.01)), keyhash.Text(r.Key)
 	p.cheap += (cheap - p.cheap) / lately // set against its mean, or a few very cheap ones would close the door
 	p.spare = min(spareMost, p.spare+spareShare)
-	key := keyhash.Text(r.Key)
 	p.wanted[key], p.asking = p.wanted[key]+benefit, p.asking+benefit
 	r.memo = memo{true, g, at, key, benefit, cheap / p.cheap, ""}
 }
@@ -420,17 +420,19 @@
 // further decides on a read whose leg is out long: a copy beside it, if lateness costs more, or calling off.
 func (p *Router) further(now Instant, r *Retrieval, leg int) Move {
 	to := p.caches[r.Legs[leg].To]
-	silent := to == nil || p.silent(now, to)
+	origin, soft := to != nil && to == p.origin, r.memo.grade.SoftLimit
+	out, late := now.Since(r.Legs[leg].Sent), max(originLate*p.originTook, soft/2)
+	silent := to == nil || !origin && p.silent(now, to) || origin && p.spare >= 1 && out > late
 	switch {
-	case r.Write || r.memo.grade.Effect == Irreversible || to != nil && to == p.origin:
+	case r.Write || r.memo.grade.Effect == Irreversible:
 		return Move{}
-	case p.rules.SecondCopies && p.spare >= 1 && p.chance.Next() >= p.short && (silent || p.rules.WastePrice <=
-		p.took.Above(r.memo.grade.SoftLimit)/max(1, p.took.Above(now.Since(r.Legs[leg].Sent)))):
+	case !origin && p.rules.SecondCopies && p.spare >= 1 && p.chance.Next() >= p.short &&
+		(silent || p.rules.WastePrice <= p.took.Above(soft)/max(1, p.took.Above(out))):
 		if c, _ := p.pick(now, r, p.holders(now, r)); c != nil && !p.silent(now, c) {
 			p.spare--
 			return p.send(now, r, c)
 		}
-	case !p.rules.SecondCopies && p.rules.MayCancel && silent && p.left(now, r) > p.slow:
+	case (origin || !p.rules.SecondCopies) && p.rules.MayCancel && silent && p.left(now, r) > p.slow:
 		return Move{Cancel: []int{leg}}
 	}
 	return Move{AskAgain: now.Add(p.slow)}
@@ -478,11 +480,10 @@
 	if p.origin == nil || !p.lawful(now, r, p.origin) || queued && left <= 0 {
 		return p.giveUp(r)
 	}
-	leads := p.leads(r)
+	leads, full := p.leads(r), p.free(now) <= 0
 	if leads && !r.Write {
 		p.fetches[r.memo.key] = r
 	}
-	full := p.free(now) <= 0
 	if leads && !queued {
 		if p.short -= p.short / lately; full {
 			p.short += 1.0 / lately
@@ -565,8 +566,7 @@
 }
 
 func (p *Router) learn(now Instant, c *cache, r *Retrieval, leg Leg, o Outcome) {
-	at, own, lost := r.memo.at, float64(c.out), leg.Result == TimedOut || leg.Result == TurnedAway
-	inTime := 0.0
+	at, own, inTime, lost := r.memo.at, float64(c.out), 0.0, leg.Result == TimedOut || leg.Result == TurnedAway
 	if (leg.Result == Answered || leg.Result == Missed) && o.Took <= r.memo.grade.SoftLimit {
 		inTime = 1
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -395,6 +395,27 @@
 	}
 }
 
+// Legs on connections that had fallen silent held a third of the room at the origin until their hard stop.
+func TestALegLostAtTheOriginIsCalledOffForAnother(t *testing.T) {
+	for _, spare := range []float64{5, 0.5} {
+		w := asideWorld(t)
+		w.p.spare = spare
+		r, _ := w.arrive("k", 0, false)
+		w.end(r, 0, Missed)
+		w.pass(300 * ms)
+		if again := len(r.Legs) == 3 && r.Legs[1].Result == Cancelled && r.Legs[2].To == "origin"; again != (spare > 1) {
+			t.Errorf("with %v saved: %v", spare, r.Legs)
+		}
+		if out := w.p.origin.out; out != 1 {
+			t.Errorf("%d legs count as out there", out)
+		}
+		write, _ := w.arrive("k2", 1, true)
+		if w.pass(300 * ms); len(write.Legs) != 1 || !write.Legs[0].Out {
+			t.Errorf("a write there: %v", write.Legs)
+		}
+	}
+}
+
 func TestShortOriginKeepsAKeyAtItsFirstHolder(t *testing.T) {
 	for short, want := range []int{copies, 1} {
 		w := asideWorld(t)
