--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -18,17 +18,16 @@
 )
 
 const (
-	mostTurns     = 256                    // commands in hand on one connection; more are dismissed
-	mostSaid      = 4 * mostTurns          // answers that may wait on one for those before them; more end it
-	mostWait      = 10 * time.Minute       // that a client may say it waits: no deployment's is near it
-	wholeBy       = 5 * time.Second / 2    // for a command to come whole, and for the first word: a usual one takes milliseconds
-	spareToAnswer = 100 * time.Millisecond // before the end of a node that drains, by which all are answered
-	flushFor      = time.Second            // that a connection to be closed may take to be read out
-	flushEvery    = 20 * time.Millisecond
-	shareHeld     = 8 // part of the memory that retrievals and answers may take: the rest is for what grows with them
-	sharePart     = 4 // part of the memory that commands may take which have not come whole
-	shareSpare    = 8 // part of the descriptors kept for links that are not open yet
-	shareLinks    = 2 // part of the descriptors that links may have, and clients leave them: a leg or two each
+	mostTurns  = 256                 // commands in hand on one connection; more are dismissed
+	mostSaid   = 4 * mostTurns       // answers that may wait on one for those before them; more end it
+	mostWait   = 10 * time.Minute    // that a client may say it waits: no deployment's is near it
+	wholeBy    = 5 * time.Second / 2 // for a command to come whole, and for the first word: a usual one takes milliseconds
+	flushFor   = time.Second         // that a connection to be closed may take to be read out
+	flushEvery = 20 * time.Millisecond
+	shareHeld  = 8 // part of the memory that retrievals and answers may take: the rest is for what grows with them
+	sharePart  = 4 // part of the memory that commands may take which have not come whole
+	shareSpare = 8 // part of the descriptors kept for links that are not open yet
+	shareLinks = 2 // part of the descriptors that links may have, and clients leave them: a leg or two each
 )
 
 // client is a connection that somebody opened to this node.
@@ -213,10 +212,8 @@
 	}
 	r.count.Retrievals++
 	stop := at.Add(time.Duration(min(wait*float64(time.Millisecond), float64(mostWait))))
-	if r.phase == Draining { // nobody is to be left without an answer
-		stop = min(stop, r.endBy().Add(-spareToAnswer))
-	}
-	if len(c.turns) >= mostTurns || r.phase == Starting || c.excess && r.tooManyClients() ||
+	outlasts := r.phase == Draining && stop > r.endBy()
+	if len(c.turns) >= mostTurns || r.phase == Starting || outlasts || c.excess && r.tooManyClients() ||
 		int64(r.held)+r.eng.Unsent() > r.Memory/shareHeld {
 		r.count.Crowded++
 		r.count.Dismissed++
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -27,7 +27,6 @@
 	comingFor   = 500 * time.Millisecond      // after the call to end, connections may still come: 0.2 to 0.4 s
 	quietFor    = 150 * time.Millisecond      // without a new connection before clients are closed
 	lingerFor   = 50 * time.Millisecond       // for the first command of who has just connected, before it is idle
-	usedWithin  = 250 * time.Millisecond      // that a client in use comes back within: it is not closed while draining, for a while
 	drainEvery  = 10 * time.Millisecond       // between looks for idle clients while draining
 	spareToStop = 500 * time.Millisecond      // over the longest hard stop, by which a node is to have ended
 	eventsAtOne = 256                         // events handled between looks at the deadlines
@@ -291,14 +290,12 @@
 	r.drainStep()
 }
 
-// drainStep goes on serving while connections may still come, then closes clients as they fall idle: those in use not
-// before the longest hard stop has passed, since where no other node is left they would be served by nobody.
+// drainStep goes on serving while connections may still come, then closes clients as they fall idle.
 func (r *Relay) drainStep() {
 	now := r.now()
 	if now.Since(r.ending) >= comingFor && now.Since(r.lastCame) >= quietFor {
-		last := now >= r.endBy().Add(-spareToStop)
 		r.clients.Each(func(_ clientID, c *client) {
-			if r.mayClose(c) && (last || now.Since(c.usedAt) >= usedWithin) {
+			if r.mayClose(c) {
 				r.closeIdle(c)
 			}
 		})
