--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 	"time"
 
@@ -18,11 +20,14 @@
 )
 
 const (
-	mostTurns  = 256                 // commands in hand on one connection; more are dismissed
-	mostSaid   = 4 * mostTurns       // answers that may wait on one for those before them; more end it
-	mostWait   = 10 * time.Minute    // that a client may say it waits: no deployment's is near it
-	wholeBy    = 5 * time.Second / 2 // for a command to come whole, and for the first word: a usual one takes milliseconds
-	flushFor   = time.Second         // that a connection to be closed may take to be read out
+	mostTurns  = 256                    // commands in hand on one connection; more are dismissed
+	mostSaid   = 4 * mostTurns          // answers that may wait on one for those before them; more end it
+	mostWait   = 10 * time.Minute       // that a client may say it waits: no deployment's is near it
+	wholeBy    = 5 * time.Second / 2    // for a command to come whole, and for the first word: a usual one takes milliseconds
+	idleFor    = 2 * time.Second        // that a client may keep a connection without a command open on it
+	sweepEvery = 100 * time.Millisecond // between looks at clients that say nothing whole or are idle
+	shareIdle  = 8                      // part of the descriptors that idle clients may keep: under half of the third that clients may hold
+	flushFor   = time.Second            // that a connection to be closed may take to be read out
 	flushEvery = 20 * time.Millisecond
 	shareHeld  = 8 // part of the memory that retrievals and answers may take: the rest is for what grows with them
 	sharePart  = 4 // part of the memory that commands may take which have not come whole
@@ -42,7 +47,6 @@
 	excess  bool           // came when there were too many: its retrievals are dismissed, and it is closed when idle
 	partial int            // bytes of a command that has not come whole
 	since   policy.Instant // when that began, or the connection, while nothing has been said on it; 0 for neither
-	watched bool           // a deadline hangs for that
 	until   policy.Instant
 }
 
@@ -73,7 +77,6 @@
 func (r *Relay) opened(ev *sockets.Event) {
 	c := &client{wire: ev.Wire, usedAt: r.at(ev.At), since: r.at(ev.At)}
 	c.id = r.clients.Add(c)
-	r.watch(c)
 	c.wire.Tag = uint64(c.id)
 	r.count.Clients++
 	r.lastCame = c.usedAt
@@ -129,7 +132,6 @@
 	c.partial = len(c.buf.Unused())
 	if c.since = 0; c.partial > 0 {
 		c.since = began
-		r.watch(c)
 	}
 	if c.partial > 0 && int64(r.partial) > r.Memory/sharePart {
 		r.count.Crowded++
@@ -139,35 +141,36 @@
 	r.flush(c)
 }
 
-// watch hangs in one deadline for what is to come whole on a connection.
-func (r *Relay) watch(c *client) {
-	if !c.watched {
-		c.watched = true
-		r.due.Put(c.since.Add(wholeBy), due{whole: c.id})
-	}
-}
-
-// overdue ends a connection on which nothing was said, or a command has not come whole, in time.
-func (r *Relay) overdue(id clientID) {
-	c, now := r.clients.Get(id), r.now()
-	if c == nil || c.closing {
-		return
-	}
-	c.watched = false
-	switch {
-	case c.since == 0:
-	case now.Since(c.since) < wholeBy: // another command has begun meanwhile
-		r.watch(c)
-	case c.partial > 0:
-		r.count.Overdue++
-		r.say(c, []byte(tooLate))
-		c.closing = true
-		r.flush(c)
-	case r.closeIdle(c):
-		r.count.Overdue++
-	default: // its first command stands in the queue
-		c.since = now
-		r.watch(c)
+// sweep ends connections on which nothing was said, or a command has not come whole, in time, and those that are idle
+// for long. Clients may hold only so many, and some ask once and keep theirs: of idle ones only so many are kept, those
+// that came back rather than those that did not, then those used last.
+func (r *Relay) sweep() {
+	now := r.now()
+	r.due.Put(now.Add(sweepEvery), due{sweep: true})
+	var idle []*client
+	r.clients.Each(func(_ clientID, c *client) {
+		switch late := c.since != 0 && now.Since(c.since) >= wholeBy; {
+		case c.closing:
+		case late && c.partial > 0:
+			r.count.Overdue++
+			r.say(c, []byte(tooLate))
+			c.closing = true
+			r.flush(c)
+		case late && c.idle():
+			if r.closeIdle(c) {
+				r.count.Overdue++
+			}
+		case c.first > 0 && c.idle() && now.Since(c.usedAt) >= lingerFor:
+			idle = append(idle, c)
+		}
+	})
+	slices.SortFunc(idle, func(a, b *client) int {
+		return cmp.Or(cmp.Compare(min(b.first, 2), min(a.first, 2)), cmp.Compare(b.usedAt, a.usedAt))
+	})
+	for i, c := range idle {
+		if (i >= r.eng.Most()/shareIdle || now.Since(c.usedAt) >= idleFor) && r.closeIdle(c) {
+			r.count.IdleClosed++
+		}
 	}
 }
 
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -99,7 +99,7 @@
 	drain bool   // time to look for idle clients
 	ready bool   // time to serve by the last list
 	flush clientID
-	whole clientID // time for a command to be whole
+	sweep bool // time to look at clients that say nothing whole or are idle
 }
 
 type legRef struct {
@@ -121,6 +121,7 @@
 	}
 	r.list.since = unknownSince
 	r.due.Put(r.now().Add(readyBy), due{ready: true})
+	r.sweep()
 	r.follow()
 	return r, nil
 }
@@ -262,8 +263,8 @@
 			r.listSilent(d.list)
 		case d.flush != 0:
 			r.closeFlushed(d.flush)
-		case d.whole != 0:
-			r.overdue(d.whole)
+		case d.sweep:
+			r.sweep()
 		case d.ready:
 			r.ready()
 		case d.drain:
