Take a leg given up before silence means anything for no news of its cache

Two in a row rested a cache that was well (policy.learn: only called-off legs had to be older than the patience, time-outs counted at any age).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -584,7 +584,7 @@
 	case Answered, Missed, Errored, TurnedAway:
 		c.heard, c.waitingOn, c.fails, c.refused, c.restUntil, p.cut[c.Zone] = now, now, 0, 0, 0, 0
 	case TimedOut, Unconnected, Cancelled:
-		if c.heard < leg.Sent && (leg.Result != Cancelled || now.Since(leg.Sent) > p.patience) {
+		if c.heard < leg.Sent && (leg.Result == Unconnected || now.Since(leg.Sent) > p.patience) {
 			p.failed(now, c, leg.Result)
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -123,6 +123,26 @@
 	}
 }
 
+// Two legs given up after some milliseconds, since their retrievals had no more time, left a cache out.
+func TestALegGivenUpSoonIsNoSilence(t *testing.T) {
+	for _, c := range []struct {
+		took time.Duration
+		rest bool
+	}{{6 * ms, false}, {2 * time.Second, true}} {
+		w := newWorld(t, testRules(), fleet(12, false))
+		first := w.p.caches[holdersOf(w.p, "k")[0]]
+		w.now = w.now.Add(time.Second)
+		for range failsToRest {
+			r := &Retrieval{HardStop: w.now.Add(c.took), Legs: []Leg{{To: first.ID, Sent: w.now, Result: TimedOut}}, Over: true}
+			w.now = w.now.Add(c.took)
+			w.p.After(w.now, r, Outcome{Took: c.took})
+		}
+		if got := first.restUntil > w.now; got != c.rest {
+			t.Errorf("after legs of %v: rests %v", c.took, got)
+		}
+	}
+}
+
 func TestWritesGoToAllHoldersInThroughMode(t *testing.T) {
 	w := newWorld(t, testRules(), fleet(12, false))
 	if _, m := w.arrive("k", 1, true); len(m.To) != copies {
