Call for the list whatever links are out

By reading, then a test: dial() refuses a link beyond the links' share, and the one to discovery counted among them, so while legs held that share a list that had moved was called for every 50 ms in vain.

--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -137,7 +137,7 @@
 	l.usedAt = r.now()
 	l.stopAt = l.usedAt.Add(r.connectTime())
 	l.id = r.links.Add(l)
-	if err := r.dial(addr, l.id); err != nil {
+	if err := r.dial(addr, l.id, l.cache == nil); err != nil {
 		r.links.Drop(l.id)
 		return err
 	}
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -364,9 +364,9 @@
 }
 
 // dial opens a connection for a link, making room for it if need be. Links never take the clients' share: who
-// comes could not be let in then, and what it had sent would be lost.
-func (r *Relay) dial(addr string, id linkID) error {
-	if r.links.Len() > r.mostLinks() && !r.closeIdleLink() {
+// comes could not be let in then, and what it had sent would be lost. The one for the list is owed at any time.
+func (r *Relay) dial(addr string, id linkID, owed bool) error {
+	if !owed && r.links.Len() > r.mostLinks() && !r.closeIdleLink() {
 		return sockets.ErrNoDescriptor
 	}
 	err := r.eng.Dial(addr, r.connectTime(), uint64(id))
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -486,6 +486,24 @@
 	}
 }
 
+// While legs held all of the links' share, a list that had moved was not called for.
+func TestAListThatMovesIsCalledForWhateverLinksAreOut(t *testing.T) {
+	g := newRig(t, 64, value)
+	g.ask(func() {
+		for g.links.Len() <= g.mostLinks() {
+			g.links.Add(&link{does: aLeg})
+		}
+	})
+	asked := make(chan string, 9)
+	g.Move(g.listen(func(c net.Conn) {
+		line, _ := bufio.NewReader(c).ReadString('\n')
+		asked <- line
+	}))
+	if got := wait(t, asked); !strings.HasPrefix(got, "GET "+listPath+" HTTP") {
+		t.Errorf("asked %q there", got)
+	}
+}
+
 func TestDrainingServesWhatStillComesAndEnds(t *testing.T) {
 	hold := make(chan bool)
 	g := newRig(t, 200, holdingOa(hold))
