--- a/internal/net/http1/http1.go
+++ b/internal/net/http1/http1.go
@@ -62,8 +62,11 @@
 		var row []byte
 		row, rest, _ = bytes.Cut(rest, []byte("\r\n"))
 		if n, v, ok := bytes.Cut(row, []byte(":")); ok && bytes.EqualFold(n, []byte(name)) {
-			if v = bytes.TrimSpace(v); value == nil {
-				value = append([]byte{}, v...)
+			if v = bytes.TrimSpace(v); v == nil {
+				v = row[:0] // it stands, and says nothing
+			}
+			if value == nil {
+				value = v
 			}
 			agreed = agreed && bytes.Equal(v, value)
 		}
@@ -122,7 +125,7 @@
 	if n := min(len(b), len(version)); string(b[:n]) != version[:n] {
 		return a, 0, errHead
 	}
-	status, headers, whole := bytes.Cut(b[:min(len(b), max(0, most))], []byte(ends))
+	status, headers, whole := bytes.Cut(b[:min(len(b), most)], []byte(ends))
 	if !whole {
 		if len(b) >= most {
 			return a, 0, errHead
--- a/internal/net/meta/meta.go
+++ b/internal/net/meta/meta.go
@@ -48,7 +48,7 @@
 	NoSuch    = "ERROR\r\n"
 )
 
-var crlf = []byte("\r\n")
+var crlf = []byte(End)
 
 // line cuts the first line off b; size is 0 if it has not ended, and long if it never may.
 func line(b []byte) (text []byte, size int, long bool) {
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -164,16 +164,23 @@
 			idle = append(idle, c)
 		}
 	})
-	slices.SortFunc(idle, func(a, b *client) int {
-		return cmp.Or(cmp.Compare(min(b.first, 2), min(a.first, 2)), cmp.Compare(b.usedAt, a.usedAt))
-	})
+	slices.SortFunc(idle, leastKept(2))
+	excess := len(idle) - r.eng.Most()/shareIdle
 	for i, c := range idle {
-		if (i >= r.eng.Most()/shareIdle || now.Since(c.usedAt) >= idleFor) && r.closeIdle(c) {
+		if (i < excess || now.Since(c.usedAt) >= idleFor) && r.closeIdle(c) {
 			r.count.IdleClosed++
 		}
 	}
 }
 
+// leastKept puts first who speaks least for being kept: has asked fewer times, which count up to so many, then was used
+// longest ago.
+func leastKept(upTo uint64) func(a, b *client) int {
+	return func(a, b *client) int {
+		return cmp.Or(cmp.Compare(min(a.first, upTo), min(b.first, upTo)), cmp.Compare(a.usedAt, b.usedAt))
+	}
+}
+
 // say answers a command that is no retrieval in hand, in its turn.
 func (r *Relay) say(c *client, out []byte) {
 	r.held += len(out)
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -4,7 +4,6 @@
 package relay
 
 import (
-	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -351,9 +350,7 @@
 			idle = append(idle, c)
 		}
 	})
-	slices.SortFunc(idle, func(a, b *client) int {
-		return cmp.Or(cmp.Compare(min(a.first, 1), min(b.first, 1)), cmp.Compare(a.usedAt, b.usedAt))
-	})
+	slices.SortFunc(idle, leastKept(1))
 	for _, c := range idle {
 		if r.closeIdle(c) {
 			r.count.RoomClosed++
--- a/internal/net/sockets/sockets.go
+++ b/internal/net/sockets/sockets.go
@@ -267,6 +267,12 @@
 	}
 }
 
+// allTaken tells, under the lock, whether the connection is open and the loop has taken all that was read from it.
+func (w *Wire) allTaken() (syscall.RawConn, bool) {
+	raw, err := w.conn.SyscallConn()
+	return raw, err == nil && !w.shut && w.handed == w.taken
+}
+
 // Quiet tells whether nothing has come on the connection that the loop has not taken, and no end of it. Where that can't
 // be told without waiting for who may wait for the loop, it is not sure.
 func (w *Wire) Quiet() (quiet, sure bool) {
@@ -274,11 +280,12 @@
 		return false, false
 	}
 	defer w.mu.Unlock()
-	raw, err := w.conn.SyscallConn()
-	if err != nil || w.shut || w.handed != w.taken {
+	raw, all := w.allTaken()
+	if !all {
 		return false, true
 	}
 	var ahead [1]byte
+	var err error
 	_ = raw.Control(func(fd uintptr) {
 		_, _, err = unix.Recvfrom(int(fd), ahead[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
@@ -293,11 +300,12 @@
 		return false
 	}
 	defer w.mu.Unlock()
-	raw, err := w.conn.SyscallConn()
-	if err != nil || w.shut || w.handed != w.taken {
+	raw, all := w.allTaken()
+	if !all {
 		return false
 	}
 	waiting := 0
+	var err error
 	_ = raw.Control(func(fd uintptr) { waiting, err = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
 	if err == nil && waiting > 0 {
 		return false
