Keep records of what a node does to each cache: avoided, drained, tried, back

Need: after a bad Friday nobody can say when a slow cache was avoided, and by whom.

The host now asks a Decider, which the module is and baselines will be, and tells a Watcher of legs, outcomes, lists and standings.

--- a/cmd/dahliapin/main.go
+++ b/cmd/dahliapin/main.go
@@ -2,28 +2,32 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
 	"dahliapin/node"
+	"dahliapin/policy"
 )
 
 var version = "0.1.0"
 
 func main() {
-	var config string
+	var config, record string
 	root := &cobra.Command{Use: "dahliapin", Short: "A router for fleets of cache servers", SilenceUsage: true,
 		SilenceErrors: true}
 	root.PersistentFlags().StringVar(&config, "config", os.Getenv("RELAY_CONFIG"), "the configuration's file")
-	root.AddCommand(
-		&cobra.Command{Use: "serve", Short: "Run one node until SIGTERM; SIGHUP reads its configuration again", Args: cobra.NoArgs,
-			RunE: func(*cobra.Command, []string) error { return serve(config) }},
+	server := &cobra.Command{Use: "serve", Short: "Run one node until SIGTERM; SIGHUP reads its configuration again", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return serve(config, record) }}
+	server.Flags().StringVar(&record, "records", "", "file to which records of what is done to caches are added, as JSON lines")
+	root.AddCommand(server,
 		&cobra.Command{Use: "check", Short: "Say whether a configuration can be used", Args: cobra.NoArgs,
 			RunE: func(c *cobra.Command, _ []string) error {
 				p, err := node.ReadPosting(config)
@@ -58,11 +62,37 @@
 	n.Reload(p)
 }
 
-func serve(config string) error {
+// keepRecords adds records to a file, a line each, with their time as Unix nanoseconds.
+func keepRecords(p *node.Posting, path string) error {
+	f, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return fmt.Errorf("records cannot be kept: %w", err)
+	}
+	failed := false
+	p.Records = func(e node.Entry, at time.Time) {
+		e.At = policy.Instant(at.UnixNano())
+		line, err := json.Marshal(e)
+		if err == nil {
+			_, err = f.Write(append(line, '\n'))
+		}
+		if err != nil && !failed {
+			logrus.WithError(err).Error("records are not kept any more")
+		}
+		failed = failed || err != nil
+	}
+	return nil
+}
+
+func serve(config, record string) error {
 	p, err := node.ReadPosting(config)
 	if err != nil {
 		return err
 	}
+	if record != "" {
+		if err := keepRecords(p, record); err != nil {
+			return err
+		}
+	}
 	node.Fit(p)
 	signals := make(chan os.Signal, 4) // before the node is there, or an early one would end the process
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -20,13 +20,32 @@
 	Follow()
 }
 
+// Decider is what a host asks: the module, or a baseline that it is measured against.
+type Decider interface {
+	Where(now policy.Instant, r *policy.Retrieval) policy.Move
+	After(now policy.Instant, r *policy.Retrieval, o policy.Outcome) policy.Move
+	Wait(now policy.Instant) (time.Duration, []policy.Chore)
+	Listed(now policy.Instant, form policy.ListForm, entries []policy.Entry)
+	Probed(now policy.Instant, id policy.CacheID, found policy.Result)
+}
+
+// Watcher hears what a node does to its caches. It is called within the node's loop and is not to wait.
+type Watcher interface {
+	// Stands is called at each upkeep for each cache that is listed.
+	Stands(now policy.Instant, id policy.CacheID, s policy.Standing)
+	Sent(now policy.Instant, id policy.CacheID)
+	Ended(now policy.Instant, id policy.CacheID, how policy.Result, took time.Duration)
+	Listed(now policy.Instant, form policy.ListForm, entries []policy.Entry)
+}
+
 const upkeep = "upkeep" // a token that no retrieval's id can be, being shorter
 
 // Host is one node.
 type Host struct {
-	router *policy.Router
-	do     Actions
-	hand   map[policy.RetrievalID]*held
+	router  Decider
+	do      Actions
+	watcher Watcher // nil for nobody
+	hand    map[policy.RetrievalID]*held
 }
 
 type held struct {
@@ -36,7 +55,12 @@
 
 // New starts a node and its upkeep.
 func New(now policy.Instant, seed int64, rules policy.HouseRules, do Actions) *Host {
-	h := &Host{router: policy.New(now, seed, rules), do: do, hand: map[policy.RetrievalID]*held{}}
+	return With(now, policy.New(now, seed, rules), do, nil)
+}
+
+// With starts a node that asks another decider, or is watched.
+func With(now policy.Instant, decider Decider, do Actions, watcher Watcher) *Host {
+	h := &Host{router: decider, do: do, watcher: watcher, hand: map[policy.RetrievalID]*held{}}
 	h.upkeep(now)
 	return h
 }
@@ -51,12 +75,20 @@
 			h.do.Probe(c.Cache)
 		}
 	}
+	if told, ok := h.router.(interface {
+		Standings(policy.Instant, func(policy.CacheID, policy.Standing))
+	}); ok && h.watcher != nil {
+		told.Standings(now, func(id policy.CacheID, s policy.Standing) { h.watcher.Stands(now, id, s) })
+	}
 	h.do.Timer(wait, upkeep)
 }
 
 // Listed passes on news of the list.
 func (h *Host) Listed(now policy.Instant, form policy.ListForm, entries []policy.Entry) {
 	h.router.Listed(now, form, entries)
+	if h.watcher != nil {
+		h.watcher.Listed(now, form, entries)
+	}
 }
 
 // Probed passes on what a probe found.
@@ -83,6 +115,9 @@
 	}
 	in.Legs[o.Leg].Out, in.Legs[o.Leg].Result = false, how
 	in.Over = in.Over || over
+	if h.watcher != nil {
+		h.watcher.Ended(now, in.Legs[o.Leg].To, how, o.Took)
+	}
 	h.carryOut(now, in, h.router.After(now, &in.Retrieval, o))
 }
 
@@ -130,6 +165,9 @@
 	for _, to := range m.To {
 		h.do.Send(in.ID, to, m.GiveUpAt)
 		in.Legs = append(in.Legs, policy.Leg{To: to, Sent: now, Out: true})
+		if h.watcher != nil {
+			h.watcher.Sent(now, to)
+		}
 	}
 	if m.AskAgain != 0 && !in.Over {
 		in.askAt = m.AskAgain
--- a/internal/net/relay/discovery.go
+++ b/internal/net/relay/discovery.go
@@ -155,7 +155,7 @@
 			r.caches[e.ID] = c
 		}
 		if c != nil {
-			c.origin = r.Terms.Rules.Aside && e.Kind == r.Terms.Rules.OriginKind
+			c.origin = r.isOrigin(e.Kind)
 		}
 	}
 	for id, c := range r.caches {
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -17,6 +17,7 @@
 	"dahliapin/internal/net/deadlines"
 	"dahliapin/internal/net/slots"
 	"dahliapin/internal/net/sockets"
+	"dahliapin/internal/records"
 	"dahliapin/policy"
 )
 
@@ -61,7 +62,9 @@
 	Terms             houserules.Terms
 	Known             *fastjson.Value // the list as last held, or nil
 	Log               *logrus.Logger
-	Moved             func(Phase) // told of each phase; nil for nobody
+	Moved             func(Phase)                    // told of each phase; nil for nobody
+	Name              string                         // for records
+	Records           func(records.Entry, time.Time) // told of each, within the loop, and not to wait; nil for nobody
 }
 
 // Relay is one node.
@@ -114,7 +117,12 @@
 	}
 	r := &Relay{Berth: b, eng: eng, began: time.Now(), caches: map[policy.CacheID]*cache{}, taken: map[string]bool{},
 		asks: make(chan func(), 16), done: make(chan struct{})}
-	r.host = host.New(r.now(), b.Seed, b.Terms.Rules, r)
+	var watcher host.Watcher
+	if b.Records != nil {
+		watcher = records.New(b.Name, func(e records.Entry) { b.Records(e, r.began.Add(e.At.Since(epoch))) },
+			func(e policy.Entry) bool { return r.isOrigin(e.Kind) })
+	}
+	r.host = host.With(r.now(), policy.New(r.now(), b.Seed, b.Terms.Rules), r, watcher)
 	if b.Known != nil {
 		r.hear(b.Known, policy.LastHeld)
 	}
@@ -125,6 +133,10 @@
 	return r, nil
 }
 
+func (r *Relay) isOrigin(kind int) bool {
+	return r.Terms.Rules.Aside && kind == r.Terms.Rules.OriginKind
+}
+
 // Addr is where it listens.
 func (r *Relay) Addr() string { return r.eng.Addr().String() }
 
--- /dev/null
+++ b/internal/records/records.go
@@ -0,0 +1,268 @@
+// Package records turns what a node does to its caches into entries: which cache was avoided, why, from when until when;
+// which was drained, gone, tried or back. It does no I/O; whoever makes a Book says where its entries go.
+package records
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"dahliapin/policy"
+)
+
+const (
+	enough    = 40.0             // legs a cache is expected to have got before its share says anything: chance is a sixth of that
+	spareAt   = 0.6              // of its usual share, set against the median cache's, under which it is avoided for its load
+	backAt    = 0.8              // of it at which it is back: a cache that hovers between stays as it is
+	inARow    = 2                // looks that must agree: one in a hundred is chance
+	learnFrom = 10               // looks before a usual share is known
+	learnBy   = 0.05             // of each look that goes into the usual share
+	longest   = 10 * time.Second // of one look: shares that change slower are not of one time
+)
+
+// Entry is one thing that a node did.
+type Entry struct {
+	At     policy.Instant `json:"at_ns"`
+	Node   string         `json:"node"`
+	Server policy.CacheID `json:"server"`
+	What   string         `json:"what"`
+	Why    string         `json:"why,omitempty"`
+	For    time.Duration  `json:"for_ns,omitempty"` // with "back": how long it was avoided
+}
+
+func (e Entry) String() string {
+	s := fmt.Sprintf("%8.3f s  %-6s %-10s %s", time.Duration(e.At).Seconds(), e.Node, e.Server, e.What)
+	if e.Why != "" {
+		s += ": " + e.Why
+	}
+	if e.For > 0 {
+		s += fmt.Sprintf(" after %.1f s", e.For.Seconds())
+	}
+	return s
+}
+
+// What an entry says was done.
+const (
+	Listed  = "listed"
+	Avoided = "avoided"
+	Back    = "back"
+	Drained = "drained"
+	Gone    = "gone"
+	Trial   = "trial leg"
+)
+
+// Book keeps one node's records; it is a host's watcher. The same may be fed by all nodes of a fleet, which then counts
+// as one.
+type Book struct {
+	node    string
+	tell    func(Entry)
+	caches  map[policy.CacheID]*page
+	order   []policy.CacheID // so that what happens at once is told in one order
+	lookAt  policy.Instant
+	looked  int
+	legs    float64
+	without func(policy.Entry) bool // servers whose share says nothing: the origin
+}
+
+type page struct {
+	state    policy.State
+	stands   policy.Standing
+	avoided  policy.Instant // since when; 0 for not
+	why      string
+	spared   bool
+	agree    int
+	legs     float64
+	usual    float64 // share of legs
+	served   int
+	took     time.Duration // of those served since the last look, in all
+	was      time.Duration // mean before it was spared
+	triedFor int
+}
+
+// New starts a book. Entries go to tell, in order.
+func New(node string, tell func(Entry), without func(policy.Entry) bool) *Book {
+	if without == nil {
+		without = func(policy.Entry) bool { return false }
+	}
+	return &Book{node: node, tell: tell, caches: map[policy.CacheID]*page{}, without: without}
+}
+
+func (b *Book) say(now policy.Instant, id policy.CacheID, what, why string, long time.Duration) {
+	b.tell(Entry{At: now, Node: b.node, Server: id, What: what, Why: why, For: long})
+}
+
+// Listed hears the list.
+func (b *Book) Listed(now policy.Instant, form policy.ListForm, entries []policy.Entry) {
+	if form == policy.AskFailed {
+		return
+	}
+	named := map[policy.CacheID]bool{}
+	for _, e := range entries {
+		if b.without(e) {
+			continue
+		}
+		named[e.ID] = true
+		p := b.caches[e.ID]
+		switch {
+		case p == nil && e.State != policy.Gone:
+			p = &page{state: e.State}
+			b.caches[e.ID] = p
+			b.order = append(b.order, e.ID)
+			slices.Sort(b.order)
+			b.say(now, e.ID, Listed, "", 0)
+			if e.State == policy.Draining {
+				b.say(now, e.ID, Drained, "the list says so", 0)
+			}
+		case p != nil && e.State == policy.Gone:
+			b.drop(now, e.ID, "the list says so")
+		case p != nil && e.State == policy.Draining && p.state == policy.Ready:
+			p.state = e.State
+			b.say(now, e.ID, Drained, "the list says so", 0)
+		case p != nil:
+			p.state = e.State
+		}
+	}
+	if form != policy.Changes {
+		for _, id := range slices.Clone(b.order) {
+			if !named[id] {
+				b.drop(now, id, "the whole list does not name it")
+			}
+		}
+	}
+}
+
+func (b *Book) drop(now policy.Instant, id policy.CacheID, why string) {
+	delete(b.caches, id)
+	b.order = slices.DeleteFunc(b.order, func(o policy.CacheID) bool { return o == id })
+	b.say(now, id, Gone, why, 0)
+}
+
+// Stands hears how a cache stands, at each upkeep.
+func (b *Book) Stands(now policy.Instant, id policy.CacheID, s policy.Standing) {
+	p := b.caches[id]
+	if p == nil || p.stands == s {
+		return
+	}
+	p.stands = s
+	if s == policy.Quiet || s == policy.Refusing || s == policy.Erring {
+		b.avoid(now, id, p, s.String())
+	} else if !p.spared && s != policy.Drains {
+		b.back(now, id, p)
+	}
+}
+
+func (b *Book) avoid(now policy.Instant, id policy.CacheID, p *page, why string) {
+	if p.avoided == 0 {
+		p.avoided, p.why = now, why
+		b.say(now, id, Avoided, why, 0)
+	}
+}
+
+func (b *Book) back(now policy.Instant, id policy.CacheID, p *page) {
+	if p.avoided != 0 {
+		long := now.Since(p.avoided)
+		p.avoided, p.triedFor = 0, 0
+		b.say(now, id, Back, p.why, long)
+	}
+}
+
+// Sent hears of a leg. One to a cache that is avoided since it said nothing is a trial; the first of each spell is told.
+func (b *Book) Sent(now policy.Instant, id policy.CacheID) {
+	p := b.caches[id]
+	if p == nil {
+		return
+	}
+	p.legs++
+	b.legs++
+	if p.avoided != 0 && !p.spared && (p.stands == policy.Quiet || p.stands == policy.Refusing) {
+		if p.triedFor++; p.triedFor == 1 {
+			b.say(now, id, Trial, p.why, 0)
+		}
+	}
+	b.look(now)
+}
+
+// Ended hears of a leg's end.
+func (b *Book) Ended(_ policy.Instant, id policy.CacheID, how policy.Result, took time.Duration) {
+	if p := b.caches[id]; p != nil && (how == policy.Answered || how == policy.Missed) {
+		p.served++
+		p.took += took
+	}
+}
+
+// look compares shares once enough legs went out. A cache whose share falls while the median's does not is avoided for
+// its load, which no standing tells: nothing decides so but that others are picked.
+func (b *Book) look(now policy.Instant) {
+	if b.lookAt == 0 {
+		b.lookAt = now
+	}
+	n := 0
+	for _, id := range b.order {
+		if b.caches[id].state == policy.Ready {
+			n++
+		}
+	}
+	if n < 3 || b.legs < enough*float64(n) {
+		if now.Since(b.lookAt) > longest {
+			b.clear(now)
+		}
+		return
+	}
+	b.looked++
+	var ratios []float64
+	for _, id := range b.order {
+		if p := b.caches[id]; p.state == policy.Ready && p.usual > 0 {
+			ratios = append(ratios, p.legs/b.legs/p.usual)
+		}
+	}
+	slices.Sort(ratios)
+	median := 1.0
+	if len(ratios) > 0 {
+		median = max(0.1, ratios[len(ratios)/2])
+	}
+	for _, id := range b.order {
+		p := b.caches[id]
+		share := p.legs / b.legs
+		if p.usual == 0 {
+			p.usual = share
+		}
+		ratio := share / max(p.usual, 1e-9) / median
+		mean := time.Duration(0)
+		if p.served > 0 {
+			mean = p.took / time.Duration(p.served)
+		}
+		known := b.looked > learnFrom && p.usual*b.legs >= enough/4
+		low, high := ratio < spareAt, ratio >= backAt
+		if known && p.state == policy.Ready && (!p.spared && low || p.spared && high) {
+			p.agree++
+		} else {
+			p.agree = 0
+		}
+		if p.agree >= inARow {
+			p.agree, p.spared = 0, !p.spared
+			if p.spared {
+				b.avoid(now, id, p, fmt.Sprintf("load: %.0f%% of its usual share, legs take %.1f ms after %.1f ms", 100*ratio,
+					float64(mean)/1e6, float64(p.was)/1e6))
+			} else if p.stands != policy.Quiet && p.stands != policy.Refusing && p.stands != policy.Erring {
+				b.back(now, id, p)
+			}
+		}
+		if !p.spared && !(known && low) {
+			p.usual += (share/median - p.usual) * learnBy
+			if mean > 0 {
+				if p.was == 0 {
+					p.was = mean
+				}
+				p.was += (mean - p.was) / 8
+			}
+		}
+	}
+	b.clear(now)
+}
+
+func (b *Book) clear(now policy.Instant) {
+	b.legs, b.lookAt = 0, now
+	for _, p := range b.caches {
+		p.legs, p.served, p.took = 0, 0, 0
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -8,11 +8,13 @@
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"dahliapin/internal/net/counters"
 	"dahliapin/internal/net/relay"
+	"dahliapin/internal/records"
 )
 
 const (
@@ -21,6 +23,7 @@
 	usualMemory   = 192  // MB where no limit is stated
 	rarely        = 200  // percent that the heap may grow between collections: it is small, and a long value is a fair part of it
 	heapShare     = 0.6  // of the memory limit at which the collector works harder: stacks and sockets need some
+	recordsAhead  = 4096 // records that may wait for who keeps them; more are dropped and counted, as no retrieval is to wait
 	fewestThreads = 2    // so that the loop need not wait for the poller to come back from its wait
 )
 
@@ -35,9 +38,21 @@
 	Stopped  = relay.Stopped
 )
 
+// Entry is a record of what a node did to a cache.
+type Entry = records.Entry
+
+// told is one on its way.
+type told struct {
+	entry Entry
+	at    time.Time
+}
+
 // Node is one node.
 type Node struct {
 	relay   *relay.Relay
+	records chan told // nil where nobody is told
+	kept    chan struct{}
+	dropped uint64 // records; the loop's own until it has ended
 	phase   atomic.Int32
 	log     *logrus.Logger
 	posting *Posting // as it started
@@ -46,11 +61,16 @@
 // New listens as the posting says and starts. Serve is to follow.
 func New(p *Posting, log *logrus.Logger) (*Node, error) {
 	n := &Node{log: log, posting: p}
+	var note func(Entry, time.Time)
+	if p.Records != nil {
+		n.records, n.kept = make(chan told, recordsAhead), make(chan struct{})
+		note = n.note
+	}
 	var err error
 	n.relay, err = relay.New(relay.Berth{
 		Listen: p.Listen, Discovery: p.Discovery, Seed: p.Seed, Descriptors: cmp.Or(p.Sockets, usualSockets),
 		Memory: p.memory(), Terms: p.terms, Known: p.known, Log: log,
-		Moved: func(to Phase) { n.phase.Store(int32(to)) },
+		Moved: func(to Phase) { n.phase.Store(int32(to)) }, Name: p.Name, Records: note,
 	})
 	if err != nil {
 		return nil, err
@@ -59,8 +79,34 @@
 	return n, nil
 }
 
-// Serve runs until the node has stopped.
-func (n *Node) Serve() { n.relay.Run() }
+// note hands a record over, or drops it where whoever keeps them is slow.
+func (n *Node) note(e Entry, at time.Time) {
+	select {
+	case n.records <- told{e, at}:
+	default:
+		n.dropped++
+	}
+}
+
+// Serve runs until the node has stopped, and its records are kept.
+func (n *Node) Serve() {
+	if n.records == nil {
+		n.relay.Run()
+		return
+	}
+	go func() {
+		defer close(n.kept)
+		for t := range n.records {
+			n.posting.Records(t.entry, t.at)
+		}
+	}()
+	n.relay.Run()
+	close(n.records)
+	<-n.kept
+	if n.dropped > 0 {
+		n.log.WithField("records", n.dropped).Warn("records dropped: whoever keeps them was slow")
+	}
+}
 
 // End asks the node to drain and stop. It may be called from anywhere.
 func (n *Node) End() { n.relay.End() }
--- a/node/posting.go
+++ b/node/posting.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fastjson"
 
@@ -18,6 +19,7 @@
 	Name, Listen, Discovery string
 	Seed                    int64
 	MemoryMB, Sockets       int
+	Records                 func(Entry, time.Time) // told what the node does to caches, from a goroutine of its own; nil for nobody
 	terms                   houserules.Terms
 	known                   *fastjson.Value
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -663,6 +663,32 @@
 	return upkeepEvery, chores
 }
 
+// Standings tells how each cache stands just now, for records; it changes nothing.
+func (p *Router) Standings(now Instant, tell func(CacheID, Standing)) {
+	soft, per := time.Duration(0), p.pace.Quantile(0.5, 0)
+	for _, g := range p.rules.Grades {
+		soft = max(soft, g.SoftLimit)
+	}
+	for _, c := range p.listed {
+		s := InUse
+		switch {
+		case c.State != Ready:
+			s = Drains
+		case c.refused >= failsToRest && now < c.restUntil:
+			s = Refusing
+		case p.silent(now, c):
+			s = Quiet
+		case slices.Max(c.erred) >= breaksToRest:
+			s = Erring
+		case (p.load(now, c)+1)*float64(per) > float64(soft)/2:
+			s = Crowded
+		case p.warmth(now, c) < 1:
+			s = Warming
+		}
+		tell(c.ID, s)
+	}
+}
+
 func (p *Router) retime() {
 	soft := time.Second
 	for _, g := range p.rules.Grades {
--- a/policy/types.go
+++ b/policy/types.go
@@ -200,3 +200,20 @@
 	Kind  ChoreKind
 	Cache CacheID
 }
+
+// Standing is how a cache stands with a node.
+type Standing int
+
+const (
+	InUse Standing = iota
+	Warming
+	Crowded  // its queue would take half of every soft limit
+	Erring   // some grade avoids it
+	Quiet    // it says nothing, or rests after that
+	Refusing // it takes no connection, and its slot counts as dead
+	Drains   // the list says so
+)
+
+func (s Standing) String() string {
+	return [...]string{"in use", "warming", "crowded", "erring", "quiet", "refusing", "drains"}[s]
+}
