--- /dev/null
+++ b/internal/emulator/client/client.go
@@ -0,0 +1,237 @@
+// Package client asks a node as clients do: over connections that are kept, one retrieval at a time on each, with a new
+// one whenever all are busy. Whoever asks never waits.
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"dahliapin/internal/emulator/judge"
+)
+
+const (
+	connectWithin = time.Second
+	beyond        = 300 * time.Millisecond // over its hard stop that an answer is still looked for: a late one is to be seen
+	mostIdle      = 512                    // connections kept for one node
+	mostValue     = 2 << 20
+)
+
+// Ask is one try.
+type Ask struct {
+	ID, Key, Label, Grade string
+	Write, Repeat         bool
+	Value                 string
+	Wait                  time.Duration // until the hard stop
+}
+
+// Answer is what came of it.
+type Answer struct {
+	Final    judge.Final
+	ComeBack time.Duration
+	Value    string // or the receipt
+	Wrong    string // what is not as it should be
+	Silent   bool   // nothing came in time
+	Sent     time.Time
+	Got      time.Time
+}
+
+// Pool holds the connections to one node.
+type Pool struct {
+	Addr   string
+	mu     sync.Mutex
+	idle   []*conn
+	all    map[*conn]bool
+	closed bool
+	wg     sync.WaitGroup
+}
+
+type conn struct {
+	net.Conn
+	r    *bufio.Reader
+	used bool // has carried an answer
+}
+
+// Ask sends a try and calls done with what came, from another goroutine.
+func (p *Pool) Ask(a *Ask, done func(Answer)) {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		go done(Answer{Final: judge.Cut, Sent: time.Now(), Got: time.Now()})
+		return
+	}
+	var c *conn
+	if n := len(p.idle); n > 0 {
+		c, p.idle = p.idle[n-1], p.idle[:n-1]
+	}
+	p.wg.Add(1)
+	p.mu.Unlock()
+	go func() {
+		defer p.wg.Done()
+		sent := time.Now()
+		answer, err := p.try(c, a)
+		if err != nil && c != nil && c.used && !errors.Is(err, errSilent) { // the close crossed it: it was not read
+			answer, err = p.try(nil, a)
+		}
+		if answer.Sent, answer.Got = sent, time.Now(); err != nil {
+			answer.Final, answer.Silent = judge.Cut, errors.Is(err, errSilent)
+		}
+		done(answer)
+	}()
+}
+
+var errSilent = errors.New("nothing came in time")
+
+func (p *Pool) try(c *conn, a *Ask) (answer Answer, err error) {
+	if c == nil {
+		plain, err := net.DialTimeout("tcp", p.Addr, connectWithin)
+		if err != nil {
+			return answer, err
+		}
+		c = &conn{Conn: plain, r: bufio.NewReader(plain)}
+		p.mu.Lock()
+		if p.all == nil {
+			p.all = map[*conn]bool{}
+		}
+		p.all[c] = true
+		closed := p.closed
+		p.mu.Unlock()
+		if closed {
+			p.drop(c)
+			return answer, net.ErrClosed
+		}
+	}
+	began := c.r.Buffered()
+	if began > 0 {
+		p.drop(c)
+		return answer, errors.New("something came that nobody asked for")
+	}
+	c.SetDeadline(time.Now().Add(a.Wait + beyond))
+	if _, err = io.WriteString(c, a.Line()); err == nil {
+		answer, err = read(c.r, a)
+	}
+	var late net.Error
+	if errors.As(err, &late) && late.Timeout() {
+		err = errSilent
+	}
+	if err != nil {
+		p.drop(c)
+		return answer, err
+	}
+	c.used = true
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle) >= mostIdle {
+		delete(p.all, c)
+		c.Close()
+	} else {
+		p.idle = append(p.idle, c)
+	}
+	return answer, nil
+}
+
+func (p *Pool) drop(c *conn) {
+	c.Close()
+	p.mu.Lock()
+	delete(p.all, c)
+	p.mu.Unlock()
+}
+
+// Close ends all connections and waits for those who ask.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	for c := range p.all {
+		c.Close()
+	}
+	p.mu.Unlock()
+	p.wg.Wait()
+}
+
+// Ready tells whether the node takes retrievals.
+func (p *Pool) Ready() bool {
+	c, err := net.DialTimeout("tcp", p.Addr, connectWithin)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(connectWithin))
+	io.WriteString(c, "mn\r\n")
+	line, _ := bufio.NewReader(c).ReadString('\n')
+	return line == "MN\r\n"
+}
+
+// Line is a try as it is sent.
+func (a *Ask) Line() string {
+	info := fmt.Sprintf("Pc=%s,d=%d", a.Grade, max(1, a.Wait.Milliseconds()))
+	if a.Label != "" {
+		info += ",k=" + a.Label
+	}
+	if a.Repeat {
+		info += ",r=1"
+	}
+	if a.Write {
+		return fmt.Sprintf("ms %s %d O%s %s\r\n%s\r\n", a.Key, len(a.Value), a.ID, info, a.Value)
+	}
+	return fmt.Sprintf("mg %s v O%s %s\r\n", a.Key, a.ID, info)
+}
+
+// read reads the answer to a try.
+func read(r *bufio.Reader, a *Ask) (answer Answer, err error) {
+	line, err := r.ReadString('\n')
+	if err != nil {
+		return answer, err
+	}
+	words := strings.Fields(line)
+	named := func() string {
+		for _, w := range words[1:] {
+			if w[0] == 'O' {
+				return w[1:]
+			}
+		}
+		return ""
+	}
+	switch {
+	case len(words) >= 2 && words[0] == "VA" && !a.Write:
+		n, bad := strconv.Atoi(words[1])
+		if bad != nil || n < 0 || n > mostValue {
+			return answer, errors.New("a value's length can't be read")
+		}
+		b := make([]byte, n+2)
+		if _, err = io.ReadFull(r, b); err != nil {
+			return answer, err
+		}
+		if !bytes.HasSuffix(b, []byte("\r\n")) {
+			answer.Wrong = "a value does not end where it should"
+		}
+		answer.Final, answer.Value = judge.Satisfied, string(b[:n])
+	case len(words) >= 2 && words[0] == "HD" && a.Write:
+		answer.Final = judge.Satisfied
+		for _, w := range words[1:] {
+			if w[0] == 'c' {
+				answer.Value = w[1:]
+			}
+		}
+	case len(words) >= 2 && words[0] == "SERVER_ERROR" && words[1] == "busy":
+		answer.Final = judge.Dismissed
+		if len(words) > 2 {
+			back, _ := strconv.Atoi(words[2])
+			answer.ComeBack = time.Duration(back) * time.Millisecond
+		}
+		return answer, nil
+	default:
+		answer.Final = judge.Scrapped
+		return answer, nil
+	}
+	if id := named(); id != a.ID {
+		answer.Wrong = "the answer names retrieval " + strconv.Quote(id)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/emulator/course/course.go
@@ -0,0 +1,203 @@
+// Package course plays a script's events on a world, for whatever shell is round it.
+package course
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"dahliapin/internal/emulator/script"
+	"dahliapin/internal/emulator/world"
+	"dahliapin/policy"
+)
+
+const (
+	awayAtLeast = 400 * time.Millisecond // that a process which is started anew takes to be back
+	drainsFor   = 5 * time.Second        // that a server drains before it is gone, where none is stated
+)
+
+// Rig is the shell: what an event means to connections, nodes and the list.
+type Rig interface {
+	Broke(server int)                     // all connections to it are reset
+	Listed(e policy.Entry)                // the list has changed
+	Discovery(up bool)                    // the list is told to nodes, or not
+	EndNode(node int, orderly bool)       // a node is told to end, or killed
+	StartNode(node int)                   // and started anew
+	Fault(server int, kind string)        // what goes wrong on its connections; "" for nothing
+	At(at policy.Instant, do func())      // do it then
+	Said(now policy.Instant, what string) // for the log of the run
+}
+
+// Course plays one script.
+type Course struct {
+	script  *script.Script
+	world   *world.World
+	traffic *world.Traffic
+	rig     Rig
+	added   int
+	began   policy.Instant
+	First   policy.Instant // when the first event begins
+	Last    policy.Instant // when the last one's end is due
+}
+
+// Play hangs all events in. began is when the script's time is 0.
+func Play(s *script.Script, w *world.World, t *world.Traffic, began policy.Instant, rig Rig) *Course {
+	c := &Course{script: s, world: w, traffic: t, rig: rig, began: began}
+	events := slices.Clone(s.Events)
+	slices.SortStableFunc(events, func(a, b script.Event) int { return cmp.Compare(a.AtS, b.AtS) })
+	for i := range events {
+		e := &events[i]
+		at := began.Add(script.Span(e.AtS))
+		if i == 0 {
+			c.First = at
+		}
+		c.Last = max(c.Last, at.Add(script.Span(e.ForS)))
+		rig.At(at, func() { c.do(at, e) })
+	}
+	return c
+}
+
+func (c *Course) each(e *script.Event, do func(server int)) {
+	for _, id := range c.script.Chosen(e) {
+		if i, ok := c.world.Find(id); ok {
+			do(i)
+		}
+	}
+}
+
+func (c *Course) do(now policy.Instant, e *script.Event) {
+	w, long := c.world, script.Span(e.ForS)
+	end := now.Add(long)
+	c.rig.Said(now, describe(c.script, e))
+	switch e.Do {
+	case "slow":
+		c.each(e, func(s int) {
+			w.Slow(now, s, e.Factor)
+			c.rig.At(end, func() { w.Slow(end, s, 1) })
+		})
+	case "crowd":
+		c.each(e, func(s int) {
+			w.Crowd(now, s, e.Share)
+			c.rig.At(end, func() { w.Crowd(end, s, 0) })
+		})
+	case "pause":
+		c.each(e, func(s int) { w.Pause(now, s, long) })
+	case "kill", "restart":
+		c.each(e, func(s int) {
+			w.Kill(now, s)
+			c.rig.Broke(s)
+			if back := now.Add(max(awayAtLeast, long)); e.Do == "restart" || long > 0 {
+				c.rig.At(back, func() { c.start(back, s) })
+			}
+		})
+	case "silent":
+		c.each(e, func(s int) {
+			w.Mute(now, s)
+			if long > 0 {
+				c.rig.At(end, func() { c.rig.Broke(s); c.start(end, s) })
+			}
+		})
+	case "drain":
+		c.each(e, func(s int) { c.drain(now, s, long) })
+	case "shrink":
+		left := max(1, e.Count)
+		for s := len(w.Servers) - 1; s >= 0 && left > 0; s-- {
+			if !w.IsOrigin(s) && w.Servers[s].State == policy.Ready {
+				c.drain(now, s, long)
+				left--
+			}
+		}
+	case "add":
+		for range max(1, e.Count) {
+			c.added++
+			s := w.AddCache(c.script.Cache(c.script.Fleet.Caches+c.added), now)
+			c.rig.Listed(EntryOf(w, s))
+		}
+	case "hot":
+		c.traffic.Heat(world.KeyOf(e.Rank), e.Share)
+		c.rig.At(end, func() { c.traffic.Heat("", 0) })
+	case "burst":
+		c.traffic.Burst(e.Factor)
+		c.rig.At(end, func() { c.traffic.Burst(1) })
+	case "origin_slow":
+		if s, ok := w.Find(world.OriginID); ok {
+			w.Slow(now, s, e.Factor)
+			c.rig.At(end, func() { w.Slow(end, s, 1) })
+		}
+	case "discovery_down":
+		c.rig.Discovery(false)
+		c.rig.At(end, func() { c.rig.Discovery(true) })
+	case "node_restart", "node_kill":
+		for _, n := range e.Nodes {
+			c.rig.EndNode(n-1, e.Do == "node_restart")
+			c.rig.At(now.Add(max(awayAtLeast, long)), func() { c.rig.StartNode(n - 1) })
+		}
+	case "fault":
+		c.each(e, func(s int) {
+			if c.rig.Fault(s, e.Fault); e.Fault == "refuse" {
+				c.rig.Broke(s)
+			}
+			c.rig.At(end, func() { c.rig.Fault(s, "") })
+		})
+	case "errors":
+		c.each(e, func(s int) {
+			w.Break(s, e.Share)
+			c.rig.At(end, func() { w.Break(s, 0) })
+		})
+	}
+}
+
+func (c *Course) start(now policy.Instant, s int) {
+	c.world.Start(now, s)
+	c.rig.Listed(EntryOf(c.world, s))
+}
+
+func (c *Course) drain(now policy.Instant, s int, long time.Duration) {
+	server := c.world.Servers[s]
+	server.State = policy.Draining
+	c.rig.Listed(EntryOf(c.world, s))
+	gone := now.Add(cmp.Or(long, drainsFor))
+	c.rig.At(gone, func() {
+		server.State = policy.Gone
+		c.rig.Listed(EntryOf(c.world, s))
+		c.world.Kill(gone, s)
+		c.rig.Broke(s)
+	})
+}
+
+// EntryOf is what the list says of a server.
+func EntryOf(w *world.World, server int) policy.Entry {
+	s := w.Servers[server]
+	kind := 0
+	if w.IsOrigin(server) {
+		kind = 1
+	}
+	return policy.Entry{ID: s.ID, Kind: kind, State: s.State, Born: s.Born, Zone: s.Zone, Group: s.Group, Weight: s.Weight}
+}
+
+func describe(s *script.Script, e *script.Event) string {
+	text := e.Do
+	if ids := s.Chosen(e); len(ids) > 0 {
+		text += fmt.Sprint(" ", ids)
+	}
+	if len(e.Nodes) > 0 {
+		text += fmt.Sprint(" nodes ", e.Nodes)
+	}
+	if e.Factor > 0 {
+		text += fmt.Sprintf(" by %g", e.Factor)
+	}
+	if e.Share > 0 {
+		text += fmt.Sprintf(" share %g", e.Share)
+	}
+	if e.Count > 0 {
+		text += fmt.Sprintf(" %d", e.Count)
+	}
+	if e.Fault != "" {
+		text += " " + e.Fault
+	}
+	if e.ForS > 0 {
+		text += fmt.Sprintf(" for %g s", e.ForS)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/emulator/judge/judge.go
@@ -0,0 +1,292 @@
+// Package judge counts answers and effects for itself, whatever a router says of them, and tells each breach of the four
+// rules. It is told what happened where it happened: at the clients, at the servers, and where the list is told.
+package judge
+
+import (
+	"fmt"
+	"time"
+
+	"dahliapin/internal/net/deadlines"
+	"dahliapin/policy"
+)
+
+const mostKept = 200 // breaches that are kept word for word; all are counted
+
+// Final is a final answer.
+type Final int
+
+const (
+	Satisfied Final = iota
+	Dismissed
+	Scrapped
+	Cut // the connection ended without one
+)
+
+func (f Final) String() string { return [...]string{"satisfied", "dismissed", "scrapped", "cut"}[f] }
+
+// Breach is one rule broken once.
+type Breach struct {
+	Rule      int            `json:"rule"`
+	At        policy.Instant `json:"at_ns"`
+	What      string         `json:"what"`
+	Retrieval string         `json:"retrieval,omitempty"`
+	Server    policy.CacheID `json:"server,omitempty"`
+	Node      int            `json:"node"`
+}
+
+func (b Breach) String() string {
+	return fmt.Sprintf("rule %d at %.3f s: %s (retrieval %q, server %q, node %d)", b.Rule, time.Duration(b.At).Seconds(), b.What,
+		b.Retrieval, b.Server, b.Node)
+}
+
+// Terms are what it judges by.
+type Terms struct {
+	Grades       []policy.Grade
+	SecondCopies bool
+	Grace        time.Duration // after a change of the list is told
+	Slack        time.Duration // that what crosses may take
+}
+
+// Tally counts what clients were answered, by grade.
+type Tally struct {
+	Asked, Satisfied, InTime, Dismissed, Scrapped, Cut uint64
+	First, FirstInTime                                 uint64 // first tries, and those of them that a try satisfied within the soft limit
+}
+
+// Judge is told of one run.
+type Judge struct {
+	terms    Terms
+	hand     map[string]*taken
+	due      deadlines.Queue[string]
+	forget   deadlines.Queue[string]
+	effects  map[string]int
+	told     map[place]policy.Instant // when a node was told that a server wants nothing new
+	Counts   [5]uint64                // breaches by rule
+	Breaches []Breach
+	Grades   []Tally
+	Took     [][]time.Duration // by grade, of those satisfied
+}
+
+type place struct {
+	node   int
+	server policy.CacheID
+}
+
+type taken struct {
+	node     int
+	grade    int
+	label    string
+	sent     policy.Instant
+	stop     policy.Instant
+	answered policy.Instant // 0 for not yet
+	final    Final
+	ran      bool // an effect was seen
+	legs     []leg
+}
+
+type leg struct {
+	server policy.CacheID
+	came   policy.Instant
+	left   policy.Instant // 0 while it is out
+	never  bool           // it is sure that it did not run
+}
+
+// New starts one.
+func New(t Terms) *Judge {
+	return &Judge{terms: t, hand: map[string]*taken{}, effects: map[string]int{}, told: map[place]policy.Instant{},
+		Grades: make([]Tally, len(t.Grades)), Took: make([][]time.Duration, len(t.Grades))}
+}
+
+func (j *Judge) breach(rule int, at policy.Instant, id string, node int, server policy.CacheID, what string) {
+	j.Counts[rule]++
+	if len(j.Breaches) < mostKept {
+		j.Breaches = append(j.Breaches, Breach{rule, at, what, id, server, node})
+	}
+}
+
+// Sent tells that a client has handed a retrieval to a node; repeats are tries of their own.
+func (j *Judge) Sent(now policy.Instant, id string, node, grade int, label string, stop policy.Instant, first bool) {
+	j.hand[id] = &taken{node: node, grade: grade, label: label, sent: now, stop: stop}
+	j.due.Put(stop.Add(j.terms.Slack), id)
+	j.Grades[grade].Asked++
+	if first {
+		j.Grades[grade].First++
+	}
+}
+
+// Answered tells that a client has got an answer whole. It returns the time that took.
+func (j *Judge) Answered(now policy.Instant, id string, how Final) time.Duration {
+	t := j.hand[id]
+	if t == nil {
+		j.breach(1, now, id, -1, "", "an answer to what nobody asked, or long after its hard stop")
+		return 0
+	}
+	if t.answered != 0 {
+		j.breach(1, now, id, t.node, "", fmt.Sprintf("a second final answer (%v after %v)", how, t.final))
+		return 0
+	}
+	t.answered, t.final = now, how
+	if now > t.stop.Add(j.terms.Slack) {
+		j.breach(1, now, id, t.node, "", "the final answer came after the hard stop")
+	}
+	c, g := &j.Grades[t.grade], &j.terms.Grades[t.grade]
+	took := now.Since(t.sent)
+	switch how {
+	case Satisfied:
+		c.Satisfied++
+		j.Took[t.grade] = append(j.Took[t.grade], took)
+		if took <= g.SoftLimit {
+			c.InTime++
+		}
+	case Dismissed:
+		c.Dismissed++
+		if t.mayHaveRun() && !harmless(g) {
+			j.breach(2, now, id, t.node, "", "dismissed, though a leg of it may have run")
+		}
+	case Scrapped:
+		c.Scrapped++
+	case Cut:
+		c.Cut++
+		j.breach(1, now, id, t.node, "", "its connection ended without an answer")
+	}
+	return took
+}
+
+// Wrong tells that an answer is not what a server made for this retrieval.
+func (j *Judge) Wrong(now policy.Instant, id, what string) { j.breach(1, now, id, -1, "", what) }
+
+// Served counts a first try whose client was satisfied, by whichever try, within its soft limit.
+func (j *Judge) Served(grade int) { j.Grades[grade].FirstInTime++ }
+
+// Excuse forgets a retrieval whose node was killed by the script: nobody could have answered it.
+func (j *Judge) Excuse(id string) { delete(j.hand, id) }
+
+func harmless(g *policy.Grade) bool {
+	return g.Effect == policy.Redoable || g.Effect == policy.Labelled && g.Scope == policy.AllCaches
+}
+
+func (t *taken) mayHaveRun() bool {
+	for _, l := range t.legs {
+		if !l.never {
+			return true
+		}
+	}
+	return t.ran
+}
+
+// Told tells that a node has heard what the list says of a server.
+func (j *Judge) Told(now policy.Instant, node int, server policy.CacheID, state policy.State) {
+	at := place{node, server}
+	if state == policy.Ready {
+		delete(j.told, at)
+	} else if _, known := j.told[at]; !known {
+		j.told[at] = now
+	}
+}
+
+// Came tells that a leg has come to a server whole, and since when it was on its way.
+func (j *Judge) Came(now, sent policy.Instant, id string, server policy.CacheID) {
+	t := j.hand[id]
+	if t == nil {
+		return // nobody's, or of one long over: what it does shows as an effect
+	}
+	g := &j.terms.Grades[t.grade]
+	if t.answered != 0 && sent > t.answered.Add(j.terms.Slack) {
+		j.breach(1, now, id, t.node, server, "a leg went out after the final answer")
+	}
+	if at, known := j.told[place{t.node, server}]; known && sent > at.Add(j.terms.Grace) {
+		j.breach(3, now, id, t.node, server, fmt.Sprintf("a leg went to a server %v after it was told to want none", sent.Since(at)))
+	}
+	if g.Effect == policy.Irreversible && t.mayHaveRun() {
+		j.breach(2, now, id, t.node, server, "another leg of an irreversible retrieval, though one may have run")
+	}
+	if t.answered != 0 && t.final == Dismissed && !harmless(g) {
+		j.breach(2, now, id, t.node, server, "a leg came after the dismissal")
+	}
+	t.legs = append(t.legs, leg{server: server, came: now})
+}
+
+// Left tells that a server has answered a leg, or that the node has given it up or called it off.
+func (j *Judge) Left(now policy.Instant, id string, server policy.CacheID, neverRan bool) {
+	t := j.hand[id]
+	if t == nil {
+		return
+	}
+	g := &j.terms.Grades[t.grade]
+	for i := range t.legs {
+		l := &t.legs[i]
+		if l.server != server || l.left != 0 {
+			continue
+		}
+		l.left, l.never = now, neverRan
+		if j.terms.SecondCopies && g.Effect != policy.Irreversible {
+			return
+		}
+		for k := range t.legs { // one that came while this was still out, by more than what crosses
+			if o := &t.legs[k]; k > i && l.left.Since(o.came) > j.terms.Slack {
+				j.breach(2, o.came, id, t.node, o.server, "a second leg beside a first, where settings forbid it")
+			}
+		}
+		return
+	}
+}
+
+// Effect tells that a write has had its effect at a server, repeats that were dropped apart.
+func (j *Judge) Effect(now policy.Instant, id, label string, grade int, server policy.CacheID) {
+	name := label
+	if name == "" {
+		name = id
+	}
+	if j.effects[name]++; j.effects[name] > 1 {
+		j.breach(2, now, id, -1, server, fmt.Sprintf("the effect of %s %q happened %d times", effectName[j.terms.Grades[grade].Effect],
+			name, j.effects[name]))
+	}
+	if t := j.hand[id]; t != nil {
+		if t.ran = true; t.answered != 0 && t.final == Dismissed && !harmless(&j.terms.Grades[grade]) {
+			j.breach(2, now, id, t.node, server, "it ran after it was dismissed")
+		}
+	}
+}
+
+var effectName = map[policy.Effect]string{policy.Irreversible: "irreversible", policy.Labelled: "labelled", policy.Redoable: "redoable"}
+
+// Fell tells that a server was pushed over.
+func (j *Judge) Fell(now policy.Instant, server policy.CacheID, why string) {
+	j.breach(4, now, "", -1, server, "pushed over: "+why)
+}
+
+// Advance looks at what is due: retrievals without an answer at their hard stop.
+func (j *Judge) Advance(now policy.Instant) {
+	for {
+		id, ok := j.due.Due(now)
+		if !ok {
+			break
+		}
+		t := j.hand[id]
+		if t == nil {
+			continue
+		}
+		if t.answered == 0 {
+			j.breach(1, now, id, t.node, "", "no final answer by its hard stop")
+			t.answered = now // what comes now is a second failing; it is counted once
+		}
+		j.forget.Put(t.stop.Add(keepFor), id)
+	}
+	for {
+		id, ok := j.forget.Due(now)
+		if !ok {
+			return
+		}
+		delete(j.hand, id)
+	}
+}
+
+const keepFor = 5 * time.Second // that a retrieval is watched beyond its hard stop
+
+// Broken counts all breaches.
+func (j *Judge) Broken() (n uint64) {
+	for _, c := range j.Counts {
+		n += c
+	}
+	return n
+}
--- /dev/null
+++ b/internal/emulator/onwire/member.go
@@ -0,0 +1,148 @@
+package onwire
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"dahliapin/internal/emulator/client"
+	"dahliapin/internal/records"
+	"dahliapin/policy"
+)
+
+// member is one node of the run and what stands on its machine.
+type member struct {
+	r       *Rig
+	number  int
+	name    string
+	addr    string
+	agent   *agent
+	pool    *client.Pool
+	process Process
+	life    int
+	serving bool // clients come to it
+	killed  bool // by the script: what it had in hand is excused
+	ending  bool // by the script, or since the run is over
+}
+
+func (r *Rig) newMember(number int) (*member, error) {
+	a, err := r.newAgent(number)
+	if err != nil {
+		return nil, fmt.Errorf("discovery cannot listen: %w", err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free; the node takes it right away
+	if err != nil {
+		a.close()
+		return nil, err
+	}
+	addr := l.Addr().String()
+	l.Close()
+	return &member{r: r, number: number, name: fmt.Sprintf("n%d", number+1), addr: addr, agent: a, pool: &client.Pool{Addr: addr}}, nil
+}
+
+// start starts its node, with the list as its agent last had it.
+func (m *member) start() error {
+	var held []policy.Entry
+	m.agent.mu.Lock()
+	for _, id := range m.agent.order {
+		if e := m.agent.all[id]; e.State != policy.Gone {
+			held = append(held, e)
+		}
+	}
+	m.agent.mu.Unlock()
+	configuration, err := json.Marshal(map[string]any{"name": m.name, "listen": m.addr, "discovery": m.agent.at.Addr().String(),
+		"seed": fmt.Sprintf("%x", m.r.script.Seed*7919+int64(m.number)*31+int64(m.life)), "limits": map[string]int{"memory_mb": 192, "sockets": 1024},
+		"settings": m.r.script.Settings(m.r.script.Fleet.Zones[0]), "known": json.RawMessage(m.r.list(0, true, held))})
+	if err != nil {
+		return err
+	}
+	number := m.number
+	p, err := m.r.runner.Start(m.name, configuration, func(e records.Entry, at time.Time) { m.r.note(number, e, at) })
+	if err != nil {
+		return fmt.Errorf("node %s does not start: %w", m.name, err)
+	}
+	m.r.mu.Lock()
+	m.process, m.killed, m.ending = p, false, false
+	m.life++
+	life := m.life
+	m.r.mu.Unlock()
+	go func() {
+		<-p.Done()
+		m.r.mu.Lock()
+		defer m.r.mu.Unlock()
+		if m.life == life && !m.ending && !m.r.stopped {
+			m.serving = false
+			m.r.died = append(m.r.died, m.name+": "+p.Ended())
+		}
+	}()
+	return nil
+}
+
+// EndNode ends a node, and its clients stop coming soon after; the lock is held.
+func (r *Rig) EndNode(number int, orderly bool) {
+	m := r.nodes[number]
+	m.ending = true
+	if !orderly {
+		m.killed, m.serving = true, false
+		m.process.Kill()
+		return
+	}
+	m.process.End()
+	r.At(r.now().Add(goesOnFor), func() {
+		if m.ending {
+			m.serving = false
+		}
+	})
+}
+
+// StartNode starts it anew once the old one has ended; the lock is held.
+func (r *Rig) StartNode(number int) {
+	m := r.nodes[number]
+	go func() {
+		<-m.process.Done()
+		if r.over() {
+			return
+		}
+		if err := m.start(); err != nil {
+			r.mu.Lock()
+			r.died = append(r.died, err.Error())
+			r.mu.Unlock()
+			return
+		}
+		for !m.pool.Ready() {
+			if r.over() {
+				return
+			}
+			time.Sleep(lookAgain)
+		}
+		r.mu.Lock()
+		m.serving = true
+		r.mu.Unlock()
+	}()
+}
+
+func (r *Rig) over() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stopped
+}
+
+// stop ends its node, as hard as it takes.
+func (m *member) stop() {
+	m.r.mu.Lock()
+	m.ending, m.serving = true, false
+	p := m.process
+	m.r.mu.Unlock()
+	if p == nil {
+		return
+	}
+	p.End()
+	m.pool.Close() // or it would wait for idle clients
+	select {
+	case <-p.Done():
+	case <-time.After(m.r.terms.LongestStop + spareToEnd):
+		p.Kill()
+		<-p.Done()
+	}
+}
--- /dev/null
+++ b/internal/emulator/onwire/rig.go
@@ -0,0 +1,473 @@
+// Package onwire plays a script in real time, on real sockets: caches, origin, discovery and clients stand on loopback
+// round nodes that are processes of their own, or embedded. All of it but the nodes is one model of the world under one
+// lock.
+package onwire
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"dahliapin/internal/emulator/client"
+	"dahliapin/internal/emulator/course"
+	"dahliapin/internal/emulator/judge"
+	"dahliapin/internal/emulator/outcome"
+	"dahliapin/internal/emulator/script"
+	"dahliapin/internal/emulator/world"
+	"dahliapin/internal/houserules"
+	"dahliapin/internal/keyhash"
+	"dahliapin/internal/net/deadlines"
+	"dahliapin/internal/records"
+	"dahliapin/policy"
+)
+
+const (
+	epoch      = policy.Instant(time.Second)
+	slack      = 50 * time.Millisecond  // that sockets and a busy machine may take before it counts as a breach
+	startsFor  = 20 * time.Second       // that nodes may take until they serve
+	goesOnFor  = 250 * time.Millisecond // that clients still come to a node that was told to end
+	spareToEnd = 2 * time.Second        // over the longest hard stop, until a node that was told to end is ended
+	lookAgain  = 20 * time.Millisecond
+)
+
+// Runner starts nodes.
+type Runner interface {
+	// Start starts a node with such a configuration. Its records go to note, in the time of their making.
+	Start(name string, configuration []byte, note func(records.Entry, time.Time)) (Process, error)
+}
+
+// Process is one node that runs.
+type Process interface {
+	End()                  // as an operator would
+	Kill()                 // at once; only a process of its own can be
+	Done() <-chan struct{} // closed once it has ended
+	Ended() string         // how, once it has; "" for well
+}
+
+// Rig is one run.
+type Rig struct {
+	script *script.Script
+	terms  houserules.Terms
+	runner Runner
+	began  time.Time
+	tell   func(string) // progress, a line at a time; nil for nobody
+
+	mu      sync.Mutex
+	world   *world.World
+	traffic *world.Traffic
+	judge   *judge.Judge
+	log     *outcome.Log
+	course  *course.Course
+	fleet   *records.Book
+	queue   deadlines.Queue[func()]
+	wake    chan struct{}
+	chance  keyhash.Source
+	servers []*server
+	legs    map[uint64]*leg
+	tags    uint64
+	nodes   []*member
+	avoids  map[policy.CacheID]map[int]bool
+	upList  chan struct{} // closed while discovery is up
+	pending []policy.Entry
+	died    []string
+	asking  sync.WaitGroup
+	stopped bool
+}
+
+// Play plays a script on sockets. A cancelled context ends it early, without a report.
+func Play(ctx context.Context, s *script.Script, runner Runner, tell func(string)) (*outcome.Report, error) {
+	v, err := fastjson.ParseBytes(s.Settings(s.Fleet.Zones[0]))
+	if err != nil {
+		return nil, err
+	}
+	terms, err := houserules.Decode(v)
+	if err != nil {
+		return nil, fmt.Errorf("the script's settings cannot be used: %w", err)
+	}
+	up := make(chan struct{})
+	close(up)
+	r := &Rig{script: s, terms: terms, runner: runner, began: time.Now(), tell: tell, wake: make(chan struct{}, 1), legs: map[uint64]*leg{},
+		avoids: map[policy.CacheID]map[int]bool{}, upList: up}
+	r.chance.Seed = uint32(s.Seed) ^ 0x0f1ee7
+	r.judge = judge.New(judge.Terms{Grades: terms.Rules.Grades, SecondCopies: s.Allowed.SecondCopies,
+		Grace: script.Span(s.Allowed.GraceMs / 1000), Slack: slack})
+	r.world = world.New(s.World(r))
+	r.traffic = world.NewTraffic(s.Asks())
+	r.log = outcome.NewLog(s, epoch)
+	defer r.close()
+	for i := range r.world.Servers {
+		if err := r.open(i); err != nil {
+			return nil, err
+		}
+	}
+	if s.Fleet.Warm {
+		r.warm()
+	}
+	go r.clock()
+	for n := range s.Fleet.Nodes {
+		m, err := r.newMember(n)
+		if err != nil {
+			return nil, err
+		}
+		r.nodes = append(r.nodes, m)
+		if err := m.start(); err != nil {
+			return nil, err
+		}
+	}
+	if err := r.ready(ctx); err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	start := r.now()
+	r.log = outcome.NewLog(s, start)
+	r.fleet = records.New(outcome.FleetsBook, r.log.Note, isOrigin)
+	r.fleet.Listed(start, policy.Whole, r.entries())
+	r.course = course.Play(s, r.world, r.traffic, start, r)
+	r.poke()
+	r.mu.Unlock()
+	if err := r.arrivals(ctx, start); err != nil {
+		return nil, err
+	}
+	select { // the last ones have their hard stops still to come
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(terms.LongestStop + 2*slack):
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.judge.Advance(r.now().Add(time.Hour)) // whoever has no answer by now has none
+	report := outcome.Draw(s, "sockets", "module", r.world, r.judge, r.log, r.course.First, r.course.Last)
+	for _, how := range r.died {
+		report.Expected = append(report.Expected, outcome.Expected{What: "no node ends by itself", Got: how})
+	}
+	return report, nil
+}
+
+func isOrigin(e policy.Entry) bool { return e.ID == world.OriginID }
+
+func (r *Rig) now() policy.Instant { return r.at(time.Now()) }
+
+func (r *Rig) at(t time.Time) policy.Instant { return epoch.Add(t.Sub(r.began)) }
+
+// clock does what is due, under the lock, and sleeps between.
+func (r *Rig) clock() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		r.mu.Lock()
+		if r.stopped {
+			r.mu.Unlock()
+			return
+		}
+		now := r.now()
+		for {
+			do, ok := r.queue.Due(now)
+			if !ok {
+				break
+			}
+			do()
+		}
+		r.world.Advance(now, r.served)
+		r.judge.Advance(now)
+		next := now.Add(time.Second)
+		if at, any := r.queue.Next(); any {
+			next = min(next, at)
+		}
+		if at, any := r.world.Next(); any {
+			next = min(next, at)
+		}
+		r.mu.Unlock()
+		timer.Reset(max(0, next.Since(r.now())))
+		select {
+		case <-timer.C:
+		case <-r.wake:
+		}
+	}
+}
+
+// poke lets the clock look again at what is due next.
+func (r *Rig) poke() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// At hangs something in; it is done under the lock.
+func (r *Rig) At(at policy.Instant, do func()) {
+	r.queue.Put(at, do)
+	r.poke()
+}
+
+func (r *Rig) entries() (es []policy.Entry) {
+	for i := range r.world.Servers {
+		if r.world.Servers[i].State != policy.Gone {
+			es = append(es, course.EntryOf(r.world, i))
+		}
+	}
+	return es
+}
+
+// warm puts keys where the module would send them.
+func (r *Rig) warm() {
+	p := policy.New(epoch, r.script.Seed, r.terms.Rules)
+	p.Listed(epoch, policy.Whole, r.entries())
+	world.WarmBy(r.world, p.Where, epoch, r.traffic, r.script.Fleet.Keys*r.script.Fleet.Caches)
+}
+
+func (r *Rig) ready(ctx context.Context) error {
+	by := time.Now().Add(startsFor)
+	for _, m := range r.nodes {
+		for !m.pool.Ready() {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-m.process.Done():
+				return fmt.Errorf("node %s ended before it served: %s", m.name, m.process.Ended())
+			case <-time.After(lookAgain):
+			}
+			if time.Now().After(by) {
+				return fmt.Errorf("node %s does not serve within %v", m.name, startsFor)
+			}
+		}
+		r.mu.Lock()
+		m.serving = true
+		r.mu.Unlock()
+	}
+	return nil
+}
+
+// arrivals plays the traffic, open loop: a try goes out at its time, whatever became of earlier ones.
+func (r *Rig) arrivals(ctx context.Context, start policy.Instant) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	end, said := start.Add(r.script.Long()), 0
+	r.mu.Lock()
+	at := r.traffic.Next(start)
+	r.mu.Unlock()
+	for at < end {
+		timer.Reset(max(0, at.Since(r.now())))
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+		}
+		r.mu.Lock()
+		for now := r.now(); at <= now && at < end; { // the traffic's time is the script's: waves and seconds are its own
+			req := r.traffic.Draw(at)
+			r.ask(req, at, true)
+			if now.Since(at) > outcome.LateBy {
+				r.log.Late++
+			}
+			at = r.traffic.Next(at)
+		}
+		r.mu.Unlock()
+		if sec := int(r.now().Since(start) / time.Second); sec > said && r.tell != nil {
+			said = sec
+			r.tell(r.progress(sec))
+		}
+	}
+	return nil
+}
+
+func (r *Rig) progress(sec int) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last := r.log.Seconds[max(0, sec-1)]
+	return fmt.Sprintf("%3d of %g s: %d asked, %d in time, %d legs (%d at the origin), %d breaches", sec, r.script.Seconds, last.Asked,
+		last.InTime, last.Legs, last.Origin, r.judge.Broken())
+}
+
+// ask sends one try; the lock is held.
+func (r *Rig) ask(req world.Request, first policy.Instant, isFirst bool) {
+	r.log.Asked(req.Sent, isFirst)
+	var up []*member
+	for _, m := range r.nodes {
+		if m.serving {
+			up = append(up, m)
+		}
+	}
+	g := &r.traffic.Grades[req.Grade]
+	if len(up) == 0 {
+		t := &r.judge.Grades[req.Grade]
+		if t.Asked, t.Cut = t.Asked+1, t.Cut+1; isFirst {
+			t.First++
+		}
+		return
+	}
+	m := up[int(r.chance.Next()*float64(len(up)))]
+	now, life := r.now(), m.life
+	r.judge.Sent(now, req.ID, m.number, req.Grade, req.Label, now.Add(req.HardStop), isFirst)
+	a := &client.Ask{ID: req.ID, Key: req.Key, Label: req.Label, Grade: g.Name, Write: g.Write, Repeat: req.Try > 1, Wait: req.HardStop}
+	if g.Write {
+		a.Value = world.ValueOf(req.Key)
+	}
+	r.asking.Add(1)
+	m.pool.Ask(a, func(got client.Answer) {
+		defer r.asking.Done()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.answered(m, life, req, first, got)
+	})
+}
+
+// answered hears what came of a try.
+func (r *Rig) answered(m *member, life int, req world.Request, first policy.Instant, got client.Answer) {
+	if r.stopped {
+		return
+	}
+	g, now := &r.traffic.Grades[req.Grade], r.at(got.Got)
+	switch {
+	case got.Silent: // the judge counts it as lost at its hard stop
+		return
+	case got.Final == judge.Cut && m.life != life || got.Final == judge.Cut && m.killed:
+		r.judge.Excuse(req.ID)
+		r.judge.Grades[req.Grade].Cut++
+	default:
+		if got.Final == judge.Satisfied && !g.Write && got.Value != world.ValueOf(req.Key) {
+			got.Wrong = fmt.Sprintf("the value of %s is %q", req.Key, got.Value)
+		}
+		if got.Wrong != "" {
+			r.judge.Wrong(now, req.ID, got.Wrong)
+		}
+		r.judge.Answered(now, req.ID, got.Final)
+	}
+	if got.Final == judge.Satisfied {
+		if now.Since(first) <= g.SoftLimit {
+			r.judge.Served(req.Grade)
+			r.log.InTime(first)
+		}
+		return
+	}
+	if next, at, ok := r.traffic.Again(now, req, got.Final == judge.Dismissed, got.ComeBack); ok {
+		r.At(at, func() {
+			if !r.stopped {
+				next.Sent = r.now()
+				r.ask(next, first, false)
+			}
+		})
+	}
+}
+
+// Effect hears what really happens.
+func (r *Rig) Effect(now policy.Instant, id, label string, grade int, server policy.CacheID) {
+	r.judge.Effect(now, id, label, grade, server)
+}
+
+// Fell hears that a server was pushed over.
+func (r *Rig) Fell(now policy.Instant, server policy.CacheID, why string) {
+	r.judge.Fell(now, server, why)
+	r.log.Say(now, string(server)+" "+why)
+	if i, ok := r.world.Find(server); ok && !r.world.IsOrigin(i) {
+		r.At(now, func() { r.Broke(i) })
+	}
+}
+
+// Rose hears that it is back.
+func (r *Rig) Rose(now policy.Instant, server policy.CacheID) {
+	if i, ok := r.world.Find(server); ok {
+		r.Listed(course.EntryOf(r.world, i))
+	}
+}
+
+// Said keeps a line of what the script does.
+func (r *Rig) Said(now policy.Instant, what string) { r.log.Say(now, what) }
+
+// Discovery goes down, or comes back and tells what has changed meanwhile.
+func (r *Rig) Discovery(up bool) {
+	if !up {
+		r.upList = make(chan struct{})
+		return
+	}
+	close(r.upList)
+	for _, e := range r.pending {
+		r.Listed(e)
+	}
+	r.pending = nil
+}
+
+func (r *Rig) listDown() bool {
+	select {
+	case <-r.upList:
+		return false
+	default:
+		return true
+	}
+}
+
+// Listed tells a change of the list to each node's agent, late.
+func (r *Rig) Listed(e policy.Entry) {
+	if i, ok := r.world.Find(e.ID); ok {
+		r.attend(i)
+	}
+	if r.listDown() {
+		r.pending = append(r.pending, e)
+		return
+	}
+	for _, m := range r.nodes {
+		span := r.script.Discovery.NoticeS
+		late := script.Span(span[0] + (span[1]-span[0])*r.chance.Next())
+		r.At(r.now().Add(late), func() { m.agent.hear(e) })
+	}
+	if r.fleet != nil {
+		r.At(r.now().Add(script.Span(r.script.Discovery.NoticeS[0])), func() {
+			r.fleet.Listed(r.now(), policy.Changes, []policy.Entry{e})
+		})
+	}
+}
+
+// note hears a node's record. The fleet as a whole avoids what most of its nodes avoid.
+func (r *Rig) note(number int, e records.Entry, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.fleet == nil || r.stopped {
+		return
+	}
+	e.At = r.at(at)
+	r.log.Note(e)
+	s, known := standings[e.Why]
+	if !known || e.What != records.Avoided && e.What != records.Back {
+		return
+	}
+	if r.avoids[e.Server] == nil {
+		r.avoids[e.Server] = map[int]bool{}
+	}
+	if e.What == records.Back {
+		delete(r.avoids[e.Server], number)
+		s = policy.InUse
+	} else {
+		r.avoids[e.Server][number] = true
+	}
+	if most := 2*len(r.avoids[e.Server]) > len(r.nodes); most || e.What == records.Back {
+		r.fleet.Stands(e.At, e.Server, s)
+	}
+}
+
+var standings = map[string]policy.Standing{policy.Quiet.String(): policy.Quiet, policy.Refusing.String(): policy.Refusing,
+	policy.Erring.String(): policy.Erring}
+
+// close ends all that runs.
+func (r *Rig) close() {
+	for _, m := range r.nodes {
+		m.stop()
+	}
+	r.mu.Lock()
+	r.stopped = true
+	for _, s := range r.servers {
+		s.shut()
+	}
+	if r.listDown() {
+		close(r.upList)
+	}
+	nodes := r.nodes
+	r.mu.Unlock()
+	r.poke()
+	for _, m := range nodes {
+		m.pool.Close()
+		m.agent.close()
+	}
+	r.asking.Wait()
+}
--- /dev/null
+++ b/internal/emulator/onwire/runner.go
@@ -0,0 +1,119 @@
+package onwire
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"dahliapin/internal/records"
+	"dahliapin/node"
+)
+
+// Embedded runs nodes within this process. They can be ended, not killed.
+type Embedded struct{}
+
+type embedded struct {
+	n    *node.Node
+	done chan struct{}
+}
+
+// Start starts one.
+func (Embedded) Start(name string, configuration []byte, note func(records.Entry, time.Time)) (Process, error) {
+	p, err := node.ParsePosting(configuration)
+	if err != nil {
+		return nil, err
+	}
+	p.Records = note
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	n, err := node.New(p, quiet)
+	if err != nil {
+		return nil, err
+	}
+	e := &embedded{n, make(chan struct{})}
+	go func() {
+		n.Serve()
+		close(e.done)
+	}()
+	return e, nil
+}
+
+func (e *embedded) End()                  { e.n.End() }
+func (e *embedded) Kill()                 { e.n.End() }
+func (e *embedded) Done() <-chan struct{} { return e.done }
+func (e *embedded) Ended() string         { return "" }
+
+// Processes runs each node as a process of its own, by a program that takes serve, --config and --records.
+type Processes struct {
+	Program string
+	Dir     string // for configurations and logs; the caller's to remove
+	started atomic.Int64
+}
+
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+	how  string
+}
+
+// Start starts one.
+func (ps *Processes) Start(name string, configuration []byte, note func(records.Entry, time.Time)) (Process, error) {
+	base := filepath.Join(ps.Dir, fmt.Sprintf("%s-%d", name, ps.started.Add(1)))
+	if err := os.WriteFile(base+".json", configuration, 0o600); err != nil {
+		return nil, err
+	}
+	log, err := os.Create(base + ".log")
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	from, to, err := os.Pipe()
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(ps.Program, "serve", "--config", base+".json", "--records", "/dev/fd/3")
+	cmd.Stdout, cmd.Stderr, cmd.ExtraFiles = log, log, []*os.File{to}
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true} // Ctrl-C is the rig's to hear
+	err = cmd.Start()
+	to.Close()
+	if err != nil {
+		from.Close()
+		return nil, err
+	}
+	p := &process{cmd: cmd, done: make(chan struct{})}
+	go func() {
+		defer from.Close()
+		for lines := bufio.NewScanner(from); lines.Scan(); {
+			var e records.Entry
+			if json.Unmarshal(lines.Bytes(), &e) == nil {
+				note(e, time.Unix(0, int64(e.At)))
+			}
+		}
+	}()
+	go func() {
+		if err := cmd.Wait(); err != nil {
+			p.how = err.Error()
+			if text, bad := os.ReadFile(base + ".log"); bad == nil {
+				lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+				p.how += ": " + lines[len(lines)-1]
+			}
+		}
+		close(p.done)
+	}()
+	return p, nil
+}
+
+func (p *process) End()                  { p.cmd.Process.Signal(syscall.SIGTERM) }
+func (p *process) Kill()                 { p.cmd.Process.Kill() }
+func (p *process) Done() <-chan struct{} { return p.done }
+func (p *process) Ended() string         { return p.how }
--- /dev/null
+++ b/internal/emulator/script/script.go
@@ -0,0 +1,528 @@
+// Package script reads rehearsals: plain files that say what fleet there is, what clients ask, what goes wrong when, and
+// what is expected of it all.
+package script
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"dahliapin/internal/emulator/world"
+	"dahliapin/internal/keyhash"
+	"dahliapin/policy"
+)
+
+// bounds of what one machine plays in one run
+const (
+	mostCaches  = 5000
+	mostNodes   = 10000
+	mostKeys    = 10_000_000
+	mostSeconds = 3600
+	mostRate    = 1_000_000
+	mostEvents  = 1000
+	coldStart   = 400 * time.Millisecond // that a killed process is away at the least before it is back
+)
+
+// Script is one rehearsal.
+type Script struct {
+	Name      string    `toml:"name"`
+	About     string    `toml:"about"`
+	Seed      int64     `toml:"seed"`
+	Seconds   float64   `toml:"seconds"`
+	Fleet     Fleet     `toml:"fleet"`
+	Origin    Origin    `toml:"origin"`
+	Network   Network   `toml:"network"`
+	Discovery Discovery `toml:"discovery"`
+	Allowed   Allowed   `toml:"allowed"`
+	Traffic   Traffic   `toml:"traffic"`
+	Grades    []Grade   `toml:"grade"`
+	Events    []Event   `toml:"event"`
+	Expect    Expect    `toml:"expect"`
+}
+
+// Fleet says what caches and nodes there are.
+type Fleet struct {
+	Nodes        int        `toml:"nodes"`
+	Caches       int        `toml:"caches"`
+	Zones        []string   `toml:"zones"`
+	Group        int        `toml:"group"` // caches of one group, which drop the same repeats
+	Cores        int        `toml:"cores"`
+	Queue        int        `toml:"queue"`
+	Speed        [2]float64 `toml:"speed"`
+	Keys         int        `toml:"keys"`
+	Warm         bool       `toml:"warm"` // caches hold what they would after long service
+	ColdFrom     float64    `toml:"cold_from"`
+	ColdS        float64    `toml:"cold_s"`
+	FallMultiple float64    `toml:"fall_multiple"`
+	FallS        float64    `toml:"fall_s"`
+	Connections  int        `toml:"connections"`
+	HandshakeMs  float64    `toml:"handshake_ms"`
+	IdleS        float64    `toml:"idle_s"`
+	Reports      bool       `toml:"reports"`
+}
+
+// Origin says what stands behind the caches, where they only store.
+type Origin struct {
+	Cores        int     `toml:"cores"`
+	Queue        int     `toml:"queue"`
+	WorkMs       float64 `toml:"work_ms"`
+	StallAt      int     `toml:"stall_at"`
+	Stall        float64 `toml:"stall"`
+	FallMultiple float64 `toml:"fall_multiple"`
+	FallS        float64 `toml:"fall_s"`
+}
+
+// Network is between them all.
+type Network struct {
+	OneWayMs    float64 `toml:"one_way_ms"`
+	CrossZoneMs float64 `toml:"cross_zone_ms"`
+	ClientMs    float64 `toml:"client_ms"`
+	Jitter      float64 `toml:"jitter"`
+}
+
+// Discovery tells changes of the list late.
+type Discovery struct {
+	NoticeS [2]float64 `toml:"notice_s"`
+}
+
+// Allowed is what the deployment lets nodes do.
+type Allowed struct {
+	Mode         string  `toml:"mode"`
+	MostLegs     int     `toml:"most_legs"`
+	SecondCopies bool    `toml:"second_copies"`
+	Cancel       bool    `toml:"cancel"`
+	Probes       bool    `toml:"probes"`
+	ComeBackMs   float64 `toml:"come_back_ms"`
+	GraceMs      float64 `toml:"grace_ms"`
+	ConnectMs    float64 `toml:"connect_ms"`
+	WastePrice   float64 `toml:"waste_price"`
+}
+
+// Traffic is what clients ask.
+type Traffic struct {
+	PerSecond float64 `toml:"per_second"`
+	Swing     float64 `toml:"swing"`
+	WaveS     float64 `toml:"wave_s"`
+	Keys      int     `toml:"keys"`
+	Zipf      float64 `toml:"zipf"`
+	Jitter    float64 `toml:"jitter"`
+}
+
+// Grade is one service grade.
+type Grade struct {
+	Name    string  `toml:"name"`
+	Share   float64 `toml:"share"`
+	Benefit float64 `toml:"benefit"`
+	Effect  string  `toml:"effect"`
+	Scope   string  `toml:"scope"`
+	Write   bool    `toml:"write"`
+	SoftMs  float64 `toml:"soft_ms"`
+	HardMs  float64 `toml:"hard_ms"`
+	WorkMs  float64 `toml:"work_ms"`
+	WindowS float64 `toml:"window_s"`
+	Tries   int     `toml:"tries"`
+}
+
+// Event is one thing that goes wrong, or is done.
+type Event struct {
+	AtS    float64  `toml:"at_s"`
+	Do     string   `toml:"do"`
+	Caches []string `toml:"caches"`
+	Part   float64  `toml:"part"` // of the caches, chosen by the seed, instead of names
+	Nodes  []int    `toml:"nodes"`
+	Factor float64  `toml:"factor"`
+	Share  float64  `toml:"share"`
+	Rank   int      `toml:"rank"`
+	Count  int      `toml:"count"`
+	ForS   float64  `toml:"for_s"`
+	Fault  string   `toml:"fault"`
+}
+
+// Expect says what makes a run good, beside the four rules, which always hold.
+type Expect struct {
+	Satisfied   map[string]float64 `toml:"satisfied"` // share of first tries of a grade that were satisfied within the soft limit
+	P99Ms       map[string]float64 `toml:"p99_ms"`
+	Avoided     []Avoidance        `toml:"avoided"`
+	Drained     []string           `toml:"drained"`
+	OriginMost  float64            `toml:"origin_most_per_s"` // legs there in any second
+	RecoveredBy float64            `toml:"recovered_by_s"`    // from then on, no worse than before the first event
+	Excess      float64            `toml:"most_legs_per_retrieval"`
+}
+
+// Avoidance is that a server is avoided by a time.
+type Avoidance struct {
+	Server string  `toml:"server"`
+	ByS    float64 `toml:"by_s"`
+}
+
+// What an event may do, and what it needs.
+var kinds = map[string]struct {
+	caches, factor, share, nodes, long bool
+}{
+	"slow": {caches: true, factor: true, long: true}, "crowd": {caches: true, share: true, long: true},
+	"pause": {caches: true, long: true}, "kill": {caches: true}, "silent": {caches: true}, "restart": {caches: true},
+	"drain": {caches: true}, "add": {}, "shrink": {}, "hot": {share: true, long: true}, "burst": {factor: true, long: true},
+	"origin_slow": {factor: true, long: true}, "discovery_down": {long: true}, "node_restart": {nodes: true},
+	"node_kill": {nodes: true}, "fault": {caches: true, long: true}, "errors": {caches: true, share: true, long: true},
+}
+
+// Faults of the wire.
+var faults = []string{"refuse", "reset", "silent", "half", "garbage"}
+
+func usual() Script {
+	return Script{
+		Seed: 1, Seconds: 30,
+		Fleet: Fleet{Nodes: 1, Caches: 12, Zones: []string{"a"}, Group: 4, Cores: 1, Queue: 12, Speed: [2]float64{1, 1}, Keys: 2000, Warm: true,
+			ColdFrom: 0.4, ColdS: 5, FallMultiple: 3, FallS: 1, Connections: 600, HandshakeMs: 1, IdleS: 15},
+		Origin:    Origin{Cores: 4, Queue: 64, WorkMs: 15, StallAt: 40, Stall: 2, FallMultiple: 3, FallS: 1},
+		Network:   Network{OneWayMs: 0.2, CrossZoneMs: 5, ClientMs: 0.5, Jitter: 0.2},
+		Discovery: Discovery{NoticeS: [2]float64{0.3, 1}},
+		Allowed: Allowed{Mode: "aside", MostLegs: 3, SecondCopies: true, Cancel: true, Probes: true, ComeBackMs: 600, GraceMs: 400,
+			ConnectMs: 100, WastePrice: 0.04},
+		Traffic: Traffic{PerSecond: 300, Keys: 5000, Zipf: 0.9, WaveS: 30, Jitter: 0.5},
+	}
+}
+
+// Fault is what is wrong with a script, and where.
+type Fault struct {
+	File   string
+	Line   int // 0 where it is the whole that is wrong
+	Reason string
+}
+
+func (f Fault) Error() string {
+	if f.Line == 0 {
+		return f.File + ": " + f.Reason
+	}
+	return fmt.Sprintf("%s:%d: %s", f.File, f.Line, f.Reason)
+}
+
+// Read reads a script from a file.
+func Read(path string) (*Script, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("the script cannot be read: %w", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse reads a script. What is wrong with it is told with its line.
+func Parse(file string, text []byte) (*Script, error) {
+	s := usual()
+	decoder := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		var unknown *toml.StrictMissingError
+		var bad *toml.DecodeError
+		switch {
+		case errors.As(err, &unknown) && len(unknown.Errors) > 0:
+			first := unknown.Errors[0]
+			row, _ := first.Position()
+			return nil, Fault{file, row, "no such field: " + strings.Join(first.Key(), ".")}
+		case errors.As(err, &bad):
+			row, _ := bad.Position()
+			return nil, Fault{file, row, strings.TrimPrefix(bad.Error(), "toml: ")}
+		}
+		return nil, Fault{file, 0, err.Error()}
+	}
+	c := &checker{file: file, lines: linesOf(text)}
+	s.check(c)
+	if c.first != nil {
+		return nil, *c.first
+	}
+	if s.Name == "" {
+		s.Name = strings.TrimSuffix(file[strings.LastIndexByte(file, '/')+1:], ".toml")
+	}
+	return &s, nil
+}
+
+// linesOf finds the line of each field by its path; a table of an array has its number in it, from 0.
+func linesOf(text []byte) map[string]int {
+	lines, p, prefix, tables := map[string]int{}, unstable.Parser{}, "", map[string]int{}
+	p.Reset(text)
+	for p.NextExpression() {
+		e := p.Expression()
+		var parts []string
+		line := 0
+		for k := e.Key(); k.Next(); {
+			parts = append(parts, string(k.Node().Data))
+			if line == 0 {
+				line = p.Shape(k.Node().Raw).Start.Line
+			}
+		}
+		path := strings.Join(parts, ".")
+		switch e.Kind {
+		case unstable.Table:
+			prefix = path + "."
+		case unstable.ArrayTable:
+			prefix = path + "." + strconv.Itoa(tables[path]) + "."
+			tables[path]++
+		case unstable.KeyValue:
+			path = prefix + path
+		}
+		if e.Kind != unstable.KeyValue {
+			path = strings.TrimSuffix(prefix, ".")
+		}
+		lines[path] = line
+	}
+	return lines
+}
+
+type checker struct {
+	file  string
+	lines map[string]int
+	first *Fault
+}
+
+// want notes what is wrong at a path unless it holds; the fault that stands first is kept. A field that is not written
+// has the line of what it belongs to.
+func (c *checker) want(holds bool, path, reason string, args ...any) {
+	if holds {
+		return
+	}
+	line, at := 0, path
+	for line == 0 && at != "" {
+		line = c.lines[at]
+		at = at[:max(0, strings.LastIndexByte(at, '.'))]
+	}
+	if c.first == nil || line < c.first.Line {
+		c.first = &Fault{c.file, line, path + ": " + fmt.Sprintf(reason, args...)}
+	}
+}
+
+func (c *checker) within(x, least, most float64, path string) {
+	c.want(x >= least && x <= most, path, "%v is not from %v to %v", x, least, most)
+}
+
+func (s *Script) check(c *checker) {
+	c.within(s.Seconds, 1, mostSeconds, "seconds")
+	f := &s.Fleet
+	c.within(float64(f.Nodes), 1, mostNodes, "fleet.nodes")
+	c.within(float64(f.Caches), 1, mostCaches, "fleet.caches")
+	c.within(float64(f.Cores), 1, 1024, "fleet.cores")
+	c.within(float64(f.Queue), 0, 1e6, "fleet.queue")
+	c.within(float64(f.Keys), 1, mostKeys, "fleet.keys")
+	c.within(float64(f.Group), 1, mostCaches, "fleet.group")
+	c.within(float64(f.Connections), 1, 1e6, "fleet.connections")
+	c.within(f.Speed[0], 0.001, 1000, "fleet.speed")
+	c.within(f.Speed[1], f.Speed[0], 1000, "fleet.speed")
+	c.within(f.ColdFrom, 0.01, 1, "fleet.cold_from")
+	c.within(f.ColdS, 0, mostSeconds, "fleet.cold_s")
+	c.within(f.FallMultiple, 0, 1e6, "fleet.fall_multiple")
+	c.within(f.FallS, 0, mostSeconds, "fleet.fall_s")
+	c.within(f.HandshakeMs, 0, 1000, "fleet.handshake_ms")
+	c.within(f.IdleS, 0.1, mostSeconds, "fleet.idle_s")
+	c.want(len(f.Zones) > 0, "fleet.zones", "names no zone")
+	o := &s.Origin
+	c.within(float64(o.Cores), 1, 1024, "origin.cores")
+	c.within(float64(o.Queue), 0, 1e6, "origin.queue")
+	c.within(o.WorkMs, 0.01, 1e5, "origin.work_ms")
+	c.within(float64(o.StallAt), 1, 1e6, "origin.stall_at")
+	c.within(o.Stall, 1, 1000, "origin.stall")
+	c.within(o.FallMultiple, 0, 1e6, "origin.fall_multiple")
+	c.within(o.FallS, 0, mostSeconds, "origin.fall_s")
+	for path, ms := range map[string]float64{"network.one_way_ms": s.Network.OneWayMs, "network.cross_zone_ms": s.Network.CrossZoneMs,
+		"network.client_ms": s.Network.ClientMs, "allowed.come_back_ms": s.Allowed.ComeBackMs, "allowed.grace_ms": s.Allowed.GraceMs,
+		"allowed.connect_ms": s.Allowed.ConnectMs} {
+		c.within(ms, 0, 1e5, path)
+	}
+	c.within(s.Network.Jitter, 0, 1, "network.jitter")
+	c.within(s.Discovery.NoticeS[0], 0, mostSeconds, "discovery.notice_s")
+	c.within(s.Discovery.NoticeS[1], s.Discovery.NoticeS[0], mostSeconds, "discovery.notice_s")
+	c.want(s.Allowed.Mode == "aside" || s.Allowed.Mode == "through", "allowed.mode", "%q is neither aside nor through", s.Allowed.Mode)
+	c.within(float64(s.Allowed.MostLegs), 1, 100, "allowed.most_legs")
+	c.within(s.Allowed.WastePrice, 0, 100, "allowed.waste_price")
+	t := &s.Traffic
+	c.within(t.PerSecond, 0, mostRate, "traffic.per_second")
+	c.within(t.Swing, 0, 1, "traffic.swing")
+	c.within(t.WaveS, 0, mostSeconds, "traffic.wave_s")
+	c.within(float64(t.Keys), 1, mostKeys, "traffic.keys")
+	c.within(t.Zipf, 0, 5, "traffic.zipf")
+	c.within(t.Jitter, 0, 10, "traffic.jitter")
+	s.checkGrades(c)
+	s.checkEvents(c)
+	s.checkExpect(c)
+}
+
+func (s *Script) checkGrades(c *checker) {
+	c.want(len(s.Grades) > 0, "grade", "no grade is stated, so nothing can be asked")
+	names, sum := map[string]bool{}, 0.0
+	for i := range s.Grades {
+		g, at := &s.Grades[i], fmt.Sprintf("grade.%d.", i)
+		g.Tries, g.Effect, g.Scope = cmp.Or(g.Tries, 1), cmp.Or(g.Effect, "redoable"), cmp.Or(g.Scope, "all")
+		c.want(g.Name != "" && !strings.ContainsAny(g.Name, " ,=\r\n"), at+"name", "%q is no name", g.Name)
+		c.want(!names[g.Name], at+"name", "%q stands twice", g.Name)
+		names[g.Name] = true
+		_, known := effects[g.Effect]
+		c.want(known, at+"effect", "%q is none of redoable, labelled, irreversible", g.Effect)
+		_, known = scopes[g.Scope]
+		c.want(known, at+"scope", "%q is none of all, zone, group", g.Scope)
+		c.within(g.Share, 0, 1e6, at+"share")
+		c.within(g.Benefit, 0, 1e6, at+"benefit")
+		c.within(g.SoftMs, 1, 1e6, at+"soft_ms")
+		c.within(g.HardMs, g.SoftMs, 1e6, at+"hard_ms")
+		c.within(g.WorkMs, 0.01, 1e5, at+"work_ms")
+		c.within(g.WindowS, 0, mostSeconds, at+"window_s")
+		c.within(float64(g.Tries), 1, 20, at+"tries")
+		c.want(g.Effect == "redoable" || g.Write, at+"effect", "a read is redoable")
+		c.want(g.Effect != "labelled" || g.WindowS > 0, at+"window_s", "a labelled grade needs a window")
+		sum += g.Share
+	}
+	c.want(len(s.Grades) == 0 || sum > 0, "grade", "all shares are 0, so nothing is asked")
+}
+
+func (s *Script) checkEvents(c *checker) {
+	c.want(len(s.Events) <= mostEvents, "event", "more than %d events", mostEvents)
+	added := 0
+	for _, e := range s.Events {
+		if e.Do == "add" {
+			added += max(1, e.Count)
+		}
+	}
+	for i := range s.Events {
+		e, at := &s.Events[i], fmt.Sprintf("event.%d.", i)
+		k, known := kinds[e.Do]
+		c.want(known, at+"do", "%q is nothing that can be done", e.Do)
+		if !known {
+			continue
+		}
+		c.within(e.AtS, 0, s.Seconds, at+"at_s")
+		c.within(e.ForS, 0, mostSeconds, at+"for_s")
+		c.within(e.Part, 0, 1, at+"part")
+		c.want(!k.long || e.ForS > 0, at+"for_s", "%s needs how long it lasts", e.Do)
+		c.want(!k.caches || (len(e.Caches) > 0) != (e.Part > 0), at+"caches", "%s needs either names of caches or a part of them", e.Do)
+		c.want(k.caches || len(e.Caches) == 0 && e.Part == 0, at+"caches", "%s concerns no caches", e.Do)
+		for _, name := range e.Caches {
+			n, err := strconv.Atoi(strings.TrimPrefix(name, "c"))
+			c.want(err == nil && strings.HasPrefix(name, "c") && n >= 1 && n <= s.Fleet.Caches+added, at+"caches", "there is no server %q", name)
+		}
+		c.want(!k.nodes || len(e.Nodes) > 0, at+"nodes", "%s needs numbers of nodes", e.Do)
+		for _, n := range e.Nodes {
+			c.want(n >= 1 && n <= s.Fleet.Nodes, at+"nodes", "there is no node %d", n)
+		}
+		if k.factor {
+			c.within(e.Factor, 0.01, 1000, at+"factor")
+		} else {
+			c.want(e.Factor == 0, at+"factor", "%s takes no factor", e.Do)
+		}
+		if k.share {
+			c.within(e.Share, 0.001, 1, at+"share")
+		} else {
+			c.want(e.Share == 0, at+"share", "%s takes no share", e.Do)
+		}
+		c.within(float64(e.Rank), 0, float64(s.Traffic.Keys-1), at+"rank")
+		c.within(float64(e.Count), 0, mostCaches, at+"count")
+		c.want(e.Do != "shrink" || e.Count < s.Fleet.Caches, at+"count", "a fleet of %d can't shrink by %d", s.Fleet.Caches, e.Count)
+		c.want(e.Do != "fault" || slices.Contains(faults, e.Fault), at+"fault", "%q is none of %s", e.Fault, strings.Join(faults, ", "))
+		c.want(e.Do == "fault" || e.Fault == "", at+"fault", "%s takes no fault", e.Do)
+		c.want(e.Do != "origin_slow" || s.Allowed.Mode == "aside", at+"do", "there is no origin in through mode")
+	}
+}
+
+func (s *Script) checkExpect(c *checker) {
+	known := func(grade string) bool {
+		return slices.ContainsFunc(s.Grades, func(g Grade) bool { return g.Name == grade })
+	}
+	for _, name := range sorted(s.Expect.Satisfied) {
+		c.want(known(name), "expect.satisfied", "there is no grade %q", name)
+		c.within(s.Expect.Satisfied[name], 0, 1, "expect.satisfied")
+	}
+	for _, name := range sorted(s.Expect.P99Ms) {
+		c.want(known(name), "expect.p99_ms", "there is no grade %q", name)
+		c.within(s.Expect.P99Ms[name], 0, 1e6, "expect.p99_ms")
+	}
+	for i, a := range s.Expect.Avoided {
+		at := fmt.Sprintf("expect.avoided.%d.", i)
+		c.want(strings.HasPrefix(a.Server, "c"), at+"server", "there is no server %q", a.Server)
+		c.within(a.ByS, 0, s.Seconds, at+"by_s")
+	}
+	c.within(s.Expect.OriginMost, 0, 1e6, "expect.origin_most_per_s")
+	c.within(s.Expect.RecoveredBy, 0, s.Seconds, "expect.recovered_by_s")
+	c.within(s.Expect.Excess, 0, 100, "expect.most_legs_per_retrieval")
+}
+
+func sorted(m map[string]float64) []string {
+	names := make([]string, 0, len(m))
+	for n := range m {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+var (
+	effects = map[string]policy.Effect{"redoable": policy.Redoable, "labelled": policy.Labelled, "irreversible": policy.Irreversible}
+	scopes  = map[string]policy.Scope{"all": policy.AllCaches, "zone": policy.SameZone, "group": policy.SameGroup}
+)
+
+// Span turns seconds into whole nanoseconds.
+func Span(seconds float64) time.Duration { return time.Duration(math.Round(seconds * 1e9)) }
+
+func ms(x float64) time.Duration { return Span(x / 1000) }
+
+// Long is how long it plays.
+func (s *Script) Long() time.Duration { return Span(s.Seconds) }
+
+// Terms are the grades as the world has them.
+func (s *Script) Terms() (gs []world.Grade) {
+	for _, g := range s.Grades {
+		gs = append(gs, world.Grade{Name: g.Name, Write: g.Write, HardStop: ms(g.HardMs), Work: ms(g.WorkMs), Share: g.Share, Tries: g.Tries,
+			Grade: policy.Grade{Benefit: g.Benefit, SoftLimit: ms(g.SoftMs), Effect: effects[g.Effect], Scope: scopes[g.Scope], Window: Span(g.WindowS)}})
+	}
+	return gs
+}
+
+// Cache is the n-th cache's traits, from 1, those that are added among them.
+func (s *Script) Cache(n int) world.Traits {
+	f := &s.Fleet
+	chance := keyhash.Source{Seed: uint32(s.Seed) ^ uint32(n)*2654435761}
+	speed := f.Speed[0] + (f.Speed[1]-f.Speed[0])*chance.Next()
+	return world.Traits{ID: policy.CacheID(fmt.Sprintf("c%d", n)), Zone: policy.ZoneID(f.Zones[(n-1)%len(f.Zones)]),
+		Group: policy.GroupID((n - 1) / f.Group), Cores: f.Cores, Queue: f.Queue, Speed: speed, Weight: speed * float64(f.Cores),
+		Keys: f.Keys, ColdFrom: f.ColdFrom, ColdFor: Span(f.ColdS), FallMultiple: f.FallMultiple, FallFor: Span(f.FallS),
+		Connections: f.Connections, Handshake: ms(f.HandshakeMs)}
+}
+
+// World is the world at its start.
+func (s *Script) World(hearer world.Hearer) world.Plan {
+	p := world.Plan{Grades: s.Terms(), Seed: uint32(s.Seed), Hearer: hearer, Origin: world.OriginTraits{Cores: s.Origin.Cores, Queue: s.Origin.Queue,
+		Work: ms(s.Origin.WorkMs), StallAt: s.Origin.StallAt, Stall: s.Origin.Stall, FallMultiple: s.Origin.FallMultiple, FallFor: Span(s.Origin.FallS)}}
+	if s.Allowed.Mode == "through" {
+		p.Mode = world.Through
+	}
+	for n := range s.Fleet.Caches {
+		p.Caches = append(p.Caches, s.Cache(n+1))
+	}
+	return p
+}
+
+// Asks is what clients ask.
+func (s *Script) Asks() world.TrafficPlan {
+	return world.TrafficPlan{PerSecond: s.Traffic.PerSecond, Swing: s.Traffic.Swing, Wave: Span(s.Traffic.WaveS), Keys: s.Traffic.Keys,
+		Zipf: s.Traffic.Zipf, Grades: s.Terms(), Seed: uint32(s.Seed) ^ 0x5eed, Jitter: s.Traffic.Jitter}
+}
+
+// Chosen returns the caches that an event concerns, in the order of their names' hashes where it chooses by a part.
+func (s *Script) Chosen(e *Event) []policy.CacheID {
+	var ids []policy.CacheID
+	for _, name := range e.Caches {
+		ids = append(ids, policy.CacheID(name))
+	}
+	if e.Part > 0 {
+		for n := range s.Fleet.Caches {
+			ids = append(ids, policy.CacheID(fmt.Sprintf("c%d", n+1)))
+		}
+		score := func(id policy.CacheID) uint64 { return keyhash.Salted(keyhash.Text(string(id)), int(s.Seed)) }
+		slices.SortFunc(ids, func(a, b policy.CacheID) int { return cmp.Compare(score(a), score(b)) })
+		ids = ids[:max(1, int(math.Round(e.Part*float64(len(ids)))))]
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/emulator/script/settings.go
@@ -0,0 +1,32 @@
+package script
+
+import "encoding/json"
+
+// Settings is what a node of this deployment is told at its start, as its configuration has it.
+func (s *Script) Settings(zone string) json.RawMessage {
+	effect := map[string]string{"redoable": "idempotent", "labelled": "deduplicated", "irreversible": "irreversible"}
+	var grades []map[string]any
+	for _, g := range s.Grades {
+		grades = append(grades, map[string]any{"name": g.Name, "benefit": g.Benefit, "effect": effect[g.Effect], "group": g.Scope,
+			"soft_limit_s": g.SoftMs / 1000, "hard_stop_s": g.HardMs / 1000, "key_ttl_s": g.WindowS})
+	}
+	a := &s.Allowed
+	settings := map[string]any{
+		"service_grades": grades, "zone": zone, "n_instances": s.Fleet.Nodes, "round_s": 0.002, "excess_benefit": 1,
+		"kinds":       []string{"cache", "origin"},
+		"family_info": map[string]any{"mode": a.Mode, "origin_kind": 1},
+		"bounds": map[string]any{"most_legs": a.MostLegs, "second_copies": a.SecondCopies, "cancel": a.Cancel, "probes": a.Probes,
+			"retry_after": a.ComeBackMs > 0, "max_retry_after_s": a.ComeBackMs / 1000, "conn_idle_s": s.Fleet.IdleS,
+			"connect_timeout_s": a.ConnectMs / 1000},
+		"rules":   map[string]any{"cold_from": s.Fleet.ColdFrom, "cold_s": s.Fleet.ColdS, "stop_sending_within_s": a.GraceMs / 1000},
+		"tariffs": map[string]any{"waste": a.WastePrice, "cross_zone": 0},
+	}
+	if s.Fleet.Reports {
+		settings["telemetry"] = map[string]any{"columns": []string{"outstanding"}}
+	}
+	text, err := json.Marshal(settings)
+	if err != nil {
+		panic(err) // numbers and names only, and all of them checked
+	}
+	return text
+}
--- /dev/null
+++ b/internal/emulator/virtual/node.go
@@ -0,0 +1,447 @@
+package virtual
+
+import (
+	"encoding/binary"
+	"slices"
+	"strconv"
+	"time"
+
+	"dahliapin/internal/emulator/judge"
+	"dahliapin/internal/emulator/script"
+	"dahliapin/internal/emulator/world"
+	"dahliapin/internal/host"
+	"dahliapin/internal/records"
+	"dahliapin/policy"
+)
+
+// node is one node: a host, its retrievals, and its connections.
+type node struct {
+	r      *Run
+	number int
+	life   int        // counts its starts, so that what was meant for an earlier one is passed over
+	host   *host.Host // nil while it is down
+	book   *records.Book
+	known  []policy.Entry // the list as last heard
+	hand   map[policy.RetrievalID]*taken
+	count  uint64
+	links  map[int][]idle // by server, the latest used last
+	avoids map[policy.CacheID]bool
+}
+
+// idle is a connection in nobody's use.
+type idle struct {
+	until  policy.Instant
+	breaks uint64 // of its server when it came up
+}
+
+// taken is one retrieval in hand.
+type taken struct {
+	id       policy.RetrievalID
+	req      world.Request
+	first    policy.Instant
+	legs     []*leg
+	answered bool
+}
+
+// leg is one on its way.
+type leg struct {
+	n       *node
+	life    int
+	v       *taken
+	number  int
+	server  int
+	tag     uint64
+	sent    policy.Instant
+	out     bool // the host has not heard of its end
+	written bool // its last byte went out
+	holds   bool // a connection
+	breaks  uint64
+}
+
+func (n *node) start(form policy.ListForm, entries []policy.Entry) {
+	n.life++
+	n.hand, n.links, n.avoids = map[policy.RetrievalID]*taken{}, map[int][]idle{}, map[policy.CacheID]bool{}
+	n.book = records.New("n"+strconv.Itoa(n.number+1), n.r.log.Note, isOrigin)
+	seed := n.r.script.Seed*7919 + int64(n.number)*31 + int64(n.life)
+	n.r.Decided++
+	n.host = host.With(n.r.now, n.r.make(n.r.now, seed, n.r.terms.Rules), n, n)
+	n.hear(form, entries)
+	n.r.serving = append(n.r.serving, n)
+}
+
+func (n *node) hear(form policy.ListForm, entries []policy.Entry) {
+	for _, e := range entries {
+		n.r.judge.Told(n.r.now, n.number, e.ID, e.State)
+		n.known = slices.DeleteFunc(n.known, func(o policy.Entry) bool { return o.ID == e.ID })
+		if e.State != policy.Gone {
+			n.known = append(n.known, e)
+		}
+	}
+	n.host.Listed(n.r.now, form, entries)
+}
+
+// kill ends it at once: its connections are reset, and what it had in hand is nobody's.
+func (n *node) kill() {
+	n.life++
+	n.host = nil
+	ids := make([]policy.RetrievalID, 0, len(n.hand))
+	for id := range n.hand {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		v := n.hand[id]
+		for _, l := range v.legs {
+			if l.out {
+				l.out = false
+				l.abandon()
+			}
+		}
+		if !v.answered {
+			n.r.judge.Excuse(v.req.ID)
+			n.r.after(n.r.clientWay(), func() { n.r.cut(v.req, v.first) })
+		}
+	}
+	for id, bad := range n.avoids {
+		if bad {
+			n.r.avoiders[id]--
+		}
+	}
+	n.hand = map[policy.RetrievalID]*taken{}
+	for s, idles := range n.links {
+		for _, i := range idles {
+			if i.breaks == n.r.breaks(s) {
+				n.r.world.Servers[s].Held--
+			}
+		}
+	}
+	n.links = map[int][]idle{}
+}
+
+func (n *node) take(req world.Request, first policy.Instant) {
+	n.count++
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], n.count)
+	v := &taken{id: policy.RetrievalID(b[:]), req: req, first: first}
+	n.hand[v.id] = v
+	n.r.Decided++
+	n.host.Arrived(n.r.now, &policy.Retrieval{ID: v.id, Key: req.Key, Grade: policy.GradeID(req.Grade), League: -1,
+		Write: n.r.traffic.Grades[req.Grade].Write, Arrived: n.r.now, HardStop: n.r.now.Add(req.HardStop)})
+}
+
+// answer gives the one final answer; the client has it a way later.
+func (n *node) answer(v *taken, how judge.Final, comeBack time.Duration) {
+	v.answered = true
+	r := n.r
+	r.after(r.clientWay(), func() {
+		r.judge.Answered(r.now, v.req.ID, how)
+		if how != judge.Satisfied {
+			r.again(v.req, v.first, how == judge.Dismissed, comeBack)
+			return
+		}
+		if r.now.Since(v.first) <= r.terms.Rules.Grades[v.req.Grade].SoftLimit {
+			r.judge.Served(v.req.Grade)
+			r.log.InTime(v.first)
+		}
+	})
+}
+
+// release forgets a retrieval that is answered and has nothing out.
+func (n *node) release(v *taken) {
+	if v.answered && !slices.ContainsFunc(v.legs, func(l *leg) bool { return l.out }) {
+		delete(n.hand, v.id)
+	}
+}
+
+// Send starts a leg.
+func (n *node) Send(id policy.RetrievalID, to policy.CacheID, giveUpAt policy.Instant) {
+	v, r := n.hand[id], n.r
+	l := &leg{n: n, life: n.life, v: v, number: len(v.legs), sent: r.now, out: true}
+	v.legs = append(v.legs, l)
+	server, known := r.world.Find(to)
+	if !known {
+		r.after(0, func() { l.end(policy.Unconnected, nil) })
+		return
+	}
+	l.server = server
+	r.tags++
+	l.tag = r.tags
+	r.At(giveUpAt, func() {
+		if l.out {
+			how := policy.TimedOut
+			if !l.written {
+				how = policy.Unconnected
+			}
+			l.stop(how)
+		}
+	})
+	for idles := n.links[server]; len(idles) > 0; idles = n.links[server] {
+		last := idles[len(idles)-1]
+		n.links[server] = idles[:len(idles)-1]
+		if last.breaks != r.breaks(server) {
+			continue
+		}
+		if last.until > r.now {
+			l.holds, l.breaks = true, last.breaks
+			l.write()
+			return
+		}
+		r.world.Servers[server].Held--
+	}
+	r.after(r.way(n, server), func() { l.connect() })
+}
+
+// connect asks for a connection at the server.
+func (l *leg) connect() {
+	r := l.n.r
+	s := r.world.Servers[l.server]
+	if s.Life == world.Silent { // nothing ever comes back
+		r.At(l.sent.Add(script.Span(r.script.Allowed.ConnectMs/1000)), func() { l.end(policy.Unconnected, nil) })
+		return
+	}
+	if r.fault(l.server) == "refuse" || !r.world.Connect(r.now, l.server) {
+		r.after(r.way(l.n, l.server), func() { l.end(policy.Unconnected, nil) })
+		return
+	}
+	s.Held++
+	breaks := r.breaks(l.server)
+	r.after(r.way(l.n, l.server), func() {
+		l.holds, l.breaks = true, breaks
+		switch {
+		case l.life != l.n.life || l.n.host == nil:
+			l.drop()
+		case !l.out:
+			l.rest()
+		default:
+			l.write()
+		}
+	})
+}
+
+// write sends it; it has come when the last byte is there.
+func (l *leg) write() {
+	r := l.n.r
+	l.written = true
+	began := r.now
+	r.after(r.way(l.n, l.server), func() { l.come(began) })
+}
+
+func (l *leg) come(began policy.Instant) {
+	r := l.n.r
+	s := r.world.Servers[l.server]
+	if s.Life == world.Silent || !l.out && l.life == l.n.life {
+		return // swallowed, or its connection was closed before it came
+	}
+	if s.Life == world.Down || l.breaks != r.breaks(l.server) {
+		r.after(r.way(l.n, l.server), func() { l.lost() })
+		return
+	}
+	r.log.Leg(r.now, s.ID)
+	r.judge.Came(r.now, began, l.v.req.ID, s.ID)
+	switch r.fault(l.server) {
+	case "reset":
+		r.judge.Left(r.now, l.v.req.ID, s.ID, true)
+		r.after(r.way(l.n, l.server), func() { l.lost() })
+		return
+	case "silent":
+		return
+	}
+	j := world.Job{Retrieval: l.v.req.ID, Node: l.n.number, Key: l.v.req.Key, Label: l.v.req.Label, Grade: l.v.req.Grade,
+		Until: l.v.req.Sent.Add(l.v.req.HardStop + slack), Tag: l.tag}
+	r.legs[l.tag] = l
+	if d, ok := r.world.Offer(r.now, l.server, j); !ok {
+		r.served(d)
+	}
+}
+
+// end tells the host of a leg's one outcome.
+func (l *leg) end(how policy.Result, report []float64) {
+	n := l.n
+	if !l.out || l.life != n.life || n.host == nil {
+		l.drop()
+		return
+	}
+	l.out = false
+	if how == policy.Broken || how == policy.Errored && n.r.fault(l.server) == "garbage" {
+		l.drop()
+	} else {
+		l.rest()
+	}
+	if how == policy.Answered && !l.v.answered {
+		n.answer(l.v, judge.Satisfied, 0)
+	}
+	n.r.Decided++
+	n.host.Ended(n.r.now, l.v.id, how, l.v.answered, policy.Outcome{Leg: l.number, Took: n.r.now.Since(l.sent), Report: report})
+	n.release(l.v)
+}
+
+// lost is its connection's end under it.
+func (l *leg) lost() {
+	if _, there := l.n.r.legs[l.tag]; there {
+		delete(l.n.r.legs, l.tag)
+		l.n.r.judge.Left(l.n.r.now, l.v.req.ID, l.n.r.world.Servers[l.server].ID, false)
+	}
+	l.holds = false
+	l.end(policy.Broken, nil)
+}
+
+// stop ends a leg from this side, by closing its connection.
+func (l *leg) stop(how policy.Result) {
+	if !l.written {
+		if how != policy.Unconnected {
+			how = policy.NeverSent
+		}
+	} else {
+		l.abandon()
+	}
+	l.over(how)
+}
+
+// over is end for a leg whose connection is closed already, or was never up.
+func (l *leg) over(how policy.Result) {
+	l.out = false
+	n := l.n
+	n.r.Decided++
+	n.host.Ended(n.r.now, l.v.id, how, l.v.answered, policy.Outcome{Leg: l.number, Took: n.r.now.Since(l.sent)})
+	n.release(l.v)
+}
+
+// abandon closes the connection under a leg: the server hears of it a way later.
+func (l *leg) abandon() {
+	r := l.n.r
+	l.drop()
+	r.judge.Left(r.now, l.v.req.ID, r.world.Servers[l.server].ID, false)
+	r.after(r.way(l.n, l.server), func() {
+		if r.legs[l.tag] != nil {
+			delete(r.legs, l.tag)
+			r.world.Withdraw(r.now, l.server, l.tag)
+		}
+	})
+}
+
+// drop closes a leg's connection.
+func (l *leg) drop() {
+	if l.holds {
+		l.holds = false
+		if l.breaks == l.n.r.breaks(l.server) {
+			l.n.r.world.Servers[l.server].Held--
+		}
+	}
+}
+
+// rest keeps its connection for the next leg.
+func (l *leg) rest() {
+	if l.holds {
+		l.holds = false
+		until := l.n.r.now.Add(script.Span(0.8 * l.n.r.script.Fleet.IdleS))
+		l.n.links[l.server] = append(l.n.links[l.server], idle{until, l.breaks})
+	}
+}
+
+// Cancel calls a leg off.
+func (n *node) Cancel(id policy.RetrievalID, number int) {
+	v := n.hand[id]
+	if v == nil || number >= len(v.legs) || !v.legs[number].out {
+		return
+	}
+	l, life := v.legs[number], n.life
+	n.r.after(0, func() {
+		if l.out && n.life == life {
+			l.stop(policy.Cancelled)
+		}
+	})
+}
+
+// Dismiss answers that a retry is harmless.
+func (n *node) Dismiss(id policy.RetrievalID, comeBack time.Duration) {
+	if v := n.hand[id]; v != nil && !v.answered {
+		n.answer(v, judge.Dismissed, comeBack)
+		n.later(v)
+	}
+}
+
+// Scrap answers that it failed.
+func (n *node) Scrap(id policy.RetrievalID) {
+	if v := n.hand[id]; v != nil && !v.answered {
+		n.answer(v, judge.Scrapped, 0)
+		n.later(v)
+	}
+}
+
+// later releases a retrieval once the call into the host that answered it is over.
+func (n *node) later(v *taken) { n.r.after(0, func() { n.release(v) }) }
+
+// Timer wakes the host.
+func (n *node) Timer(in time.Duration, token string) {
+	life := n.life
+	n.r.after(max(in, 1), func() {
+		if n.life == life && n.host != nil {
+			n.r.Decided++
+			n.host.Woken(n.r.now, token)
+		}
+	})
+}
+
+// Probe checks on a server.
+func (n *node) Probe(id policy.CacheID) {
+	r, life := n.r, n.life
+	server, known := r.world.Find(id)
+	if !known {
+		return
+	}
+	found, wait := policy.Answered, r.way(n, server)+r.way(n, server)
+	switch s := r.world.Servers[server]; {
+	case s.Life == world.Down, r.fault(server) == "refuse":
+		found = policy.Unconnected
+	case s.Life == world.Silent, s.Frozen(r.now), r.fault(server) == "silent":
+		found, wait = policy.TimedOut, script.Span(r.script.Allowed.ConnectMs/1000)
+	case r.fault(server) != "":
+		found = policy.Broken
+	}
+	r.after(wait, func() {
+		if n.life == life && n.host != nil {
+			n.host.Probed(r.now, id, found)
+		}
+	})
+}
+
+// Follow needs nothing: the list is always followed.
+func (n *node) Follow() {}
+
+// The node watches its own host: for its own book, and for the fleet's.
+
+// Stands hears how a cache stands. The fleet as a whole avoids what most of its nodes avoid.
+func (n *node) Stands(now policy.Instant, id policy.CacheID, s policy.Standing) {
+	n.book.Stands(now, id, s)
+	r, bad := n.r, s == policy.Quiet || s == policy.Refusing || s == policy.Erring
+	if n.avoids[id] != bad {
+		if n.avoids[id] = bad; bad {
+			r.avoiders[id]++
+		} else {
+			r.avoiders[id]--
+		}
+	}
+	switch most := 2*r.avoiders[id] > len(r.nodes); {
+	case most && bad:
+		r.fleet.Stands(now, id, s)
+	case !most:
+		r.fleet.Stands(now, id, policy.InUse)
+	}
+}
+
+// Sent hears of a leg.
+func (n *node) Sent(now policy.Instant, id policy.CacheID) {
+	n.book.Sent(now, id)
+	n.r.fleet.Sent(now, id)
+}
+
+// Ended hears of a leg's end.
+func (n *node) Ended(now policy.Instant, id policy.CacheID, how policy.Result, took time.Duration) {
+	n.book.Ended(now, id, how, took)
+	n.r.fleet.Ended(now, id, how, took)
+}
+
+// Listed hears the list.
+func (n *node) Listed(now policy.Instant, form policy.ListForm, entries []policy.Entry) {
+	n.book.Listed(now, form, entries)
+}
--- /dev/null
+++ b/internal/emulator/virtual/virtual.go
@@ -0,0 +1,367 @@
+// Package virtual plays a script in virtual time: any number of nodes, each a host with its decider, on one model of the
+// world. The same seed gives the same run to the byte, on any machine.
+package virtual
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"dahliapin/internal/emulator/course"
+	"dahliapin/internal/emulator/judge"
+	"dahliapin/internal/emulator/outcome"
+	"dahliapin/internal/emulator/script"
+	"dahliapin/internal/emulator/world"
+	"dahliapin/internal/host"
+	"dahliapin/internal/houserules"
+	"dahliapin/internal/keyhash"
+	"dahliapin/internal/net/deadlines"
+	"dahliapin/internal/records"
+	"dahliapin/policy"
+)
+
+const (
+	epoch  = policy.Instant(time.Second)
+	slack  = 20 * time.Millisecond // that what crosses may take before it counts as a breach: some ways over the network
+	settle = 2 * time.Second       // after the script's end: the longest hard stop is added
+)
+
+// Maker makes a node's decider.
+type Maker func(now policy.Instant, seed int64, rules policy.HouseRules) host.Decider
+
+// Module is the maker of the module itself.
+func Module(now policy.Instant, seed int64, rules policy.HouseRules) host.Decider {
+	return policy.New(now, seed, rules)
+}
+
+// Run is one run.
+type Run struct {
+	script   *script.Script
+	terms    houserules.Terms
+	make     Maker
+	world    *world.World
+	traffic  *world.Traffic
+	judge    *judge.Judge
+	log      *outcome.Log
+	course   *course.Course
+	fleet    *records.Book
+	queue    deadlines.Queue[func()]
+	now      policy.Instant
+	nodes    []*node
+	serving  []*node
+	chance   keyhash.Source
+	legs     map[uint64]*leg // by tag: those that a server has in hand
+	tags     uint64
+	avoiders map[policy.CacheID]int // nodes that avoid it
+	broken   []uint64               // by server: how often all connections to it broke
+	faults   []string
+	upList   bool
+	pending  []policy.Entry // told once discovery is up again
+	Steps    uint64         // events played
+	Decided  uint64         // calls into deciders
+}
+
+// Play plays a script. The decider's name is for the report.
+func Play(s *script.Script, name string, make Maker) (*outcome.Report, *Run, error) {
+	v, err := fastjson.ParseBytes(s.Settings(s.Fleet.Zones[0]))
+	if err != nil {
+		return nil, nil, err
+	}
+	terms, err := houserules.Decode(v)
+	if err != nil {
+		return nil, nil, fmt.Errorf("the script's settings cannot be used: %w", err)
+	}
+	r := &Run{script: s, terms: terms, make: make, now: epoch, legs: map[uint64]*leg{}, avoiders: map[policy.CacheID]int{}, upList: true, log: outcome.NewLog(s, epoch)}
+	r.chance.Seed = uint32(s.Seed) ^ 0x0f1ee7
+	r.judge = judge.New(judge.Terms{Grades: terms.Rules.Grades, SecondCopies: s.Allowed.SecondCopies,
+		Grace: script.Span(s.Allowed.GraceMs / 1000), Slack: slack})
+	r.world = world.New(s.World(r))
+	r.traffic = world.NewTraffic(s.Asks())
+	r.fleet = records.New(outcome.FleetsBook, r.log.Note, isOrigin)
+	if s.Fleet.Warm {
+		r.warm()
+	}
+	for range s.Fleet.Nodes {
+		n := &node{r: r, number: len(r.nodes)}
+		r.nodes = append(r.nodes, n)
+		n.start(policy.Whole, r.entries())
+	}
+	r.fleet.Listed(r.now, policy.Whole, r.entries())
+	r.course = course.Play(s, r.world, r.traffic, epoch, r)
+	r.arrive(r.traffic.Next(r.now))
+	r.run(epoch.Add(s.Long()))
+	end := epoch.Add(s.Long() + terms.LongestStop + settle)
+	r.run(end)
+	r.judge.Advance(end)
+	return outcome.Draw(s, "virtual", name, r.world, r.judge, r.log, r.course.First, r.course.Last), r, nil
+}
+
+// run plays what is due up to an instant. The world's own events and the queue's are taken by time, the world's first.
+func (r *Run) run(until policy.Instant) {
+	for {
+		at, any := r.queue.Next()
+		ends, busy := r.world.Next()
+		if busy && (!any || ends <= at) {
+			at = ends
+		} else if !any {
+			return
+		}
+		if at > until {
+			r.now = until
+			return
+		}
+		r.now = max(r.now, at)
+		r.Steps++
+		if busy && ends <= at {
+			r.world.Advance(r.now, r.served)
+			continue
+		}
+		do, _ := r.queue.Due(r.now)
+		do()
+	}
+}
+
+// At hangs something in.
+func (r *Run) At(at policy.Instant, do func()) { r.queue.Put(max(at, r.now), do) }
+
+func (r *Run) after(d time.Duration, do func()) { r.queue.Put(r.now.Add(d), do) }
+
+func (r *Run) jittered(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + r.script.Network.Jitter*r.chance.Next()))
+}
+
+func (r *Run) clientWay() time.Duration {
+	return r.jittered(script.Span(r.script.Network.ClientMs / 1000))
+}
+
+func (r *Run) way(n *node, server int) time.Duration {
+	ms := r.script.Network.OneWayMs
+	if zone := r.world.Servers[server].Zone; zone != "" && zone != policy.ZoneID(r.script.Fleet.Zones[0]) {
+		ms = r.script.Network.CrossZoneMs
+	}
+	return r.jittered(script.Span(ms / 1000))
+}
+
+func (r *Run) entries() (es []policy.Entry) {
+	for i := range r.world.Servers {
+		if r.world.Servers[i].State != policy.Gone {
+			es = append(es, course.EntryOf(r.world, i))
+		}
+	}
+	return es
+}
+
+// warm puts keys where the decider's own kind would send them.
+func (r *Run) warm() {
+	d := r.make(r.now, r.script.Seed, r.terms.Rules)
+	d.Listed(r.now, policy.Whole, r.entries())
+	world.WarmBy(r.world, d.Where, r.now, r.traffic, r.script.Fleet.Keys*r.script.Fleet.Caches)
+}
+
+// isOrigin tells whom records pass over.
+func isOrigin(e policy.Entry) bool { return e.ID == world.OriginID }
+
+// Effect, Fell and Rose hear what really happens.
+func (r *Run) Effect(now policy.Instant, id, label string, grade int, server policy.CacheID) {
+	r.judge.Effect(now, id, label, grade, server)
+}
+
+// Fell hears that a server was pushed over.
+func (r *Run) Fell(now policy.Instant, server policy.CacheID, why string) {
+	r.judge.Fell(now, server, why)
+	r.log.Say(now, string(server)+" "+why)
+	if i, ok := r.world.Find(server); ok && !r.world.IsOrigin(i) {
+		r.after(0, func() { r.Broke(i) })
+	}
+}
+
+// Rose hears that it is back.
+func (r *Run) Rose(now policy.Instant, server policy.CacheID) {
+	if i, ok := r.world.Find(server); ok {
+		r.Listed(course.EntryOf(r.world, i))
+	}
+}
+
+// Broke breaks all connections to a server, and all legs on them.
+func (r *Run) Broke(server int) {
+	r.brokenAt(server)
+	var on []uint64
+	for tag, l := range r.legs {
+		if l.server == server {
+			on = append(on, tag)
+		}
+	}
+	slices.Sort(on) // a map has no order, and a run must have one
+	for _, tag := range on {
+		l := r.legs[tag]
+		r.after(l.n.r.way(l.n, server), func() { l.lost() })
+	}
+}
+
+func (r *Run) brokenAt(server int) uint64 {
+	for len(r.broken) <= server {
+		r.broken = append(r.broken, 0)
+	}
+	r.broken[server]++
+	r.world.Servers[server].Held = 0
+	return r.broken[server]
+}
+
+func (r *Run) breaks(server int) uint64 {
+	if server < len(r.broken) {
+		return r.broken[server]
+	}
+	return 0
+}
+
+func (r *Run) fault(server int) string {
+	if server < len(r.faults) {
+		return r.faults[server]
+	}
+	return ""
+}
+
+// Fault sets what goes wrong on a server's connections.
+func (r *Run) Fault(server int, kind string) {
+	for len(r.faults) <= server {
+		r.faults = append(r.faults, "")
+	}
+	r.faults[server] = kind
+}
+
+// Said keeps a line of what the script does.
+func (r *Run) Said(now policy.Instant, what string) { r.log.Say(now, what) }
+
+// Listed tells a change of the list to each node, late.
+func (r *Run) Listed(e policy.Entry) {
+	if !r.upList {
+		r.pending = append(r.pending, e)
+		return
+	}
+	first := time.Duration(math.MaxInt64)
+	for _, n := range r.nodes {
+		span := r.script.Discovery.NoticeS
+		late := script.Span(span[0] + (span[1]-span[0])*r.chance.Next())
+		first = min(first, late)
+		life := n.life
+		r.after(late, func() {
+			if n.life == life && n.host != nil {
+				n.hear(policy.Changes, []policy.Entry{e})
+			}
+		})
+	}
+	r.after(first, func() { r.fleet.Listed(r.now, policy.Changes, []policy.Entry{e}) })
+}
+
+// Discovery goes down or comes back.
+func (r *Run) Discovery(up bool) {
+	if r.upList = up; up {
+		for _, e := range r.pending {
+			r.Listed(e)
+		}
+		r.pending = nil
+	}
+}
+
+// EndNode ends a node. An orderly one finishes what it has in hand; no more clients come to either.
+func (r *Run) EndNode(number int, orderly bool) {
+	n := r.nodes[number]
+	r.serving = slices.DeleteFunc(r.serving, func(o *node) bool { return o == n })
+	if !orderly {
+		n.kill()
+	}
+}
+
+// StartNode starts it anew: it has its last list, and hears the whole one soon after.
+func (r *Run) StartNode(number int) {
+	n := r.nodes[number]
+	if n.host != nil {
+		if len(n.hand) > 0 { // it still drains
+			r.after(50*time.Millisecond, func() { r.StartNode(number) })
+			return
+		}
+		n.kill()
+	}
+	n.start(policy.LastHeld, n.known)
+	entries, life := r.entries(), n.life
+	r.after(script.Span(r.script.Discovery.NoticeS[0]), func() {
+		if n.life == life && r.upList {
+			n.hear(policy.Whole, entries)
+		}
+	})
+}
+
+// arrive plays the next first try, and hangs in the one after.
+func (r *Run) arrive(at policy.Instant) {
+	if at.Since(epoch) >= r.script.Long() {
+		return
+	}
+	r.At(at, func() {
+		req := r.traffic.Draw(r.now)
+		r.ask(req, r.now, true)
+		r.arrive(r.traffic.Next(r.now))
+	})
+}
+
+// ask sends one try to a node.
+func (r *Run) ask(req world.Request, first policy.Instant, isFirst bool) {
+	r.log.Asked(r.now, isFirst)
+	if len(r.serving) == 0 {
+		r.judge.Grades[req.Grade].Asked++
+		if isFirst {
+			r.judge.Grades[req.Grade].First++
+		}
+		r.judge.Grades[req.Grade].Cut++
+		return
+	}
+	n := r.serving[int(r.chance.Next()*float64(len(r.serving)))]
+	req.Sent = r.now
+	r.judge.Sent(r.now, req.ID, n.number, req.Grade, req.Label, r.now.Add(req.HardStop), isFirst)
+	life := n.life
+	r.after(r.clientWay(), func() {
+		if n.life != life || n.host == nil { // it died while this was on its way: the client sees a reset
+			r.judge.Excuse(req.ID)
+			r.cut(req, first)
+			return
+		}
+		n.take(req, first)
+	})
+}
+
+// cut is what a client does whose node died.
+func (r *Run) cut(req world.Request, first policy.Instant) {
+	r.judge.Grades[req.Grade].Cut++
+	r.again(req, first, false, 0)
+}
+
+func (r *Run) again(req world.Request, first policy.Instant, dismissed bool, comeBack time.Duration) {
+	if next, at, ok := r.traffic.Again(r.now, req, dismissed, comeBack); ok {
+		r.At(at, func() { r.ask(next, first, false) })
+	}
+}
+
+// served is a job's end at a server.
+func (r *Run) served(d world.Done) {
+	l := r.legs[d.Job.Tag]
+	if l == nil {
+		return
+	}
+	r.judge.Left(r.now, l.v.req.ID, r.world.Servers[d.Server].ID, d.Said == world.Busy)
+	delete(r.legs, d.Job.Tag)
+	how := [...]policy.Result{world.Value: policy.Answered, world.Receipt: policy.Answered, world.Miss: policy.Missed,
+		world.Busy: policy.TurnedAway, world.Failed: policy.Errored}[d.Said]
+	switch r.fault(d.Server) {
+	case "half":
+		how = policy.Broken
+	case "garbage":
+		how = policy.Errored
+	}
+	var report []float64
+	if r.script.Fleet.Reports && !r.world.IsOrigin(d.Server) && how != policy.Broken {
+		report = []float64{d.Load}
+	}
+	r.after(r.way(l.n, d.Server), func() { l.end(how, report) })
+}
--- /dev/null
+++ b/internal/emulator/world/world.go
@@ -0,0 +1,533 @@
+package world
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"dahliapin/internal/keyhash"
+	"dahliapin/internal/net/deadlines"
+	"dahliapin/policy"
+)
+
+const (
+	demandOver  = 500 * time.Millisecond // over which the work that arrives is averaged
+	fallenFor   = 3 * time.Second        // that a server which was pushed over is gone
+	missesKept  = 20 * time.Second       // that a miss is remembered for the value that the origin may bring: over any hard stop
+	reportEvery = 500 * time.Millisecond // between load reports: what stands on an answer is as old as that
+	originFast  = 0.25                   // of the usual work that a write refused as a repeat costs
+	missWork    = 0.5                    // of the work of a hit that finding nothing costs
+)
+
+// Said is what a server answers.
+type Said int
+
+const (
+	Value Said = iota
+	Receipt
+	Miss
+	Busy   // it never ran
+	Failed // it may have run
+)
+
+// Traits are what one cache server is.
+type Traits struct {
+	ID           policy.CacheID
+	Zone         policy.ZoneID
+	Group        policy.GroupID
+	Cores, Queue int
+	Speed        float64 // work done by each core in a unit of time
+	Weight       float64 // what the list says it is worth
+	Keys         int     // values that it holds
+	ColdFrom     float64 // share of its speed right after a start
+	ColdFor      time.Duration
+	FallMultiple float64 // of its present capacity: asked for more while cold, for FallFor, it falls over
+	FallFor      time.Duration
+	Connections  int           // that it holds at once
+	Handshake    time.Duration // work of each new one
+	ErrorRate    float64
+}
+
+// Grade is what the world must know of a service grade.
+type Grade struct {
+	policy.Grade
+	Name     string
+	Write    bool
+	HardStop time.Duration
+	Work     time.Duration // at a cache of speed 1; a write's is done at the origin where caches only store
+	Share    float64       // of first tries
+	Tries    int           // that a client makes in all
+}
+
+// OriginTraits are what the origin is.
+type OriginTraits struct {
+	Cores, Queue int
+	Work         time.Duration
+	StallAt      int     // in hand, from which it works slower
+	Stall        float64 // times slower then
+	FallMultiple float64 // of what it can do: asked for more, for FallFor, it counts as pushed over
+	FallFor      time.Duration
+}
+
+// OriginID is the origin's name.
+const OriginID policy.CacheID = "origin"
+
+// Job is a leg as a server sees it.
+type Job struct {
+	Retrieval string
+	Node      int
+	Key       string
+	Label     string // of a labelled write
+	Grade     int
+	Until     policy.Instant // when nobody waits any more
+	Tag       uint64         // the shell's own
+	server    int
+	drains    bool // was told to stop when it came
+}
+
+// Done is a job's end.
+type Done struct {
+	Job    Job
+	Server int
+	Said   Said
+	Text   string  // the value or receipt
+	Load   float64 // reported: retrievals in hand, as of the last report
+}
+
+// Mode says whether caches only store, the origin being asked on a miss, or are the store themselves.
+type Mode int
+
+const (
+	Aside Mode = iota
+	Through
+)
+
+// Hearer hears what really happened, whatever a router says of it.
+type Hearer interface {
+	Effect(now policy.Instant, retrieval, label string, grade int, server policy.CacheID)
+	Fell(now policy.Instant, server policy.CacheID, why string)
+	Rose(now policy.Instant, server policy.CacheID) // a server that had fallen starts anew
+}
+
+// Plan is a world to make.
+type Plan struct {
+	Mode   Mode
+	Caches []Traits
+	Origin OriginTraits
+	Grades []Grade
+	Seed   uint32
+	Hearer Hearer
+}
+
+// Life is how a server lives.
+type Life int
+
+const (
+	Up     Life = iota
+	Down        // connections are refused, those open are broken
+	Silent      // nothing is answered, nothing refused
+)
+
+// Server is one cache or the origin.
+type Server struct {
+	Traits
+	Life   Life
+	State  policy.State // as the list has it
+	Born   policy.Instant
+	Held   int // connections that are open to it, the shell's to count
+	origin *OriginTraits
+
+	slow     float64 // times slower than its traits
+	others   float64 // share of its cores that other programs take
+	demand   float64 // work a second that arrives, averaged
+	demandAt policy.Instant
+	overAt   policy.Instant // since when it is asked for too much; 0 for not
+	fellTill policy.Instant
+	store    *store
+	labels   *labels
+	station  station[Job]
+	gen      uint64
+	load     float64 // as reported last
+	loadAt   policy.Instant
+
+	Taken, Refused, Hits, Misses uint64
+}
+
+// World is all of it.
+type World struct {
+	plan    Plan
+	Servers []*Server // the origin last, where there is one
+	byID    map[policy.CacheID]int
+	chance  keyhash.Source
+	due     deadlines.Queue[wake]
+	missed  map[string][]int // by retrieval: the caches that lacked its key
+	forget  deadlines.Queue[string]
+	written uint64 // version of values
+	now     policy.Instant
+	groups  map[policy.GroupID]*labels
+}
+
+type wake struct {
+	server int
+	gen    uint64
+}
+
+// New makes a world. All caches are warm and empty.
+func New(p Plan) *World {
+	w := &World{plan: p, byID: map[policy.CacheID]int{}, missed: map[string][]int{}, groups: map[policy.GroupID]*labels{}}
+	w.chance.Seed = p.Seed
+	for _, t := range p.Caches {
+		w.AddCache(t, 0)
+	}
+	if p.Mode == Aside {
+		o := p.Origin
+		s := &Server{Traits: Traits{ID: OriginID, Speed: 1, Cores: o.Cores, Queue: o.Queue, Connections: math.MaxInt,
+			FallMultiple: o.FallMultiple, FallFor: o.FallFor}, origin: &o}
+		w.add(s)
+	}
+	return w
+}
+
+// AddCache adds a cache server that starts at an instant; 0 for long ago.
+func (w *World) AddCache(t Traits, born policy.Instant) int {
+	return w.add(&Server{Traits: t, Born: born})
+}
+
+func (w *World) add(s *Server) int {
+	s.slow, s.store, s.labels = 1, newStore(s.Keys), &labels{}
+	if s.origin == nil && w.plan.Mode == Through { // caches of one group share what they remember
+		if w.groups[s.Group] == nil {
+			w.groups[s.Group] = &labels{}
+		}
+		s.labels = w.groups[s.Group]
+	}
+	s.station = station[Job]{cores: s.Cores, queue: s.Queue, rate: func() float64 { return w.rate(s) }}
+	w.byID[s.ID] = len(w.Servers)
+	w.Servers = append(w.Servers, s)
+	return len(w.Servers) - 1
+}
+
+// Find returns a server's number.
+func (w *World) Find(id policy.CacheID) (int, bool) {
+	i, ok := w.byID[id]
+	return i, ok
+}
+
+// IsOrigin tells whether a server is the origin.
+func (w *World) IsOrigin(server int) bool { return w.Servers[server].origin != nil }
+
+// Warmth is the share of its speed that a server has by now.
+func (s *Server) Warmth(now policy.Instant) float64 {
+	if s.Born == 0 || s.ColdFor <= 0 {
+		return 1
+	}
+	return min(1, s.ColdFrom+(1-s.ColdFrom)*max(0, float64(now.Since(s.Born)))/float64(s.ColdFor))
+}
+
+func (w *World) rate(s *Server) float64 {
+	r := s.Speed / s.slow * (1 - s.others)
+	if s.origin != nil {
+		if s.station.inHand() >= s.origin.StallAt && s.origin.Stall > 1 {
+			r /= s.origin.Stall
+		}
+		return r
+	}
+	return r * s.Warmth(w.now)
+}
+
+// Connect tells whether a connection may come up, and pays for it. The shell counts it in Held.
+func (w *World) Connect(now policy.Instant, server int) bool {
+	w.now = now
+	s := w.Servers[server]
+	if s.Life != Up || s.Held >= s.Connections {
+		return false
+	}
+	if s.Handshake > 0 && s.origin == nil { // the cores pay at once: what runs takes that much longer
+		s.station.freeze(now, max(now, s.station.frozen).Add(s.Handshake/time.Duration(max(1, s.Cores))))
+		w.arm(server)
+	}
+	return true
+}
+
+// Offer hands a job to a server that is up; ok is false where it was answered at once, as done says.
+func (w *World) Offer(now policy.Instant, server int, j Job) (done Done, ok bool) {
+	w.now = now
+	s := w.Servers[server]
+	j.server, j.drains = server, s.State != policy.Ready
+	work := w.workOf(s, &j)
+	w.demanded(now, s, work)
+	refused := Done{Job: j, Server: server, Said: Busy, Load: s.load}
+	if s.Life != Up || now >= j.Until {
+		s.Refused++
+		return refused, false
+	}
+	if s.origin != nil { // a longer queue slows it down: what runs now feels that too
+		taken := false
+		s.station.change(now, func() { taken = s.station.offer(now, j, work) })
+		if !taken {
+			s.Refused++
+			return refused, false
+		}
+	} else if !s.station.offer(now, j, work) {
+		s.Refused++
+		return refused, false
+	}
+	s.Taken++
+	w.arm(server)
+	return Done{}, true
+}
+
+func (w *World) workOf(s *Server, j *Job) time.Duration {
+	g := &w.plan.Grades[j.Grade]
+	work := g.Work
+	switch {
+	case s.origin != nil:
+		if work = s.origin.Work; j.Label != "" {
+			if _, again := s.labels.repeat(int64(w.now), j.Label); again {
+				work = time.Duration(float64(work) * originFast)
+			}
+		}
+	case !g.Write && w.plan.Mode == Aside && s.store.at[j.Key] == nil:
+		work = time.Duration(float64(work) * missWork)
+	}
+	return time.Duration(float64(work) * (0.6 + 0.4*w.exponential()))
+}
+
+func (w *World) exponential() float64 { return -math.Log(1 - w.chance.Next()) }
+
+// demanded averages what is asked of a server, and lets a cold cache that is asked for far too much fall over. The
+// origin, whose reads are misses of caches, is told to have been pushed over, and goes on as slowly as it then is.
+func (w *World) demanded(now policy.Instant, s *Server, work time.Duration) {
+	s.demand *= math.Exp(-float64(now.Since(s.demandAt)) / float64(demandOver))
+	s.demandAt = now
+	s.demand += float64(work) / float64(demandOver)
+	if s.FallMultiple <= 0 || s.Life != Up {
+		return
+	}
+	able := s.Speed * float64(s.Cores)
+	if s.origin == nil {
+		able = w.rate(s) * float64(s.Cores)
+	}
+	if s.origin == nil && s.Warmth(now) >= 1 || s.demand <= s.FallMultiple*able {
+		s.overAt = 0
+		return
+	}
+	if s.overAt == 0 {
+		s.overAt = now
+	}
+	if now.Since(s.overAt) < s.FallFor {
+		return
+	}
+	why := fmt.Sprintf("asked for %.1f times what it can do, for %v", s.demand/able, s.FallFor)
+	s.overAt = 0
+	if w.plan.Hearer.Fell(now, s.ID, why); s.origin == nil {
+		w.Kill(now, w.byID[s.ID])
+		s.fellTill = now.Add(fallenFor)
+		w.due.Put(s.fellTill, wake{w.byID[s.ID], 0})
+	}
+}
+
+func (w *World) arm(server int) {
+	s := w.Servers[server]
+	s.gen++
+	if at, any := s.station.next(); any {
+		w.due.Put(at, wake{server, s.gen})
+	}
+}
+
+// Next tells when there is something to advance to.
+func (w *World) Next() (policy.Instant, bool) { return w.due.Next() }
+
+// Advance ends what is due by now and tells each end.
+func (w *World) Advance(now policy.Instant, tell func(Done)) {
+	for {
+		at, any := w.due.Next()
+		if !any || at > now {
+			break
+		}
+		it, _ := w.due.Due(now)
+		w.now = at
+		s := w.Servers[it.server]
+		if it.gen == 0 {
+			if s.Life == Down && s.fellTill != 0 && at >= s.fellTill {
+				s.fellTill = 0
+				w.Start(at, it.server)
+				w.plan.Hearer.Rose(at, s.ID)
+			}
+			continue
+		}
+		if it.gen != s.gen || s.Life != Up {
+			continue
+		}
+		for {
+			var j Job
+			var ok bool
+			if s.origin != nil {
+				s.station.change(at, func() { j, ok = s.station.finish(at) })
+			} else {
+				j, ok = s.station.finish(at)
+			}
+			if !ok {
+				break
+			}
+			tell(w.finish(at, s, j))
+		}
+		w.arm(it.server)
+	}
+	for {
+		id, ok := w.forget.Due(now)
+		if !ok {
+			break
+		}
+		delete(w.missed, id)
+	}
+	w.now = now
+}
+
+// finish is what a server does at a job's end.
+func (w *World) finish(now policy.Instant, s *Server, j Job) Done {
+	if now.Since(s.loadAt) >= reportEvery {
+		s.load, s.loadAt = float64(s.station.inHand()), now
+	}
+	d := Done{Job: j, Server: j.server, Load: s.load}
+	g := &w.plan.Grades[j.Grade]
+	if s.ErrorRate > 0 && w.chance.Next() < s.ErrorRate {
+		d.Said = Failed
+		return d
+	}
+	if g.Write {
+		return w.write(now, s, j, d)
+	}
+	if s.origin != nil || w.plan.Mode == Through {
+		for _, c := range w.missed[j.Retrieval] { // those that missed for this retrieval keep the value now
+			if w.Servers[c].Life == Up {
+				w.Servers[c].store.put(j.Key)
+			}
+		}
+		d.Said, d.Text = Value, ValueOf(j.Key)
+		return d
+	}
+	if s.store.has(j.Key) {
+		s.Hits++
+		d.Said, d.Text = Value, ValueOf(j.Key)
+		return d
+	}
+	s.Misses++
+	d.Said = Miss
+	if w.missed[j.Retrieval] == nil {
+		w.forget.Put(now.Add(missesKept), j.Retrieval)
+	}
+	w.missed[j.Retrieval] = append(w.missed[j.Retrieval], j.server)
+	return d
+}
+
+// ValueOf is the value of a key, wherever it is kept.
+func ValueOf(key string) string { return "v:" + key }
+
+// write has its effect unless it is a repeat within its window.
+func (w *World) write(now policy.Instant, s *Server, j Job, d Done) Done {
+	d.Said = Receipt
+	if j.Label != "" {
+		if receipt, again := s.labels.repeat(int64(now), j.Label); again {
+			d.Text = receipt
+			return d
+		}
+	}
+	w.written++
+	d.Text = strconv.FormatUint(w.written, 36)
+	if j.Label != "" {
+		s.labels.keep(j.Label, d.Text, int64(now.Add(w.plan.Grades[j.Grade].Window)))
+	}
+	w.plan.Hearer.Effect(now, j.Retrieval, j.Label, j.Grade, s.ID)
+	if s.origin != nil {
+		for _, c := range w.Servers {
+			if c.origin == nil {
+				c.store.drop(j.Key)
+			}
+		}
+	}
+	return d
+}
+
+// Withdraw takes a job out that nobody waits for any more, if it has not begun.
+func (w *World) Withdraw(now policy.Instant, server int, tag uint64) {
+	w.now = now
+	w.Servers[server].station.withdraw(func(j Job) bool { return j.Tag == tag })
+}
+
+// Slow makes a server so many times slower than its traits; 1 ends that.
+func (w *World) Slow(now policy.Instant, server int, times float64) {
+	w.change(now, server, func(s *Server) { s.slow = max(times, 1e-3) })
+}
+
+// Crowd lets other programs on the machine take a share of its cores; 0 ends that.
+func (w *World) Crowd(now policy.Instant, server int, share float64) {
+	w.change(now, server, func(s *Server) { s.others = min(max(share, 0), 0.99) })
+}
+
+func (w *World) change(now policy.Instant, server int, do func(*Server)) {
+	w.now = now
+	s := w.Servers[server]
+	s.station.change(now, func() { do(s) })
+	w.arm(server)
+}
+
+// Pause lets a server do nothing for a time; connections stay.
+func (w *World) Pause(now policy.Instant, server int, long time.Duration) {
+	w.now = now
+	w.Servers[server].station.freeze(now, now.Add(long))
+	w.arm(server)
+}
+
+// Kill ends a server's process: what it had in hand and held is gone.
+func (w *World) Kill(now policy.Instant, server int) {
+	w.now = now
+	s := w.Servers[server]
+	s.Life = Down
+	s.station.clear()
+	s.gen++
+	s.store = newStore(s.Keys)
+}
+
+// Mute lets a server vanish without a word: what it has in hand is gone, what comes is swallowed.
+func (w *World) Mute(now policy.Instant, server int) {
+	w.Kill(now, server)
+	w.Servers[server].Life = Silent
+}
+
+// Start starts a server that was down or silent, cold and empty.
+func (w *World) Start(now policy.Instant, server int) {
+	w.now = now
+	s := w.Servers[server]
+	s.Life, s.Born, s.overAt, s.demand, s.fellTill = Up, now, 0, 0, 0
+	s.station.frozen = 0
+}
+
+// Frozen tells whether a server does nothing just now.
+func (s *Server) Frozen(now policy.Instant) bool { return now < s.station.frozen }
+
+// Break makes a server answer so large a share of its legs with a failure.
+func (w *World) Break(server int, share float64) { w.Servers[server].ErrorRate = share }
+
+// WarmBy fills the caches with the keys of traffic, the most popular last, as a fleet that has served for long would hold
+// them. where is a decider's, which is not used again: each of three calls goes to the least loaded, so they tell the holders.
+func WarmBy(w *World, where func(policy.Instant, *policy.Retrieval) policy.Move, now policy.Instant, t *Traffic, most int) {
+	grade := slices.IndexFunc(t.Grades, func(g Grade) bool { return !g.Write })
+	if grade < 0 {
+		return
+	}
+	for rank := min(t.Keys, most) - 1; rank >= 0; rank-- {
+		key := KeyOf(rank)
+		for range 3 {
+			m := where(now, &policy.Retrieval{ID: "w", Key: key, Grade: policy.GradeID(grade), League: -1, Arrived: now,
+				HardStop: now.Add(time.Hour)})
+			for _, id := range m.To {
+				if i, ok := w.byID[id]; ok && w.Servers[i].origin == nil {
+					w.Servers[i].store.put(key)
+				}
+			}
+		}
+	}
+}
