Add nine rehearsals that are played by name, and two baselines in virtual time

Need: a decision is judged by how far it is from simpler ones under the same failures, and newcomers want scripts to play.

The scripts come with the program.

--- a/cmd/dahliapin/rehearse.go
+++ b/cmd/dahliapin/rehearse.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -16,6 +17,7 @@
 	"dahliapin/internal/emulator/outcome"
 	"dahliapin/internal/emulator/script"
 	"dahliapin/internal/emulator/virtual"
+	"dahliapin/rehearsals"
 )
 
 var errNotMet = errors.New("the rehearsal is not as expected")
@@ -23,10 +25,10 @@
 func rehearse() *cobra.Command {
 	var inVirtual bool
 	var seed int64
-	var out string
+	var out, by string
 	c := &cobra.Command{Use: "rehearse SCRIPT", Short: "Play a script of failures against nodes, and say whether all came as expected",
 		Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
-			s, err := script.Read(args[0])
+			s, err := find(args[0])
 			if err != nil {
 				return err
 			}
@@ -35,9 +37,14 @@
 			}
 			var r *outcome.Report
 			if inVirtual {
-				r, _, err = virtual.Play(s, "module", virtual.Module)
+				var make virtual.Maker
+				if make, err = decider(by); err == nil {
+					r, _, err = virtual.Play(s, by, make)
+				}
+			} else if by != "module" {
+				err = errors.New("baselines play in virtual time only: add --virtual")
 			} else {
-				r, err = onSockets(c.Context(), s, nil)
+				r, err = onSockets(c.Context(), s, progress())
 			}
 			if err != nil {
 				return err
@@ -55,10 +62,31 @@
 		}}
 	c.Flags().BoolVar(&inVirtual, "virtual", false, "in virtual time, without sockets")
 	c.Flags().Int64Var(&seed, "seed", 0, "another seed than the script's")
+	c.Flags().StringVar(&by, "decider", "module", "who decides: module, or a baseline in virtual time: random, ring")
 	c.Flags().StringVar(&out, "out", "", "folder for report.json and records.jsonl")
 	return c
 }
 
+// find reads a script from a file, or takes one of those that come with the program.
+func find(name string) (*script.Script, error) {
+	if text, ok := rehearsals.Text(name); ok {
+		return script.Parse(name+".toml", text)
+	}
+	s, err := script.Read(name)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("there is no file %s, nor a rehearsal of that name: %s", name, strings.Join(rehearsals.Names(), ", "))
+	}
+	return s, err
+}
+
+// progress writes a line that is written over, where there is somebody to see it.
+func progress() func(string) {
+	if at, err := os.Stderr.Stat(); err != nil || at.Mode()&os.ModeCharDevice == 0 {
+		return nil
+	}
+	return func(line string) { fmt.Fprintf(os.Stderr, "\r\x1b[K%s", line) }
+}
+
 // keep writes a report to a folder; each file is there whole or not at all.
 func keep(dir string, r *outcome.Report) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
--- /dev/null
+++ b/internal/baselines/baselines.go
@@ -0,0 +1,189 @@
+// Package baselines has simple deciders that the module is measured against in rehearsals. They keep the rules and know
+// nothing of what goes wrong. No node imports them.
+package baselines
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"dahliapin/internal/host"
+	"dahliapin/internal/keyhash"
+	"dahliapin/policy"
+)
+
+const (
+	points  = 64                     // of each cache on the ring: shares differ by an eighth or so
+	holders = 3                      // of a key, as the module has them
+	upkeep  = time.Second            // they have none; the host wants a time
+	spare   = 2 * time.Millisecond   // before the hard stop, for the answer's way
+	waits   = 250 * time.Millisecond // for a dismissed client to come back, where it may be told
+)
+
+// Maker makes a decider, as the shells of the emulator want it.
+type Maker = func(now policy.Instant, seed int64, rules policy.HouseRules) host.Decider
+
+// Names are the baselines there are.
+var Names = []string{"random", "ring"}
+
+// Make finds a baseline by its name.
+func Make(name string) (Maker, error) {
+	switch name {
+	case "random":
+		return maker((*plain).anyone), nil
+	case "ring":
+		return maker((*plain).leastOfThree), nil
+	}
+	return nil, fmt.Errorf("there is no decider %q: module, %v", name, Names)
+}
+
+func maker(choose func(*plain, *policy.Retrieval) policy.CacheID) Maker {
+	return func(_ policy.Instant, seed int64, rules policy.HouseRules) host.Decider {
+		p := &plain{rules: rules, choose: choose, caches: map[policy.CacheID]*cache{}, chance: keyhash.Source{Seed: uint32(seed)}}
+		p.rules.MostLegs = max(1, rules.MostLegs)
+		return p
+	}
+}
+
+type cache struct {
+	policy.Entry
+	out int
+}
+
+// plain sends to whom choose says, tries again where the rules allow it, and gives up otherwise.
+type plain struct {
+	rules  policy.HouseRules
+	choose func(*plain, *policy.Retrieval) policy.CacheID
+	caches map[policy.CacheID]*cache
+	ready  []*cache // those that may be sent to, by id; without the origin
+	ring   []point
+	origin *cache
+	chance keyhash.Source
+}
+
+type point struct {
+	at uint64
+	c  *cache
+}
+
+// Listed hears the list.
+func (p *plain) Listed(_ policy.Instant, form policy.ListForm, entries []policy.Entry) {
+	if form == policy.AskFailed {
+		return
+	}
+	named := map[policy.CacheID]bool{}
+	for _, e := range entries {
+		if named[e.ID] = true; p.caches[e.ID] == nil {
+			p.caches[e.ID] = &cache{}
+		}
+		p.caches[e.ID].Entry = e
+	}
+	p.ready, p.ring, p.origin = nil, nil, nil
+	for id, c := range p.caches {
+		switch {
+		case c.State == policy.Gone || form != policy.Changes && !named[id]:
+			delete(p.caches, id)
+		case p.rules.Aside && c.Kind == p.rules.OriginKind:
+			p.origin = c
+		case c.State == policy.Ready:
+			p.ready = append(p.ready, c)
+		}
+	}
+	slices.SortFunc(p.ready, func(a, b *cache) int { return cmp.Compare(a.ID, b.ID) })
+	for _, c := range p.ready {
+		for n := range points {
+			p.ring = append(p.ring, point{keyhash.Salted(keyhash.Text(string(c.ID)), n), c})
+		}
+	}
+	slices.SortFunc(p.ring, func(a, b point) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.c.ID, b.c.ID)) })
+}
+
+// Probed hears nothing: it never probes.
+func (p *plain) Probed(policy.Instant, policy.CacheID, policy.Result) {}
+
+// Wait has no chores.
+func (p *plain) Wait(policy.Instant) (time.Duration, []policy.Chore) { return upkeep, nil }
+
+func tried(r *policy.Retrieval, id policy.CacheID) bool {
+	return slices.ContainsFunc(r.Legs, func(l policy.Leg) bool { return l.To == id })
+}
+
+// on lists a key's holders on the ring: the next three caches to the right.
+func (p *plain) on(key string) (hs []*cache) {
+	h := keyhash.Text(key)
+	from, _ := slices.BinarySearchFunc(p.ring, h, func(q point, h uint64) int { return cmp.Compare(q.at, h) })
+	for i := 0; i < len(p.ring) && len(hs) < holders; i++ {
+		if c := p.ring[(from+i)%len(p.ring)].c; !slices.Contains(hs, c) {
+			hs = append(hs, c)
+		}
+	}
+	return hs
+}
+
+// anyone is a random one of the key's holders.
+func (p *plain) anyone(r *policy.Retrieval) policy.CacheID {
+	hs := slices.DeleteFunc(p.on(r.Key), func(c *cache) bool { return tried(r, c.ID) })
+	if len(hs) == 0 {
+		return ""
+	}
+	return hs[int(p.chance.Next()*float64(len(hs)))].ID
+}
+
+// leastOfThree is the holder with the fewest own legs out, the first on the ring among equals.
+func (p *plain) leastOfThree(r *policy.Retrieval) policy.CacheID {
+	var best *cache
+	for _, c := range p.on(r.Key) {
+		if !tried(r, c.ID) && (best == nil || c.out < best.out) {
+			best = c
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.ID
+}
+
+// Where sends a retrieval.
+func (p *plain) Where(now policy.Instant, r *policy.Retrieval) policy.Move {
+	if r.Over || slices.ContainsFunc(r.Legs, func(l policy.Leg) bool { return l.Out }) {
+		return policy.Move{}
+	}
+	g := policy.Grade{}
+	if r.Grade >= 0 && int(r.Grade) < len(p.rules.Grades) {
+		g = p.rules.Grades[r.Grade]
+	}
+	missed, mayHaveRun := false, false
+	for _, l := range r.Legs {
+		missed = missed || l.Result == policy.Missed
+		mayHaveRun = mayHaveRun || !l.Result.NeverRan()
+	}
+	by := r.HardStop.Add(-spare)
+	again := !mayHaveRun || g.Effect == policy.Redoable ||
+		g.Effect == policy.Labelled && g.Scope == policy.AllCaches && now.Since(r.Legs[0].Sent) < g.Window-time.Second
+	if again && by > now && len(r.Legs) < p.rules.MostLegs {
+		to := policy.CacheID("")
+		switch {
+		case p.rules.Aside && (r.Write || missed) && p.origin != nil && p.origin.State == policy.Ready:
+			to = p.origin.ID
+		case !p.rules.Aside || !r.Write && !missed:
+			to = p.choose(p, r)
+		}
+		if c := p.caches[to]; c != nil {
+			c.out++
+			return policy.Move{To: []policy.CacheID{to}, GiveUpAt: by}
+		}
+	}
+	if !mayHaveRun || g.Effect == policy.Redoable || g.Effect == policy.Labelled && g.Scope == policy.AllCaches {
+		return policy.Move{Answer: policy.Dismiss, ComeBack: min(p.rules.MaxComeBack, waits)}
+	}
+	return policy.Move{Answer: policy.Scrap}
+}
+
+// After hears a leg's outcome, and tries again.
+func (p *plain) After(now policy.Instant, r *policy.Retrieval, o policy.Outcome) policy.Move {
+	if c := p.caches[r.Legs[o.Leg].To]; c != nil {
+		c.out = max(0, c.out-1)
+	}
+	return p.Where(now, r)
+}
