--- a/internal/emulator/client/client.go
+++ b/internal/emulator/client/client.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"dahliapin/internal/emulator/judge"
 )
 
@@ -39,6 +41,7 @@
 	Value    string // or the receipt
 	Wrong    string // what is not as it should be
 	Silent   bool   // nothing came in time
+	Extra    bool   // its connection had brought something that nobody asked for
 	Sent     time.Time
 	Got      time.Time
 }
@@ -77,9 +80,11 @@
 		defer p.wg.Done()
 		sent := time.Now()
 		answer, err := p.try(c, a)
+		extra := answer.Extra
 		if err != nil && c != nil && c.used && !errors.Is(err, errSilent) { // the close crossed it: it was not read
 			answer, err = p.try(nil, a)
 		}
+		answer.Extra = answer.Extra || extra
 		if answer.Sent, answer.Got = sent, time.Now(); err != nil {
 			answer.Final, answer.Silent = judge.Cut, errors.Is(err, errSilent)
 		}
@@ -87,7 +92,28 @@
 	}()
 }
 
-var errSilent = errors.New("nothing came in time")
+var (
+	errSilent = errors.New("nothing came in time")
+	errExtra  = errors.New("something came that nobody asked for")
+)
+
+// unasked tells whether bytes have come on a connection between two tries.
+func (c *conn) unasked() bool {
+	if c.r.Buffered() > 0 {
+		return true
+	}
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	n, ahead := 0, [1]byte{}
+	raw.Control(func(fd uintptr) {
+		if n, _, err = unix.Recvfrom(int(fd), ahead[:], unix.MSG_PEEK|unix.MSG_DONTWAIT); err != nil {
+			n = 0
+		}
+	})
+	return n > 0
+}
 
 func (p *Pool) try(c *conn, a *Ask) (answer Answer, err error) {
 	if c == nil {
@@ -108,10 +134,9 @@
 			return answer, net.ErrClosed
 		}
 	}
-	began := c.r.Buffered()
-	if began > 0 {
+	if c.unasked() {
 		p.drop(c)
-		return answer, errors.New("something came that nobody asked for")
+		return Answer{Extra: true}, errExtra
 	}
 	c.SetDeadline(time.Now().Add(a.Wait + beyond))
 	if _, err = io.WriteString(c, a.Line()); err == nil {
--- a/internal/emulator/judge/judge.go
+++ b/internal/emulator/judge/judge.go
@@ -81,6 +81,7 @@
 	answered policy.Instant // 0 for not yet
 	final    Final
 	ran      bool // an effect was seen
+	lost     bool // counted as without an answer
 	legs     []leg
 }
 
@@ -121,6 +122,10 @@
 		j.breach(1, now, id, -1, "", "an answer to what nobody asked, or long after its hard stop")
 		return 0
 	}
+	if t.lost { // late, which is counted already
+		t.lost = false
+		return 0
+	}
 	if t.answered != 0 {
 		j.breach(1, now, id, t.node, "", fmt.Sprintf("a second final answer (%v after %v)", how, t.final))
 		return 0
@@ -268,7 +273,7 @@
 		}
 		if t.answered == 0 {
 			j.breach(1, now, id, t.node, "", "no final answer by its hard stop")
-			t.answered = now // what comes now is a second failing; it is counted once
+			t.answered, t.lost = now, true
 		}
 		j.forget.Put(t.stop.Add(keepFor), id)
 	}
--- /dev/null
+++ b/internal/emulator/judge/judge_test.go
@@ -0,0 +1,88 @@
+package judge
+
+import (
+	"testing"
+	"time"
+
+	"dahliapin/policy"
+)
+
+const ms = policy.Instant(time.Millisecond)
+
+func grades() []policy.Grade {
+	return []policy.Grade{{SoftLimit: 50 * time.Millisecond, Effect: policy.Redoable},
+		{SoftLimit: 50 * time.Millisecond, Effect: policy.Labelled, Scope: policy.SameGroup, Window: time.Second},
+		{SoftLimit: 50 * time.Millisecond, Effect: policy.Irreversible}}
+}
+
+// A judge that misses a breach calls a broken node good. Each row is one way to break a rule, or one that looks like it.
+func TestEachBreachIsCaughtOnceAndItsLookAlikeIsNot(t *testing.T) {
+	sent := func(j *Judge, grade int) { j.Sent(0, "r", 0, grade, "l", 100*ms, true) }
+	for _, c := range []struct {
+		name string
+		rule int // 0: none is broken
+		do   func(j *Judge)
+	}{
+		{"answered", 0, func(j *Judge) { sent(j, 0); j.Answered(20*ms, "r", Satisfied); j.Advance(9999 * ms) }},
+		{"answered twice", 1, func(j *Judge) { sent(j, 0); j.Answered(20*ms, "r", Satisfied); j.Answered(21*ms, "r", Dismissed) }},
+		{"late", 1, func(j *Judge) { sent(j, 0); j.Answered(111*ms, "r", Satisfied) }},
+		{"within the slack", 0, func(j *Judge) { sent(j, 0); j.Answered(109*ms, "r", Satisfied) }},
+		{"never", 1, func(j *Judge) { sent(j, 0); j.Advance(200 * ms) }},
+		{"late by far, which is one breach", 1, func(j *Judge) { sent(j, 0); j.Advance(200 * ms); j.Answered(300*ms, "r", Satisfied) }},
+		{"never, its node killed", 0, func(j *Judge) { sent(j, 0); j.Excuse("r"); j.Advance(200 * ms) }},
+		{"cut", 1, func(j *Judge) { sent(j, 0); j.Answered(10*ms, "r", Cut) }},
+		{"nobody asked", 1, func(j *Judge) { j.Answered(10*ms, "q", Satisfied) }},
+		{"a leg after the answer", 1, func(j *Judge) { sent(j, 0); j.Answered(20*ms, "r", Scrapped); j.Came(40*ms, 35*ms, "r", "c1") }},
+		{"a leg that crossed the answer", 0, func(j *Judge) { sent(j, 0); j.Answered(20*ms, "r", Scrapped); j.Came(40*ms, 20*ms, "r", "c1") }},
+		{"a made-up value", 1, func(j *Judge) { sent(j, 0); j.Wrong(10*ms, "r", "made up") }},
+		{"effect twice", 2, func(j *Judge) { sent(j, 1); j.Effect(10*ms, "r", "l", 1, "c1"); j.Effect(20*ms, "r2", "l", 1, "c2") }},
+		{"two effects of two labels", 0, func(j *Judge) { j.Effect(10*ms, "r", "l", 1, "c1"); j.Effect(20*ms, "r", "m", 1, "c1") }},
+		{"dismissed after a leg that may have run", 2, func(j *Judge) { sent(j, 2); j.Came(5*ms, 5*ms, "r", "c1"); j.Answered(10*ms, "r", Dismissed) }},
+		{"dismissed after one that was turned away", 0, func(j *Judge) {
+			sent(j, 2)
+			j.Came(5*ms, 5*ms, "r", "c1")
+			j.Left(6*ms, "r", "c1", true)
+			j.Answered(10*ms, "r", Dismissed)
+		}},
+		{"scrapped after a leg", 0, func(j *Judge) { sent(j, 2); j.Came(5*ms, 5*ms, "r", "c1"); j.Answered(10*ms, "r", Scrapped) }},
+		{"ran after its dismissal", 2, func(j *Judge) { sent(j, 2); j.Answered(10*ms, "r", Dismissed); j.Effect(12*ms, "r", "", 2, "c1") }},
+		{"irreversible sent again", 2, func(j *Judge) {
+			sent(j, 2)
+			j.Came(5*ms, 5*ms, "r", "c1")
+			j.Left(6*ms, "r", "c1", false)
+			j.Came(8*ms, 8*ms, "r", "c2")
+		}},
+		{"a second beside a first", 2, func(j *Judge) {
+			sent(j, 0)
+			j.Came(5*ms, 5*ms, "r", "c1")
+			j.Came(6*ms, 6*ms, "r", "c2")
+			j.Left(30*ms, "r", "c1", false)
+		}},
+		{"a second after a first was called off", 0, func(j *Judge) {
+			sent(j, 0)
+			j.Came(5*ms, 5*ms, "r", "c1")
+			j.Came(6*ms, 6*ms, "r", "c2")
+			j.Left(9*ms, "r", "c1", false)
+		}},
+		{"to one that drains", 3, func(j *Judge) { j.Told(0, 0, "c1", policy.Draining); sent(j, 0); j.Came(60*ms, 51*ms, "r", "c1") }},
+		{"to one that drains, within the grace", 0, func(j *Judge) { j.Told(0, 0, "c1", policy.Draining); sent(j, 0); j.Came(60*ms, 49*ms, "r", "c1") }},
+		{"to one that is back", 0, func(j *Judge) {
+			j.Told(0, 0, "c1", policy.Gone)
+			j.Told(1, 0, "c1", policy.Ready)
+			sent(j, 0)
+			j.Came(60*ms, 60*ms, "r", "c1")
+		}},
+		{"told another node", 0, func(j *Judge) { j.Told(0, 1, "c1", policy.Gone); sent(j, 0); j.Came(60*ms, 60*ms, "r", "c1") }},
+		{"pushed over", 4, func(j *Judge) { j.Fell(0, "c1", "cold") }},
+	} {
+		j := New(Terms{Grades: grades(), Grace: 50 * time.Millisecond, Slack: 10 * time.Millisecond})
+		c.do(j)
+		want := [5]uint64{}
+		if c.rule > 0 {
+			want[c.rule] = 1
+		}
+		if j.Counts != want {
+			t.Errorf("%s: %v, want %v: %v", c.name, j.Counts, want, j.Breaches)
+		}
+	}
+}
--- /dev/null
+++ b/internal/emulator/onwire/onwire_test.go
@@ -0,0 +1,403 @@
+package onwire
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dahliapin/internal/emulator/judge"
+	"dahliapin/internal/emulator/outcome"
+	"dahliapin/internal/emulator/script"
+	"dahliapin/internal/emulator/world"
+	"dahliapin/internal/net/meta"
+	"dahliapin/internal/records"
+	"dahliapin/policy"
+)
+
+const small = `
+seconds = 3
+seed = 3
+[fleet]
+caches = 4
+keys = 200
+cold_from = 0.05
+cold_s = 60
+fall_multiple = 2
+fall_s = 0.3
+[origin]
+cores = 8
+work_ms = 2
+fall_multiple = 50
+[discovery]
+notice_s = [0.05, 0.1]
+[allowed]
+second_copies = false
+grace_ms = 200
+[traffic]
+per_second = 150
+keys = 50
+[[grade]]
+name = "read"
+share = 0.6
+benefit = 1
+soft_ms = 100
+hard_ms = 300
+work_ms = 2
+[[grade]]
+name = "mark"
+share = 0.2
+benefit = 5
+effect = "labelled"
+write = true
+soft_ms = 100
+hard_ms = 900
+work_ms = 2
+window_s = 0.4
+[[grade]]
+name = "pay"
+share = 0.2
+benefit = 5
+effect = "irreversible"
+write = true
+soft_ms = 100
+hard_ms = 300
+work_ms = 2
+`
+
+func parse(t *testing.T, text string) *script.Script {
+	t.Helper()
+	s, err := script.Parse("test.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// stub is a router that does one thing wrong. It is a runner of itself.
+type stub struct {
+	wrong string
+	l     net.Listener
+	done  chan struct{}
+	mu    sync.Mutex
+	addrs map[string]string // of servers, by id; those that are gone stay
+	last  string            // the id heard of last
+	end   sync.Once
+}
+
+func (s *stub) Start(_ string, configuration []byte, _ func(records.Entry, time.Time)) (Process, error) {
+	var c struct{ Listen, Discovery string }
+	if err := json.Unmarshal(configuration, &c); err != nil {
+		return nil, err
+	}
+	var err error
+	if s.l, err = net.Listen("tcp", c.Listen); err != nil {
+		return nil, err
+	}
+	s.done, s.addrs = make(chan struct{}), map[string]string{}
+	heard := make(chan bool)
+	go s.follow(c.Discovery, heard)
+	<-heard
+	go func() {
+		for {
+			conn, err := s.l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn)
+		}
+	}()
+	return s, nil
+}
+
+func (s *stub) End()                  { s.end.Do(func() { s.l.Close(); close(s.done) }) }
+func (s *stub) Kill()                 { s.End() }
+func (s *stub) Done() <-chan struct{} { return s.done }
+func (s *stub) Ended() string         { return "a stub ended" }
+
+func (s *stub) follow(addr string, heard chan bool) {
+	since := ""
+	for {
+		resp, err := http.Get("http://" + addr + "/registry/instances" + since)
+		if err != nil {
+			return
+		}
+		var list struct {
+			Generation int
+			Instances  []struct{ InstanceID, HostPort string }
+		}
+		err = json.NewDecoder(resp.Body).Decode(&list)
+		resp.Body.Close()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		for _, e := range list.Instances {
+			if s.addrs[e.InstanceID] == "" {
+				s.last = e.InstanceID
+			}
+			s.addrs[e.InstanceID] = e.HostPort
+		}
+		s.mu.Unlock()
+		if since == "" {
+			close(heard)
+		}
+		since = fmt.Sprintf("?since=%d&timeout_ms=1000", list.Generation)
+	}
+}
+
+func (s *stub) addr(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if id == "last" {
+		id = s.last
+	}
+	return s.addrs[id]
+}
+
+// leg sends a command to a cache or the origin and returns the answer for the client.
+func (s *stub) leg(to string, c *meta.Command) string {
+	if items, _ := meta.Flag(c.Flags, 'P'); to == "origin" {
+		method := http.MethodGet
+		if c.Verb == meta.Set {
+			method = http.MethodPut
+		}
+		q, _ := http.NewRequest(method, "http://"+s.addr(to)+"/"+string(c.Key), strings.NewReader(string(c.Value)))
+		q.Header.Set("X-Call-Id", string(c.ID))
+		q.Header.Set("X-Call-Info", string(items))
+		resp, err := http.DefaultClient.Do(q)
+		if err != nil {
+			return "SERVER_ERROR failed\r\n"
+		}
+		defer resp.Body.Close()
+		body, _ := io.ReadAll(resp.Body)
+		switch {
+		case resp.StatusCode != 200:
+			return "SERVER_ERROR failed\r\n"
+		case c.Verb == meta.Set:
+			return string(meta.AppendDone(nil, c.ID, body))
+		}
+		return string(meta.AppendValue(nil, c.ID, body))
+	}
+	conn, err := net.Dial("tcp", s.addr(to))
+	if err != nil {
+		return "SERVER_ERROR failed\r\n"
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(time.Second))
+	conn.Write(meta.AppendCommand(nil, c, 250))
+	r := bufio.NewReader(conn)
+	line, _ := r.ReadString('\n')
+	switch {
+	case strings.HasPrefix(line, "VA"):
+		value, _ := r.ReadString('\n')
+		return string(meta.AppendValue(nil, c.ID, []byte(strings.TrimSpace(value))))
+	case strings.HasPrefix(line, "EN"):
+		return s.leg("origin", c)
+	}
+	return line
+}
+
+func (s *stub) serve(conn net.Conn) {
+	defer conn.Close()
+	var held []byte
+	for in := make([]byte, 4096); ; {
+		n, err := conn.Read(in)
+		if err != nil {
+			return
+		}
+		held = append(held, in[:n]...)
+		for {
+			c, size, _ := meta.ReadCommand(held)
+			if size == 0 {
+				break
+			}
+			if c.Verb == meta.Ready {
+				io.WriteString(conn, "MN\r\n")
+			} else {
+				io.WriteString(conn, s.answer(&c))
+			}
+			held = held[size:]
+		}
+	}
+}
+
+func (s *stub) answer(c *meta.Command) string {
+	items, _ := meta.Flag(c.Flags, 'P')
+	grade, _ := meta.Item(items, "c")
+	read, mark, pay := string(grade) == "read", string(grade) == "mark", string(grade) == "pay"
+	well := func() string {
+		if read {
+			return s.leg("c1", c)
+		}
+		return s.leg("origin", c)
+	}
+	switch {
+	case s.wrong == "answers twice" && read:
+		return strings.Repeat(well(), 2)
+	case s.wrong == "answers late" && read:
+		time.Sleep(380 * time.Millisecond)
+	case s.wrong == "never answers" && read:
+		return ""
+	case s.wrong == "makes a value up" && read:
+		return string(meta.AppendValue(nil, c.ID, []byte("v:none")))
+	case s.wrong == "sends on after the answer" && read:
+		go func() { time.Sleep(120 * time.Millisecond); s.leg("c2", c) }()
+		return "SERVER_ERROR failed\r\n"
+	case s.wrong == "repeats what can't be undone" && pay:
+		well()
+	case s.wrong == "dismisses what ran" && pay:
+		well()
+		return "SERVER_ERROR busy\r\n"
+	case s.wrong == "repeats a labelled write beyond its window" && mark:
+		well()
+		time.Sleep(600 * time.Millisecond)
+	case s.wrong == "" && mark: // within the window the origin drops it
+		well()
+	case s.wrong == "sends a second beside the first" && read:
+		go s.leg("c2", c)
+		go s.leg("c3", c)
+	case s.wrong == "sends to one that drains" && read:
+		return s.leg("c4", c)
+	case s.wrong == "pushes a cold cache over" && read:
+		return s.leg("last", c)
+	}
+	return well()
+}
+
+// The rig's judge is what calls a node good, so it must call each of these routers bad, by the right rule, and the one
+// that does all well good.
+func TestBrokenRoutersAreCaughtByTheirRule(t *testing.T) {
+	for wrong, rule := range map[string]int{"": 0, "answers twice": 1, "answers late": 1, "never answers": 1, "makes a value up": 1,
+		"sends on after the answer": 1, "repeats what can't be undone": 2, "dismisses what ran": 2,
+		"repeats a labelled write beyond its window": 2, "sends a second beside the first": 2, "sends to one that drains": 3,
+		"pushes a cold cache over": 4} {
+		t.Run("who "+wrong, func(t *testing.T) {
+			t.Parallel()
+			s := parse(t, small+map[int]string{3: "[[event]]\nat_s = 0.3\ndo = \"drain\"\ncaches = [\"c4\"]\nfor_s = 9\n",
+				4: "[[event]]\nat_s = 0.2\ndo = \"add\"\n"}[rule])
+			if rule == 2 && strings.Contains(wrong, "second") { // the first is to be out for long enough to be seen beside
+				s.Grades[0].WorkMs = 120
+				s.Traffic.PerSecond = 20
+			}
+			if s.Fleet.Queue = 1000; rule == 4 {
+				s.Fleet.FallMultiple = 1.2
+			}
+			r, err := Play(context.Background(), s, &stub{wrong: wrong}, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if rule == 0 && r.Rules != [4]uint64{} || rule > 0 && r.Rules[rule-1] == 0 {
+				t.Errorf("%v, %v", r.Rules, r.Breaches[:min(5, len(r.Breaches))])
+			}
+			if rule > 0 && r.Good() {
+				t.Error("called good")
+			}
+		})
+	}
+}
+
+// The real node, embedded, through faults on its wires, a cache that vanishes and a planned restart; afterwards nothing
+// of the run listens any more.
+func TestTheNodeKeepsTheRulesThroughFaultsOnSockets(t *testing.T) {
+	s := parse(t, strings.Replace(small, "seconds = 3", "seconds = 6", 1)+`
+[[event]]
+at_s = 0.5
+do = "fault"
+fault = "reset"
+caches = ["c1"]
+for_s = 0.6
+[[event]]
+at_s = 1.2
+do = "fault"
+fault = "half"
+caches = ["c2"]
+for_s = 0.5
+[[event]]
+at_s = 1.8
+do = "silent"
+caches = ["c3"]
+for_s = 1.5
+[[event]]
+at_s = 3.5
+do = "node_restart"
+nodes = [1]
+[[event]]
+at_s = 4.2
+do = "kill"
+caches = ["c4"]
+for_s = 0.5
+`)
+	r, err := Play(context.Background(), s, Embedded{}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Rules != [4]uint64{} {
+		t.Errorf("%v: %v", r.Rules, r.Breaches)
+	}
+	if r.Grades[0].Asked < 300 || r.Grades[0].InTime < 0.8 || len(r.Events) != 5 {
+		t.Errorf("%+v, %v", r.Grades, r.Events)
+	}
+	if at := r.FirstOf("c3", records.Avoided); at < 1.8 || at > 3.4 {
+		t.Errorf("c3 is avoided at %v, silent from 1.8 to 3.3", at)
+	}
+}
+
+// A run that is broken off, and one whose node dies, end with that said and leave nothing behind.
+func TestARunThatIsBrokenOffLeavesNothing(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	run := &stub{}
+	time.AfterFunc(700*time.Millisecond, stop)
+	if _, err := Play(ctx, parse(t, small), run, nil); !errors.Is(err, context.Canceled) {
+		t.Errorf("broken off: %v", err)
+	}
+	select {
+	case <-run.done:
+	default:
+		t.Error("its node still runs")
+	}
+	for id, addr := range run.addrs {
+		if c, err := net.DialTimeout("tcp", addr, time.Second); err == nil {
+			c.Close()
+			t.Errorf("%s still listens", id)
+		}
+	}
+	dies := &stub{}
+	time.AfterFunc(900*time.Millisecond, func() { dies.End() })
+	r, err := Play(context.Background(), parse(t, small), dies, nil)
+	if err != nil || r.Good() || !strings.Contains(fmt.Sprint(r.Expected), "a stub ended") {
+		t.Errorf("a node that dies on its own: %v %v", err, r)
+	}
+}
+
+// A machine that can't keep the pace says so instead of judging.
+func TestAMachineTooBusyDoesNotJudge(t *testing.T) {
+	s := parse(t, small)
+	l := outcome.NewLog(s, epoch)
+	l.Played, l.Late = 100, 3
+	if r := outcome.Draw(s, "", "", newWorld(s), newJudge(s), l, 0, 0); r.Good() || r.Busy == "" {
+		t.Error("judged")
+	}
+	l.Late = 2
+	if r := outcome.Draw(s, "", "", newWorld(s), newJudge(s), l, 0, 0); !r.Good() {
+		t.Error("not judged", r.Expected)
+	}
+}
+
+func newWorld(s *script.Script) *world.World { return world.New(s.World(nil)) }
+
+func newJudge(s *script.Script) *judge.Judge {
+	var gs []policy.Grade
+	for _, g := range s.Terms() {
+		gs = append(gs, g.Grade)
+	}
+	return judge.New(judge.Terms{Grades: gs})
+}
--- a/internal/emulator/onwire/rig.go
+++ b/internal/emulator/onwire/rig.go
@@ -320,6 +320,9 @@
 		return
 	}
 	g, now := &r.traffic.Grades[req.Grade], r.at(got.Got)
+	if got.Extra {
+		r.judge.Wrong(now, "", "more came on a connection than one answer for each retrieval")
+	}
 	switch {
 	case got.Silent: // the judge counts it as lost at its hard stop
 		return
--- a/internal/emulator/script/script.go
+++ b/internal/emulator/script/script.go
@@ -373,10 +373,10 @@
 		c.within(g.WindowS, 0, mostSeconds, at+"window_s")
 		c.within(float64(g.Tries), 1, 20, at+"tries")
 		c.want(g.Effect == "redoable" || g.Write, at+"effect", "a read is redoable")
-		c.want(g.Effect != "labelled" || g.WindowS > 0, at+"window_s", "a labelled grade needs a window")
+		c.want(g.Effect != "labelled" || !g.Write || g.WindowS > 0, at+"window_s", "a labelled grade needs a window")
 		sum += g.Share
 	}
-	c.want(len(s.Grades) == 0 || sum > 0, "grade", "all shares are 0, so nothing is asked")
+	c.want(len(s.Grades) == 0 || sum > 0, "grade.0", "all shares are 0, so nothing is asked")
 }
 
 func (s *Script) checkEvents(c *checker) {
--- a/internal/emulator/virtual/virtual.go
+++ b/internal/emulator/virtual/virtual.go
@@ -24,9 +24,10 @@
 )
 
 const (
-	epoch  = policy.Instant(time.Second)
-	slack  = 20 * time.Millisecond // that what crosses may take before it counts as a breach: some ways over the network
-	settle = 2 * time.Second       // after the script's end: the longest hard stop is added
+	epoch      = policy.Instant(time.Second)
+	slack      = 20 * time.Millisecond // that what crosses may take before it counts as a breach: some ways over the network
+	stepsAtOne = 1 << 19               // events within a millisecond that no fleet has
+	settle     = 2 * time.Second       // after the script's end: the longest hard stop is added
 )
 
 // Maker makes a node's decider.
@@ -92,26 +93,33 @@
 	r.fleet.Listed(r.now, policy.Whole, r.entries())
 	r.course = course.Play(s, r.world, r.traffic, epoch, r)
 	r.arrive(r.traffic.Next(r.now))
-	r.run(epoch.Add(s.Long()))
 	end := epoch.Add(s.Long() + terms.LongestStop + settle)
-	r.run(end)
+	if err := r.run(end); err != nil {
+		return nil, nil, err
+	}
 	r.judge.Advance(end)
 	return outcome.Draw(s, "virtual", name, r.world, r.judge, r.log, r.course.First, r.course.Last), r, nil
 }
 
 // run plays what is due up to an instant. The world's own events and the queue's are taken by time, the world's first.
-func (r *Run) run(until policy.Instant) {
-	for {
+func (r *Run) run(until policy.Instant) error {
+	for looked := r.now; ; {
+		if r.Steps%stepsAtOne == stepsAtOne-1 {
+			if r.now.Since(looked) < time.Millisecond {
+				return fmt.Errorf("the decider loops: %d events within a millisecond at %.3f s", stepsAtOne, r.now.Since(epoch).Seconds())
+			}
+			looked = r.now
+		}
 		at, any := r.queue.Next()
 		ends, busy := r.world.Next()
 		if busy && (!any || ends <= at) {
 			at = ends
 		} else if !any {
-			return
+			return nil
 		}
 		if at > until {
 			r.now = until
-			return
+			return nil
 		}
 		r.now = max(r.now, at)
 		r.Steps++
--- /dev/null
+++ b/internal/emulator/virtual/virtual_test.go
@@ -0,0 +1,247 @@
+package virtual
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"dahliapin/internal/baselines"
+	"dahliapin/internal/emulator/outcome"
+	"dahliapin/internal/emulator/script"
+	"dahliapin/internal/host"
+	"dahliapin/internal/records"
+	"dahliapin/policy"
+	"dahliapin/rehearsals"
+)
+
+func load(t testing.TB, name string) *script.Script {
+	t.Helper()
+	text, ok := rehearsals.Text(name)
+	if !ok {
+		t.Fatalf("no rehearsal %q", name)
+	}
+	s, err := script.Parse(name, text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func play(t testing.TB, s *script.Script, name string, m Maker) *outcome.Report {
+	t.Helper()
+	r, _, err := Play(s, name, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// A change of the module that makes a shipped rehearsal worse than it promises shows here, in seconds and without a kit.
+func TestTheModuleMeetsEachRehearsal(t *testing.T) {
+	for _, name := range rehearsals.Names() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if r := play(t, load(t, name), "module", Module); !r.Good() {
+				var said strings.Builder
+				r.Print(&said)
+				t.Error(said.String())
+			}
+		})
+	}
+}
+
+// What differs between two runs of one seed can't be compared with anything. Maps, of which there are many, have no order.
+func TestTheSameSeedGivesTheSameBytes(t *testing.T) {
+	text := func(seed int64) string {
+		s := load(t, "moves")
+		s.Seed, s.Seconds, s.Fleet.Nodes = seed, 38, 3
+		s.Events = append(s.Events, script.Event{AtS: 9, Do: "silent", Caches: []string{"c1"}, ForS: 2}, // each break sorts legs
+			script.Event{AtS: 12, Do: "node_kill", Nodes: []int{2}, ForS: 1})
+		r := play(t, s, "module", Module)
+		a, err := json.Marshal(r)
+		b, bad := json.Marshal(r.Records)
+		if err != nil || bad != nil {
+			t.Fatal(err, bad)
+		}
+		return string(a) + string(b)
+	}
+	first := text(4)
+	for range 2 {
+		if text(4) != first {
+			t.Fatal("two runs of one seed differ")
+		}
+	}
+	if text(5) == first {
+		t.Error("another seed changes nothing")
+	}
+}
+
+// A slow cache is to be found in the same order and about the same time whatever the seed: else no rehearsal could be
+// compared with what was recorded.
+func TestASlowQuarterIsAvoidedInTheSameOrder(t *testing.T) {
+	for seed := range int64(5) {
+		s := load(t, "slow-quarter")
+		s.Seed = seed + 100
+		r := play(t, s, "module", Module)
+		c2, c5, c9 := r.FirstOf("c2", records.Avoided), r.FirstOf("c5", records.Avoided), r.FirstOf("c9", records.Avoided)
+		if c2 < 15 || c2 > 20 || c5 < 15 || c5 > 25 || c9 >= 0 && c9 < min(c2, c5) {
+			t.Errorf("seed %d: c2 (9 times slower) at %v, c5 (6) at %v, c9 (3) at %v", s.Seed, c2, c5, c9)
+		}
+		for _, e := range r.Records {
+			if slow := e.Server == "c2" || e.Server == "c5" || e.Server == "c9"; e.What == records.Avoided && e.Node == outcome.FleetsBook && !slow {
+				t.Errorf("seed %d: %v", s.Seed, e)
+			}
+		}
+	}
+}
+
+// wrong is a decider that breaks one rule; the host carries out what it says.
+type wrong struct {
+	host.Decider
+	how string
+	r   policy.HouseRules
+	ids []policy.CacheID
+}
+
+func (w *wrong) Listed(now policy.Instant, form policy.ListForm, entries []policy.Entry) {
+	w.Decider.Listed(now, form, entries)
+	for _, e := range entries {
+		if e.Kind != w.r.OriginKind {
+			w.ids = append(w.ids, e.ID)
+		}
+	}
+}
+
+func (w *wrong) Where(now policy.Instant, r *policy.Retrieval) policy.Move {
+	m := w.Decider.Where(now, r)
+	switch by := r.HardStop; {
+	case len(r.Legs) > 0 || r.Over:
+	case w.how == "to one that drains" && !r.Write: // each starts at the first it ever heard of
+		m.To, m.GiveUpAt = w.ids[:1], by
+	case w.how == "to the newest only" && !r.Write:
+		m.To, m.GiveUpAt = w.ids[len(w.ids)-1:], by
+	case w.how == "beside" && !r.Write:
+		m.To, m.GiveUpAt = w.ids[:3], by
+	case w.how == "twice" && r.Write:
+		m.To, m.GiveUpAt = []policy.CacheID{"origin", "origin"}, by
+	case w.how == "too late" && !r.Write:
+		m.Answer, m.To, m.AskAgain = policy.Nothing, nil, now.Add(time.Second)
+	}
+	return m
+}
+
+// The judge stands behind virtual runs as behind those on sockets: a decider that breaks a rule is caught there too.
+func TestADeciderThatBreaksARuleIsCaught(t *testing.T) {
+	for how, rule := range map[string]int{"": 0, "to one that drains": 3, "to the newest only": 4, "beside": 2, "twice": 2, "too late": 1} {
+		s := load(t, "moves")
+		s.Seconds, s.Fleet.Nodes, s.Allowed.SecondCopies = 24, 1, false
+		s.Grades[2].Effect, s.Grades[2].WindowS = "irreversible", 0
+		s.Events = []script.Event{{AtS: 3, Do: "drain", Caches: []string{"c4"}, ForS: 9}, {AtS: 5, Do: "add", Count: 1}}
+		if how == "to one that drains" {
+			s.Events[0].Caches = []string{"c1"}
+		}
+		r := play(t, s, how, func(now policy.Instant, seed int64, rules policy.HouseRules) host.Decider {
+			return &wrong{Decider: policy.New(now, seed, rules), how: how, r: rules}
+		})
+		if rule == 0 && r.Rules != [4]uint64{} || rule > 0 && r.Rules[rule-1] == 0 {
+			t.Errorf("%q: %v %v", how, r.Rules, r.Breaches[:min(3, len(r.Breaches))])
+		}
+	}
+}
+
+// loops asks again at once, for ever.
+type loops struct{ host.Decider }
+
+func (loops) Where(now policy.Instant, r *policy.Retrieval) policy.Move {
+	return policy.Move{AskAgain: now}
+}
+
+// A decider that never comes to an end is told as such; a run that hung would tell nothing.
+func TestADeciderThatLoopsIsTold(t *testing.T) {
+	_, _, err := Play(load(t, "moves"), "loops", func(now policy.Instant, seed int64, rules policy.HouseRules) host.Decider {
+		return loops{policy.New(now, seed, rules)}
+	})
+	if err == nil || !strings.Contains(err.Error(), "loops") {
+		t.Error(err)
+	}
+}
+
+// Baselines that broke rules would be no measure: where the origin has room they keep them, through restarts and faults.
+func TestBaselinesKeepTheRules(t *testing.T) {
+	for _, name := range baselines.Names {
+		m, err := baselines.Make(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := load(t, "bad-wires")
+		s.Traffic.PerSecond = 200
+		s.Grades[2].Scope = "group"
+		s.Events = append(s.Events, script.Event{AtS: 10, Do: "drain", Caches: []string{"c2"}, ForS: 3})
+		r := play(t, s, name, Maker(m))
+		if r.Rules != [4]uint64{} || r.Gain < 0.9 {
+			t.Errorf("%s: %v %v %v", name, r.Rules, r.Gain, r.Breaches)
+		}
+	}
+	if _, err := baselines.Make("best"); err == nil {
+		t.Error("made what there is not")
+	}
+}
+
+// Size is a fleet as grown: few retrievals a second at each of many nodes.
+func size(nodes, caches int, perSecond, seconds float64) *script.Script {
+	s, err := script.Parse("size", fmt.Appendf(nil, `
+seconds = %g
+[fleet]
+nodes = %d
+caches = %d
+speed = [0.9, 1.3]
+keys = 1000
+[origin]
+cores = %d
+stall_at = %d
+queue = %d
+[traffic]
+per_second = %g
+keys = 50000
+[[grade]]
+name = "read"
+share = 1
+benefit = 1
+soft_ms = 80
+hard_ms = 400
+work_ms = 20
+tries = 2
+[[event]]
+at_s = %g
+do = "slow"
+part = 0.25
+factor = 5
+for_s = %g
+`, seconds, nodes, caches, caches/2, 4*caches, 8*caches, perSecond, seconds/3, seconds/3))
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+// Virtual time at size: what a second of it costs, and how that grows.
+func BenchmarkVirtualTime(b *testing.B) {
+	for _, c := range []struct {
+		nodes, caches int
+		rate          float64
+	}{{1, 12, 300}, {100, 50, 1000}, {400, 190, 3400}} {
+		b.Run(fmt.Sprintf("%dx%d", c.nodes, c.caches), func(b *testing.B) {
+			for b.Loop() {
+				began := time.Now()
+				r, run, err := Play(size(c.nodes, c.caches, c.rate, 6), "module", Module)
+				if err != nil || r.Rules != [4]uint64{} {
+					b.Fatal(err, r.Rules, r.Breaches)
+				}
+				b.ReportMetric(float64(run.Decided)/time.Since(began).Seconds(), "decisions/s")
+				b.ReportMetric(time.Since(began).Seconds()/6, "wall-s/s")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/emulator/world/world_test.go
@@ -0,0 +1,179 @@
+package world
+
+import (
+	"testing"
+	"time"
+
+	"dahliapin/policy"
+)
+
+const ms = policy.Instant(time.Millisecond)
+
+type heard struct{ effects, fell, rose int }
+
+func (h *heard) Effect(policy.Instant, string, string, int, policy.CacheID) { h.effects++ }
+func (h *heard) Fell(policy.Instant, policy.CacheID, string)                { h.fell++ }
+func (h *heard) Rose(policy.Instant, policy.CacheID)                        { h.rose++ }
+
+func make1(h Hearer, change func(*Traits)) *World {
+	t := Traits{ID: "c1", Cores: 1, Queue: 2, Speed: 1, Keys: 2, Connections: 1, ColdFrom: 0.5, ColdFor: 10 * time.Second,
+		FallMultiple: 2, FallFor: 200 * time.Millisecond}
+	if change != nil {
+		change(&t)
+	}
+	return New(Plan{Caches: []Traits{t}, Seed: 1, Hearer: h, Origin: OriginTraits{Cores: 1, Queue: 99, Work: 4 * time.Millisecond, StallAt: 99, Stall: 1},
+		Grades: []Grade{{Name: "read", Work: 10 * time.Millisecond}, {Name: "mark", Write: true, Work: 10 * time.Millisecond,
+			Grade: policy.Grade{Effect: policy.Labelled, Window: time.Second}}}})
+}
+
+func (w *World) all(until policy.Instant) (ds []Done) {
+	for {
+		at, any := w.Next()
+		if !any || at > until {
+			return ds
+		}
+		w.Advance(at, func(d Done) { ds = append(ds, d) })
+	}
+}
+
+func job(id, key string) Job { return Job{Retrieval: id, Key: key, Until: 1 << 60} }
+
+// A miss is stored at the cache that missed only once the origin has answered that very retrieval, and what was used
+// longest ago gives way.
+func TestACacheKeepsWhatTheOriginBrought(t *testing.T) {
+	w := make1(&heard{}, nil)
+	ask := func(server int, id, key string) Said {
+		w.Offer(w.now, server, job(id, key))
+		return w.all(w.now.Add(time.Second))[0].Said
+	}
+	for _, c := range []struct {
+		server  int
+		id, key string
+		want    Said
+	}{{0, "a", "k", Miss}, {1, "x", "k", Value}, {0, "b", "k", Miss}, {1, "a", "k", Value}, {0, "c", "k", Value}, {0, "d", "l", Miss},
+		{1, "d", "l", Value}, {0, "e", "m", Miss}, {1, "e", "m", Value}, {0, "f", "k", Miss}, {0, "g", "m", Value}} {
+		if got := ask(c.server, c.id, c.key); got != c.want {
+			t.Errorf("%+v: said %v", c, got)
+		}
+	}
+}
+
+// Slowing, pausing and crowding stretch what already runs, too: else a long job would hide a trouble.
+func TestTroublesStretchWhatRuns(t *testing.T) {
+	for name, c := range map[string]struct {
+		do    func(w *World)
+		times float64
+	}{"nothing": {func(*World) {}, 1}, "slow": {func(w *World) { w.Slow(0, 0, 4) }, 4}, "crowd": {func(w *World) { w.Crowd(0, 0, 0.75) }, 4},
+		"slow and over": {func(w *World) { w.Slow(0, 0, 4); w.Slow(0, 0, 1) }, 1}, "pause": {func(w *World) { w.Pause(0, 0, time.Hour) }, 1e5}} {
+		plain, troubled := make1(&heard{}, nil), make1(&heard{}, nil)
+		plain.Offer(0, 0, job("a", "k"))
+		troubled.Offer(0, 0, job("a", "k"))
+		c.do(troubled)
+		usual, _ := plain.Next()
+		var ends policy.Instant
+		troubled.Advance(1<<60, func(Done) { ends = troubled.now })
+		if got := float64(ends) / float64(usual); got < c.times*0.999 || c.times < 1e5 && got > c.times*1.001 {
+			t.Errorf("%s: %v times as long", name, got)
+		}
+	}
+}
+
+// The queue's bound, a full connection table, and what nobody waits for any more.
+func TestACacheTurnsAwayWhatItCantTake(t *testing.T) {
+	w := make1(&heard{}, nil)
+	for i, want := range []bool{true, true, true, false} { // one runs, two wait
+		j := job("a", "k")
+		j.Tag = uint64(i)
+		if d, ok := w.Offer(0, 0, j); ok != want || !ok && d.Said != Busy {
+			t.Errorf("job %d: %v %v", i, ok, d.Said)
+		}
+	}
+	w.Withdraw(0, 0, 2)
+	if n := len(w.all(1 << 60)); n != 2 {
+		t.Errorf("%d ended, one of three was called off", n)
+	}
+	if _, ok := w.Offer(5, 0, Job{Key: "k", Until: 5}); ok {
+		t.Error("took what is over")
+	}
+	if w.Servers[0].Held = 1; w.Connect(0, 0) {
+		t.Error("took a connection too many")
+	}
+	w.Kill(9, 0)
+	if w.Servers[0].Held = 0; w.Connect(9, 0) {
+		t.Error("took one while down")
+	}
+}
+
+// A repeat within the window has no effect and the same receipt; beyond it, or under another label, it has.
+func TestLabelledWritesAreRememberedForTheirWindow(t *testing.T) {
+	h := &heard{}
+	w := make1(h, nil)
+	write := func(at policy.Instant, label string) string {
+		w.Offer(at, 1, Job{Retrieval: "r", Key: "k", Label: label, Grade: 1, Until: 1 << 60})
+		return w.all(1 << 60)[0].Text
+	}
+	first := write(0, "l")
+	if again := write(500*ms, "l"); again != first || h.effects != 1 {
+		t.Errorf("within: %q after %q, %d effects", again, first, h.effects)
+	}
+	if write(600*ms, "m"); h.effects != 2 {
+		t.Error("another label has no effect")
+	}
+	if write(1900*ms, "l"); h.effects != 3 {
+		t.Error("beyond the window it has no effect")
+	}
+}
+
+// Only a cold cache falls, only when asked for a multiple of what it can do for a time, and it comes back.
+func TestOnlyAColdCacheThatIsPushedFallsOver(t *testing.T) {
+	push := func(cold bool, every time.Duration) *heard {
+		h := &heard{}
+		w := make1(h, nil)
+		if cold {
+			w.Start(1, 0)
+		}
+		for at := policy.Instant(1); at < 2000*ms; at = at.Add(every) {
+			w.Offer(at, 0, job("a", "k"))
+			w.Advance(at, func(Done) {})
+		}
+		w.all(9000 * ms)
+		return h
+	}
+	if h := push(true, 2*time.Millisecond); h.fell != 1 || h.rose != 1 {
+		t.Errorf("pushed while cold: %+v", h)
+	}
+	if h := push(true, 20*time.Millisecond); h.fell != 0 {
+		t.Error("fell at what it can do")
+	}
+	if h := push(false, 2*time.Millisecond); h.fell != 0 {
+		t.Error("a warm one fell")
+	}
+}
+
+// Arrivals are open loop at the stated rate, and clients repeat only what is harmless.
+func TestTrafficIsAsStated(t *testing.T) {
+	p := TrafficPlan{PerSecond: 1000, Keys: 100, Zipf: 1, Seed: 3, Grades: []Grade{{Name: "read", Share: 3, Tries: 2,
+		Grade: policy.Grade{Effect: policy.Redoable}}, {Name: "pay", Share: 1, Tries: 9, Write: true}}}
+	tr := NewTraffic(p)
+	tr.Heat("hot", 0.5)
+	n, reads, hot := 0, 0, 0
+	for at := tr.Next(0); at < policy.Instant(10*time.Second); at = tr.Next(at) {
+		r := tr.Draw(at)
+		if n++; r.Grade == 0 {
+			reads++
+		}
+		if r.Key == "hot" {
+			hot++
+		}
+		if _, _, ok := tr.Again(at, r, false, 0); ok != (r.Grade == 0) {
+			t.Fatal("repeats after a failure", r.Grade, ok)
+		}
+		again, _, _ := tr.Again(at, r, true, time.Second)
+		if _, _, ok := tr.Again(at, again, true, 0); ok != (r.Grade == 1) || again.ID == r.ID || again.Sent < at.Add(time.Second) {
+			t.Fatal("repeats after a dismissal", r.Grade, ok)
+		}
+	}
+	if n < 9700 || n > 10300 || reads < 7300 || reads > 7700 || hot < 3500 || hot > 4000 {
+		t.Error(n, reads, hot)
+	}
+}
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -14,6 +14,7 @@
 	enough    = 40.0             // legs a cache is expected to have got before its share says anything: chance is a sixth of that
 	spareAt   = 0.6              // of its usual share, set against the median cache's, under which it is avoided for its load
 	backAt    = 0.8              // of it at which it is back: a cache that hovers between stays as it is
+	slowerBy  = 1.3              // times its usual time that its legs take: one that only lost a rush of a key takes as long as ever
 	inARow    = 2                // looks that must agree: one in a hundred is chance
 	learnFrom = 10               // looks before a usual share is known
 	learnBy   = 0.05             // of each look that goes into the usual share
@@ -232,7 +233,7 @@
 			mean = p.took / time.Duration(p.served)
 		}
 		known := b.looked > learnFrom && p.usual*b.legs >= enough/4
-		low, high := ratio < spareAt, ratio >= backAt
+		low, high := ratio < spareAt && (p.served == 0 || float64(mean) > slowerBy*float64(p.was)), ratio >= backAt
 		if known && p.state == policy.Ready && (!p.spared && low || p.spared && high) {
 			p.agree++
 		} else {
--- /dev/null
+++ b/internal/records/records_test.go
@@ -0,0 +1,105 @@
+package records
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dahliapin/policy"
+)
+
+// rig plays legs to five caches, a hundred to each in a second, and keeps what is told.
+type rig struct {
+	*Book
+	now  policy.Instant
+	told []string
+	took time.Duration // of legs to b
+}
+
+func newRig() *rig {
+	g := &rig{now: policy.Instant(time.Second), took: 4 * time.Millisecond}
+	g.Book = New("n", func(e Entry) {
+		if e.What != Listed {
+			g.told = append(g.told, fmt.Sprintf("%s %s", e.Server, e.What))
+		}
+	}, func(e policy.Entry) bool { return e.ID == "origin" })
+	var es []policy.Entry
+	for _, id := range []policy.CacheID{"a", "b", "c", "d", "e", "origin"} {
+		es = append(es, policy.Entry{ID: id})
+	}
+	g.Book.Listed(g.now, policy.Whole, es)
+	return g
+}
+
+func (g *rig) seconds(n int, share map[policy.CacheID]float64) {
+	for range n * 100 {
+		g.now = g.now.Add(10 * time.Millisecond)
+		for i, id := range []policy.CacheID{"a", "b", "c", "d", "e"} {
+			g.Stands(g.now, id, g.caches[id].stands)
+			legs := 1.0
+			if s, ok := share[id]; ok {
+				legs = s
+			}
+			if at := int(g.now.Since(0) / (10 * time.Millisecond)); legs > 1 || float64((at+i*7)%10) < legs*10 {
+				for range max(1, int(legs)) {
+					g.Sent(g.now, id)
+					took := 4 * time.Millisecond
+					if id == "b" {
+						took = g.took
+					}
+					g.Ended(g.now, id, policy.Answered, took)
+				}
+			}
+		}
+	}
+}
+
+func (g *rig) want(t *testing.T, want ...string) {
+	t.Helper()
+	if fmt.Sprint(g.told) != fmt.Sprint(want) {
+		t.Errorf("told %q, want %q", g.told, want)
+	}
+	g.told = nil
+}
+
+// A cache that loses its share is told as avoided once, and back once; one that hovers between is not told again and
+// again, and none is when all lose or gain alike, or another key's rush takes shares from all but three.
+func TestALostShareIsToldOnce(t *testing.T) {
+	g := newRig()
+	g.seconds(40, nil)
+	g.seconds(5, map[policy.CacheID]float64{"b": 0.3})
+	g.want(t) // as quick as ever: it is only asked for less
+	g = newRig()
+	g.seconds(40, nil)
+	g.took = 9 * time.Millisecond
+	g.seconds(5, map[policy.CacheID]float64{"b": 0.3})
+	g.want(t, "b avoided")
+	g.seconds(30, map[policy.CacheID]float64{"b": 0.7})
+	g.want(t)
+	g.seconds(5, nil)
+	g.want(t, "b back")
+	g.seconds(10, map[policy.CacheID]float64{"a": 4})
+	g.want(t)
+	g.seconds(10, map[policy.CacheID]float64{"a": 0.2, "b": 0.2, "c": 0.2, "d": 0.2, "e": 0.2})
+	g.want(t)
+}
+
+// Standings and the list make entries of their own; a trial leg is told once a spell, and what was drained is not back.
+func TestStandingsAndTheListAreTold(t *testing.T) {
+	g := newRig()
+	g.Stands(g.now, "c", policy.Quiet)
+	g.Stands(g.now, "c", policy.Refusing) // still the same spell
+	g.Sent(g.now, "c")
+	g.Sent(g.now, "c")
+	g.Stands(g.now, "c", policy.InUse)
+	g.Stands(g.now, "d", policy.Crowded)
+	g.Stands(g.now, "d", policy.InUse)
+	g.Stands(g.now, "nobody", policy.Quiet)
+	g.want(t, "c avoided", "c trial leg", "c back")
+	g.Book.Listed(g.now, policy.Changes, []policy.Entry{{ID: "d", State: policy.Draining}, {ID: "f", State: policy.Gone}})
+	g.Stands(g.now, "d", policy.Drains)
+	g.Book.Listed(g.now, policy.AskFailed, nil)
+	g.Book.Listed(g.now, policy.Whole, []policy.Entry{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "e"}, {ID: "origin"}})
+	g.Book.Listed(g.now, policy.Changes, []policy.Entry{{ID: "a", State: policy.Gone}, {ID: "origin", State: policy.Gone}})
+	g.want(t, "d drained", "d gone", "a gone")
+}
