--- a/internal/emulator/script/script.go
+++ b/internal/emulator/script/script.go
@@ -29,7 +29,7 @@
 	mostSeconds = 3600
 	mostRate    = 1_000_000
 	mostEvents  = 1000
-	coldStart   = 400 * time.Millisecond // that a killed process is away at the least before it is back
+	repeatAfter = 6 // seconds without trouble between two rounds of events
 )
 
 // Script is one rehearsal.
@@ -526,3 +526,21 @@
 	}
 	return ids
 }
+
+// Repeat lets the events come round again, as often as the script's time has room for them.
+func (s *Script) Repeat() {
+	round := 0.0
+	for _, e := range s.Events {
+		round = max(round, e.AtS+e.ForS)
+	}
+	round = math.Ceil(round) + repeatAfter
+	once := s.Events
+	s.Events = nil
+	for from := 0.0; from < s.Seconds; from += round {
+		for _, e := range once {
+			if e.AtS += from; e.AtS < s.Seconds && len(s.Events) < mostEvents {
+				s.Events = append(s.Events, e)
+			}
+		}
+	}
+}
--- a/internal/net/sockets/sockets.go
+++ b/internal/net/sockets/sockets.go
@@ -64,7 +64,7 @@
 	handed  int64       // bytes handed over
 	taken   int64       // of them, those that the loop has taken; its own
 	shut    bool        // nothing more is read
-	orderly bool        // the other side has ended it, and all it sent was read
+	orderly atomic.Bool // the other side has ended it, and all it sent was read; told from a goroutine of nbio's own
 }
 
 // Engine is all of a node's connections.
@@ -85,6 +85,7 @@
 	waiting atomic.Bool // somebody stands before the gate
 	gate    *gate
 	dialing sync.RWMutex // held for writing to stop
+	made    atomic.Int64 // wires that are whole: what the poller is called with was made before, by whom it can't see
 }
 
 // ErrNoDescriptor says that the budget of descriptors is spent.
@@ -112,6 +113,7 @@
 		},
 	})
 	e.nb.OnOpen(func(c *nbio.Conn) {
+		defer e.made.Add(1)                   // nbio adds the connection to the poller only after this
 		if w, ok := c.Session().(*Wire); ok { // dialled
 			e.hand(Event{What: Connected, Wire: w, Dial: w.Tag}, nil)
 			return
@@ -121,20 +123,20 @@
 		e.hand(Event{What: Opened, Wire: w}, nil)
 	})
 	e.nb.OnRead(func(c *nbio.Conn) {
-		if w, ok := c.Session().(*Wire); ok {
+		if w := e.wireOf(c); w != nil {
 			w.read(e.nb.PollerBuffer(c))
 		}
 	})
 	e.nb.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
-		if w, ok := c.Session().(*Wire); ok {
+		if w := e.wireOf(c); w != nil {
 			w.unsent.Add(int64(-n))
 			e.unsent.Add(int64(-n))
 		}
 	})
 	e.nb.OnClose(func(c *nbio.Conn, _ error) {
-		if w, ok := c.Session().(*Wire); ok {
+		if w := e.wireOf(c); w != nil {
 			w.free()
-			e.hand(Event{What: Closed, Wire: w, Lost: w.forget(), Orderly: w.orderly}, nil)
+			e.hand(Event{What: Closed, Wire: w, Lost: w.forget(), Orderly: w.orderly.Load()}, nil)
 		} else {
 			e.freed()
 		}
@@ -145,6 +147,15 @@
 	return e, nil
 }
 
+// wireOf finds a connection's wire. It can't be half made: nbio adds a connection to the poller's after OnOpen has
+// returned. That order goes through the kernel, though, where neither the memory model nor the race detector sees it;
+// the counter, written after each wire and read before each use, makes it visible to both.
+func (e *Engine) wireOf(c *nbio.Conn) *Wire {
+	e.made.Load()
+	w, _ := c.Session().(*Wire)
+	return w
+}
+
 // Addr is where it listens.
 func (e *Engine) Addr() net.Addr { return e.gate.Addr() }
 
@@ -258,7 +269,8 @@
 		case errors.Is(err, syscall.EAGAIN):
 			return
 		case err != nil || n == 0:
-			w.shut, w.orderly = true, err == nil
+			w.shut = true
+			w.orderly.Store(err == nil)
 			_ = w.conn.CloseWithError(err)
 		default:
 			w.handed += int64(n)
