Let rehearsed caches that are the store share repeats by scope; reset what outlived a restart

The emulator was wrong: its caches remembered labels by group, whatever scope the grade states. They follow the scope now (all, zone, group).

By reading: connections to a machine that had vanished stayed open to its next process, and are reset now; a node started while a run ends was nobody's to end; a leg whose connection was closed behind it was swallowed in virtual time, where on sockets it may run. Both shells share what they hear of the world.

--- a/internal/emulator/course/course.go
+++ b/internal/emulator/course/course.go
@@ -95,7 +95,7 @@
 		c.each(e, func(s int) {
 			w.Mute(now, s)
 			if long > 0 {
-				c.rig.At(end, func() { c.rig.Broke(s); c.start(end, s) })
+				c.rig.At(end, func() { c.start(end, s) })
 			}
 		})
 	case "drain":
@@ -148,8 +148,10 @@
 	}
 }
 
+// start starts a server's process anew. Connections that outlived the old one, as a vanished machine's do, are reset.
 func (c *Course) start(now policy.Instant, s int) {
 	c.world.Start(now, s)
+	c.rig.Broke(s)
 	c.rig.Listed(EntryOf(c.world, s))
 }
 
@@ -176,6 +178,16 @@
 	return policy.Entry{ID: s.ID, Kind: kind, State: s.State, Born: s.Born, Zone: s.Zone, Group: s.Group, Weight: s.Weight}
 }
 
+// Entries is the whole list.
+func Entries(w *world.World) (es []policy.Entry) {
+	for i, s := range w.Servers {
+		if s.State != policy.Gone {
+			es = append(es, EntryOf(w, i))
+		}
+	}
+	return es
+}
+
 func describe(s *script.Script, e *script.Event) string {
 	text := e.Do
 	if ids := s.Chosen(e); len(ids) > 0 {
--- /dev/null
+++ b/internal/emulator/course/ear.go
@@ -0,0 +1,38 @@
+package course
+
+import (
+	"dahliapin/internal/emulator/judge"
+	"dahliapin/internal/emulator/outcome"
+	"dahliapin/internal/emulator/world"
+	"dahliapin/policy"
+)
+
+// Ear hears what really happens in a world, for the judge and the run's log, and tells the rig whose connections broke.
+// It is the world's hearer in either shell.
+type Ear struct {
+	Judge *judge.Judge
+	Log   *outcome.Log
+	World *world.World
+	Rig   Rig
+}
+
+// Effect hears that a write had its effect.
+func (e *Ear) Effect(now policy.Instant, id, label string, grade int, server policy.CacheID) {
+	e.Judge.Effect(now, id, label, grade, server)
+}
+
+// Fell hears that a server was pushed over. A cache's connections break; the origin goes on.
+func (e *Ear) Fell(now policy.Instant, server policy.CacheID, why string) {
+	e.Judge.Fell(now, server, why)
+	e.Log.Say(now, string(server)+" "+why)
+	if i, ok := e.World.Find(server); ok && !e.World.IsOrigin(i) {
+		e.Rig.At(now, func() { e.Rig.Broke(i) })
+	}
+}
+
+// Rose hears that it is back.
+func (e *Ear) Rose(_ policy.Instant, server policy.CacheID) {
+	if i, ok := e.World.Find(server); ok {
+		e.Rig.Listed(EntryOf(e.World, i))
+	}
+}
--- a/internal/emulator/onwire/member.go
+++ b/internal/emulator/onwire/member.go
@@ -63,6 +63,12 @@
 		return fmt.Errorf("node %s does not start: %w", m.name, err)
 	}
 	m.r.mu.Lock()
+	if m.r.closing { // the run has ended while it started: nobody else would end it
+		m.r.mu.Unlock()
+		p.Kill()
+		<-p.Done()
+		return nil
+	}
 	m.process, m.killed, m.ending = p, false, false
 	m.life++
 	life := m.life
@@ -125,7 +131,7 @@
 func (r *Rig) over() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.stopped
+	return r.closing
 }
 
 // stop ends its node, as hard as it takes.
--- a/internal/emulator/onwire/rig.go
+++ b/internal/emulator/onwire/rig.go
@@ -74,7 +74,8 @@
 	pending []policy.Entry
 	died    []string
 	asking  sync.WaitGroup
-	stopped bool
+	closing bool // no node is started any more
+	stopped bool // nor anything else done
 }
 
 // Play plays a script on sockets. A cancelled context ends it early, without a report.
@@ -94,9 +95,11 @@
 	r.chance.Seed = uint32(s.Seed) ^ 0x0f1ee7
 	r.judge = judge.New(judge.Terms{Grades: terms.Rules.Grades, SecondCopies: s.Allowed.SecondCopies,
 		Grace: script.Span(s.Allowed.GraceMs / 1000), Slack: slack})
-	r.world = world.New(s.World(r))
-	r.traffic = world.NewTraffic(s.Asks())
 	r.log = outcome.NewLog(s, epoch)
+	ear := &course.Ear{Judge: r.judge, Log: r.log, Rig: r}
+	r.world = world.New(s.World(ear))
+	ear.World = r.world
+	r.traffic = world.NewTraffic(s.Asks())
 	defer r.close()
 	for i := range r.world.Servers {
 		if err := r.open(i); err != nil {
@@ -123,8 +126,9 @@
 	r.mu.Lock()
 	start := r.now()
 	r.log = outcome.NewLog(s, start)
+	ear.Log = r.log
 	r.fleet = records.New(outcome.FleetsBook, r.log.Note, isOrigin)
-	r.fleet.Listed(start, policy.Whole, r.entries())
+	r.fleet.Listed(start, policy.Whole, course.Entries(r.world))
 	r.course = course.Play(s, r.world, r.traffic, start, r)
 	r.poke()
 	r.mu.Unlock()
@@ -202,19 +206,10 @@
 	r.poke()
 }
 
-func (r *Rig) entries() (es []policy.Entry) {
-	for i := range r.world.Servers {
-		if r.world.Servers[i].State != policy.Gone {
-			es = append(es, course.EntryOf(r.world, i))
-		}
-	}
-	return es
-}
-
 // warm puts keys where the module would send them.
 func (r *Rig) warm() {
 	p := policy.New(epoch, r.script.Seed, r.terms.Rules)
-	p.Listed(epoch, policy.Whole, r.entries())
+	p.Listed(epoch, policy.Whole, course.Entries(r.world))
 	world.WarmBy(r.world, p.Where, epoch, r.traffic, r.script.Fleet.Keys*r.script.Fleet.Caches)
 }
 
@@ -355,27 +350,6 @@
 	}
 }
 
-// Effect hears what really happens.
-func (r *Rig) Effect(now policy.Instant, id, label string, grade int, server policy.CacheID) {
-	r.judge.Effect(now, id, label, grade, server)
-}
-
-// Fell hears that a server was pushed over.
-func (r *Rig) Fell(now policy.Instant, server policy.CacheID, why string) {
-	r.judge.Fell(now, server, why)
-	r.log.Say(now, string(server)+" "+why)
-	if i, ok := r.world.Find(server); ok && !r.world.IsOrigin(i) {
-		r.At(now, func() { r.Broke(i) })
-	}
-}
-
-// Rose hears that it is back.
-func (r *Rig) Rose(now policy.Instant, server policy.CacheID) {
-	if i, ok := r.world.Find(server); ok {
-		r.Listed(course.EntryOf(r.world, i))
-	}
-}
-
 // Said keeps a line of what the script does.
 func (r *Rig) Said(now policy.Instant, what string) { r.log.Say(now, what) }
 
@@ -454,6 +428,9 @@
 
 // close ends all that runs.
 func (r *Rig) close() {
+	r.mu.Lock()
+	r.closing = true
+	r.mu.Unlock()
 	for _, m := range r.nodes {
 		m.stop()
 	}
--- a/internal/emulator/onwire/servers.go
+++ b/internal/emulator/onwire/servers.go
@@ -254,7 +254,7 @@
 	}
 	slices.Sort(on)
 	for _, tag := range on {
-		r.left(tag, false)
+		r.left(tag, policy.Cancelled)
 		r.world.Withdraw(r.now(), c.s.number, tag)
 	}
 	close(c.out)
@@ -265,14 +265,14 @@
 	}
 }
 
-// left tells the judge that a leg is out no more.
-func (r *Rig) left(tag uint64, neverRan bool) *leg {
+// left tells the judge that a leg is out no more, and the fleet's book how it ended.
+func (r *Rig) left(tag uint64, how policy.Result) *leg {
 	l := r.legs[tag]
 	if l != nil {
 		delete(r.legs, tag)
-		r.judge.Left(r.now(), l.id, r.world.Servers[l.server].ID, neverRan)
+		r.judge.Left(r.now(), l.id, r.world.Servers[l.server].ID, how.NeverRan())
 		if r.fleet != nil {
-			r.fleet.Ended(r.now(), r.world.Servers[l.server].ID, policy.Answered, r.now().Since(l.came))
+			r.fleet.Ended(r.now(), r.world.Servers[l.server].ID, how, r.now().Since(l.came))
 		}
 	}
 	return l
@@ -396,16 +396,20 @@
 	r.legs[r.tags] = l
 	j := world.Job{Retrieval: id, Key: key, Label: item("k"), Grade: grade, Until: now.Add(time.Duration(wait*1e6) + slack), Tag: r.tags}
 	if _, ok := r.world.Offer(now, s.number, j); !ok {
-		r.left(r.tags, true)
+		r.left(r.tags, policy.TurnedAway)
 		return false
 	}
 	r.poke()
 	return true
 }
 
+// outcomes are what a server's answers mean for a leg.
+var outcomes = [...]policy.Result{world.Value: policy.Answered, world.Receipt: policy.Answered, world.Miss: policy.Answered,
+	world.Busy: policy.TurnedAway, world.Failed: policy.Errored}
+
 // served is a job's end; the lock is held.
 func (r *Rig) served(d world.Done) {
-	l := r.left(d.Job.Tag, d.Said == world.Busy)
+	l := r.left(d.Job.Tag, outcomes[d.Said])
 	if l == nil {
 		return
 	}
@@ -477,7 +481,7 @@
 		io.WriteString(out, d.Text)
 	case <-in.Context().Done(): // called off, or the origin is gone
 		r.mu.Lock()
-		r.left(tag, false)
+		r.left(tag, policy.Cancelled)
 		r.world.Withdraw(r.now(), s.number, tag)
 		r.mu.Unlock()
 	}
--- a/internal/emulator/outcome/outcome.go
+++ b/internal/emulator/outcome/outcome.go
@@ -187,7 +187,7 @@
 	if l.Played > 0 && float64(l.Late) > lateArrivals*float64(l.Played) {
 		r.Busy = fmt.Sprintf("%d of %d arrivals were played over %v late", l.Late, l.Played, LateBy)
 	}
-	r.expect(s, l.began, last)
+	r.expect(s)
 	return r
 }
 
@@ -231,7 +231,7 @@
 	r.Expected = append(r.Expected, Expected{fmt.Sprintf(what, args...), got, met})
 }
 
-func (r *Report) expect(s *script.Script, began, last policy.Instant) {
+func (r *Report) expect(s *script.Script) {
 	broken := uint64(0)
 	for _, n := range r.Rules {
 		broken += n
--- a/internal/emulator/virtual/node.go
+++ b/internal/emulator/virtual/node.go
@@ -229,8 +229,8 @@
 func (l *leg) come(began policy.Instant) {
 	r := l.n.r
 	s := r.world.Servers[l.server]
-	if s.Life == world.Silent || !l.out && l.life == l.n.life {
-		return // swallowed, or its connection was closed before it came
+	if s.Life == world.Silent {
+		return // swallowed
 	}
 	if s.Life == world.Down || l.breaks != r.breaks(l.server) {
 		r.after(r.way(l.n, l.server), func() { l.lost() })
@@ -251,6 +251,10 @@
 	r.legs[l.tag] = l
 	if d, ok := r.world.Offer(r.now, l.server, j); !ok {
 		r.served(d)
+	} else if !l.out { // its connection was closed behind it: if it has begun, it runs to its end all the same
+		r.judge.Left(r.now, l.v.req.ID, s.ID, false)
+		delete(r.legs, l.tag)
+		r.world.Withdraw(r.now, l.server, l.tag)
 	}
 }
 
--- a/internal/emulator/virtual/virtual.go
+++ b/internal/emulator/virtual/virtual.go
@@ -79,7 +79,9 @@
 	r.chance.Seed = uint32(s.Seed) ^ 0x0f1ee7
 	r.judge = judge.New(judge.Terms{Grades: terms.Rules.Grades, SecondCopies: s.Allowed.SecondCopies,
 		Grace: script.Span(s.Allowed.GraceMs / 1000), Slack: slack})
-	r.world = world.New(s.World(r))
+	ear := &course.Ear{Judge: r.judge, Log: r.log, Rig: r}
+	r.world = world.New(s.World(ear))
+	ear.World = r.world
 	r.traffic = world.NewTraffic(s.Asks())
 	r.fleet = records.New(outcome.FleetsBook, r.log.Note, isOrigin)
 	if s.Fleet.Warm {
@@ -88,9 +90,9 @@
 	for range s.Fleet.Nodes {
 		n := &node{r: r, number: len(r.nodes)}
 		r.nodes = append(r.nodes, n)
-		n.start(policy.Whole, r.entries())
+		n.start(policy.Whole, course.Entries(r.world))
 	}
-	r.fleet.Listed(r.now, policy.Whole, r.entries())
+	r.fleet.Listed(r.now, policy.Whole, course.Entries(r.world))
 	r.course = course.Play(s, r.world, r.traffic, epoch, r)
 	r.arrive(r.traffic.Next(r.now))
 	end := epoch.Add(s.Long() + terms.LongestStop + settle)
@@ -153,46 +155,16 @@
 	return r.jittered(script.Span(ms / 1000))
 }
 
-func (r *Run) entries() (es []policy.Entry) {
-	for i := range r.world.Servers {
-		if r.world.Servers[i].State != policy.Gone {
-			es = append(es, course.EntryOf(r.world, i))
-		}
-	}
-	return es
-}
-
 // warm puts keys where the decider's own kind would send them.
 func (r *Run) warm() {
 	d := r.make(r.now, r.script.Seed, r.terms.Rules)
-	d.Listed(r.now, policy.Whole, r.entries())
+	d.Listed(r.now, policy.Whole, course.Entries(r.world))
 	world.WarmBy(r.world, d.Where, r.now, r.traffic, r.script.Fleet.Keys*r.script.Fleet.Caches)
 }
 
 // isOrigin tells whom records pass over.
 func isOrigin(e policy.Entry) bool { return e.ID == world.OriginID }
 
-// Effect, Fell and Rose hear what really happens.
-func (r *Run) Effect(now policy.Instant, id, label string, grade int, server policy.CacheID) {
-	r.judge.Effect(now, id, label, grade, server)
-}
-
-// Fell hears that a server was pushed over.
-func (r *Run) Fell(now policy.Instant, server policy.CacheID, why string) {
-	r.judge.Fell(now, server, why)
-	r.log.Say(now, string(server)+" "+why)
-	if i, ok := r.world.Find(server); ok && !r.world.IsOrigin(i) {
-		r.after(0, func() { r.Broke(i) })
-	}
-}
-
-// Rose hears that it is back.
-func (r *Run) Rose(now policy.Instant, server policy.CacheID) {
-	if i, ok := r.world.Find(server); ok {
-		r.Listed(course.EntryOf(r.world, i))
-	}
-}
-
 // Broke breaks all connections to a server, and all legs on them.
 func (r *Run) Broke(server int) {
 	r.brokenAt(server)
@@ -294,7 +266,7 @@
 		n.kill()
 	}
 	n.start(policy.LastHeld, n.known)
-	entries, life := r.entries(), n.life
+	entries, life := course.Entries(r.world), n.life
 	r.after(script.Span(r.script.Discovery.NoticeS[0]), func() {
 		if n.life == life && r.upList {
 			n.hear(policy.Whole, entries)
--- a/internal/emulator/world/world.go
+++ b/internal/emulator/world/world.go
@@ -166,7 +166,7 @@
 	forget  deadlines.Queue[string]
 	written uint64 // version of values
 	now     policy.Instant
-	groups  map[policy.GroupID]*labels
+	shared  map[string]*labels // what caches that drop the same repeats remember between them
 }
 
 type wake struct {
@@ -176,7 +176,7 @@
 
 // New makes a world. All caches are warm and empty.
 func New(p Plan) *World {
-	w := &World{plan: p, byID: map[policy.CacheID]int{}, missed: map[string][]int{}, groups: map[policy.GroupID]*labels{}}
+	w := &World{plan: p, byID: map[policy.CacheID]int{}, missed: map[string][]int{}, shared: map[string]*labels{}}
 	w.chance.Seed = p.Seed
 	for _, t := range p.Caches {
 		w.AddCache(t, 0)
@@ -197,12 +197,6 @@
 
 func (w *World) add(s *Server) int {
 	s.slow, s.store, s.labels = 1, newStore(s.Keys), &labels{}
-	if s.origin == nil && w.plan.Mode == Through { // caches of one group share what they remember
-		if w.groups[s.Group] == nil {
-			w.groups[s.Group] = &labels{}
-		}
-		s.labels = w.groups[s.Group]
-	}
 	s.station = station[Job]{cores: s.Cores, queue: s.Queue, rate: func() float64 { return w.rate(s) }}
 	w.byID[s.ID] = len(w.Servers)
 	w.Servers = append(w.Servers, s)
@@ -237,6 +231,24 @@
 	return r * s.Warmth(w.now)
 }
 
+// memory is what a server knows of labelled writes: the origin its own, caches what their grade's scope shares.
+func (w *World) memory(s *Server, g *Grade) *labels {
+	if s.origin != nil {
+		return s.labels
+	}
+	name := ""
+	switch g.Scope {
+	case policy.SameZone:
+		name = "zone " + string(s.Zone)
+	case policy.SameGroup:
+		name = "group " + strconv.FormatInt(int64(s.Group), 10)
+	}
+	if w.shared[name] == nil {
+		w.shared[name] = &labels{}
+	}
+	return w.shared[name]
+}
+
 // Connect tells whether a connection may come up, and pays for it. The shell counts it in Held.
 func (w *World) Connect(now policy.Instant, server int) bool {
 	w.now = now
@@ -285,7 +297,7 @@
 	switch {
 	case s.origin != nil:
 		if work = s.origin.Work; j.Label != "" {
-			if _, again := s.labels.repeat(int64(w.now), j.Label); again {
+			if _, again := w.memory(s, g).repeat(int64(w.now), j.Label); again {
 				work = time.Duration(float64(work) * originFast)
 			}
 		}
@@ -392,13 +404,12 @@
 		s.load, s.loadAt = float64(s.station.inHand()), now
 	}
 	d := Done{Job: j, Server: j.server, Load: s.load}
-	g := &w.plan.Grades[j.Grade]
 	if s.ErrorRate > 0 && w.chance.Next() < s.ErrorRate {
 		d.Said = Failed
 		return d
 	}
-	if g.Write {
-		return w.write(now, s, j, d)
+	if g := &w.plan.Grades[j.Grade]; g.Write {
+		return w.write(now, s, g, j, d)
 	}
 	if s.origin != nil || w.plan.Mode == Through {
 		for _, c := range w.missed[j.Retrieval] { // those that missed for this retrieval keep the value now
@@ -427,10 +438,10 @@
 func ValueOf(key string) string { return "v:" + key }
 
 // write has its effect unless it is a repeat within its window.
-func (w *World) write(now policy.Instant, s *Server, j Job, d Done) Done {
+func (w *World) write(now policy.Instant, s *Server, g *Grade, j Job, d Done) Done {
 	d.Said = Receipt
 	if j.Label != "" {
-		if receipt, again := s.labels.repeat(int64(now), j.Label); again {
+		if receipt, again := w.memory(s, g).repeat(int64(now), j.Label); again {
 			d.Text = receipt
 			return d
 		}
@@ -438,7 +449,7 @@
 	w.written++
 	d.Text = strconv.FormatUint(w.written, 36)
 	if j.Label != "" {
-		s.labels.keep(j.Label, d.Text, int64(now.Add(w.plan.Grades[j.Grade].Window)))
+		w.memory(s, g).keep(j.Label, d.Text, int64(now.Add(g.Window)))
 	}
 	w.plan.Hearer.Effect(now, j.Retrieval, j.Label, j.Grade, s.ID)
 	if s.origin != nil {
--- a/internal/emulator/world/world_test.go
+++ b/internal/emulator/world/world_test.go
@@ -124,6 +124,28 @@
 	}
 }
 
+// Which caches drop the same repeats is the grade's scope: all, those of a zone, or those of a group.
+func TestRepeatsAreDroppedWithinTheirScope(t *testing.T) {
+	for scope, effects := range map[policy.Scope]int{policy.AllCaches: 1, policy.SameZone: 2, policy.SameGroup: 3} {
+		h := &heard{}
+		var ts []Traits
+		for n, at := range []struct {
+			z policy.ZoneID
+			g policy.GroupID
+		}{{"a", 1}, {"a", 1}, {"a", 2}, {"b", 3}} {
+			ts = append(ts, Traits{ID: policy.CacheID(rune('a' + n)), Zone: at.z, Group: at.g, Cores: 1, Queue: 9, Speed: 1, Keys: 1})
+		}
+		w := New(Plan{Mode: Through, Caches: ts, Hearer: h, Grades: []Grade{{Write: true, Work: time.Millisecond,
+			Grade: policy.Grade{Effect: policy.Labelled, Scope: scope, Window: time.Second}}}})
+		for n := range ts {
+			w.Offer(0, n, Job{Retrieval: "r", Label: "l", Until: 1 << 60})
+		}
+		if w.all(1 << 60); h.effects != effects {
+			t.Errorf("scope %v: %d effects, want %d", scope, h.effects, effects)
+		}
+	}
+}
+
 // Only a cold cache falls, only when asked for a multiple of what it can do for a time, and it comes back.
 func TestOnlyAColdCacheThatIsPushedFallsOver(t *testing.T) {
 	push := func(cold bool, every time.Duration) *heard {
