Part what speaks to servers from the relay: legs go through carriers

Need: a second kind of server (HTTP caches, then Redis) would have been a third branch at each step of a leg. The relay asked at four places whether a link goes to the origin.

Change: a carrier turns a leg into bytes and a server's bytes into an outcome with the proof of whether it may have run; it keeps nothing and knows no link. The meta carrier and the origin's are the first two. Behaviour stays.

--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -1,14 +1,12 @@
 package relay
 
 import (
-	"bytes"
 	"math"
 	"slices"
 	"strconv"
 	"time"
 
 	"dahliapin/internal/net/buffer"
-	"dahliapin/internal/net/http1"
 	"dahliapin/internal/net/meta"
 	"dahliapin/internal/net/sockets"
 	"dahliapin/policy"
@@ -25,11 +23,11 @@
 
 // cache is what the list says of a cache, and the connections to it.
 type cache struct {
-	id     policy.CacheID
-	addr   string
-	origin bool
-	born   policy.Instant
-	idle   []linkID // the latest used last
+	id      policy.CacheID
+	addr    string
+	carrier carrier
+	born    policy.Instant
+	idle    []linkID // the latest used last
 }
 
 // spoilt is the outcome of a leg whose answer can't be read, until it is told as one that the module knows.
@@ -148,13 +146,7 @@
 // write hands a leg to the kernel. Only if that fails is it sure that its last byte never was.
 func (r *Relay) write(l *link, v *retrieval, n int) {
 	wait := max(1, int64(v.legs[n].giveUpAt.Since(r.now())/time.Millisecond))
-	var out []byte
-	if l.cache.origin {
-		out = originRequest(&v.command, l.cache.addr, wait)
-	} else {
-		out = meta.AppendCommand(nil, &v.command, wait)
-	}
-	if l.wire.Write(out) != nil {
+	if l.wire.Write(l.cache.carrier.ask(&v.command, l.cache.addr, wait)) != nil {
 		r.lose(l, policy.Unconnected)
 	}
 }
@@ -374,60 +366,32 @@
 	case l.does == aProbe:
 		r.probeData(l)
 	default:
-		v := r.hand.Get(l.leg.hand) // it is in hand as long as a leg of it is out
-		if l.cache.origin {
-			r.originData(l, v)
-		} else {
-			r.cacheData(l, v)
-		}
+		r.legData(l, r.hand.Get(l.leg.hand)) // it is in hand as long as a leg of it is out
 	}
 }
 
-// cacheData reads a cache's answer to a leg.
-func (r *Relay) cacheData(l *link, v *retrieval) {
-	a, size, err := meta.ReadAnswer(l.buf.Unused())
-	if err == nil && size == 0 {
-		l.buf.Expect(a.Wants)
+// legData reads a server's answer to a leg.
+func (r *Relay) legData(l *link, v *retrieval) {
+	came, size, wants := l.cache.carrier.reply(l.buf.Unused(), &v.command, l.ended)
+	if size == 0 && came.how != spoilt {
+		l.buf.Expect(wants)
 		return
 	}
-	set := v.command.Verb == meta.Set
-	ours := bytes.Equal(a.ID, v.command.ID)
-	how, out, long := spoilt, []byte(nil), []byte(nil)
-	switch {
-	case err != nil:
-	case a.Said == meta.Value && ours && !set:
-		how = policy.Answered
-		out, long = valueFor(a.ID, a.Value)
-	case a.Said == meta.Done && ours && set:
-		how, out = policy.Answered, meta.AppendDone(nil, a.ID, a.Value)
-	case a.Said == meta.Miss && ours:
-		how = policy.Missed
-	case a.Said == meta.Failed:
-		how = policy.Errored
-	case a.Said == meta.Busy:
-		how = policy.TurnedAway
-	}
-	r.answered(l, v, how, size, out, long, a.Load)
-}
-
-// valueFor writes the answer that serves a value. A long one is not copied: it is its buffer's whole use, and its own
-// once it is used.
-func valueFor(id, value []byte) (out, long []byte) {
-	if len(value) <= buffer.Keep {
-		return meta.AppendValue(nil, id, value), nil
+	r.answered(l, v, &came, size)
+	if came.last && r.links.Get(l.id) != nil {
+		r.dropLink(l)
 	}
-	return meta.AppendHead(nil, id, len(value)), value
 }
 
 // answered ends a leg by what came back. What can't be read or answers another retrieval is served to nobody: the
 // leg has failed and may have run, though the cache lives; whatever else comes on its connection can't be trusted.
-func (r *Relay) answered(l *link, v *retrieval, how policy.Result, size int, out, long, load []byte) {
-	if how == spoilt {
+func (r *Relay) answered(l *link, v *retrieval, came *reply, size int) {
+	if came.how == spoilt {
 		r.count.Strange++
 		r.lose(l, policy.Errored)
 		return
 	}
-	report := r.report(load)
+	report := r.report(came.load)
 	l.buf.Use(size)
 	n := l.leg.leg
 	if len(l.buf.Unused()) > 0 {
@@ -436,11 +400,11 @@
 	} else {
 		r.rest(l)
 	}
-	if how == policy.Answered && !v.answered {
+	if came.how == policy.Answered && !v.answered {
 		r.count.Satisfied++
-		r.answer(v, out, long)
+		r.answer(v, came.out, came.long)
 	}
-	r.end(v, n, how, report)
+	r.end(v, n, came.how, report)
 }
 
 // report reads a load report: names and values, of which only the stated columns count.
@@ -475,29 +439,16 @@
 func (r *Relay) writeProbe(l *link) {
 	l.stopAt = r.now().Add(r.connectTime())
 	r.due.Put(l.stopAt, due{link: l.id})
-	out := []byte("mn\r\n")
-	if l.cache.origin {
-		out = http1.AppendRequest(nil, "GET", []byte(originHealth), l.cache.addr, nil, nil)
-	}
-	if l.wire.Write(out) != nil {
+	if l.wire.Write(l.cache.carrier.probe(l.cache.addr)) != nil {
 		r.lose(l, policy.Unconnected)
 	}
 }
 
 func (r *Relay) probeData(l *link) {
-	var size int
-	var err error
 	how := policy.Errored
-	if l.cache.origin {
-		var a http1.Answer
-		if a, size, err = http1.ReadAnswer(l.buf.Unused(), meta.MaxValue, l.ended); a.Status == 200 {
-			how = policy.Answered
-		}
-	} else {
-		var a meta.Answer
-		if a, size, err = meta.ReadAnswer(l.buf.Unused()); a.Said == meta.Up {
-			how = policy.Answered
-		}
+	up, size, err := l.cache.carrier.up(l.buf.Unused(), l.ended)
+	if up {
+		how = policy.Answered
 	}
 	switch {
 	case err != nil:
--- a/internal/net/relay/discovery.go
+++ b/internal/net/relay/discovery.go
@@ -155,7 +155,10 @@
 			r.caches[e.ID] = c
 		}
 		if c != nil {
-			c.origin = r.isOrigin(e.Kind)
+			c.carrier = metaCarrier{}
+			if r.isOrigin(e.Kind) {
+				c.carrier = originCarrier{}
+			}
 		}
 	}
 	for id, c := range r.caches {
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -1,6 +1,6 @@
 // Package relay is a node on sockets: one loop that holds all state and drives a host, as the adapter does on the
 // simulator's wire. It decides nothing about retrievals. The loop and its clock are in this file; clients.go
-// faces the clients, caches.go the caches, origin.go the origin and discovery.go the list.
+// faces the clients, caches.go the servers, carriers.go speaks to them, and discovery.go follows the list.
 package relay
 
 import (
