Hold a request's max-age together with its max-stale

Cause, found on rereading: with both directives a stored answer that was fresh by its own lifetime was judged fresh however far its age was over the request's max-age. It has to be asked for again beyond the sum (RFC 9111, 5.2.1.1).

--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -78,6 +78,8 @@
 		{"5.2.1.2 max-stale, too old", "Date: -31|Cache-Control: max-age=20", "max-stale=10", Validate},
 		{"5.2.1.2 max-stale, any", "Date: -9999|Cache-Control: max-age=20", "max-stale", Stale},
 		{"5.2.1.2 max-stale that is none", "Date: -30|Cache-Control: max-age=20", "max-stale=x", Validate},
+		{"5.2.1.1 max-age and max-stale", "Date: -14|Cache-Control: max-age=20", "max-age=5, max-stale=10", Fresh},
+		{"5.2.1.1 older than both", "Date: -16|Cache-Control: max-age=20", "max-age=5, max-stale=10", Validate},
 		{"4.2.4 must-revalidate", "Date: -30|Cache-Control: max-age=20, must-revalidate", "max-stale", Validate},
 		{"4.2.4 proxy-revalidate", "Date: -30|Cache-Control: max-age=20, proxy-revalidate", "max-stale", Validate},
 		{"5.2.2.10 s-maxage means that too", "Date: -30|Cache-Control: s-maxage=20", "max-stale", Validate},
--- a/internal/freshness/judge.go
+++ b/internal/freshness/judge.go
@@ -141,7 +141,7 @@
 		return is(Validate, "request no-cache")
 	case q.Control.MaxAge.Bad || q.Control.MinFresh.Bad:
 		return is(Validate, "request directive")
-	case q.Control.MaxAge.Given && v.Age > q.Control.MaxAge.For && !q.Control.MaxStale.Given:
+	case q.Control.MaxAge.Given && v.Age > q.Control.MaxAge.For+staleFor(q.Control.MaxStale): // both: 5.2.1.1
 		return is(Validate, "request max-age")
 	case q.Control.MinFresh.Given && v.Lifetime-v.Age < q.Control.MinFresh.For:
 		return is(Validate, "request min-fresh")
@@ -153,8 +153,6 @@
 	over := v.Age - v.Lifetime
 	allows := func(s Span) bool { return s.Given && !s.Bad && over <= s.For }
 	switch {
-	case q.Control.MaxAge.Given && v.Age > q.Control.MaxAge.For+staleFor(q.Control.MaxStale): // both: 5.2.1.2
-		return is(Validate, "request max-age")
 	case allows(q.Control.MaxStale):
 		return is(Stale, "request max-stale")
 	case failed && (allows(r.Control.StaleIfError) || allows(q.Control.StaleIfError)):
@@ -165,6 +163,7 @@
 	return is(Validate, "stale")
 }
 
+// staleFor is how much older than its max-age a request takes an answer.
 func staleFor(s Span) time.Duration {
 	if s.Given && !s.Bad {
 		return s.For
