Tell a cache as back in the records once its process is a new one

Cause, found on rereading the change: the module forgets a cache that starts anew and tells changes of standing only, so one that had been avoided as refusing, and is warm at once, was never told as back. The book now takes the list's later start as the end of the old spell. Two counters of the emulator's servers that nothing read are gone.

Measured: the test's new rows fail without the change (nothing told, "e back" wanted). No decision reads any of it.

--- a/internal/emulator/world/world.go
+++ b/internal/emulator/world/world.go
@@ -152,7 +152,7 @@
 	load     float64 // as reported last
 	loadAt   policy.Instant
 
-	Taken, Refused, Hits, Misses uint64
+	Hits, Misses uint64
 }
 
 // World is all of it.
@@ -272,21 +272,17 @@
 	w.demanded(now, s, work)
 	refused := Done{Job: j, Server: server, Said: Busy, Load: s.load}
 	if s.Life != Up || now >= j.Until {
-		s.Refused++
 		return refused, false
 	}
 	if s.origin != nil { // a longer queue slows it down: what runs now feels that too
 		taken := false
 		s.station.change(now, func() { taken = s.station.offer(now, j, work) })
 		if !taken {
-			s.Refused++
 			return refused, false
 		}
 	} else if !s.station.offer(now, j, work) {
-		s.Refused++
 		return refused, false
 	}
-	s.Taken++
 	w.arm(server)
 	return Done{}, true
 }
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -69,6 +69,7 @@
 
 type page struct {
 	state    policy.State
+	born     policy.Instant // of the process that stands so
 	stands   policy.Standing
 	avoided  policy.Instant // since when; 0 for not
 	why      string
@@ -108,7 +109,7 @@
 		p := b.caches[e.ID]
 		switch {
 		case p == nil && e.State != policy.Gone:
-			p = &page{state: e.State}
+			p = &page{state: e.State, born: e.Born}
 			b.caches[e.ID] = p
 			b.order = append(b.order, e.ID)
 			slices.Sort(b.order)
@@ -124,6 +125,12 @@
 		case p != nil:
 			p.state = e.State
 		}
+		if p != nil && e.Born > p.born { // started anew: how the old process stood says nothing, and nobody takes it back
+			p.born, p.stands = e.Born, policy.InUse
+			if e.State == policy.Ready && !p.spared {
+				b.back(now, e.ID, p)
+			}
+		}
 	}
 	if form != policy.Changes {
 		for _, id := range slices.Clone(b.order) {
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -96,6 +96,11 @@
 	g.Stands(g.now, "d", policy.InUse)
 	g.Stands(g.now, "nobody", policy.Quiet)
 	g.want(t, "c avoided", "c trial leg", "c back")
+	g.Stands(g.now, "e", policy.Refusing)
+	g.Book.Listed(g.now, policy.Changes, []policy.Entry{{ID: "e"}})
+	g.want(t, "e avoided")
+	g.Book.Listed(g.now, policy.Changes, []policy.Entry{{ID: "e", Born: 5}}) // the module forgets the old process as silently
+	g.want(t, "e back")
 	g.Book.Listed(g.now, policy.Changes, []policy.Entry{{ID: "d", State: policy.Draining}, {ID: "f", State: policy.Gone}})
 	g.Stands(g.now, "d", policy.Drains)
 	g.Book.Listed(g.now, policy.AskFailed, nil)
