Spread failed calls for the list over the fleet: full jitter, pauses by its size

Lines at fault: listAgain in listLost, since = unknown for any status in listData (internal/net/relay/discovery.go).

Changed: after a first failure up to 50 ms, so that a watch goes on; then a share by chance of a span that doubles up to 20 ms a node (at most 10 s). The wait for an answer doubles, too. 429 and 5xx keep the version.

Ruled out: that discovery would answer if asked less. At 10 calls a second, and waiting 30 s for each, none is answered either: refusals come at once or after 2 s.

--- a/internal/net/http1/http1.go
+++ b/internal/net/http1/http1.go
@@ -8,6 +8,9 @@
 	"strconv"
 )
 
+// TooMany is the status of an answer that refuses for having been asked too often.
+const TooMany = 429
+
 const maxHead = 16 << 10 // bytes of the heads of an answer, interim ones among them: far above any honest ones
 
 // Answer is one answer. Its parts lie in the buffer it was read from, but for a body that came in chunks.
--- a/internal/net/relay/discovery.go
+++ b/internal/net/relay/discovery.go
@@ -16,8 +16,11 @@
 	watchFor     = 5 * time.Second        // that a watch may wait: short, so that a silent one is soon known
 	wholeWithin  = 500 * time.Millisecond // that the whole list may take: the agent answers at once
 	watchSlack   = 500 * time.Millisecond // that a watch may take over its wait
-	listAgain    = 50 * time.Millisecond  // between calls that fail: far under the 200 ms of a watch's renewal
+	listAgain    = 50 * time.Millisecond  // after a first call that failed, at most: far under the 200 ms of a watch's renewal
+	listEach     = 20 * time.Millisecond  // for each node, that the longest pause between failed calls has: some 100 calls a second in all
+	listRests    = 10 * time.Second       // that such a pause may have whatever the number of nodes
 	maxList      = 8 << 20                // bytes of a list: tens of thousands of caches
+	listDoubled  = 10                     // times that a pause doubles at the most: a thousand times the first
 	unknownSince = -1
 )
 
@@ -29,6 +32,7 @@
 	link   linkID
 	call   uint64 // counts calls, so that a deadline knows its own
 	since  int    // the version held
+	fails  int    // calls in a row that failed
 	parser fastjson.Parser
 }
 
@@ -51,6 +55,8 @@
 		path = strconv.AppendInt(append(path, "&timeout_ms="...), int64(watchFor/time.Millisecond), 10)
 		within = watchFor + watchSlack
 	}
+	// one that is slow has much to do: who stops waiting and asks again makes it do the same once more
+	within = max(within, min(wholeWithin<<min(r.list.fails, listDoubled), watchFor+watchSlack))
 	r.due.Put(r.now().Add(within), due{list: r.list.call})
 	if l.wire.Write(http1.AppendRequest(nil, "GET", path, r.Discovery, nil, nil)) != nil {
 		r.lose(l, policy.Unconnected)
@@ -63,7 +69,7 @@
 	if addr == r.Discovery {
 		return
 	}
-	r.Discovery, r.list.since = addr, unknownSince
+	r.Discovery, r.list.since, r.list.fails = addr, unknownSince, 0
 	r.count.Moves++
 	if l := r.links.Get(r.list.link); l != nil {
 		r.dropLink(l)
@@ -82,12 +88,21 @@
 	}
 }
 
-// listLost calls again soon.
+// listLost calls again after a pause.
 func (r *Relay) listLost() {
 	r.count.Reconnects++
 	r.list.link = 0
 	r.list.call++
-	r.due.Put(r.now().Add(listAgain), due{list: r.list.call})
+	r.list.fails++
+	r.due.Put(r.now().Add(listPause(r.list.fails, r.Terms.Rules.Nodes, r.chance.Next())), due{list: r.list.call})
+}
+
+// listPause is how long to wait after so many calls in a row that failed: soon at first, then a share by chance of a span
+// that doubles each time, up to one for the number of nodes. It guards against a discovery that has too much to do
+// and is kept there by all nodes asking again at once, each of them as often as if it were alone.
+func listPause(fails, nodes int, chance float64) time.Duration {
+	most := max(listAgain, min(listRests, time.Duration(nodes)*listEach))
+	return time.Duration(chance * float64(min(most, listAgain<<min(fails-1, listDoubled))))
 }
 
 func (r *Relay) listData(l *link) {
@@ -96,7 +111,9 @@
 		return
 	}
 	if err != nil || a.Status != 200 {
-		r.list.since = unknownSince // it may not know our version any more
+		if err != nil || a.Status < 500 && a.Status != http1.TooMany { // it may not know our version any more
+			r.list.since = unknownSince
+		}
 		r.lose(l, policy.Broken)
 		return
 	}
@@ -106,6 +123,7 @@
 		return
 	}
 	r.count.Lists++
+	r.list.fails = 0
 	form := policy.Changes
 	if news.GetBool("reset") || r.list.since == unknownSince {
 		form = policy.Whole
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"dahliapin/internal/host"
 	"dahliapin/internal/houserules"
+	"dahliapin/internal/keyhash"
 	"dahliapin/internal/net/counters"
 	"dahliapin/internal/net/deadlines"
 	"dahliapin/internal/net/slots"
@@ -81,6 +82,7 @@
 	taken    map[string]bool // the clients' ids of those in hand
 	caches   map[policy.CacheID]*cache
 	list     discovery
+	chance   keyhash.Source
 	later    []func() // what must not happen within a call into the host
 	count    counters.Counters
 	held     int            // bytes of retrievals in hand, and of answers that wait for those before them
@@ -126,7 +128,7 @@
 	if b.Known != nil {
 		r.hear(b.Known, policy.LastHeld)
 	}
-	r.list.since = unknownSince
+	r.list.since, r.chance.Seed = unknownSince, uint32(b.Seed^b.Seed>>32)
 	r.due.Put(r.now().Add(readyBy), due{ready: true})
 	r.sweep()
 	r.follow()
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -18,6 +19,7 @@
 	"github.com/valyala/fastjson"
 
 	"dahliapin/internal/houserules"
+	"dahliapin/internal/keyhash"
 	"dahliapin/internal/net/counters"
 	"dahliapin/policy"
 )
@@ -33,6 +35,8 @@
 
 const breaksOff = "(and closes)" // at the end of a cache's answer
 
+const tooBusy = "(is refused)" // by a discovery that has too much to do
+
 // rig is a node with one cache, an origin and discovery, which are the test's own.
 type rig struct {
 	*Relay
@@ -100,6 +104,9 @@
 			if next == breaksOff {
 				panic(http.ErrAbortHandler)
 			}
+			if next == tooBusy {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
 			io.WriteString(w, next)
 		case <-r.Context().Done():
 		case <-g.over:
@@ -486,6 +493,39 @@
 	}
 }
 
+// A discovery with too much to do was asked for the whole list instead of what is new: a hundred lines for none.
+func TestARefusedWatchIsNotMadeAWholeList(t *testing.T) {
+	g := newRig(t, 200, value)
+	wait(t, g.asked)
+	wait(t, g.asked)
+	g.list <- tooBusy
+	if again := wait(t, g.asked); !strings.HasPrefix(again, listPath+"?since=7&") {
+		t.Errorf("after a refusal, asked %q", again)
+	}
+}
+
+// 80 nodes whose calls failed called 1,200 times a second, all at the same instants.
+func TestFailedCallsForTheListAreSpreadOverTheFleet(t *testing.T) {
+	for _, nodes := range []int{1, 80, 800} {
+		perSecond := make([]int, 30)
+		for n := range nodes {
+			chance := keyhash.Source{Seed: uint32(n)}
+			for at, fails := time.Duration(0), 1; ; fails++ {
+				if at += listPause(fails, nodes, chance.Next()); at >= 30*time.Second {
+					break
+				}
+				perSecond[at/time.Second]++
+			}
+		}
+		if most := slices.Max(perSecond[10:]); most > 250 || nodes > 1 && most < 50 {
+			t.Errorf("%d nodes call %d times in a second long after the first failure", nodes, most)
+		}
+	}
+	if first := listPause(1, 80, 0.99); first > 150*time.Millisecond {
+		t.Errorf("a watch that fails once is renewed after %v: over the 200 ms in which it goes on", first)
+	}
+}
+
 // While legs held all of the links' share, a list that had moved was not called for.
 func TestAListThatMovesIsCalledForWhateverLinksAreOut(t *testing.T) {
 	g := newRig(t, 64, value)
