Take errors and dead caches as no sign of load at the door

Seven of 61 caches err on two legs in three; each error counted as asked and not answered, and with ten asked kept a node's door settles at 45% turned away for one lost leg in ten, whichever caches lose it. herd+vast had 6,353 from the door, most while caches that had gone refused connections. Lines at fault: the default counting of outcomes at the end of learn (policy/policy.go).

Changed: errors and legs without a connection do not count there; full, late and lost ones do.

Ruled out: the origin (4 dismissals) and a tier too small (60 to 90 legs a second were full while the door stood closed).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -605,7 +605,7 @@
 		p.newsAt = now
 	}
 	switch {
-	case leg.Result == Cancelled, leg.Result == NeverSent, leg.Result == Broken: // no sign of load
+	case leg.Result == Cancelled, leg.Result == NeverSent, errs[leg.Result] > 0, leg.Result == Unconnected: // no sign of load
 	case leg.Result == TurnedAway && c != p.origin:
 		p.asked, c.vain = p.asked+fullShare, c.vain+(1-c.vain)/evidence
 	case c != p.origin:
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -123,6 +123,26 @@
 	}
 }
 
+// A few caches that err, or have gone, closed the door of each node for most of what came, long after they were well.
+func TestErrorsAndDeadCachesDoNotCloseTheDoor(t *testing.T) {
+	for _, how := range []Result{Errored, Unconnected} {
+		w := newWorld(t, testRules(), fleet(60, false))
+		for i := range 400 {
+			r, m := w.arrive(anyKey(i), 0, false)
+			if len(m.To) == 0 {
+				t.Fatalf("the %dth is turned away, as one in eight met result %v before it", i, how)
+			}
+			if i%8 == 0 {
+				w.end(r, 0, how)
+			}
+			if !r.Over {
+				w.end(r, len(r.Legs)-1, Answered)
+			}
+			w.pass(50 * ms)
+		}
+	}
+}
+
 // Two legs given up after some milliseconds, since their retrievals had no more time, left a cache out.
 func TestALegGivenUpSoonIsNoSilence(t *testing.T) {
 	for _, c := range []struct {
