Believe by all grades that a cache errs, and ask it after its key's other holders

Errors were counted grade by grade, halved by each answer and each second, so each node tried each such cache once a second for each of four grades. Lines at fault: erred in learn and Wait, and holders, which leave a cache out only at four.

Changed: beside that, one belief for each cache over all grades: half of what is left by an error, nine tenths kept by any other leg and by a second. In tie it counts as sixteen times a usual chance, so such a cache is asked when the others are tried or full, and seldom otherwise; it is never shut out by it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,6 +31,8 @@
 	rankTie      = 0.5                    // what a rank weighs among equal loads, chance being 1 on the mean
 	hotLeast     = 3.0                    // asked for a key before it may have more holders: two may be chance
 	opening      = 8.0                    // the same for a new connection, or legs all in vain: more than ranks
+	faultyOne    = 0.5                    // belief that a cache errs, of what is left, by one error: they are rare
+	faultyKept   = 0.9                    // of that belief that a leg which does not err, or a second, leaves
 	sooner       = 2.0                    // times shorter that queues are full for what is cheap, at the most
 	busyMost     = 0.9                    // share of time busy above which queues can't be told apart
 	trialShare   = 0.03                   // of those asked that always get in, to see a recovery
@@ -58,6 +60,7 @@
 	foreign           float64 // retrievals of others it holds by its last report
 	erred             []uint8 // errors by grade, halved by answers and by time
 	vain, served      float64 // share of the last few legs that were full, late or lost; answered in two seconds
+	faulty            float64 // how far it is believed to err, by any grade
 	stood             Standing
 	usedAt, toldAt    Instant // when a connection there was last in use; when it last reported
 }
@@ -366,7 +369,7 @@
 
 // tie parts equal loads, as most are at a node that sees few: by chance, worth, rank and open connections.
 func (p *Router) tie(now Instant, c *cache, rank float64) float64 {
-	t := rank + opening*c.vain - math.Log(1-p.chance.Next())
+	t := rank + opening*(c.vain+2*c.faulty) - math.Log(1-p.chance.Next())
 	if c.out == 0 && now.Since(c.usedAt) > p.rules.IdleConnection-time.Second {
 		t += opening
 	}
@@ -572,6 +575,9 @@
 	if (leg.Result == Answered || leg.Result == Missed) && o.Took <= r.memo.grade.SoftLimit {
 		inTime = 1
 	}
+	if c.faulty *= faultyKept; leg.Result == Errored {
+		c.faulty += (1 - c.faulty) * faultyOne
+	}
 	if e := errs[leg.Result]; e > 0 {
 		c.erred[at] = min(c.erred[at]+e, 2*breaksToRest)
 	} else if leg.Result == Answered {
@@ -646,7 +652,7 @@
 	served, weight := 0.0, 0.0
 	for _, c := range p.listed {
 		if halve {
-			c.served /= 2
+			c.served, c.faulty = c.served/2, c.faulty*faultyKept
 			for g := range c.erred {
 				c.erred[g] /= 2
 			}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -143,6 +143,39 @@
 	}
 }
 
+// A cache that erred was left alone grade by grade and for a second or less: 80 nodes sent it a hundred legs a second.
+func TestACacheThatErrsIsMetSeldomByAnyGrade(t *testing.T) {
+	w := newWorld(t, testRules(), fleet(12, false))
+	sick, legs, erred := holdersOf(w.p, "k")[0], 0, 0
+	for i := range 400 {
+		r, m := w.arrive("k", GradeID(i%2), false)
+		if len(m.To) > 0 && m.To[0] == sick {
+			legs++
+			if i%3 > 0 {
+				erred++
+				w.end(r, 0, Errored)
+			}
+		}
+		if !r.Over && len(r.Legs) > 0 {
+			w.end(r, len(r.Legs)-1, Answered)
+		}
+		w.pass(50 * ms) // 20 seconds in all
+	}
+	if erred == 0 || legs > 16 {
+		t.Errorf("%d legs, of which %d erred, to a cache that errs on two in three", legs, erred)
+	}
+	for i := range 200 { // well again
+		if r, m := w.arrive("k", 0, false); len(m.To) > 0 {
+			if i >= 100 && m.To[0] == sick {
+				return
+			}
+			w.end(r, 0, Answered)
+		}
+		w.pass(250 * ms)
+	}
+	t.Error("a cache that is well again is not taken back")
+}
+
 // Two legs given up after some milliseconds, since their retrievals had no more time, left a cache out.
 func TestALegGivenUpSoonIsNoSilence(t *testing.T) {
 	for _, c := range []struct {
