After a refusal by discovery, wait a span set by the number of nodes

Up to 15 calls a second keep it down; in between each call that is let in and expires after 2 s takes the place of one that could be answered. And of 56 nodes that had been killed 20 to 24 gave their first call up after 0.5 s, which discovery would have answered within 2 s. Lines at fault: listPause and wholeWithin (relay/discovery.go).

Changed: after 429 or 5xx the first span is 200 ms a node (ten calls a second from the whole fleet, whatever its size), doubled twice, 30 s at most, with full jitter; a call that merely broke comes again within 50 ms as before. The whole list may take 30 ms more for each node.

--- a/internal/net/relay/discovery.go
+++ b/internal/net/relay/discovery.go
@@ -15,12 +15,13 @@
 	listPath     = "/registry/instances"
 	watchFor     = 5 * time.Second        // that a watch may wait: short, so that a silent one is soon known
 	wholeWithin  = 500 * time.Millisecond // that the whole list may take: the agent answers at once
+	wholeEach    = 30 * time.Millisecond  // more that it may take for each node, as all may ask at once after a restart
 	watchSlack   = 500 * time.Millisecond // that a watch may take over its wait
-	listAgain    = 50 * time.Millisecond  // after a first call that failed, at most: far under the 200 ms of a watch's renewal
-	listEach     = 20 * time.Millisecond  // for each node, that the longest pause between failed calls has: some 100 calls a second in all
-	listRests    = 10 * time.Second       // that such a pause may have whatever the number of nodes
+	listAgain    = 50 * time.Millisecond  // after a call that broke, at most: far under the 200 ms of a watch's renewal
+	listEach     = 200 * time.Millisecond // the same for each node after a refusal: ten calls a second from the whole fleet
+	listDoubled  = 2                      // times that the span after a refusal doubles
+	listRests    = 30 * time.Second       // the longest span whatever the number of nodes
 	maxList      = 8 << 20                // bytes of a list: tens of thousands of caches
-	listDoubled  = 10                     // times that a pause doubles at the most: a thousand times the first
 	unknownSince = -1
 )
 
@@ -33,6 +34,7 @@
 	call   uint64 // counts calls, so that a deadline knows its own
 	since  int    // the version held
 	fails  int    // calls in a row that failed
+	busy   bool   // the last of them was refused, as discovery has too much to do
 	parser fastjson.Parser
 }
 
@@ -49,14 +51,13 @@
 
 func (r *Relay) askForList(l *link) {
 	r.list.call++
-	path, within := []byte(listPath), wholeWithin
+	// one that is slow has much to do: who stops waiting and asks again makes it do the same once more
+	path, within := []byte(listPath), min(watchFor, wholeWithin+time.Duration(r.Terms.Rules.Nodes)*wholeEach)
 	if r.list.since != unknownSince {
 		path = strconv.AppendInt(append(path, "?since="...), int64(r.list.since), 10)
 		path = strconv.AppendInt(append(path, "&timeout_ms="...), int64(watchFor/time.Millisecond), 10)
 		within = watchFor + watchSlack
 	}
-	// one that is slow has much to do: who stops waiting and asks again makes it do the same once more
-	within = max(within, min(wholeWithin<<min(r.list.fails, listDoubled), watchFor+watchSlack))
 	r.due.Put(r.now().Add(within), due{list: r.list.call})
 	if l.wire.Write(http1.AppendRequest(nil, "GET", path, r.Discovery, nil, nil)) != nil {
 		r.lose(l, policy.Unconnected)
@@ -94,15 +95,21 @@
 	r.list.link = 0
 	r.list.call++
 	r.list.fails++
-	r.due.Put(r.now().Add(listPause(r.list.fails, r.Terms.Rules.Nodes, r.chance.Next())), due{list: r.list.call})
+	r.due.Put(r.now().Add(listPause(r.list.fails, r.Terms.Rules.Nodes, r.list.busy, r.chance.Next())), due{list: r.list.call})
+	r.list.busy = false
 }
 
-// listPause is how long to wait after so many calls in a row that failed: soon at first, then a share by chance of a span
-// that doubles each time, up to one for the number of nodes. It guards against a discovery that has too much to do
-// and is kept there by all nodes asking again at once, each of them as often as if it were alone.
-func listPause(fails, nodes int, chance float64) time.Duration {
-	most := max(listAgain, min(listRests, time.Duration(nodes)*listEach))
-	return time.Duration(chance * float64(min(most, listAgain<<min(fails-1, listDoubled))))
+// listPause is how long to wait after so many calls in a row that failed: a share by chance of a span that doubles each
+// time. It is short at first after a call that broke, so that a watch goes on; after a refusal it is the number of
+// nodes that says how long. It guards against a discovery that has too much to do and is kept there by all nodes, each of
+// them asking again as often as if it were alone.
+func listPause(fails, nodes int, refused bool, chance float64) time.Duration {
+	fleet := max(listAgain, time.Duration(nodes)*listEach)
+	span := listAgain << min(fails-1, 10)
+	if refused {
+		span = max(span, fleet<<min(fails-1, listDoubled))
+	}
+	return time.Duration(chance * float64(min(span, fleet<<listDoubled, listRests)))
 }
 
 func (r *Relay) listData(l *link) {
@@ -111,8 +118,8 @@
 		return
 	}
 	if err != nil || a.Status != 200 {
-		if err != nil || a.Status < 500 && a.Status != http1.TooMany { // it may not know our version any more
-			r.list.since = unknownSince
+		if r.list.busy = err == nil && (a.Status >= 500 || a.Status == http1.TooMany); !r.list.busy {
+			r.list.since = unknownSince // it may not know our version any more
 		}
 		r.lose(l, policy.Broken)
 		return
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -504,25 +504,32 @@
 	}
 }
 
-// 80 nodes whose calls failed called 1,200 times a second, all at the same instants.
-func TestFailedCallsForTheListAreSpreadOverTheFleet(t *testing.T) {
+// 80 nodes whose calls were refused called 1,200 times a second, in step, and discovery never came back to itself.
+func TestRefusedCallsForTheListAreFewOverTheFleet(t *testing.T) {
 	for _, nodes := range []int{1, 80, 800} {
-		perSecond := make([]int, 30)
+		perSecond := make([]int, 60)
 		for n := range nodes {
 			chance := keyhash.Source{Seed: uint32(n)}
 			for at, fails := time.Duration(0), 1; ; fails++ {
-				if at += listPause(fails, nodes, chance.Next()); at >= 30*time.Second {
+				if at += listPause(fails, nodes, true, chance.Next()); at >= time.Minute {
 					break
 				}
 				perSecond[at/time.Second]++
 			}
 		}
-		if most := slices.Max(perSecond[10:]); most > 250 || nodes > 1 && most < 50 {
-			t.Errorf("%d nodes call %d times in a second long after the first failure", nodes, most)
+		if first, later := slices.Max(perSecond[:30]), slices.Max(perSecond[30:]); first > 100 || later > 100 || nodes == 80 && first > 25 {
+			t.Errorf("%d nodes call %d times in a second at first and %d later", nodes, first, later)
+		}
+		calls := 0
+		for _, n := range perSecond {
+			calls += n
+		}
+		if calls < nodes {
+			t.Errorf("%d nodes call %d times in a minute", nodes, calls)
 		}
 	}
-	if first := listPause(1, 80, 0.99); first > 150*time.Millisecond {
-		t.Errorf("a watch that fails once is renewed after %v: over the 200 ms in which it goes on", first)
+	if broke := listPause(1, 80, false, 0.99); broke > 150*time.Millisecond {
+		t.Errorf("a watch that broke is renewed after %v: over the 200 ms in which it goes on", broke)
 	}
 }
 
