Let full caches yield to new ones: opening weighs less, misses count as borne, belief fades

Two causes: a cache without an open connection came eight usual chances after one with, more than a cache full for most legs (tie), and legs to cold caches were spaced by what warm ones answer with a value, though at 80% misses that is a third of what they bear (served in learn). What full legs had taught stayed until the cache was met again.

Changed: a new connection weighs 2 instead of 8; misses count as served; the share in vain is taken over four legs, not ten, and fades by a tenth a second.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,9 +30,11 @@
 	tieBreak     = 1e-3                   // legs by which equal loads are parted: far below a real difference
 	rankTie      = 0.5                    // what a rank weighs among equal loads, chance being 1 on the mean
 	hotLeast     = 3.0                    // asked for a key before it may have more holders: two may be chance
-	opening      = 8.0                    // the same for a new connection, or legs all in vain: more than ranks
-	faultyOne    = 0.5                    // belief that a cache errs, of what is left, by one error: they are rare
-	faultyKept   = 0.9                    // of that belief that a leg which does not err, or a second, leaves
+	vainWeight   = 8.0                    // the same for legs all in vain: more than ranks
+	opening      = 2.0                    // the same for a new connection: less than one leg of two in vain
+	vainLegs     = 4.0                    // legs over which that is taken: a node meets one cache of many seldom
+	faultyOne    = 0.5                    // belief that a cache errs, of what is left, by one error
+	beliefKept   = 0.9                    // of what is believed of a cache, by a second or a good leg
 	sooner       = 2.0                    // times shorter that queues are full for what is cheap, at the most
 	busyMost     = 0.9                    // share of time busy above which queues can't be told apart
 	trialShare   = 0.03                   // of those asked that always get in, to see a recovery
@@ -369,7 +371,7 @@
 
 // tie parts equal loads, as most are at a node that sees few: by chance, worth, rank and open connections.
 func (p *Router) tie(now Instant, c *cache, rank float64) float64 {
-	t := rank + opening*(c.vain+2*c.faulty) - math.Log(1-p.chance.Next())
+	t := rank + vainWeight*(c.vain+2*c.faulty) - math.Log(1-p.chance.Next())
 	if c.out == 0 && now.Since(c.usedAt) > p.rules.IdleConnection-time.Second {
 		t += opening
 	}
@@ -575,19 +577,21 @@
 	if (leg.Result == Answered || leg.Result == Missed) && o.Took <= r.memo.grade.SoftLimit {
 		inTime = 1
 	}
-	if c.faulty *= faultyKept; leg.Result == Errored {
+	if c.faulty *= beliefKept; leg.Result == Errored {
 		c.faulty += (1 - c.faulty) * faultyOne
 	}
 	if e := errs[leg.Result]; e > 0 {
 		c.erred[at] = min(c.erred[at]+e, 2*breaksToRest)
 	} else if leg.Result == Answered {
 		c.erred[at] /= 2
-		if c.served++; c != p.origin {
+		if c != p.origin {
 			p.took.Add(o.Took)
 			p.pace.Add(time.Duration(float64(o.Took) / max(1, p.load(now, c))))
 		}
 	}
-	c.out, c.usedAt = max(0, c.out-1), now
+	if c.out, c.usedAt = max(0, c.out-1), now; leg.Result == Answered || leg.Result == Missed {
+		c.served++
+	}
 	switch leg.Result {
 	case Answered, Missed, Errored, TurnedAway:
 		c.heard, c.waitingOn, c.fails, c.refused, c.restUntil, p.cut[c.Zone] = now, now, 0, 0, 0, 0
@@ -611,11 +615,12 @@
 		p.newsAt = now
 	}
 	switch {
-	case leg.Result == Cancelled, leg.Result == NeverSent, errs[leg.Result] > 0, leg.Result == Unconnected: // no sign of load
+	case errs[leg.Result] > 0, leg.Result == Cancelled, leg.Result == NeverSent,
+		leg.Result == Unconnected: // no sign of load
 	case leg.Result == TurnedAway && c != p.origin:
-		p.asked, c.vain = p.asked+fullShare, c.vain+(1-c.vain)/evidence
+		p.asked, c.vain = p.asked+fullShare, c.vain+(1-c.vain)/vainLegs
 	case c != p.origin:
-		p.asked, p.good, c.vain = p.asked+1, p.good+inTime, c.vain+(1-inTime-c.vain)/evidence
+		p.asked, p.good, c.vain = p.asked+1, p.good+inTime, c.vain+(1-inTime-c.vain)/vainLegs
 	default:
 		if p.originTook += (o.Took - p.originTook) / 8; inTime > 0 && o.Took <= r.memo.grade.SoftLimit/2 {
 			p.room += min(1/p.room, originGrow*p.room)
@@ -652,7 +657,7 @@
 	served, weight := 0.0, 0.0
 	for _, c := range p.listed {
 		if halve {
-			c.served, c.faulty = c.served/2, c.faulty*faultyKept
+			c.served, c.faulty, c.vain = c.served/2, c.faulty*beliefKept, c.vain*beliefKept
 			for g := range c.erred {
 				c.erred[g] /= 2
 			}
