Keep the list's version only after 429 and 503; figures in the results set right

Cause, found on reading the change again: any 5xx kept the version, so a discovery that answers 500 to one it does not know would have been asked for that version without end. Now only 429 and 503, which speak of load, keep it; the test asks for both.

--- a/internal/net/http1/http1.go
+++ b/internal/net/http1/http1.go
@@ -8,8 +8,11 @@
 	"strconv"
 )
 
-// TooMany is the status of an answer that refuses for having been asked too often.
-const TooMany = 429
+// The statuses of answers that refuse for having too much to do, and say nothing of what was asked.
+const (
+	TooMany     = 429
+	Unavailable = 503
+)
 
 const maxHead = 16 << 10 // bytes of the heads of an answer, interim ones among them: far above any honest ones
 
--- a/internal/net/relay/discovery.go
+++ b/internal/net/relay/discovery.go
@@ -118,7 +118,7 @@
 		return
 	}
 	if err != nil || a.Status != 200 {
-		if r.list.busy = err == nil && (a.Status >= 500 || a.Status == http1.TooMany); !r.list.busy {
+		if r.list.busy = err == nil && (a.Status == http1.Unavailable || a.Status == http1.TooMany); !r.list.busy {
 			r.list.since = unknownSince // it may not know our version any more
 		}
 		r.lose(l, policy.Broken)
