--- a/policy/policy.go
+++ b/policy/policy.go
@@ -90,7 +90,7 @@
 	queue                []*Retrieval          // waiting for room at the origin or for another's fetch
 	wanted               map[uint64]float64    // benefit asked of each key; halved now and then
 	short, bar           float64               // share of those for the origin without room; best worth
-	took, pace           tally.Histogram       // of legs to caches: their time, and that by each in hand
+	took, alone, pace    tally.Histogram       // of legs to caches: their time, that of lone ones, and by each before
 	originTook           time.Duration         // by a leg there, smoothed
 	slow, patience       time.Duration         // the slow twentieth, and what means silence
 	usual, othersLoad    float64               // legs a warm cache of weight 1 answered; mean foreign load
@@ -346,7 +346,7 @@
 
 // pick chooses the least loaded holder not yet tried; full: queues would take half the soft limit, and stand.
 func (p *Router) pick(now Instant, r *Retrieval, hs []*cache) (best *cache, full bool) {
-	soft, least, per := r.memo.grade.SoftLimit, math.Inf(1), float64(p.pace.Quantile(0.5, 0))
+	soft, least := r.memo.grade.SoftLimit, math.Inf(1)
 	// while the origin is short, earlier ones may have legs more, by chance, or it would part all equal loads
 	rank, lean := max(0, rankLegs*p.short-p.chance.Next()), rankTie
 	if len(hs) > copies { // a key that is spread has no first holder
@@ -360,7 +360,7 @@
 		}
 		switch {
 		case slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.To == c.ID }):
-		case (load+1)*per*min(sooner, max(1, r.memo.cheap)) > float64(max(soft-now.Since(r.Arrived), soft/2))/2:
+		case p.crowded(load, max(soft-now.Since(r.Arrived), soft/2), min(sooner, max(1, r.memo.cheap))):
 			full = true
 		case l < least:
 			best, least = c, l
@@ -369,6 +369,13 @@
 	return best, full && best == nil
 }
 
+// crowded tells whether those before a leg would take half of what its own work leaves of a time. Where work
+// alone takes half a soft limit, and several are worked on at once, queues are no multiple of it.
+func (p *Router) crowded(load float64, left time.Duration, sooner float64) bool {
+	spare := max(left-p.alone.Quantile(0.5, 0), left/4)
+	return load*float64(p.pace.Quantile(0.5, 0))*sooner > float64(spare)/2
+}
+
 // tie parts equal loads, as most are at a node that sees few: by chance, worth, rank and open connections.
 func (p *Router) tie(now Instant, c *cache, rank float64) float64 {
 	t := rank + vainWeight*(c.vain+2*c.faulty) - math.Log(1-p.chance.Next())
@@ -586,7 +593,11 @@
 		c.erred[at] /= 2
 		if c != p.origin {
 			p.took.Add(o.Took)
-			p.pace.Add(time.Duration(float64(o.Took) / max(1, p.load(now, c))))
+			if before := p.load(now, c) - 1; before < 1 {
+				p.alone.Add(o.Took)
+			} else {
+				p.pace.Add(time.Duration(float64(o.Took-p.alone.Quantile(0.5, 0)) / before))
+			}
 		}
 	}
 	if c.out, c.usedAt = max(0, c.out-1), now; leg.Result == Answered || leg.Result == Missed {
@@ -640,6 +651,7 @@
 			p.othersLoad /= 2
 		}
 		p.took.Halve()
+		p.alone.Halve()
 		p.pace.Halve()
 		if len(p.wanted) > lately { // else there is too little to tell which are popular
 			p.asking /= 2
@@ -678,7 +690,7 @@
 
 // Standings tells which caches stand otherwise than when it told last, for records; no decision reads it.
 func (p *Router) Standings(now Instant, tell func(CacheID, Standing)) {
-	soft, per := time.Duration(0), p.pace.Quantile(0.5, 0)
+	soft := time.Duration(0)
 	for _, g := range p.rules.Grades {
 		soft = max(soft, g.SoftLimit)
 	}
@@ -693,7 +705,7 @@
 			s = Quiet
 		case slices.Max(c.erred) >= breaksToRest:
 			s = Erring
-		case (p.load(now, c)+1)*float64(per) > float64(soft)/2:
+		case p.crowded(p.load(now, c), soft, 1):
 			s = Crowded
 		case p.warmth(now, c) < 1:
 			s = Warming
