Turn away less: queues full at all that is left, door at 1.3, cold slice as wide as warmth

Each node saw 1 to 2 legs a second a cache, so one late leg in ten closed its door (asked over 1.05 times good). From second 20 a deploy had replaced 36 of 64 caches, and each took the square of its sure warmth of the keys, within a distance in time that is cut by warmth again.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,7 +42,7 @@
 	lately       = 50                     // retrievals over which shares are taken: a second or two
 	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	spareMost    = 10                     // second copies saved up: covers one cache falling silent
-	lostLeast    = 1.05                   // asked per answer before any is turned away: a few are bad luck
+	lostLeast    = 1.3                   // asked per answer before any is turned away: a few are bad luck
 	fullShare    = 0.1                    // lost legs that one turned away as full counts for: cheap but vain
 	originFirst  = 16.0                   // legs there over all nodes, but one each, before anything is known
 	originGrow   = 0.1                    // room gained by an answer in time, where that is under a leg
@@ -242,7 +242,7 @@
 	if w < 1 && c.coldAt == 0 {
 		p.spaceOut(now, c, p.chance.Next())
 	}
-	return w < 1 && (float64(keyhash.Mix(key^c.hash)) > w*w*(1<<64) || now < c.coldAt)
+	return w < 1 && (float64(keyhash.Mix(key^c.hash)) > w*(1<<64) || now < c.coldAt)
 }
 
 func (p *Router) spaceOut(now Instant, c *cache, share float64) {
@@ -373,7 +373,7 @@
 // alone takes half a soft limit, and several are worked on at once, queues are no multiple of it.
 func (p *Router) crowded(load float64, left time.Duration, sooner float64) bool {
 	spare := max(left-p.alone.Quantile(0.5, 0), left/4)
-	return load*float64(p.pace.Quantile(0.5, 0))*sooner > float64(spare)/2
+	return load*float64(p.pace.Quantile(0.5, 0))*sooner > float64(spare)
 }
 
 // tie parts equal loads, as most are at a node that sees few: by chance, worth, rank and open connections.
