Deal over a zone's own caches where crossings cost, others' caches as spares behind a door

Cause: holders stood anywhere, so half of all keys had none in the node's zone; crossingLegs only weighed what there was. Now holders come from a deal over the home zone's caches, where it has three; when they can't take it or home's door (0.97) refuses, from a deal over all, home ones left out.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,6 +20,7 @@
 const (
 	segments     = 7                      // segments: the design's k
 	copies       = 3                      // holders of a key: the design's number
+	enough       = copies                 // caches of a zone that it can do with alone
 	upkeepEvery  = 100 * time.Millisecond // upkeep period: a few service times, so that trouble is seen soon
 	halveEvery   = 10                     // upkeeps between halvings of what is measured: about a second
 	holds        = 4 * time.Second        // longest rest of a failing cache; a report fades over five times that
@@ -42,7 +43,8 @@
 	lately       = 50                     // retrievals over which shares are taken: a second or two
 	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	spareMost    = 10                     // second copies saved up: covers one cache falling silent
-	lostLeast    = 1.3                   // asked per answer before any is turned away: a few are bad luck
+	lostLeast    = 1.3                    // asked per answer before any is turned away: a few are bad luck
+	spillLeast   = 0.97                   // the same before others' caches are asked: that costs a crossing only
 	fullShare    = 0.1                    // lost legs that one turned away as full counts for: cheap but vain
 	originFirst  = 16.0                   // legs there over all nodes, but one each, before anything is known
 	originGrow   = 0.1                    // room gained by an answer in time, where that is under a leg
@@ -67,6 +69,17 @@
 	usedAt, toldAt    Instant // when a connection there was last in use; when it last reported
 }
 
+// placement is the design's: a cache for each slot of each segment.
+type placement [segments][]*cache
+
+// door counts what says whether a deal's caches bear what they are asked.
+type door struct{ asked, good float64 } // turned away or ended at a cache; those in time
+
+const (
+	home = iota
+	away
+)
+
 type memo struct {
 	met            bool
 	grade          Grade
@@ -82,20 +95,21 @@
 	rules                HouseRules
 	chance               keyhash.Source
 	caches               map[CacheID]*cache
-	listed               []*cache // without the origin
-	segs                 [segments][]*cache
+	listed               []*cache              // without the origin
+	deals                [2]*placement         // of the home zone's caches, or of all, and of those elsewhere; nil until asked
 	origin               *cache                // nil in through mode
 	room                 float64               // legs the origin may have, as learned
 	fetches              map[uint64]*Retrieval // who fetches a key from the origin; others that miss it wait
 	queue                []*Retrieval          // waiting for room at the origin or for another's fetch
 	wanted               map[uint64]float64    // benefit asked of each key; halved now and then
-	short, bar           float64               // share of those for the origin without room; best worth
+	short, bar, missing  float64               // share of those for the origin without room; best worth; misses
 	took, alone, pace    tally.Histogram       // of legs to caches: their time, that of lone ones, and by each before
 	originTook           time.Duration         // by a leg there, smoothed
 	slow, patience       time.Duration         // the slow twentieth, and what means silence
 	usual, othersLoad    float64               // legs a warm cache of weight 1 answered; mean foreign load
-	asked, good          float64               // turned away or ended at a cache; those in time
+	doors                [2]door               // as the deals
 	spare, cheap, asking float64               // second copies saved up; mean cheapness; benefit asked
+	apart                bool                  // whether the home zone has a deal of its own
 	cut                  map[ZoneID]int        // legs in a row that no cache of a zone took a connection for
 	metered              []Instant             // up to when each league has used its share
 	upkeeps, askFails    int
@@ -107,7 +121,7 @@
 	rules.Nodes, rules.MostLegs = max(1, rules.Nodes), max(1, rules.MostLegs)
 	rules.Round = max(time.Millisecond, rules.Round)
 	p := &Router{rules: rules, caches: map[CacheID]*cache{}, fetches: map[uint64]*Retrieval{}, cheap: 1,
-		room: max(1, originFirst/float64(rules.Nodes)), asked: evidence, good: evidence, askAt: now,
+		room: max(1, originFirst/float64(rules.Nodes)), doors: [2]door{{evidence, evidence}, {evidence, evidence}}, askAt: now,
 		wanted: map[uint64]float64{}, cut: map[ZoneID]int{}, metered: make([]Instant, len(rules.Leagues))}
 	p.chance.Seed = uint32(seed ^ seed>>32)
 	p.retime()
@@ -156,8 +170,9 @@
 	return best
 }
 
-func (p *Router) redeal() {
-	p.listed, p.segs, p.origin = nil, [segments][]*cache{}, nil
+// sort splits the list when its set has changed; deals are made anew when they are asked for.
+func (p *Router) sort() {
+	p.listed, p.deals, p.origin = nil, [2]*placement{}, nil
 	for _, c := range p.caches {
 		if !p.rules.Aside || c.Kind != p.rules.OriginKind {
 			p.listed = append(p.listed, c)
@@ -168,15 +183,49 @@
 	slices.SortFunc(p.listed, func(a, b *cache) int {
 		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.ID, b.ID))
 	})
-	for i, s := range deal(p.listed, segments, 0) {
-		p.segs[s] = append(p.segs[s], p.listed[i])
+	n := 0
+	for _, c := range p.listed {
+		if c.Zone == p.rules.Zone {
+			n++
+		}
+	}
+	p.apart = p.rules.CrossingPrice > 0 && n >= enough && n < len(p.listed)
+}
+
+func (p *Router) sideOf(c *cache) int {
+	if p.apart && c.Zone != p.rules.Zone {
+		return away
 	}
-	for s, in := range p.segs {
-		p.segs[s] = make([]*cache, len(in))
+	return home
+}
+
+// deal returns the slots of a side. Where crossings have a price and a zone has caches enough, the design holds
+// within it, and again over those elsewhere, which are spares.
+func (p *Router) deal(side int) *placement {
+	if p.deals[side] == nil {
+		var cs []*cache
+		for _, c := range p.listed {
+			if side == away || p.sideOf(c) == side {
+				cs = append(cs, c)
+			}
+		}
+		p.deals[side] = place(cs)
+	}
+	return p.deals[side]
+}
+
+func place(cs []*cache) *placement {
+	var segs placement
+	for i, s := range deal(cs, segments, 0) {
+		segs[s] = append(segs[s], cs[i])
+	}
+	for s, in := range segs {
+		segs[s] = make([]*cache, len(in))
 		for i, slot := range deal(in, max(1, len(in)), segments) {
-			p.segs[s][slot] = in[i]
+			segs[s][slot] = in[i]
 		}
 	}
+	return &segs
 }
 
 func (p *Router) Listed(now Instant, form ListForm, entries []Entry) {
@@ -188,23 +237,30 @@
 	if form != LastHeld { // it is being followed
 		p.askFails, p.askAt = 0, math.MaxInt64
 	}
-	named := map[CacheID]bool{}
+	named, changed := map[CacheID]bool{}, false
 	for _, e := range entries {
 		c := p.caches[e.ID]
 		named[e.ID], e.Born, e.Weight = true, cmp.Or(e.Born, Never), cmp.Or(max(e.Weight, 0), 1)
 		if c == nil || e.Born > c.Born { // started anew: what was learned of the old process says nothing
-			c = &cache{hash: keyhash.Text(string(e.ID)), toldAt: Never, usedAt: Never,
+			if c == nil {
+				c = &cache{}
+				p.caches[e.ID] = c
+			}
+			*c = cache{hash: keyhash.Text(string(e.ID)), toldAt: Never, usedAt: Never,
 				erred: make([]uint8, len(p.rules.Grades)+1)}
-			p.caches[e.ID] = c
 		}
+		changed = changed || c.ID == "" || c.Zone != e.Zone || c.Kind != e.Kind
 		c.Entry = e
 	}
 	for id, c := range p.caches {
 		if c.State == Gone || form != Changes && !named[id] {
 			delete(p.caches, id)
+			changed = true
 		}
 	}
-	p.redeal()
+	if changed { // a state or a start that changes leaves the deal as it is: it costs most of what news costs
+		p.sort()
+	}
 }
 
 func (p *Router) Probed(now Instant, id CacheID, found Result) {
@@ -300,18 +356,23 @@
 }
 
 // turnAway guards against collapse: while far more is asked than answered, by chance, cheaper ones more.
-func (p *Router) turnAway(r *Retrieval) bool {
-	over := (1-trialShare)*p.asked - lostLeast*p.good
-	if over <= 0 || p.chance.Next() < math.Pow(1-over/p.asked, r.memo.cheap) {
+func (p *Router) turnAway(r *Retrieval, side int) bool {
+	d := &p.doors[side]
+	least := lostLeast
+	if p.apart && side == home {
+		least = spillLeast
+	}
+	over := (1-trialShare)*d.asked - least*d.good
+	if over <= 0 || p.chance.Next() < math.Pow(1-over/d.asked, r.memo.cheap) {
 		return false
 	}
-	p.asked++
+	d.asked++
 	return true
 }
 
 // locate returns the cache at a segment's location for a key; a dead slot has passed its keys leftward.
-func (p *Router) locate(now Instant, seg int, key uint64) *cache {
-	slots := p.segs[seg]
+func (p *Router) locate(now Instant, side, seg int, key uint64) *cache {
+	slots := p.deal(side)[seg]
 	if len(slots) == 0 {
 		return nil
 	}
@@ -325,7 +386,7 @@
 // holders lists a key's caches, first ranked first. One that drains, is silent, fails this grade fast and so
 // looks idle, or is too cold for the key yields to the next ranked spare. Reads of a key that is asked for
 // more than three caches' even share have more holders, or those would be full while all others had room.
-func (p *Router) holders(now Instant, r *Retrieval) (hs []*cache) {
+func (p *Router) holders(now Instant, r *Retrieval, side int) (hs []*cache) {
 	n, w := copies, p.wanted[r.memo.key]
 	if !r.Write && w*p.cheap*p.cheap >= hotLeast {
 		n = max(n, min(segments, int(w/p.asking*float64(len(p.listed)))))
@@ -334,8 +395,8 @@
 	score := func(seg int) uint64 { return keyhash.Salted(r.memo.key, seg) }
 	slices.SortFunc(order[:], func(a, b int) int { return cmp.Compare(score(a), score(b)) })
 	for _, seg := range order {
-		c := p.locate(now, seg, r.memo.key)
-		if c != nil && len(hs) < n && p.lawful(now, r, c) && !p.coldTo(now, c, r.memo.key) &&
+		c := p.locate(now, side, seg, r.memo.key)
+		if c != nil && len(hs) < n && (side == home || c.Zone != p.rules.Zone) && p.lawful(now, r, c) && !p.coldTo(now, c, r.memo.key) &&
 			(c.Zone == p.rules.Zone || p.cut[c.Zone] < copies || p.chance.Next()*evidence < 1) && // cut off: a few try
 			!p.silent(now, c) && c.erred[r.memo.at] < breaksToRest {
 			hs = append(hs, c)
@@ -348,7 +409,7 @@
 func (p *Router) pick(now Instant, r *Retrieval, hs []*cache) (best *cache, full bool) {
 	soft, least := r.memo.grade.SoftLimit, math.Inf(1)
 	// while the origin is short, earlier ones may have legs more, by chance, or it would part all equal loads
-	rank, lean := max(0, rankLegs*p.short-p.chance.Next()), rankTie
+	rank, lean := max(0, rankLegs*max(p.short, min(1, 4*p.missing))-p.chance.Next()), rankTie
 	if len(hs) > copies { // a key that is spread has no first holder
 		rank, lean = 0, 0
 	}
@@ -442,7 +503,7 @@
 		return Move{}
 	case !origin && p.rules.SecondCopies && p.spare >= 1 && p.chance.Next() >= p.short &&
 		(silent || p.rules.WastePrice <= p.took.Above(soft)/max(1, p.took.Above(out))):
-		if c, _ := p.pick(now, r, p.holders(now, r)); c != nil && !p.silent(now, c) {
+		if c, _ := p.pick(now, r, p.holders(now, r, home)); c != nil && !p.silent(now, c) {
 			p.spare--
 			return p.send(now, r, c)
 		}
@@ -465,10 +526,16 @@
 		}
 		return p.toOrigin(now, r)
 	}
-	hs := p.holders(now, r)
+	hs := p.holders(now, r, home)
 	c, full := p.pick(now, r, hs)
+	refused := c != nil && len(r.Legs) == 0 && p.turnAway(r, home) // of those that would be sent: full queues are no loss
+	if p.apart && (c == nil || refused) {
+		hs = p.holders(now, r, away)
+		c, full = p.pick(now, r, hs)
+		refused = c != nil && len(r.Legs) == 0 && p.turnAway(r, away)
+	}
 	switch {
-	case c != nil && len(r.Legs) == 0 && p.turnAway(r): // of those that would be sent: full queues are no loss
+	case refused:
 		return p.giveUp(r)
 	case c != nil && r.Write && g.Effect == Labelled && g.Scope == AllCaches && p.rules.SecondCopies &&
 		len(r.Legs) == 0 && p.short < shortLeast:
@@ -580,10 +647,16 @@
 }
 
 func (p *Router) learn(now Instant, c *cache, r *Retrieval, leg Leg, o Outcome) {
+	d := &p.doors[p.sideOf(c)]
 	at, own, inTime, lost := r.memo.at, float64(c.out), 0.0, leg.Result == TimedOut || leg.Result == TurnedAway
 	if (leg.Result == Answered || leg.Result == Missed) && o.Took <= r.memo.grade.SoftLimit {
 		inTime = 1
 	}
+	if c != p.origin && p.apart && leg.Result == Missed {
+		p.missing += (1 - p.missing) / lately
+	} else if c != p.origin && leg.Result == Answered {
+		p.missing -= p.missing / lately
+	}
 	if c.faulty *= beliefKept; leg.Result == Errored {
 		c.faulty += (1 - c.faulty) * faultyOne
 	}
@@ -629,9 +702,9 @@
 	case errs[leg.Result] > 0, leg.Result == Cancelled, leg.Result == NeverSent,
 		leg.Result == Unconnected: // no sign of load
 	case leg.Result == TurnedAway && c != p.origin:
-		p.asked, c.vain = p.asked+fullShare, c.vain+(1-c.vain)/vainLegs
+		d.asked, c.vain = d.asked+fullShare, c.vain+(1-c.vain)/vainLegs
 	case c != p.origin:
-		p.asked, p.good, c.vain = p.asked+1, p.good+inTime, c.vain+(1-inTime-c.vain)/vainLegs
+		d.asked, d.good, c.vain = d.asked+1, d.good+inTime, c.vain+(1-inTime-c.vain)/vainLegs
 	default:
 		if p.originTook += (o.Took - p.originTook) / 8; inTime > 0 && o.Took <= r.memo.grade.SoftLimit/2 {
 			p.room += min(1/p.room, originGrow*p.room)
@@ -644,8 +717,10 @@
 func (p *Router) Wait(now Instant) (wait time.Duration, chores []Chore) {
 	halve := p.upkeeps%halveEvery == halveEvery-1
 	if p.upkeeps++; halve {
-		if p.asked > 2*evidence {
-			p.asked, p.good = p.asked/2, p.good/2
+		for i := range p.doors {
+			if d := &p.doors[i]; d.asked > 2*evidence {
+				d.asked, d.good = d.asked/2, d.good/2
+			}
 		}
 		if now.Since(p.newsAt) > halveEvery*upkeepEvery { // or where all look full, no leg would ever find out
 			p.othersLoad /= 2
@@ -663,7 +738,8 @@
 		maps.DeleteFunc(p.fetches, func(_ uint64, r *Retrieval) bool { return r.Over })
 	}
 	if !p.rules.Aside { // caches that lose legs are short of their origin, as far as a node can see
-		p.short = max(0, p.asked-p.good) / max(1, p.asked)
+		d := p.doors[home]
+		p.short = max(0, d.asked-d.good) / max(1, d.asked)
 	}
 	p.retime()
 	served, weight := 0.0, 0.0
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -26,7 +26,7 @@
 func holdersOf(p *Router, key string) (ids []CacheID) {
 	r := &Retrieval{Key: key, HardStop: 1e12}
 	p.meet(0, r)
-	for _, c := range p.holders(0, r) {
+	for _, c := range p.holders(0, r, home) {
 		ids = append(ids, c.ID)
 	}
 	return ids
@@ -36,7 +36,7 @@
 	for n := 7; n <= 200; n += 1 + n/15 {
 		es := fleet(n, false)
 		whole := newWorld(t, testRules(), es).p
-		for _, s := range whole.segs {
+		for _, s := range whole.deal(home) {
 			if len(s) < n/segments || len(s) > (n+segments-1)/segments {
 				t.Fatalf("%d caches: a segment holds %d", n, len(s))
 			}
@@ -66,12 +66,12 @@
 
 func TestDeadSlotPassesItsKeysLeftward(t *testing.T) {
 	w := newWorld(t, testRules(), fleet(14, false)) // two slots a segment
-	dead := w.p.segs[0][1]
+	dead := w.p.deal(home)[0][1]
 	for range failsToRest {
 		w.p.failed(0, dead, Unconnected)
 	}
 	for key := range uint64(100) {
-		if w.p.locate(1, 0, keyhash.Mix(key)) != w.p.segs[0][0] {
+		if w.p.locate(1, home, 0, keyhash.Mix(key)) != w.p.deal(home)[0][0] {
 			t.Fatal("a key of the dead slot did not pass to the left")
 		}
 	}
@@ -261,7 +261,7 @@
 	}
 	w, tried := newWorld(t, testRules(), es), 0
 	to, _ := w.drive(200, 50*ms, anyKey, func(_ int, to CacheID) Result {
-		w.p.asked, w.p.good = evidence, evidence // the door stays open
+		w.p.doors[home] = door{evidence, evidence} // the door stays open
 		if w.state[to].Zone == "there" {
 			return Unconnected
 		}
@@ -285,7 +285,7 @@
 		}
 		c.out = 3
 	}
-	if r, m := w.arrive("k", 0, false); len(m.To) > 0 || m.Answer != Dismiss || w.p.asked > evidence {
+	if r, m := w.arrive("k", 0, false); len(m.To) > 0 || m.Answer != Dismiss || w.p.doors[home].asked > evidence {
 		t.Errorf("sent behind a queue longer than the soft limit, or closed the door for it: %v %v", r, m)
 	}
 }
@@ -298,7 +298,7 @@
 		w, in := newWorld(t, testRules(), fleet(12, false)), [2]int{}
 		w.p.rules.Grades[1].Benefit = 0.05
 		for i := range 6000 {
-			w.p.asked, w.p.good = 100, good
+			w.p.doors[home] = door{100, good}
 			grade := min(1, i%3)
 			if _, m := w.arrive("k", GradeID(grade), false); m.Answer == Nothing && i >= 2000 {
 				in[grade]++
@@ -314,7 +314,7 @@
 	w := newWorld(t, testRules(), fleet(12, false))
 	legs := 0
 	for range 200 {
-		w.p.asked = 0 // the door stays open, and no cache is avoided
+		w.p.doors[home].asked = 0 // the door stays open, and no cache is avoided
 		for _, c := range w.p.listed {
 			clear(c.erred)
 		}
