Share one deal over all zones while the origin is strained

Cause: each zone holds keys for itself. Now a node takes holders from the deal over all by chance, by four times the share of late legs at the origin.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,6 +31,7 @@
 	tieBreak     = 1e-3                   // legs by which equal loads are parted: far below a real difference
 	rankTie      = 0.5                    // what a rank weighs among equal loads, chance being 1 on the mean
 	hotLeast     = 3.0                    // asked for a key before it may have more holders: two may be chance
+	strainWeight = 4.0                    // how much sooner than all of its answers are late the origin is strained
 	vainWeight   = 8.0                    // the same for legs all in vain: more than ranks
 	opening      = 2.0                    // the same for a new connection: less than one leg of two in vain
 	vainLegs     = 4.0                    // legs over which that is taken: a node meets one cache of many seldom
@@ -76,8 +77,9 @@
 type door struct{ asked, good float64 } // turned away or ended at a cache; those in time
 
 const (
-	home = iota
-	away
+	home = iota // of the home zone's caches, or of all where it has none of its own
+	pool        // of all
+	away        // the same without home's
 )
 
 type memo struct {
@@ -102,16 +104,17 @@
 	fetches              map[uint64]*Retrieval // who fetches a key from the origin; others that miss it wait
 	queue                []*Retrieval          // waiting for room at the origin or for another's fetch
 	wanted               map[uint64]float64    // benefit asked of each key; halved now and then
-	short, bar, missing  float64               // share of those for the origin without room; best worth; misses
-	took, alone, pace    tally.Histogram       // of legs to caches: their time, that of lone ones, and by each before
-	originTook           time.Duration         // by a leg there, smoothed
-	slow, patience       time.Duration         // the slow twentieth, and what means silence
-	usual, othersLoad    float64               // legs a warm cache of weight 1 answered; mean foreign load
-	doors                [2]door               // as the deals
-	spare, cheap, asking float64               // second copies saved up; mean cheapness; benefit asked
-	apart                bool                  // whether the home zone has a deal of its own
-	cut                  map[ZoneID]int        // legs in a row that no cache of a zone took a connection for
-	metered              []Instant             // up to when each league has used its share
+	short, bar, missing  float64
+	strain               float64         // share of late or lost legs at the origin              // share of those for the origin without room; best worth; misses
+	took, alone, pace    tally.Histogram // of legs to caches: their time, that of lone ones, and by each before
+	originTook           time.Duration   // by a leg there, smoothed
+	slow, patience       time.Duration   // the slow twentieth, and what means silence
+	usual, othersLoad    float64         // legs a warm cache of weight 1 answered; mean foreign load
+	doors                [3]door         // as the deals
+	spare, cheap, asking float64         // second copies saved up; mean cheapness; benefit asked
+	apart                bool            // whether the home zone has a deal of its own
+	cut                  map[ZoneID]int  // legs in a row that no cache of a zone took a connection for
+	metered              []Instant       // up to when each league has used its share
 	upkeeps, askFails    int
 	newsAt, roomCut      Instant // of the last report; of the last cut of the room
 	originAt, askAt      Instant // when a small room may have its next leg; when to ask for the list
@@ -121,7 +124,7 @@
 	rules.Nodes, rules.MostLegs = max(1, rules.Nodes), max(1, rules.MostLegs)
 	rules.Round = max(time.Millisecond, rules.Round)
 	p := &Router{rules: rules, caches: map[CacheID]*cache{}, fetches: map[uint64]*Retrieval{}, cheap: 1,
-		room: max(1, originFirst/float64(rules.Nodes)), doors: [2]door{{evidence, evidence}, {evidence, evidence}}, askAt: now,
+		room: max(1, originFirst/float64(rules.Nodes)), doors: [3]door{{evidence, evidence}, {}, {evidence, evidence}}, askAt: now,
 		wanted: map[uint64]float64{}, cut: map[ZoneID]int{}, metered: make([]Instant, len(rules.Leagues))}
 	p.chance.Seed = uint32(seed ^ seed>>32)
 	p.retime()
@@ -205,7 +208,7 @@
 	if p.deals[side] == nil {
 		var cs []*cache
 		for _, c := range p.listed {
-			if side == away || p.sideOf(c) == side {
+			if side != home || p.sideOf(c) == home {
 				cs = append(cs, c)
 			}
 		}
@@ -372,7 +375,7 @@
 
 // locate returns the cache at a segment's location for a key; a dead slot has passed its keys leftward.
 func (p *Router) locate(now Instant, side, seg int, key uint64) *cache {
-	slots := p.deal(side)[seg]
+	slots := p.deal(min(side, pool))[seg]
 	if len(slots) == 0 {
 		return nil
 	}
@@ -396,7 +399,7 @@
 	slices.SortFunc(order[:], func(a, b int) int { return cmp.Compare(score(a), score(b)) })
 	for _, seg := range order {
 		c := p.locate(now, side, seg, r.memo.key)
-		if c != nil && len(hs) < n && (side == home || c.Zone != p.rules.Zone) && p.lawful(now, r, c) && !p.coldTo(now, c, r.memo.key) &&
+		if c != nil && len(hs) < n && (side != away || c.Zone != p.rules.Zone) && p.lawful(now, r, c) && !p.coldTo(now, c, r.memo.key) &&
 			(c.Zone == p.rules.Zone || p.cut[c.Zone] < copies || p.chance.Next()*evidence < 1) && // cut off: a few try
 			!p.silent(now, c) && c.erred[r.memo.at] < breaksToRest {
 			hs = append(hs, c)
@@ -526,10 +529,14 @@
 		}
 		return p.toOrigin(now, r)
 	}
-	hs := p.holders(now, r, home)
+	side := home // while the origin is strained, zones do without copies of their own
+	if p.apart && p.chance.Next() < max(p.short, strainWeight*p.strain) {
+		side = pool
+	}
+	hs := p.holders(now, r, side)
 	c, full := p.pick(now, r, hs)
-	refused := c != nil && len(r.Legs) == 0 && p.turnAway(r, home) // of those that would be sent: full queues are no loss
-	if p.apart && (c == nil || refused) {
+	refused := c != nil && len(r.Legs) == 0 && p.turnAway(r, p.sideOf(c)) // of those that would be sent: full queues are no loss
+	if p.apart && (c == nil || refused && p.sideOf(c) == home) {
 		hs = p.holders(now, r, away)
 		c, full = p.pick(now, r, hs)
 		refused = c != nil && len(r.Legs) == 0 && p.turnAway(r, away)
@@ -707,8 +714,9 @@
 		d.asked, d.good, c.vain = d.asked+1, d.good+inTime, c.vain+(1-inTime-c.vain)/vainLegs
 	default:
 		if p.originTook += (o.Took - p.originTook) / 8; inTime > 0 && o.Took <= r.memo.grade.SoftLimit/2 {
+			p.strain -= p.strain / evidence
 			p.room += min(1/p.room, originGrow*p.room)
-		} else if now.Since(p.roomCut) > p.slow {
+		} else if p.strain += (1 - p.strain) / evidence; now.Since(p.roomCut) > p.slow {
 			p.room, p.roomCut = max(originLeast/float64(p.rules.Nodes), p.room*originCut), now
 		}
 	}
