Send cold caches two thirds of the stated multiple; late answers count as they are worth

Now a cold cache's slice and rate are two thirds of overload_factor times its sure warmth, late answers count at the door by late_benefit, and the door turns away from 1.1.

--- a/internal/houserules/houserules.go
+++ b/internal/houserules/houserules.go
@@ -82,7 +82,7 @@
 	scopes := map[string]policy.Scope{"all": policy.AllCaches, "zone": policy.SameZone}
 	for _, g := range grades {
 		r.Grades = append(r.Grades, policy.Grade{
-			Benefit: g.GetFloat64("benefit"), SoftLimit: Span(g.Get("soft_limit_s")),
+			Benefit: g.GetFloat64("benefit"), Late: Number(g.Get("late_benefit")), SoftLimit: Span(g.Get("soft_limit_s")),
 			Effect: effects[string(g.GetStringBytes("effect"))], Scope: scopes[string(g.GetStringBytes("group"))],
 			Window: Span(g.Get("key_ttl_s")),
 		})
@@ -111,6 +111,7 @@
 	r.Round = Span(env.Get("round_s"))
 	r.AskWithin = Span(rules.Get("ask_within_s"))
 	r.ColdFrom, r.ColdFor = rules.GetFloat64("cold_from"), Span(rules.Get("cold_s"))
+	r.FallMultiple = Number(rules.Get("overload_factor"))
 	r.InFlightAt, r.BusyAt = -1, -1
 	for i, c := range env.GetArray("telemetry", "columns") {
 		name := string(c.GetStringBytes())
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,6 +32,7 @@
 	rankTie      = 0.5                    // what a rank weighs among equal loads, chance being 1 on the mean
 	hotLeast     = 3.0                    // asked for a key before it may have more holders: two may be chance
 	strainWeight = 4.0                    // how much sooner than all of its answers are late the origin is strained
+	fallPart     = 0.67                   // of the stated multiple that a cold cache is sent: the rest is for chance
 	vainWeight   = 8.0                    // the same for legs all in vain: more than ranks
 	opening      = 2.0                    // the same for a new connection: less than one leg of two in vain
 	vainLegs     = 4.0                    // legs over which that is taken: a node meets one cache of many seldom
@@ -44,7 +45,7 @@
 	lately       = 50                     // retrievals over which shares are taken: a second or two
 	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	spareMost    = 10                     // second copies saved up: covers one cache falling silent
-	lostLeast    = 1.3                    // asked per answer before any is turned away: a few are bad luck
+	lostLeast    = 1.1                    // asked per answer before any is turned away: a few are bad luck
 	spillLeast   = 0.97                   // the same before others' caches are asked: that costs a crossing only
 	fullShare    = 0.1                    // lost legs that one turned away as full counts for: cheap but vain
 	originFirst  = 16.0                   // legs there over all nodes, but one each, before anything is known
@@ -301,11 +302,14 @@
 	if w < 1 && c.coldAt == 0 {
 		p.spaceOut(now, c, p.chance.Next())
 	}
-	return w < 1 && (float64(keyhash.Mix(key^c.hash)) > w*(1<<64) || now < c.coldAt)
+	return w < 1 && (float64(keyhash.Mix(key^c.hash)) > p.coldShare()*w*(1<<64) || now < c.coldAt)
 }
 
+// coldShare is what a cold cache may be sent for what it surely bears: part of the multiple that pushes it over.
+func (p *Router) coldShare() float64 { return max(1, fallPart*p.rules.FallMultiple) }
+
 func (p *Router) spaceOut(now Instant, c *cache, share float64) {
-	gap := 2 * halveEvery * float64(upkeepEvery) / (p.warmth(now, c) * p.usual * c.Weight)
+	gap := 2 * halveEvery * float64(upkeepEvery) / (p.coldShare() * p.warmth(now, c) * p.usual * c.Weight)
 	c.coldAt = now.Add(time.Duration(share * min(float64(p.rules.ColdFor), gap)))
 }
 
@@ -658,6 +662,8 @@
 	at, own, inTime, lost := r.memo.at, float64(c.out), 0.0, leg.Result == TimedOut || leg.Result == TurnedAway
 	if (leg.Result == Answered || leg.Result == Missed) && o.Took <= r.memo.grade.SoftLimit {
 		inTime = 1
+	} else if leg.Result == Answered {
+		inTime = r.memo.grade.Late
 	}
 	if c != p.origin && p.apart && leg.Result == Missed {
 		p.missing += (1 - p.missing) / lately
@@ -713,7 +719,7 @@
 	case c != p.origin:
 		d.asked, d.good, c.vain = d.asked+1, d.good+inTime, c.vain+(1-inTime-c.vain)/vainLegs
 	default:
-		if p.originTook += (o.Took - p.originTook) / 8; inTime > 0 && o.Took <= r.memo.grade.SoftLimit/2 {
+		if p.originTook += (o.Took - p.originTook) / 8; inTime == 1 && o.Took <= r.memo.grade.SoftLimit/2 {
 			p.strain -= p.strain / evidence
 			p.room += min(1/p.room, originGrow*p.room)
 		} else if p.strain += (1 - p.strain) / evidence; now.Since(p.roomCut) > p.slow {
--- a/policy/types.go
+++ b/policy/types.go
@@ -50,6 +50,7 @@
 type Grade struct {
 	Benefit   float64
 	SoftLimit time.Duration
+	Late      float64 // share of the benefit that an answer after the soft limit still has
 	Effect    Effect
 	Scope     Scope
 	Window    time.Duration // how long repeats of a labelled retrieval are dropped
@@ -82,8 +83,9 @@
 	AskWithin      time.Duration
 	ColdFrom       float64
 	ColdFor        time.Duration
-	BusyAt         int // which report value is the share of time its cores are busy; -1 for none
-	InFlightAt     int // which report value counts retrievals in hand; -1 for none
+	FallMultiple   float64 // times its capacity that push a cold cache over; 0 if not stated
+	BusyAt         int     // which report value is the share of time its cores are busy; -1 for none
+	InFlightAt     int     // which report value counts retrievals in hand; -1 for none
 }
 
 // ListForm says how a list is to be read.
