Weigh misses by a crossing's price; take a reported queue as what waits; settings checked

Settings of a wrong type, negative, not finite, or with an unknown zone get one line. dahliapin migrate is begun.

--- a/cmd/dahliapin/main.go
+++ b/cmd/dahliapin/main.go
@@ -36,7 +36,7 @@
 				}
 				return err
 			}},
-		rehearse(), loadCommand(), demo(),
+		migrate(), rehearse(), loadCommand(), demo(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "dahliapin", version, built()) }},
 	)
--- a/internal/houserules/houserules.go
+++ b/internal/houserules/houserules.go
@@ -74,6 +74,9 @@
 	if len(grades) == 0 {
 		return t, errors.New("the settings name no service grades, so nothing can be decided")
 	}
+	if err := check(env); err != nil {
+		return t, err
+	}
 	itself := func(v *fastjson.Value) *fastjson.Value { return v }
 	named := func(v *fastjson.Value) *fastjson.Value { return v.Get("name") }
 	n.grades, n.leagues = index(grades, named), index(env.GetArray("tenants"), named)
@@ -112,15 +115,15 @@
 	r.AskWithin = Span(rules.Get("ask_within_s"))
 	r.ColdFrom, r.ColdFor = rules.GetFloat64("cold_from"), Span(rules.Get("cold_s"))
 	r.FallMultiple = Number(rules.Get("overload_factor"))
-	r.InFlightAt, r.BusyAt = -1, -1
+	r.InFlightAt, r.WaitingAt = -1, -1
 	for i, c := range env.GetArray("telemetry", "columns") {
 		name := string(c.GetStringBytes())
 		n.columns = append(n.columns, name)
-		if name == "outstanding" || name == "backlog" && r.InFlightAt < 0 {
+		if name == "outstanding" {
 			r.InFlightAt = i
 		}
-		if name == "utilization" {
-			r.BusyAt = i
+		if name == "backlog" {
+			r.WaitingAt = i
 		}
 	}
 	return t, nil
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,20 +26,20 @@
 	holds        = 4 * time.Second        // longest rest of a failing cache; a report fades over five times that
 	failsToRest  = 2                      // failures, or errors in a grade, that a cache may have: one is chance
 	breaksToRest = 4                      // connections broken under a grade's legs: each tells of itself only
+	missWeight   = 20.0                   // the same for the share of misses, times a crossing's price
 	rankLegs     = 4.0                    // legs more for an earlier holder while the origin is short: a fetch
 	shortLeast   = 0.01                   // lost share of legs from which a write goes to one holder only
 	tieBreak     = 1e-3                   // legs by which equal loads are parted: far below a real difference
 	rankTie      = 0.5                    // what a rank weighs among equal loads, chance being 1 on the mean
 	hotLeast     = 3.0                    // asked for a key before it may have more holders: two may be chance
-	strainWeight = 4.0                    // how much sooner than all of its answers are late the origin is strained
-	fallPart     = 0.67                   // of the stated multiple that a cold cache is sent: the rest is for chance
+	strainWeight = 4.0                    // times the share of late legs there that the origin is strained
+	fallPart     = 0.67                   // of the multiple that fells a cold cache; chance has the rest
 	vainWeight   = 8.0                    // the same for legs all in vain: more than ranks
 	opening      = 2.0                    // the same for a new connection: less than one leg of two in vain
 	vainLegs     = 4.0                    // legs over which that is taken: a node meets one cache of many seldom
 	faultyOne    = 0.5                    // belief that a cache errs, of what is left, by one error
 	beliefKept   = 0.9                    // of what is believed of a cache, by a second or a good leg
 	sooner       = 2.0                    // times shorter that queues are full for what is cheap, at the most
-	busyMost     = 0.9                    // share of time busy above which queues can't be told apart
 	trialShare   = 0.03                   // of those asked that always get in, to see a recovery
 	evidence     = 10.0                   // asked, or reports, that are kept: fewer make chance a sign
 	lately       = 50                     // retrievals over which shares are taken: a second or two
@@ -99,23 +99,23 @@
 	chance               keyhash.Source
 	caches               map[CacheID]*cache
 	listed               []*cache              // without the origin
-	deals                [2]*placement         // of the home zone's caches, or of all, and of those elsewhere; nil until asked
+	deals                [2]*placement         // of home and of all; nil until asked for
 	origin               *cache                // nil in through mode
 	room                 float64               // legs the origin may have, as learned
 	fetches              map[uint64]*Retrieval // who fetches a key from the origin; others that miss it wait
 	queue                []*Retrieval          // waiting for room at the origin or for another's fetch
 	wanted               map[uint64]float64    // benefit asked of each key; halved now and then
-	short, bar, missing  float64
-	strain               float64         // share of late or lost legs at the origin              // share of those for the origin without room; best worth; misses
-	took, alone, pace    tally.Histogram // of legs to caches: their time, that of lone ones, and by each before
-	originTook           time.Duration   // by a leg there, smoothed
-	slow, patience       time.Duration   // the slow twentieth, and what means silence
-	usual, othersLoad    float64         // legs a warm cache of weight 1 answered; mean foreign load
-	doors                [3]door         // as the deals
-	spare, cheap, asking float64         // second copies saved up; mean cheapness; benefit asked
-	apart                bool            // whether the home zone has a deal of its own
-	cut                  map[ZoneID]int  // legs in a row that no cache of a zone took a connection for
-	metered              []Instant       // up to when each league has used its share
+	short, bar           float64               // share of those for the origin without room; best worth
+	strain, missing      float64               // shares of legs that were late at the origin, and that missed
+	took, alone, pace    tally.Histogram       // of legs to caches: time, that of lone ones, time by each before
+	originTook           time.Duration         // by a leg there, smoothed
+	slow, patience       time.Duration         // the slow twentieth, and what means silence
+	usual, othersLoad    float64               // legs a warm cache of weight 1 answered; mean foreign load
+	doors                [3]door               // as the deals
+	spare, cheap, asking float64               // second copies saved up; mean cheapness; benefit asked
+	apart                bool                  // whether the home zone has a deal of its own
+	cut                  map[ZoneID]int        // legs in a row that no cache of a zone took a connection for
+	metered              []Instant             // up to when each league has used its share
 	upkeeps, askFails    int
 	newsAt, roomCut      Instant // of the last report; of the last cut of the room
 	originAt, askAt      Instant // when a small room may have its next leg; when to ask for the list
@@ -125,8 +125,9 @@
 	rules.Nodes, rules.MostLegs = max(1, rules.Nodes), max(1, rules.MostLegs)
 	rules.Round = max(time.Millisecond, rules.Round)
 	p := &Router{rules: rules, caches: map[CacheID]*cache{}, fetches: map[uint64]*Retrieval{}, cheap: 1,
-		room: max(1, originFirst/float64(rules.Nodes)), doors: [3]door{{evidence, evidence}, {}, {evidence, evidence}}, askAt: now,
+		room: max(1, originFirst/float64(rules.Nodes)), askAt: now,
 		wanted: map[uint64]float64{}, cut: map[ZoneID]int{}, metered: make([]Instant, len(rules.Leagues))}
+	p.doors = [3]door{home: {evidence, evidence}, away: {evidence, evidence}}
 	p.chance.Seed = uint32(seed ^ seed>>32)
 	p.retime()
 	return p
@@ -177,9 +178,12 @@
 // sort splits the list when its set has changed; deals are made anew when they are asked for.
 func (p *Router) sort() {
 	p.listed, p.deals, p.origin = nil, [2]*placement{}, nil
+	n := 0
 	for _, c := range p.caches {
 		if !p.rules.Aside || c.Kind != p.rules.OriginKind {
-			p.listed = append(p.listed, c)
+			if p.listed = append(p.listed, c); c.Zone == p.rules.Zone {
+				n++
+			}
 		} else if p.origin == nil || c.ID < p.origin.ID {
 			p.origin = c
 		}
@@ -187,12 +191,6 @@
 	slices.SortFunc(p.listed, func(a, b *cache) int {
 		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.ID, b.ID))
 	})
-	n := 0
-	for _, c := range p.listed {
-		if c.Zone == p.rules.Zone {
-			n++
-		}
-	}
 	p.apart = p.rules.CrossingPrice > 0 && n >= enough && n < len(p.listed)
 }
 
@@ -203,8 +201,8 @@
 	return home
 }
 
-// deal returns the slots of a side. Where crossings have a price and a zone has caches enough, the design holds
-// within it, and again over those elsewhere, which are spares.
+// deal returns a deal's slots. Where crossings have a price and a zone has caches enough, the design holds
+// within it; those elsewhere are spares, by a deal over all that the zones share.
 func (p *Router) deal(side int) *placement {
 	if p.deals[side] == nil {
 		var cs []*cache
@@ -305,7 +303,7 @@
 	return w < 1 && (float64(keyhash.Mix(key^c.hash)) > p.coldShare()*w*(1<<64) || now < c.coldAt)
 }
 
-// coldShare is what a cold cache may be sent for what it surely bears: part of the multiple that pushes it over.
+// coldShare is how much of what it surely bears a cold cache is sent.
 func (p *Router) coldShare() float64 { return max(1, fallPart*p.rules.FallMultiple) }
 
 func (p *Router) spaceOut(now Instant, c *cache, share float64) {
@@ -403,7 +401,8 @@
 	slices.SortFunc(order[:], func(a, b int) int { return cmp.Compare(score(a), score(b)) })
 	for _, seg := range order {
 		c := p.locate(now, side, seg, r.memo.key)
-		if c != nil && len(hs) < n && (side != away || c.Zone != p.rules.Zone) && p.lawful(now, r, c) && !p.coldTo(now, c, r.memo.key) &&
+		if c != nil && len(hs) < n && (side != away || c.Zone != p.rules.Zone) &&
+			p.lawful(now, r, c) && !p.coldTo(now, c, r.memo.key) &&
 			(c.Zone == p.rules.Zone || p.cut[c.Zone] < copies || p.chance.Next()*evidence < 1) && // cut off: a few try
 			!p.silent(now, c) && c.erred[r.memo.at] < breaksToRest {
 			hs = append(hs, c)
@@ -412,11 +411,12 @@
 	return hs
 }
 
-// pick chooses the least loaded holder not yet tried; full: queues would take half the soft limit, and stand.
+// pick chooses the least loaded holder not yet tried; full: queues would take the rest of the soft limit.
 func (p *Router) pick(now Instant, r *Retrieval, hs []*cache) (best *cache, full bool) {
 	soft, least := r.memo.grade.SoftLimit, math.Inf(1)
-	// while the origin is short, earlier ones may have legs more, by chance, or it would part all equal loads
-	rank, lean := max(0, rankLegs*max(p.short, min(1, 4*p.missing))-p.chance.Next()), rankTie
+	// while the origin is short, earlier ones may have legs more; by chance, or it would part all equal loads
+	dear := min(1, missWeight*p.rules.CrossingPrice*p.missing) // a miss crosses to the origin
+	lean, rank := rankTie, max(0, rankLegs*max(p.short, dear)-p.chance.Next())
 	if len(hs) > copies { // a key that is spread has no first holder
 		rank, lean = 0, 0
 	}
@@ -437,7 +437,7 @@
 	return best, full && best == nil
 }
 
-// crowded tells whether those before a leg would take half of what its own work leaves of a time. Where work
+// crowded tells whether those before a leg would take what its own work leaves of a time. Where work
 // alone takes half a soft limit, and several are worked on at once, queues are no multiple of it.
 func (p *Router) crowded(load float64, left time.Duration, sooner float64) bool {
 	spare := max(left-p.alone.Quantile(0.5, 0), left/4)
@@ -482,7 +482,7 @@
 	}
 	cheap, key := 1/math.Sqrt(max(benefit, 0.01)), keyhash.Text(r.Key)
 	p.cheap += (cheap - p.cheap) / lately // set against its mean, or a few very cheap ones would close the door
-	p.spare = min(spareMost, p.spare+spareShare)
+	p.spare, p.missing = min(spareMost, p.spare+spareShare), p.missing-p.missing/lately
 	p.wanted[key], p.asking = p.wanted[key]+benefit, p.asking+benefit
 	r.memo = memo{true, g, at, key, benefit, cheap / p.cheap, ""}
 }
@@ -539,7 +539,7 @@
 	}
 	hs := p.holders(now, r, side)
 	c, full := p.pick(now, r, hs)
-	refused := c != nil && len(r.Legs) == 0 && p.turnAway(r, p.sideOf(c)) // of those that would be sent: full queues are no loss
+	refused := c != nil && len(r.Legs) == 0 && p.turnAway(r, p.sideOf(c)) // full queues are no loss
 	if p.apart && (c == nil || refused && p.sideOf(c) == home) {
 		hs = p.holders(now, r, away)
 		c, full = p.pick(now, r, hs)
@@ -658,18 +658,12 @@
 }
 
 func (p *Router) learn(now Instant, c *cache, r *Retrieval, leg Leg, o Outcome) {
-	d := &p.doors[p.sideOf(c)]
-	at, own, inTime, lost := r.memo.at, float64(c.out), 0.0, leg.Result == TimedOut || leg.Result == TurnedAway
+	d, at, own, inTime := &p.doors[p.sideOf(c)], r.memo.at, float64(c.out), 0.0
 	if (leg.Result == Answered || leg.Result == Missed) && o.Took <= r.memo.grade.SoftLimit {
 		inTime = 1
 	} else if leg.Result == Answered {
 		inTime = r.memo.grade.Late
 	}
-	if c != p.origin && p.apart && leg.Result == Missed {
-		p.missing += (1 - p.missing) / lately
-	} else if c != p.origin && leg.Result == Answered {
-		p.missing -= p.missing / lately
-	}
 	if c.faulty *= beliefKept; leg.Result == Errored {
 		c.faulty += (1 - c.faulty) * faultyOne
 	}
@@ -686,6 +680,9 @@
 			}
 		}
 	}
+	if c != p.origin && leg.Result == Missed {
+		p.missing += 1.0 / lately
+	}
 	if c.out, c.usedAt = max(0, c.out-1), now; leg.Result == Answered || leg.Result == Missed {
 		c.served++
 	}
@@ -697,15 +694,11 @@
 			p.failed(now, c, leg.Result)
 		}
 	}
-	switch i, b := p.rules.InFlightAt, p.rules.BusyAt; {
+	switch i, q := p.rules.InFlightAt, p.rules.WaitingAt; {
 	case i >= 0 && i < len(o.Report): // it counts own legs too
 		c.foreign, c.toldAt = max(0, o.Report[i]-own), now
-	case b >= 0 && (lost || b < len(o.Report)): // many own legs tell more, and all would follow one report
-		busy := busyMost
-		if !lost {
-			busy = min(max(0, o.Report[b]), busy)
-		}
-		c.foreign, c.toldAt = busy/(1-busy)/(1+c.served), now
+	case q >= 0 && q < len(o.Report): // own legs are mostly in work, which this leaves out
+		c.foreign, c.toldAt = max(0, o.Report[q]), now
 	}
 	if c.toldAt == now && c != p.origin {
 		p.othersLoad += (min(c.foreign, 2*p.othersLoad+1) - p.othersLoad) / evidence
@@ -778,35 +771,6 @@
 	return upkeepEvery, chores
 }
 
-// Standings tells which caches stand otherwise than when it told last, for records; no decision reads it.
-func (p *Router) Standings(now Instant, tell func(CacheID, Standing)) {
-	soft := time.Duration(0)
-	for _, g := range p.rules.Grades {
-		soft = max(soft, g.SoftLimit)
-	}
-	for _, c := range p.listed {
-		s := InUse
-		switch {
-		case c.State != Ready:
-			s = Drains
-		case c.refused >= failsToRest && now < c.restUntil:
-			s = Refusing
-		case p.silent(now, c):
-			s = Quiet
-		case slices.Max(c.erred) >= breaksToRest:
-			s = Erring
-		case p.crowded(p.load(now, c), soft, 1):
-			s = Crowded
-		case p.warmth(now, c) < 1:
-			s = Warming
-		}
-		if c.stood != s {
-			c.stood = s
-			tell(c.ID, s)
-		}
-	}
-}
-
 func (p *Router) retime() {
 	soft := time.Second
 	for _, g := range p.rules.Grades {
--- a/policy/types.go
+++ b/policy/types.go
@@ -84,7 +84,7 @@
 	ColdFrom       float64
 	ColdFor        time.Duration
 	FallMultiple   float64 // times its capacity that push a cold cache over; 0 if not stated
-	BusyAt         int     // which report value is the share of time its cores are busy; -1 for none
+	WaitingAt      int     // which report value counts those that wait for a core; -1 for none
 	InFlightAt     int     // which report value counts retrievals in hand; -1 for none
 }
 
