--- /dev/null
+++ b/internal/houserules/check_test.go
@@ -0,0 +1,28 @@
+package houserules
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/valyala/fastjson"
+)
+
+// A setting that is read must not be taken for its default because it is of a wrong kind, unsaid.
+func TestASettingThatCantBeIsNamedInOneLine(t *testing.T) {
+	const good = `{"service_grades":[{"late_benefit":0.5}],"tenants":[{"quota_rps":null}],"zone":"a","failure_domains":["a","b"],
+		"rules":{"overload_factor":3},"tariffs":{"cross_zone":0.2},"bounds":{"cancel":true}}`
+	terms, err := Decode(fastjson.MustParse(good))
+	if err != nil || terms.Rules.Grades[0].Late != 0.5 || terms.Rules.FallMultiple != 3 || terms.Rules.CrossingPrice != 0.2 {
+		t.Fatal(terms.Rules, err)
+	}
+	for key, turn := range map[string][2]string{
+		"service_grades[0].late_benefit": {"0.5", `"half"`}, "tenants[0].quota_rps": {"null", "-1"}, "rules.overload_factor": {"3}", "-3}"},
+		"tariffs.cross_zone": {"0.2", "1e999"}, "bounds.cancel": {"true", "1"}, "zone is \"c\"": {`"zone":"a"`, `"zone":"c"`},
+		"zone is not a text": {`"zone":"a"`, `"zone":1`},
+	} {
+		_, err := Decode(fastjson.MustParse(strings.Replace(good, turn[0], turn[1], 1)))
+		if err == nil || !strings.Contains(err.Error(), key) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", key, err)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -248,7 +248,7 @@
 				c = &cache{}
 				p.caches[e.ID] = c
 			}
-			*c = cache{hash: keyhash.Text(string(e.ID)), toldAt: Never, usedAt: Never,
+			*c = cache{Entry: c.Entry, hash: keyhash.Text(string(e.ID)), toldAt: Never, usedAt: Never,
 				erred: make([]uint8, len(p.rules.Grades)+1)}
 		}
 		changed = changed || c.ID == "" || c.Zone != e.Zone || c.Kind != e.Kind
