--- a/policy/zones_test.go
+++ b/policy/zones_test.go
@@ -133,3 +133,39 @@
 		t.Errorf("of 60 each were sent: %d to idle caches, %d where two wait, %d where thirty do", idle, some, many)
 	}
 }
+
+// Where a rolling deploy had replaced most caches, those that were warm bore nearly all: cold ones took the square of
+// what they surely bear. They must take more where the multiple that fells one is stated, and stay well under it.
+func TestColdCachesTakePartOfTheStatedMultiple(t *testing.T) {
+	for multiple, want := range map[float64]int{0: 300, 1: 300, 3: 603} {
+		rules := testRules() // from three tenths of its capacity
+		rules.FallMultiple = multiple
+		es := fleet(12, false)
+		es[0].Born = 1
+		w, taken := newWorld(t, rules, es), 0
+		c := w.p.caches[es[0].ID]
+		for i := range 1000 {
+			if c.coldAt = -1; !w.p.coldTo(1, c, uint64(i)*0x9e3779b97f4a7c15) {
+				taken++
+			}
+		}
+		if taken < want-60 || taken > want+60 {
+			t.Errorf("told of %v times, it took %d keys of 1000, not about %d", multiple, taken, want)
+		}
+	}
+}
+
+// Where a late answer brings half, it half speaks for those that let it in; where it brings nothing, against them.
+func TestLateAnswersCountAtTheDoorByWhatTheyBring(t *testing.T) {
+	for _, late := range []float64{0, 0.5} {
+		rules := testRules()
+		rules.Grades[0].Late = late
+		w := newWorld(t, rules, fleet(12, false))
+		r, _ := w.arrive("k", 0, false)
+		w.pass(400 * ms)
+		was := w.p.doors[home].good
+		if w.end(r, 0, Answered); w.p.doors[home].good-was != late {
+			t.Errorf("counted for %v, not %v", w.p.doors[home].good-was, late)
+		}
+	}
+}
