Copies beside silent home legs go elsewhere; settings and migration checked deeper

Found on reading the change again. A leg silent at home had no copy beside it where all of home's holders were silent: further asked home's deal only. Home full and others silent went to the origin. Wrong types of whole objects and lists, and numbers of nodes that are none, were left at their defaults unsaid; migrate lost its own mark where bounds was null, and did not list unknown keys inside objects. The loopback test plays on the emulator that there was.

--- a/cmd/dahliapin/migrate_test.go
+++ b/cmd/dahliapin/migrate_test.go
@@ -1,158 +1,74 @@
 package main
 
 import (
-	"bufio"
+	"context"
 	"io"
-	"net"
-	"net/http"
-	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
-	"dahliapin/node"
+	"dahliapin/internal/emulator/onwire"
+	"dahliapin/internal/emulator/script"
+	"dahliapin/internal/records"
 )
 
-// The command must leave what stands alone, and never half a file.
+// The command must leave what stands alone, keep its rights, and never leave half a file.
 func TestMigrateWritesBesideAndNothingElse(t *testing.T) {
 	dir := t.TempDir()
-	from, to := dir+"/old.json", dir+"/new.json"
-	old := `{"name":"n","listen":"0.0.0.0:0","discovery":"127.0.0.1:1","settings":{"service_grades":[{"name":"read"}],"zone":"z"}}`
-	if err := os.WriteFile(from, []byte(old), 0o640); err != nil {
-		t.Fatal(err)
-	}
-	bad := dir + "/bad.json"
+	old, from, to, bad := `{"settings":{"service_grades":[{"name":"read"}]}}`, dir+"/old", dir+"/new", dir+"/bad"
+	os.WriteFile(from, []byte(old), 0o640)
 	os.WriteFile(bad, []byte("{"), 0o600)
 	for _, c := range []struct {
-		from, to     string
-		dry, replace bool
-		works        bool
-	}{
-		{from, to, true, false, true}, {bad, to, false, false, false}, {dir + "/none", to, false, false, false},
-		{from, from, false, true, false}, {from, to, false, false, true}, {from, to, false, false, false}, {from, to, false, true, true},
-	} {
-		_, was := os.Stat(to)
-		var said strings.Builder
-		err := migrateFile(&said, c.from, c.to, c.dry, c.replace)
-		if (err == nil) != c.works || err != nil && strings.Contains(err.Error(), "\n") {
-			t.Errorf("%+v: %v", c, err)
-		}
-		if _, is := os.Stat(to); (c.dry || !c.works) && (was == nil) != (is == nil) {
-			t.Errorf("%+v wrote", c)
-		}
-		if c.works && !strings.Contains(said.String(), "settings.n_instances: fill in") {
-			t.Errorf("%+v said %q", c, said.String())
+		args  string
+		code  int
+		files int
+	}{{from + " " + to + " --dry-run", 0, 2}, {bad + " " + to, 1, 2}, {dir + "/none " + to, 1, 2}, {from, 1, 2}, {from + " " + from + " --replace", 1, 2},
+		{from + " " + to, 0, 3}, {from + " " + to, 1, 3}, {from + " " + to + " --replace", 0, 3}} {
+		out, code, _ := program(t, nil, append([]string{"migrate"}, strings.Fields(c.args)...)...)
+		files, _ := os.ReadDir(dir)
+		if code != c.code || len(files) != c.files || code == 1 && strings.Count(out, "\n") != 1 || code == 0 && !strings.Contains(out, "settings.n_instances: ") {
+			t.Errorf("%s: ended with %d, %d files, said %s", c.args, code, len(files), out)
 		}
 	}
-	if kept, _ := os.ReadFile(from); string(kept) != old {
-		t.Error("the old file was changed")
+	kept, _ := os.ReadFile(from)
+	if info, err := os.Stat(to); string(kept) != old || err != nil || info.Mode().Perm() != 0o640 {
+		t.Error("the old file was changed, or the new one has not its rights")
 	}
-	if all, _ := os.ReadDir(dir); len(all) != 3 {
-		t.Errorf("left behind: %v", all)
+}
+
+// moved starts nodes on what migrate makes of their configuration, with what an operator has to fill in.
+type moved struct{ dir string }
+
+func (m moved) Start(name string, text []byte, note func(records.Entry, time.Time)) (onwire.Process, error) {
+	if m.dir == "" { // gone back
+		return onwire.Embedded{}.Start(name, text, note)
 	}
-	if info, err := os.Stat(to); err != nil || info.Mode().Perm() != 0o640 {
-		t.Error(info, err)
+	os.WriteFile(m.dir+"/old", text, 0o600)
+	if err := migrateFile(io.Discard, m.dir+"/old", m.dir+"/new", false, true); err != nil {
+		return nil, err
 	}
+	text, _ = os.ReadFile(m.dir + "/new")
+	return onwire.Embedded{}.Start(name, []byte(strings.Replace(string(text), `"cross_zone":0`, `"cross_zone":0.2`, 1)), note)
 }
 
-// A node on a migrated file, with what had to be filled in, must ask its own zone's caches; on the old file all.
+// A node on a migrated file must serve, and ask its own zone's caches; on the old one it asks all.
 func TestAMigratedNodeKeepsToItsZoneAndGoesBack(t *testing.T) {
-	heard := map[string]chan string{"home": make(chan string, 999), "far": make(chan string, 999)}
-	var list []string
-	for i := range 12 {
-		zone := []string{"home", "far"}[i%2]
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		go func() {
-			for c, err := l.Accept(); err == nil; c, err = l.Accept() {
-				go func() { // a cache that has every value
-					for r := bufio.NewReader(c); ; {
-						line, err := r.ReadString('\n')
-						if err != nil {
-							return
-						}
-						heard[zone] <- line
-						id := line[strings.Index(line, " O")+1:]
-						io.WriteString(c, "VA 5 "+id[:strings.IndexAny(id, " \r")]+" h1\r\nhello\r\n")
-					}
-				}()
-			}
-		}()
-		list = append(list, `{"instanceId":"`+l.Addr().String()+`","hostPort":"`+l.Addr().String()+`","zone":"`+zone+`","lifecycle":"in_service"}`)
-	}
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.RawQuery == "" {
-			io.WriteString(w, `{"generation":7,"reset":true,"instances":[`+strings.Join(list, ",")+`]}`)
-		} else {
-			<-r.Context().Done()
-		}
-	}))
-	defer discovery.Close()
-	defer discovery.CloseClientConnections()
-	dir := t.TempDir()
-	from, to := dir+"/old.json", dir+"/new.json"
-	os.WriteFile(from, []byte(`{"name":"n","listen":"127.0.0.1:0","discovery":"`+strings.TrimPrefix(discovery.URL, "http://")+`",
-"settings":{"service_grades":[{"name":"read","effect":"idempotent","benefit":1,"soft_limit_s":0.2,"hard_stop_s":0.4}],"round_s":0.001,
-"zone":"home","failure_domains":["home","far"],"n_instances":1}}`), 0o600)
-	if err := migrateFile(io.Discard, from, to, false, false); err != nil {
-		t.Fatal(err)
-	}
-	text, _ := os.ReadFile(to)
-	filled := strings.Replace(string(text), `"zone":"home"`, `"tariffs":{"cross_zone":0.2},"zone":"home"`, 1)
-	os.WriteFile(to, []byte(filled), 0o600)
-	for _, c := range []struct {
-		file string
-		far  bool
-	}{{from, true}, {to, false}, {from, true}} {
-		p, err := node.ReadPosting(c.file)
-		if err != nil {
-			t.Fatal(err)
-		}
-		quiet := logrus.New()
-		quiet.SetOutput(io.Discard)
-		n, err := node.New(p, quiet)
-		if err != nil {
-			t.Fatal(err)
-		}
-		done := make(chan bool)
-		go func() { n.Serve(); close(done) }()
-		for by := time.Now().Add(10 * time.Second); n.Phase() != node.Serving && time.Now().Before(by); {
-			time.Sleep(time.Millisecond)
-		}
-		client, err := net.Dial("tcp", n.Addr())
-		if err != nil {
-			t.Fatal(err)
-		}
-		for i := range 24 {
-			io.WriteString(client, "mg key"+string(rune('a'+i))+" v O"+string(rune('a'+i))+" Pc=read,d=400\r\n")
-		}
-		client.SetReadDeadline(time.Now().Add(10 * time.Second))
-		for r, got := bufio.NewReader(client), 0; got < 24; {
-			line, err := r.ReadString('\n')
-			if err != nil {
-				t.Fatal(err)
-			}
-			if strings.HasPrefix(line, "hello") {
-				got++
-			}
+	s, err := script.Parse("test.toml", []byte(strings.Replace(strings.Split(short, "[[event]]")[0], "caches = 4", "caches = 12\nzones = [\"a\", \"b\"]", 1)))
+	for _, m := range []moved{{t.TempDir()}, {}} {
+		report, bad := onwire.Play(context.Background(), s, m, nil)
+		if err != nil || bad != nil {
+			t.Fatal(err, bad)
 		}
-		client.Close()
-		n.End()
-		<-done
-		home, far := len(heard["home"]), len(heard["far"])
-		for _, ch := range heard {
-			for len(ch) > 0 {
-				<-ch
+		far := 0
+		for _, c := range report.Servers {
+			if n, _ := strconv.Atoi(strings.TrimPrefix(string(c.ID), "c")); n > 0 && n%2 == 0 { // of zone b
+				far += int(c.Legs)
 			}
 		}
-		if home == 0 || (far > 0) != c.far {
-			t.Errorf("%s: %d legs at home, %d elsewhere", c.file, home, far)
+		if all := report.Grades[0]; (far == 0) != (m.dir != "") || all.Asked == 0 || !report.Good() {
+			t.Errorf("%+v: %d legs crossed, %+v", m, far, all)
 		}
 	}
 }
--- a/internal/houserules/check.go
+++ b/internal/houserules/check.go
@@ -17,6 +17,9 @@
 }
 
 var (
+	wholes       = []string{"n_instances", "bounds.most_legs"}
+	objects      = []string{"tariffs", "rules", "bounds", "family_info", "telemetry"}
+	arrays       = []string{"service_grades", "tenants", "failure_domains", "kinds", "telemetry.columns"}
 	gradeNumbers = []string{"benefit", "soft_limit_s", "late_benefit", "key_ttl_s", "hard_stop_s"}
 	switches     = []string{"bounds.second_copies", "bounds.cancel", "bounds.probes", "bounds.retry_after"}
 	words        = []string{"zone", "discovery", "family_info.mode"}
@@ -24,11 +27,27 @@
 
 // check tells in one line which key of the settings can't be what it says. What is left out has its default.
 func check(env *fastjson.Value) error {
+	at := func(path string) *fastjson.Value { return env.Get(strings.Split(path, ".")...) }
+	for _, path := range objects { // first of all: in what is none, nothing would be found, and all left at its default
+		if v := at(path); stated(v) && v.Type() != fastjson.TypeObject {
+			return fmt.Errorf("%s is not an object", path)
+		}
+	}
+	for _, path := range arrays {
+		if v := at(path); stated(v) && v.Type() != fastjson.TypeArray {
+			return fmt.Errorf("%s is not a list", path)
+		}
+	}
 	for _, path := range numbers {
-		if err := checkNumber(path, env.Get(strings.Split(path, ".")...)); err != nil {
+		if err := checkNumber(path, at(path)); err != nil {
 			return err
 		}
 	}
+	for _, path := range wholes {
+		if x := Number(at(path)); x != math.Trunc(x) || x > math.MaxInt32 {
+			return fmt.Errorf("%s is not a whole number", path)
+		}
+	}
 	for i, g := range env.GetArray("service_grades") {
 		for _, key := range gradeNumbers {
 			if err := checkNumber(fmt.Sprintf("service_grades[%d].%s", i, key), g.Get(key)); err != nil {
@@ -42,12 +61,12 @@
 		}
 	}
 	for _, path := range switches {
-		if v := env.Get(strings.Split(path, ".")...); stated(v) && v.Type() != fastjson.TypeTrue && v.Type() != fastjson.TypeFalse {
+		if v := at(path); stated(v) && v.Type() != fastjson.TypeTrue && v.Type() != fastjson.TypeFalse {
 			return fmt.Errorf("%s is neither true nor false", path)
 		}
 	}
 	for _, path := range words {
-		if v := env.Get(strings.Split(path, ".")...); stated(v) && v.Type() != fastjson.TypeString {
+		if v := at(path); stated(v) && v.Type() != fastjson.TypeString {
 			return fmt.Errorf("%s is not a text", path)
 		}
 	}
--- a/internal/houserules/check_test.go
+++ b/internal/houserules/check_test.go
@@ -18,7 +18,8 @@
 	for key, turn := range map[string][2]string{
 		"service_grades[0].late_benefit": {"0.5", `"half"`}, "tenants[0].quota_rps": {"null", "-1"}, "rules.overload_factor": {"3}", "-3}"},
 		"tariffs.cross_zone": {"0.2", "1e999"}, "bounds.cancel": {"true", "1"}, "zone is \"c\"": {`"zone":"a"`, `"zone":"c"`},
-		"zone is not a text": {`"zone":"a"`, `"zone":1`},
+		"zone is not a text": {`"zone":"a"`, `"zone":1`}, "rules is not an object": {`{"overload_factor":3}`, "[]"},
+		"failure_domains is not a list": {`["a","b"]`, `"a"`}, "n_instances is not a whole": {`"zone":"a"`, `"n_instances":1.5`},
 	} {
 		_, err := Decode(fastjson.MustParse(strings.Replace(good, turn[0], turn[1], 1)))
 		if err == nil || !strings.Contains(err.Error(), key) || strings.Contains(err.Error(), "\n") {
--- a/internal/migration/migration.go
+++ b/internal/migration/migration.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 
 	"github.com/valyala/fastjson"
 )
@@ -16,14 +17,20 @@
 
 func (r Remark) String() string { return r.Key + ": " + r.Why }
 
-var (
-	topKeys      = []string{"name", "listen", "discovery", "seed", "limits", "settings", "known"}
-	settingsKeys = []string{
-		"benefit_basis", "bounds", "clients", "discovery", "domain_type", "excess_benefit", "failure_domains", "family_info",
-		"kinds", "me", "n_instances", "round_s", "rules", "scoring_mix", "service_grades", "tariffs", "telemetry", "tenants",
-		"tier", "tiers", "weights", "zone",
-	}
-)
+// known names the keys of each object that may be stated, by its path.
+var known = map[string][]string{
+	"":       {"name", "listen", "discovery", "seed", "limits", "settings", "known"},
+	"limits": {"memory_mb", "sockets"},
+	"settings": {"benefit_basis", "bounds", "clients", "discovery", "domain_type", "excess_benefit", "failure_domains",
+		"family_info", "kinds", "me", "n_instances", "round_s", "rules", "scoring_mix", "service_grades", "tariffs",
+		"telemetry", "tenants", "tier", "tiers", "weights", "zone"},
+	"settings.bounds": {"cancel", "conn_idle_s", "connect_timeout_s", "cpu_us_per_request", "cpu_us_per_s",
+		"max_retry_after_s", "may_tell", "most_legs", "open_cap", "probes", "retry_after", "second_copies", "streams_per_conn"},
+	"settings.rules": {"ask_within_s", "cold_from", "cold_s", "grace_to_answer_s", "overload_factor", "overload_for_s",
+		"stop_sending_within_s"},
+	"settings.tariffs": {"connection", "cross_zone", "discovery", "fleet", "handshake", "late_fail", "moves", "origin", "peer",
+		"probe", "waste"},
+}
 
 // Turn returns the counterpart of a configuration and what is to be said of it. What has the new shape already comes
 // out as it went in.
@@ -36,8 +43,12 @@
 	if env == nil || env.Type() != fastjson.TypeObject || len(env.GetArray("service_grades")) == 0 {
 		return nil, nil, errors.New("it has no settings with service grades: not a node's configuration")
 	}
-	remarks := unknown("", v.GetObject(), topKeys)
-	remarks = append(remarks, unknown("settings.", env.GetObject(), settingsKeys)...)
+	remarks := unknown("", v)
+	if b := env.Get("bounds"); b == nil || b.Type() == fastjson.TypeNull {
+		env.Set("bounds", fastjson.MustParse("{}"))
+	} else if b.Type() != fastjson.TypeObject {
+		return nil, nil, errors.New("settings.bounds is not an object")
+	}
 	if env.GetInt("bounds", "streams_per_conn") == 1 {
 		return old, remarks, nil
 	}
@@ -59,9 +70,6 @@
 		v.Del("known")
 		say("known", "left out: the last list is of the old fleet")
 	}
-	if env.Get("bounds") == nil {
-		env.Set("bounds", a.NewObject())
-	}
 	env.Get("bounds").Set("streams_per_conn", a.NewNumberInt(1))
 	say("settings.n_instances", "fill in how many client processes there are at full size; it is %d, the pool's", env.GetInt("n_instances"))
 	if env.Exists("me") {
@@ -88,11 +96,14 @@
 	return append(v.MarshalTo(nil), '\n'), remarks, nil
 }
 
-// unknown lists the keys that no node reads. They are kept as they are.
-func unknown(at string, o *fastjson.Object, known []string) (remarks []Remark) {
-	o.Visit(func(key []byte, _ *fastjson.Value) {
-		if !slices.Contains(known, string(key)) {
-			remarks = append(remarks, Remark{at + string(key), "kept, but not known here"})
+// unknown lists the keys that no page of settings names, at any depth. They are kept as they are.
+func unknown(path string, v *fastjson.Value) (remarks []Remark) {
+	v.GetObject().Visit(func(key []byte, in *fastjson.Value) {
+		at := strings.TrimPrefix(path+"."+string(key), ".")
+		if !slices.Contains(known[path], string(key)) {
+			remarks = append(remarks, Remark{at, "kept, but not known here"})
+		} else if known[at] != nil && in.Type() == fastjson.TypeObject {
+			remarks = append(remarks, unknown(at, in)...)
 		}
 	})
 	return remarks
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,14 +26,12 @@
 	holds        = 4 * time.Second        // longest rest of a failing cache; a report fades over five times that
 	failsToRest  = 2                      // failures, or errors in a grade, that a cache may have: one is chance
 	breaksToRest = 4                      // connections broken under a grade's legs: each tells of itself only
-	missWeight   = 20.0                   // the same for the share of misses, times a crossing's price
 	rankLegs     = 4.0                    // legs more for an earlier holder while the origin is short: a fetch
+	missWeight   = 20.0                   // by which a miss counts as a short origin, times a crossing's price
 	shortLeast   = 0.01                   // lost share of legs from which a write goes to one holder only
 	tieBreak     = 1e-3                   // legs by which equal loads are parted: far below a real difference
 	rankTie      = 0.5                    // what a rank weighs among equal loads, chance being 1 on the mean
 	hotLeast     = 3.0                    // asked for a key before it may have more holders: two may be chance
-	strainWeight = 4.0                    // times the share of late legs there that the origin is strained
-	fallPart     = 0.67                   // of the multiple that fells a cold cache; chance has the rest
 	vainWeight   = 8.0                    // the same for legs all in vain: more than ranks
 	opening      = 2.0                    // the same for a new connection: less than one leg of two in vain
 	vainLegs     = 4.0                    // legs over which that is taken: a node meets one cache of many seldom
@@ -46,13 +44,14 @@
 	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
 	spareMost    = 10                     // second copies saved up: covers one cache falling silent
 	lostLeast    = 1.1                    // asked per answer before any is turned away: a few are bad luck
-	spillLeast   = 0.97                   // the same before others' caches are asked: that costs a crossing only
 	fullShare    = 0.1                    // lost legs that one turned away as full counts for: cheap but vain
 	originFirst  = 16.0                   // legs there over all nodes, but one each, before anything is known
 	originGrow   = 0.1                    // room gained by an answer in time, where that is under a leg
 	originCut    = 0.9                    // room left after a late or lost answer: some are chance, ten a sign
 	originLate   = 3                      // times its usual time, and half the soft limit: a leg there is lost
 	originLeast  = 8.0                    // legs there that all nodes together may always have: a few a core
+	strainWeight = 4.0                    // times the share of late legs there: a quarter is a full strain
+	fallPart     = 0.67                   // of the multiple that fells a cold cache; chance has the rest
 	crossingLegs = 48                     // legs in hand that a full crossing price is set against: it is sure
 )
 
@@ -77,11 +76,8 @@
 // door counts what says whether a deal's caches bear what they are asked.
 type door struct{ asked, good float64 } // turned away or ended at a cache; those in time
 
-const (
-	home = iota // of the home zone's caches, or of all where it has none of its own
-	pool        // of all
-	away        // the same without home's
-)
+// Deals: of the home zone's caches (of all, where it has no deal of its own), of all but home's, and of all.
+const home, away, pool = 0, 1, 2
 
 type memo struct {
 	met            bool
@@ -106,12 +102,13 @@
 	queue                []*Retrieval          // waiting for room at the origin or for another's fetch
 	wanted               map[uint64]float64    // benefit asked of each key; halved now and then
 	short, bar           float64               // share of those for the origin without room; best worth
-	strain, missing      float64               // shares of legs that were late at the origin, and that missed
+	strain, missing      float64               // share of late legs at the origin; of misses, by what they cost
 	took, alone, pace    tally.Histogram       // of legs to caches: time, that of lone ones, time by each before
 	originTook           time.Duration         // by a leg there, smoothed
 	slow, patience       time.Duration         // the slow twentieth, and what means silence
+	coldShare            float64               // how much of what it surely bears a cold cache is sent
 	usual, othersLoad    float64               // legs a warm cache of weight 1 answered; mean foreign load
-	doors                [3]door               // as the deals
+	doors                [2]door               // as the deals
 	spare, cheap, asking float64               // second copies saved up; mean cheapness; benefit asked
 	apart                bool                  // whether the home zone has a deal of its own
 	cut                  map[ZoneID]int        // legs in a row that no cache of a zone took a connection for
@@ -125,9 +122,9 @@
 	rules.Nodes, rules.MostLegs = max(1, rules.Nodes), max(1, rules.MostLegs)
 	rules.Round = max(time.Millisecond, rules.Round)
 	p := &Router{rules: rules, caches: map[CacheID]*cache{}, fetches: map[uint64]*Retrieval{}, cheap: 1,
-		room: max(1, originFirst/float64(rules.Nodes)), askAt: now,
+		room: max(1, originFirst/float64(rules.Nodes)), coldShare: max(1, fallPart*rules.FallMultiple), askAt: now,
 		wanted: map[uint64]float64{}, cut: map[ZoneID]int{}, metered: make([]Instant, len(rules.Leagues))}
-	p.doors = [3]door{home: {evidence, evidence}, away: {evidence, evidence}}
+	p.doors = [2]door{{evidence, evidence}, {evidence, evidence}}
 	p.chance.Seed = uint32(seed ^ seed>>32)
 	p.retime()
 	return p
@@ -211,23 +208,18 @@
 				cs = append(cs, c)
 			}
 		}
-		p.deals[side] = place(cs)
-	}
-	return p.deals[side]
-}
-
-func place(cs []*cache) *placement {
-	var segs placement
-	for i, s := range deal(cs, segments, 0) {
-		segs[s] = append(segs[s], cs[i])
-	}
-	for s, in := range segs {
-		segs[s] = make([]*cache, len(in))
-		for i, slot := range deal(in, max(1, len(in)), segments) {
-			segs[s][slot] = in[i]
+		p.deals[side] = &placement{}
+		for i, s := range deal(cs, segments, 0) {
+			p.deals[side][s] = append(p.deals[side][s], cs[i])
+		}
+		for s, in := range p.deals[side] {
+			p.deals[side][s] = make([]*cache, len(in))
+			for i, slot := range deal(in, max(1, len(in)), segments) {
+				p.deals[side][s][slot] = in[i]
+			}
 		}
 	}
-	return &segs
+	return p.deals[side]
 }
 
 func (p *Router) Listed(now Instant, form ListForm, entries []Entry) {
@@ -300,14 +292,11 @@
 	if w < 1 && c.coldAt == 0 {
 		p.spaceOut(now, c, p.chance.Next())
 	}
-	return w < 1 && (float64(keyhash.Mix(key^c.hash)) > p.coldShare()*w*(1<<64) || now < c.coldAt)
+	return w < 1 && (float64(keyhash.Mix(key^c.hash)) > p.coldShare*w*(1<<64) || now < c.coldAt)
 }
 
-// coldShare is how much of what it surely bears a cold cache is sent.
-func (p *Router) coldShare() float64 { return max(1, fallPart*p.rules.FallMultiple) }
-
 func (p *Router) spaceOut(now Instant, c *cache, share float64) {
-	gap := 2 * halveEvery * float64(upkeepEvery) / (p.coldShare() * p.warmth(now, c) * p.usual * c.Weight)
+	gap := 2 * halveEvery * float64(upkeepEvery) / (p.coldShare * p.warmth(now, c) * p.usual * c.Weight)
 	c.coldAt = now.Add(time.Duration(share * min(float64(p.rules.ColdFor), gap)))
 }
 
@@ -362,10 +351,9 @@
 
 // turnAway guards against collapse: while far more is asked than answered, by chance, cheaper ones more.
 func (p *Router) turnAway(r *Retrieval, side int) bool {
-	d := &p.doors[side]
-	least := lostLeast
-	if p.apart && side == home {
-		least = spillLeast
+	d, least := &p.doors[side], lostLeast
+	if p.apart && side == home { // others' caches are asked by the share that home loses: it costs a crossing
+		least = 1 - trialShare
 	}
 	over := (1-trialShare)*d.asked - least*d.good
 	if over <= 0 || p.chance.Next() < math.Pow(1-over/d.asked, r.memo.cheap) {
@@ -377,7 +365,7 @@
 
 // locate returns the cache at a segment's location for a key; a dead slot has passed its keys leftward.
 func (p *Router) locate(now Instant, side, seg int, key uint64) *cache {
-	slots := p.deal(min(side, pool))[seg]
+	slots := p.deal(min(side, away))[seg]
 	if len(slots) == 0 {
 		return nil
 	}
@@ -415,8 +403,7 @@
 func (p *Router) pick(now Instant, r *Retrieval, hs []*cache) (best *cache, full bool) {
 	soft, least := r.memo.grade.SoftLimit, math.Inf(1)
 	// while the origin is short, earlier ones may have legs more; by chance, or it would part all equal loads
-	dear := min(1, missWeight*p.rules.CrossingPrice*p.missing) // a miss crosses to the origin
-	lean, rank := rankTie, max(0, rankLegs*max(p.short, dear)-p.chance.Next())
+	lean, rank := rankTie, max(0, rankLegs*max(p.short, min(1, p.missing))-p.chance.Next())
 	if len(hs) > copies { // a key that is spread has no first holder
 		rank, lean = 0, 0
 	}
@@ -437,6 +424,17 @@
 	return best, full && best == nil
 }
 
+// choose picks a holder by a deal; where none can take it, of those away, also beside a leg that is silent.
+func (p *Router) choose(now Instant, r *Retrieval, side int) (c *cache, hs []*cache, full bool) {
+	hs = p.holders(now, r, side)
+	if c, full = p.pick(now, r, hs); c == nil && p.apart && side != away {
+		short := full
+		c, hs, full = p.choose(now, r, away)
+		full = full || short
+	}
+	return c, hs, full
+}
+
 // crowded tells whether those before a leg would take what its own work leaves of a time. Where work
 // alone takes half a soft limit, and several are worked on at once, queues are no multiple of it.
 func (p *Router) crowded(load float64, left time.Duration, sooner float64) bool {
@@ -510,7 +508,7 @@
 		return Move{}
 	case !origin && p.rules.SecondCopies && p.spare >= 1 && p.chance.Next() >= p.short &&
 		(silent || p.rules.WastePrice <= p.took.Above(soft)/max(1, p.took.Above(out))):
-		if c, _ := p.pick(now, r, p.holders(now, r, home)); c != nil && !p.silent(now, c) {
+		if c, _, _ := p.choose(now, r, home); c != nil && !p.silent(now, c) {
 			p.spare--
 			return p.send(now, r, c)
 		}
@@ -537,13 +535,11 @@
 	if p.apart && p.chance.Next() < max(p.short, strainWeight*p.strain) {
 		side = pool
 	}
-	hs := p.holders(now, r, side)
-	c, full := p.pick(now, r, hs)
+	c, hs, full := p.choose(now, r, side)
 	refused := c != nil && len(r.Legs) == 0 && p.turnAway(r, p.sideOf(c)) // full queues are no loss
-	if p.apart && (c == nil || refused && p.sideOf(c) == home) {
-		hs = p.holders(now, r, away)
-		c, full = p.pick(now, r, hs)
-		refused = c != nil && len(r.Legs) == 0 && p.turnAway(r, away)
+	if refused && p.apart && p.sideOf(c) == home {
+		c, hs, full = p.choose(now, r, away)
+		refused = c != nil && p.turnAway(r, away)
 	}
 	switch {
 	case refused:
@@ -681,7 +677,7 @@
 		}
 	}
 	if c != p.origin && leg.Result == Missed {
-		p.missing += 1.0 / lately
+		p.missing += missWeight * p.rules.CrossingPrice / lately // it crosses to the origin
 	}
 	if c.out, c.usedAt = max(0, c.out-1), now; leg.Result == Answered || leg.Result == Missed {
 		c.served++
