--- a/internal/net/relay/discovery.go
+++ b/internal/net/relay/discovery.go
@@ -6,35 +6,27 @@
 
 	"github.com/valyala/fastjson"
 
+	"dahliapin/internal/discovery"
 	"dahliapin/internal/houserules"
 	"dahliapin/internal/net/http1"
 	"dahliapin/policy"
 )
 
 const (
-	listPath     = "/registry/instances"
-	watchFor     = 5 * time.Second        // that a watch may wait: short, so that a silent one is soon known
-	wholeWithin  = 500 * time.Millisecond // that the whole list may take: the agent answers at once
-	wholeEach    = 30 * time.Millisecond  // more that it may take for each node, as all may ask at once after a restart
-	watchSlack   = 500 * time.Millisecond // that a watch may take over its wait
-	listAgain    = 50 * time.Millisecond  // after a call that broke, at most: far under the 200 ms of a watch's renewal
-	listEach     = 200 * time.Millisecond // the same for each node after a refusal: ten calls a second from the whole fleet
-	listDoubled  = 2                      // times that the span after a refusal doubles
-	listRests    = 30 * time.Second       // the longest span whatever the number of nodes
-	maxList      = 8 << 20                // bytes of a list: tens of thousands of caches
-	unknownSince = -1
+	listPath = "/registry/instances"
+	maxList  = 8 << 20 // bytes of a list: tens of thousands of caches
 )
 
 var states = map[string]policy.State{"in_service": policy.Ready, "terminating": policy.Draining,
 	"terminated": policy.Gone}
 
-// discovery is the one call for the list.
-type discovery struct {
+// listing is the one call for the list.
+type listing struct {
 	link   linkID
 	call   uint64 // counts calls, so that a deadline knows its own
-	since  int    // the version held
-	fails  int    // calls in a row that failed
-	busy   bool   // the last of them was refused, as discovery has too much to do
+	caller discovery.Caller
+	failed discovery.Failure // how the call that is about to be lost has failed
+	odd    bool              // the last list had entries that cannot be read
 	parser fastjson.Parser
 }
 
@@ -51,14 +43,12 @@
 
 func (r *Relay) askForList(l *link) {
 	r.list.call++
-	// one that is slow has much to do: who stops waiting and asks again makes it do the same once more
-	path, within := []byte(listPath), min(watchFor, wholeWithin+time.Duration(r.Terms.Rules.Nodes)*wholeEach)
-	if r.list.since != unknownSince {
-		path = strconv.AppendInt(append(path, "?since="...), int64(r.list.since), 10)
-		path = strconv.AppendInt(append(path, "&timeout_ms="...), int64(watchFor/time.Millisecond), 10)
-		within = watchFor + watchSlack
-	}
-	r.due.Put(r.now().Add(within), due{list: r.list.call})
+	path, call := []byte(listPath), r.list.caller.Next()
+	if !call.Whole {
+		path = strconv.AppendInt(append(path, "?since="...), int64(call.Since), 10)
+		path = strconv.AppendInt(append(path, "&timeout_ms="...), int64(call.Wait/time.Millisecond), 10)
+	}
+	r.due.Put(r.now().Add(call.Within), due{list: r.list.call})
 	if l.wire.Write(http1.AppendRequest(nil, "GET", path, r.Discovery, nil, nil)) != nil {
 		r.lose(l, policy.Unconnected)
 	}
@@ -70,7 +60,8 @@
 	if addr == r.Discovery {
 		return
 	}
-	r.Discovery, r.list.since, r.list.fails = addr, unknownSince, 0
+	r.Discovery = addr
+	r.list.caller.Moved()
 	r.count.Moves++
 	if l := r.links.Get(r.list.link); l != nil {
 		r.dropLink(l)
@@ -89,27 +80,18 @@
 	}
 }
 
-// listLost calls again after a pause.
+// listLost calls again after a pause. Only the first failure in a row is logged: at size nobody could read a line a call.
 func (r *Relay) listLost() {
 	r.count.Reconnects++
 	r.list.link = 0
 	r.list.call++
-	r.list.fails++
-	r.due.Put(r.now().Add(listPause(r.list.fails, r.Terms.Rules.Nodes, r.list.busy, r.chance.Next())), due{list: r.list.call})
-	r.list.busy = false
-}
-
-// listPause is how long to wait after so many calls in a row that failed: a share by chance of a span that doubles each
-// time. It is short at first after a call that broke, so that a watch goes on; after a refusal it is the number of
-// nodes that says how long. It guards against a discovery that has too much to do and is kept there by all nodes, each of
-// them asking again as often as if it were alone.
-func listPause(fails, nodes int, refused bool, chance float64) time.Duration {
-	fleet := max(listAgain, time.Duration(nodes)*listEach)
-	span := listAgain << min(fails-1, 10)
-	if refused {
-		span = max(span, fleet<<min(fails-1, listDoubled))
-	}
-	return time.Duration(chance * float64(min(span, fleet<<listDoubled, listRests)))
+	how := r.list.failed
+	r.list.failed = discovery.Lost
+	rest, first := r.list.caller.Failed(how, r.chance.Next())
+	if first {
+		r.Log.WithField("how", how).Warn("the list cannot be had; the last one stays")
+	}
+	r.due.Put(r.now().Add(rest), due{list: r.list.call})
 }
 
 func (r *Relay) listData(l *link) {
@@ -118,25 +100,29 @@
 		return
 	}
 	if err != nil || a.Status != 200 {
-		if r.list.busy = err == nil && (a.Status == http1.Unavailable || a.Status == http1.TooMany); !r.list.busy {
-			r.list.since = unknownSince // it may not know our version any more
+		r.list.failed = discovery.Unreadable
+		if err == nil && (a.Status == http1.Unavailable || a.Status == http1.TooMany) {
+			r.list.failed = discovery.Refused
 		}
 		r.lose(l, policy.Broken)
 		return
 	}
 	news, err := r.list.parser.ParseBytes(a.Body)
-	if err != nil || news.Type() != fastjson.TypeObject {
+	held, any := r.list.caller.Since()
+	whole := err == nil && (news.GetBool("reset") || !any)
+	// guards against half a list that reads as one without caches
+	if err != nil || news.Type() != fastjson.TypeObject || whole && (!isList(news.Get("instances")) || !news.Exists("generation")) {
+		r.list.failed = discovery.Unreadable
 		r.lose(l, policy.Broken)
 		return
 	}
 	r.count.Lists++
-	r.list.fails = 0
-	form := policy.Changes
-	if news.GetBool("reset") || r.list.since == unknownSince {
-		form = policy.Whole
-	}
 	if v := news.Get("generation"); v != nil {
-		r.list.since = v.GetInt()
+		held = v.GetInt()
+	}
+	form, again := r.list.caller.Heard(held, whole)
+	if again {
+		r.Log.Info("the list is had again")
 	}
 	r.hear(news, form)
 	l.buf.Use(size)
@@ -149,11 +135,13 @@
 	r.askForList(l)
 }
 
+func isList(v *fastjson.Value) bool { return v != nil && v.Type() == fastjson.TypeArray }
+
 // hear passes a list on, and closes idle connections to caches that are gone or started anew.
 func (r *Relay) hear(news *fastjson.Value, form policy.ListForm) {
 	rows := news.GetArray("instances")
 	entries := make([]policy.Entry, 0, len(rows))
-	named := map[policy.CacheID]bool{}
+	named, odd := map[policy.CacheID]bool{}, 0
 	for _, row := range rows {
 		e := policy.Entry{
 			ID: policy.CacheID(row.GetStringBytes("instanceId")), Kind: r.Terms.Names.Kind(row.GetStringBytes("machineType")),
@@ -163,7 +151,7 @@
 		}
 		addr := string(row.GetStringBytes("hostPort"))
 		if e.ID == "" {
-			r.Log.Warn("passed over an entry of the list without an id")
+			odd++
 			continue
 		}
 		if s, ok := states[string(row.GetStringBytes("lifecycle"))]; ok { // nothing new to what is in an unknown state
@@ -186,6 +174,12 @@
 			}
 		}
 	}
+	if odd > 0 && !r.list.odd { // each list has them from now on, and a line for each would bury the log
+		r.Log.WithField("entries", odd).Warn("the list has entries that cannot be read; caches that it does not name stay")
+	}
+	if r.list.odd = odd > 0; odd > 0 { // an entry that cannot be read may be that of any cache which is not named
+		form = policy.Changes
+	}
 	for id, c := range r.caches {
 		if form != policy.Changes && !named[id] {
 			r.forget(c)
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fastjson"
 
+	"dahliapin/internal/discovery"
 	"dahliapin/internal/host"
 	"dahliapin/internal/houserules"
 	"dahliapin/internal/keyhash"
@@ -81,7 +82,7 @@
 	hand     slots.Table[handID, retrieval]
 	taken    map[string]bool // the clients' ids of those in hand
 	caches   map[policy.CacheID]*cache
-	list     discovery
+	list     listing
 	chance   keyhash.Source
 	later    []func() // what must not happen within a call into the host
 	count    counters.Counters
@@ -125,11 +126,11 @@
 			func(e policy.Entry) bool { return r.isOrigin(e.Kind) })
 	}
 	r.host = host.With(r.now(), policy.New(r.now(), b.Seed, b.Terms.Rules), r, watcher)
-	r.list.since, r.chance.Seed = unknownSince, uint32(b.Seed^b.Seed>>32)
+	r.list.caller, r.chance.Seed = discovery.New(b.Terms.Rules.Nodes), uint32(b.Seed^b.Seed>>32)
 	if b.Known != nil {
 		r.hear(b.Known, policy.LastHeld)
 		if v := b.Known.Get("generation"); v != nil && len(r.caches) > 0 { // what is new since is less than the whole
-			r.list.since = v.GetInt()
+			r.list.caller.Hold(v.GetInt())
 		}
 	}
 	r.due.Put(r.now().Add(readyBy), due{ready: true})
