A read's last leg after a full one goes to the origin where that has room

At fault: next() took any holder for the last leg too, after which a miss has none left for the origin.

Now the last leg after a full one goes to the origin, only while that has room for this node; else to a holder as before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -524,7 +524,10 @@
 	if len(r.Legs) >= p.rules.MostLegs || p.left(now, r) <= p.slow/8 || ran && p.spare < 0 {
 		return p.giveUp(r)
 	}
-	if p.rules.Aside && (r.Write || slices.ContainsFunc(r.Legs, missed)) {
+	// a last leg after full ones goes where the value surely is: a third cache may be full, or lack it
+	sure := len(r.Legs) == p.rules.MostLegs-1 && len(r.Legs) > 0 && r.Legs[len(r.Legs)-1].Result == TurnedAway &&
+		p.origin != nil && p.free(now) > 0
+	if p.rules.Aside && (r.Write || sure || slices.ContainsFunc(r.Legs, missed)) {
 		kept := p.caches[r.memo.keptAt]
 		if r.memo.keptAt = ""; kept != nil && p.lawful(now, r, kept) {
 			return p.send(now, r, kept)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -496,6 +496,23 @@
 	}
 }
 
+// After two full caches a third was full too, or lacked the key, four times in five, and no leg was left for the origin.
+func TestALastLegAfterFullOnesGoesToAnOriginWithRoom(t *testing.T) {
+	rules := testRules()
+	rules.Aside, rules.MostLegs = true, 3
+	for _, room := range []bool{true, false} {
+		w := newWorld(t, rules, fleet(12, true))
+		if !room {
+			w.p.origin.out = int(w.p.room)
+		}
+		r, _ := w.arrive("k", 0, false)
+		w.end(r, 0, TurnedAway)
+		if w.end(r, 1, TurnedAway); len(r.Legs) != 3 || r.Legs[1].To == "origin" || (r.Legs[2].To == "origin") != room {
+			t.Errorf("room at the origin %v: %v", room, r.Legs)
+		}
+	}
+}
+
 func TestLegsAtTheOriginAreBounded(t *testing.T) {
 	w := asideWorld(t)
 	for i := range 200 {
