Last legs after full ones go to the origin only while next to none is late there

At fault: free() sees the node's own room alone.

Now by chance, sixteen times the share of late legs and four times that of fetches without room.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -435,8 +435,7 @@
 	return c, hs, full
 }
 
-// crowded tells whether those before a leg would take what its own work leaves of a time. Where work
-// alone takes half a soft limit, and several are worked on at once, queues are no multiple of it.
+// crowded tells whether those before a leg would take what its own work, known apart, leaves of a time.
 func (p *Router) crowded(load float64, left time.Duration, sooner float64) bool {
 	spare := max(left-p.alone.Quantile(0.5, 0), left/4)
 	return load*float64(p.pace.Quantile(0.5, 0))*sooner > float64(spare)
@@ -524,9 +523,10 @@
 	if len(r.Legs) >= p.rules.MostLegs || p.left(now, r) <= p.slow/8 || ran && p.spare < 0 {
 		return p.giveUp(r)
 	}
-	// a last leg after full ones goes where the value surely is: a third cache may be full, or lack it
-	sure := len(r.Legs) == p.rules.MostLegs-1 && len(r.Legs) > 0 && r.Legs[len(r.Legs)-1].Result == TurnedAway &&
-		p.origin != nil && p.free(now) > 0
+	// a last leg after a full one goes where the value surely is: a third cache may be full, or lack it
+	pressure := max(p.short, strainWeight*p.strain)
+	sure := p.origin != nil && p.free(now) > 0 && p.chance.Next() >= strainWeight*pressure && len(r.Legs) > 0 &&
+		len(r.Legs) == p.rules.MostLegs-1 && r.Legs[len(r.Legs)-1].Result == TurnedAway
 	if p.rules.Aside && (r.Write || sure || slices.ContainsFunc(r.Legs, missed)) {
 		kept := p.caches[r.memo.keptAt]
 		if r.memo.keptAt = ""; kept != nil && p.lawful(now, r, kept) {
@@ -535,7 +535,7 @@
 		return p.toOrigin(now, r)
 	}
 	side := home // while the origin is strained, zones do without copies of their own
-	if p.apart && p.chance.Next() < max(p.short, strainWeight*p.strain) {
+	if p.apart && p.chance.Next() < pressure {
 		side = pool
 	}
 	c, hs, full := p.choose(now, r, side)
