--- a/internal/emulator/course/course.go
+++ b/internal/emulator/course/course.go
@@ -22,6 +22,7 @@
 	Broke(server int)                     // all connections to it are reset
 	Listed(e policy.Entry)                // the list has changed
 	Discovery(up bool)                    // the list is told to nodes, or not
+	Registry() *world.Registry            // what discovery can bear
 	EndNode(node int, orderly bool)       // a node is told to end, or killed
 	StartNode(node int)                   // and started anew
 	Fault(server int, kind string)        // what goes wrong on its connections; "" for nothing
@@ -52,39 +53,52 @@
 		if i == 0 {
 			c.First = at
 		}
-		c.Last = max(c.Last, at.Add(script.Span(e.ForS)))
+		c.Last = max(c.Last, at.Add(script.Span(e.OverS+e.ForS)))
 		rig.At(at, func() { c.do(at, e) })
 	}
 	return c
 }
 
-func (c *Course) each(e *script.Event, do func(server int)) {
-	for _, id := range c.script.Chosen(e) {
-		if i, ok := c.world.Find(id); ok {
-			do(i)
-		}
+func (c *Course) each(now policy.Instant, e *script.Event, do func(at policy.Instant, server int)) {
+	ids := c.script.Chosen(e)
+	for n, id := range ids {
+		c.spaced(now, e, n, len(ids), func(at policy.Instant) {
+			if i, ok := c.world.Find(id); ok {
+				do(at, i)
+			}
+		})
 	}
 }
 
+// spaced does the n-th of so many things at its time in the event's span, the first at once.
+func (c *Course) spaced(now policy.Instant, e *script.Event, n, of int, do func(at policy.Instant)) {
+	if n == 0 || e.OverS == 0 {
+		do(now)
+		return
+	}
+	at := now.Add(script.Span(e.OverS * float64(n) / float64(of)))
+	c.rig.At(at, func() { do(at) })
+}
+
 func (c *Course) do(now policy.Instant, e *script.Event) {
 	w, long := c.world, script.Span(e.ForS)
-	end := now.Add(long)
+	end := now.Add(long + script.Span(e.OverS)) // all end together
 	c.rig.Said(now, describe(c.script, e))
 	switch e.Do {
 	case "slow":
-		c.each(e, func(s int) {
+		c.each(now, e, func(now policy.Instant, s int) {
 			w.Slow(now, s, e.Factor)
 			c.rig.At(end, func() { w.Slow(end, s, 1) })
 		})
 	case "crowd":
-		c.each(e, func(s int) {
+		c.each(now, e, func(now policy.Instant, s int) {
 			w.Crowd(now, s, e.Share)
 			c.rig.At(end, func() { w.Crowd(end, s, 0) })
 		})
 	case "pause":
-		c.each(e, func(s int) { w.Pause(now, s, long) })
+		c.each(now, e, func(at policy.Instant, s int) { w.Pause(at, s, long) })
 	case "kill", "restart":
-		c.each(e, func(s int) {
+		c.each(now, e, func(now policy.Instant, s int) {
 			w.Kill(now, s)
 			c.rig.Broke(s)
 			if back := now.Add(max(awayAtLeast, long)); e.Do == "restart" || long > 0 {
@@ -92,14 +106,14 @@
 			}
 		})
 	case "silent":
-		c.each(e, func(s int) {
+		c.each(now, e, func(now policy.Instant, s int) {
 			w.Mute(now, s)
 			if long > 0 {
 				c.rig.At(end, func() { c.start(end, s) })
 			}
 		})
 	case "drain":
-		c.each(e, func(s int) { c.drain(now, s, long) })
+		c.each(now, e, func(at policy.Instant, s int) { c.drain(at, s, long) })
 	case "shrink":
 		left := max(1, e.Count)
 		for s := len(w.Servers) - 1; s >= 0 && left > 0; s-- {
@@ -109,10 +123,12 @@
 			}
 		}
 	case "add":
-		for range max(1, e.Count) {
-			c.added++
-			s := w.AddCache(c.script.Cache(c.script.Fleet.Caches+c.added), now)
-			c.rig.Listed(EntryOf(w, s))
+		for n := range max(1, e.Count) {
+			c.spaced(now, e, n, max(1, e.Count), func(at policy.Instant) {
+				c.added++
+				s := w.AddCache(c.script.Cache(c.script.Fleet.Caches+c.added), at)
+				c.rig.Listed(EntryOf(w, s))
+			})
 		}
 	case "hot":
 		c.traffic.Heat(world.KeyOf(e.Rank), e.Share)
@@ -128,20 +144,26 @@
 	case "discovery_down":
 		c.rig.Discovery(false)
 		c.rig.At(end, func() { c.rig.Discovery(true) })
+	case "discovery_slow":
+		c.rig.Registry().Slow(e.Factor)
+		c.rig.At(end, func() { c.rig.Registry().Slow(1) })
 	case "node_restart", "node_kill":
-		for _, n := range e.Nodes {
-			c.rig.EndNode(n-1, e.Do == "node_restart")
-			c.rig.At(now.Add(max(awayAtLeast, long)), func() { c.rig.StartNode(n - 1) })
+		members := c.script.Members(e)
+		for i, n := range members {
+			c.spaced(now, e, i, len(members), func(at policy.Instant) {
+				c.rig.EndNode(n-1, e.Do == "node_restart")
+				c.rig.At(at.Add(max(awayAtLeast, long)), func() { c.rig.StartNode(n - 1) })
+			})
 		}
 	case "fault":
-		c.each(e, func(s int) {
+		c.each(now, e, func(now policy.Instant, s int) {
 			if c.rig.Fault(s, e.Fault); e.Fault == "refuse" {
 				c.rig.Broke(s)
 			}
 			c.rig.At(end, func() { c.rig.Fault(s, "") })
 		})
 	case "errors":
-		c.each(e, func(s int) {
+		c.each(now, e, func(now policy.Instant, s int) {
 			w.Break(s, e.Share)
 			c.rig.At(end, func() { w.Break(s, 0) })
 		})
@@ -193,8 +215,8 @@
 	if ids := s.Chosen(e); len(ids) > 0 {
 		text += fmt.Sprint(" ", ids)
 	}
-	if len(e.Nodes) > 0 {
-		text += fmt.Sprint(" nodes ", e.Nodes)
+	if members := s.Members(e); len(members) > 0 {
+		text += fmt.Sprint(" nodes ", members)
 	}
 	if e.Factor > 0 {
 		text += fmt.Sprintf(" by %g", e.Factor)
@@ -208,6 +230,9 @@
 	if e.Fault != "" {
 		text += " " + e.Fault
 	}
+	if e.OverS > 0 {
+		text += fmt.Sprintf(" over %g s", e.OverS)
+	}
 	if e.ForS > 0 {
 		text += fmt.Sprintf(" for %g s", e.ForS)
 	}
--- a/internal/emulator/onwire/agent.go
+++ b/internal/emulator/onwire/agent.go
@@ -75,6 +75,24 @@
 	since, err := strconv.Atoi(in.URL.Query().Get("since"))
 	wait, _ := strconv.Atoi(in.URL.Query().Get("timeout_ms"))
 	whole := err != nil
+	a.r.mu.Lock()
+	now, taken := a.r.now(), true
+	at := now
+	if a.r.log.Now(now).Calls++; a.r.registry.Bounded() {
+		at, taken = a.r.registry.Call(now, whole)
+	}
+	a.r.mu.Unlock()
+	if !taken {
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case <-time.After(at.Since(now)):
+	case <-in.Context().Done():
+		return
+	case <-a.closed:
+		return
+	}
 	timer := time.NewTimer(min(longestWatch, time.Duration(wait)*time.Millisecond))
 	defer timer.Stop()
 	a.mu.Lock()
--- a/internal/emulator/onwire/member.go
+++ b/internal/emulator/onwire/member.go
@@ -53,7 +53,7 @@
 	m.agent.mu.Unlock()
 	configuration, err := json.Marshal(map[string]any{"name": m.name, "listen": m.addr, "discovery": m.agent.at.Addr().String(),
 		"seed": fmt.Sprintf("%x", m.r.script.Seed*7919+int64(m.number)*31+int64(m.life)), "limits": map[string]int{"memory_mb": 192, "sockets": 1024},
-		"settings": m.r.script.Settings(m.r.script.Fleet.Zones[0]), "known": json.RawMessage(m.r.list(0, true, held))})
+		"settings": m.r.script.Settings(m.r.script.ZoneOf(m.number)), "known": json.RawMessage(m.r.list(0, true, held))})
 	if err != nil {
 		return err
 	}
--- a/internal/emulator/onwire/rig.go
+++ b/internal/emulator/onwire/rig.go
@@ -55,27 +55,28 @@
 	began  time.Time
 	tell   func(string) // progress, a line at a time; nil for nobody
 
-	mu      sync.Mutex
-	world   *world.World
-	traffic *world.Traffic
-	judge   *judge.Judge
-	log     *outcome.Log
-	course  *course.Course
-	fleet   *records.Book
-	queue   deadlines.Queue[func()]
-	wake    chan struct{}
-	chance  keyhash.Source
-	servers []*server
-	legs    map[uint64]*leg
-	tags    uint64
-	nodes   []*member
-	avoids  map[policy.CacheID]map[int]bool
-	upList  chan struct{} // closed while discovery is up
-	pending []policy.Entry
-	died    []string
-	asking  sync.WaitGroup
-	closing bool // no node is started any more
-	stopped bool // nor anything else done
+	mu       sync.Mutex
+	world    *world.World
+	traffic  *world.Traffic
+	judge    *judge.Judge
+	log      *outcome.Log
+	course   *course.Course
+	fleet    *records.Book
+	queue    deadlines.Queue[func()]
+	wake     chan struct{}
+	chance   keyhash.Source
+	registry *world.Registry
+	servers  []*server
+	legs     map[uint64]*leg
+	tags     uint64
+	nodes    []*member
+	avoids   map[policy.CacheID]map[int]bool
+	upList   chan struct{} // closed while discovery is up
+	pending  []policy.Entry
+	died     []string
+	asking   sync.WaitGroup
+	closing  bool // no node is started any more
+	stopped  bool // nor anything else done
 }
 
 // Play plays a script on sockets. A cancelled context ends it early, without a report.
@@ -90,7 +91,7 @@
 	}
 	up := make(chan struct{})
 	close(up)
-	r := &Rig{script: s, terms: terms, runner: runner, began: time.Now(), tell: tell, wake: make(chan struct{}, 1), legs: map[uint64]*leg{},
+	r := &Rig{registry: s.Registry(), script: s, terms: terms, runner: runner, began: time.Now(), tell: tell, wake: make(chan struct{}, 1), legs: map[uint64]*leg{},
 		avoids: map[policy.CacheID]map[int]bool{}, upList: up}
 	r.chance.Seed = uint32(s.Seed) ^ 0x0f1ee7
 	r.judge = judge.New(judge.Terms{Grades: terms.Rules.Grades, SecondCopies: s.Allowed.SecondCopies,
@@ -353,6 +354,9 @@
 // Said keeps a line of what the script does.
 func (r *Rig) Said(now policy.Instant, what string) { r.log.Say(now, what) }
 
+// Registry is what discovery can bear.
+func (r *Rig) Registry() *world.Registry { return r.registry }
+
 // Discovery goes down, or comes back and tells what has changed meanwhile.
 func (r *Rig) Discovery(up bool) {
 	if !up {
--- a/internal/emulator/onwire/servers.go
+++ b/internal/emulator/onwire/servers.go
@@ -121,7 +121,11 @@
 		r.mu.Unlock()
 		<-awake // one that has vanished accepts nobody
 		r.mu.Lock()
+		r.log.Now(r.now()).Dials++
 		if s.at != l || !r.world.Connect(r.now(), s.number) {
+			if at := r.world.Servers[s.number]; s.at == l && at.Held >= at.Connections {
+				r.log.Now(r.now()).FullDials++
+			}
 			r.mu.Unlock()
 			reset(plain)
 			continue
@@ -270,6 +274,7 @@
 	l := r.legs[tag]
 	if l != nil {
 		delete(r.legs, tag)
+		r.log.Ended(r.now(), how)
 		r.judge.Left(r.now(), l.id, r.world.Servers[l.server].ID, how.NeverRan())
 		if r.fleet != nil {
 			r.fleet.Ended(r.now(), r.world.Servers[l.server].ID, how, r.now().Since(l.came))
@@ -344,6 +349,7 @@
 		c.answer([]byte(fault.Answer))
 		return
 	case command.Verb == meta.Ready:
+		r.log.Now(now).Probes++
 		if !w.Frozen(now) {
 			c.answer([]byte("MN\r\n"))
 		}
--- a/internal/emulator/outcome/outcome.go
+++ b/internal/emulator/outcome/outcome.go
@@ -34,6 +34,35 @@
 	Legs    int `json:"legs"`
 	Origin  int `json:"origin_legs"`
 	Repeats int `json:"repeats"` // further tries of clients
+
+	// what all nodes do together, which none of them sees
+	Calls     int `json:"list_calls"`
+	Dials     int `json:"dials"`
+	FullDials int `json:"full_dials"` // connections that a server had no room for
+	Probes    int `json:"probes"`
+	Misses    int `json:"misses"`
+	Vain      int `json:"vain_legs"` // full, failed, broken, given up or without a connection
+}
+
+// Counted is a count by the name that scripts have for it.
+func (s *Second) Counted(name string) int {
+	switch name {
+	case "list_calls":
+		return s.Calls
+	case "dials":
+		return s.Dials
+	case "full_dials":
+		return s.FullDials
+	case "probes":
+		return s.Probes
+	case "misses":
+		return s.Misses
+	case "origin_legs":
+		return s.Origin
+	case "vain_legs":
+		return s.Vain
+	}
+	return 0
 }
 
 // Log is filled during a run.
@@ -84,6 +113,20 @@
 	}
 }
 
+// Now is the second of an instant, to count in.
+func (l *Log) Now(at policy.Instant) *Second { return l.second(at) }
+
+// Ended counts how a leg to a server ended.
+func (l *Log) Ended(at policy.Instant, how policy.Result) {
+	switch how {
+	case policy.Answered, policy.Cancelled, policy.NeverSent:
+	case policy.Missed:
+		l.second(at).Misses++
+	default:
+		l.second(at).Vain++
+	}
+}
+
 // Note keeps a record.
 func (l *Log) Note(e records.Entry) {
 	if e.At -= l.began; len(l.Records) >= mostRecords {
@@ -256,6 +299,12 @@
 	if most := s.Expect.OriginMost; most > 0 {
 		r.want(float64(r.Origin) <= most, fmt.Sprint(r.Origin), "at most %g legs at the origin in a second", most)
 	}
+	for _, name := range script.Counted {
+		if most, ok := s.Expect.MostPerS[name]; ok {
+			got := r.Most(name)
+			r.want(float64(got) <= most, fmt.Sprint(got), "at most %g %s in a second over the whole fleet", most, name)
+		}
+	}
 	if most := s.Expect.Excess; most > 0 {
 		r.want(r.PerAsked <= most, fmt.Sprintf("%.3f", r.PerAsked), "at most %g legs for each retrieval", most)
 	}
@@ -264,6 +313,14 @@
 	}
 }
 
+// Most is the largest count in any second, over the whole fleet.
+func (r *Report) Most(name string) (most int) {
+	for i := range r.Course {
+		most = max(most, r.Course[i].Counted(name))
+	}
+	return most
+}
+
 // FirstOf tells when the whole fleet's records first say something of a server, in seconds; -1 for never.
 func (r *Report) FirstOf(id policy.CacheID, what string) float64 {
 	for _, e := range r.Records {
@@ -292,6 +349,15 @@
 	}
 	fmt.Fprintf(to, "benefit in time %.4f; %.3f legs for each retrieval, at most %d a second at the origin\n", r.Gain, r.PerAsked, r.Origin)
 	fmt.Fprintln(to, "course:", r.sparks())
+	fmt.Fprint(to, "over the fleet, in all and most in a second:")
+	for _, name := range script.Counted {
+		all := 0
+		for i := range r.Course {
+			all += r.Course[i].Counted(name)
+		}
+		fmt.Fprintf(to, " %s %d %d;", name, all, r.Most(name))
+	}
+	fmt.Fprintln(to)
 	for _, e := range r.Events {
 		fmt.Fprintf(to, "%8.3f s  script: %s\n", time.Duration(e.At).Seconds(), e.What)
 	}
--- a/internal/emulator/script/script.go
+++ b/internal/emulator/script/script.go
@@ -54,7 +54,8 @@
 	Nodes        int        `toml:"nodes"`
 	Caches       int        `toml:"caches"`
 	Zones        []string   `toml:"zones"`
-	Group        int        `toml:"group"` // caches of one group, which drop the same repeats
+	Spread       bool       `toml:"spread"` // nodes stand in all zones by turns, not all in the first
+	Group        int        `toml:"group"`  // caches of one group, which drop the same repeats
 	Cores        int        `toml:"cores"`
 	Queue        int        `toml:"queue"`
 	Speed        [2]float64 `toml:"speed"`
@@ -89,9 +90,13 @@
 	Jitter      float64 `toml:"jitter"`
 }
 
-// Discovery tells changes of the list late.
+// Discovery tells changes of the list late. Where a watch costs it work, nodes call it as they do in service, and what comes
+// beyond its backlog is refused; else changes reach each node by themselves.
 type Discovery struct {
-	NoticeS [2]float64 `toml:"notice_s"`
+	NoticeS   [2]float64 `toml:"notice_s"`
+	WatchMs   float64    `toml:"watch_ms"`
+	WholeMs   float64    `toml:"whole_ms"`
+	BacklogMs float64    `toml:"backlog_ms"`
 }
 
 // Allowed is what the deployment lets nodes do.
@@ -137,8 +142,10 @@
 	AtS    float64  `toml:"at_s"`
 	Do     string   `toml:"do"`
 	Caches []string `toml:"caches"`
-	Part   float64  `toml:"part"` // of the caches, chosen by the seed, instead of names
+	Part   float64  `toml:"part"` // of the caches or nodes, chosen by the seed, instead of names or numbers
+	Zone   string   `toml:"zone"` // all caches there
 	Nodes  []int    `toml:"nodes"`
+	OverS  float64  `toml:"over_s"` // spread over so long, one after the other
 	Factor float64  `toml:"factor"`
 	Share  float64  `toml:"share"`
 	Rank   int      `toml:"rank"`
@@ -155,9 +162,13 @@
 	Drained     []string           `toml:"drained"`
 	OriginMost  float64            `toml:"origin_most_per_s"` // legs there in any second
 	RecoveredBy float64            `toml:"recovered_by_s"`    // from then on, no worse than before the first event
+	MostPerS    map[string]float64 `toml:"most_per_s"`        // over the whole fleet, of what Counted names
 	Excess      float64            `toml:"most_legs_per_retrieval"`
 }
 
+// Counted are the things that all nodes do together which a script may bound in any second.
+var Counted = []string{"list_calls", "dials", "full_dials", "probes", "misses", "origin_legs", "vain_legs"}
+
 // Avoidance is that a server is avoided by a time.
 type Avoidance struct {
 	Server string  `toml:"server"`
@@ -171,7 +182,8 @@
 	"slow": {caches: true, factor: true, long: true}, "crowd": {caches: true, share: true, long: true},
 	"pause": {caches: true, long: true}, "kill": {caches: true}, "silent": {caches: true}, "restart": {caches: true},
 	"drain": {caches: true}, "add": {}, "shrink": {}, "hot": {share: true, long: true}, "burst": {factor: true, long: true},
-	"origin_slow": {factor: true, long: true}, "discovery_down": {long: true}, "node_restart": {nodes: true},
+	"origin_slow": {factor: true, long: true}, "discovery_down": {long: true},
+	"discovery_slow": {factor: true, long: true}, "node_restart": {nodes: true},
 	"node_kill": {nodes: true}, "fault": {caches: true, long: true}, "errors": {caches: true, share: true, long: true},
 }
 
@@ -337,6 +349,10 @@
 	c.within(s.Network.Jitter, 0, 1, "network.jitter")
 	c.within(s.Discovery.NoticeS[0], 0, mostSeconds, "discovery.notice_s")
 	c.within(s.Discovery.NoticeS[1], s.Discovery.NoticeS[0], mostSeconds, "discovery.notice_s")
+	for path, ms := range map[string]float64{"discovery.watch_ms": s.Discovery.WatchMs, "discovery.whole_ms": s.Discovery.WholeMs,
+		"discovery.backlog_ms": s.Discovery.BacklogMs} {
+		c.within(ms, 0, 1e5, path)
+	}
 	c.want(s.Allowed.Mode == "aside" || s.Allowed.Mode == "through", "allowed.mode", "%q is neither aside nor through", s.Allowed.Mode)
 	c.within(float64(s.Allowed.MostLegs), 1, 100, "allowed.most_legs")
 	c.within(s.Allowed.WastePrice, 0, 100, "allowed.waste_price")
@@ -398,13 +414,23 @@
 		c.within(e.ForS, 0, mostSeconds, at+"for_s")
 		c.within(e.Part, 0, 1, at+"part")
 		c.want(!k.long || e.ForS > 0, at+"for_s", "%s needs how long it lasts", e.Do)
-		c.want(!k.caches || (len(e.Caches) > 0) != (e.Part > 0), at+"caches", "%s needs either names of caches or a part of them", e.Do)
-		c.want(k.caches || len(e.Caches) == 0 && e.Part == 0, at+"caches", "%s concerns no caches", e.Do)
+		ways := 0
+		for _, stated := range []bool{len(e.Caches) > 0, e.Part > 0, e.Zone != ""} {
+			if stated {
+				ways++
+			}
+		}
+		c.want(!k.caches || ways == 1, at+"caches", "%s needs either names of caches, a part of them or a zone", e.Do)
+		c.want(k.caches || len(e.Caches) == 0 && e.Zone == "" && (k.nodes || e.Part == 0), at+"caches", "%s concerns no caches", e.Do)
+		c.want(e.Zone == "" || slices.Contains(s.Fleet.Zones, e.Zone), at+"zone", "there is no zone %q", e.Zone)
+		c.within(e.OverS, 0, mostSeconds, at+"over_s")
+		c.want(e.OverS == 0 || k.caches || k.nodes || e.Do == "add", at+"over_s", "%s happens at once", e.Do)
+		c.want(e.Do != "discovery_slow" || s.Discovery.WatchMs > 0, at+"do", "discovery has no bound, so that it can't be slow")
 		for _, name := range e.Caches {
 			n, err := strconv.Atoi(strings.TrimPrefix(name, "c"))
 			c.want(err == nil && strings.HasPrefix(name, "c") && n >= 1 && n <= s.Fleet.Caches+added, at+"caches", "there is no server %q", name)
 		}
-		c.want(!k.nodes || len(e.Nodes) > 0, at+"nodes", "%s needs numbers of nodes", e.Do)
+		c.want(!k.nodes || (len(e.Nodes) > 0) != (e.Part > 0), at+"nodes", "%s needs either numbers of nodes or a part of them", e.Do)
 		for _, n := range e.Nodes {
 			c.want(n >= 1 && n <= s.Fleet.Nodes, at+"nodes", "there is no node %d", n)
 		}
@@ -446,6 +472,9 @@
 	}
 	c.within(s.Expect.OriginMost, 0, 1e6, "expect.origin_most_per_s")
 	c.within(s.Expect.RecoveredBy, 0, s.Seconds, "expect.recovered_by_s")
+	for _, name := range sorted(s.Expect.MostPerS) {
+		c.want(slices.Contains(Counted, name), "expect.most_per_s", "%q is none of %s", name, strings.Join(Counted, ", "))
+	}
 	c.within(s.Expect.Excess, 0, 100, "expect.most_legs_per_retrieval")
 }
 
@@ -511,22 +540,57 @@
 }
 
 // Chosen returns the caches that an event concerns, in the order of their names' hashes where it chooses by a part.
-func (s *Script) Chosen(e *Event) []policy.CacheID {
-	var ids []policy.CacheID
+func (s *Script) Chosen(e *Event) (ids []policy.CacheID) {
 	for _, name := range e.Caches {
 		ids = append(ids, policy.CacheID(name))
 	}
-	if e.Part > 0 {
-		for n := range s.Fleet.Caches {
-			ids = append(ids, policy.CacheID(fmt.Sprintf("c%d", n+1)))
+	if e.Zone == "" && (e.Part == 0 || kinds[e.Do].nodes) {
+		return ids
+	}
+	for n := range s.Fleet.Caches {
+		if c := s.Cache(n + 1); e.Zone == "" || c.Zone == policy.ZoneID(e.Zone) {
+			ids = append(ids, c.ID)
 		}
-		score := func(id policy.CacheID) uint64 { return keyhash.Salted(keyhash.Text(string(id)), int(s.Seed)) }
-		slices.SortFunc(ids, func(a, b policy.CacheID) int { return cmp.Compare(score(a), score(b)) })
-		ids = ids[:max(1, int(math.Round(e.Part*float64(len(ids)))))]
+	}
+	if e.Zone == "" {
+		ids = part(ids, e.Part, int(s.Seed), func(id policy.CacheID) string { return string(id) })
 	}
 	return ids
 }
 
+// Members returns the numbers of the nodes that an event concerns, from 1.
+func (s *Script) Members(e *Event) []int {
+	if !kinds[e.Do].nodes || e.Part == 0 {
+		return e.Nodes
+	}
+	numbers := make([]int, s.Fleet.Nodes)
+	for n := range numbers {
+		numbers[n] = n + 1
+	}
+	return part(numbers, e.Part, int(s.Seed), func(n int) string { return "n" + strconv.Itoa(n) })
+}
+
+// part takes a share of some, by the hash of their names.
+func part[T any](all []T, share float64, seed int, name func(T) string) []T {
+	score := func(one T) uint64 { return keyhash.Salted(keyhash.Text(name(one)), seed) }
+	slices.SortFunc(all, func(a, b T) int { return cmp.Compare(score(a), score(b)) })
+	return all[:max(1, int(math.Round(share*float64(len(all)))))]
+}
+
+// ZoneOf is where a node stands, by its number from 0.
+func (s *Script) ZoneOf(node int) string {
+	if !s.Fleet.Spread {
+		return s.Fleet.Zones[0]
+	}
+	return s.Fleet.Zones[node%len(s.Fleet.Zones)]
+}
+
+// Registry is what discovery can bear.
+func (s *Script) Registry() *world.Registry {
+	d := &s.Discovery
+	return &world.Registry{Whole: max(ms(d.WholeMs), ms(d.WatchMs)), Watch: ms(d.WatchMs), Backlog: ms(d.BacklogMs)}
+}
+
 // Repeat lets the events come round again, as often as the script's time has room for them.
 func (s *Script) Repeat() {
 	round := 0.0
--- /dev/null
+++ b/internal/emulator/virtual/list.go
@@ -0,0 +1,109 @@
+package virtual
+
+import (
+	"dahliapin/internal/discovery"
+	"dahliapin/internal/emulator/course"
+	"dahliapin/policy"
+)
+
+// Where discovery has a bound, nodes call for the list as they do in service, and by the same decisions.
+
+// watch is a call that waits for news.
+type watch struct {
+	n      *node
+	life   int
+	called uint64
+	since  int
+	until  policy.Instant
+}
+
+// current tells whether its node still waits for it.
+func (w watch) current() bool { return w.n.life == w.life && w.n.called == w.called && w.n.host != nil }
+
+// call makes a node's next call for the list.
+func (n *node) call() {
+	r, c := n.r, n.lists.Next()
+	n.called++
+	w := watch{n: n, life: n.life, called: n.called, since: c.Since}
+	r.after(r.clientWay(), func() {
+		r.log.Now(r.now).Calls++
+		if !r.upList {
+			return // silent
+		}
+		at, taken := r.registry.Call(r.now, c.Whole)
+		if !taken {
+			r.after(r.clientWay(), func() { w.lost(discovery.Refused) })
+			return
+		}
+		r.At(at, func() {
+			w.until = r.now.Add(c.Wait)
+			switch {
+			case c.Whole:
+				entries, version := course.Entries(r.world), len(r.changes)
+				r.after(r.clientWay(), func() { w.heard(version, entries) })
+			case w.since < len(r.changes):
+				r.tell(w)
+			default:
+				r.watches = append(r.watches, w)
+				r.At(w.until, func() { r.expire(w) })
+			}
+		})
+	})
+	r.after(c.Within, func() { w.lost(discovery.Lost) })
+}
+
+// lost ends a call without an answer; whoever waits for another by now is not concerned.
+func (w watch) lost(how discovery.Failure) {
+	if !w.current() {
+		return
+	}
+	n := w.n
+	n.called++
+	rest, _ := n.lists.Failed(how, n.r.chance.Next())
+	n.r.after(rest, func() {
+		if w.n.life == w.life && n.host != nil {
+			n.call()
+		}
+	})
+}
+
+func (w watch) heard(version int, entries []policy.Entry) {
+	if !w.current() {
+		return
+	}
+	form, _ := w.n.lists.Heard(version, false)
+	if w.n.held = version; len(entries) > 0 || form != policy.Changes {
+		w.n.hear(form, entries)
+	}
+	w.n.call()
+}
+
+// tell answers a watch with what is new.
+func (r *Run) tell(w watch) {
+	version, news := len(r.changes), r.changes[w.since:]
+	r.after(r.clientWay(), func() { w.heard(version, news) })
+}
+
+// expire ends a watch without news.
+func (r *Run) expire(w watch) {
+	for i, o := range r.watches {
+		if o == w {
+			r.watches = append(r.watches[:i], r.watches[i+1:]...)
+			r.tell(w)
+			return
+		}
+	}
+}
+
+// publish takes a change in, and tells it to all who watch: their calls have had their work.
+func (r *Run) publish(e policy.Entry) {
+	r.changes = append(r.changes, e)
+	r.fleet.Listed(r.now, policy.Changes, []policy.Entry{e})
+	waiting := r.watches
+	r.watches = nil
+	for _, w := range waiting {
+		if w.current() {
+			r.tell(w)
+		}
+	}
+}
--- a/internal/emulator/virtual/node.go
+++ b/internal/emulator/virtual/node.go
@@ -6,10 +6,12 @@
 	"strconv"
 	"time"
 
+	"dahliapin/internal/discovery"
 	"dahliapin/internal/emulator/judge"
 	"dahliapin/internal/emulator/script"
 	"dahliapin/internal/emulator/world"
 	"dahliapin/internal/host"
+	"dahliapin/internal/houserules"
 	"dahliapin/internal/records"
 	"dahliapin/policy"
 )
@@ -18,10 +20,14 @@
 type node struct {
 	r      *Run
 	number int
+	terms  houserules.Terms
 	life   int        // counts its starts, so that what was meant for an earlier one is passed over
 	host   *host.Host // nil while it is down
 	book   *records.Book
 	known  []policy.Entry // the list as last heard
+	lists  discovery.Caller
+	held   int    // the version of the list as last heard
+	called uint64 // counts its calls for the list, so that an answer knows its own
 	hand   map[policy.RetrievalID]*taken
 	count  uint64
 	links  map[int][]idle // by server, the latest used last
@@ -64,8 +70,13 @@
 	n.book = records.New("n"+strconv.Itoa(n.number+1), n.r.log.Note, isOrigin)
 	seed := n.r.script.Seed*7919 + int64(n.number)*31 + int64(n.life)
 	n.r.Decided++
-	n.host = host.With(n.r.now, n.r.make(n.r.now, seed, n.r.terms.Rules), n, n)
+	n.host = host.With(n.r.now, n.r.make(n.r.now, seed, n.terms.Rules), n, n)
 	n.hear(form, entries)
+	if n.r.registry.Bounded() {
+		n.lists = discovery.New(n.terms.Rules.Nodes)
+		n.lists.Hold(n.held)
+		n.call()
+	}
 	n.r.serving = append(n.r.serving, n)
 }
 
@@ -195,11 +206,15 @@
 func (l *leg) connect() {
 	r := l.n.r
 	s := r.world.Servers[l.server]
+	r.log.Now(r.now).Dials++
 	if s.Life == world.Silent { // nothing ever comes back
 		r.At(l.sent.Add(script.Span(r.script.Allowed.ConnectMs/1000)), func() { l.end(policy.Unconnected, nil) })
 		return
 	}
 	if r.fault(l.server) == "refuse" || !r.world.Connect(r.now, l.server) {
+		if s.Life == world.Up && s.Held >= s.Connections {
+			r.log.Now(r.now).FullDials++
+		}
 		r.after(r.way(l.n, l.server), func() { l.end(policy.Unconnected, nil) })
 		return
 	}
@@ -393,10 +408,14 @@
 	if !known {
 		return
 	}
+	r.log.Now(r.now).Probes++
 	found, wait := policy.Answered, r.way(n, server)+r.way(n, server)
 	switch s := r.world.Servers[server]; {
 	case s.Life == world.Down, r.fault(server) == "refuse":
 		found = policy.Unconnected
+	case s.Life == world.Up && len(n.links[server]) == 0 && s.Held >= s.Connections: // it needs a connection, as legs do
+		r.log.Now(r.now).FullDials++
+		found = policy.Unconnected
 	case s.Life == world.Silent, s.Frozen(r.now), r.fault(server) == "silent":
 		found, wait = policy.TimedOut, script.Span(r.script.Allowed.ConnectMs/1000)
 	case r.fault(server) != "":
@@ -441,6 +460,7 @@
 
 // Ended hears of a leg's end.
 func (n *node) Ended(now policy.Instant, id policy.CacheID, how policy.Result, took time.Duration) {
+	n.r.log.Ended(now, how)
 	n.book.Ended(now, id, how, took)
 	n.r.fleet.Ended(now, id, how, took)
 }
--- a/internal/emulator/virtual/virtual.go
+++ b/internal/emulator/virtual/virtual.go
@@ -61,21 +61,20 @@
 	faults   []string
 	upList   bool
 	pending  []policy.Entry // told once discovery is up again
+	registry *world.Registry
+	changes  []policy.Entry // what the list has told, where nodes call for it; a version is how many there were
+	watches  []watch        // calls that wait for news, in order
 	Steps    uint64         // events played
 	Decided  uint64         // calls into deciders
 }
 
 // Play plays a script. The decider's name is for the report.
 func Play(s *script.Script, name string, make Maker) (*outcome.Report, *Run, error) {
-	v, err := fastjson.ParseBytes(s.Settings(s.Fleet.Zones[0]))
+	terms, err := termsAt(s, s.Fleet.Zones[0])
 	if err != nil {
 		return nil, nil, err
 	}
-	terms, err := houserules.Decode(v)
-	if err != nil {
-		return nil, nil, fmt.Errorf("the script's settings cannot be used: %w", err)
-	}
-	r := &Run{script: s, terms: terms, make: make, now: epoch, legs: map[uint64]*leg{}, avoiders: map[policy.CacheID]int{}, upList: true, log: outcome.NewLog(s, epoch)}
+	r := &Run{registry: s.Registry(), script: s, terms: terms, make: make, now: epoch, legs: map[uint64]*leg{}, avoiders: map[policy.CacheID]int{}, upList: true, log: outcome.NewLog(s, epoch)}
 	r.chance.Seed = uint32(s.Seed) ^ 0x0f1ee7
 	r.judge = judge.New(judge.Terms{Grades: terms.Rules.Grades, SecondCopies: s.Allowed.SecondCopies,
 		Grace: script.Span(s.Allowed.GraceMs / 1000), Slack: slack})
@@ -87,8 +86,13 @@
 	if s.Fleet.Warm {
 		r.warm()
 	}
-	for range s.Fleet.Nodes {
-		n := &node{r: r, number: len(r.nodes)}
+	for i := range s.Fleet.Nodes {
+		n := &node{r: r, number: i, terms: terms}
+		if zone := s.ZoneOf(i); zone != s.Fleet.Zones[0] {
+			if n.terms, err = termsAt(s, zone); err != nil {
+				return nil, nil, err
+			}
+		}
 		r.nodes = append(r.nodes, n)
 		n.start(policy.Whole, course.Entries(r.world))
 	}
@@ -103,6 +107,19 @@
 	return outcome.Draw(s, "virtual", name, r.world, r.judge, r.log, r.course.First, r.course.Last), r, nil
 }
 
+// termsAt is what a node in a zone goes by.
+func termsAt(s *script.Script, zone string) (houserules.Terms, error) {
+	v, err := fastjson.ParseBytes(s.Settings(zone))
+	if err != nil {
+		return houserules.Terms{}, err
+	}
+	terms, err := houserules.Decode(v)
+	if err != nil {
+		return terms, fmt.Errorf("the script's settings cannot be used: %w", err)
+	}
+	return terms, nil
+}
+
 // run plays what is due up to an instant. The world's own events and the queue's are taken by time, the world's first.
 func (r *Run) run(until policy.Instant) error {
 	for looked := r.now; ; {
@@ -149,7 +166,7 @@
 
 func (r *Run) way(n *node, server int) time.Duration {
 	ms := r.script.Network.OneWayMs
-	if zone := r.world.Servers[server].Zone; zone != "" && zone != policy.ZoneID(r.script.Fleet.Zones[0]) {
+	if zone := r.world.Servers[server].Zone; zone != "" && zone != n.terms.Rules.Zone {
 		ms = r.script.Network.CrossZoneMs
 	}
 	return r.jittered(script.Span(ms / 1000))
@@ -221,6 +238,10 @@
 		r.pending = append(r.pending, e)
 		return
 	}
+	if r.registry.Bounded() {
+		r.after(script.Span(r.script.Discovery.NoticeS[0]), func() { r.publish(e) })
+		return
+	}
 	first := time.Duration(math.MaxInt64)
 	for _, n := range r.nodes {
 		span := r.script.Discovery.NoticeS
@@ -236,6 +257,9 @@
 	r.after(first, func() { r.fleet.Listed(r.now, policy.Changes, []policy.Entry{e}) })
 }
 
+// Registry is what discovery can bear.
+func (r *Run) Registry() *world.Registry { return r.registry }
+
 // Discovery goes down or comes back.
 func (r *Run) Discovery(up bool) {
 	if r.upList = up; up {
@@ -266,6 +290,9 @@
 		n.kill()
 	}
 	n.start(policy.LastHeld, n.known)
+	if r.registry.Bounded() {
+		return // it calls by itself
+	}
 	entries, life := course.Entries(r.world), n.life
 	r.after(script.Span(r.script.Discovery.NoticeS[0]), func() {
 		if n.life == life && r.upList {
--- a/internal/emulator/virtual/virtual_test.go
+++ b/internal/emulator/virtual/virtual_test.go
@@ -63,6 +63,7 @@
 	text := func(seed int64) string {
 		s := load(t, "moves")
 		s.Seed, s.Seconds, s.Fleet.Nodes = seed, 38, 3
+		s.Discovery.WatchMs, s.Discovery.WholeMs, s.Discovery.BacklogMs = 30, 60, 40                     // calls wait, and some are refused
 		s.Events = append(s.Events, script.Event{AtS: 9, Do: "silent", Caches: []string{"c1"}, ForS: 2}, // each break sorts legs
 			script.Event{AtS: 12, Do: "node_kill", Nodes: []int{2}, ForS: 1})
 		r := play(t, s, "module", Module)
--- a/internal/emulator/world/world_test.go
+++ b/internal/emulator/world/world_test.go
@@ -199,3 +199,25 @@
 		t.Error(n, reads, hot)
 	}
 }
+
+// A discovery that is overbooked must stay so while all go on asking, and come back once they ask seldom; or no rehearsal of
+// a herd would tell a node that spreads its calls from one that does not.
+func TestAnOverbookedRegistryIsKeptDownByWhoAsksOn(t *testing.T) {
+	for every, up := range map[policy.Instant]bool{ms / 2: false, 20 * ms: true} {
+		g := Registry{Whole: 20 * time.Millisecond, Watch: 2 * time.Millisecond, Backlog: 100 * time.Millisecond}
+		for range 40 { // all at once
+			g.Call(0, true)
+		}
+		taken, late := 0, 0
+		for at := every; at < 2000*ms; at += every {
+			if until, ok := g.Call(at, false); ok && at > 1000*ms {
+				if taken++; until > at+110*ms {
+					late++
+				}
+			}
+		}
+		if up != (late == 0 && taken == 49) || taken > 500 {
+			t.Errorf("asked each %v: %d taken in the last second, %d of them late", time.Duration(every), taken, late)
+		}
+	}
+}
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -531,6 +532,32 @@
 	}
 }
 
+// Half a list read as one without caches, and an entry without a name as if its cache had gone: either emptied the node.
+func TestAListThatCannotBeReadWholeDropsNoCache(t *testing.T) {
+	for _, bad := range []string{`{"generation":9,"reset":true}`, `{"generation":9,"reset":true,"inst`, `[]`,
+		`{"generation":9,"reset":true,"instances":[{"hostPort":"127.0.0.1:1","lifecycle":"in_service"}]}`} {
+		g := newRig(t, 200, value)
+		var said bytes.Buffer
+		g.ask(func() { g.Log.SetOutput(&said) })
+		wait(t, g.asked)
+		wait(t, g.asked)
+		for range 3 {
+			g.list <- bad
+			wait(t, g.asked)
+		}
+		c, r := g.client()
+		fmt.Fprint(c, "mg k v Oa Pc=read,d=9000\r\n")
+		if got, _ := r.ReadString('\n'); !strings.HasPrefix(got, "VA 5") {
+			t.Errorf("after %s the cache is not asked: %q", bad, got)
+		}
+		lines := make(chan int, 1)
+		g.ask(func() { lines <- strings.Count(said.String(), "\n") })
+		if n := <-lines; n != 1 {
+			t.Errorf("after three times %s the log has %d lines", bad, n)
+		}
+	}
+}
+
 // While legs held all of the links' share, a list that had moved was not called for.
 func TestAListThatMovesIsCalledForWhateverLinksAreOut(t *testing.T) {
 	g := newRig(t, 64, value)
