Room at the origin grows only as far as it is used

At fault: learn() let room grow by each answer in time, whether or not it was used, so that after some calm seconds it bounded nothing.

Now room grows to twice what is out at the most.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -713,7 +713,7 @@
 	default:
 		if p.originTook += (o.Took - p.originTook) / 8; inTime == 1 && o.Took <= r.memo.grade.SoftLimit/2 {
 			p.strain -= p.strain / evidence
-			p.room += min(1/p.room, originGrow*p.room)
+			p.room += min(1/p.room, originGrow*p.room, max(0, 2*own-p.room)) // room that is not used is no sign
 		} else if p.strain += (1 - p.strain) / evidence; now.Since(p.roomCut) > p.slow {
 			p.room, p.roomCut = max(originLeast/float64(p.rules.Nodes), p.room*originCut), now
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -528,6 +528,33 @@
 	}
 }
 
+// Room that nobody used grew with every answer in time, so that it bounded nothing once misses came in a storm.
+func TestRoomAtTheOriginGrowsOnlyAsItIsUsed(t *testing.T) {
+	w := asideWorld(t)
+	w.p.room = 2
+	for i := range 100 {
+		r, _ := w.arrive(fmt.Sprint("key", i), 0, false)
+		w.end(r, 0, Missed)
+		w.pass(20 * ms)
+		w.end(r, 1, Answered)
+	}
+	if w.p.room > 2 {
+		t.Errorf("one at a time made room for %.1f", w.p.room)
+	}
+	for i := range 10 {
+		r, _ := w.arrive(fmt.Sprint("more", i), 0, false)
+		w.end(r, 0, Missed)
+	}
+	for _, r := range w.hand {
+		if !r.Over && len(r.Legs) > 1 {
+			w.end(r, 1, Answered)
+		}
+	}
+	if w.p.room <= 2 {
+		t.Errorf("room stays at %.1f though all of it is used and answers are in time", w.p.room)
+	}
+}
+
 // The least a node may have at the origin is multiplied by hundreds: late answers must bring it under one leg.
 func TestManyNodesTogetherSpareASlowOrigin(t *testing.T) {
 	rules := testRules()
