--- a/internal/emulator/virtual/node.go
+++ b/internal/emulator/virtual/node.go
@@ -12,6 +12,7 @@
 	"dahliapin/internal/emulator/world"
 	"dahliapin/internal/host"
 	"dahliapin/internal/houserules"
+	"dahliapin/internal/keeping"
 	"dahliapin/internal/records"
 	"dahliapin/policy"
 )
@@ -26,7 +27,8 @@
 	book   *records.Book
 	known  []policy.Entry // the list as last heard
 	lists  discovery.Caller
-	held   int    // the version of the list as last heard
+	held   int // the version of the list as last heard
+	kept   keeping.Span
 	called uint64 // counts its calls for the list, so that an answer knows its own
 	hand   map[policy.RetrievalID]*taken
 	count  uint64
@@ -36,7 +38,7 @@
 
 // idle is a connection in nobody's use.
 type idle struct {
-	until  policy.Instant
+	since  policy.Instant
 	breaks uint64 // of its server when it came up
 }
 
@@ -67,6 +69,7 @@
 func (n *node) start(form policy.ListForm, entries []policy.Entry) {
 	n.life++
 	n.hand, n.links, n.avoids = map[policy.RetrievalID]*taken{}, map[int][]idle{}, map[policy.CacheID]bool{}
+	n.kept = keeping.New(n.terms.Rules.IdleConnection)
 	n.book = records.New("n"+strconv.Itoa(n.number+1), n.r.log.Note, isOrigin)
 	seed := n.r.script.Seed*7919 + int64(n.number)*31 + int64(n.life)
 	n.r.Decided++
@@ -192,12 +195,9 @@
 		if last.breaks != r.breaks(server) {
 			continue
 		}
-		if last.until > r.now {
-			l.holds, l.breaks = true, last.breaks
-			l.write()
-			return
-		}
-		r.world.Servers[server].Held--
+		l.holds, l.breaks = true, last.breaks
+		l.write()
+		return
 	}
 	r.after(r.way(n, server), func() { l.connect() })
 }
@@ -214,6 +214,9 @@
 	if r.fault(l.server) == "refuse" || !r.world.Connect(r.now, l.server) {
 		if s.Life == world.Up && s.Held >= s.Connections {
 			r.log.Now(r.now).FullDials++
+			if l.life == l.n.life && l.n.connected(l.server) {
+				l.n.full()
+			}
 		}
 		r.after(r.way(l.n, l.server), func() { l.end(policy.Unconnected, nil) })
 		return
@@ -352,8 +355,49 @@
 func (l *leg) rest() {
 	if l.holds {
 		l.holds = false
-		until := l.n.r.now.Add(script.Span(0.8 * l.n.r.script.Fleet.IdleS))
-		l.n.links[l.server] = append(l.n.links[l.server], idle{until, l.breaks})
+		l.n.keep(l.server, l.breaks)
+	}
+}
+
+// connected tells whether a connection to a server is up.
+func (n *node) connected(server int) bool {
+	for _, v := range n.hand {
+		if slices.ContainsFunc(v.legs, func(l *leg) bool { return l.holds && l.server == server && l.breaks == n.r.breaks(server) }) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(n.links[server], func(i idle) bool { return i.breaks == n.r.breaks(server) })
+}
+
+// keep holds an idle connection for as long as the node keeps one.
+func (n *node) keep(server int, breaks uint64) {
+	one := idle{n.r.now, breaks}
+	n.links[server] = append(n.links[server], one)
+	n.tend(server, one)
+}
+
+// tend closes an idle connection once its time has come.
+func (n *node) tend(server int, one idle) {
+	life := n.life
+	n.r.At(one.since.Add(n.kept.Now(n.r.now)), func() {
+		i := slices.Index(n.links[server], one)
+		if n.life != life || i < 0 || n.r.now.Since(one.since) < n.kept.Now(n.r.now) {
+			return // another that is due later looks after it
+		}
+		n.links[server] = slices.Delete(n.links[server], i, i+1)
+		if one.breaks == n.r.breaks(server) {
+			n.r.world.Servers[server].Held--
+		}
+	})
+}
+
+// full tells that a server that lives had no room for a connection: idle ones are given back sooner.
+func (n *node) full() {
+	n.kept.Full(n.r.now)
+	for server := range n.r.world.Servers {
+		for _, one := range n.links[server] {
+			n.tend(server, one)
+		}
 	}
 }
 
--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -13,9 +13,7 @@
 )
 
 const (
-	idleShare = 0.8                    // of the idle limit that a connection is kept: closing must not cross a leg
-	ownIdle   = 10 * time.Second       // the same where no limit is stated
-	connect   = 250 * time.Millisecond // to come up, where no time is stated
+	connect = 250 * time.Millisecond // to come up, where no time is stated
 
 	shareComing = 4       // part of the memory that answers may take which have not come whole
 	fewBytes    = 4 << 10 // of such an answer that are never too many: with all links they stay under that part
@@ -56,6 +54,7 @@
 	ended  bool           // all that was sent has come
 	idleAt policy.Instant // when to see whether it is idle for long; 0 for not yet
 	coming int            // bytes of an answer that has not come whole
+	proven bool           // something was answered on it
 }
 
 type leg struct {
@@ -72,12 +71,7 @@
 	return connect
 }
 
-func (r *Relay) idleTime() time.Duration {
-	if limit := r.Terms.Rules.IdleConnection; limit > 0 {
-		return time.Duration(idleShare * float64(limit))
-	}
-	return ownIdle
-}
+func (r *Relay) idleTime() time.Duration { return r.kept.Now(r.now()) }
 
 // Send starts a leg on the connection used last, or on a new one.
 func (r *Relay) Send(id policy.RetrievalID, to policy.CacheID, giveUpAt policy.Instant) {
@@ -211,6 +205,7 @@
 	switch {
 	case ev.What == sockets.Refused:
 		if l != nil {
+			r.refused(l)
 			r.lose(l, policy.Unconnected)
 		}
 	case l == nil:
@@ -221,6 +216,27 @@
 	}
 }
 
+// refused looks at a new link that a server did not take. If others to it are up, it lives and is full: idle links are given back
+// sooner then, to all. Guards against nodes that keep a connection for a leg in some seconds while others dial in vain.
+func (r *Relay) refused(l *link) {
+	if l.cache == nil || r.caches[l.cache.id] != l.cache {
+		return
+	}
+	up := false
+	r.links.Each(func(_ linkID, o *link) { up = up || o != l && o.cache == l.cache && o.proven })
+	if !up {
+		return
+	}
+	r.kept.Full(r.now())
+	r.count.Full++
+	r.links.Each(func(id linkID, o *link) {
+		if o.cache != nil && o.does == nothing && o.wire != nil {
+			o.idleAt = o.usedAt.Add(r.idleTime())
+			r.due.Put(o.idleAt, due{link: id})
+		}
+	})
+}
+
 // begin does what a link was dialled for.
 func (r *Relay) begin(l *link) {
 	switch l.does {
@@ -244,6 +260,7 @@
 
 // rest keeps a link for the next leg.
 func (r *Relay) rest(l *link) {
+	l.proven = l.proven || l.does == aLeg || l.does == aProbe
 	l.does, l.usedAt, l.stopAt = nothing, r.now(), 0
 	if r.caches[l.cache.id] != l.cache { // the list does not name it any more
 		r.dropLink(l)
@@ -334,8 +351,12 @@
 	switch {
 	case r.links.Get(id) == nil:
 	case unsent:
+		r.refused(l)
 		r.lose(l, policy.Unconnected)
 	default:
+		if !orderly && !l.proven && l.does != nothing && r.now().Since(l.usedAt) < r.connectTime() {
+			r.refused(l) // it came up only to be reset: so a full table shows where the kernel accepts for it
+		}
 		r.lose(l, policy.Broken)
 	}
 }
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -14,6 +14,7 @@
 	"dahliapin/internal/discovery"
 	"dahliapin/internal/host"
 	"dahliapin/internal/houserules"
+	"dahliapin/internal/keeping"
 	"dahliapin/internal/keyhash"
 	"dahliapin/internal/net/counters"
 	"dahliapin/internal/net/deadlines"
@@ -83,6 +84,7 @@
 	taken    map[string]bool // the clients' ids of those in hand
 	caches   map[policy.CacheID]*cache
 	list     listing
+	kept     keeping.Span
 	chance   keyhash.Source
 	later    []func() // what must not happen within a call into the host
 	count    counters.Counters
@@ -126,6 +128,7 @@
 			func(e policy.Entry) bool { return r.isOrigin(e.Kind) })
 	}
 	r.host = host.With(r.now(), policy.New(r.now(), b.Seed, b.Terms.Rules), r, watcher)
+	r.kept = keeping.New(b.Terms.Rules.IdleConnection)
 	r.list.caller, r.chance.Seed = discovery.New(b.Terms.Rules.Nodes), uint32(b.Seed^b.Seed>>32)
 	if b.Known != nil {
 		r.hear(b.Known, policy.LastHeld)
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -558,6 +558,34 @@
 	}
 }
 
+// A node kept its idle connections for as long as it might while a cache that lived had room for no more.
+func TestIdleLinksAreGivenBackSoonerWhereACacheIsFull(t *testing.T) {
+	g := newRig(t, 200, value)
+	c, r := g.client()
+	fmt.Fprint(c, "mg k v Oa Pc=read,d=9000\r\n")
+	if _, err := r.ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	spans := make(chan time.Duration, 2)
+	g.ask(func() {
+		g.refused(&link{cache: &cache{id: "c"}}) // of one that the list has replaced, and of one with nothing up
+		g.refused(&link{cache: g.caches["o"]})
+		spans <- g.idleTime()
+		for range 9 {
+			g.refused(&link{cache: g.caches["c"]})
+		}
+		spans <- g.idleTime()
+	})
+	if before, after := <-spans, <-spans; before != 12*time.Second || after != time.Second {
+		t.Errorf("idle links are kept %v, then %v", before, after)
+	}
+	for began := time.Now(); g.Counts().IdleClosed == 0; time.Sleep(10 * time.Millisecond) {
+		if time.Since(began) > patience/2 {
+			t.Fatal("the one that was idle is kept all the same")
+		}
+	}
+}
+
 // While legs held all of the links' share, a list that had moved was not called for.
 func TestAListThatMovesIsCalledForWhateverLinksAreOut(t *testing.T) {
 	g := newRig(t, 64, value)
