--- a/internal/emulator/outcome/outcome.go
+++ b/internal/emulator/outcome/outcome.go
@@ -197,7 +197,7 @@
 // Draw up a report. first is when the first event begins and last when the last ends, 0 for none.
 func Draw(s *script.Script, shell, decider string, w *world.World, j *judge.Judge, l *Log, first, last policy.Instant) *Report {
 	r := &Report{Script: s.Name, Seed: s.Seed, Shell: shell, Decider: decider, Nodes: s.Fleet.Nodes, Caches: s.Fleet.Caches, Seconds: s.Seconds,
-		Breaches: j.Breaches, Course: l.Seconds, Events: l.Events, Records: l.Records, Dropped: l.Dropped}
+		Breaches: j.Breaches, Course: slices.Clone(l.Seconds), Events: l.Events, Records: l.Records, Dropped: l.Dropped}
 	copy(r.Rules[:], j.Counts[1:])
 	slices.SortStableFunc(r.Breaches, func(a, b judge.Breach) int { return cmp.Compare(a.At, b.At) })
 	for i := range r.Breaches {
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -586,6 +586,36 @@
 	}
 }
 
+// A server that takes over another's address under a new id, while the old one is still listed or as it goes, is one of its own: what
+// was known of the old one must neither keep it from legs nor close its connections.
+func TestAnAddressMayBeTakenOverByANewID(t *testing.T) {
+	g := newRig(t, 200, value)
+	wait(t, g.asked)
+	wait(t, g.asked)
+	addr := make(chan string, 1)
+	g.ask(func() { addr <- g.caches["c"].addr })
+	row := `{"instanceId":"%s","hostPort":"%s","machineType":"box","lifecycle":"%s","zone":"z"}`
+	at := <-addr
+	for i, rows := range []string{fmt.Sprintf(row, "d", at, "in_service"),
+		fmt.Sprintf(row, "c", at, "terminated") + "," + fmt.Sprintf(row, "e", at, "in_service"),
+		fmt.Sprintf(row, "e", at, "in_service") + "," + fmt.Sprintf(row, "d", at, "terminated")} {
+		g.list <- fmt.Sprintf(`{"generation":%d,"reset":false,"instances":[%s]}`, 8+i, rows)
+		wait(t, g.asked)
+		c, r := g.client()
+		for n := range 5 {
+			fmt.Fprintf(c, "mg k%d v O%d Pc=read,d=9000\r\n", n, n)
+			if got, _ := r.ReadString('\n'); !strings.HasPrefix(got, "VA 5") {
+				t.Errorf("list %d, retrieval %d: %q", i, n, got)
+			}
+			r.ReadString('\n')
+		}
+	}
+	held := make(chan int, 1)
+	if g.ask(func() { held <- len(g.caches) }); <-held != 2 {
+		t.Error("it holds others than the one server at that address and the origin")
+	}
+}
+
 // While legs held all of the links' share, a list that had moved was not called for.
 func TestAListThatMovesIsCalledForWhateverLinksAreOut(t *testing.T) {
 	g := newRig(t, 64, value)
