--- a/internal/emulator/onwire/servers.go
+++ b/internal/emulator/onwire/servers.go
@@ -410,7 +410,7 @@
 }
 
 // outcomes are what a server's answers mean for a leg.
-var outcomes = [...]policy.Result{world.Value: policy.Answered, world.Receipt: policy.Answered, world.Miss: policy.Answered,
+var outcomes = [...]policy.Result{world.Value: policy.Answered, world.Receipt: policy.Answered, world.Miss: policy.Missed,
 	world.Busy: policy.TurnedAway, world.Failed: policy.Errored}
 
 // served is a job's end; the lock is held.
