--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -24,7 +24,7 @@
 type Failure int
 
 const (
-	Lost       Failure = iota // no connection, no answer in time, or half an answer
+	Lost       Failure = iota // no connection, no answer in time, or a connection that broke
 	Refused                   // discovery says that it has too much to do
 	Unreadable                // an answer that cannot be taken as it stands: our version may not be known there
 )
@@ -75,9 +75,6 @@
 	return form, again
 }
 
-// Since is the version held, and false for none.
-func (c *Caller) Since() (version int, any bool) { return c.since, c.since != unknown }
-
 // Failed takes a call's failure, and tells how long to rest and whether it is the first in a row: a share by chance of a span
 // that doubles each time. It is short at first after a call that was lost, so that a watch goes on; after a refusal it is the
 // number of nodes that says how long. It guards against a discovery that has too much to do and is kept there by all nodes,
--- a/internal/emulator/virtual/list.go
+++ b/internal/emulator/virtual/list.go
@@ -36,8 +36,8 @@
 			return
 		}
 		r.At(at, func() {
-			w.until = r.now.Add(c.Wait)
-			switch {
+			switch w.until = r.now.Add(c.Wait); {
+			case !r.upList: // it has gone silent meanwhile
 			case c.Whole:
 				entries, version := course.Entries(r.world), len(r.changes)
 				r.after(r.clientWay(), func() { w.heard(version, entries) })
@@ -88,8 +88,9 @@
 func (r *Run) expire(w watch) {
 	for i, o := range r.watches {
 		if o == w {
-			r.watches = append(r.watches[:i], r.watches[i+1:]...)
-			r.tell(w)
+			if r.watches = append(r.watches[:i], r.watches[i+1:]...); r.upList {
+				r.tell(w)
+			}
 			return
 		}
 	}
--- a/internal/emulator/virtual/node.go
+++ b/internal/emulator/virtual/node.go
@@ -393,7 +393,9 @@
 
 // full tells that a server that lives had no room for a connection: idle ones are given back sooner.
 func (n *node) full() {
-	n.kept.Full(n.r.now)
+	if !n.kept.Full(n.r.now) {
+		return
+	}
 	for server := range n.r.world.Servers {
 		for _, one := range n.links[server] {
 			n.tend(server, one)
--- a/internal/keeping/keeping.go
+++ b/internal/keeping/keeping.go
@@ -34,10 +34,12 @@
 }
 
 // Full tells that a cache had no room for a connection, though it lives: another connection to it is up. It tells nothing
-// of a cache that refuses while it is down.
-func (s *Span) Full(now policy.Instant) {
+// of a cache that refuses while it is down. It tells whether the span is shorter for it.
+func (s *Span) Full(now policy.Instant) bool {
 	s.fade(now)
-	s.times = min(s.times*shrink, max(1, float64(s.stated)/float64(least)))
+	before := s.times
+	s.times, s.at = min(s.times*shrink, max(1, float64(s.stated)/float64(least))), now
+	return s.times > before
 }
 
 // Now is the span as it is.
--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -219,7 +219,7 @@
 // refused looks at a new link that a server did not take. If others to it are up, it lives and is full: idle links are given back
 // sooner then, to all. Guards against nodes that keep a connection for a leg in some seconds while others dial in vain.
 func (r *Relay) refused(l *link) {
-	if l.cache == nil || r.caches[l.cache.id] != l.cache {
+	if l.proven || l.cache == nil || r.caches[l.cache.id] != l.cache { // an old link ends for many reasons
 		return
 	}
 	up := false
@@ -227,8 +227,9 @@
 	if !up {
 		return
 	}
-	r.kept.Full(r.now())
-	r.count.Full++
+	if r.count.Full++; !r.kept.Full(r.now()) {
+		return
+	}
 	r.links.Each(func(id linkID, o *link) {
 		if o.cache != nil && o.does == nothing && o.wire != nil {
 			o.idleAt = o.usedAt.Add(r.idleTime())
@@ -354,7 +355,7 @@
 		r.refused(l)
 		r.lose(l, policy.Unconnected)
 	default:
-		if !orderly && !l.proven && l.does != nothing && r.now().Since(l.usedAt) < r.connectTime() {
+		if !orderly && l.does != nothing && r.now().Since(l.usedAt) < r.connectTime() {
 			r.refused(l) // it came up only to be reset: so a full table shows where the kernel accepts for it
 		}
 		r.lose(l, policy.Broken)
--- a/internal/net/relay/discovery.go
+++ b/internal/net/relay/discovery.go
@@ -108,19 +108,14 @@
 		return
 	}
 	news, err := r.list.parser.ParseBytes(a.Body)
-	held, any := r.list.caller.Since()
-	whole := err == nil && (news.GetBool("reset") || !any)
 	// guards against half a list that reads as one without caches
-	if err != nil || news.Type() != fastjson.TypeObject || whole && (!isList(news.Get("instances")) || !news.Exists("generation")) {
+	if err != nil || !news.Exists("generation") || !isList(news.Get("instances")) {
 		r.list.failed = discovery.Unreadable
 		r.lose(l, policy.Broken)
 		return
 	}
 	r.count.Lists++
-	if v := news.Get("generation"); v != nil {
-		held = v.GetInt()
-	}
-	form, again := r.list.caller.Heard(held, whole)
+	form, again := r.list.caller.Heard(news.GetInt("generation"), news.GetBool("reset"))
 	if again {
 		r.Log.Info("the list is had again")
 	}
@@ -177,7 +172,7 @@
 	if odd > 0 && !r.list.odd { // each list has them from now on, and a line for each would bury the log
 		r.Log.WithField("entries", odd).Warn("the list has entries that cannot be read; caches that it does not name stay")
 	}
-	if r.list.odd = odd > 0; odd > 0 { // an entry that cannot be read may be that of any cache which is not named
+	if r.list.odd = odd > 0; odd > 0 && form == policy.Whole { // an entry that cannot be read may be that of any cache which is not named
 		form = policy.Changes
 	}
 	for id, c := range r.caches {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -526,7 +526,7 @@
 	// a last leg after a full one goes where the value surely is: a third cache may be full, or lack it
 	pressure := max(p.short, strainWeight*p.strain)
 	sure := p.origin != nil && p.free(now) > 0 && p.chance.Next() >= strainWeight*pressure && len(r.Legs) > 0 &&
-		len(r.Legs) == p.rules.MostLegs-1 && r.Legs[len(r.Legs)-1].Result == TurnedAway
+		len(r.Legs) == p.rules.MostLegs-1 && r.Legs[len(r.Legs)-1].Result == TurnedAway && g.Effect == Redoable
 	if p.rules.Aside && (r.Write || sure || slices.ContainsFunc(r.Legs, missed)) {
 		kept := p.caches[r.memo.keptAt]
 		if r.memo.keptAt = ""; kept != nil && p.lawful(now, r, kept) {
