Faces: what clients say is read, and answered, behind one interface

A face reads what a client asks (a retrieval in no protocol's words, readiness, counters, or what can't be served) and writes every answer; a carrier now tells the value or receipt and how the leg went, nothing of clients. metaFace is the first face. No decision changed.

--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -140,7 +140,7 @@
 // write hands a leg to the kernel. Only if that fails is it sure that its last byte never was.
 func (r *Relay) write(l *link, v *retrieval, n int) {
 	wait := max(1, int64(v.legs[n].giveUpAt.Since(r.now())/time.Millisecond))
-	if l.wire.Write(l.cache.carrier.ask(&v.command, l.cache.addr, wait)) != nil {
+	if l.wire.Write(l.cache.carrier.ask(&v.call, l.cache.addr, wait)) != nil {
 		r.lose(l, policy.Unconnected)
 	}
 }
@@ -177,6 +177,7 @@
 func (r *Relay) end(v *retrieval, n int, how policy.Result, report []float64) {
 	l := &v.legs[n]
 	l.out = false
+	v.late = how == policy.TimedOut
 	r.count.Ended[how]++
 	o := policy.Outcome{Leg: n, Took: r.now().Since(l.sent), Report: report}
 	r.later = append(r.later, func() {
@@ -194,7 +195,7 @@
 	}
 	if v.answered && r.hand.Get(v.id) != nil {
 		r.hand.Drop(v.id)
-		delete(r.taken, string(v.command.ID))
+		delete(r.taken, string(v.call.id))
 		r.held -= v.bytes
 	}
 }
@@ -394,7 +395,7 @@
 
 // legData reads a server's answer to a leg.
 func (r *Relay) legData(l *link, v *retrieval) {
-	came, size, wants := l.cache.carrier.reply(l.buf.Unused(), &v.command, l.ended)
+	came, size, wants := l.cache.carrier.reply(l.buf.Unused(), &v.call, l.ended)
 	if size == 0 && came.how != spoilt {
 		l.buf.Expect(wants)
 		return
@@ -413,6 +414,14 @@
 		r.lose(l, policy.Errored)
 		return
 	}
+	var out, long []byte
+	serves := came.how == policy.Answered && !v.answered
+	switch { // before its bytes are passed over
+	case serves && v.call.write:
+		out = v.face.receipt(&v.call, came.said)
+	case serves:
+		out, long = v.face.value(&v.call, came.said)
+	}
 	report := r.report(came.load)
 	l.buf.Use(size)
 	n := l.leg.leg
@@ -422,9 +431,9 @@
 	} else {
 		r.rest(l)
 	}
-	if came.how == policy.Answered && !v.answered {
+	if serves {
 		r.count.Satisfied++
-		r.answer(v, came.out, came.long)
+		r.answer(v, out, long)
 	}
 	r.end(v, n, came.how, report)
 }
--- a/internal/net/relay/carriers.go
+++ b/internal/net/relay/carriers.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 
-	"dahliapin/internal/net/buffer"
 	"dahliapin/internal/net/http1"
 	"dahliapin/internal/net/meta"
 	"dahliapin/policy"
@@ -13,10 +12,10 @@
 // keeps nothing and knows no link: the same serves all legs.
 type carrier interface {
 	// ask writes a leg that the node waits for so long.
-	ask(c *meta.Command, host string, waitMs int64) []byte
+	ask(c *call, host string, waitMs int64) []byte
 	// reply reads the answer. A size of 0 without a fault asks for more bytes, of which wants says how many in all, where
 	// that is known; ended says that no more will come.
-	reply(b []byte, c *meta.Command, ended bool) (r reply, size, wants int)
+	reply(b []byte, c *call, ended bool) (r reply, size, wants int)
 	// probe asks whether the server is up, and up reads what it says to that.
 	probe(host string) []byte
 	up(b []byte, ended bool) (is bool, size int, err error)
@@ -24,34 +23,34 @@
 
 // reply is what an answer means for its leg.
 type reply struct {
-	how       policy.Result // spoilt where it can't be read, or answers something else
-	out, long []byte        // for the client: the answer, and a value that follows it uncopied
-	load      []byte        // the server's report
-	last      bool          // its connection ends with it
+	how  policy.Result // spoilt where it can't be read, or answers something else
+	said []byte        // the value, or a write's receipt
+	load []byte        // the server's report
+	last bool          // its connection ends with it
 }
 
 // metaCarrier speaks the meta commands to caches.
 type metaCarrier struct{}
 
-func (metaCarrier) ask(c *meta.Command, _ string, waitMs int64) []byte {
-	return meta.AppendCommand(nil, c, waitMs)
+func (metaCarrier) ask(c *call, _ string, waitMs int64) []byte {
+	verb := meta.Get
+	if c.write {
+		verb = meta.Set
+	}
+	return meta.AppendCommand(nil, &meta.Command{Verb: verb, Key: c.key, Flags: c.flags, Value: c.value}, waitMs)
 }
 
-func (metaCarrier) reply(b []byte, c *meta.Command, _ bool) (r reply, size, wants int) {
+func (metaCarrier) reply(b []byte, c *call, _ bool) (r reply, size, wants int) {
 	a, size, err := meta.ReadAnswer(b)
 	if err == nil && size == 0 {
 		return r, 0, a.Wants
 	}
-	set := c.Verb == meta.Set
-	ours := bytes.Equal(a.ID, c.ID)
-	r = reply{how: spoilt, load: a.Load}
+	ours := bytes.Equal(a.ID, c.id)
+	r = reply{how: spoilt, said: a.Value, load: a.Load}
 	switch {
 	case err != nil:
-	case a.Said == meta.Value && ours && !set:
+	case ours && (a.Said == meta.Value && !c.write || a.Said == meta.Done && c.write):
 		r.how = policy.Answered
-		r.out, r.long = valueFor(a.ID, a.Value)
-	case a.Said == meta.Done && ours && set:
-		r.how, r.out = policy.Answered, meta.AppendDone(nil, a.ID, a.Value)
 	case a.Said == meta.Miss && ours:
 		r.how = policy.Missed
 	case a.Said == meta.Failed:
@@ -74,34 +73,33 @@
 
 const originHealth = "/health/live" // the origin's page for probes
 
-func (originCarrier) ask(c *meta.Command, host string, waitMs int64) []byte {
-	headers := append([]byte("X-Call-Id: "), c.ID...)
+func (originCarrier) ask(c *call, host string, waitMs int64) []byte {
+	headers := append([]byte("X-Call-Id: "), c.id...)
 	headers = append(headers, "\r\nX-Call-Info: "...)
-	items, _ := meta.Flag(c.Flags, 'P')
+	items, _ := meta.Flag(c.flags, 'P')
 	headers = append(meta.AppendItems(headers, items, waitMs), "\r\n"...)
 	method := "GET"
-	if c.Verb == meta.Set {
+	if c.write {
 		method = "PUT"
 	}
-	return http1.AppendRequest(nil, method, http1.AppendPath(nil, c.Key), host, headers, c.Value)
+	return http1.AppendRequest(nil, method, http1.AppendPath(nil, c.key), host, headers, c.value)
 }
 
-func (originCarrier) reply(b []byte, c *meta.Command, ended bool) (r reply, size, wants int) {
+func (originCarrier) reply(b []byte, c *call, ended bool) (r reply, size, wants int) {
 	a, size, err := http1.ReadAnswer(b, meta.MaxValue, ended)
 	if err == nil && size == 0 {
 		return r, 0, a.Wants
 	}
-	r = reply{how: policy.Errored, load: a.Header("X-Load-Report"), last: a.Last}
+	r = reply{how: policy.Errored, said: a.Body, load: a.Header("X-Load-Report"), last: a.Last}
 	named := a.Header("X-Call-Id")
 	switch {
-	case err != nil, named != nil && !bytes.Equal(named, c.ID):
+	case err != nil, named != nil && !bytes.Equal(named, c.id):
 		r.how = spoilt
-	case a.Status == 200 && c.Verb == meta.Get:
+	case a.Status == 200 && !c.write:
 		r.how = policy.Answered
-		r.out, r.long = valueFor(c.ID, a.Body)
 	case a.Status == 200:
-		if r.how = spoilt; meta.Plain(bytes.TrimSpace(a.Body)) {
-			r.how, r.out = policy.Answered, meta.AppendDone(nil, c.ID, bytes.TrimSpace(a.Body))
+		if r.how, r.said = spoilt, bytes.TrimSpace(a.Body); meta.Plain(r.said) {
+			r.how = policy.Answered
 		}
 	case string(a.Header("X-Rejected")) == "1":
 		r.how = policy.TurnedAway
@@ -117,12 +115,3 @@
 	a, size, err := http1.ReadAnswer(b, meta.MaxValue, ended)
 	return a.Status == 200, size, err
 }
-
-// valueFor writes the answer that serves a value. A long one is not copied: it is its buffer's whole use, and its own
-// once it is used.
-func valueFor(id, value []byte) (out, long []byte) {
-	if len(value) <= buffer.Keep {
-		return meta.AppendValue(nil, id, value), nil
-	}
-	return meta.AppendHead(nil, id, len(value)), value
-}
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -3,22 +3,13 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"time"
 
 	"dahliapin/internal/net/buffer"
-	"dahliapin/internal/net/meta"
 	"dahliapin/internal/net/sockets"
 	"dahliapin/policy"
 )
 
-const (
-	noMemory = "SERVER_ERROR out of memory\r\n"
-	tooMany  = "SERVER_ERROR too many commands at once\r\n"
-	tooLate  = "CLIENT_ERROR command not whole in time\r\n"
-	sameID   = "CLIENT_ERROR id in use\r\n"
-)
-
 const (
 	mostTurns  = 256                    // commands in hand on one connection; more are dismissed
 	mostSaid   = 4 * mostTurns          // answers that may wait on one for those before them; more end it
@@ -39,6 +30,7 @@
 type client struct {
 	id      clientID
 	wire    *sockets.Wire
+	face    face
 	buf     buffer.Buffer
 	turns   []turn // one for each command not yet answered, in their order
 	first   uint64 // the number of the first turn
@@ -54,7 +46,7 @@
 	hand handID // 0 for what is no retrieval
 	done bool
 	out  []byte
-	long []byte // a value that follows it uncopied, with its end still to be written
+	long []byte // a value that follows it uncopied, with what ends values still to be written
 }
 
 func (t *turn) bytes() int { return len(t.out) + len(t.long) }
@@ -68,14 +60,16 @@
 	id       handID
 	client   clientID
 	turn     uint64
-	command  meta.Command // its parts lie in a copy
-	answered bool         // or nobody waits any more
+	face     face
+	call     call // its parts lie in a copy
+	answered bool // or nobody waits any more
+	late     bool // its last leg to end had not answered in time
 	bytes    int
 	legs     []leg
 }
 
 func (r *Relay) opened(ev *sockets.Event) {
-	c := &client{wire: ev.Wire, usedAt: r.at(ev.At), since: r.at(ev.At)}
+	c := &client{wire: ev.Wire, face: metaFace{}, usedAt: r.at(ev.At), since: r.at(ev.At)}
 	c.id = r.clients.Add(c)
 	c.wire.Tag = uint64(c.id)
 	r.count.Clients++
@@ -105,26 +99,27 @@
 		began = c.since
 	}
 	for !c.closing {
-		command, size, fault := meta.ReadCommand(c.buf.Unused())
-		if size == 0 && fault == nil {
+		a := &r.asked
+		size := c.face.read(c.buf.Unused(), a)
+		if size == 0 && a.wish != unserved {
 			break
 		}
-		switch {
-		case fault != nil:
+		switch a.wish {
+		case unserved:
 			r.count.Malformed++
-			c.closing = fault.Close
-			r.say(c, []byte(fault.Answer))
-		case command.Verb == meta.Ready:
-			r.say(c, r.readiness())
-		case command.Verb == meta.Stats:
-			r.say(c, r.stats())
+			c.closing = a.closes
+			r.say(c, a.answer)
+		case readiness:
+			r.say(c, c.face.ready(r.phase))
+		case counts:
+			r.say(c, c.face.counts(&r.count))
 		default:
-			r.take(c, &command, at)
+			r.take(c, &a.call, at)
 		}
 		c.buf.Use(size)
 		began = at
 		if len(c.turns) >= mostSaid { // else one retrieval that takes long would let anything pile up behind it
-			r.say(c, []byte(tooMany))
+			r.say(c, c.face.refused(tooMany))
 			c.closing = true
 		}
 	}
@@ -135,7 +130,7 @@
 	}
 	if c.partial > 0 && int64(r.partial) > r.Memory/sharePart {
 		r.count.Crowded++
-		r.say(c, []byte(noMemory))
+		r.say(c, c.face.refused(noMemory))
 		c.closing = true
 	}
 	r.flush(c)
@@ -153,7 +148,7 @@
 		case c.closing:
 		case late && c.partial > 0:
 			r.count.Overdue++
-			r.say(c, []byte(tooLate))
+			r.say(c, c.face.refused(tooLate))
 			c.closing = true
 			r.flush(c)
 		case late && c.idle():
@@ -187,72 +182,51 @@
 	c.turns = append(c.turns, turn{done: true, out: out})
 }
 
-func (r *Relay) readiness() []byte {
-	if r.phase == Serving {
-		return []byte("MN\r\n")
-	}
-	return []byte("SERVER_ERROR " + r.phase.String() + "\r\n")
-}
-
-func (r *Relay) stats() (out []byte) {
-	r.count.Each(func(name string, n uint64) {
-		out = strconv.AppendUint(append(append(append(out, "STAT "...), name...), ' '), n, 10)
-		out = append(out, "\r\n"...)
-	})
-	return append(out, "END\r\n"...)
-}
-
 // take takes a retrieval in hand. One whose hard stop or grade can't be told is malformed, and so is one with the id
 // of another in hand: caches could not tell the two apart.
-func (r *Relay) take(c *client, command *meta.Command, at policy.Instant) {
-	items, _ := meta.Flag(command.Flags, 'P')
-	said, _ := meta.Item(items, "d")
-	wait, isNumber := meta.Decimal(said)
-	name, _ := meta.Item(items, "c")
-	grade := r.Terms.Names.Grade(name)
-	if !isNumber || wait == 0 || grade < 0 {
+func (r *Relay) take(c *client, asked *call, at policy.Instant) {
+	grade := r.Terms.Names.Grade(asked.grade)
+	if asked.wait <= 0 || grade < 0 {
 		r.count.Malformed++
-		r.say(c, []byte(meta.BadLine))
+		r.say(c, c.face.refused(badCall))
 		return
 	}
-	if r.taken[string(command.ID)] {
+	if r.taken[string(asked.id)] {
 		r.count.Malformed++
-		r.say(c, []byte(sameID))
+		r.say(c, c.face.refused(sameID))
 		return
 	}
 	r.count.Retrievals++
-	stop := at.Add(time.Duration(min(wait*float64(time.Millisecond), float64(mostWait))))
+	stop := at.Add(min(asked.wait, mostWait))
 	outlasts := r.phase == Draining && stop > r.endBy()
 	if len(c.turns) >= mostTurns || r.phase == Starting || outlasts || c.excess && r.tooManyClients() ||
 		int64(r.held)+r.eng.Unsent() > r.Memory/shareHeld {
 		r.count.Crowded++
 		r.count.Dismissed++
-		r.say(c, meta.AppendBusy(nil, 0))
+		r.say(c, c.face.dismissed(asked, 0))
 		return
 	}
 	c.excess = false
-	v := &retrieval{client: c.id, turn: c.first + uint64(len(c.turns))}
-	v.command, v.bytes = copyOf(command)
+	v := &retrieval{client: c.id, turn: c.first + uint64(len(c.turns)), face: c.face}
+	v.call, v.bytes = copyOf(asked)
 	r.held += v.bytes
 	v.id = r.hand.Add(v)
-	r.taken[string(v.command.ID)] = true
+	r.taken[string(v.call.id)] = true
 	c.turns = append(c.turns, turn{hand: v.id})
-	league, _ := meta.Item(items, "t")
-	r.host.Arrived(r.now(), &policy.Retrieval{ID: token(v.id), Key: string(command.Key),
-		Grade: grade, League: r.Terms.Names.League(league),
-		Write: command.Verb == meta.Set, Arrived: at, HardStop: stop})
+	r.host.Arrived(r.now(), &policy.Retrieval{ID: token(v.id), Key: string(asked.key),
+		Grade: grade, League: r.Terms.Names.League(asked.league),
+		Write: asked.write, Arrived: at, HardStop: stop})
 }
 
-// copyOf keeps a command beyond the buffer that it was read from.
-func copyOf(c *meta.Command) (whole meta.Command, size int) {
-	size = len(c.Key) + len(c.Flags) + len(c.ID) + len(c.Value)
+// copyOf keeps a call beyond the buffer that it was read from, but for what it is no longer needed for.
+func copyOf(c *call) (whole call, size int) {
+	size = len(c.key) + len(c.flags) + len(c.id) + len(c.value)
 	b := make([]byte, 0, size)
 	keep := func(p []byte) []byte {
 		b = append(b, p...)
 		return b[len(b)-len(p):]
 	}
-	return meta.Command{Verb: c.Verb, Key: keep(c.Key), Flags: keep(c.Flags), ID: keep(c.ID),
-		Value: keep(c.Value)}, size
+	return call{key: keep(c.key), flags: keep(c.flags), id: keep(c.id), value: keep(c.value), write: c.write}, size
 }
 
 // answer gives a retrieval its one final answer.
@@ -287,7 +261,7 @@
 		}
 		if t.long != nil {
 			pieces = append(pieces, out, t.long)
-			out = []byte(meta.End)
+			out = []byte(c.face.end())
 		}
 	}
 	if n > 0 {
@@ -371,7 +345,7 @@
 func (r *Relay) Dismiss(id policy.RetrievalID, comeBack time.Duration) {
 	if v := r.hand.Get(slotOf(id)); v != nil && !v.answered {
 		r.count.Dismissed++
-		r.answer(v, meta.AppendBusy(nil, int64((comeBack+time.Millisecond-1)/time.Millisecond)), nil)
+		r.answer(v, v.face.dismissed(&v.call, comeBack), nil)
 		r.release(v)
 	}
 }
@@ -380,7 +354,7 @@
 func (r *Relay) Scrap(id policy.RetrievalID) {
 	if v := r.hand.Get(slotOf(id)); v != nil && !v.answered {
 		r.count.Scrapped++
-		r.answer(v, meta.AppendFailed(nil), nil)
+		r.answer(v, v.face.scrapped(&v.call, v.late), nil)
 		r.release(v)
 	}
 }
--- /dev/null
+++ b/internal/net/relay/faces.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"strconv"
+	"time"
+
+	"dahliapin/internal/net/buffer"
+	"dahliapin/internal/net/counters"
+	"dahliapin/internal/net/meta"
+)
+
+// face turns the bytes of a client into what it asks, and answers into bytes for it. It keeps nothing and knows no
+// client: the same serves all whose protocol it speaks.
+type face interface {
+	// read reads what a client asks first. A size of 0 asks for more bytes, unless it can't be served.
+	read(b []byte, a *asked) (size int)
+	// value writes the answer that serves a value. A long one is not copied: it follows, and then what ends values.
+	value(c *call, value []byte) (out, long []byte)
+	end() string
+	receipt(c *call, receipt []byte) []byte
+	dismissed(c *call, comeBack time.Duration) []byte
+	// scrapped also says whether what was asked has not answered, or answered amiss.
+	scrapped(c *call, late bool) []byte
+	refused(why refusal) []byte
+	ready(p Phase) []byte
+	counts(c *counters.Counters) []byte
+}
+
+// wish is what a client wants of a node.
+type wish int
+
+const (
+	more      wish = iota // it has not said yet
+	retrieve              // a retrieval
+	readiness             // whether retrievals are served
+	counts                // the counters
+	unserved              // what can't be served, with its answer
+)
+
+// asked is what a client says.
+type asked struct {
+	wish
+	call
+	answer []byte // to what can't be served
+	closes bool   // what follows can't be told apart
+}
+
+// call is a retrieval as its client puts it.
+type call struct {
+	id, key, value []byte
+	flags          []byte // what goes along to the servers, as meta commands write it
+	grade, league  []byte
+	write          bool
+	wait           time.Duration // until its hard stop
+}
+
+// refusal is why something is answered that was not taken in hand.
+type refusal int
+
+const (
+	noMemory refusal = iota
+	tooMany
+	tooLate
+	sameID
+	badCall
+)
+
+// metaFace speaks the meta commands.
+type metaFace struct{}
+
+var metaRefusals = [...]string{noMemory: "SERVER_ERROR out of memory\r\n", tooMany: "SERVER_ERROR too many commands at once\r\n",
+	tooLate: "CLIENT_ERROR command not whole in time\r\n", sameID: "CLIENT_ERROR id in use\r\n", badCall: meta.BadLine}
+
+func (metaFace) read(b []byte, a *asked) (size int) {
+	command, size, fault := meta.ReadCommand(b)
+	*a = asked{}
+	switch {
+	case fault != nil:
+		a.wish, a.answer, a.closes = unserved, []byte(fault.Answer), fault.Close
+		return size
+	case size == 0:
+		return 0
+	case command.Verb == meta.Ready:
+		a.wish = readiness
+		return size
+	case command.Verb == meta.Stats:
+		a.wish = counts
+		return size
+	}
+	a.wish = retrieve
+	a.call = call{id: command.ID, key: command.Key, value: command.Value, flags: command.Flags, write: command.Verb == meta.Set}
+	items, _ := meta.Flag(command.Flags, 'P')
+	said, _ := meta.Item(items, "d")
+	if ms, ok := meta.Decimal(said); ok && ms > 0 {
+		a.wait = max(1, time.Duration(min(ms*float64(time.Millisecond), float64(mostWait))))
+	}
+	a.grade, _ = meta.Item(items, "c")
+	a.league, _ = meta.Item(items, "t")
+	return size
+}
+
+func (metaFace) value(c *call, value []byte) (out, long []byte) {
+	if len(value) <= buffer.Keep {
+		return meta.AppendValue(nil, c.id, value), nil
+	}
+	return meta.AppendHead(nil, c.id, len(value)), value // its buffer's whole use, and its own once it is used
+}
+
+func (metaFace) end() string { return meta.End }
+
+func (metaFace) receipt(c *call, receipt []byte) []byte { return meta.AppendDone(nil, c.id, receipt) }
+
+func (metaFace) dismissed(_ *call, comeBack time.Duration) []byte {
+	return meta.AppendBusy(nil, int64((comeBack+time.Millisecond-1)/time.Millisecond))
+}
+
+func (metaFace) scrapped(*call, bool) []byte { return meta.AppendFailed(nil) }
+
+func (metaFace) refused(why refusal) []byte { return []byte(metaRefusals[why]) }
+
+func (metaFace) ready(p Phase) []byte {
+	if p == Serving {
+		return []byte("MN\r\n")
+	}
+	return []byte("SERVER_ERROR " + p.String() + "\r\n")
+}
+
+func (metaFace) counts(c *counters.Counters) (out []byte) {
+	c.Each(func(name string, n uint64) {
+		out = strconv.AppendUint(append(append(append(out, "STAT "...), name...), ' '), n, 10)
+		out = append(out, "\r\n"...)
+	})
+	return append(out, "END\r\n"...)
+}
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -1,6 +1,7 @@
 // Package relay is a node on sockets: one loop that holds all state and drives a host, as the adapter does on the
-// simulator's wire. It decides nothing about retrievals. The loop and its clock are in this file; clients.go
-// faces the clients, caches.go the servers, carriers.go speaks to them, and discovery.go follows the list.
+// simulator's wire. It decides nothing about retrievals, and knows no protocol of clients or servers. The loop and its clock
+// are in this file; clients.go keeps the clients and faces.go speaks to them, caches.go keeps the servers and carriers.go
+// speaks to them, and discovery.go follows the list.
 package relay
 
 import (
@@ -82,6 +83,7 @@
 	links    slots.Table[linkID, link]
 	hand     slots.Table[handID, retrieval]
 	taken    map[string]bool // the clients' ids of those in hand
+	asked    asked           // what was read last
 	caches   map[policy.CacheID]*cache
 	list     listing
 	kept     keeping.Span
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -399,7 +399,7 @@
 	_, silent := g.client()
 	half, told := g.client()
 	fmt.Fprint(half, "ms k 5 Ob Pc=put,d=9000\r\nhe")
-	g.expect(told, strings.TrimSpace(tooLate))
+	g.expect(told, strings.TrimSpace(metaRefusals[tooLate]))
 	for _, r := range []*bufio.Reader{told, silent} {
 		if _, err := r.ReadByte(); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
 			t.Errorf("not closed: %v", err)
@@ -453,7 +453,7 @@
 	close(hold)
 	g.expect(r, "VA 5 Oa", "hello")
 	rest, _ := io.ReadAll(r)
-	if n := strings.Count(string(rest), "MN"); n != mostSaid-1 || !strings.HasSuffix(string(rest), tooMany) {
+	if n := strings.Count(string(rest), "MN"); n != mostSaid-1 || !strings.HasSuffix(string(rest), metaRefusals[tooMany]) {
 		t.Errorf("%d answers, then %q", n, rest[max(0, len(rest)-50):])
 	}
 }
