The strict reader of TOML files is a package of its own

A second kind of file that operators write (further listeners) needs what scripts have: unknown fields and wrong values told with their line.

--- a/internal/emulator/script/script.go
+++ b/internal/emulator/script/script.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
 	"math"
 	"os"
@@ -13,11 +12,9 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-	"github.com/pelletier/go-toml/v2/unstable"
-
 	"dahliapin/internal/emulator/world"
 	"dahliapin/internal/keyhash"
+	"dahliapin/internal/strictly"
 	"dahliapin/policy"
 )
 
@@ -204,20 +201,6 @@
 	}
 }
 
-// Fault is what is wrong with a script, and where.
-type Fault struct {
-	File   string
-	Line   int // 0 where it is the whole that is wrong
-	Reason string
-}
-
-func (f Fault) Error() string {
-	if f.Line == 0 {
-		return f.File + ": " + f.Reason
-	}
-	return fmt.Sprintf("%s:%d: %s", f.File, f.Line, f.Reason)
-}
-
 // Read reads a script from a file.
 func Read(path string) (*Script, error) {
 	text, err := os.ReadFile(path)
@@ -230,25 +213,13 @@
 // Parse reads a script. What is wrong with it is told with its line.
 func Parse(file string, text []byte) (*Script, error) {
 	s := usual()
-	decoder := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields()
-	if err := decoder.Decode(&s); err != nil {
-		var unknown *toml.StrictMissingError
-		var bad *toml.DecodeError
-		switch {
-		case errors.As(err, &unknown) && len(unknown.Errors) > 0:
-			first := unknown.Errors[0]
-			row, _ := first.Position()
-			return nil, Fault{file, row, "no such field: " + strings.Join(first.Key(), ".")}
-		case errors.As(err, &bad):
-			row, _ := bad.Position()
-			return nil, Fault{file, row, strings.TrimPrefix(bad.Error(), "toml: ")}
-		}
-		return nil, Fault{file, 0, err.Error()}
+	c, err := strictly.Parse(file, text, &s)
+	if err != nil {
+		return nil, err
 	}
-	c := &checker{file: file, lines: linesOf(text)}
 	s.check(c)
-	if c.first != nil {
-		return nil, *c.first
+	if err := c.Err(); err != nil {
+		return nil, err
 	}
 	if s.Name == "" {
 		s.Name = strings.TrimSuffix(file[strings.LastIndexByte(file, '/')+1:], ".toml")
@@ -256,147 +227,89 @@
 	return &s, nil
 }
 
-// linesOf finds the line of each field by its path; a table of an array has its number in it, from 0.
-func linesOf(text []byte) map[string]int {
-	lines, p, prefix, tables := map[string]int{}, unstable.Parser{}, "", map[string]int{}
-	p.Reset(text)
-	for p.NextExpression() {
-		e := p.Expression()
-		var parts []string
-		line := 0
-		for k := e.Key(); k.Next(); {
-			parts = append(parts, string(k.Node().Data))
-			if line == 0 {
-				line = p.Shape(k.Node().Raw).Start.Line
-			}
-		}
-		path := strings.Join(parts, ".")
-		switch e.Kind {
-		case unstable.Table:
-			prefix = path + "."
-		case unstable.ArrayTable:
-			prefix = path + "." + strconv.Itoa(tables[path]) + "."
-			tables[path]++
-		case unstable.KeyValue:
-			path = prefix + path
-		}
-		if e.Kind != unstable.KeyValue {
-			path = strings.TrimSuffix(prefix, ".")
-		}
-		lines[path] = line
-	}
-	return lines
-}
-
-type checker struct {
-	file  string
-	lines map[string]int
-	first *Fault
-}
-
-// want notes what is wrong at a path unless it holds; the fault that stands first is kept. A field that is not written
-// has the line of what it belongs to.
-func (c *checker) want(holds bool, path, reason string, args ...any) {
-	if holds {
-		return
-	}
-	line, at := 0, path
-	for line == 0 && at != "" {
-		line = c.lines[at]
-		at = at[:max(0, strings.LastIndexByte(at, '.'))]
-	}
-	if c.first == nil || line < c.first.Line {
-		c.first = &Fault{c.file, line, path + ": " + fmt.Sprintf(reason, args...)}
-	}
-}
-
-func (c *checker) within(x, least, most float64, path string) {
-	c.want(x >= least && x <= most, path, "%v is not from %v to %v", x, least, most)
-}
-
-func (s *Script) check(c *checker) {
-	c.within(s.Seconds, 1, mostSeconds, "seconds")
+func (s *Script) check(c *strictly.Checker) {
+	c.Within(s.Seconds, 1, mostSeconds, "seconds")
 	f := &s.Fleet
-	c.within(float64(f.Nodes), 1, mostNodes, "fleet.nodes")
-	c.within(float64(f.Caches), 1, mostCaches, "fleet.caches")
-	c.within(float64(f.Cores), 1, 1024, "fleet.cores")
-	c.within(float64(f.Queue), 0, 1e6, "fleet.queue")
-	c.within(float64(f.Keys), 1, mostKeys, "fleet.keys")
-	c.within(float64(f.Group), 1, mostCaches, "fleet.group")
-	c.within(float64(f.Connections), 1, 1e6, "fleet.connections")
-	c.within(f.Speed[0], 0.001, 1000, "fleet.speed")
-	c.within(f.Speed[1], f.Speed[0], 1000, "fleet.speed")
-	c.within(f.ColdFrom, 0.01, 1, "fleet.cold_from")
-	c.within(f.ColdS, 0, mostSeconds, "fleet.cold_s")
-	c.within(f.FallMultiple, 0, 1e6, "fleet.fall_multiple")
-	c.within(f.FallS, 0, mostSeconds, "fleet.fall_s")
-	c.within(f.HandshakeMs, 0, 1000, "fleet.handshake_ms")
-	c.within(f.IdleS, 0.1, mostSeconds, "fleet.idle_s")
-	c.want(len(f.Zones) > 0, "fleet.zones", "names no zone")
+	c.Within(float64(f.Nodes), 1, mostNodes, "fleet.nodes")
+	c.Within(float64(f.Caches), 1, mostCaches, "fleet.caches")
+	c.Within(float64(f.Cores), 1, 1024, "fleet.cores")
+	c.Within(float64(f.Queue), 0, 1e6, "fleet.queue")
+	c.Within(float64(f.Keys), 1, mostKeys, "fleet.keys")
+	c.Within(float64(f.Group), 1, mostCaches, "fleet.group")
+	c.Within(float64(f.Connections), 1, 1e6, "fleet.connections")
+	c.Within(f.Speed[0], 0.001, 1000, "fleet.speed")
+	c.Within(f.Speed[1], f.Speed[0], 1000, "fleet.speed")
+	c.Within(f.ColdFrom, 0.01, 1, "fleet.cold_from")
+	c.Within(f.ColdS, 0, mostSeconds, "fleet.cold_s")
+	c.Within(f.FallMultiple, 0, 1e6, "fleet.fall_multiple")
+	c.Within(f.FallS, 0, mostSeconds, "fleet.fall_s")
+	c.Within(f.HandshakeMs, 0, 1000, "fleet.handshake_ms")
+	c.Within(f.IdleS, 0.1, mostSeconds, "fleet.idle_s")
+	c.Want(len(f.Zones) > 0, "fleet.zones", "names no zone")
 	o := &s.Origin
-	c.within(float64(o.Cores), 1, 1024, "origin.cores")
-	c.within(float64(o.Queue), 0, 1e6, "origin.queue")
-	c.within(o.WorkMs, 0.01, 1e5, "origin.work_ms")
-	c.within(float64(o.StallAt), 1, 1e6, "origin.stall_at")
-	c.within(o.Stall, 1, 1000, "origin.stall")
-	c.within(o.FallMultiple, 0, 1e6, "origin.fall_multiple")
-	c.within(o.FallS, 0, mostSeconds, "origin.fall_s")
+	c.Within(float64(o.Cores), 1, 1024, "origin.cores")
+	c.Within(float64(o.Queue), 0, 1e6, "origin.queue")
+	c.Within(o.WorkMs, 0.01, 1e5, "origin.work_ms")
+	c.Within(float64(o.StallAt), 1, 1e6, "origin.stall_at")
+	c.Within(o.Stall, 1, 1000, "origin.stall")
+	c.Within(o.FallMultiple, 0, 1e6, "origin.fall_multiple")
+	c.Within(o.FallS, 0, mostSeconds, "origin.fall_s")
 	for path, ms := range map[string]float64{"network.one_way_ms": s.Network.OneWayMs, "network.cross_zone_ms": s.Network.CrossZoneMs,
 		"network.client_ms": s.Network.ClientMs, "allowed.come_back_ms": s.Allowed.ComeBackMs, "allowed.grace_ms": s.Allowed.GraceMs,
 		"allowed.connect_ms": s.Allowed.ConnectMs} {
-		c.within(ms, 0, 1e5, path)
+		c.Within(ms, 0, 1e5, path)
 	}
-	c.within(s.Network.Jitter, 0, 1, "network.jitter")
-	c.within(s.Discovery.NoticeS[0], 0, mostSeconds, "discovery.notice_s")
-	c.within(s.Discovery.NoticeS[1], s.Discovery.NoticeS[0], mostSeconds, "discovery.notice_s")
+	c.Within(s.Network.Jitter, 0, 1, "network.jitter")
+	c.Within(s.Discovery.NoticeS[0], 0, mostSeconds, "discovery.notice_s")
+	c.Within(s.Discovery.NoticeS[1], s.Discovery.NoticeS[0], mostSeconds, "discovery.notice_s")
 	for path, ms := range map[string]float64{"discovery.watch_ms": s.Discovery.WatchMs, "discovery.whole_ms": s.Discovery.WholeMs,
 		"discovery.backlog_ms": s.Discovery.BacklogMs} {
-		c.within(ms, 0, 1e5, path)
+		c.Within(ms, 0, 1e5, path)
 	}
-	c.want(s.Allowed.Mode == "aside" || s.Allowed.Mode == "through", "allowed.mode", "%q is neither aside nor through", s.Allowed.Mode)
-	c.within(float64(s.Allowed.MostLegs), 1, 100, "allowed.most_legs")
-	c.within(s.Allowed.WastePrice, 0, 100, "allowed.waste_price")
+	c.Want(s.Allowed.Mode == "aside" || s.Allowed.Mode == "through", "allowed.mode", "%q is neither aside nor through", s.Allowed.Mode)
+	c.Within(float64(s.Allowed.MostLegs), 1, 100, "allowed.most_legs")
+	c.Within(s.Allowed.WastePrice, 0, 100, "allowed.waste_price")
 	t := &s.Traffic
-	c.within(t.PerSecond, 0, mostRate, "traffic.per_second")
-	c.within(t.Swing, 0, 1, "traffic.swing")
-	c.within(t.WaveS, 0, mostSeconds, "traffic.wave_s")
-	c.within(float64(t.Keys), 1, mostKeys, "traffic.keys")
-	c.within(t.Zipf, 0, 5, "traffic.zipf")
-	c.within(t.Jitter, 0, 10, "traffic.jitter")
+	c.Within(t.PerSecond, 0, mostRate, "traffic.per_second")
+	c.Within(t.Swing, 0, 1, "traffic.swing")
+	c.Within(t.WaveS, 0, mostSeconds, "traffic.wave_s")
+	c.Within(float64(t.Keys), 1, mostKeys, "traffic.keys")
+	c.Within(t.Zipf, 0, 5, "traffic.zipf")
+	c.Within(t.Jitter, 0, 10, "traffic.jitter")
 	s.checkGrades(c)
 	s.checkEvents(c)
 	s.checkExpect(c)
 }
 
-func (s *Script) checkGrades(c *checker) {
-	c.want(len(s.Grades) > 0, "grade", "no grade is stated, so nothing can be asked")
+func (s *Script) checkGrades(c *strictly.Checker) {
+	c.Want(len(s.Grades) > 0, "grade", "no grade is stated, so nothing can be asked")
 	names, sum := map[string]bool{}, 0.0
 	for i := range s.Grades {
 		g, at := &s.Grades[i], fmt.Sprintf("grade.%d.", i)
 		g.Tries, g.Effect, g.Scope = cmp.Or(g.Tries, 1), cmp.Or(g.Effect, "redoable"), cmp.Or(g.Scope, "all")
-		c.want(g.Name != "" && !strings.ContainsAny(g.Name, " ,=\r\n"), at+"name", "%q is no name", g.Name)
-		c.want(!names[g.Name], at+"name", "%q stands twice", g.Name)
+		c.Want(g.Name != "" && !strings.ContainsAny(g.Name, " ,=\r\n"), at+"name", "%q is no name", g.Name)
+		c.Want(!names[g.Name], at+"name", "%q stands twice", g.Name)
 		names[g.Name] = true
 		_, known := effects[g.Effect]
-		c.want(known, at+"effect", "%q is none of redoable, labelled, irreversible", g.Effect)
+		c.Want(known, at+"effect", "%q is none of redoable, labelled, irreversible", g.Effect)
 		_, known = scopes[g.Scope]
-		c.want(known, at+"scope", "%q is none of all, zone, group", g.Scope)
-		c.within(g.Share, 0, 1e6, at+"share")
-		c.within(g.Benefit, 0, 1e6, at+"benefit")
-		c.within(g.SoftMs, 1, 1e6, at+"soft_ms")
-		c.within(g.HardMs, g.SoftMs, 1e6, at+"hard_ms")
-		c.within(g.WorkMs, 0.01, 1e5, at+"work_ms")
-		c.within(g.WindowS, 0, mostSeconds, at+"window_s")
-		c.within(float64(g.Tries), 1, 20, at+"tries")
-		c.want(g.Effect == "redoable" || g.Write, at+"effect", "a read is redoable")
-		c.want(g.Effect != "labelled" || !g.Write || g.WindowS > 0, at+"window_s", "a labelled grade needs a window")
+		c.Want(known, at+"scope", "%q is none of all, zone, group", g.Scope)
+		c.Within(g.Share, 0, 1e6, at+"share")
+		c.Within(g.Benefit, 0, 1e6, at+"benefit")
+		c.Within(g.SoftMs, 1, 1e6, at+"soft_ms")
+		c.Within(g.HardMs, g.SoftMs, 1e6, at+"hard_ms")
+		c.Within(g.WorkMs, 0.01, 1e5, at+"work_ms")
+		c.Within(g.WindowS, 0, mostSeconds, at+"window_s")
+		c.Within(float64(g.Tries), 1, 20, at+"tries")
+		c.Want(g.Effect == "redoable" || g.Write, at+"effect", "a read is redoable")
+		c.Want(g.Effect != "labelled" || !g.Write || g.WindowS > 0, at+"window_s", "a labelled grade needs a window")
 		sum += g.Share
 	}
-	c.want(len(s.Grades) == 0 || sum > 0, "grade.0", "all shares are 0, so nothing is asked")
+	c.Want(len(s.Grades) == 0 || sum > 0, "grade.0", "all shares are 0, so nothing is asked")
 }
 
-func (s *Script) checkEvents(c *checker) {
-	c.want(len(s.Events) <= mostEvents, "event", "more than %d events", mostEvents)
+func (s *Script) checkEvents(c *strictly.Checker) {
+	c.Want(len(s.Events) <= mostEvents, "event", "more than %d events", mostEvents)
 	added := 0
 	for _, e := range s.Events {
 		if e.Do == "add" {
@@ -406,76 +319,76 @@
 	for i := range s.Events {
 		e, at := &s.Events[i], fmt.Sprintf("event.%d.", i)
 		k, known := kinds[e.Do]
-		c.want(known, at+"do", "%q is nothing that can be done", e.Do)
+		c.Want(known, at+"do", "%q is nothing that can be done", e.Do)
 		if !known {
 			continue
 		}
-		c.within(e.AtS, 0, s.Seconds, at+"at_s")
-		c.within(e.ForS, 0, mostSeconds, at+"for_s")
-		c.within(e.Part, 0, 1, at+"part")
-		c.want(!k.long || e.ForS > 0, at+"for_s", "%s needs how long it lasts", e.Do)
+		c.Within(e.AtS, 0, s.Seconds, at+"at_s")
+		c.Within(e.ForS, 0, mostSeconds, at+"for_s")
+		c.Within(e.Part, 0, 1, at+"part")
+		c.Want(!k.long || e.ForS > 0, at+"for_s", "%s needs how long it lasts", e.Do)
 		ways := 0
 		for _, stated := range []bool{len(e.Caches) > 0, e.Part > 0, e.Zone != ""} {
 			if stated {
 				ways++
 			}
 		}
-		c.want(!k.caches || ways == 1, at+"caches", "%s needs either names of caches, a part of them or a zone", e.Do)
-		c.want(k.caches || len(e.Caches) == 0 && e.Zone == "" && (k.nodes || e.Part == 0), at+"caches", "%s concerns no caches", e.Do)
-		c.want(e.Zone == "" || slices.Contains(s.Fleet.Zones, e.Zone), at+"zone", "there is no zone %q", e.Zone)
-		c.within(e.OverS, 0, mostSeconds, at+"over_s")
-		c.want(e.OverS == 0 || k.caches || k.nodes || e.Do == "add", at+"over_s", "%s happens at once", e.Do)
-		c.want(e.Do != "discovery_slow" || s.Discovery.WatchMs > 0, at+"do", "discovery has no bound, so that it can't be slow")
+		c.Want(!k.caches || ways == 1, at+"caches", "%s needs either names of caches, a part of them or a zone", e.Do)
+		c.Want(k.caches || len(e.Caches) == 0 && e.Zone == "" && (k.nodes || e.Part == 0), at+"caches", "%s concerns no caches", e.Do)
+		c.Want(e.Zone == "" || slices.Contains(s.Fleet.Zones, e.Zone), at+"zone", "there is no zone %q", e.Zone)
+		c.Within(e.OverS, 0, mostSeconds, at+"over_s")
+		c.Want(e.OverS == 0 || k.caches || k.nodes || e.Do == "add", at+"over_s", "%s happens at once", e.Do)
+		c.Want(e.Do != "discovery_slow" || s.Discovery.WatchMs > 0, at+"do", "discovery has no bound, so that it can't be slow")
 		for _, name := range e.Caches {
 			n, err := strconv.Atoi(strings.TrimPrefix(name, "c"))
-			c.want(err == nil && strings.HasPrefix(name, "c") && n >= 1 && n <= s.Fleet.Caches+added, at+"caches", "there is no server %q", name)
+			c.Want(err == nil && strings.HasPrefix(name, "c") && n >= 1 && n <= s.Fleet.Caches+added, at+"caches", "there is no server %q", name)
 		}
-		c.want(!k.nodes || (len(e.Nodes) > 0) != (e.Part > 0), at+"nodes", "%s needs either numbers of nodes or a part of them", e.Do)
+		c.Want(!k.nodes || (len(e.Nodes) > 0) != (e.Part > 0), at+"nodes", "%s needs either numbers of nodes or a part of them", e.Do)
 		for _, n := range e.Nodes {
-			c.want(n >= 1 && n <= s.Fleet.Nodes, at+"nodes", "there is no node %d", n)
+			c.Want(n >= 1 && n <= s.Fleet.Nodes, at+"nodes", "there is no node %d", n)
 		}
 		if k.factor {
-			c.within(e.Factor, 0.01, 1000, at+"factor")
+			c.Within(e.Factor, 0.01, 1000, at+"factor")
 		} else {
-			c.want(e.Factor == 0, at+"factor", "%s takes no factor", e.Do)
+			c.Want(e.Factor == 0, at+"factor", "%s takes no factor", e.Do)
 		}
 		if k.share {
-			c.within(e.Share, 0.001, 1, at+"share")
+			c.Within(e.Share, 0.001, 1, at+"share")
 		} else {
-			c.want(e.Share == 0, at+"share", "%s takes no share", e.Do)
+			c.Want(e.Share == 0, at+"share", "%s takes no share", e.Do)
 		}
-		c.within(float64(e.Rank), 0, float64(s.Traffic.Keys-1), at+"rank")
-		c.within(float64(e.Count), 0, mostCaches, at+"count")
-		c.want(e.Do != "shrink" || e.Count < s.Fleet.Caches, at+"count", "a fleet of %d can't shrink by %d", s.Fleet.Caches, e.Count)
-		c.want(e.Do != "fault" || slices.Contains(faults, e.Fault), at+"fault", "%q is none of %s", e.Fault, strings.Join(faults, ", "))
-		c.want(e.Do == "fault" || e.Fault == "", at+"fault", "%s takes no fault", e.Do)
-		c.want(e.Do != "origin_slow" || s.Allowed.Mode == "aside", at+"do", "there is no origin in through mode")
+		c.Within(float64(e.Rank), 0, float64(s.Traffic.Keys-1), at+"rank")
+		c.Within(float64(e.Count), 0, mostCaches, at+"count")
+		c.Want(e.Do != "shrink" || e.Count < s.Fleet.Caches, at+"count", "a fleet of %d can't shrink by %d", s.Fleet.Caches, e.Count)
+		c.Want(e.Do != "fault" || slices.Contains(faults, e.Fault), at+"fault", "%q is none of %s", e.Fault, strings.Join(faults, ", "))
+		c.Want(e.Do == "fault" || e.Fault == "", at+"fault", "%s takes no fault", e.Do)
+		c.Want(e.Do != "origin_slow" || s.Allowed.Mode == "aside", at+"do", "there is no origin in through mode")
 	}
 }
 
-func (s *Script) checkExpect(c *checker) {
+func (s *Script) checkExpect(c *strictly.Checker) {
 	known := func(grade string) bool {
 		return slices.ContainsFunc(s.Grades, func(g Grade) bool { return g.Name == grade })
 	}
 	for _, name := range sorted(s.Expect.Satisfied) {
-		c.want(known(name), "expect.satisfied", "there is no grade %q", name)
-		c.within(s.Expect.Satisfied[name], 0, 1, "expect.satisfied")
+		c.Want(known(name), "expect.satisfied", "there is no grade %q", name)
+		c.Within(s.Expect.Satisfied[name], 0, 1, "expect.satisfied")
 	}
 	for _, name := range sorted(s.Expect.P99Ms) {
-		c.want(known(name), "expect.p99_ms", "there is no grade %q", name)
-		c.within(s.Expect.P99Ms[name], 0, 1e6, "expect.p99_ms")
+		c.Want(known(name), "expect.p99_ms", "there is no grade %q", name)
+		c.Within(s.Expect.P99Ms[name], 0, 1e6, "expect.p99_ms")
 	}
 	for i, a := range s.Expect.Avoided {
 		at := fmt.Sprintf("expect.avoided.%d.", i)
-		c.want(strings.HasPrefix(a.Server, "c"), at+"server", "there is no server %q", a.Server)
-		c.within(a.ByS, 0, s.Seconds, at+"by_s")
+		c.Want(strings.HasPrefix(a.Server, "c"), at+"server", "there is no server %q", a.Server)
+		c.Within(a.ByS, 0, s.Seconds, at+"by_s")
 	}
-	c.within(s.Expect.OriginMost, 0, 1e6, "expect.origin_most_per_s")
-	c.within(s.Expect.RecoveredBy, 0, s.Seconds, "expect.recovered_by_s")
+	c.Within(s.Expect.OriginMost, 0, 1e6, "expect.origin_most_per_s")
+	c.Within(s.Expect.RecoveredBy, 0, s.Seconds, "expect.recovered_by_s")
 	for _, name := range sorted(s.Expect.MostPerS) {
-		c.want(slices.Contains(Counted, name), "expect.most_per_s", "%q is none of %s", name, strings.Join(Counted, ", "))
+		c.Want(slices.Contains(Counted, name), "expect.most_per_s", "%q is none of %s", name, strings.Join(Counted, ", "))
 	}
-	c.within(s.Expect.Excess, 0, 100, "expect.most_legs_per_retrieval")
+	c.Within(s.Expect.Excess, 0, 100, "expect.most_legs_per_retrieval")
 }
 
 func sorted(m map[string]float64) []string {
--- /dev/null
+++ b/internal/strictly/strictly.go
@@ -0,0 +1,124 @@
+// Package strictly reads the TOML files that operators write. A field that nobody knows, or a value that can't be, is told in one
+// line with the file's line.
+package strictly
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Fault is what is wrong with a file, and where.
+type Fault struct {
+	File   string
+	Line   int // 0 where it is the whole that is wrong
+	Reason string
+}
+
+func (f Fault) Error() string {
+	if f.Line == 0 {
+		return f.File + ": " + f.Reason
+	}
+	return fmt.Sprintf("%s:%d: %s", f.File, f.Line, f.Reason)
+}
+
+// Read reads a file into a struct. The checker then takes what else is wanted of it.
+func Read(path string, into any) (*Checker, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("the file cannot be read: %w", err)
+	}
+	return Parse(path, text, into)
+}
+
+// Parse reads a file's text.
+func Parse(file string, text []byte, into any) (*Checker, error) {
+	err := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields().Decode(into)
+	var unknown *toml.StrictMissingError
+	var bad *toml.DecodeError
+	switch {
+	case errors.As(err, &unknown) && len(unknown.Errors) > 0:
+		first := unknown.Errors[0]
+		row, _ := first.Position()
+		return nil, Fault{file, row, "no such field: " + strings.Join(first.Key(), ".")}
+	case errors.As(err, &bad):
+		row, _ := bad.Position()
+		return nil, Fault{file, row, strings.TrimPrefix(bad.Error(), "toml: ")}
+	case err != nil:
+		return nil, Fault{file, 0, err.Error()}
+	}
+	return &Checker{file: file, lines: linesOf(text)}, nil
+}
+
+// linesOf finds the line of each field by its path; a table of an array has its number in it, from 0.
+func linesOf(text []byte) map[string]int {
+	lines, p, prefix, tables := map[string]int{}, unstable.Parser{}, "", map[string]int{}
+	p.Reset(text)
+	for p.NextExpression() {
+		e := p.Expression()
+		var parts []string
+		line := 0
+		for k := e.Key(); k.Next(); {
+			parts = append(parts, string(k.Node().Data))
+			if line == 0 {
+				line = p.Shape(k.Node().Raw).Start.Line
+			}
+		}
+		path := strings.Join(parts, ".")
+		switch e.Kind {
+		case unstable.Table:
+			prefix = path + "."
+		case unstable.ArrayTable:
+			prefix = path + "." + strconv.Itoa(tables[path]) + "."
+			tables[path]++
+		case unstable.KeyValue:
+			path = prefix + path
+		}
+		if e.Kind != unstable.KeyValue {
+			path = strings.TrimSuffix(prefix, ".")
+		}
+		lines[path] = line
+	}
+	return lines
+}
+
+// Checker looks at what was read.
+type Checker struct {
+	file  string
+	lines map[string]int
+	first *Fault
+}
+
+// Want notes what is wrong at a path unless it holds; the fault that stands first is kept. A field that is not written
+// has the line of what it belongs to.
+func (c *Checker) Want(holds bool, path, reason string, args ...any) {
+	if holds {
+		return
+	}
+	line, at := 0, path
+	for line == 0 && at != "" {
+		line = c.lines[at]
+		at = at[:max(0, strings.LastIndexByte(at, '.'))]
+	}
+	if c.first == nil || line < c.first.Line {
+		c.first = &Fault{c.file, line, path + ": " + fmt.Sprintf(reason, args...)}
+	}
+}
+
+// Within wants a number to be in a range.
+func (c *Checker) Within(x, least, most float64, path string) {
+	c.Want(x >= least && x <= most, path, "%v is not from %v to %v", x, least, most)
+}
+
+// Err is what stands first in the file of all that is wrong, or nil.
+func (c *Checker) Err() error {
+	if c.first == nil {
+		return nil
+	}
+	return *c.first
+}
