HTTP for clients: further listeners with routes to grades, by a face of their own

The HTTP face: keep-alive, answers in order, HEAD, 100-continue once and only for what can be served, malformed shapes refused with a close, grade, tenant and deadline by route or header (what goes along to caches must be known names), 503 with Retry-After, 502 or 504. A labelled write needs an Idempotency-Key; an irreversible POST goes out once, also after 100 or a half-read answer. A draining node says Connection: close with its last answer. Off unless stated: the platform's configuration is untouched.

--- a/cmd/dahliapin/main.go
+++ b/cmd/dahliapin/main.go
@@ -20,17 +20,18 @@
 var version = "0.1.0"
 
 func main() {
-	var config, record string
+	var config, record, operator string
 	root := &cobra.Command{Use: "dahliapin", Short: "A router for fleets of cache servers", SilenceUsage: true,
 		SilenceErrors: true}
 	root.PersistentFlags().StringVar(&config, "config", os.Getenv("RELAY_CONFIG"), "the configuration's file")
+	root.PersistentFlags().StringVar(&operator, "operator", "", "file of further listeners")
 	server := &cobra.Command{Use: "serve", Short: "Run one node until SIGTERM; SIGHUP reads its configuration again", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return serve(config, record) }}
+		RunE: func(*cobra.Command, []string) error { return serve(config, record, operator) }}
 	server.Flags().StringVar(&record, "records", "", "file to which records of what is done to caches are added, as JSON lines")
 	root.AddCommand(server,
 		&cobra.Command{Use: "check", Short: "Say whether a configuration can be used", Args: cobra.NoArgs,
 			RunE: func(c *cobra.Command, _ []string) error {
-				p, err := node.ReadPosting(config)
+				p, err := posting(config, operator)
 				if err == nil {
 					fmt.Fprintf(c.OutOrStdout(), "%s: can be used; listens on %s\n", p.Name, p.Listen)
 				}
@@ -53,6 +54,15 @@
 	return ""
 }
 
+// posting reads a configuration, and what an operator adds to it.
+func posting(config, operator string) (*node.Posting, error) {
+	p, err := node.ReadPosting(config)
+	if err == nil && operator != "" {
+		err = p.Open(operator)
+	}
+	return p, err
+}
+
 // reload reads the configuration again; one that can't be used changes nothing.
 func reload(n *node.Node, config string) {
 	p, err := node.ReadPosting(config)
@@ -84,8 +94,8 @@
 	return nil
 }
 
-func serve(config, record string) error {
-	p, err := node.ReadPosting(config)
+func serve(config, record, operator string) error {
+	p, err := posting(config, operator)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/fronts/fronts.go
@@ -0,0 +1,129 @@
+// Package fronts reads what an operator states of further listeners: the protocol spoken there, and for HTTP which
+// requests are retrievals of which service grade.
+package fronts
+
+import (
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+
+	"dahliapin/internal/houserules"
+	"dahliapin/internal/strictly"
+)
+
+// The protocols that a front may speak.
+const (
+	Meta = "meta"
+	HTTP = "http"
+)
+
+const (
+	most       = 16  // fronts: a protocol or two, on a few addresses
+	mostRoutes = 256 // of one front; each request looks at all of them
+	mostMs     = 6e5 // that a request may be waited for: no deployment's hard stop is near it
+)
+
+// Front is one further listener.
+type Front struct {
+	Listen   string `toml:"listen"`
+	Protocol string `toml:"protocol"`
+	// The names of headers by which a client may state its grade, its tenant and for how many milliseconds it waits; an
+	// empty one states nothing.
+	GradeHeader    string  `toml:"grade_header"`
+	TenantHeader   string  `toml:"tenant_header"`
+	DeadlineHeader string  `toml:"deadline_header"`
+	Ready          string  `toml:"ready_path"`    // answers whether retrievals are served; empty for none
+	Counters       string  `toml:"counters_path"` // answers the counters; empty for none
+	Routes         []Route `toml:"route"`
+}
+
+// Route says what requests under a path are.
+type Route struct {
+	Path       string   `toml:"path"` // whole segments, from the first on; what follows is the key
+	Methods    []string `toml:"methods"`
+	Grade      string   `toml:"grade"`
+	Tenant     string   `toml:"tenant"`
+	DeadlineMs float64  `toml:"deadline_ms"` // unless the client states one; 0 for the grade's hard stop
+}
+
+// Writes tells whether a method puts a value; the others that may stand in a route read.
+func Writes(method string) bool { return method == "PUT" || method == "POST" }
+
+// Read reads an operator's file. Grades and tenants are those that the deployment states.
+func Read(path string, terms *houserules.Terms) ([]Front, error) {
+	var file struct {
+		Listeners []Front `toml:"listener"`
+	}
+	c, err := strictly.Read(path, &file)
+	if err != nil {
+		return nil, err
+	}
+	all := file.Listeners
+	c.Want(len(all) <= most, "listener", "more than %d", most)
+	for i := range all {
+		f, at := &all[i], "listener."+strconv.Itoa(i)+"."
+		_, err := netip.ParseAddrPort(f.Listen)
+		c.Want(err == nil, at+"listen", "%q is not an address and a port", f.Listen)
+		c.Want(!slices.ContainsFunc(all[:i], func(o Front) bool { return o.Listen == f.Listen }) || strings.HasSuffix(f.Listen, ":0"),
+			at+"listen", "%s stands twice", f.Listen)
+		c.Want(f.Protocol == Meta || f.Protocol == HTTP, at+"protocol", "%q is neither %s nor %s", f.Protocol, Meta, HTTP)
+		for field, name := range map[string]string{"grade_header": f.GradeHeader, "tenant_header": f.TenantHeader, "deadline_header": f.DeadlineHeader} {
+			c.Want(strings.Trim(name, "-abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789") == "", at+field, "%q can't be a header's name", name)
+		}
+		for field, page := range map[string]string{"ready_path": f.Ready, "counters_path": f.Counters} {
+			c.Want(page == "" || page[0] == '/', at+field, "%q does not begin with a slash", page)
+		}
+		c.Want(f.Protocol != Meta || len(f.Routes) == 0 && f.Ready+f.Counters+f.GradeHeader+f.TenantHeader+f.DeadlineHeader == "",
+			at+"protocol", "meta commands need no routes, pages and headers")
+		c.Want(f.Protocol != HTTP || len(f.Routes) > 0, at+"protocol", "names no route, so nothing could be asked")
+		c.Want(len(f.Routes) <= mostRoutes, at+"route", "more than %d", mostRoutes)
+		for n := range f.Routes {
+			f.check(c, n, at+"route."+strconv.Itoa(n)+".", terms)
+		}
+	}
+	return all, c.Err()
+}
+
+func (f *Front) check(c *strictly.Checker, n int, at string, terms *houserules.Terms) {
+	r := &f.Routes[n]
+	c.Want(strings.HasPrefix(r.Path, "/") && strings.HasSuffix(r.Path, "/") && !strings.ContainsAny(r.Path, "?#% "), at+"path",
+		"%q does not begin and end with a slash, or has what no plain path has", r.Path)
+	c.Want(len(r.Methods) > 0, at+"methods", "names no method")
+	for _, m := range r.Methods {
+		c.Want(m == "GET" || m == "HEAD" || Writes(m), at+"methods", "%q is none of GET, HEAD, PUT, POST", m)
+		for _, o := range f.Routes[:n] {
+			c.Want(o.Path != r.Path || !slices.Contains(o.Methods, m), at+"methods", "%s %s stands twice", m, r.Path)
+		}
+	}
+	c.Want(terms.Names.Grade([]byte(r.Grade)) >= 0, at+"grade", "the deployment states no grade %q", r.Grade)
+	c.Want(r.Tenant == "" || terms.Names.League([]byte(r.Tenant)) >= 0, at+"tenant", "the deployment states no tenant %q", r.Tenant)
+	c.Within(r.DeadlineMs, 0, mostMs, at+"deadline_ms")
+}
+
+// Route finds the route with the longest path that a request is under. Without one, known tells whether another method has one.
+func (f *Front) Route(method, path string) (found *Route, known bool) {
+	for i := range f.Routes {
+		r := &f.Routes[i]
+		if !strings.HasPrefix(path, r.Path) {
+			continue
+		}
+		known = true
+		if slices.Contains(r.Methods, method) && (found == nil || len(r.Path) > len(found.Path)) {
+			found = r
+		}
+	}
+	return found, known
+}
+
+// Allowed lists the methods that have a route for a path.
+func (f *Front) Allowed(path string) (methods []string) {
+	for _, r := range f.Routes {
+		for _, m := range r.Methods {
+			if strings.HasPrefix(path, r.Path) && !slices.Contains(methods, m) {
+				methods = append(methods, m)
+			}
+		}
+	}
+	return methods
+}
--- a/internal/houserules/houserules.go
+++ b/internal/houserules/houserules.go
@@ -4,6 +4,8 @@
 
 import (
 	"errors"
+	"iter"
+	"maps"
 	"math"
 	"time"
 
@@ -16,8 +18,9 @@
 type Terms struct {
 	Rules       policy.HouseRules
 	Names       Vocabulary
-	Connect     time.Duration // a connection that is not up by then never comes up
-	LongestStop time.Duration // the longest hard stop of any grade
+	Connect     time.Duration   // a connection that is not up by then never comes up
+	Stops       []time.Duration // hard stops by grade
+	LongestStop time.Duration   // the longest of them
 }
 
 // Vocabulary turns a deployment's names into numbers; a name that it did not state is -1.
@@ -37,6 +40,9 @@
 // Grade returns a service grade's number.
 func (n *Vocabulary) Grade(name []byte) policy.GradeID { return policy.GradeID(lookup(n.grades, name)) }
 
+// Grades gives every service grade's number by its name.
+func (n *Vocabulary) Grades() iter.Seq2[string, int] { return maps.All(n.grades) }
+
 // League returns a league's number.
 func (n *Vocabulary) League(name []byte) policy.LeagueID {
 	return policy.LeagueID(lookup(n.leagues, name))
@@ -89,7 +95,8 @@
 			Effect: effects[string(g.GetStringBytes("effect"))], Scope: scopes[string(g.GetStringBytes("group"))],
 			Window: Span(g.Get("key_ttl_s")),
 		})
-		t.LongestStop = max(t.LongestStop, Span(g.Get("hard_stop_s")))
+		t.Stops = append(t.Stops, Span(g.Get("hard_stop_s")))
+		t.LongestStop = max(t.LongestStop, t.Stops[len(t.Stops)-1])
 	}
 	for _, v := range env.GetArray("tenants") {
 		r.Leagues = append(r.Leagues, policy.League{QuotaPerSecond: Number(v.Get("quota_rps"))})
--- a/internal/net/meta/meta.go
+++ b/internal/net/meta/meta.go
@@ -102,6 +102,9 @@
 	return len(b) > 0
 }
 
+// IsKey tells whether something can be a key.
+func IsKey(b []byte) bool { return Plain(b) && len(b) <= maxKey }
+
 // Flag returns what stands behind a flag's letter.
 func Flag(flags []byte, letter byte) (value []byte, ok bool) {
 	for len(flags) > 0 {
@@ -168,7 +171,7 @@
 		return c, size, &Fault{NoSuch, false}
 	}
 	c.ID, _ = Flag(c.Flags, 'O')
-	if !Plain(c.Key) || len(c.Key) > maxKey || !Plain(c.ID) || !printable(c.Flags) {
+	if !IsKey(c.Key) || !Plain(c.ID) || !printable(c.Flags) {
 		return c, size, &Fault{BadLine, false}
 	}
 	return c, size, nil
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -35,6 +35,7 @@
 	turns   []turn // one for each command not yet answered, in their order
 	first   uint64 // the number of the first turn
 	usedAt  policy.Instant
+	invited bool           // was told to go on with what has begun
 	closing bool           // nothing more is read; it closes once all is answered
 	excess  bool           // came when there were too many: its retrievals are dismissed, and it is closed when idle
 	partial int            // bytes of a command that has not come whole
@@ -69,7 +70,7 @@
 }
 
 func (r *Relay) opened(ev *sockets.Event) {
-	c := &client{wire: ev.Wire, face: metaFace{}, usedAt: r.at(ev.At), since: r.at(ev.At)}
+	c := &client{wire: ev.Wire, face: r.faces[ev.Wire.At], usedAt: r.at(ev.At), since: r.at(ev.At)}
 	c.id = r.clients.Add(c)
 	c.wire.Tag = uint64(c.id)
 	r.count.Clients++
@@ -101,13 +102,15 @@
 	for !c.closing {
 		a := &r.asked
 		size := c.face.read(c.buf.Unused(), a)
-		if size == 0 && a.wish != unserved {
+		if size == 0 && a.wish != unserved && (a.wish != invited || c.invited) {
 			break
 		}
+		c.invited = a.wish == invited
 		switch a.wish {
+		case invited:
+			r.say(c, a.answer)
 		case unserved:
 			r.count.Malformed++
-			c.closing = a.closes
 			r.say(c, a.answer)
 		case readiness:
 			r.say(c, c.face.ready(r.phase))
@@ -116,6 +119,7 @@
 		default:
 			r.take(c, &a.call, at)
 		}
+		c.closing = c.closing || a.closes
 		c.buf.Use(size)
 		began = at
 		if len(c.turns) >= mostSaid { // else one retrieval that takes long would let anything pile up behind it
@@ -226,7 +230,20 @@
 		b = append(b, p...)
 		return b[len(b)-len(p):]
 	}
-	return call{key: keep(c.key), flags: keep(c.flags), id: keep(c.id), value: keep(c.value), write: c.write}, size
+	return call{key: keep(c.key), flags: keep(c.flags), id: keep(c.id), value: keep(c.value), write: c.write, bare: c.bare, last: c.last}, size
+}
+
+// parting returns a retrieval's call, to be answered. A node that drains says with its last answer on a connection that it ends
+// with that, so that nothing more is sent on it to be lost.
+func (r *Relay) parting(v *retrieval) *call {
+	c := r.clients.Get(v.client)
+	if r.phase != Draining || c == nil || v.turn+1 != c.first+uint64(len(c.turns)) || c.partial > 0 || c.closing {
+		return &v.call
+	}
+	if quiet, _ := c.wire.Quiet(); quiet {
+		c.closing = v.face.parts(&v.call)
+	}
+	return &v.call
 }
 
 // answer gives a retrieval its one final answer.
@@ -271,7 +288,7 @@
 		c.turns = c.turns[:left]
 		c.usedAt = r.now()
 		for _, p := range append(pieces, out) {
-			if c.wire.Write(p) != nil {
+			if len(p) > 0 && c.wire.Write(p) != nil {
 				r.clientClosed(c.id)
 				return
 			}
@@ -345,7 +362,7 @@
 func (r *Relay) Dismiss(id policy.RetrievalID, comeBack time.Duration) {
 	if v := r.hand.Get(slotOf(id)); v != nil && !v.answered {
 		r.count.Dismissed++
-		r.answer(v, v.face.dismissed(&v.call, comeBack), nil)
+		r.answer(v, v.face.dismissed(r.parting(v), comeBack), nil)
 		r.release(v)
 	}
 }
@@ -354,7 +371,7 @@
 func (r *Relay) Scrap(id policy.RetrievalID) {
 	if v := r.hand.Get(slotOf(id)); v != nil && !v.answered {
 		r.count.Scrapped++
-		r.answer(v, v.face.scrapped(&v.call, v.late), nil)
+		r.answer(v, v.face.scrapped(r.parting(v), v.late), nil)
 		r.release(v)
 	}
 }
--- a/internal/net/relay/faces.go
+++ b/internal/net/relay/faces.go
@@ -24,6 +24,8 @@
 	refused(why refusal) []byte
 	ready(p Phase) []byte
 	counts(c *counters.Counters) []byte
+	// parts has the answer to a call say that its connection ends with it, where the protocol can.
+	parts(c *call) bool
 }
 
 // wish is what a client wants of a node.
@@ -34,6 +36,7 @@
 	retrieve              // a retrieval
 	readiness             // whether retrievals are served
 	counts                // the counters
+	invited               // to be told to go on with what has begun
 	unserved              // what can't be served, with its answer
 )
 
@@ -41,8 +44,8 @@
 type asked struct {
 	wish
 	call
-	answer []byte // to what can't be served
-	closes bool   // what follows can't be told apart
+	answer []byte // to what can't be served, or is to go on
+	closes bool   // nothing more is read after it
 }
 
 // call is a retrieval as its client puts it.
@@ -51,6 +54,8 @@
 	flags          []byte // what goes along to the servers, as meta commands write it
 	grade, league  []byte
 	write          bool
+	bare           bool          // the answer is to have no body
+	last           bool          // the connection ends with the answer
 	wait           time.Duration // until its hard stop
 }
 
@@ -118,6 +123,8 @@
 
 func (metaFace) refused(why refusal) []byte { return []byte(metaRefusals[why]) }
 
+func (metaFace) parts(*call) bool { return false }
+
 func (metaFace) ready(p Phase) []byte {
 	if p == Serving {
 		return []byte("MN\r\n")
--- /dev/null
+++ b/internal/net/relay/httpface_test.go
@@ -0,0 +1,192 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"dahliapin/internal/fronts"
+	"dahliapin/internal/net/counters"
+)
+
+var front = fronts.Front{Listen: "127.0.0.1:0", Protocol: fronts.HTTP, Ready: "/up", GradeHeader: "X-Grade", DeadlineHeader: "X-Wait", TenantHeader: "X-Tenant",
+	Routes: []fronts.Route{{Path: "/p/", Methods: []string{"GET", "HEAD"}, Grade: "read", DeadlineMs: 9000},
+		{Path: "/p/", Methods: []string{"PUT"}, Grade: "put"}, {Path: "/pay/", Methods: []string{"POST"}, Grade: "pay"}}}
+
+// web connects by HTTP. What it returns sends a text, and reads an answer to each of the methods, with its body.
+func (g *rig) web() (c net.Conn, ask func(text string, methods ...string) (said []string)) {
+	c, err := net.Dial("tcp", g.Addr(1))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	r := bufio.NewReader(c)
+	return c, func(text string, methods ...string) (said []string) {
+		io.WriteString(c, text)
+		for _, m := range methods {
+			a, err := http.ReadResponse(r, &http.Request{Method: m})
+			if err != nil {
+				said = append(said, "ended")
+				continue
+			}
+			body, _ := io.ReadAll(a.Body)
+			if a.Header.Get("Date") == "" && a.StatusCode != 100 {
+				g.t.Errorf("no date with %d", a.StatusCode)
+			}
+			end := map[bool]string{true: " close"}[a.Close]
+			said = append(said, fmt.Sprintf("%d %s %d%s", a.StatusCode, strings.TrimSpace(string(body)), a.ContentLength, end))
+		}
+		return said
+	}
+}
+
+func (g *rig) same(got []string, want ...string) {
+	g.t.Helper()
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		g.t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// Answers that change places, a body after HEAD, or a header's text that reaches a cache as flags would all be taken for
+// something that was never said.
+func TestHTTPRequestsAreRetrievalsAnsweredInOrder(t *testing.T) {
+	slow := make(chan bool)
+	g := newRig(t, 200, func(line string) string {
+		if strings.HasPrefix(line, "mg slow ") {
+			<-slow
+		}
+		return value(line)
+	}, front)
+	_, ask := g.web()
+	req := func(line string, headers ...string) string {
+		return line + " HTTP/1.1\r\nHost: n\r\n" + strings.Join(append(headers, ""), "\r\n") + "\r\n"
+	}
+	go func() {
+		g.until("the second is answered", func(n counters.Counters) bool { return n.Satisfied > 0 })
+		close(slow)
+	}()
+	g.same(ask(req("GET /p/slow")+req("GET http://h/p/%6b?b=2&a=1")+req("HEAD /p/k")+req("HEAD /q/k")+req("GET /q/k")+req("DELETE /p/k")+req("GET /up"),
+		"GET", "GET", "HEAD", "HEAD", "GET", "DELETE", "GET"), "200 hello 5", "200 hello 5", "200  5", "404  16", "404 nothing is here 16",
+		"405 this can't be done here 24", "200 serving 8")
+	if all := wait(t, g.lines) + wait(t, g.lines) + wait(t, g.lines); !strings.Contains(all, "mg slow v Oh") || !strings.Contains(all, "mg k?b=2&a=1 v Oh") ||
+		!strings.Contains(all, " Pc=read,d=") {
+		t.Errorf("the cache was sent %q", all)
+	}
+	for _, bad := range []string{req("GET /p/k", "X-Grade: nobody"), req("GET /p/k", "X-Grade: read,d=9 Ox"), req("GET /p/k", "X-Tenant: x Oy"),
+		req("GET /p/k", "X-Wait: 9e3"), req("GET /p/k", "X-Wait: 0"), req("GET /p/"), req("GET /p/%6"), req("PUT /p/k"), req("PUT /p/k", `Idempotency-Key: "a b"`)} {
+		if said := ask(bad, "GET"); !strings.HasPrefix(said[0], "400 ") {
+			t.Errorf("%q: %q", bad, said)
+		}
+	}
+	g.same(ask(req("PUT /p/w", `Idempotency-Key: "l1"`, "Content-Length: 3")+"abc", "PUT"), "200 from-origin 11")
+	if got := wait(t, g.calls); !strings.HasPrefix(got, "PUT /w l1 c=put,d=") || !strings.HasSuffix(got, " abc") {
+		t.Error(got)
+	}
+	g.same(ask(req("GET /p/k", "Connection: close")+req("GET /p/k"), "GET", "GET"), "200 hello 5 close", "ended")
+}
+
+// A body that was not asked for, or asked for and then refused, would be read as the next request.
+func TestWhoWaitsForLeaveToSendABodyGetsItOnceOrAnEnd(t *testing.T) {
+	g := newRig(t, 200, value, front)
+	_, ask := g.web()
+	head := "POST %s HTTP/1.1\r\nHost: n\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n"
+	g.same(ask(fmt.Sprintf(head, "/pay/k", 6), "POST"), "100  0")
+	g.same(append(ask("GET "), ask("/p", "POST")...), "200 from-origin 11")
+	g.same(ask(fmt.Sprintf(head, "/q/k", 6), "POST", "POST"), "404 nothing is here 16 close", "ended")
+	for _, shape := range []string{fmt.Sprintf(head, "/pay/k", 3<<30), "GET /p/k HTTP/1.1\nHost: n\n\n", "PUT /p/k HTTP/1.1\r\nHost: n\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"} {
+		_, ask := g.web()
+		if said := ask(shape, "GET", "GET"); !strings.HasPrefix(said[0], "4") || !strings.HasSuffix(said[0], " close") || said[1] != "ended" {
+			t.Errorf("%.40q: %q", shape, said)
+		}
+	}
+}
+
+// A POST whose leg broke behind its last byte may have run: it goes nowhere else, and the client is told that it failed.
+func TestAPOSTThatMayHaveRunIsNeverSentAgain(t *testing.T) {
+	g := newRig(t, 200, value, front)
+	_, ask := g.web()
+	g.same(ask("POST /pay/cut HTTP/1.1\r\nHost: n\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "POST"), "502 failed 7")
+	if got := wait(t, g.calls); !strings.HasPrefix(got, "POST /cut ") && !strings.HasPrefix(got, "PUT /cut ") {
+		t.Error(got)
+	}
+	g.same(ask("POST /pay/cut HTTP/1.1\r\nHost: n\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n", "POST"), "100  0")
+	g.same(ask("x", "POST"), "502 failed 7")
+	if wait(t, g.calls); len(g.calls) > 0 || g.Counts().Legs != 2 {
+		t.Errorf("%d legs, %d calls more", g.Counts().Legs, len(g.calls))
+	}
+}
+
+// A kept connection that a node just closes loses what is sent on it meanwhile.
+func TestADrainingNodeTellsHTTPClientsThatTheirConnectionEnds(t *testing.T) {
+	hold := make(chan bool)
+	g := newRig(t, 200, func(line string) string {
+		<-hold
+		return value(line)
+	}, front)
+	_, ask := g.web()
+	ask("GET /p/k HTTP/1.1\r\nHost: n\r\nX-Wait: 900\r\n\r\nGET /p/k HTTP/1.1\r\nHost: n\r\nX-Wait: 900\r\n\r\n")
+	wait(t, g.lines)
+	g.End()
+	g.ask(func() { close(hold) })
+	g.same(ask("", "GET", "GET", "GET"), "200 hello 5", "200 hello 5 close", "ended")
+	g.serve.Wait()
+}
+
+// The same seeded traffic with faults by meta commands and by HTTP: retrieval by retrieval the same answer, and no write that
+// may not be repeated reaches the origin twice.
+func TestTheSameTrafficIsAnsweredAlikeByBothProtocols(t *testing.T) {
+	answer := func(line string) string {
+		if key := strings.Fields(line)[1]; strings.HasPrefix(key, "f") { // by its key: misses, fails, is busy, breaks off, or is spoilt
+			return []string{"EN " + id(line) + "\r\n", "SERVER_ERROR failed\r\n", "SERVER_ERROR busy\r\n", breaksOff, "VA 5 " + id(line) + "\r\nhel" + breaksOff}[key[1]-'0']
+		}
+		return value(line)
+	}
+	g, h := newRig(t, 200, answer), newRig(t, 200, answer, front)
+	c, r := g.client()
+	_, ask := h.web()
+	for n := range 300 {
+		draw := crc32.ChecksumIEEE([]byte(fmt.Sprint("traffic ", n)))
+		key, kind := fmt.Sprint("k", draw%50), draw>>8%8
+		if draw>>16%16 == 0 {
+			key = fmt.Sprintf("f%d-%d", draw>>20%5, n)
+		}
+		var meta, web string
+		switch {
+		case kind > 1:
+			fmt.Fprintf(c, "mg %s v Oa%d Pc=read,d=9000\r\n", key, n)
+			web = ask("GET /p/"+key+" HTTP/1.1\r\nHost: n\r\n\r\n", "GET")[0]
+		case kind == 1 && draw>>16%16 == 0:
+			fmt.Fprintf(c, "ms cut 1 Oa%d Pc=pay,d=9000\r\nx\r\n", n)
+			web = ask("POST /pay/cut HTTP/1.1\r\nHost: n\r\nX-Wait: 9000\r\nContent-Length: 1\r\n\r\nx", "POST")[0]
+		default:
+			fmt.Fprintf(c, "ms %s 1 Oa%d Pc=put,d=9000\r\nx\r\n", key, n)
+			web = ask(fmt.Sprintf("PUT /p/%s HTTP/1.1\r\nHost: n\r\nIdempotency-Key: a%d\r\nX-Wait: 9000\r\nContent-Length: 1\r\n\r\nx", key, n), "PUT")[0]
+		}
+		line, _ := r.ReadString('\n')
+		if meta = strings.TrimSpace(line); strings.HasPrefix(meta, "VA") {
+			line, _ = r.ReadString('\n')
+			meta = "200 " + strings.TrimSpace(line)
+		} else if i := strings.Index(meta, " c"); strings.HasPrefix(meta, "HD") && i > 0 {
+			meta = "200 " + meta[i+2:]
+		}
+		meta = strings.NewReplacer("SERVER_ERROR failed", "502 failed", "SERVER_ERROR busy", "503 busy").Replace(meta)
+		if web = web[:strings.LastIndexByte(web, ' ')]; web != meta {
+			t.Fatalf("retrieval %d, %s, kind %d: %q by meta commands, %q by HTTP", n, key, kind, meta, web)
+		}
+		for _, calls := range []chan string{g.calls, h.calls} {
+			if seen := len(calls); kind < 2 && seen != 1 {
+				t.Errorf("retrieval %d reached the origin %d times", n, seen)
+			}
+			for len(calls) > 0 {
+				<-calls
+			}
+		}
+	}
+}
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fastjson"
 
 	"dahliapin/internal/discovery"
+	"dahliapin/internal/fronts"
 	"dahliapin/internal/host"
 	"dahliapin/internal/houserules"
 	"dahliapin/internal/keeping"
@@ -60,6 +61,7 @@
 // Berth is where and with what a node runs.
 type Berth struct {
 	Listen, Discovery string
+	Fronts            []fronts.Front // further listeners
 	Seed              int64
 	Descriptors       int
 	Memory            int64 // bytes it may use in all
@@ -84,6 +86,7 @@
 	hand     slots.Table[handID, retrieval]
 	taken    map[string]bool // the clients' ids of those in hand
 	asked    asked           // what was read last
+	faces    []face          // by the address that a client came to
 	caches   map[policy.CacheID]*cache
 	list     listing
 	kept     keeping.Span
@@ -118,12 +121,24 @@
 
 // New listens and starts; Run is to follow.
 func New(b Berth) (*Relay, error) {
-	eng, err := sockets.New(b.Listen, b.Descriptors)
+	listen := []string{b.Listen}
+	for _, f := range b.Fronts {
+		listen = append(listen, f.Listen)
+	}
+	eng, err := sockets.New(listen, b.Descriptors)
 	if err != nil {
 		return nil, err
 	}
 	r := &Relay{Berth: b, eng: eng, began: time.Now(), caches: map[policy.CacheID]*cache{}, taken: map[string]bool{},
 		asks: make(chan func(), 16), done: make(chan struct{})}
+	r.faces = []face{metaFace{}}
+	for i := range b.Fronts {
+		if f := &b.Fronts[i]; f.Protocol == fronts.HTTP {
+			r.faces = append(r.faces, newHTTPFace(f, r))
+		} else {
+			r.faces = append(r.faces, metaFace{})
+		}
+	}
 	var watcher host.Watcher
 	if b.Records != nil {
 		watcher = records.New(b.Name, func(e records.Entry) { b.Records(e, r.began.Add(e.At.Since(epoch))) },
@@ -148,8 +163,8 @@
 	return r.Terms.Rules.Aside && kind == r.Terms.Rules.OriginKind
 }
 
-// Addr is where it listens.
-func (r *Relay) Addr() string { return r.eng.Addr().String() }
+// Addr is where it listens; front counts the further ones from 1.
+func (r *Relay) Addr(front int) string { return r.eng.Addr(front).String() }
 
 func (r *Relay) now() policy.Instant { return r.at(time.Now()) }
 
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fastjson"
 
+	"dahliapin/internal/fronts"
 	"dahliapin/internal/houserules"
 	"dahliapin/internal/net/counters"
 	"dahliapin/policy"
@@ -27,6 +28,7 @@
 
 const terms = `{"service_grades":[
 {"name":"read","benefit":1,"effect":"idempotent","group":"all","soft_limit_s":0.5,"hard_stop_s":1},
+{"name":"pay","benefit":8,"effect":"irreversible","group":"all","soft_limit_s":0.5,"hard_stop_s":1},
 {"name":"put","benefit":8,"effect":"deduplicated","group":"all","soft_limit_s":0.5,"hard_stop_s":1,"key_ttl_s":5}],
 "bounds":{"cancel":true,"conn_idle_s":15,"connect_timeout_s":1,"most_legs":3,"probes":true,"retry_after":true,
 "max_retry_after_s":0.6,"second_copies":%v},"family_info":{"mode":"aside","origin_kind":1},"kinds":["box","origin"],
@@ -51,7 +53,7 @@
 }
 
 // newRig starts one. The cache answers each line by the function; "" leaves it unanswered.
-func newRig(t *testing.T, descriptors int, answer func(line string) string) *rig {
+func newRig(t *testing.T, descriptors int, answer func(line string) string, further ...fronts.Front) *rig {
 	g := &rig{t: t, lines: make(chan string, 999), ended: make(chan bool, 999), calls: make(chan string, 99),
 		list: make(chan string, 9), asked: make(chan string, 99), over: make(chan bool)}
 	cache := g.listen(func(c net.Conn) {
@@ -118,11 +120,11 @@
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	up := make(chan bool, 9)
-	if g.Relay, err = New(Berth{Listen: "127.0.0.1:0", Discovery: list, Descriptors: descriptors, Memory: 64 << 20,
+	if g.Relay, err = New(Berth{Listen: "127.0.0.1:0", Fronts: further, Discovery: list, Descriptors: descriptors, Memory: 64 << 20,
 		Terms: rules, Log: quiet, Moved: func(p Phase) { up <- p == Serving }}); err != nil {
 		t.Fatal(err)
 	}
-	g.addr = g.Addr()
+	g.addr = g.Addr(0)
 	g.serve.Add(1)
 	go func() { defer g.serve.Done(); g.Run() }()
 	t.Cleanup(func() { close(g.over); g.End(); g.serve.Wait() })
--- a/internal/net/sockets/sockets.go
+++ b/internal/net/sockets/sockets.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -55,6 +56,7 @@
 // Wire is one connection.
 type Wire struct {
 	Tag     uint64 // what a dialled one was dialled for; else the loop's to set
+	At      int    // the number of the address that somebody came to
 	Out     bool   // dialled from here
 	e       *Engine
 	conn    *nbio.Conn
@@ -83,7 +85,7 @@
 	stopped bool
 	wake    chan struct{}
 	waiting atomic.Bool // somebody stands before the gate
-	gate    *gate
+	gates   []*gate
 	dialing sync.RWMutex // held for writing to stop
 	made    atomic.Int64 // wires that are whole: what the poller is called with was made before, by whom it can't see
 }
@@ -91,13 +93,13 @@
 // ErrNoDescriptor says that the budget of descriptors is spent.
 var ErrNoDescriptor = errors.New("all descriptors are in use")
 
-// New listens and starts. It holds at most so many descriptors.
-func New(listen string, descriptors int) (*Engine, error) {
-	e := &Engine{most: int64(max(16, descriptors-ownFiles)), wake: make(chan struct{}, 1)}
+// New listens on all addresses and starts. It holds at most so many descriptors.
+func New(listen []string, descriptors int) (*Engine, error) {
+	e := &Engine{most: int64(max(16, descriptors-ownFiles-len(listen)+1)), wake: make(chan struct{}, 1)}
 	e.room = sync.NewCond(&e.mu)
 	logging.SetLevel(logging.LevelError)
 	e.nb = nbio.NewEngine(nbio.Config{
-		Network: "tcp", Addrs: []string{listen}, NPoller: 1, ReadBufferSize: readAtOnce,
+		Network: "tcp", Addrs: listen, NPoller: 1, ReadBufferSize: readAtOnce,
 		MaxWriteBufferSize: mostUnsent,
 		// by edges: by levels, nbio forgets to wait for room on a connection written to as it comes up
 		EpollMod: nbio.EPOLLET,
@@ -108,8 +110,9 @@
 			if err != nil {
 				return nil, err
 			}
-			e.gate = &gate{Listener: l, e: e, parked: make(chan struct{}), closed: make(chan struct{})}
-			return e.gate, nil
+			g := &gate{Listener: l, e: e, parked: make(chan struct{}), closed: make(chan struct{})}
+			e.gates = append(e.gates, g)
+			return g, nil
 		},
 	})
 	e.nb.OnOpen(func(c *nbio.Conn) {
@@ -118,7 +121,7 @@
 			e.hand(Event{What: Connected, Wire: w, Dial: w.Tag}, nil)
 			return
 		}
-		w := &Wire{e: e, conn: c}
+		w := &Wire{e: e, conn: c, At: e.at(c.LocalAddr())}
 		c.SetSession(w)
 		e.hand(Event{What: Opened, Wire: w}, nil)
 	})
@@ -142,11 +145,22 @@
 		}
 	})
 	if err := e.nb.Start(); err != nil {
-		return nil, fmt.Errorf("cannot listen on %s: %w", listen, err)
+		return nil, fmt.Errorf("cannot listen on %s: %w", strings.Join(listen, ", "), err)
 	}
 	return e, nil
 }
 
+// at tells which listener a connection came to. Two with one port have an address each.
+func (e *Engine) at(local net.Addr) int {
+	to, _ := local.(*net.TCPAddr)
+	for i, g := range e.gates {
+		if a, ok := g.Addr().(*net.TCPAddr); ok && to != nil && a.Port == to.Port && (a.IP.IsUnspecified() || a.IP.Equal(to.IP)) {
+			return i
+		}
+	}
+	return 0
+}
+
 // wireOf finds a connection's wire. It can't be half made: nbio adds a connection to the poller's after OnOpen has
 // returned. That order goes through the kernel, though, where neither the memory model nor the race detector sees it;
 // the counter, written after each wire and read before each use, makes it visible to both.
@@ -156,8 +170,8 @@
 	return w
 }
 
-// Addr is where it listens.
-func (e *Engine) Addr() net.Addr { return e.gate.Addr() }
+// Addr is where it listens, by the number of the address.
+func (e *Engine) Addr(n int) net.Addr { return e.gates[n].Addr() }
 
 // Wake tells that there may be events to take.
 func (e *Engine) Wake() <-chan struct{} { return e.wake }
@@ -253,8 +267,10 @@
 	e.room.Broadcast()
 	e.mu.Unlock()
 	e.dialing.Unlock()
-	_ = e.gate.Listener.Close()
-	<-e.gate.parked
+	for _, g := range e.gates {
+		_ = g.Listener.Close()
+		<-g.parked
+	}
 	e.nb.Stop()
 }
 
--- a/internal/net/sockets/sockets_test.go
+++ b/internal/net/sockets/sockets_test.go
@@ -13,7 +13,7 @@
 const patience = 10 * time.Second // that a test waits for what must come
 
 func engine(t *testing.T) *Engine {
-	e, err := New("127.0.0.1:0", 100)
+	e, err := New([]string{"127.0.0.1:0"}, 100)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -78,7 +78,7 @@
 // More than the queue holds must neither be lost nor stop both sides, though the loop is late and writes meanwhile.
 func TestAFullQueueLosesNothingAndStopsNobody(t *testing.T) {
 	e := engine(t)
-	c, err := net.Dial("tcp", e.Addr().String())
+	c, err := net.Dial("tcp", e.Addr(0).String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -126,7 +126,7 @@
 // A client was closed as idle while its retrieval stood in the queue: read, never answered, and not sent again.
 func TestAConnectionIsNotClosedOverBytesThatWait(t *testing.T) {
 	e := engine(t)
-	c, err := net.Dial("tcp", e.Addr().String())
+	c, err := net.Dial("tcp", e.Addr(0).String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -155,7 +155,7 @@
 func TestWhoWaitsForADescriptorIsSeenUntilLetIn(t *testing.T) {
 	e := engine(t)
 	e.open.Add(e.most)
-	c, err := net.Dial("tcp", e.Addr().String())
+	c, err := net.Dial("tcp", e.Addr(0).String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/strictly/strictly.go
+++ b/internal/strictly/strictly.go
@@ -69,19 +69,23 @@
 				line = p.Shape(k.Node().Raw).Start.Line
 			}
 		}
-		path := strings.Join(parts, ".")
-		switch e.Kind {
-		case unstable.Table:
-			prefix = path + "."
-		case unstable.ArrayTable:
-			prefix = path + "." + strconv.Itoa(tables[path]) + "."
-			tables[path]++
-		case unstable.KeyValue:
-			path = prefix + path
+		path := prefix
+		if e.Kind != unstable.KeyValue {
+			path = ""
+		}
+		for i, part := range parts {
+			if path += part; e.Kind == unstable.ArrayTable && i == len(parts)-1 {
+				tables[path]++
+			}
+			if n := tables[path]; n > 0 { // the latest table of an array is the one that goes on
+				path += "." + strconv.Itoa(n-1)
+			}
+			path += "."
 		}
 		if e.Kind != unstable.KeyValue {
-			path = strings.TrimSuffix(prefix, ".")
+			prefix = path
 		}
+		path = strings.TrimSuffix(path, ".")
 		lines[path] = line
 	}
 	return lines
--- a/node/node.go
+++ b/node/node.go
@@ -68,14 +68,14 @@
 	}
 	var err error
 	n.relay, err = relay.New(relay.Berth{
-		Listen: p.Listen, Discovery: p.Discovery, Seed: p.Seed, Descriptors: cmp.Or(p.Sockets, usualSockets),
+		Listen: p.Listen, Fronts: p.fronts, Discovery: p.Discovery, Seed: p.Seed, Descriptors: cmp.Or(p.Sockets, usualSockets),
 		Memory: p.memory(), Terms: p.terms, Known: p.known, Log: log,
 		Moved: func(to Phase) { n.phase.Store(int32(to)) }, Name: p.Name, Records: note,
 	})
 	if err != nil {
 		return nil, err
 	}
-	log.WithFields(logrus.Fields{"name": p.Name, "listen": n.relay.Addr()}).Info("listening")
+	log.WithFields(logrus.Fields{"name": p.Name, "listen": n.Addr()}).Info("listening")
 	return n, nil
 }
 
@@ -131,7 +131,10 @@
 func (n *Node) Phase() Phase { return Phase(n.phase.Load()) }
 
 // Addr is where it listens.
-func (n *Node) Addr() string { return n.relay.Addr() }
+func (n *Node) Addr() string { return n.relay.Addr(0) }
+
+// FrontAddr is where a further listener of the operator's file listens, by its number there from 0.
+func (n *Node) FrontAddr(i int) string { return n.relay.Addr(i + 1) }
 
 // Counts returns its counters.
 func (n *Node) Counts() counters.Counters { return n.relay.Counts() }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 
@@ -30,6 +31,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	file := t.TempDir() + "/o.toml"
+	os.WriteFile(file, []byte("[[listener]]\nlisten='127.0.0.1:0'\nprotocol='meta'\n[[listener]]\nlisten='127.0.0.1:0'\nprotocol='http'\n"+
+		"ready_path='/up'\n[[listener.route]]\npath='/'\nmethods=['GET']\ngrade='read'\n"), 0o600)
+	if err := p.Open(file); err != nil {
+		t.Fatal(err)
+	}
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	n, err := New(p, quiet)
@@ -48,6 +55,16 @@
 	if got := string(b[:k]); n.Phase() != Starting || got != "SERVER_ERROR starting\r\nSERVER_ERROR busy\r\n" {
 		t.Errorf("%v, %q", n.Phase(), got)
 	}
+	for i, said := range []string{"SERVER_ERROR starting\r\n", "HTTP/1.1 503 "} { // each further listener speaks its own protocol
+		c, err := net.Dial("tcp", n.FrontAddr(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, []string{"mn\r\n", "GET /up HTTP/1.1\r\nHost: n\r\n\r\n"}[i])
+		if k, _ := io.ReadAtLeast(c, b, len(said)); !strings.HasPrefix(string(b[:k]), said) {
+			t.Errorf("listener %d: %q", i, b[:k])
+		}
+	}
 	if _, err := New(&Posting{Listen: n.Addr()}, quiet); err == nil {
 		t.Error("listens where another does")
 	}
--- a/node/posting.go
+++ b/node/posting.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fastjson"
 
+	"dahliapin/internal/fronts"
 	"dahliapin/internal/houserules"
 	"dahliapin/internal/keyhash"
 )
@@ -22,6 +23,13 @@
 	Records                 func(Entry, time.Time) // told what the node does to caches, from a goroutine of its own; nil for nobody
 	terms                   houserules.Terms
 	known                   *fastjson.Value
+	fronts                  []fronts.Front
+}
+
+// Open adds the listeners that an operator's file states.
+func (p *Posting) Open(path string) (err error) {
+	p.fronts, err = fronts.Read(path, &p.terms)
+	return err
 }
 
 // ReadPosting reads a posting from a file.
