Caches that speak HTTP: a carrier that judges what they keep by RFC 9111

[servers] in the operator's file names the kinds of cache that speak HTTP. Beside an origin they are asked with only-if-cached and 504 is a miss, so that no cold cache fetches past the rooms at the origin. What may not be served counts as a miss; a 304 that nobody asked for and half a body reach nobody; conditions go on and 304 comes back; fields for one hop go no further; Via and Cache-Status (RFC 9211) are added. An Idempotency-Key is now the label that the group drops repeats by, and id_header names a retrieval. Answers reach faces as values with what was told of them.

Off unless stated.

--- a/internal/freshness/directives.go
+++ b/internal/freshness/directives.go
@@ -138,3 +138,10 @@
 	}
 	return bytes.TrimSpace(item[:equals]), value, true, rest
 }
+
+// Pragma tells whether the field of HTTP/1.0 says no-cache. It counts where there is no Cache-Control (5.4).
+func Pragma(line []byte) bool {
+	var d Directives
+	d.Read(line)
+	return d.NoCache
+}
--- a/internal/fronts/fronts.go
+++ b/internal/fronts/fronts.go
@@ -1,5 +1,5 @@
 // Package fronts reads what an operator states of further listeners: the protocol spoken there, and for HTTP which
-// requests are retrievals of which service grade.
+// requests are retrievals of which service grade; and which caches speak HTTP.
 package fronts
 
 import (
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"dahliapin/internal/houserules"
 	"dahliapin/internal/strictly"
@@ -24,6 +25,30 @@
 	mostMs     = 6e5 // that a request may be waited for: no deployment's hard stop is near it
 )
 
+// File is an operator's file.
+type File struct {
+	Listeners []Front `toml:"listener"`
+	Servers   Servers `toml:"servers"`
+}
+
+// Servers is what is stated of caches that speak HTTP.
+type Servers struct {
+	HTTPKinds      []string `toml:"http_kinds"`       // the kinds of cache that do
+	Host           string   `toml:"host"`             // under which they are asked; empty for their addresses
+	Probe          string   `toml:"probe_path"`       // answers 200 where one is up
+	ClockOffS      float64  `toml:"clock_off_s"`      // how far their clocks may be off
+	Heuristic      float64  `toml:"heuristic"`        // share of the time since Last-Modified for which what states nothing is fresh
+	MostHeuristicS float64  `toml:"most_heuristic_s"` // bound of that
+}
+
+// ClockOff is how far their clocks may be off.
+func (s *Servers) ClockOff() time.Duration { return time.Duration(s.ClockOffS * float64(time.Second)) }
+
+// MostHeuristic bounds what is guessed.
+func (s *Servers) MostHeuristic() time.Duration {
+	return time.Duration(s.MostHeuristicS * float64(time.Second))
+}
+
 // Front is one further listener.
 type Front struct {
 	Listen   string `toml:"listen"`
@@ -32,6 +57,7 @@
 	// empty one states nothing.
 	GradeHeader    string  `toml:"grade_header"`
 	TenantHeader   string  `toml:"tenant_header"`
+	IDHeader       string  `toml:"id_header"` // and the name of its retrieval, of no two that are in hand
 	DeadlineHeader string  `toml:"deadline_header"`
 	Ready          string  `toml:"ready_path"`    // answers whether retrievals are served; empty for none
 	Counters       string  `toml:"counters_path"` // answers the counters; empty for none
@@ -51,13 +77,11 @@
 func Writes(method string) bool { return method == "PUT" || method == "POST" }
 
 // Read reads an operator's file. Grades and tenants are those that the deployment states.
-func Read(path string, terms *houserules.Terms) ([]Front, error) {
-	var file struct {
-		Listeners []Front `toml:"listener"`
-	}
+func Read(path string, terms *houserules.Terms) (File, error) {
+	file := File{Servers: Servers{Probe: "/", MostHeuristicS: 3600}}
 	c, err := strictly.Read(path, &file)
 	if err != nil {
-		return nil, err
+		return file, err
 	}
 	all := file.Listeners
 	c.Want(len(all) <= most, "listener", "more than %d", most)
@@ -68,13 +92,14 @@
 		c.Want(!slices.ContainsFunc(all[:i], func(o Front) bool { return o.Listen == f.Listen }) || strings.HasSuffix(f.Listen, ":0"),
 			at+"listen", "%s stands twice", f.Listen)
 		c.Want(f.Protocol == Meta || f.Protocol == HTTP, at+"protocol", "%q is neither %s nor %s", f.Protocol, Meta, HTTP)
-		for field, name := range map[string]string{"grade_header": f.GradeHeader, "tenant_header": f.TenantHeader, "deadline_header": f.DeadlineHeader} {
+		for field, name := range map[string]string{"grade_header": f.GradeHeader, "tenant_header": f.TenantHeader, "id_header": f.IDHeader,
+			"deadline_header": f.DeadlineHeader} {
 			c.Want(strings.Trim(name, "-abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789") == "", at+field, "%q can't be a header's name", name)
 		}
 		for field, page := range map[string]string{"ready_path": f.Ready, "counters_path": f.Counters} {
 			c.Want(page == "" || page[0] == '/', at+field, "%q does not begin with a slash", page)
 		}
-		c.Want(f.Protocol != Meta || len(f.Routes) == 0 && f.Ready+f.Counters+f.GradeHeader+f.TenantHeader+f.DeadlineHeader == "",
+		c.Want(f.Protocol != Meta || len(f.Routes) == 0 && f.Ready+f.Counters+f.GradeHeader+f.TenantHeader+f.IDHeader+f.DeadlineHeader == "",
 			at+"protocol", "meta commands need no routes, pages and headers")
 		c.Want(f.Protocol != HTTP || len(f.Routes) > 0, at+"protocol", "names no route, so nothing could be asked")
 		c.Want(len(f.Routes) <= mostRoutes, at+"route", "more than %d", mostRoutes)
@@ -82,7 +107,21 @@
 			f.check(c, n, at+"route."+strconv.Itoa(n)+".", terms)
 		}
 	}
-	return all, c.Err()
+	file.Servers.check(c, terms)
+	return file, c.Err()
+}
+
+func (s *Servers) check(c *strictly.Checker, terms *houserules.Terms) {
+	for _, kind := range s.HTTPKinds {
+		n := terms.Names.Kind([]byte(kind))
+		c.Want(n >= 0, "servers.http_kinds", "the deployment states no kind %q", kind)
+		c.Want(n < 0 || n != terms.Rules.OriginKind, "servers.http_kinds", "%q is the origin, which is spoken to as ever", kind)
+	}
+	c.Want(strings.HasPrefix(s.Probe, "/") && !strings.ContainsAny(s.Probe, " \r\n"), "servers.probe_path", "%q is no path", s.Probe)
+	c.Want(!strings.ContainsAny(s.Host, " /\r\n\t"), "servers.host", "%q is no host", s.Host)
+	c.Within(s.ClockOffS, 0, 86400, "servers.clock_off_s")
+	c.Within(s.Heuristic, 0, 1, "servers.heuristic")
+	c.Within(s.MostHeuristicS, 0, 86400, "servers.most_heuristic_s")
 }
 
 func (f *Front) check(c *strictly.Checker, n int, at string, terms *houserules.Terms) {
--- a/internal/fronts/fronts_test.go
+++ b/internal/fronts/fronts_test.go
@@ -41,7 +41,8 @@
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		all, err := Read(file, &terms)
+		f, err := Read(file, &terms)
+		all := f.Listeners
 		switch {
 		case err != nil && (want == "" || strings.TrimPrefix(err.Error(), strings.TrimSuffix(file, "o.toml")) != want):
 			t.Errorf("%q: %v, want %s", text, err, want)
@@ -53,7 +54,7 @@
 			}
 		}
 	}
-	if all, err := Read("../../deploy/listeners.toml", &terms); err != nil || len(all) == 0 {
+	if f, err := Read("../../deploy/listeners.toml", &terms); err != nil || len(f.Listeners) == 0 {
 		t.Errorf("the file in deploy: %v", err)
 	}
 }
--- a/internal/net/http1/request.go
+++ b/internal/net/http1/request.go
@@ -36,8 +36,13 @@
 func (q *Request) Header(name string) []byte { return (&Answer{headers: q.headers}).Header(name) }
 
 // Each calls f for every header line, in order.
-func (q *Request) Each(f func(name, value []byte)) {
-	for rest := q.headers; len(rest) > 0; {
+func (q *Request) Each(f func(name, value []byte)) { each(q.headers, f) }
+
+// Each calls f for every header line, in order.
+func (a *Answer) Each(f func(name, value []byte)) { each(a.headers, f) }
+
+func each(headers []byte, f func(name, value []byte)) {
+	for rest := headers; len(rest) > 0; {
 		var line []byte
 		line, rest, _ = bytes.Cut(rest, crlf)
 		name, value, _ := bytes.Cut(line, []byte(":"))
@@ -150,7 +155,7 @@
 		if len(line) == 0 {
 			q.headers = b[from:at]
 			connection := q.Header("Connection")
-			q.Last = has(connection, "close") || old && !has(connection, "keep-alive")
+			q.Last = Has(connection, "close") || old && !Has(connection, "keep-alive")
 			if hosts != 1 && !old || hosts > 1 {
 				return 0, bad("no host, or several")
 			}
@@ -185,8 +190,8 @@
 	return b[n : n+end], n + end + 2, nil
 }
 
-// has tells whether a list of tokens has one, whatever its case.
-func has(list []byte, name string) bool {
+// Has tells whether a list of tokens has one, whatever its case.
+func Has(list []byte, name string) bool {
 	for len(list) > 0 {
 		var item []byte
 		item, list, _ = bytes.Cut(list, []byte(","))
--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -418,9 +418,9 @@
 	serves := came.how == policy.Answered && !v.answered
 	switch { // before its bytes are passed over
 	case serves && v.call.write:
-		out = v.face.receipt(r.parting(v), came.said)
+		out = v.face.receipt(r.parting(v), came)
 	case serves:
-		out, long = v.face.value(r.parting(v), came.said)
+		out, long = v.face.value(r.parting(v), came)
 	}
 	report := r.report(came.load)
 	l.buf.Use(size)
--- a/internal/net/relay/carriers.go
+++ b/internal/net/relay/carriers.go
@@ -23,10 +23,13 @@
 
 // reply is what an answer means for its leg.
 type reply struct {
-	how  policy.Result // spoilt where it can't be read, or answers something else
-	said []byte        // the value, or a write's receipt
-	load []byte        // the server's report
-	last bool          // its connection ends with it
+	how     policy.Result // spoilt where it can't be read, or answers something else
+	said    []byte        // the value, or a write's receipt
+	load    []byte        // the server's report
+	last    bool          // its connection ends with it
+	kept    bool          // it is from what a cache keeps
+	status  int           // of HTTP; 0 for a good one of another protocol
+	headers []byte        // whole lines for a client of HTTP
 }
 
 // metaCarrier speaks the meta commands to caches.
@@ -46,7 +49,7 @@
 		return r, 0, a.Wants
 	}
 	ours := bytes.Equal(a.ID, c.id)
-	r = reply{how: spoilt, said: a.Value, load: a.Load}
+	r = reply{how: spoilt, said: a.Value, load: a.Load, kept: true}
 	switch {
 	case err != nil:
 	case ours && (a.Said == meta.Value && !c.write || a.Said == meta.Done && c.write):
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -230,7 +230,10 @@
 		b = append(b, p...)
 		return b[len(b)-len(p):]
 	}
-	return call{key: keep(c.key), flags: keep(c.flags), id: keep(c.id), value: keep(c.value), write: c.write, bare: c.bare, last: c.last}, size
+	whole = *c
+	whole.key, whole.flags, whole.id, whole.value = keep(c.key), keep(c.flags), keep(c.id), keep(c.value)
+	whole.grade, whole.league = nil, nil
+	return whole, size + len(c.headers)
 }
 
 // parting returns a retrieval's call, to be answered. A node that drains says with its last answer on a connection that it ends
--- a/internal/net/relay/discovery.go
+++ b/internal/net/relay/discovery.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -164,8 +165,11 @@
 		}
 		if c != nil {
 			c.carrier = metaCarrier{}
-			if r.isOrigin(e.Kind) {
+			switch kind := string(row.GetStringBytes("machineType")); {
+			case r.isOrigin(e.Kind):
 				c.carrier = originCarrier{}
+			case slices.Contains(r.Operator.Servers.HTTPKinds, kind):
+				c.carrier = httpCarrier{&r.Operator.Servers, r.Terms.Rules.Aside}
 			}
 		}
 	}
--- a/internal/net/relay/faces.go
+++ b/internal/net/relay/faces.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"dahliapin/internal/freshness"
 	"dahliapin/internal/net/buffer"
 	"dahliapin/internal/net/counters"
 	"dahliapin/internal/net/meta"
@@ -15,9 +16,9 @@
 	// read reads what a client asks first. A size of 0 asks for more bytes, unless it can't be served.
 	read(b []byte, a *asked) (size int)
 	// value writes the answer that serves a value. A long one is not copied: it follows, and then what ends values.
-	value(c *call, value []byte) (out, long []byte)
+	value(c *call, r *reply) (out, long []byte)
 	end() string
-	receipt(c *call, receipt []byte) []byte
+	receipt(c *call, r *reply) []byte
 	dismissed(c *call, comeBack time.Duration) []byte
 	// scrapped also says whether what was asked has not answered, or answered amiss.
 	scrapped(c *call, late bool) []byte
@@ -54,8 +55,13 @@
 	flags          []byte // what goes along to the servers, as meta commands write it
 	grade, league  []byte
 	write          bool
-	bare           bool          // the answer is to have no body
-	last           bool          // the connection ends with the answer
+	bare           bool   // the answer is to have no body
+	last           bool   // the connection ends with the answer
+	headers        []byte // of a client of HTTP, whole lines for servers that speak it; else nil
+	judged         freshness.Request
+	conditional    bool          // it asks whether what it has still holds
+	onlyKept       bool          // nothing is to be fetched for it
+	posts          bool          // its write is a POST
 	wait           time.Duration // until its hard stop
 }
 
@@ -104,7 +110,8 @@
 	return size
 }
 
-func (metaFace) value(c *call, value []byte) (out, long []byte) {
+func (metaFace) value(c *call, r *reply) (out, long []byte) {
+	value := r.said
 	if len(value) <= buffer.Keep {
 		return meta.AppendValue(nil, c.id, value), nil
 	}
@@ -113,7 +120,7 @@
 
 func (metaFace) end() string { return meta.End }
 
-func (metaFace) receipt(c *call, receipt []byte) []byte { return meta.AppendDone(nil, c.id, receipt) }
+func (metaFace) receipt(c *call, r *reply) []byte { return meta.AppendDone(nil, c.id, r.said) }
 
 func (metaFace) dismissed(_ *call, comeBack time.Duration) []byte {
 	return meta.AppendBusy(nil, int64((comeBack+time.Millisecond-1)/time.Millisecond))
--- /dev/null
+++ b/internal/net/relay/httpcarrier.go
@@ -0,0 +1,135 @@
+package relay
+
+import (
+	"bytes"
+	"time"
+
+	"dahliapin/internal/freshness"
+	"dahliapin/internal/fronts"
+	"dahliapin/internal/net/http1"
+	"dahliapin/internal/net/meta"
+	"dahliapin/policy"
+)
+
+// httpCarrier speaks HTTP/1.1 to caches that keep answers as RFC 9111 has it. The node keeps none: it judges what comes, and
+// what may not be served counts as a miss, so that another holder or the origin is asked.
+type httpCarrier struct {
+	servers *fronts.Servers
+	aside   bool // a cache answers from what it keeps, or tells that it keeps nothing
+}
+
+func (h httpCarrier) ask(c *call, host string, _ int64) []byte {
+	headers := append(bytes.Clone(c.headers), "Via: 1.1 dahliapin\r\n"...)
+	if h.aside && !c.write {
+		headers = append(headers, "Cache-Control: only-if-cached\r\n"...)
+	}
+	items, _ := meta.Flag(c.flags, 'P')
+	if label, ok := meta.Item(items, "k"); ok && c.headers == nil {
+		headers = append(append(append(headers, labelHeader+": "...), label...), "\r\n"...)
+	}
+	if h.servers.Host != "" {
+		host = h.servers.Host
+	}
+	method := "GET"
+	if c.write {
+		method = "PUT"
+		if c.posts {
+			method = "POST"
+		}
+	}
+	return http1.AppendRequest(nil, method, http1.AppendPath(nil, c.key), host, headers, c.value)
+}
+
+// reply reads an answer. Only a 504 to a request for what is kept proves that nothing ran; a write that is refused may have.
+func (h httpCarrier) reply(b []byte, c *call, ended bool) (r reply, size, wants int) {
+	a, size, err := http1.ReadAnswer(b, meta.MaxValue, ended)
+	if err == nil && size == 0 {
+		return r, 0, a.Wants
+	}
+	r = reply{how: policy.Errored, said: a.Body, status: a.Status, last: a.Last}
+	ok := a.Status == 200 || a.Status == 203
+	switch {
+	case err != nil, a.Status == 304 && !c.conditional: // nobody asked whether something still holds
+		r.how = spoilt
+	case a.Status == 504 && h.aside && !c.write && !c.onlyKept:
+		r.how = policy.Missed
+	case (a.Status == http1.Unavailable || a.Status == http1.TooMany) && !c.write:
+		r.how = policy.TurnedAway
+	case c.write && (ok || a.Status == 201 || a.Status == 204):
+		r.how = policy.Answered
+	case a.Status >= 500 && !(a.Status == 504 && c.onlyKept), c.headers == nil && (!ok || c.write && !meta.Plain(a.Body)):
+	case c.write || a.Status == 504:
+		r.how = policy.Answered
+	default:
+		if r.how = policy.Missed; h.usable(&a, c) {
+			r.how = policy.Answered
+		}
+	}
+	if r.how == policy.Answered && c.headers != nil {
+		r.headers = forwarded(nil, a.Each, a.Header("Connection"))
+		r.headers = append(r.headers, "Via: 1.1 dahliapin\r\n"...)
+	}
+	r.kept = h.aside || a.Header("Age") != nil
+	return r, size, 0
+}
+
+// usable tells whether an answer may be served (RFC 9111, 4). Beside an origin all that a cache has is kept. Else an
+// answer without Age is the origin's own (5.1), and what forbids keeping does not forbid passing it on; if it says how long it is
+// fresh, it must look so by its Date all the same, for a server may leave Age out.
+func (h httpCarrier) usable(a *http1.Answer, c *call) bool {
+	said := freshness.Response{Status: a.Status}
+	a.Each(func(name, value []byte) {
+		if bytes.EqualFold(name, []byte("Cache-Control")) {
+			said.Control.Read(value)
+		}
+	})
+	if age := a.Header("Age"); age != nil {
+		said.SetAge(age)
+	}
+	for name, set := range map[string]func(string){"Date": said.SetDate, "Last-Modified": said.SetModified, "Expires": said.SetExpires} {
+		if v := a.Header(name); v != nil {
+			set(string(v))
+		}
+	}
+	now := time.Now()
+	rules := freshness.Rules{ClockOff: h.servers.ClockOff(), Heuristic: h.servers.Heuristic, MostHeuristic: h.servers.MostHeuristic()}
+	v := freshness.Judge(&c.judged, &said, now, now, now, rules, false)
+	if v.Use <= freshness.Stale {
+		return true
+	}
+	life, stated := said.Lifetime(now, rules)
+	return !h.aside && a.Header("Age") == nil && (!stated || life == 0 || v.Age < life)
+}
+
+func (h httpCarrier) probe(host string) []byte {
+	if h.servers.Host != "" {
+		host = h.servers.Host
+	}
+	return http1.AppendRequest(nil, "GET", []byte(h.servers.Probe), host, nil, nil)
+}
+
+func (httpCarrier) up(b []byte, ended bool) (is bool, size int, err error) {
+	return originCarrier{}.up(b, ended)
+}
+
+// perHop are the fields that end at the next reader (RFC 9110, 7.6.1), those that each writer states for itself, and those of
+// what no node passes on: a range, and who is to wait for leave.
+var perHop = func() map[string]bool {
+	m := map[string]bool{}
+	for _, name := range []string{"connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te", "trailer",
+		"transfer-encoding", "upgrade", "host", "content-length", "expect", "range", "if-range"} {
+		m[name] = true
+	}
+	return m
+}()
+
+// forwarded adds the lines of a head that go further, without those that its Connection names.
+func forwarded(to []byte, each func(func(name, value []byte)), connection []byte) []byte {
+	each(func(name, value []byte) {
+		if perHop[string(bytes.ToLower(name))] || http1.Has(connection, string(name)) {
+			return
+		}
+		to = append(append(append(append(to, name...), ": "...), value...), "\r\n"...)
+	})
+	return to
+}
--- a/internal/net/relay/httpface.go
+++ b/internal/net/relay/httpface.go
@@ -19,7 +19,7 @@
 
 const (
 	mostBody    = 64 << 10 // bytes of a value that a client writes, as with meta commands
-	mostLabel   = 128      // bytes of an Idempotency-Key: a UUID fits several times
+	mostWord    = 128      // bytes of an id or an Idempotency-Key: a UUID fits several times
 	labelHeader = "Idempotency-Key"
 )
 
@@ -131,6 +131,22 @@
 	}
 	a.call = call{key: []byte(key), value: q.Body, grade: []byte(grade), league: []byte(league), write: fronts.Writes(method),
 		bare: method == "HEAD", last: a.closes}
+	a.headers = forwarded([]byte{}, q.Each, q.Header("Connection"))
+	a.posts = method == "POST"
+	q.Each(func(name, value []byte) {
+		switch strings.ToLower(string(name)) {
+		case "cache-control":
+			a.judged.Control.Read(value)
+		case "authorization":
+			a.judged.Authorized = true
+		case "if-none-match", "if-modified-since", "if-match", "if-unmodified-since":
+			a.conditional = true
+		}
+	})
+	if q.Header("Cache-Control") == nil && freshness.Pragma(q.Header("Pragma")) {
+		a.judged.Control.NoCache = true // RFC 9111, 5.4
+	}
+	a.onlyKept = a.judged.Control.OnlyIfCached
 	a.wait = h.stops[grade]
 	if route.DeadlineMs > 0 {
 		a.wait = time.Duration(route.DeadlineMs * float64(time.Millisecond))
@@ -143,16 +159,18 @@
 		}
 		a.wait = max(1, time.Duration(min(ms*float64(time.Millisecond), float64(mostWait))))
 	}
-	if label := strings.Trim(string(q.Header(labelHeader)), `"`); label != "" && a.write {
-		if len(label) > mostLabel || !meta.Plain([]byte(label)) {
-			h.refuse(a, 400, "an "+labelHeader+" that can't be one", a.closes)
+	label, id := strings.Trim(string(q.Header(labelHeader)), `"`), stated(h.front.IDHeader, "")
+	for _, word := range []string{label, id} {
+		if word != "" && (len(word) > mostWord || !meta.Plain([]byte(word)) || strings.Contains(word, ",")) {
+			h.refuse(a, 400, "an id that can't be one", a.closes)
 			return
 		}
-		a.id = []byte(label)
-	} else if a.write && h.labelled[grade] { // else a leg sent again could not be told from another write
+	}
+	if label == "" && a.write && h.labelled[grade] { // a leg sent again could not be told from another write
 		h.refuse(a, 400, "this needs an "+labelHeader, a.closes)
 		return
-	} else {
+	}
+	if a.id = []byte(id); id == "" {
 		h.n++
 		a.id = strconv.AppendUint([]byte(h.own), h.n, 10)
 	}
@@ -164,6 +182,9 @@
 	if league != "" {
 		a.flags = append(append(a.flags, ",t="...), league...)
 	}
+	if label != "" && a.write {
+		a.flags = append(append(a.flags, ",k="...), label...)
+	}
 	a.wish = retrieve
 }
 
@@ -180,8 +201,24 @@
 	return append(append(h.head(status, len(text)+1, last, append(headers, "Content-Type: text/plain; charset=utf-8")...), text...), '\n')
 }
 
-func (h *httpFace) value(c *call, value []byte) (out, long []byte) {
-	out = h.head(200, len(value), c.last)
+// served writes the head that serves what a server said, with what it said of it if that was in HTTP.
+func (h *httpFace) served(c *call, r *reply) []byte {
+	told := "Cache-Status: dahliapin; fwd=miss"
+	if r.kept {
+		told = "Cache-Status: dahliapin; hit"
+	}
+	if r.status == 0 {
+		return h.head(200, len(r.said), c.last, told)
+	}
+	long := len(r.said)
+	if r.status == 304 || r.status == 204 {
+		long = http1.NoBody
+	}
+	return http1.AppendHead(nil, r.status, "", long, c.last, string(r.headers)+told)
+}
+
+func (h *httpFace) value(c *call, r *reply) (out, long []byte) {
+	out, value := h.served(c, r), r.said
 	switch {
 	case c.bare:
 		return out, nil
@@ -193,9 +230,7 @@
 
 func (h *httpFace) end() string { return "" }
 
-func (h *httpFace) receipt(c *call, receipt []byte) []byte {
-	return append(h.head(200, len(receipt), c.last), receipt...)
-}
+func (h *httpFace) receipt(c *call, r *reply) []byte { return append(h.served(c, r), r.said...) }
 
 // bodied writes an answer of a call, without its body where none is to come.
 func (h *httpFace) bodied(c *call, status int, text string, headers ...string) []byte {
--- a/internal/net/relay/httpface_test.go
+++ b/internal/net/relay/httpface_test.go
@@ -8,17 +8,21 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"dahliapin/internal/fronts"
 	"dahliapin/internal/net/counters"
+	"dahliapin/internal/net/http1"
 )
 
-var front = fronts.Front{Listen: "127.0.0.1:0", Protocol: fronts.HTTP, Ready: "/up", GradeHeader: "X-Grade", DeadlineHeader: "X-Wait", TenantHeader: "X-Tenant",
+var front = fronts.Front{Listen: "127.0.0.1:0", Protocol: fronts.HTTP, Ready: "/up", GradeHeader: "X-Grade", IDHeader: "X-Id", DeadlineHeader: "X-Wait", TenantHeader: "X-Tenant",
 	Routes: []fronts.Route{{Path: "/p/", Methods: []string{"GET", "HEAD"}, Grade: "read", DeadlineMs: 9000},
 		{Path: "/p/", Methods: []string{"PUT"}, Grade: "put"}, {Path: "/pay/", Methods: []string{"POST"}, Grade: "pay"}}}
 
+func withFront(b *Berth) { b.Operator.Listeners = []fronts.Front{front} }
+
 // web connects by HTTP. What it returns sends a text, and reads an answer to each of the methods, with its body.
 func (g *rig) web() (c net.Conn, ask func(text string, methods ...string) (said []string)) {
 	c, err := net.Dial("tcp", g.Addr(1))
@@ -63,7 +67,7 @@
 			<-slow
 		}
 		return value(line)
-	}, front)
+	}, withFront)
 	_, ask := g.web()
 	req := func(line string, headers ...string) string {
 		return line + " HTTP/1.1\r\nHost: n\r\n" + strings.Join(append(headers, ""), "\r\n") + "\r\n"
@@ -80,13 +84,13 @@
 		t.Errorf("the cache was sent %q", all)
 	}
 	for _, bad := range []string{req("GET /p/k", "X-Grade: nobody"), req("GET /p/k", "X-Grade: read,d=9 Ox"), req("GET /p/k", "X-Tenant: x Oy"),
-		req("GET /p/k", "X-Wait: 9e3"), req("GET /p/k", "X-Wait: 0"), req("GET /p/"), req("GET /p/%6"), req("PUT /p/k"), req("PUT /p/k", `Idempotency-Key: "a b"`)} {
+		req("GET /p/k", "X-Wait: 9e3"), req("GET /p/k", "X-Wait: 0"), req("GET /p/"), req("GET /p/%6"), req("PUT /p/k"), req("PUT /p/k", `Idempotency-Key: "a b"`), req("GET /p/k", "X-Id: a,d=9")} {
 		if said := ask(bad, "GET"); !strings.HasPrefix(said[0], "400 ") {
 			t.Errorf("%q: %q", bad, said)
 		}
 	}
-	g.same(ask(req("PUT /p/w", `Idempotency-Key: "l1"`, "Content-Length: 3")+"abc", "PUT"), "200 from-origin 11")
-	if got := wait(t, g.calls); !strings.HasPrefix(got, "PUT /w l1 c=put,d=") || !strings.HasSuffix(got, " abc") {
+	g.same(ask(req("PUT /p/w", `Idempotency-Key: "l1"`, "X-Id: r1", "Content-Length: 3")+"abc", "PUT"), "200 from-origin 11")
+	if got := wait(t, g.calls); !strings.HasPrefix(got, "PUT /w r1 c=put,d=") || !strings.HasSuffix(got, ",k=l1 abc") {
 		t.Error(got)
 	}
 	g.same(ask(req("GET /p/k", "Connection: close")+req("GET /p/k"), "GET", "GET"), "200 hello 5 close", "ended")
@@ -94,7 +98,7 @@
 
 // A body that was not asked for, or asked for and then refused, would be read as the next request.
 func TestWhoWaitsForLeaveToSendABodyGetsItOnceOrAnEnd(t *testing.T) {
-	g := newRig(t, 200, value, front)
+	g := newRig(t, 200, value, withFront)
 	_, ask := g.web()
 	head := "POST %s HTTP/1.1\r\nHost: n\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n"
 	g.same(ask(fmt.Sprintf(head, "/pay/k", 6), "POST"), "100  0")
@@ -110,7 +114,7 @@
 
 // A POST whose leg broke behind its last byte may have run: it goes nowhere else, and the client is told that it failed.
 func TestAPOSTThatMayHaveRunIsNeverSentAgain(t *testing.T) {
-	g := newRig(t, 200, value, front)
+	g := newRig(t, 200, value, withFront)
 	_, ask := g.web()
 	g.same(ask("POST /pay/cut HTTP/1.1\r\nHost: n\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "POST"), "502 failed 7")
 	if got := wait(t, g.calls); !strings.HasPrefix(got, "POST /cut ") && !strings.HasPrefix(got, "PUT /cut ") {
@@ -129,7 +133,7 @@
 	g := newRig(t, 200, func(line string) string {
 		<-hold
 		return value(line)
-	}, front)
+	}, withFront)
 	_, ask := g.web()
 	ask("GET /p/k HTTP/1.1\r\nHost: n\r\nX-Wait: 900\r\n\r\nGET /p/k HTTP/1.1\r\nHost: n\r\nX-Wait: 900\r\n\r\n")
 	wait(t, g.lines)
@@ -148,7 +152,7 @@
 		}
 		return value(line)
 	}
-	g, h := newRig(t, 200, answer), newRig(t, 200, answer, front)
+	g, h := newRig(t, 200, answer), newRig(t, 200, answer, withFront)
 	c, r := g.client()
 	_, ask := h.web()
 	for n := range 300 {
@@ -190,3 +194,91 @@
 		}
 	}
 }
+
+// keeper is an HTTP cache: it answers as its row says. At "" a request's head has ended.
+type keeper struct {
+	sync.Mutex
+	row  string
+	head []string
+	seen string // the last one
+}
+
+func (k *keeper) answer(line string) string {
+	k.Lock()
+	defer k.Unlock()
+	if k.head = append(k.head, line); line != "" {
+		return ""
+	}
+	k.seen, k.head = strings.Join(k.head, "\n"), nil
+	date := func(ago time.Duration) string { return time.Now().Add(-ago).UTC().Format(http1.Date) }
+	return strings.NewReplacer("NOW", date(0), "AGO", date(31*time.Second), "AHEAD", date(-30*time.Second), "|", "\r\n").Replace("HTTP/1.1 " + k.row)
+}
+
+// Served from what a cache keeps, an answer past its allowed age would be served for good: with a clock off by 30 s, with Age missing,
+// wrong or past all bounds. So would one that nobody asked for, or half of one.
+func TestWhatAnHTTPCacheKeepsIsServedOnlyWhileItMayBe(t *testing.T) {
+	const five = "|Content-Length: 5||hello"
+	rows := map[string][3]string{ // what the cache says, what the client says beside, what it gets
+		"fresh":     {"200 OK|Date: NOW|Age: 5|Cache-Control: max-age=60|X: y|Connection: z|Z: hop" + five, "", "200 hello kept"},
+		"old":       {"200 OK|Date: NOW|Age: 61|Cache-Control: max-age=60" + five, "", "200 from-origin"},
+		"ageless":   {"200 OK|Date: AGO|Cache-Control: max-age=60" + five, "", "200 from-origin"},
+		"ahead":     {"200 OK|Date: AHEAD|Cache-Control: max-age=20" + five, "", "200 hello kept"},
+		"odd":       {"200 OK|Date: NOW|Age: x|Cache-Control: max-age=29" + five, "", "200 from-origin"},
+		"huge":      {"200 OK|Date: NOW|Age: 99999999999999999999|Cache-Control: max-age=2147483647" + five, "", "200 from-origin"},
+		"unstated":  {"200 OK|Date: NOW|Age: 0" + five, "", "200 from-origin"},
+		"private":   {"200 OK|Date: NOW|Age: 0|Cache-Control: private, max-age=60" + five, "", "200 from-origin"},
+		"secret":    {"200 OK|Date: NOW|Age: 0|Cache-Control: max-age=60" + five, "Authorization: a", "200 from-origin"},
+		"newest":    {"200 OK|Date: NOW|Age: 1|Cache-Control: max-age=60" + five, "Cache-Control: max-age=0", "200 from-origin"},
+		"stale":     {"200 OK|Date: NOW|Age: 70|Cache-Control: max-age=60" + five, "Cache-Control: max-stale=20", "200 hello kept"},
+		"validated": {"304 Not Modified|Date: NOW|Age: 1|Cache-Control: max-age=60|ETag: \"e\"||", "If-None-Match: \"e\"", "304  kept"},
+		"unasked":   {"304 Not Modified|Date: NOW|Age: 1|Cache-Control: max-age=60||", "", "503 busy\n"},
+		"nothing":   {"504 Gateway Timeout|Content-Length: 0||", "", "200 from-origin"},
+		"only":      {"504 Gateway Timeout|Date: NOW|Content-Length: 0||", "Cache-Control: only-if-cached", "504  kept"},
+		"none":      {"404 Not Found|Date: NOW|Age: 1|Cache-Control: max-age=60|Content-Length: 4||none", "", "404 none kept"},
+		"half":      {"200 OK|Date: NOW|Age: 1|Cache-Control: max-age=60|Content-Length: 9||hel" + breaksOff, "", "200 from-origin"},
+	}
+	for key, row := range rows {
+		t.Run(key, func(t *testing.T) {
+			t.Parallel()
+			k := &keeper{row: row[0]}
+			g := newRig(t, 200, k.answer, withFront, func(b *Berth) {
+				b.Operator.Servers = fronts.Servers{HTTPKinds: []string{"box"}, ClockOffS: 30, Probe: "/"}
+			})
+			q, _ := http.NewRequest("GET", "http://"+g.Addr(1)+"/p/"+key, nil)
+			if name, said, ok := strings.Cut(row[1], ": "); ok {
+				q.Header.Set(name, said)
+			}
+			q.Header.Set("Accept-Language", "bn")
+			q.Header.Set("Connection", "X-Hop")
+			q.Header.Set("X-Hop", "1")
+			a, err := http.DefaultTransport.RoundTrip(q)
+			if err != nil {
+				t.Errorf("%s: %v", key, err)
+				return
+			}
+			body, _ := io.ReadAll(a.Body)
+			a.Body.Close()
+			got := fmt.Sprintf("%d %s", a.StatusCode, body)
+			if a.Header.Get("Cache-Status") == "dahliapin; hit" {
+				got += " kept"
+			}
+			if got != row[2] || strings.HasSuffix(got, "kept") != (a.Header.Get("Via") != "") {
+				t.Errorf("%s: got %q, want %q; %v", key, got, row[2], a.Header)
+			}
+			if key == "fresh" && (a.Header.Get("Age") != "5" || a.Header.Get("X") != "y" || a.Header.Get("Z") != "") {
+				t.Errorf("went on: %v", a.Header)
+			}
+			k.Lock()
+			if s := k.seen; !strings.Contains(s, "only-if-cached") || !strings.Contains(s, "Accept-Language: bn") || !strings.Contains(s, "Via: 1.1 dahliapin") ||
+				strings.Contains(s, "X-Hop") || strings.Contains(s, "Connection") {
+				t.Errorf("%s: the cache was sent %q", key, s)
+			}
+			k.Unlock()
+			if key == "fresh" {
+				c, r := g.client()
+				fmt.Fprint(c, "mg fresh v Oa Pc=read,d=900\r\n")
+				g.expect(r, "VA 5 Oa", "hello")
+			}
+		})
+	}
+}
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -61,7 +61,7 @@
 // Berth is where and with what a node runs.
 type Berth struct {
 	Listen, Discovery string
-	Fronts            []fronts.Front // further listeners
+	Operator          fronts.File // further listeners, and caches that speak HTTP
 	Seed              int64
 	Descriptors       int
 	Memory            int64 // bytes it may use in all
@@ -122,7 +122,7 @@
 // New listens and starts; Run is to follow.
 func New(b Berth) (*Relay, error) {
 	listen := []string{b.Listen}
-	for _, f := range b.Fronts {
+	for _, f := range b.Operator.Listeners {
 		listen = append(listen, f.Listen)
 	}
 	eng, err := sockets.New(listen, b.Descriptors)
@@ -132,8 +132,8 @@
 	r := &Relay{Berth: b, eng: eng, began: time.Now(), caches: map[policy.CacheID]*cache{}, taken: map[string]bool{},
 		asks: make(chan func(), 16), done: make(chan struct{})}
 	r.faces = []face{metaFace{}}
-	for i := range b.Fronts {
-		if f := &b.Fronts[i]; f.Protocol == fronts.HTTP {
+	for i := range b.Operator.Listeners {
+		if f := &b.Operator.Listeners[i]; f.Protocol == fronts.HTTP {
 			r.faces = append(r.faces, newHTTPFace(f, r))
 		} else {
 			r.faces = append(r.faces, metaFace{})
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -18,7 +18,6 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fastjson"
 
-	"dahliapin/internal/fronts"
 	"dahliapin/internal/houserules"
 	"dahliapin/internal/net/counters"
 	"dahliapin/policy"
@@ -53,7 +52,7 @@
 }
 
 // newRig starts one. The cache answers each line by the function; "" leaves it unanswered.
-func newRig(t *testing.T, descriptors int, answer func(line string) string, further ...fronts.Front) *rig {
+func newRig(t *testing.T, descriptors int, answer func(line string) string, with ...func(*Berth)) *rig {
 	g := &rig{t: t, lines: make(chan string, 999), ended: make(chan bool, 999), calls: make(chan string, 99),
 		list: make(chan string, 9), asked: make(chan string, 99), over: make(chan bool)}
 	cache := g.listen(func(c net.Conn) {
@@ -120,8 +119,12 @@
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	up := make(chan bool, 9)
-	if g.Relay, err = New(Berth{Listen: "127.0.0.1:0", Fronts: further, Discovery: list, Descriptors: descriptors, Memory: 64 << 20,
-		Terms: rules, Log: quiet, Moved: func(p Phase) { up <- p == Serving }}); err != nil {
+	b := Berth{Listen: "127.0.0.1:0", Discovery: list, Descriptors: descriptors, Memory: 64 << 20,
+		Terms: rules, Log: quiet, Moved: func(p Phase) { up <- p == Serving }}
+	for _, add := range with {
+		add(&b)
+	}
+	if g.Relay, err = New(b); err != nil {
 		t.Fatal(err)
 	}
 	g.addr = g.Addr(0)
@@ -617,6 +620,7 @@
 	wait(t, g.lines)
 	g.End()
 	g.End()
+	g.Counts() // comes after what was asked before: else the next command may, too
 	after, r := g.client()
 	fmt.Fprint(after, "mn\r\nmg k2 v Ob Pc=read,d=900\r\nmg k3 v Oc Pc=read,d=9000\r\n")
 	g.expect(r, "SERVER_ERROR draining", "VA 5 Ob", "hello", "SERVER_ERROR busy") // the last would outlast the node
--- a/node/node.go
+++ b/node/node.go
@@ -68,7 +68,7 @@
 	}
 	var err error
 	n.relay, err = relay.New(relay.Berth{
-		Listen: p.Listen, Fronts: p.fronts, Discovery: p.Discovery, Seed: p.Seed, Descriptors: cmp.Or(p.Sockets, usualSockets),
+		Listen: p.Listen, Operator: p.operator, Discovery: p.Discovery, Seed: p.Seed, Descriptors: cmp.Or(p.Sockets, usualSockets),
 		Memory: p.memory(), Terms: p.terms, Known: p.known, Log: log,
 		Moved: func(to Phase) { n.phase.Store(int32(to)) }, Name: p.Name, Records: note,
 	})
--- a/node/posting.go
+++ b/node/posting.go
@@ -23,12 +23,12 @@
 	Records                 func(Entry, time.Time) // told what the node does to caches, from a goroutine of its own; nil for nobody
 	terms                   houserules.Terms
 	known                   *fastjson.Value
-	fronts                  []fronts.Front
+	operator                fronts.File
 }
 
-// Open adds the listeners that an operator's file states.
+// Open adds what an operator's file states: further listeners, and caches that speak HTTP.
 func (p *Posting) Open(path string) (err error) {
-	p.fronts, err = fronts.Read(path, &p.terms)
+	p.operator, err = fronts.Read(path, &p.terms)
 	return err
 }
 
