HTTP: an answer's way counts to its age, no line that could split one, load by HTTP

Read again: the carrier judged an answer as if it had needed no time, so that one at the end of its allowed age could be served up to a leg's time past it (rule of 9111, 4.2.3); it now counts from when the leg went out. A header's value with a bare line feed, which the reader of answers lets stand, went on to the client, where another reader may see a new line; such lines go no further. A retrieval that may not run twice and gets what may not be served is an error, not a miss, which would have sent it on.

Tests: age 59 of 60 after 0 and 2 s; a split line; half a request is told 408; load counts statuses.

--- a/cmd/dahliapin/load.go
+++ b/cmd/dahliapin/load.go
@@ -23,7 +23,7 @@
 func loadCommand() *cobra.Command {
 	var long time.Duration
 	var rate float64
-	var like string
+	var like, protocol string
 	c := &cobra.Command{Use: "load ADDRESS", Short: "Ask a node at a stated rate, open loop, and tell what came",
 		Long: "Asks as the clients of a rehearsal's script do, without its events. Times count from when a try was due.",
 		Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
@@ -44,10 +44,16 @@
 					return fmt.Errorf("--rate %v is not above 0 and at most 100000", rate)
 				}
 			}
+			if protocol == "" {
+				protocol = s.Traffic.Protocol
+			}
+			if protocol != script.Meta && protocol != script.HTTP {
+				return fmt.Errorf("--protocol %q is neither %s nor %s", protocol, script.Meta, script.HTTP)
+			}
 			asks.Seed = uint32(time.Now().UnixNano()) // names of retrievals are never to come twice at one node
 			ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
-			r := load.Run(ctx, args[0], world.NewTraffic(asks), long)
+			r := load.Run(ctx, args[0], protocol == script.HTTP, world.NewTraffic(asks), long)
 			r.Print(c.OutOrStdout())
 			if r.TooBusy() {
 				return errors.New("not judged")
@@ -56,6 +62,7 @@
 		}}
 	c.Flags().DurationVar(&long, "for", 10*time.Second, "how long")
 	c.Flags().Float64Var(&rate, "rate", 0, "retrievals a second, instead of the script's")
+	c.Flags().StringVar(&protocol, "protocol", "", "meta or http, instead of the script's")
 	c.Flags().StringVar(&like, "like", "demo", "whose grades, keys and rate: a rehearsal's name or file")
 	return c
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -44,14 +44,14 @@
 	Asked  int64
 }
 
-// Run asks until its time is over or the context is.
-func Run(ctx context.Context, addr string, traffic *world.Traffic, long time.Duration) *Result {
+// Run asks until its time is over or the context is, by HTTP as internal/emulator/client puts it, or by meta commands.
+func Run(ctx context.Context, addr string, http bool, traffic *world.Traffic, long time.Duration) *Result {
 	r := &Result{}
 	for _, g := range traffic.Grades {
 		r.Grades = append(r.Grades, Grade{Name: g.Name, Took: hdrhistogram.New(shortest, longest, digits),
 			Bare: hdrhistogram.New(shortest, longest, digits)})
 	}
-	pool := &client.Pool{Addr: addr}
+	pool := &client.Pool{Addr: addr, HTTP: http}
 	var mu sync.Mutex
 	var asking sync.WaitGroup
 	began := time.Now()
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -65,7 +67,7 @@
 	addr := server(t, func() <-chan time.Time {
 		return time.After(min(time.Until(began.Add(200*time.Millisecond+stalled)), stalled))
 	})
-	r := Run(context.Background(), addr, reads(200), time.Second)
+	r := Run(context.Background(), addr, false, reads(200), time.Second)
 	g := r.Grades[0]
 	if r.Asked < 150 || g.Asked != r.Asked || g.Silent+g.Cut+g.Scrapped > 0 {
 		t.Fatalf("%+v", r)
@@ -90,8 +92,31 @@
 	defer stop()
 	now := make(chan time.Time)
 	close(now)
-	r := Run(ctx, server(t, func() <-chan time.Time { return now }), reads(300), time.Minute)
+	r := Run(ctx, server(t, func() <-chan time.Time { return now }), false, reads(300), time.Minute)
 	if r.Asked < 10 || r.Long > 10*time.Second || r.Grades[0].Asked != r.Asked {
 		t.Errorf("%+v", r)
 	}
 }
+
+// By HTTP the answers count as what they are, and a connection that the server ends is not used again.
+func TestHTTPAnswersCountAsWhatTheyAre(t *testing.T) {
+	var n atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch n.Add(1) % 10 {
+		case 0:
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(503)
+		case 1:
+			w.WriteHeader(502)
+		case 2:
+			w.WriteHeader(404)
+		case 3:
+			w.Header().Set("Connection", "close")
+		}
+	}))
+	t.Cleanup(s.Close)
+	g := Run(context.Background(), strings.TrimPrefix(s.URL, "http://"), true, reads(200), time.Second).Grades[0]
+	if tenth := g.Asked / 10; g.Asked < 150 || g.Cut+g.Silent > 0 || g.Dismissed < tenth || g.Scrapped < 2*tenth || g.Wrong < tenth || g.Satisfied < 6*tenth {
+		t.Errorf("%+v", g)
+	}
+}
--- a/internal/net/http1/request.go
+++ b/internal/net/http1/request.go
@@ -60,6 +60,9 @@
 	return is
 }()
 
+// IsField tells whether a name and a value can stand as a header's line for every reader.
+func IsField(name, value []byte) bool { return isToken(name) && plainText(value, true) }
+
 func isToken(b []byte) bool {
 	for _, c := range b {
 		if !token[c] {
--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -396,6 +396,7 @@
 // legData reads a server's answer to a leg.
 func (r *Relay) legData(l *link, v *retrieval) {
 	came, size, wants := &r.came, 0, 0
+	v.call.took = r.now().Since(v.legs[l.leg.leg].sent)
 	*came, size, wants = l.cache.carrier.reply(l.buf.Unused(), &v.call, l.ended)
 	if size == 0 && came.how != spoilt {
 		l.buf.Expect(wants)
--- a/internal/net/relay/faces.go
+++ b/internal/net/relay/faces.go
@@ -62,6 +62,7 @@
 	conditional    bool          // it asks whether what it has still holds
 	onlyKept       bool          // nothing is to be fetched for it
 	posts          bool          // its write is a POST
+	took           time.Duration // from when the leg went out that is being answered
 	redoable       bool          // by its grade
 	wait           time.Duration // until its hard stop
 }
--- a/internal/net/relay/httpcarrier.go
+++ b/internal/net/relay/httpcarrier.go
@@ -96,7 +96,7 @@
 	}
 	now := time.Now()
 	rules := freshness.Rules{ClockOff: h.servers.ClockOff(), Heuristic: h.servers.Heuristic, MostHeuristic: h.servers.MostHeuristic()}
-	v := freshness.Judge(&c.judged, &said, now, now, now, rules, false)
+	v := freshness.Judge(&c.judged, &said, now.Add(-c.took), now, now, rules, false)
 	if v.Use <= freshness.Stale {
 		return true
 	}
@@ -126,10 +126,11 @@
 	return m
 }()
 
-// forwarded adds the lines of a head that go further, without those that its Connection names.
+// forwarded adds the lines of a head that go further, without those that its Connection names, and without any in which another
+// reader may see the end of a line: answers could be split by it.
 func forwarded(to []byte, each func(func(name, value []byte)), connection []byte) []byte {
 	each(func(name, value []byte) {
-		if perHop[string(bytes.ToLower(name))] || http1.Has(connection, string(name)) {
+		if perHop[string(bytes.ToLower(name))] || http1.Has(connection, string(name)) || !http1.IsField(name, value) {
 			return
 		}
 		to = append(append(append(append(to, name...), ": "...), value...), "\r\n"...)
--- a/internal/net/relay/httpface_test.go
+++ b/internal/net/relay/httpface_test.go
@@ -15,6 +15,7 @@
 	"dahliapin/internal/fronts"
 	"dahliapin/internal/net/counters"
 	"dahliapin/internal/net/http1"
+	"dahliapin/policy"
 )
 
 var front = fronts.Front{Listen: "127.0.0.1:0", Protocol: fronts.HTTP, Ready: "/up", GradeHeader: "X-Grade", IDHeader: "X-Id", DeadlineHeader: "X-Wait", TenantHeader: "X-Tenant",
@@ -219,7 +220,7 @@
 func TestWhatAnHTTPCacheKeepsIsServedOnlyWhileItMayBe(t *testing.T) {
 	const five = "|Content-Length: 5||hello"
 	rows := map[string][3]string{ // what the cache says, what the client says beside, what it gets
-		"fresh":     {"200 OK|Date: NOW|Age: 5|Cache-Control: max-age=60|X: y|Connection: z|Z: hop" + five, "", "200 hello kept"},
+		"fresh":     {"200 OK|Date: NOW|Age: 5|Cache-Control: max-age=60|X: y|Connection: z|Z: hop|Y: a\nSplit: b" + five, "", "200 hello kept"},
 		"old":       {"200 OK|Date: NOW|Age: 61|Cache-Control: max-age=60" + five, "", "200 from-origin"},
 		"ageless":   {"200 OK|Date: AGO|Cache-Control: max-age=60" + five, "", "200 from-origin"},
 		"ahead":     {"200 OK|Date: AHEAD|Cache-Control: max-age=20" + five, "", "200 hello kept"},
@@ -267,7 +268,7 @@
 			if got != row[2] || strings.HasSuffix(got, "kept") != (a.Header.Get("Via") != "") {
 				t.Errorf("%s: got %q, want %q; %v", key, got, row[2], a.Header)
 			}
-			if key == "fresh" && (a.Header.Get("Age") != "5" || a.Header.Get("X") != "y" || a.Header.Get("Z") != "") {
+			if key == "fresh" && (a.Header.Get("Age") != "5" || a.Header.Get("X") != "y" || a.Header.Get("Z")+a.Header.Get("Split") != "") {
 				t.Errorf("went on: %v", a.Header)
 			}
 			k.Lock()
@@ -284,3 +285,16 @@
 		})
 	}
 }
+
+// A leg that took long would be served as younger than it is: its way here counts, too.
+func TestTheWayOfAnAnswerCountsToItsAge(t *testing.T) {
+	h, said := httpCarrier{&fronts.Servers{}, true}, "HTTP/1.1 200 OK\r\nAge: 59\r\nCache-Control: max-age=60\r\nContent-Length: 0\r\n\r\n"
+	for took, want := range map[time.Duration]policy.Result{0: policy.Answered, 2 * time.Second: policy.Missed} {
+		if r, _, _ := h.reply([]byte(said), &call{redoable: true, took: took, headers: []byte{}}, false); r.how != want {
+			t.Errorf("after %v: %v, want %v", took, r.how, want)
+		}
+	}
+	if r, _, _ := h.reply([]byte(strings.Replace(said, "59", "61", 1)), &call{headers: []byte{}}, false); r.how != policy.Errored {
+		t.Errorf("a retrieval that may not run twice: %v", r.how) // told as a miss, it would be sent to the origin as well
+	}
+}
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -400,8 +400,11 @@
 
 // Connections that never spoke, and half commands, stayed for good.
 func TestWhoSaysNothingWholeInTimeIsClosed(t *testing.T) {
-	g := newRig(t, 200, value)
+	g := newRig(t, 200, value, withFront)
 	_, silent := g.client()
+	_, web := g.web()
+	late := make(chan []string, 1)
+	go func() { late <- web("GET /p/k HTTP/1.1\r\nHost: n\r\nX: ", "GET", "GET") }()
 	half, told := g.client()
 	fmt.Fprint(half, "ms k 5 Ob Pc=put,d=9000\r\nhe")
 	g.expect(told, strings.TrimSpace(metaRefusals[tooLate]))
@@ -410,7 +413,8 @@
 			t.Errorf("not closed: %v", err)
 		}
 	}
-	if n := g.Counts(); n.Overdue != 2 {
+	g.same(wait(t, late), "408 not whole in time 18 close", "ended")
+	if n := g.Counts(); n.Overdue != 3 {
 		t.Errorf("%d were overdue", n.Overdue)
 	}
 }
