--- a/internal/net/deadlines/deadlines.go
+++ b/internal/net/deadlines/deadlines.go
@@ -1,16 +1,12 @@
 // Package deadlines is the one ordered structure that all of a node's deadlines hang in.
 package deadlines
 
-import (
-	"container/heap"
-
-	"dahliapin/policy"
-)
+import "dahliapin/policy"
 
 // Queue hands out what was put in by time, and by order of putting where times are alike. Nothing is taken out
 // early: what has become void is for the caller to pass over.
 type Queue[E any] struct {
-	in   entries[E]
+	in   []entry[E]
 	puts uint64
 }
 
@@ -20,25 +16,20 @@
 	due E
 }
 
-type entries[E any] []entry[E]
-
-func (q entries[E]) Len() int      { return len(q) }
-func (q entries[E]) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q entries[E]) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].put < q[j].put
-}
-func (q *entries[E]) Push(x any) { *q = append(*q, x.(entry[E])) }
-func (q *entries[E]) Pop() any {
-	last := (*q)[len(*q)-1]
-	(*q)[len(*q)-1] = entry[E]{}
-	*q = (*q)[:len(*q)-1]
-	return last
-}
+func (e *entry[E]) before(o *entry[E]) bool { return e.at < o.at || e.at == o.at && e.put < o.put }
 
-// Put hangs something in.
+// Put hangs something in. The heap is the package's own: the library's takes each entry as an interface, an allocation each.
 func (q *Queue[E]) Put(at policy.Instant, due E) {
 	q.puts++
-	heap.Push(&q.in, entry[E]{at, q.puts, due})
+	q.in = append(q.in, entry[E]{at, q.puts, due})
+	for i := len(q.in) - 1; i > 0; {
+		up := (i - 1) / 2
+		if !q.in[i].before(&q.in[up]) {
+			break
+		}
+		q.in[i], q.in[up] = q.in[up], q.in[i]
+		i = up
+	}
 }
 
 // Next tells when the next is due.
@@ -54,5 +45,21 @@
 	if len(q.in) == 0 || q.in[0].at > now {
 		return due, false
 	}
-	return heap.Pop(&q.in).(entry[E]).due, true
+	due = q.in[0].due
+	last := len(q.in) - 1
+	q.in[0], q.in[last] = q.in[last], entry[E]{}
+	q.in = q.in[:last]
+	for i := 0; ; {
+		least := i
+		for _, down := range [2]int{2*i + 1, 2*i + 2} {
+			if down < last && q.in[down].before(&q.in[least]) {
+				least = down
+			}
+		}
+		if least == i {
+			return due, true
+		}
+		q.in[i], q.in[least] = q.in[least], q.in[i]
+		i = least
+	}
 }
