Check tells every fault of an operator's file; sorted queries; rehearsals validate by HTTP

check told the first fault of a file only; it lists all now, with their lines, and other commands still one. sort_query makes the order of a query's parts no other key (off unless stated, those of one name keep their order). In rehearsals one read in eight asks whether a value that its client has still holds, and the stand-in answers 304.

--- a/cmd/dahliapin/main.go
+++ b/cmd/dahliapin/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -13,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"dahliapin/internal/strictly"
 	"dahliapin/node"
 	"dahliapin/policy"
 )
@@ -28,21 +30,27 @@
 	server := &cobra.Command{Use: "serve", Short: "Run one node until SIGTERM; SIGHUP reads its configuration again", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error { return serve(config, record, operator) }}
 	server.Flags().StringVar(&record, "records", "", "file to which records of what is done to caches are added, as JSON lines")
-	root.AddCommand(server,
-		&cobra.Command{Use: "check", Short: "Say whether a configuration can be used", Args: cobra.NoArgs,
-			RunE: func(c *cobra.Command, _ []string) error {
-				p, err := posting(config, operator)
-				if err == nil {
-					fmt.Fprintf(c.OutOrStdout(), "%s: can be used; listens on %s\n", p.Name, p.Listen)
-				}
-				return err
-			}},
+	checking := &cobra.Command{Use: "check", Short: "Say whether a configuration can be used", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			p, err := posting(config, operator)
+			if err == nil {
+				fmt.Fprintf(c.OutOrStdout(), "%s: can be used; listens on %s\n", p.Name, p.Listen)
+			}
+			return err
+		}}
+	root.AddCommand(server, checking,
 		migrate(), rehearse(), loadCommand(), demo(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "dahliapin", version, built()) }},
 	)
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "dahliapin:", err)
+		var all strictly.Faults
+		if errors.As(err, &all) && checking.CalledAs() != "" { // who checks a file wants to know of all at once
+			for _, f := range all[1:] {
+				fmt.Fprintln(os.Stderr, "dahliapin:", f)
+			}
+		}
 		os.Exit(1)
 	}
 }
--- a/cmd/dahliapin/rehearse_test.go
+++ b/cmd/dahliapin/rehearse_test.go
@@ -109,4 +109,8 @@
 			t.Errorf("%v: exit %d, %q", args, code, out)
 		}
 	}
+	two := scriptFile(t, "[[listener]]\nlisten = 'x'\nprotocol = 'y'\n") // who checks a file and hears of one fault at a time checks it many times
+	if out, _, _ := program(t, nil, "check", "--config", config, "--operator", two); !strings.Contains(out, ":2: ") || !strings.Contains(out, ":3: ") {
+		t.Errorf("two faults: %q", out)
+	}
 }
--- a/internal/emulator/client/client.go
+++ b/internal/emulator/client/client.go
@@ -32,6 +32,7 @@
 	ID, Key, Label, Grade string
 	Write, Repeat         bool
 	Value                 string
+	Holds                 string        // by HTTP: the value that the client has, and asks whether it still holds
 	Wait                  time.Duration // until the hard stop
 }
 
--- a/internal/emulator/client/http.go
+++ b/internal/emulator/client/http.go
@@ -21,6 +21,9 @@
 	LabelHeader = "Idempotency-Key"
 )
 
+// Tag names a value, as a cache does.
+func Tag(value string) string { return strconv.Quote(value) }
+
 // request is a try as it is sent.
 func (a *Ask) request() string {
 	method, more := "GET", ""
@@ -30,6 +33,9 @@
 	if a.Label != "" {
 		more += LabelHeader + ": " + a.Label + "\r\n"
 	}
+	if a.Holds != "" {
+		more += "If-None-Match: " + Tag(a.Holds) + "\r\n"
+	}
 	return fmt.Sprintf("%s %s%s HTTP/1.1\r\nHost: n\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\n%s\r\n%s", method, Path, a.Key, IDHeader, a.ID,
 		GradeHeader, a.Grade, WaitHeader, max(1, a.Wait.Milliseconds()), more, a.Value)
 }
@@ -52,6 +58,10 @@
 	switch said.StatusCode {
 	case http.StatusOK:
 		answer.Final, answer.Value = judge.Satisfied, string(body)
+	case http.StatusNotModified:
+		if answer.Final, answer.Value = judge.Satisfied, a.Holds; a.Holds == "" {
+			answer.Wrong = "a 304 that was not asked for"
+		}
 	case http.StatusServiceUnavailable:
 		answer.Final = judge.Dismissed
 		back, _ := strconv.Atoi(said.Header.Get("Retry-After"))
--- a/internal/emulator/onwire/httpcache.go
+++ b/internal/emulator/onwire/httpcache.go
@@ -14,8 +14,9 @@
 // A cache of the emulator that speaks HTTP/1.1, from RFC 9111: what it keeps it serves with its age, what it does not keep is 504
 // where only that was asked for, and what it may not serve any more it serves all the same when a script says so.
 const (
-	freshFor = 60 // seconds
-	tooOld   = "what may not be served any more"
+	freshFor  = 60 // seconds
+	tooOld    = "what may not be served any more"
+	validates = 8 // one read in so many asks whether the value that its client has still holds
 )
 
 // nextRequest takes one request; 0 asks for more bytes.
@@ -50,7 +51,7 @@
 		r.judge.Wrong(now, id, "a cache beside an origin was asked to fetch, or for no key: "+string(q.Target))
 	}
 	items := fmt.Sprintf("c=%s,d=%s,k=%s", q.Header(client.GradeHeader), q.Header(client.WaitHeader), q.Header(client.LabelHeader))
-	if !r.take(s, id, target, []byte(items), string(q.Method) != http.MethodGet, &leg{conn: c}) {
+	if !r.take(s, id, target, []byte(items), string(q.Method) != http.MethodGet, &leg{conn: c, tag: string(q.Header("If-None-Match"))}) {
 		c.answer(httpAnswer(http.StatusServiceUnavailable, "", "busy"))
 	}
 	return size
@@ -61,11 +62,13 @@
 }
 
 // keptAnswer writes a cache's answer.
-func keptAnswer(d world.Done, stale bool) []byte {
+func keptAnswer(d world.Done, stale bool, tag string) []byte {
 	kept := fmt.Sprintf("Cache-Control: max-age=%d\r\nAge: ", freshFor)
 	switch {
 	case d.Said == world.Value && stale:
 		return httpAnswer(http.StatusOK, kept+fmt.Sprint(freshFor+1, "\r\n"), tooOld)
+	case d.Said == world.Value && tag == client.Tag(d.Text):
+		return fmt.Appendf(nil, "HTTP/1.1 304 Not Modified\r\n%s1\r\nETag: %s\r\n\r\n", kept, tag)
 	case d.Said == world.Value:
 		return httpAnswer(http.StatusOK, kept+"1\r\n", d.Text)
 	case d.Said == world.Receipt:
--- a/internal/emulator/onwire/rig.go
+++ b/internal/emulator/onwire/rig.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/crc32"
 	"sync"
 	"time"
 
@@ -295,6 +296,9 @@
 	if g.Write {
 		a.Value = world.ValueOf(req.Key)
 	}
+	if m.pool.HTTP && !g.Write && crc32.ChecksumIEEE([]byte(req.ID))%validates == 0 {
+		a.Holds = world.ValueOf(req.Key)
+	}
 	r.asking.Add(1)
 	m.pool.Ask(a, func(got client.Answer) {
 		defer r.asking.Done()
--- a/internal/emulator/onwire/servers.go
+++ b/internal/emulator/onwire/servers.go
@@ -57,6 +57,7 @@
 	id     string
 	came   policy.Instant
 	conn   *serverConn     // to a cache
+	tag    string          // its client asks whether what this names still holds
 	done   chan world.Done // to the origin
 }
 
@@ -432,7 +433,7 @@
 	s := r.servers[l.server]
 	out := answerOf(d, r.script.Fleet.Reports)
 	if r.script.Fleet.Protocol == script.HTTP {
-		out = keptAnswer(d, s.fault == "stale")
+		out = keptAnswer(d, s.fault == "stale", l.tag)
 	}
 	switch s.fault {
 	case "half":
--- a/internal/fronts/fronts.go
+++ b/internal/fronts/fronts.go
@@ -63,6 +63,7 @@
 	DeadlineHeader string  `toml:"deadline_header"`
 	Ready          string  `toml:"ready_path"`    // answers whether retrievals are served; empty for none
 	Counters       string  `toml:"counters_path"` // answers the counters; empty for none
+	SortQuery      bool    `toml:"sort_query"`    // the order of a query's parts makes no other key
 	Routes         []Route `toml:"route"`
 }
 
--- a/internal/net/relay/httpface.go
+++ b/internal/net/relay/httpface.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -112,6 +113,15 @@
 		return
 	}
 	key := path[len(route.Path):]
+	if at := strings.IndexByte(key, '?'); at >= 0 && h.front.SortQuery {
+		parts := strings.Split(key[at+1:], "&")
+		slices.SortStableFunc(parts, func(a, b string) int { // of one name the order may matter
+			a, _, _ = strings.Cut(a, "=")
+			b, _, _ = strings.Cut(b, "=")
+			return strings.Compare(a, b)
+		})
+		key = key[:at+1] + strings.Join(parts, "&")
+	}
 	if !meta.IsKey([]byte(key)) {
 		h.refuse(a, 400, "a key that is none", a.closes)
 		return
--- a/internal/net/relay/httpface_test.go
+++ b/internal/net/relay/httpface_test.go
@@ -18,7 +18,7 @@
 	"dahliapin/policy"
 )
 
-var front = fronts.Front{Listen: "127.0.0.1:0", Protocol: fronts.HTTP, Ready: "/up", GradeHeader: "X-Grade", IDHeader: "X-Id", DeadlineHeader: "X-Wait", TenantHeader: "X-Tenant",
+var front = fronts.Front{Listen: "127.0.0.1:0", Protocol: fronts.HTTP, Ready: "/up", SortQuery: true, GradeHeader: "X-Grade", IDHeader: "X-Id", DeadlineHeader: "X-Wait", TenantHeader: "X-Tenant",
 	Routes: []fronts.Route{{Path: "/p/", Methods: []string{"GET", "HEAD"}, Grade: "read", DeadlineMs: 9000},
 		{Path: "/p/", Methods: []string{"PUT"}, Grade: "put"}, {Path: "/pay/", Methods: []string{"POST"}, Grade: "pay"}}}
 
@@ -77,10 +77,10 @@
 		g.until("the second is answered", func(n counters.Counters) bool { return n.Satisfied > 0 })
 		close(slow)
 	}()
-	g.same(ask(req("GET /p/slow")+req("GET http://h/p/%6b?b=2&a=1")+req("HEAD /p/k")+req("HEAD /q/k")+req("GET /q/k")+req("DELETE /p/k")+req("GET /up"),
+	g.same(ask(req("GET /p/slow")+req("GET http://h/p/%6b?b=2&a=1&a=0")+req("HEAD /p/k")+req("HEAD /q/k")+req("GET /q/k")+req("DELETE /p/k")+req("GET /up"),
 		"GET", "GET", "HEAD", "HEAD", "GET", "DELETE", "GET"), "200 hello 5", "200 hello 5", "200  5", "404  16", "404 nothing is here 16",
 		"405 this can't be done here 24", "200 serving 8")
-	if all := wait(t, g.lines) + wait(t, g.lines) + wait(t, g.lines); !strings.Contains(all, "mg slow v Oh") || !strings.Contains(all, "mg k?b=2&a=1 v Oh") ||
+	if all := wait(t, g.lines) + wait(t, g.lines) + wait(t, g.lines); !strings.Contains(all, "mg slow v Oh") || !strings.Contains(all, "mg k?a=1&a=0&b=2 v Oh") ||
 		!strings.Contains(all, " Pc=read,d=") {
 		t.Errorf("the cache was sent %q", all)
 	}
--- a/internal/strictly/strictly.go
+++ b/internal/strictly/strictly.go
@@ -3,8 +3,10 @@
 package strictly
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -26,6 +28,11 @@
 	return fmt.Sprintf("%s:%d: %s", f.File, f.Line, f.Reason)
 }
 
+// Faults are all that is wrong with a file, in its order. As an error they are one line: the first.
+type Faults []Fault
+
+func (f Faults) Error() string { return f[0].Error() }
+
 // Parse reads a file's text into a struct. The checker then takes what else is wanted of it.
 func Parse(file string, text []byte, into any) (*Checker, error) {
 	err := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields().Decode(into)
@@ -33,14 +40,17 @@
 	var bad *toml.DecodeError
 	switch {
 	case errors.As(err, &unknown) && len(unknown.Errors) > 0:
-		first := unknown.Errors[0]
-		row, _ := first.Position()
-		return nil, Fault{file, row, "no such field: " + strings.Join(first.Key(), ".")}
+		var all Faults
+		for _, u := range unknown.Errors {
+			row, _ := u.Position()
+			all = append(all, Fault{file, row, "no such field: " + strings.Join(u.Key(), ".")})
+		}
+		return nil, all
 	case errors.As(err, &bad):
 		row, _ := bad.Position()
-		return nil, Fault{file, row, strings.TrimPrefix(bad.Error(), "toml: ")}
+		return nil, Faults{{file, row, strings.TrimPrefix(bad.Error(), "toml: ")}}
 	case err != nil:
-		return nil, Fault{file, 0, err.Error()}
+		return nil, Faults{{file, 0, err.Error()}}
 	}
 	return &Checker{file: file, lines: linesOf(text)}, nil
 }
@@ -85,11 +95,10 @@
 type Checker struct {
 	file  string
 	lines map[string]int
-	first *Fault
+	wrong Faults
 }
 
-// Want notes what is wrong at a path unless it holds; the fault that stands first is kept. A field that is not written
-// has the line of what it belongs to.
+// Want notes what is wrong at a path unless it holds. A field that is not written has the line of what it belongs to.
 func (c *Checker) Want(holds bool, path, reason string, args ...any) {
 	if holds {
 		return
@@ -99,9 +108,7 @@
 		line = c.lines[at]
 		at = at[:max(0, strings.LastIndexByte(at, '.'))]
 	}
-	if c.first == nil || line < c.first.Line {
-		c.first = &Fault{c.file, line, path + ": " + fmt.Sprintf(reason, args...)}
-	}
+	c.wrong = append(c.wrong, Fault{c.file, line, path + ": " + fmt.Sprintf(reason, args...)})
 }
 
 // Within wants a number to be in a range.
@@ -109,10 +116,13 @@
 	c.Want(x >= least && x <= most, path, "%v is not from %v to %v", x, least, most)
 }
 
-// Err is what stands first in the file of all that is wrong, or nil.
+// Err is all that is wrong, or nil.
 func (c *Checker) Err() error {
-	if c.first == nil {
+	if len(c.wrong) == 0 {
 		return nil
 	}
-	return *c.first
+	slices.SortStableFunc(c.wrong, func(a, b Fault) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Reason, b.Reason))
+	})
+	return c.wrong
 }
