Reduced service levels, first part: a filter before the module, stated by the operator

internal/levels: a machine that looks once a second at shares of late, lost, turned away, dismissed and late at the origin; entered after two looks, left once all that was shed has come back by eighths and stayed so; thin evidence waits up to 20 s, none in the first 10 s. A filter wraps the module and sheds what has just come (host.Gate). Log, records, stats, check with every fault's line; scripts take levels.

--- a/internal/emulator/outcome/outcome.go
+++ b/internal/emulator/outcome/outcome.go
@@ -362,7 +362,7 @@
 		fmt.Fprintf(to, "%8.3f s  script: %s\n", time.Duration(e.At).Seconds(), e.What)
 	}
 	for _, e := range r.Records {
-		if e.Node == FleetsBook && e.What != records.Listed {
+		if e.Node == FleetsBook && e.What != records.Listed || e.What == records.Level {
 			fmt.Fprintln(to, e)
 		}
 	}
--- a/internal/emulator/script/script.go
+++ b/internal/emulator/script/script.go
@@ -12,8 +12,12 @@
 	"strings"
 	"time"
 
+	"github.com/valyala/fastjson"
+
 	"dahliapin/internal/emulator/world"
+	"dahliapin/internal/houserules"
 	"dahliapin/internal/keyhash"
+	"dahliapin/internal/levels"
 	"dahliapin/internal/strictly"
 	"dahliapin/policy"
 )
@@ -31,19 +35,20 @@
 
 // Script is one rehearsal.
 type Script struct {
-	Name      string    `toml:"name"`
-	About     string    `toml:"about"`
-	Seed      int64     `toml:"seed"`
-	Seconds   float64   `toml:"seconds"`
-	Fleet     Fleet     `toml:"fleet"`
-	Origin    Origin    `toml:"origin"`
-	Network   Network   `toml:"network"`
-	Discovery Discovery `toml:"discovery"`
-	Allowed   Allowed   `toml:"allowed"`
-	Traffic   Traffic   `toml:"traffic"`
-	Grades    []Grade   `toml:"grade"`
-	Events    []Event   `toml:"event"`
-	Expect    Expect    `toml:"expect"`
+	Name      string         `toml:"name"`
+	About     string         `toml:"about"`
+	Seed      int64          `toml:"seed"`
+	Seconds   float64        `toml:"seconds"`
+	Fleet     Fleet          `toml:"fleet"`
+	Origin    Origin         `toml:"origin"`
+	Network   Network        `toml:"network"`
+	Discovery Discovery      `toml:"discovery"`
+	Allowed   Allowed        `toml:"allowed"`
+	Traffic   Traffic        `toml:"traffic"`
+	Grades    []Grade        `toml:"grade"`
+	Events    []Event        `toml:"event"`
+	Expect    Expect         `toml:"expect"`
+	Levels    []levels.Level `toml:"level"` // of all nodes
 }
 
 // Fleet says what caches and nodes there are.
@@ -293,6 +298,7 @@
 	s.checkGrades(c)
 	s.checkEvents(c)
 	s.checkExpect(c)
+	s.checkLevels(c)
 }
 
 func (s *Script) checkGrades(c *strictly.Checker) {
@@ -536,3 +542,16 @@
 		}
 	}
 }
+
+func (s *Script) checkLevels(c *strictly.Checker) {
+	if len(s.Levels) == 0 {
+		return
+	}
+	v, err := fastjson.ParseBytes(s.Settings(""))
+	if err != nil {
+		panic(err) // it is this program's own
+	}
+	if terms, err := houserules.Decode(v); err == nil { // else the grades are at fault, and told
+		levels.Check(c, s.Levels, &terms)
+	}
+}
--- a/internal/emulator/script/settings.go
+++ b/internal/emulator/script/settings.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 
+	"github.com/pelletier/go-toml/v2"
+
 	"dahliapin/internal/emulator/client"
 )
 
@@ -36,12 +38,12 @@
 	return text
 }
 
-// Operator is the file of a node whose clients speak HTTP at an address, as internal/emulator/client does.
+// Operator is the file of a node whose clients speak HTTP at an address, as internal/emulator/client does, or that has service levels;
+// nil where there are neither.
 func (s *Script) Operator(listen string) []byte {
-	if s.Traffic.Protocol != HTTP {
-		return nil
-	}
-	text := fmt.Sprintf(`[[listener]]
+	var text string
+	if s.Traffic.Protocol == HTTP {
+		text = fmt.Sprintf(`[[listener]]
 listen = %q
 protocol = "http"
 ready_path = "/ready"
@@ -53,8 +55,19 @@
 methods = ["GET", "HEAD", "PUT", "POST"]
 grade = %q
 `, listen, client.IDHeader, client.GradeHeader, client.WaitHeader, client.Path, s.Grades[0].Name)
+	}
 	if s.Fleet.Protocol == HTTP {
 		text += "[servers]\nhttp_kinds = [\"cache\"]\n"
 	}
+	if len(s.Levels) > 0 {
+		plan, err := toml.Marshal(map[string]any{"level": s.Levels})
+		if err != nil {
+			panic(err) // it was read from such a file
+		}
+		text += string(plan)
+	}
+	if text == "" {
+		return nil
+	}
 	return []byte(text)
 }
--- a/internal/emulator/virtual/node.go
+++ b/internal/emulator/virtual/node.go
@@ -13,6 +13,7 @@
 	"dahliapin/internal/host"
 	"dahliapin/internal/houserules"
 	"dahliapin/internal/keeping"
+	"dahliapin/internal/levels"
 	"dahliapin/internal/records"
 	"dahliapin/policy"
 )
@@ -73,7 +74,13 @@
 	n.book = records.New("n"+strconv.Itoa(n.number+1), n.r.log.Note, isOrigin)
 	seed := n.r.script.Seed*7919 + int64(n.number)*31 + int64(n.life)
 	n.r.Decided++
-	n.host = host.With(n.r.now, n.r.make(n.r.now, seed, n.terms.Rules), n, n)
+	var decider host.Decider = n.r.make(n.r.now, seed, n.terms.Rules)
+	if len(n.r.script.Levels) > 0 {
+		decider = levels.Before(decider, n.r.now, uint32(seed), n.r.script.Levels, &n.terms, func(now policy.Instant, _ int, name string) {
+			n.book.Level(now, name)
+		}, new(uint64))
+	}
+	n.host = host.With(n.r.now, decider, n, n)
 	n.hear(form, entries)
 	if n.r.registry.Bounded() {
 		n.lists = discovery.New(n.terms.Rules.Nodes)
--- a/internal/fronts/fronts.go
+++ b/internal/fronts/fronts.go
@@ -1,5 +1,6 @@
 // Package fronts reads what an operator states of further listeners: the protocol spoken there, and for HTTP which
-// requests are retrievals of which service grade; and which caches speak HTTP.
+// requests are retrievals of which service grade; which caches speak HTTP; and reduced
+// service levels.
 package fronts
 
 import (
@@ -12,6 +13,7 @@
 	"time"
 
 	"dahliapin/internal/houserules"
+	"dahliapin/internal/levels"
 	"dahliapin/internal/strictly"
 )
 
@@ -29,8 +31,9 @@
 
 // File is an operator's file.
 type File struct {
-	Listeners []Front `toml:"listener"`
-	Servers   Servers `toml:"servers"`
+	Listeners []Front        `toml:"listener"`
+	Servers   Servers        `toml:"servers"`
+	Levels    []levels.Level `toml:"level"`
 }
 
 // Servers is what is stated of caches that speak HTTP.
@@ -120,6 +123,7 @@
 		}
 	}
 	file.Servers.check(c, terms)
+	levels.Check(c, file.Levels, terms)
 	return file, c.Err()
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -29,6 +29,11 @@
 	Probed(now policy.Instant, id policy.CacheID, found policy.Result)
 }
 
+// Gate is a decider that may turn away what has just come, before it is in hand.
+type Gate interface {
+	Admit(now policy.Instant, r *policy.Retrieval) (m policy.Move, in bool)
+}
+
 // Watcher hears what a node does to its caches. It is called within the node's loop and is not to wait.
 type Watcher interface {
 	// Stands is called at an upkeep for each cache that stands otherwise than at the one before; at first all are in use.
@@ -103,6 +108,12 @@
 	}
 	in := &held{Retrieval: *r}
 	h.hand[r.ID] = in
+	if gate, is := h.router.(Gate); is {
+		if m, let := gate.Admit(now, &in.Retrieval); !let {
+			h.carryOut(now, in, m)
+			return
+		}
+	}
 	h.carryOut(now, in, h.router.Where(now, &in.Retrieval))
 }
 
--- /dev/null
+++ b/internal/levels/levels.go
@@ -0,0 +1,202 @@
+// Package levels holds a node's reduced service levels: when one is entered, which grades are shed in it, and when it is left.
+// It does no I/O; times are arguments. It is a filter before the module, which still decides what is let through.
+package levels
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"dahliapin/internal/houserules"
+	"dahliapin/internal/strictly"
+	"dahliapin/policy"
+)
+
+const (
+	window     = time.Second      // between two looks: a leg takes milliseconds, a trouble lasts seconds
+	leastSeen  = 60               // retrievals that a look needs: at 60 a share of a tenth is off by a third at most in two of three looks
+	thinFor    = 20 * window      // after which a look is taken of whatever there is
+	learnsFor  = 10 * time.Second // after its start that a node looks at nothing: the module turns away while it knows no cache yet
+	before     = 2                // looks in a row that enter a level: one may be a pause of this very machine
+	step       = 1.0 / 8          // by which what is shed comes back
+	again      = 2 * step         // by which it goes when that was too much
+	stepsAStay = 2                // steps in a least stay: traffic swells and ebbs, and a step is to see both
+	most       = 8                // levels: an operator has to tell them apart at night
+	mostStay   = 10 * time.Minute // least stay that may be stated
+)
+
+// Shares are of the legs and retrievals of one look. As bounds, 0 looks at nothing.
+type Shares struct {
+	Late       float64 `toml:"late"`        // answered after the soft limit
+	Lost       float64 `toml:"lost"`        // errors, breaks, and no answer in time
+	TurnedAway float64 `toml:"turned_away"` // by caches that are full
+	OriginLate float64 `toml:"origin_late"` // late or lost there, of the legs there
+	Dismissed  float64 `toml:"dismissed"`   // by the module, of the retrievals that the level lets through
+}
+
+func (s Shares) each(o Shares, f func(name string, mine, other float64)) {
+	f("late", s.Late, o.Late)
+	f("lost", s.Lost, o.Lost)
+	f("turned_away", s.TurnedAway, o.TurnedAway)
+	f("origin_late", s.OriginLate, o.OriginLate)
+	f("dismissed", s.Dismissed, o.Dismissed)
+}
+
+// reached tells whether one of the bounds is.
+func (s Shares) reached(by Shares) (is bool) {
+	s.each(by, func(_ string, bound, seen float64) { is = is || bound > 0 && seen >= bound })
+	return is
+}
+
+// Level is one reduced level; they stand from the mildest to the hardest.
+type Level struct {
+	Name  string   `toml:"name"`
+	Enter Shares   `toml:"enter"` // one of them reached in two looks enters it
+	Leave Shares   `toml:"leave"` // all of them under this lets what is shed come back
+	StayS float64  `toml:"stay_s"`
+	Shed  []string `toml:"shed"` // grades that are dismissed
+}
+
+func (l *Level) stay() time.Duration { return time.Duration(l.StayS * float64(time.Second)) }
+
+// Check looks at what is stated. Grades are those of the deployment; at is where the levels stand in the file.
+func Check(c *strictly.Checker, plan []Level, terms *houserules.Terms) {
+	c.Want(len(plan) <= most, "level", "more than %d", most)
+	for i := range plan {
+		l, at := &plan[i], fmt.Sprintf("level.%d.", i)
+		c.Want(l.Name != "" && !slices.ContainsFunc(plan[:i], func(o Level) bool { return o.Name == l.Name }), at+"name", "%q is no name of its own", l.Name)
+		c.Within(l.StayS, window.Seconds(), mostStay.Seconds(), at+"stay_s")
+		any := false
+		l.Enter.each(l.Leave, func(name string, in, out float64) {
+			any = any || in > 0
+			c.Within(in, 0, 1, at+"enter."+name)
+			c.Want(in == 0 && out == 0 || out > 0 && out < in, at+"leave."+name, "%v is not above 0 and under %v, at which the level is entered", out, in)
+		})
+		c.Want(any, at+"enter", "nothing enters it")
+		c.Want(len(l.Shed) > 0, at+"shed", "names no grade")
+		for _, name := range l.Shed {
+			g := terms.Names.Grade([]byte(name))
+			c.Want(g >= 0, at+"shed", "the deployment states no grade %q", name)
+			c.Want(g < 0 || terms.Rules.Grades[g].Effect == policy.Redoable, at+"shed", "%q may have an effect, and is never shed", name)
+		}
+		c.Want(len(l.Shed) < len(terms.Rules.Grades), at+"shed", "leaves no grade")
+	}
+}
+
+// counted are the legs and retrievals of a look.
+type counted struct{ legs, late, lost, away, origin, originLate, let, dismissed int }
+
+func (n *counted) shares() (s Shares) {
+	part := func(k, of int) float64 {
+		if of == 0 {
+			return 0
+		}
+		return float64(k) / float64(of)
+	}
+	return Shares{part(n.late, n.legs), part(n.lost, n.legs), part(n.away, n.legs), part(n.originLate, n.origin), part(n.dismissed, n.let)}
+}
+
+// Machine is where a node stands.
+type Machine struct {
+	plan   []Level
+	at     int     // 0 is normal; else plan[at-1]
+	share  float64 // of what the level sheds that is shed
+	since  policy.Instant
+	stay   time.Duration // from since on, until what is shed may come back
+	from   policy.Instant
+	learns policy.Instant // until then nothing is looked at
+	n      counted
+	above  []int // looks in a row that reached a level's bounds
+	left   policy.Instant
+	after  time.Duration // the stay of the level that was left
+}
+
+// New starts at normal.
+func New(now policy.Instant, plan []Level) *Machine {
+	return &Machine{plan: plan, from: now, learns: now.Add(learnsFor), above: make([]int, len(plan))}
+}
+
+// At tells the level's number, 0 for normal, and the share of what it sheds that is shed.
+func (m *Machine) At() (level int, share float64) { return m.at, m.share }
+
+// Leg takes a leg's end.
+func (m *Machine) Leg(how policy.Result, took, soft time.Duration, atOrigin bool) {
+	late, lost := false, false
+	switch how {
+	case policy.Answered, policy.Missed:
+		late = took > soft
+	case policy.TurnedAway:
+		m.n.away++
+	case policy.Cancelled, policy.NeverSent: // says nothing of who was asked
+		return
+	default:
+		lost = true
+	}
+	m.n.legs++
+	if late {
+		m.n.late++
+	}
+	if lost {
+		m.n.lost++
+	}
+	if atOrigin {
+		if m.n.origin++; late || lost {
+			m.n.originLate++
+		}
+	}
+}
+
+// Let takes a retrieval that is let through, and Dismissed one that the module dismissed.
+func (m *Machine) Let()       { m.n.let++ }
+func (m *Machine) Dismissed() { m.n.dismissed++ }
+
+// Look moves on, and tells whether the level has changed. A look on few retrievals would dither at nodes that see few: it waits for more,
+// and for so long only.
+func (m *Machine) Look(now policy.Instant) (changed bool) {
+	long := now.Since(m.from)
+	if long < window || m.n.let < leastSeen && long < thinFor {
+		return false
+	}
+	seen, was := m.n.shares(), m.at
+	if m.n.let < leastSeen {
+		seen = Shares{} // too few to say that anything is wrong
+	}
+	if m.n, m.from = (counted{}), now; now < m.learns {
+		return false
+	}
+	to := 0
+	for i := range m.plan {
+		if m.above[i]++; !m.plan[i].Enter.reached(seen) {
+			m.above[i] = 0
+		}
+		if m.above[i] >= before {
+			to = i + 1
+		}
+	}
+	switch {
+	case to > m.at:
+		m.enter(now, to)
+	case m.at == 0:
+	case m.plan[m.at-1].Enter.reached(seen): // it came back too soon: more would only be asked for again
+		m.share, m.since = min(1, m.share+again), now
+	case m.plan[m.at-1].Leave.reached(seen): // neither: as it is
+	case m.share > 0 && now.Since(m.since) >= m.plan[m.at-1].stay()/stepsAStay:
+		m.share, m.since = max(0, m.share-step), now
+	case m.share == 0 && now.Since(m.since) >= m.plan[m.at-1].stay(): // all came back, and it stayed so
+		m.leave(now)
+	}
+	return m.at != was
+}
+
+// enter starts a level with all that it sheds shed, for its least stay.
+func (m *Machine) enter(now policy.Instant, to int) {
+	l := &m.plan[to-1]
+	m.at, m.share, m.since = to, 1, now.Add(l.stay()-l.stay()/stepsAStay)
+}
+
+// leave goes to the next milder level, which sheds all that it does at first.
+func (m *Machine) leave(now policy.Instant) {
+	if m.at--; m.at > 0 {
+		m.enter(now, m.at)
+	}
+}
--- a/internal/net/counters/counters.go
+++ b/internal/net/counters/counters.go
@@ -11,6 +11,7 @@
 	Legs, Dials, Reused, Probes     uint64 // sent; connections opened for them, or used again; caches checked
 	Lists, Reconnects, Moves        uint64 // lists heard; new calls after one that failed; new addresses to call
 	IdleClosed, RoomClosed, Strange uint64 // connections closed when idle, to make room, for a wrong answer
+	Level, Shed                     uint64 // the service level, 0 for normal, and retrievals that levels turned away
 	Full                            uint64 // connections that a cache had no room for, though it lives
 	Ended                           [policy.Missed + 1]uint64
 }
@@ -30,7 +31,7 @@
 		{"crowded", c.Crowded}, {"left", c.Left}, {"overdue", c.Overdue}, {"legs", c.Legs}, {"dials", c.Dials}, {"reused", c.Reused},
 		{"probes", c.Probes}, {"lists", c.Lists}, {"reconnects", c.Reconnects}, {"moves", c.Moves},
 		{"idle_closed", c.IdleClosed}, {"room_closed", c.RoomClosed}, {"strange", c.Strange},
-		{"full", c.Full},
+		{"full", c.Full}, {"level", c.Level}, {"shed", c.Shed},
 	} {
 		f(row.name, row.n)
 	}
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -18,6 +18,7 @@
 	"dahliapin/internal/houserules"
 	"dahliapin/internal/keeping"
 	"dahliapin/internal/keyhash"
+	"dahliapin/internal/levels"
 	"dahliapin/internal/net/counters"
 	"dahliapin/internal/net/deadlines"
 	"dahliapin/internal/net/slots"
@@ -145,7 +146,7 @@
 		watcher = records.New(b.Name, func(e records.Entry) { b.Records(e, r.began.Add(e.At.Since(epoch))) },
 			func(e policy.Entry) bool { return r.isOrigin(e.Kind) })
 	}
-	r.host = host.With(r.now(), policy.New(r.now(), b.Seed, b.Terms.Rules), r, watcher)
+	r.host = host.With(r.now(), r.decider(watcher), r, watcher)
 	r.kept = keeping.New(b.Terms.Rules.IdleConnection)
 	r.list.caller, r.chance.Seed = discovery.New(b.Terms.Rules.Nodes), uint32(b.Seed^b.Seed>>32)
 	if b.Known != nil {
@@ -160,6 +161,21 @@
 	return r, nil
 }
 
+// decider is the module, behind the operator's service levels if there are any.
+func (r *Relay) decider(watcher host.Watcher) host.Decider {
+	module := policy.New(r.now(), r.Seed, r.Terms.Rules)
+	if len(r.Operator.Levels) == 0 {
+		return module
+	}
+	return levels.Before(module, r.now(), uint32(r.Seed), r.Operator.Levels, &r.Terms, func(now policy.Instant, level int, name string) {
+		r.count.Level = uint64(level)
+		r.Log.WithField("level", name).Warn("service level changed")
+		if book, ok := watcher.(*records.Book); ok {
+			book.Level(now, name)
+		}
+	}, &r.count.Shed)
+}
+
 func (r *Relay) isOrigin(kind int) bool {
 	return r.Terms.Rules.Aside && kind == r.Terms.Rules.OriginKind
 }
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -51,6 +51,7 @@
 	Drained = "drained"
 	Gone    = "gone"
 	Trial   = "trial leg"
+	Level   = "level"
 )
 
 // Book keeps one node's records; it is a host's watcher. The same may be fed by all nodes of a fleet, which then counts
@@ -183,6 +184,9 @@
 	}
 }
 
+// Level hears that the node's service level has changed.
+func (b *Book) Level(now policy.Instant, name string) { b.say(now, "", Level, name, 0) }
+
 // Sent hears of a leg. One to a cache that is avoided since it said nothing is a trial; the first of each spell is told.
 func (b *Book) Sent(now policy.Instant, id policy.CacheID) {
 	p := b.caches[id]
