Read again: URLs as sent to HTTP caches, conditional writes refused, no body after HEAD

Found by reading the change whole: the carrier escaped a key as one segment, so that a query or %2F reached an HTTP cache as another URL; a write with If-Match, If-None-Match or Content-Range would have been made whatever it said, and is 501 now; an id in use, named with HEAD, was told with a body, which the client would have read as the next answer.

--- a/internal/net/http1/http1.go
+++ b/internal/net/http1/http1.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"errors"
 	"strconv"
+	"strings"
 )
 
 // The statuses of answers that refuse for having too much to do, and say nothing of what was asked.
@@ -42,11 +43,16 @@
 }
 
 // AppendPath writes a key as one segment of a path.
-func AppendPath(to, key []byte) []byte {
+func AppendPath(to, key []byte) []byte { return appendKey(to, key, "%?") }
+
+// AppendTarget writes a key that is what a URL has behind its first slash: its query stays one, and what it has encoded stays so.
+func AppendTarget(to, key []byte) []byte { return appendKey(to, key, "") }
+
+func appendKey(to, key []byte, also string) []byte {
 	const hex = "0123456789ABCDEF"
 	to = append(to, '/')
 	for _, c := range key {
-		if c <= ' ' || c >= 0x7f || bytes.IndexByte([]byte(`"#%<>?[\]^{|}`+"`"), c) >= 0 {
+		if c <= ' ' || c >= 0x7f || strings.IndexByte(`"#<>[\]^{|}`+"`"+also, c) >= 0 {
 			to = append(to, '%', hex[c>>4], hex[c&15])
 		} else {
 			to = append(to, c)
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -123,7 +123,7 @@
 		c.buf.Use(size)
 		began = at
 		if len(c.turns) >= mostSaid { // else one retrieval that takes long would let anything pile up behind it
-			r.say(c, c.face.refused(tooMany))
+			r.say(c, c.face.refused(tooMany, false))
 			c.closing = true
 		}
 	}
@@ -134,7 +134,7 @@
 	}
 	if c.partial > 0 && int64(r.partial) > r.Memory/sharePart {
 		r.count.Crowded++
-		r.say(c, c.face.refused(noMemory))
+		r.say(c, c.face.refused(noMemory, false))
 		c.closing = true
 	}
 	r.flush(c)
@@ -152,7 +152,7 @@
 		case c.closing:
 		case late && c.partial > 0:
 			r.count.Overdue++
-			r.say(c, c.face.refused(tooLate))
+			r.say(c, c.face.refused(tooLate, false))
 			c.closing = true
 			r.flush(c)
 		case late && c.idle():
@@ -192,12 +192,12 @@
 	grade := r.Terms.Names.Grade(asked.grade)
 	if asked.wait <= 0 || grade < 0 {
 		r.count.Malformed++
-		r.say(c, c.face.refused(badCall))
+		r.say(c, c.face.refused(badCall, asked.bare))
 		return
 	}
 	if r.taken[string(asked.id)] {
 		r.count.Malformed++
-		r.say(c, c.face.refused(sameID))
+		r.say(c, c.face.refused(sameID, asked.bare))
 		return
 	}
 	r.count.Retrievals++
--- a/internal/net/relay/faces.go
+++ b/internal/net/relay/faces.go
@@ -22,7 +22,7 @@
 	dismissed(c *call, comeBack time.Duration) []byte
 	// scrapped also says whether what was asked has not answered, or answered amiss.
 	scrapped(c *call, late bool) []byte
-	refused(why refusal) []byte
+	refused(why refusal, bare bool) []byte
 	ready(p Phase) []byte
 	counts(c *counters.Counters) []byte
 	// parts has the answer to a call say that its connection ends with it, where the protocol can.
@@ -130,7 +130,7 @@
 
 func (metaFace) scrapped(*call, bool) []byte { return meta.AppendFailed(nil) }
 
-func (metaFace) refused(why refusal) []byte { return []byte(metaRefusals[why]) }
+func (metaFace) refused(why refusal, _ bool) []byte { return []byte(metaRefusals[why]) }
 
 func (metaFace) parts(*call) bool { return false }
 
--- a/internal/net/relay/httpcarrier.go
+++ b/internal/net/relay/httpcarrier.go
@@ -37,7 +37,7 @@
 			method = "POST"
 		}
 	}
-	return http1.AppendRequest(nil, method, http1.AppendPath(nil, c.key), host, headers, c.value)
+	return http1.AppendRequest(nil, method, http1.AppendTarget(nil, c.key), host, headers, c.value)
 }
 
 // reply reads an answer. Only a 504 to a request for what is kept proves that nothing ran: whatever else says no may have come
--- a/internal/net/relay/httpface.go
+++ b/internal/net/relay/httpface.go
@@ -153,6 +153,10 @@
 			a.conditional = true
 		}
 	})
+	if a.write && (a.conditional || q.Header("Content-Range") != nil) { // the write would be made whatever its condition says
+		h.refuse(a, 501, "a write with a condition or of a part", a.closes)
+		return
+	}
 	if q.Header("Cache-Control") == nil && freshness.Pragma(q.Header("Pragma")) {
 		a.judged.Control.NoCache = true // RFC 9111, 5.4
 	}
@@ -265,14 +269,14 @@
 	return h.bodied(c, 502, "failed")
 }
 
-func (h *httpFace) refused(why refusal) []byte {
+func (h *httpFace) refused(why refusal, bare bool) []byte {
 	switch why {
 	case tooLate:
 		return h.plain(408, "not whole in time", true)
 	case sameID:
-		return h.plain(409, "the same is in hand", false)
+		return h.bodied(&call{bare: bare}, 409, "the same is in hand")
 	case badCall:
-		return h.plain(400, "nothing that can be taken in hand", false)
+		return h.bodied(&call{bare: bare}, 400, "nothing that can be taken in hand")
 	}
 	return h.plain(503, "too much at once", true)
 }
--- a/internal/net/relay/httpface_test.go
+++ b/internal/net/relay/httpface_test.go
@@ -84,6 +84,7 @@
 		!strings.Contains(all, " Pc=read,d=") {
 		t.Errorf("the cache was sent %q", all)
 	}
+	g.same(ask(req("PUT /p/w", "Idempotency-Key: l2", "If-Match: *"), "PUT"), "501 a write with a condition or of a part 38")
 	for _, bad := range []string{req("GET /p/k", "X-Grade: nobody"), req("GET /p/k", "X-Grade: read,d=9 Ox"), req("GET /p/k", "X-Tenant: x Oy"),
 		req("GET /p/k", "X-Wait: 9e3"), req("GET /p/k", "X-Wait: 0"), req("GET /p/"), req("GET /p/%6"), req("PUT /p/k"), req("PUT /p/k", `Idempotency-Key: "a b"`), req("GET /p/k", "X-Id: a,d=9")} {
 		if said := ask(bad, "GET"); !strings.HasPrefix(said[0], "400 ") {
@@ -247,7 +248,7 @@
 			g := newRig(t, 200, k.answer, withFront, func(b *Berth) {
 				b.Operator.Servers = fronts.Servers{HTTPKinds: []string{"box"}, ClockOffS: 30, Probe: "/"}
 			})
-			q, _ := http.NewRequest("GET", "http://"+g.Addr(1)+"/p/"+key, nil)
+			q, _ := http.NewRequest("GET", "http://"+g.Addr(1)+"/p/"+key+"%2Fx?b=1", nil)
 			if name, said, ok := strings.Cut(row[1], ": "); ok {
 				q.Header.Set(name, said)
 			}
@@ -272,14 +273,14 @@
 				t.Errorf("went on: %v", a.Header)
 			}
 			k.Lock()
-			if s := k.seen; !strings.Contains(s, "only-if-cached") || !strings.Contains(s, "Accept-Language: bn") || !strings.Contains(s, "Via: 1.1 dahliapin") ||
+			if s := k.seen; !strings.HasPrefix(s, "GET /"+key+"%2Fx?b=1 HTTP/1.1\n") || !strings.Contains(s, "only-if-cached") || !strings.Contains(s, "Accept-Language: bn") || !strings.Contains(s, "Via: 1.1 dahliapin") ||
 				strings.Contains(s, "X-Hop") || strings.Contains(s, "Connection") {
 				t.Errorf("%s: the cache was sent %q", key, s)
 			}
 			k.Unlock()
 			if key == "fresh" {
 				c, r := g.client()
-				fmt.Fprint(c, "mg fresh v Oa Pc=read,d=900\r\n")
+				fmt.Fprint(c, "mg fresh%2Fx?b=1 v Oa Pc=read,d=900\r\n")
 				g.expect(r, "VA 5 Oa", "hello")
 			}
 		})
@@ -294,6 +295,15 @@
 			t.Errorf("after %v: %v, want %v", took, r.how, want)
 		}
 	}
+	// where caches fetch by themselves, an answer without Age is the origin's own unless its Date says that it is too old
+	through := httpCarrier{&fronts.Servers{ClockOffS: 1}, false}
+	for said, want := range map[string]policy.Result{"Cache-Control: private": policy.Answered, "X: y": policy.Answered,
+		"Cache-Control: max-age=60\r\nDate: Tue, 01 Dec 2020 10:00:00 GMT": policy.Missed, "Age: 1": policy.Missed} {
+		b := []byte("HTTP/1.1 200 OK\r\n" + said + "\r\nContent-Length: 0\r\n\r\n")
+		if r, _, _ := through.reply(b, &call{redoable: true, headers: []byte{}}, false); r.how != want {
+			t.Errorf("%s: %v, want %v", said, r.how, want)
+		}
+	}
 	if r, _, _ := h.reply([]byte(strings.Replace(said, "59", "61", 1)), &call{headers: []byte{}}, false); r.how != policy.Errored {
 		t.Errorf("a retrieval that may not run twice: %v", r.how) // told as a miss, it would be sent to the origin as well
 	}
