--- a/internal/levels/filter.go
+++ b/internal/levels/filter.go
@@ -3,23 +3,15 @@
 import (
 	"time"
 
+	"dahliapin/internal/host"
 	"dahliapin/internal/houserules"
 	"dahliapin/internal/keyhash"
 	"dahliapin/policy"
 )
 
-// decider is what stands behind the filter.
-type decider interface {
-	Where(now policy.Instant, r *policy.Retrieval) policy.Move
-	After(now policy.Instant, r *policy.Retrieval, o policy.Outcome) policy.Move
-	Wait(now policy.Instant) (time.Duration, []policy.Chore)
-	Listed(now policy.Instant, form policy.ListForm, entries []policy.Entry)
-	Probed(now policy.Instant, id policy.CacheID, found policy.Result)
-}
-
 // Filter stands before a decider, and sheds by level what comes anew. What has been let through is the decider's alone.
 type Filter struct {
-	decider
+	host.Decider
 	machine *Machine
 	rules   *policy.HouseRules
 	shed    []map[policy.GradeID]bool // by level
@@ -30,9 +22,9 @@
 }
 
 // Before puts a filter before a decider. told hears of each change of level, and what is shed is counted.
-func Before(d decider, now policy.Instant, seed uint32, plan []Level, terms *houserules.Terms,
+func Before(d host.Decider, now policy.Instant, seed uint32, plan []Level, terms *houserules.Terms,
 	told func(now policy.Instant, level int, name string), count *uint64) *Filter {
-	f := &Filter{decider: d, machine: New(now, plan), rules: &terms.Rules, chance: keyhash.Source{Seed: seed}, told: told, count: count}
+	f := &Filter{Decider: d, machine: New(now, plan), rules: &terms.Rules, chance: keyhash.Source{Seed: seed}, told: told, count: count}
 	for _, l := range plan {
 		grades := map[policy.GradeID]bool{}
 		for _, name := range l.Shed {
@@ -73,12 +65,12 @@
 func (f *Filter) After(now policy.Instant, r *policy.Retrieval, o policy.Outcome) policy.Move {
 	leg := &r.Legs[o.Leg]
 	f.machine.Leg(leg.Result, o.Took, f.rules.Grades[r.Grade].SoftLimit, leg.To == f.origin)
-	return f.noted(f.decider.After(now, r, o))
+	return f.noted(f.Decider.After(now, r, o))
 }
 
 // Where passes on.
 func (f *Filter) Where(now policy.Instant, r *policy.Retrieval) policy.Move {
-	return f.noted(f.decider.Where(now, r))
+	return f.noted(f.Decider.Where(now, r))
 }
 
 func (f *Filter) noted(m policy.Move) policy.Move {
@@ -91,7 +83,7 @@
 // Wait also lets a level end while nobody asks.
 func (f *Filter) Wait(now policy.Instant) (time.Duration, []policy.Chore) {
 	f.look(now)
-	return f.decider.Wait(now)
+	return f.Decider.Wait(now)
 }
 
 // Listed notes which is the origin.
@@ -101,12 +93,12 @@
 			f.origin = e.ID
 		}
 	}
-	f.decider.Listed(now, form, entries)
+	f.Decider.Listed(now, form, entries)
 }
 
 // Standings passes on how the decider says that caches stand, where it does.
 func (f *Filter) Standings(now policy.Instant, tell func(policy.CacheID, policy.Standing)) {
-	if d, ok := f.decider.(interface {
+	if d, ok := f.Decider.(interface {
 		Standings(policy.Instant, func(policy.CacheID, policy.Standing))
 	}); ok {
 		d.Standings(now, tell)
