Tests of the judge on sockets: the good router and the one bound to a rate play alone

The race run beside 24 busy loops failed: eleven broken routers and the good one played at once, the one that pushes a cold cache over did not reach its rate (rule 4 not seen), and in two of five runs the good one answered after hard stops.

--- a/internal/emulator/onwire/onwire_test.go
+++ b/internal/emulator/onwire/onwire_test.go
@@ -281,7 +281,9 @@
 		"repeats a labelled write beyond its window": 2, "sends a second beside the first": 2, "sends to one that drains": 3,
 		"pushes a cold cache over": 4} {
 		t.Run("who "+wrong, func(t *testing.T) {
-			t.Parallel()
+			if rule%4 > 0 { // the good one and who needs its rate kept have the machine before the others
+				t.Parallel()
+			}
 			s := parse(t, small+map[int]string{3: "[[event]]\nat_s = 0.3\ndo = \"drain\"\ncaches = [\"c4\"]\nfor_s = 9\n",
 				4: "[[event]]\nat_s = 0.2\ndo = \"add\"\n"}[rule])
 			if rule == 2 && strings.Contains(wrong, "second") { // the first is to be out for long enough to be seen beside
