--- a/cmd/dahliapin/main.go
+++ b/cmd/dahliapin/main.go
@@ -26,7 +26,6 @@
 	root := &cobra.Command{Use: "dahliapin", Short: "A router for fleets of cache servers", SilenceUsage: true,
 		SilenceErrors: true}
 	root.PersistentFlags().StringVar(&config, "config", os.Getenv("RELAY_CONFIG"), "the configuration's file")
-	root.PersistentFlags().StringVar(&operator, "operator", "", "file of further listeners")
 	server := &cobra.Command{Use: "serve", Short: "Run one node until SIGTERM; SIGHUP reads its configuration again", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error { return serve(config, record, operator) }}
 	server.Flags().StringVar(&record, "records", "", "file to which records of what is done to caches are added, as JSON lines")
@@ -38,6 +37,9 @@
 			}
 			return err
 		}}
+	for _, c := range []*cobra.Command{server, checking} {
+		c.Flags().StringVar(&operator, "operator", "", "file of further listeners, caches that speak HTTP, and service levels")
+	}
 	root.AddCommand(server, checking,
 		migrate(), rehearse(), loadCommand(), demo(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
--- a/internal/emulator/client/client.go
+++ b/internal/emulator/client/client.go
@@ -143,11 +143,11 @@
 		return Answer{Extra: true}, errExtra
 	}
 	c.SetDeadline(time.Now().Add(a.Wait + beyond))
-	line, reads := a.Line(), read
+	says, reads := a.Line, read
 	if p.HTTP {
-		line, reads = a.request(), readHTTP
+		says, reads = a.request, readHTTP
 	}
-	if _, err = io.WriteString(c, line); err == nil {
+	if _, err = io.WriteString(c, says()); err == nil {
 		answer, err = reads(c.r, a)
 	}
 	var late net.Error
@@ -197,7 +197,7 @@
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(connectWithin))
 	if p.HTTP {
-		io.WriteString(c, "GET /ready HTTP/1.1\r\nHost: n\r\n\r\n")
+		io.WriteString(c, "GET "+ReadyPath+" HTTP/1.1\r\nHost: n\r\n\r\n")
 		a, err := http.ReadResponse(bufio.NewReader(c), nil)
 		return err == nil && a.StatusCode == http.StatusOK
 	}
--- a/internal/emulator/client/http.go
+++ b/internal/emulator/client/http.go
@@ -15,6 +15,7 @@
 // How clients of HTTP say what a try is. The node is told so by its operator's file.
 const (
 	Path        = "/k/"
+	ReadyPath   = "/ready"
 	IDHeader    = "X-Id"
 	GradeHeader = "X-Grade"
 	WaitHeader  = "X-Wait-Ms"
--- a/internal/emulator/course/course.go
+++ b/internal/emulator/course/course.go
@@ -7,11 +7,8 @@
 	"slices"
 	"time"
 
-	"github.com/valyala/fastjson"
-
 	"dahliapin/internal/emulator/script"
 	"dahliapin/internal/emulator/world"
-	"dahliapin/internal/houserules"
 	"dahliapin/policy"
 )
 
@@ -62,19 +59,6 @@
 	return c
 }
 
-// Terms is what a node in a zone of a script goes by.
-func Terms(s *script.Script, zone string) (houserules.Terms, error) {
-	v, err := fastjson.ParseBytes(s.Settings(zone))
-	if err != nil {
-		return houserules.Terms{}, err
-	}
-	terms, err := houserules.Decode(v)
-	if err != nil {
-		return terms, fmt.Errorf("the script's settings cannot be used: %w", err)
-	}
-	return terms, nil
-}
-
 func (c *Course) each(now policy.Instant, e *script.Event, do func(at policy.Instant, server int)) {
 	ids := c.script.Chosen(e)
 	for n, id := range ids {
--- a/internal/emulator/onwire/member.go
+++ b/internal/emulator/onwire/member.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"dahliapin/internal/emulator/client"
-	"dahliapin/internal/emulator/script"
+	"dahliapin/internal/fronts"
 	"dahliapin/internal/records"
 	"dahliapin/policy"
 )
@@ -44,7 +44,7 @@
 		defer l.Close()
 	}
 	pool := &client.Pool{Addr: addrs[0]}
-	if r.script.Traffic.Protocol == script.HTTP {
+	if r.script.Traffic.Protocol == fronts.HTTP {
 		pool = &client.Pool{Addr: addrs[1], HTTP: true}
 	}
 	return &member{r: r, number: number, name: fmt.Sprintf("n%d", number+1), addr: addrs[0], http: addrs[1], agent: a, pool: pool}, nil
--- a/internal/emulator/onwire/rig.go
+++ b/internal/emulator/onwire/rig.go
@@ -80,7 +80,7 @@
 
 // Play plays a script on sockets. A cancelled context ends it early, without a report.
 func Play(ctx context.Context, s *script.Script, runner Runner, tell func(string)) (*outcome.Report, error) {
-	terms, err := course.Terms(s, s.Fleet.Zones[0])
+	terms, err := s.TermsAt(s.Fleet.Zones[0])
 	if err != nil {
 		return nil, err
 	}
--- a/internal/emulator/onwire/servers.go
+++ b/internal/emulator/onwire/servers.go
@@ -15,8 +15,8 @@
 
 	"golang.org/x/sys/unix"
 
-	"dahliapin/internal/emulator/script"
 	"dahliapin/internal/emulator/world"
+	"dahliapin/internal/fronts"
 	"dahliapin/internal/net/meta"
 	"dahliapin/policy"
 )
@@ -324,7 +324,7 @@
 		}
 		for {
 			size := 0
-			if r.script.Fleet.Protocol == script.HTTP {
+			if r.script.Fleet.Protocol == fronts.HTTP {
 				size = c.nextRequest(held)
 			} else if command, n, fault := meta.ReadCommand(held); n > 0 || fault != nil {
 				r.mu.Lock()
@@ -432,7 +432,7 @@
 	}
 	s := r.servers[l.server]
 	out := answerOf(d, r.script.Fleet.Reports)
-	if r.script.Fleet.Protocol == script.HTTP {
+	if r.script.Fleet.Protocol == fronts.HTTP {
 		out = keptAnswer(d, s.fault == "stale", l.tag)
 	}
 	switch s.fault {
--- a/internal/emulator/script/script.go
+++ b/internal/emulator/script/script.go
@@ -12,10 +12,8 @@
 	"strings"
 	"time"
 
-	"github.com/valyala/fastjson"
-
 	"dahliapin/internal/emulator/world"
-	"dahliapin/internal/houserules"
+	"dahliapin/internal/fronts"
 	"dahliapin/internal/keyhash"
 	"dahliapin/internal/levels"
 	"dahliapin/internal/strictly"
@@ -115,12 +113,6 @@
 	WastePrice   float64 `toml:"waste_price"`
 }
 
-// The protocols that clients and caches may speak.
-const (
-	Meta = "meta"
-	HTTP = "http"
-)
-
 // Traffic is what clients ask.
 type Traffic struct {
 	PerSecond float64 `toml:"per_second"`
@@ -206,14 +198,14 @@
 func usual() Script {
 	return Script{
 		Seed: 1, Seconds: 30,
-		Fleet: Fleet{Protocol: Meta, Nodes: 1, Caches: 12, Zones: []string{"a"}, Group: 4, Cores: 1, Queue: 12, Speed: [2]float64{1, 1}, Keys: 2000, Warm: true,
+		Fleet: Fleet{Protocol: fronts.Meta, Nodes: 1, Caches: 12, Zones: []string{"a"}, Group: 4, Cores: 1, Queue: 12, Speed: [2]float64{1, 1}, Keys: 2000, Warm: true,
 			ColdFrom: 0.4, ColdS: 5, FallMultiple: 3, FallS: 1, Connections: 600, HandshakeMs: 1, IdleS: 15},
 		Origin:    Origin{Cores: 4, Queue: 64, WorkMs: 15, StallAt: 40, Stall: 2, FallMultiple: 3, FallS: 1},
 		Network:   Network{OneWayMs: 0.2, CrossZoneMs: 5, ClientMs: 0.5, Jitter: 0.2},
 		Discovery: Discovery{NoticeS: [2]float64{0.3, 1}},
 		Allowed: Allowed{Mode: "aside", MostLegs: 3, SecondCopies: true, Cancel: true, Probes: true, ComeBackMs: 600, GraceMs: 400,
 			ConnectMs: 100, WastePrice: 0.04},
-		Traffic: Traffic{Protocol: Meta, PerSecond: 300, Keys: 5000, Zipf: 0.9, WaveS: 30, Jitter: 0.5},
+		Traffic: Traffic{Protocol: fronts.Meta, PerSecond: 300, Keys: 5000, Zipf: 0.9, WaveS: 30, Jitter: 0.5},
 	}
 }
 
@@ -261,9 +253,9 @@
 	c.Within(f.FallS, 0, mostSeconds, "fleet.fall_s")
 	c.Within(f.HandshakeMs, 0, 1000, "fleet.handshake_ms")
 	c.Within(f.IdleS, 0.1, mostSeconds, "fleet.idle_s")
-	c.Want(f.Protocol == Meta || f.Protocol == HTTP, "fleet.protocol", "%q is neither %s nor %s", f.Protocol, Meta, HTTP)
-	c.Want(f.Protocol != HTTP || s.Traffic.Protocol == HTTP && !f.Reports, "fleet.protocol", "caches speak http only where clients do, and tell no load")
-	c.Want(s.Traffic.Protocol == Meta || s.Traffic.Protocol == HTTP, "traffic.protocol", "%q is neither %s nor %s", s.Traffic.Protocol, Meta, HTTP)
+	c.Want(f.Protocol == fronts.Meta || f.Protocol == fronts.HTTP, "fleet.protocol", "%q is neither %s nor %s", f.Protocol, fronts.Meta, fronts.HTTP)
+	c.Want(f.Protocol != fronts.HTTP || s.Traffic.Protocol == fronts.HTTP && !f.Reports, "fleet.protocol", "caches speak http only where clients do, and tell no load")
+	c.Want(s.Traffic.Protocol == fronts.Meta || s.Traffic.Protocol == fronts.HTTP, "traffic.protocol", "%q is neither %s nor %s", s.Traffic.Protocol, fronts.Meta, fronts.HTTP)
 	c.Want(len(f.Zones) > 0, "fleet.zones", "names no zone")
 	o := &s.Origin
 	c.Within(float64(o.Cores), 1, 1024, "origin.cores")
@@ -381,7 +373,7 @@
 		c.Within(float64(e.Count), 0, mostCaches, at+"count")
 		c.Want(e.Do != "shrink" || e.Count < s.Fleet.Caches, at+"count", "a fleet of %d can't shrink by %d", s.Fleet.Caches, e.Count)
 		c.Want(e.Do != "fault" || slices.Contains(faults, e.Fault), at+"fault", "%q is none of %s", e.Fault, strings.Join(faults, ", "))
-		c.Want(e.Fault != stale || s.Fleet.Protocol == HTTP, at+"fault", "only caches that speak http keep what is stale")
+		c.Want(e.Fault != stale || s.Fleet.Protocol == fronts.HTTP, at+"fault", "only caches that speak http keep what is stale")
 		c.Want(e.Do == "fault" || e.Fault == "", at+"fault", "%s takes no fault", e.Do)
 		c.Want(e.Do != "origin_slow" || s.Allowed.Mode == "aside", at+"do", "there is no origin in through mode")
 	}
@@ -547,11 +539,7 @@
 	if len(s.Levels) == 0 {
 		return
 	}
-	v, err := fastjson.ParseBytes(s.Settings(""))
-	if err != nil {
-		panic(err) // it is this program's own
-	}
-	if terms, err := houserules.Decode(v); err == nil { // else the grades are at fault, and told
+	if terms, err := s.TermsAt(""); err == nil { // else the grades are at fault, and told
 		levels.Check(c, s.Levels, &terms)
 	}
 }
--- a/internal/emulator/script/settings.go
+++ b/internal/emulator/script/settings.go
@@ -5,8 +5,11 @@
 	"fmt"
 
 	"github.com/pelletier/go-toml/v2"
+	"github.com/valyala/fastjson"
 
 	"dahliapin/internal/emulator/client"
+	"dahliapin/internal/fronts"
+	"dahliapin/internal/houserules"
 )
 
 // Settings is what a node of this deployment is told at its start, as its configuration has it.
@@ -38,15 +41,28 @@
 	return text
 }
 
+// TermsAt is what a node in a zone goes by.
+func (s *Script) TermsAt(zone string) (houserules.Terms, error) {
+	v, err := fastjson.ParseBytes(s.Settings(zone))
+	if err != nil {
+		return houserules.Terms{}, err
+	}
+	terms, err := houserules.Decode(v)
+	if err != nil {
+		return terms, fmt.Errorf("the script's settings cannot be used: %w", err)
+	}
+	return terms, nil
+}
+
 // Operator is the file of a node whose clients speak HTTP at an address, as internal/emulator/client does, or that has service levels;
 // nil where there are neither.
 func (s *Script) Operator(listen string) []byte {
 	var text string
-	if s.Traffic.Protocol == HTTP {
+	if s.Traffic.Protocol == fronts.HTTP {
 		text = fmt.Sprintf(`[[listener]]
 listen = %q
 protocol = "http"
-ready_path = "/ready"
+ready_path = %q
 id_header = %q
 grade_header = %q
 deadline_header = %q
@@ -54,9 +70,9 @@
 path = %q
 methods = ["GET", "HEAD", "PUT", "POST"]
 grade = %q
-`, listen, client.IDHeader, client.GradeHeader, client.WaitHeader, client.Path, s.Grades[0].Name)
+`, listen, client.ReadyPath, client.IDHeader, client.GradeHeader, client.WaitHeader, client.Path, s.Grades[0].Name)
 	}
-	if s.Fleet.Protocol == HTTP {
+	if s.Fleet.Protocol == fronts.HTTP {
 		text += "[servers]\nhttp_kinds = [\"cache\"]\n"
 	}
 	if len(s.Levels) > 0 {
--- a/internal/emulator/virtual/virtual.go
+++ b/internal/emulator/virtual/virtual.go
@@ -68,7 +68,7 @@
 
 // Play plays a script. The decider's name is for the report.
 func Play(s *script.Script, name string, make Maker) (*outcome.Report, *Run, error) {
-	terms, err := course.Terms(s, s.Fleet.Zones[0])
+	terms, err := s.TermsAt(s.Fleet.Zones[0])
 	if err != nil {
 		return nil, nil, err
 	}
@@ -87,7 +87,7 @@
 	for i := range s.Fleet.Nodes {
 		n := &node{r: r, number: i, terms: terms}
 		if zone := s.ZoneOf(i); zone != s.Fleet.Zones[0] {
-			if n.terms, err = course.Terms(s, zone); err != nil {
+			if n.terms, err = s.TermsAt(zone); err != nil {
 				return nil, nil, err
 			}
 		}
@@ -351,7 +351,7 @@
 	case "garbage":
 		how = policy.Errored
 	case "stale":
-		if how == policy.Answered {
+		if d.Said == world.Value {
 			how = policy.Missed
 		}
 	}
--- a/internal/fronts/fronts.go
+++ b/internal/fronts/fronts.go
@@ -114,7 +114,7 @@
 		for field, page := range map[string]string{"ready_path": f.Ready, "counters_path": f.Counters} {
 			c.Want(page == "" || page[0] == '/', at+field, "%q does not begin with a slash", page)
 		}
-		c.Want(f.Protocol != Meta || len(f.Routes) == 0 && f.Ready+f.Counters+f.GradeHeader+f.TenantHeader+f.IDHeader+f.DeadlineHeader == "",
+		c.Want(f.Protocol != Meta || len(f.Routes) == 0 && !f.SortQuery && f.Ready+f.Counters+f.GradeHeader+f.TenantHeader+f.IDHeader+f.DeadlineHeader == "",
 			at+"protocol", "meta commands need no routes, pages and headers")
 		c.Want(f.Protocol != HTTP || len(f.Routes) > 0, at+"protocol", "names no route, so nothing could be asked")
 		c.Want(len(f.Routes) <= mostRoutes, at+"route", "more than %d", mostRoutes)
--- a/internal/levels/levels.go
+++ b/internal/levels/levels.go
@@ -59,7 +59,7 @@
 
 func (l *Level) stay() time.Duration { return time.Duration(l.StayS * float64(time.Second)) }
 
-// Check looks at what is stated. Grades are those of the deployment; at is where the levels stand in the file.
+// Check looks at what is stated. Grades are those of the deployment.
 func Check(c *strictly.Checker, plan []Level, terms *houserules.Terms) {
 	c.Want(len(plan) <= most, "level", "more than %d", most)
 	for i := range plan {
@@ -102,13 +102,10 @@
 	at     int     // 0 is normal; else plan[at-1]
 	share  float64 // of what the level sheds that is shed
 	since  policy.Instant
-	stay   time.Duration // from since on, until what is shed may come back
 	from   policy.Instant
 	learns policy.Instant // until then nothing is looked at
 	n      counted
 	above  []int // looks in a row that reached a level's bounds
-	left   policy.Instant
-	after  time.Duration // the stay of the level that was left
 }
 
 // New starts at normal.
--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -396,7 +396,7 @@
 // legData reads a server's answer to a leg.
 func (r *Relay) legData(l *link, v *retrieval) {
 	came, size, wants := &r.came, 0, 0
-	v.call.took = r.now().Since(v.legs[l.leg.leg].sent)
+	v.call.sent = r.began.Add(v.legs[l.leg.leg].sent.Since(epoch))
 	*came, size, wants = l.cache.carrier.reply(l.buf.Unused(), &v.call, l.ended)
 	if size == 0 && came.how != spoilt {
 		l.buf.Expect(wants)
@@ -420,9 +420,9 @@
 	serves := came.how == policy.Answered && !v.answered
 	switch { // before its bytes are passed over
 	case serves && v.call.write:
-		out = v.face.receipt(r.parting(v), came)
+		out = v.face.receipt(&v.call, came)
 	case serves:
-		out, long = v.face.value(r.parting(v), came)
+		out, long = v.face.value(&v.call, came)
 	}
 	report := r.report(came.load)
 	l.buf.Use(size)
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -113,9 +113,9 @@
 			r.count.Malformed++
 			r.say(c, a.answer)
 		case readiness:
-			r.say(c, c.face.ready(r.phase))
+			r.say(c, c.face.ready(&a.call, r.phase))
 		case counts:
-			r.say(c, c.face.counts(&r.count))
+			r.say(c, c.face.counts(&a.call, &r.count))
 		default:
 			r.take(c, &a.call, at)
 		}
@@ -234,20 +234,7 @@
 	whole = *c
 	whole.key, whole.flags, whole.id, whole.value = keep(c.key), keep(c.flags), keep(c.id), keep(c.value)
 	whole.grade, whole.league = nil, nil
-	return whole, size + len(c.headers)
-}
-
-// parting returns a retrieval's call, to be answered. A node that drains says with its last answer on a connection that it ends
-// with that, so that nothing more is sent on it to be lost.
-func (r *Relay) parting(v *retrieval) *call {
-	c := r.clients.Get(v.client)
-	if r.phase != Draining || c == nil || v.turn+1 != c.first+uint64(len(c.turns)) || c.partial > 0 || c.closing {
-		return &v.call
-	}
-	if quiet, _ := c.wire.Quiet(); quiet {
-		c.closing = v.face.parts(&v.call)
-	}
-	return &v.call
+	return whole, size + len(c.beside().headers)
 }
 
 // answer gives a retrieval its one final answer.
@@ -275,6 +262,9 @@
 	for ; n < len(c.turns) && c.turns[n].done; n++ {
 		t := &c.turns[n]
 		r.held -= t.bytes()
+		if n == len(c.turns)-1 {
+			r.part(c, t)
+		}
 		if out == nil {
 			out = t.out
 		} else {
@@ -307,6 +297,17 @@
 	}
 }
 
+// part lets a node that drains say with the last answer on a connection that it ends with that, so that nothing more is sent on it
+// to be lost. It is the last only as it leaves: what was answered before may have waited.
+func (r *Relay) part(c *client, t *turn) {
+	if r.phase != Draining || c.partial > 0 || c.closing {
+		return
+	}
+	if quiet, _ := c.wire.Quiet(); quiet {
+		t.out, c.closing = c.face.parts(t.out)
+	}
+}
+
 // closeFlushed closes a connection once its last answer is with the kernel, or its reader too slow.
 func (r *Relay) closeFlushed(id clientID) {
 	c := r.clients.Get(id)
@@ -366,7 +367,7 @@
 func (r *Relay) Dismiss(id policy.RetrievalID, comeBack time.Duration) {
 	if v := r.hand.Get(slotOf(id)); v != nil && !v.answered {
 		r.count.Dismissed++
-		r.answer(v, v.face.dismissed(r.parting(v), comeBack), nil)
+		r.answer(v, v.face.dismissed(&v.call, comeBack), nil)
 		r.release(v)
 	}
 }
@@ -375,7 +376,7 @@
 func (r *Relay) Scrap(id policy.RetrievalID) {
 	if v := r.hand.Get(slotOf(id)); v != nil && !v.answered {
 		r.count.Scrapped++
-		r.answer(v, v.face.scrapped(r.parting(v), v.late), nil)
+		r.answer(v, v.face.scrapped(&v.call, v.late), nil)
 		r.release(v)
 	}
 }
--- a/internal/net/relay/faces.go
+++ b/internal/net/relay/faces.go
@@ -23,10 +23,10 @@
 	// scrapped also says whether what was asked has not answered, or answered amiss.
 	scrapped(c *call, late bool) []byte
 	refused(why refusal, bare bool) []byte
-	ready(p Phase) []byte
-	counts(c *counters.Counters) []byte
-	// parts has the answer to a call say that its connection ends with it, where the protocol can.
-	parts(c *call) bool
+	ready(c *call, p Phase) []byte
+	counts(c *call, n *counters.Counters) []byte
+	// parts has an answer say that its connection ends with it, where the protocol can.
+	parts(out []byte) (with []byte, can bool)
 }
 
 // wish is what a client wants of a node.
@@ -55,16 +55,30 @@
 	flags          []byte // what goes along to the servers, as meta commands write it
 	grade, league  []byte
 	write          bool
-	bare           bool   // the answer is to have no body
-	last           bool   // the connection ends with the answer
-	headers        []byte // of a client of HTTP, whole lines for servers that speak it; else nil
-	judged         freshness.Request
-	conditional    bool          // it asks whether what it has still holds
-	onlyKept       bool          // nothing is to be fetched for it
-	posts          bool          // its write is a POST
-	took           time.Duration // from when the leg went out that is being answered
+	bare           bool          // the answer is to have no body
+	last           bool          // the connection ends with the answer
 	redoable       bool          // by its grade
 	wait           time.Duration // until its hard stop
+	sent           time.Time     // when the leg went out that is being answered
+	web            *webCall      // nil for a client of meta commands, and where no cache speaks HTTP
+}
+
+// webCall is what a client of HTTP says beside its call, for caches that speak it.
+type webCall struct {
+	headers     []byte // whole lines
+	judged      freshness.Request
+	conditional bool // it asks whether what it has still holds
+	posts       bool // its write is a POST
+}
+
+var saidNothing webCall
+
+// beside is what a client says beside its call: nothing by meta commands.
+func (c *call) beside() *webCall {
+	if c.web == nil {
+		return &saidNothing
+	}
+	return c.web
 }
 
 // refusal is why something is answered that was not taken in hand.
@@ -132,17 +146,17 @@
 
 func (metaFace) refused(why refusal, _ bool) []byte { return []byte(metaRefusals[why]) }
 
-func (metaFace) parts(*call) bool { return false }
+func (metaFace) parts(out []byte) ([]byte, bool) { return out, false }
 
-func (metaFace) ready(p Phase) []byte {
+func (metaFace) ready(_ *call, p Phase) []byte {
 	if p == Serving {
 		return []byte("MN\r\n")
 	}
 	return []byte("SERVER_ERROR " + p.String() + "\r\n")
 }
 
-func (metaFace) counts(c *counters.Counters) (out []byte) {
-	c.Each(func(name string, n uint64) {
+func (metaFace) counts(_ *call, n *counters.Counters) (out []byte) {
+	n.Each(func(name string, n uint64) {
 		out = strconv.AppendUint(append(append(append(out, "STAT "...), name...), ' '), n, 10)
 		out = append(out, "\r\n"...)
 	})
--- a/internal/net/relay/httpcarrier.go
+++ b/internal/net/relay/httpcarrier.go
@@ -20,12 +20,12 @@
 }
 
 func (h httpCarrier) ask(c *call, host string, _ int64) []byte {
-	headers := append(bytes.Clone(c.headers), "Via: 1.1 dahliapin\r\n"...)
+	headers := append(bytes.Clone(c.beside().headers), "Via: 1.1 dahliapin\r\n"...)
 	if h.aside && !c.write {
 		headers = append(headers, "Cache-Control: only-if-cached\r\n"...)
 	}
 	items, _ := meta.Flag(c.flags, 'P')
-	if label, ok := meta.Item(items, "k"); ok && c.headers == nil {
+	if label, ok := meta.Item(items, "k"); ok && c.web == nil {
 		headers = append(append(append(headers, labelHeader+": "...), label...), "\r\n"...)
 	}
 	if h.servers.Host != "" {
@@ -34,7 +34,7 @@
 	method := "GET"
 	if c.write {
 		method = "PUT"
-		if c.posts {
+		if c.beside().posts {
 			method = "POST"
 		}
 	}
@@ -49,19 +49,19 @@
 		return r, 0, a.Wants
 	}
 	r = reply{how: policy.Errored, said: a.Body, status: a.Status, last: a.Last}
-	ok := a.Status == 200 || a.Status == 203
+	ok, only := a.Status == 200 || a.Status == 203, c.beside().judged.Control.OnlyIfCached
 	switch {
-	case err != nil, a.Status == 206, a.Status == 304 && !c.conditional: // nobody asked for a part, or whether something still holds
+	case err != nil, a.Status == 206, a.Status == 304 && !c.beside().conditional: // nobody asked for a part, or whether something still holds
 		r.how = spoilt
-	case a.Status == 504 && h.aside && !c.write && !c.onlyKept:
+	case a.Status == 504 && h.aside && !c.write && !only:
 		r.how = policy.Missed
 	case (a.Status == http1.Unavailable || a.Status == http1.TooMany) && c.redoable:
 		r.how = policy.TurnedAway
 	case c.write && (ok || a.Status == 201 || a.Status == 204):
-		if r.how = policy.Answered; c.headers == nil && !meta.Plain(a.Body) { // a receipt is one word: the status, where none came
+		if r.how = policy.Answered; c.web == nil && !meta.Plain(a.Body) { // a receipt is one word: the status, where none came
 			r.said = strconv.AppendInt(nil, int64(a.Status), 10)
 		}
-	case a.Status >= 500 && !(a.Status == 504 && c.onlyKept), c.headers == nil && !ok:
+	case a.Status >= 500 && !(a.Status == 504 && only), c.web == nil && !ok:
 	case c.write || a.Status == 504:
 		r.how = policy.Answered
 	default:
@@ -71,11 +71,11 @@
 			r.how = policy.Missed
 		}
 	}
-	if r.how == policy.Answered && c.headers != nil {
+	if r.how == policy.Answered && c.web != nil {
 		r.headers = forwarded(nil, a.Each, a.Header("Connection"))
 		r.headers = append(r.headers, "Via: 1.1 dahliapin\r\n"...)
 	}
-	r.kept = h.aside || a.Header("Age") != nil
+	r.kept = a.Status != 504 && (h.aside || a.Header("Age") != nil)
 	return r, size, 0
 }
 
@@ -92,14 +92,14 @@
 	if age := a.Header("Age"); age != nil {
 		said.SetAge(age)
 	}
-	for name, set := range map[string]func(string){"Date": said.SetDate, "Last-Modified": said.SetModified, "Expires": said.SetExpires} {
-		if v := a.Header(name); v != nil {
-			set(string(v))
-		}
+	said.SetDate(string(a.Header("Date")))
+	said.SetModified(string(a.Header("Last-Modified")))
+	if expires := a.Header("Expires"); expires != nil {
+		said.SetExpires(string(expires))
 	}
 	now := time.Now()
 	rules := freshness.Rules{ClockOff: h.servers.ClockOff(), Heuristic: h.servers.Heuristic, MostHeuristic: h.servers.MostHeuristic()}
-	v := freshness.Judge(&c.judged, &said, now.Add(-c.took), now, now, rules, false)
+	v := freshness.Judge(&c.beside().judged, &said, c.sent, now, now, rules, false)
 	if v.Use <= freshness.Stale {
 		return true
 	}
--- a/internal/net/relay/httpface.go
+++ b/internal/net/relay/httpface.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -31,15 +32,16 @@
 	names    *houserules.Vocabulary
 	labelled map[string]bool          // grades whose repeats are told by their id
 	stops    map[string]time.Duration // the grades' hard stops
-	own      string                   // begins the ids of those who state none: of this start of this node alone
+	passes   bool                     // some caches speak HTTP, and are told what a client says beside
+	own      string                   // begins the ids of those who state none: of this listener, in this start of this node
 	n        uint64
 	date     string
 	dated    int64
 }
 
-func newHTTPFace(f *fronts.Front, r *Relay) *httpFace {
+func newHTTPFace(f *fronts.Front, number int, r *Relay) *httpFace {
 	h := &httpFace{front: f, names: &r.Terms.Names, labelled: map[string]bool{}, stops: map[string]time.Duration{},
-		own: fmt.Sprintf("h%x-%x-", r.began.UnixNano(), uint64(r.Seed))}
+		passes: len(r.Operator.Servers.HTTPKinds) > 0, own: fmt.Sprintf("h%x-%x-%d-", r.began.UnixNano(), uint64(r.Seed), number)}
 	for name, g := range r.Terms.Names.Grades() {
 		h.labelled[name] = r.Terms.Rules.Grades[g].Effect == policy.Labelled
 		h.stops[name] = r.Terms.Stops[g]
@@ -50,55 +52,42 @@
 func (h *httpFace) read(b []byte, a *asked) (size int) {
 	*a = asked{}
 	q, size, fault := http1.ReadRequest(b, mostBody)
-	switch {
-	case fault != nil:
-		h.refuse(a, fault.Status, fault.Reason, true)
-		return 0
-	case size == 0 && !q.Continue:
+	if size == 0 && fault == nil && !q.Continue {
 		return 0
 	}
-	a.closes = q.Last
-	if h.route(&q, a); a.wish == unserved && string(q.Method) == "HEAD" {
-		a.answer = a.answer[:bytes.Index(a.answer, []byte("\r\n\r\n"))+4]
+	a.bare = string(q.Method) == http.MethodHead
+	a.last = fault != nil || q.Last || size == 0 // whether a body comes that is not asked for can't be known
+	if fault != nil {
+		h.refuse(a, fault.Status, fault.Reason)
+		return 0
 	}
-	if size == 0 && a.wish == unserved {
-		a.closes = true // whether the body comes all the same can't be known
-		a.answer = h.closing(a.answer)
-	} else if size == 0 {
+	a.closes = a.last
+	if h.route(&q, a); size == 0 && a.wish != unserved {
 		*a = asked{wish: invited, answer: []byte("HTTP/1.1 100 Continue\r\n\r\n")}
 	}
 	return size
 }
 
-// closing writes an answer anew as the last of its connection.
-func (h *httpFace) closing(answer []byte) []byte {
-	text := string(answer)
-	if strings.Contains(text, "\r\nConnection: close\r\n") {
-		return answer
-	}
-	return []byte(strings.Replace(text, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1))
-}
-
 // refuse answers what can't be served.
-func (h *httpFace) refuse(a *asked, status int, reason string, closes bool, headers ...string) {
-	a.wish, a.closes = unserved, closes
-	a.answer = h.plain(status, reason, closes, headers...)
+func (h *httpFace) refuse(a *asked, status int, reason string, headers ...string) {
+	a.wish, a.closes = unserved, a.last
+	a.answer = h.bodied(&a.call, status, reason, headers...)
 }
 
 // route finds out what a request is.
 func (h *httpFace) route(q *http1.Request, a *asked) {
 	whole, ok := freshness.Key(nil, q.Target)
 	if !ok {
-		h.refuse(a, 400, "a target that can't be read", a.closes)
+		h.refuse(a, 400, "a target that can't be read")
 		return
 	}
 	path := whole[strings.IndexByte(whole, '/'):]
 	method := string(q.Method)
-	if method == "GET" && path == h.front.Ready {
+	if method == http.MethodGet && path == h.front.Ready {
 		a.wish = readiness
 		return
 	}
-	if method == "GET" && path == h.front.Counters {
+	if method == http.MethodGet && path == h.front.Counters {
 		a.wish = counts
 		return
 	}
@@ -106,10 +95,10 @@
 	switch {
 	case route != nil:
 	case known:
-		h.refuse(a, 405, "this can't be done here", a.closes, "Allow: "+strings.Join(h.front.Allowed(path), ", "))
+		h.refuse(a, 405, "this can't be done here", "Allow: "+strings.Join(h.front.Allowed(path), ", "))
 		return
 	default:
-		h.refuse(a, 404, "nothing is here", a.closes)
+		h.refuse(a, 404, "nothing is here")
 		return
 	}
 	key := path[len(route.Path):]
@@ -123,7 +112,7 @@
 		key = key[:at+1] + strings.Join(parts, "&")
 	}
 	if !meta.IsKey([]byte(key)) {
-		h.refuse(a, 400, "a key that is none", a.closes)
+		h.refuse(a, 400, "a key that is none")
 		return
 	}
 	stated := func(header, usual string) string {
@@ -136,31 +125,22 @@
 	}
 	grade, league := stated(h.front.GradeHeader, route.Grade), stated(h.front.TenantHeader, route.Tenant)
 	if h.names.Grade([]byte(grade)) < 0 || league != "" && h.names.League([]byte(league)) < 0 { // what goes along is for caches to read
-		h.refuse(a, 400, "a grade or tenant that is none here", a.closes)
+		h.refuse(a, 400, "a grade or tenant that is none here")
 		return
 	}
-	a.call = call{key: []byte(key), value: q.Body, grade: []byte(grade), league: []byte(league), write: fronts.Writes(method),
-		bare: method == "HEAD", last: a.closes}
-	a.headers = forwarded([]byte{}, q.Each, q.Header("Connection"))
-	a.posts = method == "POST"
-	q.Each(func(name, value []byte) {
-		switch strings.ToLower(string(name)) {
-		case "cache-control":
-			a.judged.Control.Read(value)
-		case "authorization":
-			a.judged.Authorized = true
-		case "if-none-match", "if-modified-since", "if-match", "if-unmodified-since":
-			a.conditional = true
-		}
-	})
-	if a.write && (a.conditional || q.Header("Content-Range") != nil) { // the write would be made whatever its condition says
-		h.refuse(a, 501, "a write with a condition or of a part", a.closes)
+	a.key, a.value, a.grade, a.league, a.write = []byte(key), q.Body, []byte(grade), []byte(league), fronts.Writes(method)
+	conditional := false
+	for _, name := range []string{"If-None-Match", "If-Modified-Since", "If-Match", "If-Unmodified-Since"} {
+		conditional = conditional || q.Header(name) != nil
+	}
+	if a.write && (conditional || q.Header("Content-Range") != nil) { // the write would be made whatever its condition says
+		h.refuse(a, 501, "a write with a condition or of a part")
 		return
 	}
-	if q.Header("Cache-Control") == nil && freshness.Pragma(q.Header("Pragma")) {
-		a.judged.Control.NoCache = true // RFC 9111, 5.4
+	if h.passes {
+		a.web = &webCall{headers: forwarded(nil, q.Each, q.Header("Connection")), conditional: conditional, posts: method == http.MethodPost}
+		a.web.read(q)
 	}
-	a.onlyKept = a.judged.Control.OnlyIfCached
 	a.wait = h.stops[grade]
 	if route.DeadlineMs > 0 {
 		a.wait = time.Duration(route.DeadlineMs * float64(time.Millisecond))
@@ -168,7 +148,7 @@
 	if said := stated(h.front.DeadlineHeader, ""); said != "" {
 		ms, isNumber := meta.Decimal([]byte(said))
 		if !isNumber || ms <= 0 {
-			h.refuse(a, 400, "a deadline that is none", a.closes)
+			h.refuse(a, 400, "a deadline that is none")
 			return
 		}
 		a.wait = max(1, time.Duration(min(ms*float64(time.Millisecond), float64(mostWait))))
@@ -176,12 +156,12 @@
 	label, id := strings.Trim(string(q.Header(labelHeader)), `"`), stated(h.front.IDHeader, "")
 	for _, word := range []string{label, id} {
 		if word != "" && (len(word) > mostWord || !meta.Plain([]byte(word)) || strings.Contains(word, ",")) {
-			h.refuse(a, 400, "an id that can't be one", a.closes)
+			h.refuse(a, 400, "an id that can't be one")
 			return
 		}
 	}
 	if label == "" && a.write && h.labelled[grade] { // a leg sent again could not be told from another write
-		h.refuse(a, 400, "this needs an "+labelHeader, a.closes)
+		h.refuse(a, 400, "this needs an "+labelHeader)
 		return
 	}
 	if a.id = []byte(id); id == "" {
@@ -202,19 +182,29 @@
 	a.wish = retrieve
 }
 
+// read notes what a request says of the answers that it takes.
+func (w *webCall) read(q *http1.Request) {
+	w.judged.Authorized = q.Header("Authorization") != nil
+	controlled := false
+	q.Each(func(name, value []byte) {
+		if bytes.EqualFold(name, []byte("Cache-Control")) {
+			w.judged.Control.Read(value)
+			controlled = true
+		}
+	})
+	if !controlled && freshness.Pragma(q.Header("Pragma")) {
+		w.judged.Control.NoCache = true // RFC 9111, 5.4
+	}
+}
+
 // head writes the beginning of an answer, up to its length.
 func (h *httpFace) head(status int, long int, last bool, headers ...string) []byte {
 	if now := time.Now(); now.Unix() != h.dated {
-		h.dated, h.date = now.Unix(), now.UTC().Format(http1.Date)
+		h.dated, h.date = now.Unix(), now.UTC().Format(http.TimeFormat)
 	}
 	return http1.AppendHead(nil, status, h.date, long, last, headers...)
 }
 
-// plain writes an answer with a line of text.
-func (h *httpFace) plain(status int, text string, last bool, headers ...string) []byte {
-	return append(append(h.head(status, len(text)+1, last, append(headers, "Content-Type: text/plain; charset=utf-8")...), text...), '\n')
-}
-
 // served writes the head that serves what a server said, with what it said of it if that was in HTTP.
 func (h *httpFace) served(c *call, r *reply) []byte {
 	told := "Cache-Status: dahliapin; fwd=miss"
@@ -246,13 +236,13 @@
 
 func (h *httpFace) receipt(c *call, r *reply) []byte { return append(h.served(c, r), r.said...) }
 
-// bodied writes an answer of a call, without its body where none is to come.
+// bodied writes an answer with a line of text, but the text only where a body is to come.
 func (h *httpFace) bodied(c *call, status int, text string, headers ...string) []byte {
-	out := h.plain(status, text, c.last, headers...)
+	out := h.head(status, len(text)+1, c.last, append(headers, "Content-Type: text/plain; charset=utf-8")...)
 	if c.bare {
-		return out[:len(out)-len(text)-1]
+		return out
 	}
-	return out
+	return append(append(out, text...), '\n')
 }
 
 func (h *httpFace) dismissed(c *call, comeBack time.Duration) []byte {
@@ -272,26 +262,28 @@
 func (h *httpFace) refused(why refusal, bare bool) []byte {
 	switch why {
 	case tooLate:
-		return h.plain(408, "not whole in time", true)
+		return h.bodied(&call{last: true}, 408, "not whole in time")
 	case sameID:
 		return h.bodied(&call{bare: bare}, 409, "the same is in hand")
 	case badCall:
 		return h.bodied(&call{bare: bare}, 400, "nothing that can be taken in hand")
 	}
-	return h.plain(503, "too much at once", true)
+	return h.bodied(&call{last: true}, 503, "too much at once")
 }
 
-func (h *httpFace) ready(p Phase) []byte {
+func (h *httpFace) ready(c *call, p Phase) []byte {
 	if p == Serving {
-		return h.plain(200, p.String(), false)
+		return h.bodied(c, 200, p.String())
 	}
-	return h.plain(503, p.String(), false)
+	return h.bodied(c, 503, p.String())
 }
 
-func (h *httpFace) counts(c *counters.Counters) []byte {
+func (h *httpFace) counts(c *call, n *counters.Counters) []byte {
 	var out strings.Builder
-	c.Each(func(name string, n uint64) { fmt.Fprintf(&out, "%s %d\n", name, n) })
-	return h.plain(200, strings.TrimSuffix(out.String(), "\n"), false)
+	n.Each(func(name string, n uint64) { fmt.Fprintf(&out, "%s %d\n", name, n) })
+	return h.bodied(c, 200, strings.TrimSuffix(out.String(), "\n"))
 }
 
-func (h *httpFace) parts(c *call) bool { c.last = true; return true }
+func (h *httpFace) parts(out []byte) ([]byte, bool) {
+	return bytes.Replace(out, []byte("\r\n\r\n"), []byte("\r\nConnection: close\r\n\r\n"), 1), true
+}
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -136,7 +136,7 @@
 	r.faces = []face{metaFace{}}
 	for i := range b.Operator.Listeners {
 		if f := &b.Operator.Listeners[i]; f.Protocol == fronts.HTTP {
-			r.faces = append(r.faces, newHTTPFace(f, r))
+			r.faces = append(r.faces, newHTTPFace(f, i, r))
 		} else {
 			r.faces = append(r.faces, metaFace{})
 		}
--- a/node/posting.go
+++ b/node/posting.go
@@ -26,15 +26,15 @@
 	operator                fronts.File
 }
 
-// OpenText does so with the text of such a file.
-func (p *Posting) OpenText(name string, text []byte) (err error) {
-	p.operator, err = fronts.Parse(name, text, &p.terms)
+// Open adds what an operator's file states: further listeners, caches that speak HTTP, service levels.
+func (p *Posting) Open(path string) (err error) {
+	p.operator, err = fronts.Read(path, &p.terms)
 	return err
 }
 
-// Open adds what an operator's file states: further listeners, and caches that speak HTTP.
-func (p *Posting) Open(path string) (err error) {
-	p.operator, err = fronts.Read(path, &p.terms)
+// OpenText does so with the text of such a file.
+func (p *Posting) OpenText(name string, text []byte) (err error) {
+	p.operator, err = fronts.Parse(name, text, &p.terms)
 	return err
 }
 
