Sockets: who can't listen on all listens on none; a stop before the poller begins is kept

Seen: go test hung ten minutes in Engine.Stop, waiting for nbio's poller. Ruled out: connections left open (none), the test's own listener. At fault: nbio 1.6.8 sets shutdown to false when its poller begins, so a stop that came before is forgotten. Stop now waits 0.1 s where nothing was ever read.

--- a/internal/net/sockets/sockets.go
+++ b/internal/net/sockets/sockets.go
@@ -20,13 +20,14 @@
 )
 
 const (
-	readAtOnce  = 64 << 10             // bytes read at once: most values whole
-	mostHanded  = 4 << 20              // bytes handed over and not taken at which reading waits
-	keepArena   = 1 << 20              // bytes an emptied store may keep for the next turn: a long value or two
-	mostUnsent  = 4 << 20              // bytes a connection may have waiting for a slow reader: a few of the longest values
-	acceptPause = 5 * time.Millisecond // after an accept that failed, so that it does not spin
-	ownFiles    = 24                   // descriptors not for connections: poller, listener, log, runtime
-	forDials    = 8                    // descriptors kept from those who come, so that legs can go out
+	readAtOnce  = 64 << 10               // bytes read at once: most values whole
+	mostHanded  = 4 << 20                // bytes handed over and not taken at which reading waits
+	keepArena   = 1 << 20                // bytes an emptied store may keep for the next turn: a long value or two
+	mostUnsent  = 4 << 20                // bytes a connection may have waiting for a slow reader: a few of the longest values
+	acceptPause = 5 * time.Millisecond   // after an accept that failed, so that it does not spin
+	ownFiles    = 24                     // descriptors not for connections: poller, listener, log, runtime
+	forDials    = 8                      // descriptors kept from those who come, so that legs can go out
+	beginsBy    = 100 * time.Millisecond // for the poller to begin, on a machine with little to give
 )
 
 // What an Event tells.
@@ -87,6 +88,7 @@
 	waiting atomic.Bool // somebody stands before the gate
 	gates   []*gate
 	dialing sync.RWMutex // held for writing to stop
+	polled  atomic.Bool  // something was read, so the poller runs
 	made    atomic.Int64 // wires that are whole: what the poller is called with was made before, by whom it can't see
 }
 
@@ -145,6 +147,9 @@
 		}
 	})
 	if err := e.nb.Start(); err != nil {
+		for _, g := range e.gates { // nbio closes only the gates of those that it had opened
+			_ = g.Listener.Close()
+		}
 		return nil, fmt.Errorf("cannot listen on %s: %w", strings.Join(listen, ", "), err)
 	}
 	return e, nil
@@ -271,11 +276,15 @@
 		_ = g.Listener.Close()
 		<-g.parked
 	}
+	if !e.polled.Load() { // nbio 1.6.8 forgets a stop that comes before its poller has begun, and waits for it without end
+		time.Sleep(beginsBy)
+	}
 	e.nb.Stop()
 }
 
 // read hands over all there is to read, which by edges it must.
 func (w *Wire) read(buf []byte) {
+	w.e.polled.Store(true)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for !w.shut {
--- a/internal/net/sockets/sockets_test.go
+++ b/internal/net/sockets/sockets_test.go
@@ -177,3 +177,24 @@
 	}
 	e.open.Add(1 + forDials - e.most)
 }
+
+// Of two addresses, the one that could be had stayed taken for good, so that no later try could have it.
+func TestWhoCannotListenOnAllListensOnNone(t *testing.T) {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	free.Close()
+	taken, err := net.Listen("tcp", "127.0.0.1:0") // no engine: nbio 1.6.8 forgets a stop that comes before its poller runs
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	if _, err := New([]string{free.Addr().String(), taken.Addr().String()}, 100); err == nil {
+		t.Fatal("listens where another does")
+	}
+	if free, err = net.Listen("tcp", free.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	free.Close()
+}
