--- a/cmd/dahliapin/main.go
+++ b/cmd/dahliapin/main.go
@@ -67,6 +67,9 @@
 // posting reads a configuration, and what an operator adds to it.
 func posting(config, operator string) (*node.Posting, error) {
 	p, err := node.ReadPosting(config)
+	if at := os.Getenv("RELAY_OPS"); err == nil && at != "" {
+		err = p.OpsAt(at)
+	}
 	if err == nil && operator != "" {
 		err = p.Open(operator)
 	}
--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -62,6 +62,7 @@
 	link     linkID
 	sent     policy.Instant
 	giveUpAt policy.Instant
+	begun    bool // written, but the kernel had not taken all of it then
 }
 
 func (r *Relay) connectTime() time.Duration {
@@ -142,6 +143,10 @@
 	wait := max(1, int64(v.legs[n].giveUpAt.Since(r.now())/time.Millisecond))
 	if l.wire.Write(l.cache.carrier.ask(&v.call, l.cache.addr, wait)) != nil {
 		r.lose(l, policy.Unconnected)
+	} else if leg := &v.legs[n]; l.wire.Unsent() == 0 {
+		r.whole++
+	} else {
+		leg.begun = true
 	}
 }
 
@@ -177,6 +182,9 @@
 func (r *Relay) end(v *retrieval, n int, how policy.Result, report []float64) {
 	l := &v.legs[n]
 	l.out = false
+	if l.begun && how != policy.Unconnected && how != policy.NeverSent {
+		r.whole++
+	}
 	v.late = how == policy.TimedOut
 	r.count.Ended[how]++
 	o := policy.Outcome{Leg: n, Took: r.now().Since(l.sent), Report: report}
@@ -435,6 +443,7 @@
 	}
 	if serves {
 		r.count.Satisfied++
+		r.byGrade[v.grade].Satisfied++
 		r.answer(v, out, long)
 	}
 	r.end(v, n, came.how, report)
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -59,6 +59,7 @@
 // retrieval is one in hand. The host keeps its own part of it.
 type retrieval struct {
 	id       handID
+	grade    policy.GradeID
 	client   clientID
 	turn     uint64
 	face     face
@@ -146,6 +147,7 @@
 func (r *Relay) sweep() {
 	now := r.now()
 	r.due.Put(now.Add(sweepEvery), due{sweep: true})
+	r.publish()
 	var idle []*client
 	r.clients.Each(func(_ clientID, c *client) {
 		switch late := c.since != 0 && now.Since(c.since) >= wholeBy; {
@@ -203,19 +205,21 @@
 	r.count.Retrievals++
 	stop := at.Add(min(asked.wait, mostWait))
 	outlasts := r.phase == Draining && stop > r.endBy()
-	if len(c.turns) >= mostTurns || r.phase == Starting || outlasts || c.excess && r.tooManyClients() ||
+	if len(c.turns) >= mostTurns || r.phase == Starting || outlasts || r.turnsAway() || c.excess && r.tooManyClients() ||
 		int64(r.held)+r.eng.Unsent() > r.Memory/shareHeld {
 		r.count.Crowded++
 		r.count.Dismissed++
+		r.byGrade[grade].Dismissed++
 		r.say(c, c.face.dismissed(asked, 0))
 		return
 	}
 	c.excess = false
 	asked.redoable = r.Terms.Rules.Grades[grade].Effect == policy.Redoable
-	v := &retrieval{client: c.id, turn: c.first + uint64(len(c.turns)), face: c.face}
+	v := &retrieval{grade: grade, client: c.id, turn: c.first + uint64(len(c.turns)), face: c.face}
 	v.call, v.bytes = copyOf(asked)
 	r.held += v.bytes
 	v.id = r.hand.Add(v)
+	r.pending++
 	r.taken[string(v.call.id)] = true
 	c.turns = append(c.turns, turn{hand: v.id})
 	r.host.Arrived(r.now(), &policy.Retrieval{ID: token(v.id), Key: string(asked.key),
@@ -240,6 +244,7 @@
 // answer gives a retrieval its one final answer.
 func (r *Relay) answer(v *retrieval, out, long []byte) {
 	v.answered = true
+	r.pending--
 	c := r.clients.Get(v.client)
 	if c == nil || v.turn < c.first {
 		return
@@ -300,7 +305,7 @@
 // part lets a node that drains say with the last answer on a connection that it ends with that, so that nothing more is sent on it
 // to be lost. It is the last only as it leaves: what was answered before may have waited.
 func (r *Relay) part(c *client, t *turn) {
-	if r.phase != Draining || c.partial > 0 || c.closing {
+	if r.phase != Draining && r.phase != Standby || c.partial > 0 || c.closing {
 		return
 	}
 	if quiet, _ := c.wire.Quiet(); quiet {
@@ -352,6 +357,7 @@
 			continue
 		}
 		v.answered = true
+		r.pending--
 		r.count.Left++
 		r.host.Left(r.now(), token(v.id))
 		for n := range v.legs {
@@ -367,6 +373,7 @@
 func (r *Relay) Dismiss(id policy.RetrievalID, comeBack time.Duration) {
 	if v := r.hand.Get(slotOf(id)); v != nil && !v.answered {
 		r.count.Dismissed++
+		r.byGrade[v.grade].Dismissed++
 		r.answer(v, v.face.dismissed(&v.call, comeBack), nil)
 		r.release(v)
 	}
@@ -376,6 +383,7 @@
 func (r *Relay) Scrap(id policy.RetrievalID) {
 	if v := r.hand.Get(slotOf(id)); v != nil && !v.answered {
 		r.count.Scrapped++
+		r.byGrade[v.grade].Failed++
 		r.answer(v, v.face.scrapped(&v.call, v.late), nil)
 		r.release(v)
 	}
--- /dev/null
+++ b/internal/net/relay/operators.go
@@ -0,0 +1,145 @@
+package relay
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"dahliapin/internal/host"
+	"dahliapin/internal/net/counters"
+	"dahliapin/internal/ops"
+	"dahliapin/policy"
+)
+
+const (
+	standbyComing = 350 * time.Millisecond // after the call to stand by, the front still sends new clients: 0.2 s after its next question
+	standbyTakes  = 2 * time.Second        // then, who still keeps a connection busy is dismissed until it falls idle
+)
+
+// stance hears how the module says that caches stand, and passes all on to the records' book if there is one.
+type stance struct {
+	host.Watcher
+	of map[policy.CacheID]policy.Standing // those that are not in use as usual
+}
+
+func (s *stance) Stands(now policy.Instant, id policy.CacheID, is policy.Standing) {
+	s.of[id] = is
+	if s.Watcher != nil {
+		s.Watcher.Stands(now, id, is)
+	}
+}
+
+func (s *stance) Sent(now policy.Instant, id policy.CacheID) {
+	if s.Watcher != nil {
+		s.Watcher.Sent(now, id)
+	}
+}
+
+func (s *stance) Ended(now policy.Instant, id policy.CacheID, how policy.Result, took time.Duration) {
+	if s.Watcher != nil {
+		s.Watcher.Ended(now, id, how, took)
+	}
+}
+
+func (s *stance) Listed(now policy.Instant, form policy.ListForm, entries []policy.Entry) {
+	if s.Watcher != nil {
+		s.Watcher.Listed(now, form, entries)
+	}
+}
+
+// avoids tells whether a cache that stands so gets nothing that another could have.
+func avoids(s policy.Standing) bool { return s >= policy.Erring }
+
+// publish hands out a new copy of the figures.
+func (r *Relay) publish() {
+	if r.stance == nil {
+		return
+	}
+	s := &counters.Sheet{At: time.Now(), Takes: r.phase == Serving, Phase: r.phase.String(), Grades: slices.Clone(r.byGrade),
+		Legs: r.whole, Pending: r.pending}
+	maps.DeleteFunc(r.stance.of, func(id policy.CacheID, _ policy.Standing) bool { return r.caches[id] == nil })
+	for id, c := range r.caches {
+		if _, store := c.carrier.(originCarrier); store {
+			continue
+		}
+		s.Members++
+		if avoids(r.stance.of[id]) {
+			s.Unavailable++
+		}
+	}
+	r.sheet.Store(s)
+}
+
+// Sheet returns the figures as they were last handed out. It may be called from anywhere.
+func (r *Relay) Sheet() *counters.Sheet { return r.sheet.Load() }
+
+// Standby drains the node without ending it, and Active ends that. They may be called from anywhere, and more than once.
+func (r *Relay) Standby(ctx context.Context) error { return r.order(ctx, r.standBy) }
+
+// Active takes clients again, after Standby.
+func (r *Relay) Active(ctx context.Context) error { return r.order(ctx, r.beActive) }
+
+// order has the loop do something, and waits for it only as long as the caller may.
+func (r *Relay) order(ctx context.Context, do func() error) error {
+	answer := make(chan error, 1)
+	select {
+	case r.asks <- func() { answer <- do(); r.publish() }:
+	case <-r.done:
+		return ops.ErrEnding
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case err := <-answer:
+		return err
+	case <-r.done:
+		return ops.ErrEnding
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *Relay) standBy() error {
+	switch r.phase {
+	case Draining, Stopped:
+		return ops.ErrEnding
+	case Standby:
+		return nil
+	}
+	r.stoodBy = r.now()
+	r.Log.WithField("in_hand", r.hand.Len()).Info("standing by")
+	r.enter(Standby)
+	if !r.looks { // a look of a standby that was ended may still be due
+		r.looks = true
+		r.due.Put(r.now().Add(drainEvery), due{drain: true})
+	}
+	return nil
+}
+
+func (r *Relay) beActive() error {
+	switch r.phase {
+	case Draining, Stopped:
+		return ops.ErrEnding
+	case Standby:
+		r.enter(Starting) // with a list it serves at once, else with the first
+		r.ready()
+	}
+	return nil
+}
+
+// standbyStep closes clients as they fall idle, those that come to ask as well, for as long as the node stands by.
+func (r *Relay) standbyStep() {
+	if r.looks = r.phase == Standby; !r.looks {
+		return
+	}
+	if r.now().Since(r.stoodBy) >= standbyComing {
+		r.closeIdleOnes()
+	}
+	r.due.Put(r.now().Add(drainEvery), due{drain: true})
+}
+
+// turnsAway tells whether what still comes on a kept connection is dismissed while standing by, so that it falls idle.
+func (r *Relay) turnsAway() bool {
+	return r.phase == Standby && r.now().Since(r.stoodBy) >= standbyComing+standbyTakes
+}
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/binary"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -51,11 +52,12 @@
 const (
 	Starting Phase = iota
 	Serving
+	Standby // told by operators to take nobody, and not to end
 	Draining
 	Stopped
 )
 
-var phaseNames = [...]string{"starting", "serving", "draining", "stopped"}
+var phaseNames = [...]string{"starting", "serving", "standby", "draining", "stopped"}
 
 func (p Phase) String() string { return phaseNames[p] }
 
@@ -70,6 +72,7 @@
 	Known             *fastjson.Value // the list as last held, or nil
 	Log               *logrus.Logger
 	Moved             func(Phase)                    // told of each phase; nil for nobody
+	Figures           bool                           // hand out copies of the figures, for operators
 	Name              string                         // for records
 	Records           func(records.Entry, time.Time) // told of each, within the loop, and not to wait; nil for nobody
 }
@@ -95,9 +98,16 @@
 	chance   keyhash.Source
 	later    []func() // what must not happen within a call into the host
 	count    counters.Counters
-	held     int            // bytes of retrievals in hand, and of answers that wait for those before them
-	partial  int            // bytes of commands that have not come whole
-	coming   int            // the same of answers of caches and origin
+	held     int     // bytes of retrievals in hand, and of answers that wait for those before them
+	partial  int     // bytes of commands that have not come whole
+	coming   int     // the same of answers of caches and origin
+	stance   *stance // nil where nobody asks for figures
+	sheet    atomic.Pointer[counters.Sheet]
+	byGrade  []counters.GradeSheet
+	whole    uint64         // legs written whole
+	pending  int            // retrievals taken and not ended
+	looks    bool           // a look for idle clients is due, or was when the standby ended
+	stoodBy  policy.Instant // when the call to stand by came
 	ending   policy.Instant // when the call to end came
 	lastCame policy.Instant // when somebody last connected
 	asks     chan func()
@@ -146,7 +156,16 @@
 		watcher = records.New(b.Name, func(e records.Entry) { b.Records(e, r.began.Add(e.At.Since(epoch))) },
 			func(e policy.Entry) bool { return r.isOrigin(e.Kind) })
 	}
-	r.host = host.With(r.now(), r.decider(watcher), r, watcher)
+	decider := r.decider(watcher)
+	r.byGrade = make([]counters.GradeSheet, len(b.Terms.Rules.Grades))
+	for name, n := range b.Terms.Names.Grades() {
+		r.byGrade[n].Name = name
+	}
+	if b.Figures {
+		r.stance = &stance{Watcher: watcher, of: map[policy.CacheID]policy.Standing{}}
+		watcher = r.stance
+	}
+	r.host = host.With(r.now(), decider, r, watcher)
 	r.kept = keeping.New(b.Terms.Rules.IdleConnection)
 	r.list.caller, r.chance.Seed = discovery.New(b.Terms.Rules.Nodes), uint32(b.Seed^b.Seed>>32)
 	if b.Known != nil {
@@ -197,6 +216,7 @@
 
 func (r *Relay) enter(p Phase) {
 	r.phase = p
+	r.publish()
 	if r.Moved != nil {
 		r.Moved(p)
 	}
@@ -321,8 +341,10 @@
 			r.sweep()
 		case d.ready:
 			r.ready()
-		case d.drain:
+		case d.drain && r.phase == Draining:
 			r.drainStep()
+		case d.drain:
+			r.standbyStep()
 		}
 		r.settle()
 	}
@@ -349,11 +371,7 @@
 func (r *Relay) drainStep() {
 	now := r.now()
 	if now.Since(r.ending) >= comingFor && now.Since(r.lastCame) >= quietFor {
-		r.clients.Each(func(_ clientID, c *client) {
-			if r.mayClose(c) {
-				r.closeIdle(c)
-			}
-		})
+		r.closeIdleOnes()
 		if r.clients.Len() == 0 && r.hand.Len() == 0 {
 			r.enter(Stopped)
 			return
@@ -366,6 +384,14 @@
 	r.due.Put(now.Add(drainEvery), due{drain: true})
 }
 
+func (r *Relay) closeIdleOnes() {
+	r.clients.Each(func(_ clientID, c *client) {
+		if r.mayClose(c) {
+			r.closeIdle(c)
+		}
+	})
+}
+
 // endBy is when a node that drains ends at the latest.
 func (r *Relay) endBy() policy.Instant { return r.ending.Add(r.Terms.LongestStop + spareToStop) }
 
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 
 	"dahliapin/internal/net/counters"
 	"dahliapin/internal/net/relay"
+	"dahliapin/internal/ops"
 	"dahliapin/internal/records"
 )
 
@@ -23,6 +24,7 @@
 	usualMemory   = 192  // MB where no limit is stated
 	rarely        = 200  // percent that the heap may grow between collections: it is small, and a long value is a fair part of it
 	heapShare     = 0.6  // of the memory limit at which the collector works harder: stacks and sockets need some
+	deskFiles     = 2    // descriptors of the operators' desk beside its callers: its listener and one just let in
 	recordsAhead  = 4096 // records that may wait for who keeps them; more are dropped and counted, as no retrieval is to wait
 	fewestThreads = 2    // so that the loop need not wait for the poller to come back from its wait
 )
@@ -34,6 +36,7 @@
 const (
 	Starting = relay.Starting
 	Serving  = relay.Serving
+	Standby  = relay.Standby
 	Draining = relay.Draining
 	Stopped  = relay.Stopped
 )
@@ -55,7 +58,8 @@
 	dropped uint64 // records; the loop's own until it has ended
 	phase   atomic.Int32
 	log     *logrus.Logger
-	posting *Posting // as it started
+	posting *Posting  // as it started
+	desk    *ops.Desk // nil where no operators call
 }
 
 // New listens as the posting says and starts. Serve is to follow.
@@ -67,14 +71,27 @@
 		note = n.note
 	}
 	var err error
+	descriptors := cmp.Or(p.Sockets, usualSockets)
+	if p.Ops != "" {
+		if n.desk, err = ops.Open(p.Ops); err != nil {
+			return nil, err
+		}
+		descriptors -= ops.MostCallers + deskFiles
+	}
 	n.relay, err = relay.New(relay.Berth{
-		Listen: p.Listen, Operator: p.operator, Discovery: p.Discovery, Seed: p.Seed, Descriptors: cmp.Or(p.Sockets, usualSockets),
+		Listen: p.Listen, Operator: p.operator, Discovery: p.Discovery, Seed: p.Seed, Descriptors: descriptors, Figures: n.desk != nil,
 		Memory: p.memory(), Terms: p.terms, Known: p.known, Log: log,
 		Moved: func(to Phase) { n.phase.Store(int32(to)) }, Name: p.Name, Records: note,
 	})
 	if err != nil {
+		if n.desk != nil {
+			n.desk.Close()
+		}
 		return nil, err
 	}
+	if n.desk != nil {
+		n.desk.Serve(n.relay, log)
+	}
 	log.WithFields(logrus.Fields{"name": p.Name, "listen": n.Addr()}).Info("listening")
 	return n, nil
 }
@@ -90,6 +107,9 @@
 
 // Serve runs until the node has stopped, and its records are kept.
 func (n *Node) Serve() {
+	if n.desk != nil {
+		defer n.desk.Close()
+	}
 	if n.records == nil {
 		n.relay.Run()
 		return
@@ -133,6 +153,14 @@
 // Addr is where it listens.
 func (n *Node) Addr() string { return n.relay.Addr(0) }
 
+// OpsAddr is where operators call; empty for nowhere.
+func (n *Node) OpsAddr() string {
+	if n.desk == nil {
+		return ""
+	}
+	return n.desk.Addr()
+}
+
 // FrontAddr is where a further listener of the operator's file listens, by its number there from 0.
 func (n *Node) FrontAddr(i int) string { return n.relay.Addr(i + 1) }
 
--- a/node/posting.go
+++ b/node/posting.go
@@ -18,6 +18,7 @@
 // Posting is what a node is told at its start: its name, where it stands, and the terms it works under.
 type Posting struct {
 	Name, Listen, Discovery string
+	Ops                     string // where operators call; empty for nowhere
 	Seed                    int64
 	MemoryMB, Sockets       int
 	Records                 func(Entry, time.Time) // told what the node does to caches, from a goroutine of its own; nil for nobody
@@ -64,6 +65,10 @@
 			return nil, fmt.Errorf("the configuration's listen or discovery is not an address and a port: %q", addr)
 		}
 	}
+	p.Ops = string(v.GetStringBytes("ops"))
+	if err := p.mayCall(); err != nil {
+		return nil, err
+	}
 	if p.terms, err = houserules.Decode(v.Get("settings")); err != nil {
 		return nil, fmt.Errorf("the configuration cannot be used: %w", err)
 	}
@@ -78,3 +83,22 @@
 	}
 	return p, nil
 }
+
+// OpsAt has operators call elsewhere than the configuration says. Two processes may start by one configuration.
+func (p *Posting) OpsAt(addr string) error {
+	p.Ops = addr
+	return p.mayCall()
+}
+
+func (p *Posting) mayCall() error {
+	if p.Ops == "" {
+		return nil
+	}
+	if _, err := netip.ParseAddrPort(p.Ops); err != nil {
+		return fmt.Errorf("the address for operators, ops, is not an address and a port: %q", p.Ops)
+	}
+	if p.Ops == p.Listen {
+		return fmt.Errorf("the address for operators, ops, is that of clients: %q", p.Ops)
+	}
+	return nil
+}
