Upgrade: the listening sockets go from a process to the one that replaces it

Sockets are passed over a Unix socket in TMPDIR; SO_REUSEPORT with a classic BPF selector was tried in a probe and refused by the kernel here (operation not supported), and without it connections hash to both. docs/operations-design.md.

--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/binary"
+	"net"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,7 @@
 	"dahliapin/internal/levels"
 	"dahliapin/internal/net/counters"
 	"dahliapin/internal/net/deadlines"
+	"dahliapin/internal/net/handover"
 	"dahliapin/internal/net/slots"
 	"dahliapin/internal/net/sockets"
 	"dahliapin/internal/records"
@@ -73,6 +75,9 @@
 	Log               *logrus.Logger
 	Moved             func(Phase)                    // told of each phase; nil for nobody
 	Figures           bool                           // hand out copies of the figures, for operators
+	Succeeds          *handover.Taken                // what the process had that this one replaces; nil for none
+	Handover          string                         // where another process may take this one's place; empty for nowhere
+	Together          func(bool)                     // told when two processes share the node's limits, and when not; nil for nobody
 	Name              string                         // for records
 	Records           func(records.Entry, time.Time) // told of each, within the loop, and not to wait; nil for nobody
 }
@@ -80,38 +85,42 @@
 // Relay is one node.
 type Relay struct {
 	Berth
-	phase    Phase
-	eng      *sockets.Engine
-	host     *host.Host
-	began    time.Time // with the monotonic clock's reading
-	due      deadlines.Queue[due]
-	clients  slots.Table[clientID, client]
-	links    slots.Table[linkID, link]
-	hand     slots.Table[handID, retrieval]
-	taken    map[string]bool // the clients' ids of those in hand
-	asked    asked           // what was read last
-	came     reply           // the same of servers
-	faces    []face          // by the address that a client came to
-	caches   map[policy.CacheID]*cache
-	list     listing
-	kept     keeping.Span
-	chance   keyhash.Source
-	later    []func() // what must not happen within a call into the host
-	count    counters.Counters
-	held     int     // bytes of retrievals in hand, and of answers that wait for those before them
-	partial  int     // bytes of commands that have not come whole
-	coming   int     // the same of answers of caches and origin
-	stance   *stance // nil where nobody asks for figures
-	sheet    atomic.Pointer[counters.Sheet]
-	byGrade  []counters.GradeSheet
-	whole    uint64         // legs written whole
-	pending  int            // retrievals taken and not ended
-	looks    bool           // a look for idle clients is due, or was when the standby ended
-	stoodBy  policy.Instant // when the call to stand by came
-	ending   policy.Instant // when the call to end came
-	lastCame policy.Instant // when somebody last connected
-	asks     chan func()
-	done     chan struct{}
+	phase     Phase
+	eng       *sockets.Engine
+	host      *host.Host
+	began     time.Time // with the monotonic clock's reading
+	due       deadlines.Queue[due]
+	clients   slots.Table[clientID, client]
+	links     slots.Table[linkID, link]
+	hand      slots.Table[handID, retrieval]
+	taken     map[string]bool // the clients' ids of those in hand
+	asked     asked           // what was read last
+	came      reply           // the same of servers
+	faces     []face          // by the address that a client came to
+	caches    map[policy.CacheID]*cache
+	list      listing
+	kept      keeping.Span
+	chance    keyhash.Source
+	later     []func() // what must not happen within a call into the host
+	count     counters.Counters
+	held      int // bytes of retrievals in hand, and of answers that wait for those before them
+	partial   int // bytes of commands that have not come whole
+	coming    int // the same of answers of caches and origin
+	allMemory int64
+	offered   *handover.Offer // nil for none
+	replaced  bool            // another process lets people in
+	told      bool            // the process before this one knows that clients are taken here
+	stance    *stance         // nil where nobody asks for figures
+	sheet     atomic.Pointer[counters.Sheet]
+	byGrade   []counters.GradeSheet
+	whole     uint64         // legs written whole
+	pending   int            // retrievals taken and not ended
+	looks     bool           // a look for idle clients is due, or was when the standby ended
+	stoodBy   policy.Instant // when the call to stand by came
+	ending    policy.Instant // when the call to end came
+	lastCame  policy.Instant // when somebody last connected
+	asks      chan func()
+	done      chan struct{}
 }
 
 // due is one deadline; exactly one of its parts is set.
@@ -137,11 +146,15 @@
 	for _, f := range b.Operator.Listeners {
 		listen = append(listen, f.Listen)
 	}
-	eng, err := sockets.New(listen, b.Descriptors)
+	var held map[string]net.Listener
+	if b.Succeeds != nil {
+		held = b.Succeeds.Listeners
+	}
+	eng, err := sockets.New(listen, b.Descriptors, held)
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{Berth: b, eng: eng, began: time.Now(), caches: map[policy.CacheID]*cache{}, taken: map[string]bool{},
+	r := &Relay{Berth: b, eng: eng, allMemory: b.Memory, began: time.Now(), caches: map[policy.CacheID]*cache{}, taken: map[string]bool{},
 		asks: make(chan func(), 16), done: make(chan struct{})}
 	r.faces = []face{metaFace{}}
 	for i := range b.Operator.Listeners {
@@ -175,6 +188,11 @@
 		}
 	}
 	r.due.Put(r.now().Add(readyBy), due{ready: true})
+	if b.Succeeds != nil {
+		r.succeed()
+	} else {
+		r.offer()
+	}
 	r.sweep()
 	r.follow()
 	return r, nil
@@ -281,6 +299,9 @@
 			r.settle()
 		}
 	}
+	if r.offered != nil {
+		r.offered.Close()
+	}
 	r.eng.Stop()
 	close(r.done)
 }
@@ -353,6 +374,7 @@
 func (r *Relay) ready() {
 	if r.phase == Starting && len(r.caches) > 0 {
 		r.Log.WithField("caches", len(r.caches)).Info("serving")
+		r.letIn()
 		r.enter(Serving)
 	}
 }
@@ -370,7 +392,7 @@
 // drainStep goes on serving while connections may still come, then closes clients as they fall idle.
 func (r *Relay) drainStep() {
 	now := r.now()
-	if now.Since(r.ending) >= comingFor && now.Since(r.lastCame) >= quietFor {
+	if r.replaced || now.Since(r.ending) >= comingFor && now.Since(r.lastCame) >= quietFor {
 		r.closeIdleOnes()
 		if r.clients.Len() == 0 && r.hand.Len() == 0 {
 			r.enter(Stopped)
--- /dev/null
+++ b/internal/net/relay/succession.go
@@ -0,0 +1,81 @@
+package relay
+
+import "dahliapin/internal/net/handover"
+
+// While two processes are one node, each has this part of what the node may use.
+const shareTogether = 2
+
+// succeed begins as the successor of another process: with its listeners, and with a part of the limits until that has gone.
+func (r *Relay) succeed() {
+	for _, l := range r.Succeeds.Listeners { // this one's file states them no more
+		_ = l.Close()
+	}
+	r.together(true)
+	go func() {
+		r.Succeeds.Wait()
+		r.ask(func() {
+			r.Log.Info("the process before this one has gone")
+			r.together(false)
+			r.offer()
+		})
+	}()
+}
+
+// together takes and gives back the other process's part of the limits.
+func (r *Relay) together(two bool) {
+	descriptors, memory := r.Descriptors, r.allMemory
+	if two {
+		descriptors, memory = descriptors/shareTogether, memory/shareTogether
+	}
+	r.Memory = memory
+	r.eng.Limit(descriptors)
+	for r.eng.Over() && r.makeRoom() {
+		r.settle()
+	}
+	if r.Together != nil {
+		r.Together(two)
+	}
+}
+
+// offer lets another process take this one's place. Without it the node runs as ever; it just can't be replaced without a gap.
+func (r *Relay) offer() {
+	if r.Handover == "" || r.phase == Stopped {
+		return
+	}
+	var err error
+	r.offered, err = handover.Open(r.Handover, r.eng.Listeners(), func(s handover.Stage) { r.ask(func() { r.heir(s) }) })
+	if err != nil {
+		r.Log.WithError(err).Warn("this process can't be replaced without a gap")
+	}
+}
+
+// heir hears how far the process that replaces this one has come. Guards against one that dies or hangs before it serves: until it
+// does, and once it has gone, this one lets people in.
+func (r *Relay) heir(s handover.Stage) {
+	switch s {
+	case handover.Came:
+		r.Log.Info("another process comes in this one's place")
+		r.together(true)
+	case handover.Takes:
+		r.Log.Info("the other process lets people in")
+		r.replaced = true
+		r.eng.Accept(false)
+	case handover.Left:
+		r.Log.Warn("the process in this one's place has gone")
+		r.replaced = false
+		r.together(false)
+		r.eng.Accept(true)
+	}
+}
+
+// letIn begins to take clients; a predecessor then leaves them to this process.
+func (r *Relay) letIn() {
+	if r.Succeeds == nil || r.told {
+		return
+	}
+	r.told = true
+	r.eng.Accept(true)
+	if err := r.Succeeds.Serving(); err != nil {
+		r.Log.WithError(err).Info("the process before this one has gone already")
+	}
+}
--- a/internal/net/sockets/sockets.go
+++ b/internal/net/sockets/sockets.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -73,7 +74,7 @@
 // Engine is all of a node's connections.
 type Engine struct {
 	nb     *nbio.Engine
-	most   int64
+	most   atomic.Int64 // descriptors
 	open   atomic.Int64
 	unsent atomic.Int64
 
@@ -84,9 +85,11 @@
 	spare   []Event
 	spareA  []byte
 	stopped bool
+	aside   bool // nobody is let in here: another process does
 	wake    chan struct{}
 	waiting atomic.Bool // somebody stands before the gate
 	gates   []*gate
+	own     int          // descriptors not for connections
 	dialing sync.RWMutex // held for writing to stop
 	polled  atomic.Bool  // something was read, so the poller runs
 	made    atomic.Int64 // wires that are whole: what the poller is called with was made before, by whom it can't see
@@ -95,9 +98,11 @@
 // ErrNoDescriptor says that the budget of descriptors is spent.
 var ErrNoDescriptor = errors.New("all descriptors are in use")
 
-// New listens on all addresses and starts. It holds at most so many descriptors.
-func New(listen []string, descriptors int) (*Engine, error) {
-	e := &Engine{most: int64(max(16, descriptors-ownFiles-len(listen)+1)), wake: make(chan struct{}, 1)}
+// New listens on all addresses and starts. It holds at most so many descriptors. Listeners that another process has handed over
+// are taken out of held as they are, and nobody is let in by any until Accept.
+func New(listen []string, descriptors int, held map[string]net.Listener) (*Engine, error) {
+	e := &Engine{wake: make(chan struct{}, 1), aside: len(held) > 0, own: ownFiles + len(listen) - 1}
+	e.Limit(descriptors)
 	e.room = sync.NewCond(&e.mu)
 	logging.SetLevel(logging.LevelError)
 	e.nb = nbio.NewEngine(nbio.Config{
@@ -108,7 +113,10 @@
 		Listen: func(network, addr string) (net.Listener, error) {
 			plain := net.ListenConfig{KeepAlive: -1}
 			plain.SetMultipathTCP(false)
-			l, err := plain.Listen(context.Background(), network, addr)
+			l, err := held[addr], error(nil)
+			if delete(held, addr); l == nil {
+				l, err = plain.Listen(context.Background(), network, addr)
+			}
 			if err != nil {
 				return nil, err
 			}
@@ -223,8 +231,41 @@
 	return ev.bytes
 }
 
+// Limit says how many descriptors it may hold from now on.
+func (e *Engine) Limit(descriptors int) {
+	e.most.Store(int64(max(16, descriptors-e.own)))
+}
+
+// Over tells whether it holds more than that: its limit was lowered.
+func (e *Engine) Over() bool { return e.open.Load() > e.most.Load()-forDials }
+
+// Accept lets people in from now on, or leaves them to another process that holds the same listeners.
+func (e *Engine) Accept(in bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.aside = !in
+	until := time.Time{}
+	if !in {
+		until = time.Unix(1, 0) // calls an acceptor back that waits in the kernel
+	}
+	for _, g := range e.gates {
+		if l, can := g.Listener.(interface{ SetDeadline(time.Time) error }); can {
+			_ = l.SetDeadline(until)
+		}
+	}
+	e.room.Broadcast()
+}
+
+// Listeners are those that people are let in by, for another process.
+func (e *Engine) Listeners() (all []net.Listener) {
+	for _, g := range e.gates {
+		all = append(all, g.Listener)
+	}
+	return all
+}
+
 // Most is how many connections there may be before those who come have to wait.
-func (e *Engine) Most() int { return int(e.most - forDials) }
+func (e *Engine) Most() int { return int(e.most.Load() - forDials) }
 
 // Unsent counts the bytes that wait for slow readers.
 func (e *Engine) Unsent() int64 { return e.unsent.Load() }
@@ -232,7 +273,7 @@
 // Dial starts a connection; Connected or Refused follows. The connecting itself is the standard library's: nbio's
 // own reads the first four bytes of a sixteen-byte address, and so calls 0.0.0.0 whatever it is given.
 func (e *Engine) Dial(addr string, within time.Duration, dial uint64) error {
-	if e.open.Add(1) > e.most {
+	if e.open.Add(1) > e.most.Load() {
 		e.open.Add(-1)
 		return ErrNoDescriptor
 	}
@@ -406,13 +447,14 @@
 
 func (g *gate) Accept() (net.Conn, error) {
 	for !g.ended {
+		g.e.waitForTurn()
 		conn, err := g.Listener.Accept()
 		if err == nil {
 			g.e.open.Add(1)
 			g.e.waitForRoom()
 			return conn, nil
 		}
-		if g.ended = errors.Is(err, net.ErrClosed); !g.ended {
+		if g.ended = errors.Is(err, net.ErrClosed); !g.ended && !errors.Is(err, os.ErrDeadlineExceeded) {
 			time.Sleep(acceptPause)
 		}
 	}
@@ -430,11 +472,20 @@
 	return nil
 }
 
+// waitForTurn holds the acceptor while another process lets people in.
+func (e *Engine) waitForTurn() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for e.aside && !e.stopped {
+		e.room.Wait()
+	}
+}
+
 // waitForRoom holds the acceptor while the budget is spent, and wakes the loop to make room.
 func (e *Engine) waitForRoom() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for e.open.Load() > e.most-forDials && !e.stopped {
+	for e.open.Load() > e.most.Load()-forDials && !e.stopped {
 		e.waiting.Store(true)
 		select {
 		case e.wake <- struct{}{}:
@@ -446,4 +497,4 @@
 }
 
 // Crowded tells whether somebody waits for a descriptor, and still must.
-func (e *Engine) Crowded() bool { return e.waiting.Load() && e.open.Load() > e.most-forDials }
+func (e *Engine) Crowded() bool { return e.waiting.Load() && e.open.Load() > e.most.Load()-forDials }
--- a/internal/net/sockets/sockets_test.go
+++ b/internal/net/sockets/sockets_test.go
@@ -13,7 +13,7 @@
 const patience = 10 * time.Second // that a test waits for what must come
 
 func engine(t *testing.T) *Engine {
-	e, err := New([]string{"127.0.0.1:0"}, 100)
+	e, err := New([]string{"127.0.0.1:0"}, 100, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -108,7 +108,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	for range e.most {
+	for range e.most.Load() {
 		if err := e.Dial(l.Addr().String(), patience, 1); err != nil {
 			t.Fatal(err)
 		}
@@ -154,7 +154,7 @@
 // The acceptor told once that it waits, and went on waiting unheard when the room made for it was not enough.
 func TestWhoWaitsForADescriptorIsSeenUntilLetIn(t *testing.T) {
 	e := engine(t)
-	e.open.Add(e.most)
+	e.open.Add(e.most.Load())
 	c, err := net.Dial("tcp", e.Addr(0).String())
 	if err != nil {
 		t.Fatal(err)
@@ -175,7 +175,7 @@
 	if e.Crowded() {
 		t.Error("nobody waits any more")
 	}
-	e.open.Add(1 + forDials - e.most)
+	e.open.Add(1 + forDials - e.most.Load())
 }
 
 // Of two addresses, the one that could be had stayed taken for good, so that no later try could have it.
@@ -190,7 +190,7 @@
 		t.Fatal(err)
 	}
 	defer taken.Close()
-	if _, err := New([]string{free.Addr().String(), taken.Addr().String()}, 100); err == nil {
+	if _, err := New([]string{free.Addr().String(), taken.Addr().String()}, 100, nil); err == nil {
 		t.Fatal("listens where another does")
 	}
 	if free, err = net.Listen("tcp", free.Addr().String()); err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,8 @@
 import (
 	"cmp"
 	"fmt"
+	"net/netip"
+	"os"
 	"reflect"
 	"runtime"
 	"runtime/debug"
@@ -13,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"dahliapin/internal/net/counters"
+	"dahliapin/internal/net/handover"
 	"dahliapin/internal/net/relay"
 	"dahliapin/internal/ops"
 	"dahliapin/internal/records"
@@ -78,8 +81,10 @@
 		}
 		descriptors -= ops.MostCallers + deskFiles
 	}
+	succeeds, handoverAt := n.predecessor()
 	n.relay, err = relay.New(relay.Berth{
 		Listen: p.Listen, Operator: p.operator, Discovery: p.Discovery, Seed: p.Seed, Descriptors: descriptors, Figures: n.desk != nil,
+		Succeeds: succeeds, Handover: handoverAt, Together: n.together,
 		Memory: p.memory(), Terms: p.terms, Known: p.known, Log: log,
 		Moved: func(to Phase) { n.phase.Store(int32(to)) }, Name: p.Name, Records: note,
 	})
@@ -87,6 +92,9 @@
 		if n.desk != nil {
 			n.desk.Close()
 		}
+		if succeeds != nil {
+			succeeds.Close()
+		}
 		return nil, err
 	}
 	if n.desk != nil {
@@ -171,7 +179,43 @@
 func Fit(p *Posting) {
 	runtime.GOMAXPROCS(max(fewestThreads, runtime.GOMAXPROCS(0)))
 	debug.SetGCPercent(rarely)
-	debug.SetMemoryLimit(int64(heapShare * float64(p.memory())))
+	p.fitted = true
+	p.fit(false)
+}
+
+// predecessor finds the process that this one is to replace, and where this one may be replaced itself. Only nodes that operators
+// call are replaced, and whatever is wrong with the folder for it, a node starts as without it.
+func (n *Node) predecessor() (*handover.Taken, string) {
+	if at, err := netip.ParseAddrPort(n.posting.Listen); n.desk == nil || err != nil || at.Port() == 0 {
+		return nil, ""
+	}
+	path, err := handover.Path(os.TempDir(), n.posting.Listen)
+	var from *handover.Taken
+	if err == nil {
+		from, err = handover.Take(path)
+	}
+	if err != nil {
+		n.log.WithError(err).Warn("no process can be replaced")
+	}
+	if from != nil {
+		n.log.WithField("listeners", len(from.Listeners)).Info("taking another process's place")
+	}
+	return from, path
+}
+
+// together has two processes of one node share its memory.
+func (n *Node) together(two bool) {
+	if n.posting.fitted {
+		n.posting.fit(two)
+	}
+}
+
+func (p *Posting) fit(together bool) {
+	limit := heapShare * float64(p.memory())
+	if together {
+		limit /= 2
+	}
+	debug.SetMemoryLimit(int64(limit))
 }
 
 func (p *Posting) memory() int64 { return int64(cmp.Or(p.MemoryMB, usualMemory)) << 20 }
--- a/node/posting.go
+++ b/node/posting.go
@@ -25,6 +25,7 @@
 	terms                   houserules.Terms
 	known                   *fastjson.Value
 	operator                fronts.File
+	fitted                  bool // the process keeps within its limits
 }
 
 // Open adds what an operator's file states: further listeners, caches that speak HTTP, service levels.
