--- a/internal/net/relay/operators.go
+++ b/internal/net/relay/operators.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// avoids tells whether a cache that stands so gets nothing that another could have.
-func avoids(s policy.Standing) bool { return s >= policy.Erring }
+// avoids tells whether a cache that stands so gets nothing that another could have; one that errs may for some grades only.
+func avoids(s policy.Standing) bool { return s >= policy.Quiet }
 
 // publish hands out a new copy of the figures.
 func (r *Relay) publish() {
