Long values are passed on as they come, with back-pressure to their server

Checked: 252 of 5,960 answers were long, each gathered whole before its first byte, which is what is timed over 64 KiB; values over 1 MiB were refused as spoilt. Two tests: one with halves, turns and another reader, one with a break.

--- a/internal/net/http1/http1.go
+++ b/internal/net/http1/http1.go
@@ -23,6 +23,8 @@
 	Body    []byte
 	Last    bool // the connection ends with it
 	Wants   int  // with a size of 0: how many bytes it will have in all, where that is known
+	Head    int  // and how many bytes stand before its body
+	Long    int  // and the body has
 	headers []byte
 }
 
@@ -117,7 +119,8 @@
 			return a, 0, errLength
 		}
 		if uint64(len(b)-size) < n {
-			return Answer{Wants: size + int(n)}, 0, nil
+			a.Wants, a.Head, a.Long = size+int(n), size, int(n)
+			return a, 0, nil
 		}
 		a.Body = b[size : size+int(n)]
 		return a, size + int(n), nil
--- a/internal/net/meta/answer.go
+++ b/internal/net/meta/answer.go
@@ -24,6 +24,8 @@
 	ID    []byte
 	Value []byte // the value or the receipt
 	Load  []byte // the load report, as names and values, or nil
+	Head  int    // with a size of 0: how many bytes stand before a value that has not come whole
+	Long  int    // and how many it has
 	Wants int    // with a size of 0: how many bytes it will have in all, where that is known
 }
 
@@ -71,7 +73,10 @@
 			return a, 0, errLong
 		}
 		if len(b) < size+n+2 {
-			return Answer{Wants: size + n + 2}, 0, nil
+			a.ID, _ = Flag(flags, 'O')
+			a.Load, _ = Flag(flags, 'L')
+			a.Wants, a.Head, a.Long = size+n+2, size, n
+			return a, 0, nil
 		}
 		if !bytes.Equal(b[size+n:size+n+2], crlf) {
 			return a, 0, errValue
--- a/internal/net/meta/meta.go
+++ b/internal/net/meta/meta.go
@@ -11,7 +11,7 @@
 	maxLine  = 2048     // bytes of a line: a key, an id and a dozen names with values fit several times
 	maxKey   = 250      // bytes of a key: the protocol's own limit
 	maxWrite = 64 << 10 // bytes of a value that a client writes: the protocol's limit here
-	MaxValue = 1 << 20  // bytes of a value that comes back: some keep far larger ones than clients write
+	MaxValue = 4 << 20  // bytes of a value that comes back: some keep far larger ones than clients write
 )
 
 // Verb is what a command asks.
--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -39,6 +39,7 @@
 	aLeg
 	aProbe
 	theList
+	aStream // the rest of a long value
 )
 
 // link is a connection from this node, for one thing at a time.
@@ -55,6 +56,8 @@
 	idleAt policy.Instant // when to see whether it is idle for long; 0 for not yet
 	coming int            // bytes of an answer that has not come whole
 	proven bool           // something was answered on it
+	stream *stream        // what it passes on, or nil
+	last   bool           // it ends with the answer that it passes on
 }
 
 type leg struct {
@@ -347,6 +350,8 @@
 		r.probed(l.cache.id, how)
 	case theList:
 		r.listLost()
+	case aStream:
+		r.failStream(l.stream)
 	}
 }
 
@@ -355,7 +360,7 @@
 	if l == nil {
 		return
 	}
-	if l.ended = orderly; orderly && len(l.buf.Unused()) > 0 { // an answer of the origin or of discovery may end with its connection
+	if l.ended = orderly; orderly && len(l.buf.Unused()) > 0 && l.does != aStream { // an answer of the origin or of discovery may end with its connection
 		r.read(l)
 	}
 	switch {
@@ -363,6 +368,8 @@
 	case unsent:
 		r.refused(l)
 		r.lose(l, policy.Unconnected)
+	case l.does == aStream && l.stream.left+l.stream.tail <= len(l.buf.Unused()): // all is there; its reader is slow
+		l.last = true
 	default:
 		if !orderly && l.does != nothing && r.now().Since(l.usedAt) < r.connectTime() {
 			r.refused(l) // it came up only to be reset: so a full table shows where the kernel accepts for it
@@ -381,7 +388,7 @@
 		return
 	}
 	r.coming += len(l.buf.Unused()) - l.coming
-	if l.coming = len(l.buf.Unused()); l.coming > fewBytes && l.cache != nil && int64(r.coming) > r.Memory/shareComing {
+	if l.coming = len(l.buf.Unused()); l.coming > fewBytes && l.cache != nil && l.does != aStream && int64(r.coming) > r.Memory/shareComing {
 		r.count.Crowded++
 		r.lose(l, policy.Broken) // for want of memory: the cache is not to blame
 	}
@@ -396,6 +403,8 @@
 		r.dropLink(l)
 	case l.does == aProbe:
 		r.probeData(l)
+	case l.does == aStream:
+		r.pass(l)
 	default:
 		r.legData(l, r.hand.Get(l.leg.hand)) // it is in hand as long as a leg of it is out
 	}
@@ -407,6 +416,9 @@
 	v.call.sent = r.began.Add(v.legs[l.leg.leg].sent.Since(epoch))
 	*came, size, wants = l.cache.carrier.reply(l.buf.Unused(), &v.call, l.ended)
 	if size == 0 && came.how != spoilt {
+		if r.startStream(l, v, came, wants) {
+			return
+		}
 		l.buf.Expect(wants)
 		return
 	}
--- a/internal/net/relay/carriers.go
+++ b/internal/net/relay/carriers.go
@@ -29,6 +29,8 @@
 	last    bool          // its connection ends with it
 	kept    bool          // it is from what a cache keeps
 	status  int           // of HTTP; 0 for a good one of another protocol
+	head    int           // with a size of 0: bytes that stand before a good value of known length which is still coming
+	long    int           // and that length
 	headers []byte        // whole lines for a client of HTTP
 }
 
@@ -46,6 +48,9 @@
 func (metaCarrier) reply(b []byte, c *call, _ bool) (r reply, size, wants int) {
 	a, size, err := meta.ReadAnswer(b)
 	if err == nil && size == 0 {
+		if a.Head > 0 && !c.write && bytes.Equal(a.ID, c.id) {
+			r = reply{head: a.Head, long: a.Long, load: a.Load, kept: true}
+		}
 		return r, 0, a.Wants
 	}
 	ours := bytes.Equal(a.ID, c.id)
@@ -90,11 +95,14 @@
 
 func (originCarrier) reply(b []byte, c *call, ended bool) (r reply, size, wants int) {
 	a, size, err := http1.ReadAnswer(b, meta.MaxValue, ended)
+	named := a.Header("X-Call-Id")
 	if err == nil && size == 0 {
+		if a.Head > 0 && a.Status == 200 && !c.write && (named == nil || bytes.Equal(named, c.id)) {
+			r = reply{head: a.Head, long: a.Long, load: a.Header("X-Load-Report"), last: a.Last}
+		}
 		return r, 0, a.Wants
 	}
 	r = reply{how: policy.Errored, said: a.Body, load: a.Header("X-Load-Report"), last: a.Last}
-	named := a.Header("X-Call-Id")
 	switch {
 	case err != nil, named != nil && !bytes.Equal(named, c.id):
 		r.how = spoilt
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -44,10 +44,11 @@
 }
 
 type turn struct {
-	hand handID // 0 for what is no retrieval
-	done bool
-	out  []byte
-	long []byte // a value that follows it uncopied, with what ends values still to be written
+	hand   handID // 0 for what is no retrieval
+	done   bool
+	out    []byte
+	stream linkID // where a long value comes from that is passed on, or 0
+	long   []byte // a value that follows it uncopied, with what ends values still to be written
 }
 
 func (t *turn) bytes() int { return len(t.out) + len(t.long) }
@@ -293,6 +294,15 @@
 			}
 		}
 	}
+	if n > 0 && len(c.turns) > 0 && c.turns[0].stream != 0 { // it waited for these
+		if l := r.links.Get(c.turns[0].stream); l != nil {
+			r.later = append(r.later, func() {
+				if l.stream != nil && r.links.Get(l.id) == l {
+					r.pass(l)
+				}
+			})
+		}
+	}
 	if c.excess && c.idle() && r.tooManyClients() && r.closeIdle(c) {
 		return
 	}
@@ -352,6 +362,11 @@
 	r.partial -= c.partial
 	for _, t := range c.turns {
 		r.held -= t.bytes()
+		if l := r.links.Get(t.stream); l != nil { // the rest is nobody's
+			r.pending--
+			r.count.Left++
+			r.dropLink(l)
+		}
 		v := r.hand.Get(t.hand)
 		if v == nil || v.answered {
 			continue
--- a/internal/net/relay/faces.go
+++ b/internal/net/relay/faces.go
@@ -17,6 +17,8 @@
 	read(b []byte, a *asked) (size int)
 	// value writes the answer that serves a value. A long one is not copied: it follows, and then what ends values.
 	value(c *call, r *reply) (out, long []byte)
+	// head writes what stands before a value of so many bytes that is passed on as it comes.
+	head(c *call, r *reply, long int) []byte
 	end() string
 	receipt(c *call, r *reply) []byte
 	dismissed(c *call, comeBack time.Duration) []byte
@@ -134,6 +136,8 @@
 	return meta.AppendHead(nil, c.id, len(value)), value // its buffer's whole use, and its own once it is used
 }
 
+func (metaFace) head(c *call, _ *reply, long int) []byte { return meta.AppendHead(nil, c.id, long) }
+
 func (metaFace) end() string { return meta.End }
 
 func (metaFace) receipt(c *call, r *reply) []byte { return meta.AppendDone(nil, c.id, r.said) }
--- a/internal/net/relay/httpface.go
+++ b/internal/net/relay/httpface.go
@@ -197,24 +197,23 @@
 	}
 }
 
-// head writes the beginning of an answer, up to its length.
-func (h *httpFace) head(status int, long int, last bool, headers ...string) []byte {
+// begin writes the beginning of an answer, up to its length.
+func (h *httpFace) begin(status int, long int, last bool, headers ...string) []byte {
 	if now := time.Now(); now.Unix() != h.dated {
 		h.dated, h.date = now.Unix(), now.UTC().Format(http.TimeFormat)
 	}
 	return http1.AppendHead(nil, status, h.date, long, last, headers...)
 }
 
-// served writes the head that serves what a server said, with what it said of it if that was in HTTP.
-func (h *httpFace) served(c *call, r *reply) []byte {
+// head writes the head that serves what a server said, with what it said of it if that was in HTTP.
+func (h *httpFace) head(c *call, r *reply, long int) []byte {
 	told := "Cache-Status: dahliapin; fwd=miss"
 	if r.kept {
 		told = "Cache-Status: dahliapin; hit"
 	}
 	if r.status == 0 {
-		return h.head(200, len(r.said), c.last, told)
+		return h.begin(200, long, c.last, told)
 	}
-	long := len(r.said)
 	if r.status == 304 || r.status == 204 {
 		long = http1.NoBody
 	}
@@ -222,7 +221,7 @@
 }
 
 func (h *httpFace) value(c *call, r *reply) (out, long []byte) {
-	out, value := h.served(c, r), r.said
+	out, value := h.head(c, r, len(r.said)), r.said
 	switch {
 	case c.bare:
 		return out, nil
@@ -234,11 +233,13 @@
 
 func (h *httpFace) end() string { return "" }
 
-func (h *httpFace) receipt(c *call, r *reply) []byte { return append(h.served(c, r), r.said...) }
+func (h *httpFace) receipt(c *call, r *reply) []byte {
+	return append(h.head(c, r, len(r.said)), r.said...)
+}
 
 // bodied writes an answer with a line of text, but the text only where a body is to come.
 func (h *httpFace) bodied(c *call, status int, text string, headers ...string) []byte {
-	out := h.head(status, len(text)+1, c.last, append(headers, "Content-Type: text/plain; charset=utf-8")...)
+	out := h.begin(status, len(text)+1, c.last, append(headers, "Content-Type: text/plain; charset=utf-8")...)
 	if c.bare {
 		return out
 	}
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -125,14 +125,15 @@
 
 // due is one deadline; exactly one of its parts is set.
 type due struct {
-	token string // a timer of the host's
-	leg   legRef // time to give a leg up
-	link  linkID // time to look after a link
-	list  uint64 // time to look after the list, if this call is still the one
-	drain bool   // time to look for idle clients
-	ready bool   // time to serve by the last list
-	flush clientID
-	sweep bool // time to look at clients that say nothing whole or are idle
+	token  string // a timer of the host's
+	leg    legRef // time to give a leg up
+	link   linkID // time to look after a link
+	list   uint64 // time to look after the list, if this call is still the one
+	drain  bool   // time to look for idle clients
+	ready  bool   // time to serve by the last list
+	flush  clientID
+	stream linkID // time to look at a value that is passed on
+	sweep  bool   // time to look at clients that say nothing whole or are idle
 }
 
 type legRef struct {
@@ -356,6 +357,8 @@
 			r.tend(d.link)
 		case d.list != 0:
 			r.listSilent(d.list)
+		case d.stream != 0:
+			r.lookAtStream(d.stream)
 		case d.flush != 0:
 			r.closeFlushed(d.flush)
 		case d.sweep:
--- /dev/null
+++ b/internal/net/relay/stream.go
@@ -0,0 +1,185 @@
+package relay
+
+import (
+	"time"
+
+	"dahliapin/internal/net/meta"
+	"dahliapin/policy"
+)
+
+const (
+	streamOver  = 64 << 10             // bytes from which a value is passed on as it comes: what clients may write goes whole
+	streamAhead = 64 << 10             // bytes that may wait for a slow reader before its server is not read any more
+	streamLook  = 5 * time.Millisecond // between looks whether such a reader has caught up
+	streamQuiet = 5 * time.Second      // without a byte, nor a reader who holds it up, the server has fallen silent
+)
+
+// stream is a value that is passed on while it comes. For the host its leg has ended with the first byte: there is no other leg from
+// then on, and whatever goes wrong ends the client's connection, so that it can tell.
+type stream struct {
+	client clientID
+	turn   uint64
+	grade  policy.GradeID
+	face   face
+	call   call
+	left   int // bytes of the value still to come
+	tail   int // and of what the server ends it with
+	begun  bool
+	held   bool // its server is not read: the reader is slow, or waits for answers before it
+	looks  bool // a look is due
+	lastAt policy.Instant
+}
+
+// startStream begins to pass on a long value of which the head is there, and tells whether it did.
+func (r *Relay) startStream(l *link, v *retrieval, came *reply, wants int) bool {
+	c := r.clients.Get(v.client)
+	if came.head == 0 || came.long <= streamOver || v.answered || v.call.bare || c == nil {
+		return false
+	}
+	report := r.report(came.load)
+	head := v.face.head(&v.call, came, came.long)
+	s := &stream{client: v.client, turn: v.turn, grade: v.grade, face: v.face, call: v.call, left: came.long,
+		tail: wants - came.head - came.long, lastAt: r.now()}
+	l.buf.Use(came.head)
+	t := &c.turns[v.turn-c.first]
+	t.hand, t.out, t.stream = 0, head, l.id
+	r.held += t.bytes()
+	v.answered = true
+	l.does, l.stream, l.last = aStream, s, came.last
+	r.end(v, l.leg.leg, policy.Answered, report)
+	r.pass(l)
+	return true
+}
+
+// pass hands on what has come of a value, as far as its reader takes it.
+func (r *Relay) pass(l *link) {
+	s := l.stream
+	c := r.clients.Get(s.client)
+	if c == nil {
+		r.dropLink(l)
+		return
+	}
+	if c.first == s.turn && c.wire.Unsent() <= streamAhead {
+		if !r.passOn(l, c) {
+			return
+		}
+	}
+	hold := c.first != s.turn || c.wire.Unsent() > streamAhead
+	if s.held && !hold {
+		l.wire.Resume()
+	} else if hold && !s.held {
+		l.wire.Hold()
+	}
+	if s.held = hold; hold {
+		s.lastAt = r.now()
+	}
+	if !s.looks {
+		s.looks = true
+		wait := streamQuiet
+		if hold {
+			wait = streamLook
+		}
+		r.due.Put(r.now().Add(wait), due{stream: l.id})
+	}
+}
+
+// passOn writes to the reader, and tells whether there is more to come.
+func (r *Relay) passOn(l *link, c *client) bool {
+	s := l.stream
+	if !s.begun {
+		t := &c.turns[0]
+		r.held -= t.bytes()
+		out := t.out
+		s.begun, t.out = true, nil
+		if c.wire.Write(out) != nil {
+			r.clientClosed(c.id)
+			return false
+		}
+	}
+	for s.left > 0 && c.wire.Unsent() <= streamAhead {
+		b := l.buf.Unused()
+		if len(b) == 0 {
+			break
+		}
+		b = b[:min(len(b), s.left, streamAhead)]
+		s.left -= len(b)
+		err := c.wire.Write(b) // what the kernel does not take is copied
+		c.usedAt, s.lastAt = r.now(), r.now()
+		if l.buf.Use(len(b)); err != nil {
+			r.clientClosed(c.id)
+			return false
+		}
+	}
+	if b := l.buf.Unused(); s.left == 0 && len(b) >= s.tail {
+		r.endStream(l, c, s.tail > 0 && string(b[:s.tail]) != meta.End)
+		return false
+	}
+	return true
+}
+
+// endStream ends a value that has come whole, or, where its end is not that of a value, its reader's connection.
+func (r *Relay) endStream(l *link, c *client, wrong bool) {
+	s := l.stream
+	if wrong {
+		r.count.Strange++
+		r.lose(l, policy.Broken)
+		return
+	}
+	l.buf.Use(s.tail)
+	l.stream = nil
+	if s.held {
+		l.wire.Resume()
+	}
+	switch l.proven = true; {
+	case l.last:
+		r.dropLink(l)
+	case len(l.buf.Unused()) > 0:
+		r.count.Strange++
+		r.dropLink(l)
+	default:
+		r.rest(l)
+	}
+	r.pending--
+	r.count.Satisfied++
+	r.byGrade[s.grade].Satisfied++
+	t := &c.turns[0]
+	t.done, t.out, t.stream = true, []byte(s.face.end()), 0
+	r.held += t.bytes()
+	r.flush(c)
+}
+
+// failStream ends a value that will not come whole. Of what has begun the client can tell by the end of its connection; before
+// that it is told as of any other.
+func (r *Relay) failStream(s *stream) {
+	r.pending--
+	r.count.Scrapped++
+	r.byGrade[s.grade].Failed++
+	c := r.clients.Get(s.client)
+	if c == nil {
+		return
+	}
+	if s.begun {
+		r.closeClient(c)
+		return
+	}
+	t := &c.turns[s.turn-c.first]
+	r.held -= t.bytes()
+	t.done, t.out, t.stream = true, s.face.scrapped(&s.call, false), 0
+	r.held += t.bytes()
+	r.flush(c)
+}
+
+// lookAtStream goes on with a value whose reader was slow, and ends one whose server has fallen silent.
+func (r *Relay) lookAtStream(id linkID) {
+	l := r.links.Get(id)
+	if l == nil || l.stream == nil {
+		return
+	}
+	s := l.stream
+	s.looks = false
+	if !s.held && r.now().Since(s.lastAt) >= streamQuiet {
+		r.lose(l, policy.TimedOut)
+		return
+	}
+	r.pass(l)
+}
--- /dev/null
+++ b/internal/net/relay/stream_test.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"dahliapin/internal/net/counters"
+)
+
+// Long values were gathered whole: their first byte came with the last, and many at once took the memory. A value's head goes out
+// with its first bytes, a second one on the same connection is not read meanwhile, and nothing of them is lost or out of order.
+func TestALongValueIsPassedOnAsItComesAndInItsTurn(t *testing.T) {
+	const half = 2 << 20
+	first, second := strings.Repeat("v", 2*half), strings.Repeat("w", 2*half)
+	rest := make(chan bool)
+	g := newRig(t, 200, func(line string) string {
+		if strings.Contains(line, "Oshort") {
+			return value(line)
+		}
+		return fmt.Sprintf("VA %d %s\r\n%s\r\n", len(second), id(line), second)
+	})
+	slow := g.listen(func(c net.Conn) {
+		r := bufio.NewReader(c)
+		r.ReadString('\n')
+		fmt.Fprintf(c, "VA %d Oa\r\n%s", len(first), first[:half])
+		<-rest
+		io.WriteString(c, first[half:]+"\r\n")
+		r.ReadString('\n')
+	})
+	var usual string
+	g.ask(func() { usual, g.caches["c"].addr = g.caches["c"].addr, slow })
+	c, r := g.client()
+	fmt.Fprint(c, "mg k v Oa Pc=read,d=9000\r\n")
+	g.expect(r, fmt.Sprintf("VA %d Oa", len(first)))
+	got := make([]byte, half)
+	if _, err := io.ReadFull(r, got); err != nil || string(got) != first[:half] {
+		t.Fatal("its first half is not there before the second has come", err)
+	}
+	g.ask(func() { g.caches["c"].addr = usual })
+	fmt.Fprint(c, "mg k v Ob Pc=read,d=9000\r\nmn\r\n")
+	held := make(chan bool, 1)
+	g.until("the second is held", func(counters.Counters) bool {
+		g.ask(func() {
+			n := 0
+			g.links.Each(func(_ linkID, l *link) {
+				if l.stream != nil && l.stream.held {
+					n++
+				}
+			})
+			held <- n == 1
+		})
+		return <-held
+	})
+	other, others := g.client() // who is served meanwhile
+	fmt.Fprint(other, "mg k v Oshort Pc=read,d=9000\r\n")
+	g.expect(others, "VA 5 Oshort", "hello")
+	close(rest)
+	g.expect(r, first[half:], fmt.Sprintf("VA %d Ob", len(second)), second, "MN")
+	if n := g.Counts(); n.Satisfied != 3 || n.Legs != 3 || g.coming > 2*streamAhead {
+		t.Errorf("%+v, %d bytes are still counted", n, g.coming)
+	}
+}
+
+// Once a byte has gone out no other server may answer, and a client can only tell by the end of its connection that the value is
+// not whole. One that has not begun to go out is told as any that failed.
+func TestALongValueThatBreaksOffEndsItsReadersConnection(t *testing.T) {
+	g := newRig(t, 200, func(line string) string {
+		return fmt.Sprintf("VA %d %s\r\n%s%s", 1<<20, id(line), strings.Repeat("v", 100<<10), breaksOff)
+	})
+	c, r := g.client()
+	fmt.Fprint(c, "mg k v Oa Pc=read,d=9000\r\n")
+	g.expect(r, fmt.Sprintf("VA %d Oa", 1<<20))
+	if got, err := io.ReadAll(r); len(got) > 100<<10 || err != nil && !strings.Contains(err.Error(), "reset") {
+		t.Errorf("%d bytes, %v", len(got), err)
+	}
+	if n := g.Counts(); n.Scrapped != 1 || n.Satisfied != 0 || n.Legs != 1 {
+		t.Errorf("%+v", n)
+	}
+}
--- a/internal/net/sockets/sockets.go
+++ b/internal/net/sockets/sockets.go
@@ -27,6 +27,7 @@
 	mostUnsent  = 4 << 20                // bytes a connection may have waiting for a slow reader: a few of the longest values
 	acceptPause = 5 * time.Millisecond   // after an accept that failed, so that it does not spin
 	ownFiles    = 24                     // descriptors not for connections: poller, listener, log, runtime
+	established = 1                      // a connection's state in the kernel, by RFC 9293
 	forDials    = 8                      // descriptors kept from those who come, so that legs can go out
 	beginsBy    = 100 * time.Millisecond // for the poller to begin, on a machine with little to give
 )
@@ -68,6 +69,7 @@
 	handed  int64       // bytes handed over
 	taken   int64       // of them, those that the loop has taken; its own
 	shut    bool        // nothing more is read
+	held    atomic.Bool // nothing is read for now; no lock, as who reads may wait for the loop that holds
 	orderly atomic.Bool // the other side has ended it, and all it sent was read; told from a goroutine of nbio's own
 }
 
@@ -328,7 +330,7 @@
 	w.e.polled.Store(true)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for !w.shut {
+	for !w.shut && (!w.held.Load() || w.over()) {
 		_, n, err := w.conn.ReadAndGetConn(&buf)
 		switch {
 		case errors.Is(err, syscall.EINTR):
@@ -345,6 +347,38 @@
 	}
 }
 
+// over tells whether the other side has ended a connection that is not read. nbio closes it then, and what is still in the
+// kernel would be lost if it were not taken now.
+func (w *Wire) over() (is bool) {
+	raw, err := w.conn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		is = err != nil || info.State != established
+	})
+	return is
+}
+
+// Hold has nothing more read until Resume, so that who sends has to wait. Bytes on their way to the loop still come.
+func (w *Wire) Hold() { w.held.Store(true) }
+
+// Resume goes on reading. By edges, the poller tells of nothing that came meanwhile, so it is looked for.
+func (w *Wire) Resume() {
+	w.held.Store(false)
+	go func() {
+		buf := buffers.Get().(*[]byte)
+		w.read(*buf)
+		buffers.Put(buf)
+	}()
+}
+
+var buffers = sync.Pool{New: func() any {
+	b := make([]byte, readAtOnce)
+	return &b
+}}
+
 // allTaken tells, under the lock, whether the connection is open and the loop has taken all that was read from it.
 func (w *Wire) allTaken() (syscall.RawConn, bool) {
 	raw, err := w.conn.SyscallConn()
