Bytes of one connection that wait for the loop are bounded; streams count apart

Ruled out: turns (none waited for one), unsent bytes (0.5 MB), the loop's own lag (100 ms as ever until the collector ran). At fault: sockets.read took all that the kernel had before the loop could hold it, and linkData counted streams with half answers.

--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -387,8 +387,12 @@
 	if r.read(l); r.links.Get(id) == nil {
 		return
 	}
-	r.coming += len(l.buf.Unused()) - l.coming
-	if l.coming = len(l.buf.Unused()); l.coming > fewBytes && l.cache != nil && l.does != aStream && int64(r.coming) > r.Memory/shareComing {
+	unused := len(l.buf.Unused())
+	if l.does == aStream { // bounded each, by what may wait for the loop
+		unused = 0
+	}
+	r.coming += unused - l.coming
+	if l.coming = unused; l.coming > fewBytes && l.cache != nil && int64(r.coming) > r.Memory/shareComing {
 		r.count.Crowded++
 		r.lose(l, policy.Broken) // for want of memory: the cache is not to blame
 	}
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -22,6 +22,7 @@
 	flushEvery = 20 * time.Millisecond
 	shareHeld  = 8 // part of the memory that retrievals and answers may take: the rest is for what grows with them
 	sharePart  = 4 // part of the memory that commands may take which have not come whole
+	shareAhead = 8 // part of the memory that what servers send may take before the loop has it
 	shareSpare = 8 // part of the descriptors kept for links that are not open yet
 	shareLinks = 2 // part of the descriptors that links may have, and clients leave them: a leg or two each
 )
@@ -149,6 +150,7 @@
 	now := r.now()
 	r.due.Put(now.Add(sweepEvery), due{sweep: true})
 	r.publish()
+	r.eng.Ahead(r.Memory / shareAhead / int64(1+r.links.Len()))
 	var idle []*client
 	r.clients.Each(func(_ clientID, c *client) {
 		switch late := c.since != 0 && now.Since(c.since) >= wholeBy; {
--- a/internal/net/sockets/sockets.go
+++ b/internal/net/sockets/sockets.go
@@ -27,6 +27,8 @@
 	mostUnsent  = 4 << 20                // bytes a connection may have waiting for a slow reader: a few of the longest values
 	acceptPause = 5 * time.Millisecond   // after an accept that failed, so that it does not spin
 	ownFiles    = 24                     // descriptors not for connections: poller, listener, log, runtime
+	fewestAhead = 16 << 10               // bytes of one connection that may always wait for the loop
+	mostAhead   = 128 << 10              // and that are enough for any: two readings
 	established = 1                      // a connection's state in the kernel, by RFC 9293
 	forDials    = 8                      // descriptors kept from those who come, so that legs can go out
 	beginsBy    = 100 * time.Millisecond // for the poller to begin, on a machine with little to give
@@ -64,13 +66,14 @@
 	e       *Engine
 	conn    *nbio.Conn
 	unsent  atomic.Int64
-	gone    atomic.Bool // its descriptor is counted as free
-	mu      sync.Mutex  // held from reading bytes until they are handed over
-	handed  int64       // bytes handed over
-	taken   int64       // of them, those that the loop has taken; its own
-	shut    bool        // nothing more is read
-	held    atomic.Bool // nothing is read for now; no lock, as who reads may wait for the loop that holds
-	orderly atomic.Bool // the other side has ended it, and all it sent was read; told from a goroutine of nbio's own
+	gone    atomic.Bool  // its descriptor is counted as free
+	mu      sync.Mutex   // held from reading bytes until they are handed over
+	handed  int64        // bytes handed over
+	taken   atomic.Int64 // of them, those that the loop has taken
+	stalled atomic.Bool  // nothing more is read until the loop has taken what was
+	shut    bool         // nothing more is read
+	held    atomic.Bool  // nothing is read for now; no lock, as who reads may wait for the loop that holds
+	orderly atomic.Bool  // the other side has ended it, and all it sent was read; told from a goroutine of nbio's own
 }
 
 // Engine is all of a node's connections.
@@ -91,6 +94,7 @@
 	wake    chan struct{}
 	waiting atomic.Bool // somebody stands before the gate
 	gates   []*gate
+	aheadOf atomic.Int64 // bytes of one connection that may wait for the loop
 	own     int          // descriptors not for connections
 	dialing sync.RWMutex // held for writing to stop
 	polled  atomic.Bool  // something was read, so the poller runs
@@ -105,6 +109,7 @@
 func New(listen []string, descriptors int, held map[string]net.Listener) (*Engine, error) {
 	e := &Engine{wake: make(chan struct{}, 1), aside: len(held) > 0, own: ownFiles + len(listen) - 1}
 	e.Limit(descriptors)
+	e.Ahead(mostAhead)
 	e.room = sync.NewCond(&e.mu)
 	logging.SetLevel(logging.LevelError)
 	e.nb = nbio.NewEngine(nbio.Config{
@@ -229,7 +234,11 @@
 
 // Bytes counts what an event brought as taken, and returns it.
 func (ev *Event) Bytes() []byte {
-	ev.Wire.taken += int64(len(ev.bytes))
+	w := ev.Wire
+	w.taken.Add(int64(len(ev.bytes)))
+	if w.stalled.CompareAndSwap(true, false) {
+		w.readOn()
+	}
 	return ev.bytes
 }
 
@@ -330,7 +339,10 @@
 	w.e.polled.Store(true)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for !w.shut && (!w.held.Load() || w.over()) {
+	for !w.shut {
+		if (w.held.Load() || w.ahead()) && !w.over() {
+			return
+		}
 		_, n, err := w.conn.ReadAndGetConn(&buf)
 		switch {
 		case errors.Is(err, syscall.EINTR):
@@ -347,6 +359,20 @@
 	}
 }
 
+// ahead tells whether so much of one connection waits for the loop that it is read no further until then. Guards against a long
+// value that comes faster than it is passed on, of which all that the kernel has would be here before its server can be held.
+func (w *Wire) ahead() bool {
+	much := func() bool { return w.handed-w.taken.Load() >= w.e.aheadOf.Load() }
+	if !much() {
+		return false
+	}
+	w.stalled.Store(true)
+	return much() || !w.stalled.CompareAndSwap(true, false) // the loop may have taken it since, and not seen that it is waited for
+}
+
+// Ahead says how many bytes of one connection may wait for the loop.
+func (e *Engine) Ahead(bytes int64) { e.aheadOf.Store(min(max(bytes, fewestAhead), mostAhead)) }
+
 // over tells whether the other side has ended a connection that is not read. nbio closes it then, and what is still in the
 // kernel would be lost if it were not taken now.
 func (w *Wire) over() (is bool) {
@@ -367,6 +393,11 @@
 // Resume goes on reading. By edges, the poller tells of nothing that came meanwhile, so it is looked for.
 func (w *Wire) Resume() {
 	w.held.Store(false)
+	w.readOn()
+}
+
+// readOn reads what the poller tells of no more.
+func (w *Wire) readOn() {
 	go func() {
 		buf := buffers.Get().(*[]byte)
 		w.read(*buf)
@@ -382,7 +413,7 @@
 // allTaken tells, under the lock, whether the connection is open and the loop has taken all that was read from it.
 func (w *Wire) allTaken() (syscall.RawConn, bool) {
 	raw, err := w.conn.SyscallConn()
-	return raw, err == nil && !w.shut && w.handed == w.taken
+	return raw, err == nil && !w.shut && w.handed == w.taken.Load()
 }
 
 // Quiet tells whether nothing has come on the connection that the loop has not taken, and no end of it. Where that can't
--- a/internal/net/sockets/sockets_test.go
+++ b/internal/net/sockets/sockets_test.go
@@ -78,6 +78,7 @@
 // More than the queue holds must neither be lost nor stop both sides, though the loop is late and writes meanwhile.
 func TestAFullQueueLosesNothingAndStopsNobody(t *testing.T) {
 	e := engine(t)
+	e.aheadOf.Store(1 << 30) // one connection is to fill the queue of all
 	c, err := net.Dial("tcp", e.Addr(0).String())
 	if err != nil {
 		t.Fatal(err)
@@ -135,11 +136,11 @@
 	w := ev.Wire
 	io.WriteString(c, "mg")
 	ev, _ = until(t, e, Data)
-	w.taken = 0 // as before it was taken
+	w.taken.Store(0) // as before it was taken
 	if quiet, _ := w.Quiet(); quiet || w.CloseIfQuiet() {
 		t.Error("closed over bytes that wait")
 	}
-	w.taken = 2
+	w.taken.Store(2)
 	for by := time.Now().Add(patience); !w.CloseIfQuiet(); { // the poller may not be through yet
 		if time.Now().After(by) {
 			t.Fatal("not closed though nothing waits")
@@ -198,3 +199,39 @@
 	}
 	free.Close()
 }
+
+// All that a server sent of a long value was read before its reader could be waited for: thirty slow readers took 20 MB, and the
+// collector ran without end. What is held is not lost either when its sender ends meanwhile, which nbio closes it for.
+func TestOnlySoMuchOfAConnectionWaitsForTheLoop(t *testing.T) {
+	e := engine(t)
+	c, err := net.Dial("tcp", e.Addr(0).String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ev, _ := until(t, e, Opened)
+	w, all := ev.Wire, bytes.Repeat([]byte("v"), 1<<20)
+	sent := make(chan error, 1)
+	go func() {
+		_, err := c.Write(all)
+		c.Close()
+		sent <- err
+	}()
+	for by := time.Now().Add(patience); !w.stalled.Load(); time.Sleep(time.Millisecond) {
+		if time.Now().After(by) {
+			t.Fatal("never held up")
+		}
+	}
+	w.mu.Lock()
+	if w.handed > mostAhead+readAtOnce {
+		t.Errorf("%d bytes wait for the loop", w.handed)
+	}
+	w.mu.Unlock()
+	w.Hold()
+	w.Resume()
+	if _, got := until(t, e, Closed); !bytes.Equal(got, all) {
+		t.Errorf("%d of %d bytes came", len(got), len(all))
+	}
+	if err := <-sent; err != nil {
+		t.Error(err)
+	}
+}
