dahliapin ops: status, metrics, standby and active of a running node; tests of port and handover

On-call staff had only curl. Exit codes 0 yes, 2 no, 1 not reached. Tests without the bench: answers as the node stands, a hanging loop, a hundred silent callers; what waits in the old process's queue, one newcomer at a time, rubbish in the folder.

--- a/cmd/dahliapin/main.go
+++ b/cmd/dahliapin/main.go
@@ -41,7 +41,7 @@
 		c.Flags().StringVar(&operator, "operator", "", "file of further listeners, caches that speak HTTP, and service levels")
 	}
 	root.AddCommand(server, checking,
-		migrate(), rehearse(), loadCommand(), demo(),
+		migrate(), rehearse(), loadCommand(), demo(), opsCommand(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "dahliapin", version, built()) }},
 	)
@@ -53,6 +53,9 @@
 				fmt.Fprintln(os.Stderr, "dahliapin:", f)
 			}
 		}
+		if errors.Is(err, errNo) {
+			os.Exit(2)
+		}
 		os.Exit(1)
 	}
 }
--- /dev/null
+++ b/internal/net/handover/handover_test.go
@@ -0,0 +1,119 @@
+package handover
+
+import (
+	"net"
+	"os"
+	"testing"
+	"time"
+)
+
+const patience = 10 * time.Second
+
+func offer(t *testing.T, path string) (net.Listener, chan Stage, *Offer) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	heard := make(chan Stage, 9)
+	o, err := Open(path, []net.Listener{l}, func(s Stage) { heard <- s })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(o.Close)
+	return l, heard, o
+}
+
+func expect(t *testing.T, heard chan Stage, want Stage) {
+	t.Helper()
+	select {
+	case got := <-heard:
+		if got != want {
+			t.Fatalf("heard %v, want %v", got, want)
+		}
+	case <-time.After(patience):
+		t.Fatalf("never heard %v", want)
+	}
+}
+
+// What waits in the old process's queue when it closes would be reset; by the same socket it is the newcomer's. A newcomer that goes
+// before its time leaves the old one as it was, and only one at a time may come.
+func TestWhatWaitsForTheOldProcessIsTheNewOnes(t *testing.T) {
+	path, err := Path(t.TempDir(), "127.0.0.1:7")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, heard, o := offer(t, path)
+	for range 2 { // the first goes before it serves
+		n, err := Take(path)
+		if err != nil || n == nil || len(n.Listeners) != 1 {
+			t.Fatal(n, err)
+		}
+		expect(t, heard, Came)
+		if third, err := Take(path); err == nil {
+			t.Error("a third came while the second had not served", third)
+		}
+		n.Close()
+		expect(t, heard, Left)
+	}
+	n, err := Take(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.Close()
+	expect(t, heard, Came)
+	n.Serving()
+	expect(t, heard, Takes)
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	gone := make(chan bool)
+	go func() { n.Wait(); close(gone) }()
+	l.Close()
+	o.Close()
+	select {
+	case <-gone:
+	case <-time.After(patience):
+		t.Fatal("the old one's end was not noticed")
+	}
+	in, err := n.Listeners[l.Addr().String()].Accept()
+	if err != nil {
+		t.Fatal("what waited is lost", err)
+	}
+	in.Close()
+}
+
+// A folder that is missing or holds a killed process's rubbish, and an old process that hangs, leave a node to start as any.
+func TestWhereNothingCanBeTakenItIsSaidInTime(t *testing.T) {
+	folder := t.TempDir()
+	if n, err := Take(folder + "/none.sock"); n != nil || err != nil {
+		t.Error(n, err)
+	}
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: folder + "/killed.sock", Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.SetUnlinkOnClose(false)
+	l.Close()
+	if n, err := Take(folder + "/killed.sock"); n != nil || err != nil {
+		t.Error(n, err)
+	}
+	os.WriteFile(folder+"/rubbish.sock", []byte("x"), 0o600)
+	if n, err := Take(folder + "/rubbish.sock"); n != nil || err != nil {
+		t.Error(n, err)
+	}
+	hangs, err := net.Listen("unix", folder+"/hangs.sock")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer hangs.Close()
+	if n, err := Take(folder + "/hangs.sock"); n != nil || err == nil {
+		t.Error("took from one that says nothing")
+	}
+	if _, err := Path(folder+string(make([]byte, longestPath)), "127.0.0.1:7"); err == nil {
+		t.Error("a name that no socket can have")
+	}
+	offer(t, folder+"/killed.sock") // over the rubbish
+}
--- /dev/null
+++ b/internal/ops/ops_test.go
@@ -0,0 +1,135 @@
+package ops
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"dahliapin/internal/net/counters"
+)
+
+// standIn is a node whose answers a test sets.
+type standIn struct {
+	sheet counters.Sheet
+	err   error
+	calls string
+}
+
+func (s *standIn) Sheet() *counters.Sheet { return &s.sheet }
+
+func (s *standIn) Standby(context.Context) error { s.calls += "standby "; return s.err }
+
+func (s *standIn) Active(ctx context.Context) error {
+	if s.calls += "active "; s.err == context.DeadlineExceeded { // the loop hangs
+		<-ctx.Done()
+	}
+	return s.err
+}
+
+func open(t *testing.T, n Node) string {
+	d, err := Open("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	d.Serve(n, quiet)
+	t.Cleanup(d.Close)
+	return d.Addr()
+}
+
+func call(t *testing.T, addr, text string) (status int, body string) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	io.WriteString(c, text)
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("%.30q: %v", text, err)
+	}
+	said, _ := io.ReadAll(a.Body)
+	return a.StatusCode, string(said)
+}
+
+// Each answer is yes or no for a reason of its own; a loop that hangs is no yes, and no call waits for it.
+func TestCallsAreAnsweredForTheNodeAsItStands(t *testing.T) {
+	n := &standIn{sheet: counters.Sheet{At: time.Now().Add(time.Hour), Takes: true, Phase: "serving", Pending: 3, Members: 2,
+		Grades: []counters.GradeSheet{{Name: "a.b:c|d e\n", Satisfied: 812, Dismissed: 1, Failed: 2}}}}
+	addr := open(t, n)
+	head := func(method, path string) string { return method + " " + path + " HTTP/1.1\r\nHost: n\r\n" }
+	for text, want := range map[string]int{head("GET", "/status") + "\r\n": 200, head("GET", "/status/metrics") + "\r\n": 200,
+		head("PUT", "/standby") + "\r\n": 200, head("PUT", "/active") + "\r\n": 200, head("GET", "/standby") + "\r\n": 405,
+		head("GET", "/") + "\r\n": 404, head("PUT", "/standby") + "Content-Length: 9999\r\n\r\n": 413,
+		head("GET", "/status") + "X: " + strings.Repeat("x", 16<<10) + "\r\n\r\n": 431, "nothing of the kind\r\n\r\n": 400} {
+		if got, said := call(t, addr, text); got != want {
+			t.Errorf("%.40q: %d %q, want %d", text, got, said, want)
+		}
+	}
+	if n.calls != "standby active " && n.calls != "active standby " {
+		t.Errorf("the node was told %q", n.calls)
+	}
+	_, said := call(t, addr, head("GET", "/status/metrics")+"\r\n")
+	want := "svc.downstream_requests.a_b_c_d_e_.completed:812|c\nsvc.downstream_requests.a_b_c_d_e_.rejected:1|c\n" +
+		"svc.downstream_requests.a_b_c_d_e_.failed:2|c\nsvc.upstream_requests:0|c\nsvc.pending:3|g\nsvc.members:2|g\nsvc.members_unavailable:0|g\n"
+	if said != want {
+		t.Errorf("figures: %q", said)
+	}
+	for _, c := range []struct {
+		change func()
+		text   string
+		want   int
+	}{
+		{func() { n.sheet.Takes, n.sheet.Phase = false, "standby" }, head("GET", "/status") + "\r\n", 503},
+		{func() { n.sheet.Takes, n.sheet.At = true, time.Now().Add(-staleAfter) }, head("GET", "/status") + "\r\n", 503},
+		{func() { n.err = ErrEnding }, head("PUT", "/standby") + "\r\n", 409},
+		{func() { n.err = context.DeadlineExceeded }, head("PUT", "/active") + "\r\n", 503},
+	} {
+		c.change()
+		if got, said := call(t, addr, c.text); got != c.want {
+			t.Errorf("%.20q: %d %q, want %d", c.text, got, said, c.want)
+		}
+	}
+}
+
+// Callers that say nothing, or half a call, stay for seconds: an honest one is answered among a hundred of them, and they do not
+// take more connections than they may.
+func TestAnHonestCallIsAnsweredAmongThoseWhoSayNothing(t *testing.T) {
+	addr := open(t, &standIn{sheet: counters.Sheet{At: time.Now().Add(time.Hour), Takes: true, Phase: "serving"}})
+	ended := make(chan bool, 100)
+	for i := range 100 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			fmt.Fprint(c, "GET /sta")
+		}
+		go func() {
+			c.Read(make([]byte, 1))
+			ended <- true
+		}()
+	}
+	if got, _ := call(t, addr, "GET /status HTTP/1.1\r\nHost: n\r\n\r\n"); got != 200 {
+		t.Error(got)
+	}
+	for range 100 - MostCallers { // at once, not once their time is up
+		select {
+		case <-ended:
+		case <-time.After(headBy / 2):
+			t.Fatal("more stay than may")
+		}
+	}
+}
