Upgrade: a newcomer that is ended gives clients back to the old process at once

Found by a test with real processes under load: going back, the newcomer drained for its 0.5 s with clients of 3 s dismissed as outlasting it, since the old process let nobody in until it was gone. Test: eight replacements under load with the newcomer killed with the sockets in hand, the old one ended before the yes, going back, and the old one killed; nothing lost.

--- /dev/null
+++ b/cmd/dahliapin/upgrade_test.go
@@ -0,0 +1,241 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// station is where processes of one node come and go under load: a cache, discovery, and clients that keep connections or open new
+// ones for each retrieval.
+type station struct {
+	t            *testing.T
+	dir, listen  string
+	discovery    string
+	answered     atomic.Int64
+	lost         atomic.Int64
+	first        atomic.Value // what was lost first
+	over         chan bool
+	clients      sync.WaitGroup
+	asked, pairs atomic.Int64
+}
+
+func newStation(t *testing.T) *station {
+	s := &station{t: t, dir: t.TempDir(), over: make(chan bool)}
+	cache, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cache.Close() })
+	go func() {
+		for {
+			c, err := cache.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				for r := bufio.NewReader(c); ; {
+					line, err := r.ReadString('\n')
+					if err != nil {
+						return
+					}
+					f := strings.Fields(line)
+					time.Sleep(5 * time.Millisecond) // so that some are in hand whenever a process goes
+					fmt.Fprintf(c, "VA 5 %s\r\nhello\r\n", f[3])
+				}
+			}()
+		}
+	}()
+	list := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery != "" {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprintf(w, `{"generation":7,"reset":true,"instances":[{"instanceId":"c","hostPort":%q,"lifecycle":"in_service"}]}`, cache.Addr())
+	}))
+	t.Cleanup(list.CloseClientConnections)
+	s.discovery = strings.TrimPrefix(list.URL, "http://")
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.listen = free.Addr().String()
+	free.Close()
+	return s
+}
+
+// one is a process of the node.
+type one struct {
+	*exec.Cmd
+	logged chan string
+}
+
+func (s *station) start() *one {
+	s.t.Helper()
+	file := fmt.Sprintf("%s/%d.json", s.dir, s.pairs.Add(1))
+	text := fmt.Sprintf(`{"name":"n","listen":%q,"ops":"127.0.0.1:0","discovery":%q,"limits":{"memory_mb":64,"sockets":384},"settings":{"service_grades":[
+{"name":"read","benefit":1,"effect":"idempotent","soft_limit_s":2,"hard_stop_s":3}],"bounds":{"most_legs":3,"conn_idle_s":15}}}`, s.listen, s.discovery)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	p := &one{Cmd: exec.Command(os.Args[0], "serve", "--config", file), logged: make(chan string, 999)}
+	p.Env = append(os.Environ(), asProgram+"=1", "TMPDIR="+s.dir)
+	p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	out, err := p.StderrPipe()
+	if err == nil {
+		err = p.Start()
+	}
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { p.Process.Kill() })
+	go func() {
+		for l := bufio.NewScanner(out); l.Scan(); {
+			p.logged <- l.Text()
+		}
+		close(p.logged)
+	}()
+	return p
+}
+
+func (s *station) expect(p *one, want string) {
+	s.t.Helper()
+	for by := time.After(20 * time.Second); ; {
+		select {
+		case line, more := <-p.logged:
+			if strings.Contains(line, want) {
+				return
+			}
+			if !more {
+				s.t.Fatalf("ended before: %s", want)
+			}
+		case <-by:
+			s.t.Fatalf("never: %s", want)
+		}
+	}
+}
+
+// ask has clients ask without end. One that finds its kept connection reset sends once more on a new one, as the protocol has it.
+func (s *station) ask(clients int) {
+	for n := range clients {
+		s.clients.Add(1)
+		go func() {
+			defer s.clients.Done()
+			var c net.Conn
+			var r *bufio.Reader
+			for {
+				select {
+				case <-s.over:
+					return
+				default:
+				}
+				err := io.EOF
+				if c != nil {
+					err = s.once(c, r)
+				}
+				if err != nil {
+					if c, err = net.Dial("tcp", s.listen); err == nil {
+						r = bufio.NewReader(c)
+						err = s.once(c, r)
+					}
+				}
+				if err != nil {
+					s.lost.Add(1)
+					s.first.CompareAndSwap(nil, err.Error())
+					c = nil
+				} else if s.answered.Add(1); n%2 == 0 { // these open a connection for each
+					c.Close()
+					c = nil
+				}
+			}
+		}()
+	}
+}
+
+func (s *station) once(c net.Conn, r *bufio.Reader) error {
+	id := fmt.Sprintf("Oq%d", s.asked.Add(1))
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := fmt.Fprintf(c, "mg k v %s Pc=read,d=3000\r\n", id); err != nil {
+		return err
+	}
+	for _, want := range []string{"VA 5 " + id, "hello"} {
+		got, err := r.ReadString('\n')
+		if err != nil {
+			return err
+		}
+		if strings.TrimSpace(got) != want {
+			return fmt.Errorf("got %q, want %q", got, want)
+		}
+	}
+	return nil
+}
+
+// The second process ended with 1, as the address was in use; and by SO_REUSEPORT what waits in the old one's queue is reset.
+// Whoever is killed and when, the other goes on; only what a killed process had in hand goes with it.
+func TestProcessesReplaceEachOtherUnderLoad(t *testing.T) {
+	s := newStation(t)
+	now := s.start()
+	s.expect(now, "msg=serving")
+	s.ask(8)
+	for step, how := range []string{"", "newcomer killed", "", "ended before its yes", "newcomer ended", "", "old killed", ""} {
+		before := s.answered.Load()
+		next := s.start()
+		switch how {
+		case "newcomer killed": // with the sockets in its hands
+			s.expect(next, "taking another process's place")
+			next.Process.Kill()
+			s.expect(now, "in this one's place has gone")
+			next = now
+		case "newcomer ended": // going back
+			s.expect(next, "msg=serving")
+			s.expect(now, "lets people in")
+			next.Process.Signal(syscall.SIGTERM)
+			s.expect(next, "counters, stopped")
+			s.expect(now, "in this one's place has gone")
+			next = now
+		case "ended before its yes":
+			s.expect(next, "taking another process's place")
+			now.Process.Signal(syscall.SIGTERM)
+			s.expect(now, "counters, stopped")
+			s.expect(next, "before this one has gone")
+		case "old killed":
+			s.expect(next, "msg=serving")
+			now.Process.Kill()
+			s.expect(next, "before this one has gone")
+			s.lost.Store(0) // what it had in hand
+		default:
+			s.expect(next, "msg=serving")
+			now.Process.Signal(syscall.SIGTERM)
+			s.expect(now, "counters, stopped")
+			s.expect(next, "before this one has gone")
+		}
+		now = next
+		if how == "old killed" {
+			time.Sleep(20 * time.Millisecond) // for those whose answers it had in hand to find out
+			s.lost.Store(0)
+		}
+		for by := time.Now().Add(20 * time.Second); s.answered.Load() < before+50; time.Sleep(time.Millisecond) {
+			if time.Now().After(by) {
+				t.Fatalf("step %d, %q: nobody is answered any more", step, how)
+			}
+		}
+		if n := s.lost.Load(); n > 0 {
+			t.Fatalf("step %d, %q: %d lost, the first: %v", step, how, n, s.first.Load())
+		}
+	}
+	close(s.over)
+	s.clients.Wait()
+	now.Process.Signal(syscall.SIGTERM)
+	s.expect(now, "counters, stopped")
+}
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -109,6 +109,7 @@
 	allMemory int64
 	offered   *handover.Offer // nil for none
 	replaced  bool            // another process lets people in
+	alone     bool            // the process before this one has gone
 	told      bool            // the process before this one knows that clients are taken here
 	stance    *stance         // nil where nobody asks for figures
 	sheet     atomic.Pointer[counters.Sheet]
@@ -389,6 +390,7 @@
 	r.ending = r.now()
 	r.Log.WithField("in_hand", r.hand.Len()).Info("draining")
 	r.enter(Draining)
+	r.giveBack()
 	r.drainStep()
 }
 
--- a/internal/net/relay/succession.go
+++ b/internal/net/relay/succession.go
@@ -14,7 +14,11 @@
 	go func() {
 		r.Succeeds.Wait()
 		r.ask(func() {
+			if r.replaced { // it was given back to
+				return
+			}
 			r.Log.Info("the process before this one has gone")
+			r.alone = true
 			r.together(false)
 			r.offer()
 		})
@@ -68,6 +72,17 @@
 	}
 }
 
+// giveBack leaves clients to the process that this one was to replace, if that is still there: going back needs no more than to end
+// the newcomer.
+func (r *Relay) giveBack() {
+	if r.Succeeds == nil || r.alone {
+		return
+	}
+	r.replaced = true
+	r.eng.Accept(false)
+	r.Succeeds.Close()
+}
+
 // letIn begins to take clients; a predecessor then leaves them to this process.
 func (r *Relay) letIn() {
 	if r.Succeeds == nil || r.told {
