Rehearsals: operators replace processes and have nodes stand by, on sockets

The rehearsal found that a long TMPDIR left no room for a socket's name, so that the newcomer found the address taken: such a folder is gone to by its descriptor now.

--- a/internal/emulator/client/client.go
+++ b/internal/emulator/client/client.go
@@ -188,6 +188,24 @@
 	p.wg.Wait()
 }
 
+// Kept counts the connections that the node holds open. Of those that nobody uses the pool learns the end only now.
+func (p *Pool) Kept() (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.all {
+		raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+		if err == nil {
+			_ = raw.Control(func(fd uintptr) {
+				_, _, err = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+			})
+		}
+		if errors.Is(err, unix.EAGAIN) {
+			n++
+		}
+	}
+	return n
+}
+
 // Ready tells whether the node takes retrievals.
 func (p *Pool) Ready() bool {
 	c, err := net.DialTimeout("tcp", p.Addr, connectWithin)
--- a/internal/emulator/course/course.go
+++ b/internal/emulator/course/course.go
@@ -25,6 +25,8 @@
 	Registry() *world.Registry            // what discovery can bear
 	EndNode(node int, orderly bool)       // a node is told to end, or killed
 	StartNode(node int)                   // and started anew
+	UpgradeNode(node int)                 // another process takes its place
+	StandbyNode(node int, by bool)        // operators have it stand by, or back
 	Fault(server int, kind string)        // what goes wrong on its connections; "" for nothing
 	At(at policy.Instant, do func())      // do it then
 	Said(now policy.Instant, what string) // for the log of the run
@@ -155,6 +157,18 @@
 				c.rig.At(at.Add(max(awayAtLeast, long)), func() { c.rig.StartNode(n - 1) })
 			})
 		}
+	case "node_upgrade", "node_standby":
+		members := c.script.Members(e)
+		for i, n := range members {
+			c.spaced(now, e, i, len(members), func(at policy.Instant) {
+				if e.Do == "node_upgrade" {
+					c.rig.UpgradeNode(n - 1)
+					return
+				}
+				c.rig.StandbyNode(n-1, true)
+				c.rig.At(at.Add(long), func() { c.rig.StandbyNode(n-1, false) })
+			})
+		}
 	case "fault":
 		c.each(now, e, func(now policy.Instant, s int) {
 			if c.rig.Fault(s, e.Fault); e.Fault == "refuse" {
--- a/internal/emulator/onwire/member.go
+++ b/internal/emulator/onwire/member.go
@@ -19,6 +19,7 @@
 	name    string
 	addr    string
 	http    string // where it takes clients by HTTP
+	ops     string // where operators call its process; empty for nowhere
 	agent   *agent
 	pool    *client.Pool
 	process Process
@@ -60,7 +61,15 @@
 		}
 	}
 	m.agent.mu.Unlock()
-	configuration, err := json.Marshal(map[string]any{"name": m.name, "listen": m.addr, "discovery": m.agent.at.Addr().String(),
+	if m.r.script.Operated() {
+		free, err := net.Listen("tcp", "127.0.0.1:0") // new for each process: two may be up at once
+		if err != nil {
+			return err
+		}
+		m.ops = free.Addr().String()
+		free.Close()
+	}
+	configuration, err := json.Marshal(map[string]any{"ops": m.ops, "name": m.name, "listen": m.addr, "discovery": m.agent.at.Addr().String(),
 		"seed": fmt.Sprintf("%x", m.r.script.Seed*7919+int64(m.number)*31+int64(m.life)), "limits": map[string]int{"memory_mb": 192, "sockets": 1024},
 		"settings": m.r.script.Settings(m.r.script.ZoneOf(m.number)), "known": json.RawMessage(m.r.list(0, true, held))})
 	if err != nil {
--- a/internal/emulator/onwire/runner.go
+++ b/internal/emulator/onwire/runner.go
@@ -91,6 +91,7 @@
 		}
 		cmd.Args = append(cmd.Args, "--operator", base+".toml")
 	}
+	cmd.Env = append(os.Environ(), "TMPDIR="+ps.Dir) // common to the processes of a node, and gone with the run
 	cmd.Stdout, cmd.Stderr, cmd.ExtraFiles = log, log, []*os.File{to}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true} // Ctrl-C is the rig's to hear
 	err = cmd.Start()
--- a/internal/emulator/virtual/virtual.go
+++ b/internal/emulator/virtual/virtual.go
@@ -3,6 +3,7 @@
 package virtual
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -69,6 +70,9 @@
 // Play plays a script. The decider's name is for the report.
 func Play(s *script.Script, name string, make Maker) (*outcome.Report, *Run, error) {
 	terms, err := s.TermsAt(s.Fleet.Zones[0])
+	if err == nil && s.Operated() {
+		err = errors.New("operators' calls are to processes: this script plays on sockets only")
+	}
 	if err != nil {
 		return nil, nil, err
 	}
@@ -264,6 +268,10 @@
 	}
 }
 
+// UpgradeNode and StandbyNode are not played: a script with them is refused.
+func (r *Run) UpgradeNode(int)       {}
+func (r *Run) StandbyNode(int, bool) {}
+
 // StartNode starts it anew: it has its last list, and hears the whole one soon after.
 func (r *Run) StartNode(number int) {
 	n := r.nodes[number]
--- a/node/node.go
+++ b/node/node.go
@@ -189,11 +189,8 @@
 	if at, err := netip.ParseAddrPort(n.posting.Listen); n.desk == nil || err != nil || at.Port() == 0 {
 		return nil, ""
 	}
-	path, err := handover.Path(os.TempDir(), n.posting.Listen)
-	var from *handover.Taken
-	if err == nil {
-		from, err = handover.Take(path)
-	}
+	path := handover.Path(os.TempDir(), n.posting.Listen)
+	from, err := handover.Take(path)
 	if err != nil {
 		n.log.WithError(err).Warn("no process can be replaced")
 	}
