Rehearsals: a node's figures are held against what its clients saw; benchmark of long values

A try cut off while a node was being replaced was excused as if the node had been killed; it counts now.

--- a/cmd/dahliapin/rehearse_test.go
+++ b/cmd/dahliapin/rehearse_test.go
@@ -111,6 +111,11 @@
 do = "node_standby"
 nodes = [2]
 for_s = 4.2
+[[event]]
+at_s = 1
+do = "node_scrape"
+nodes = [2]
+for_s = 5
 [expect]
 satisfied={read=0.5}
 `
--- a/internal/emulator/course/course.go
+++ b/internal/emulator/course/course.go
@@ -19,17 +19,18 @@
 
 // Rig is the shell: what an event means to connections, nodes and the list.
 type Rig interface {
-	Broke(server int)                     // all connections to it are reset
-	Listed(e policy.Entry)                // the list has changed
-	Discovery(up bool)                    // the list is told to nodes, or not
-	Registry() *world.Registry            // what discovery can bear
-	EndNode(node int, orderly bool)       // a node is told to end, or killed
-	StartNode(node int)                   // and started anew
-	UpgradeNode(node int)                 // another process takes its place
-	StandbyNode(node int, by bool)        // operators have it stand by, or back
-	Fault(server int, kind string)        // what goes wrong on its connections; "" for nothing
-	At(at policy.Instant, do func())      // do it then
-	Said(now policy.Instant, what string) // for the log of the run
+	Broke(server int)                          // all connections to it are reset
+	Listed(e policy.Entry)                     // the list has changed
+	Discovery(up bool)                         // the list is told to nodes, or not
+	Registry() *world.Registry                 // what discovery can bear
+	EndNode(node int, orderly bool)            // a node is told to end, or killed
+	StartNode(node int)                        // and started anew
+	UpgradeNode(node int)                      // another process takes its place
+	StandbyNode(node int, by bool)             // operators have it stand by, or back
+	ScrapeNode(node int, until policy.Instant) // its figures are fetched and held against what its clients saw
+	Fault(server int, kind string)             // what goes wrong on its connections; "" for nothing
+	At(at policy.Instant, do func())           // do it then
+	Said(now policy.Instant, what string)      // for the log of the run
 }
 
 // Course plays one script.
@@ -157,6 +158,10 @@
 				c.rig.At(at.Add(max(awayAtLeast, long)), func() { c.rig.StartNode(n - 1) })
 			})
 		}
+	case "node_scrape":
+		for _, n := range c.script.Members(e) {
+			c.rig.ScrapeNode(n-1, end)
+		}
 	case "node_upgrade", "node_standby":
 		members := c.script.Members(e)
 		for i, n := range members {
--- a/internal/emulator/onwire/member.go
+++ b/internal/emulator/onwire/member.go
@@ -24,6 +24,8 @@
 	pool    *client.Pool
 	process Process
 	life    int
+	lives   int // of these, those that began after the one before had ended: what was in hand then is excused
+	figures figures
 	serving bool // clients come to it
 	killed  bool // by the script: what it had in hand is excused
 	ending  bool // by the script, or since the run is over
@@ -52,7 +54,7 @@
 }
 
 // start starts its node, with the list as its agent last had it.
-func (m *member) start() error {
+func (m *member) start(replaces bool) error {
 	var held []policy.Entry
 	m.agent.mu.Lock()
 	for _, id := range m.agent.order {
@@ -88,7 +90,9 @@
 		return nil
 	}
 	m.process, m.killed, m.ending = p, false, false
-	m.life++
+	if m.life++; !replaces {
+		m.lives++
+	}
 	life := m.life
 	m.r.mu.Unlock()
 	go func() {
@@ -128,7 +132,7 @@
 		if r.over() {
 			return
 		}
-		if err := m.start(); err != nil {
+		if err := m.start(false); err != nil {
 			r.mu.Lock()
 			r.died = append(r.died, err.Error())
 			r.mu.Unlock()
--- a/internal/emulator/onwire/operators.go
+++ b/internal/emulator/onwire/operators.go
@@ -53,7 +53,7 @@
 	m := r.nodes[number]
 	old := m.process
 	go func() {
-		if err := m.start(); err != nil {
+		if err := m.start(true); err != nil {
 			m.failed(err.Error())
 			return
 		}
--- a/internal/emulator/onwire/rig.go
+++ b/internal/emulator/onwire/rig.go
@@ -112,7 +112,7 @@
 			return nil, err
 		}
 		r.nodes = append(r.nodes, m)
-		if err := m.start(); err != nil {
+		if err := m.start(false); err != nil {
 			return nil, err
 		}
 	}
@@ -290,7 +290,8 @@
 		return
 	}
 	m := up[int(r.chance.Next()*float64(len(up)))]
-	now, life := r.now(), m.life
+	now, life := r.now(), m.lives
+	m.figures.open++
 	r.judge.Sent(now, req.ID, m.number, req.Grade, req.Label, now.Add(req.HardStop), isFirst)
 	a := &client.Ask{ID: req.ID, Key: req.Key, Label: req.Label, Grade: g.Name, Write: g.Write, Repeat: req.Try > 1, Wait: req.HardStop}
 	if g.Write {
@@ -320,10 +321,11 @@
 	switch {
 	case got.Silent: // the judge counts it as lost at its hard stop
 		return
-	case got.Final == judge.Cut && m.life != life || got.Final == judge.Cut && m.killed:
+	case got.Final == judge.Cut && m.lives != life || got.Final == judge.Cut && m.killed:
 		r.judge.Excuse(req.ID)
 		r.judge.Grades[req.Grade].Cut++
 	default:
+		m.figures.ended(g.Name, got.Final)
 		if got.Final == judge.Satisfied && !g.Write && got.Value != world.ValueOf(req.Key) {
 			got.Wrong = fmt.Sprintf("the value of %s is %q", req.Key, got.Value)
 		}
--- a/internal/emulator/script/script.go
+++ b/internal/emulator/script/script.go
@@ -186,18 +186,19 @@
 	"drain": {caches: true}, "add": {}, "shrink": {}, "hot": {share: true, long: true}, "burst": {factor: true, long: true},
 	"origin_slow": {factor: true, long: true}, "discovery_down": {long: true},
 	"discovery_slow": {factor: true, long: true}, "node_restart": {nodes: true},
-	upgrade: {nodes: true}, standby: {nodes: true, long: true}, "node_kill": {nodes: true}, "fault": {caches: true, long: true}, "errors": {caches: true, share: true, long: true},
+	upgrade: {nodes: true}, standby: {nodes: true, long: true}, scrape: {nodes: true, long: true}, "node_kill": {nodes: true}, "fault": {caches: true, long: true}, "errors": {caches: true, share: true, long: true},
 }
 
 // What operators do to nodes: to processes, so it is played on sockets only.
 const (
 	upgrade = "node_upgrade"
 	standby = "node_standby"
+	scrape  = "node_scrape"
 )
 
 // Operated tells whether operators call nodes.
 func (s *Script) Operated() bool {
-	return slices.ContainsFunc(s.Events, func(e Event) bool { return e.Do == upgrade || e.Do == standby })
+	return slices.ContainsFunc(s.Events, func(e Event) bool { return e.Do == upgrade || e.Do == standby || e.Do == scrape })
 }
 
 // Faults of the wire.
--- a/internal/emulator/virtual/virtual.go
+++ b/internal/emulator/virtual/virtual.go
@@ -268,9 +268,10 @@
 	}
 }
 
-// UpgradeNode and StandbyNode are not played: a script with them is refused.
-func (r *Run) UpgradeNode(int)       {}
-func (r *Run) StandbyNode(int, bool) {}
+// UpgradeNode, StandbyNode and ScrapeNode are not played: a script with them is refused.
+func (r *Run) UpgradeNode(int)                {}
+func (r *Run) StandbyNode(int, bool)          {}
+func (r *Run) ScrapeNode(int, policy.Instant) {}
 
 // StartNode starts it anew: it has its last list, and hears the whole one soon after.
 func (r *Run) StartNode(number int) {
--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,6 +20,8 @@
 	"dahliapin/node"
 )
 
+var long = strings.Repeat("v", 4<<20)
+
 // echo is a cache with a value for every key, which costs next to nothing.
 func echo(b *testing.B) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -41,6 +44,12 @@
 					}
 					if _, id, ok := strings.Cut(line, " O"); ok {
 						id, _, _ = strings.Cut(id, " ")
+						if strings.HasPrefix(line, "mg long ") {
+							fmt.Fprintf(c, "VA %d O%s\r\n", len(long), id)
+							io.WriteString(c, long)
+							io.WriteString(c, "\r\n")
+							continue
+						}
 						io.WriteString(c, "VA 5 O"+id+"\r\nhello\r\n")
 					} else {
 						io.WriteString(c, "MN\r\n")
@@ -101,6 +110,59 @@
 	}
 }
 
+// askLong asks for long values, so many at a time, and reads them with a pause between pieces. It tells the most that the heap of all
+// took over what it had at first: mostly the node's, as the cache has one copy and clients throw theirs away.
+func askLong(b *testing.B, addr string, connections int, pause time.Duration) {
+	b.SetBytes(int64(len(long)))
+	var wg sync.WaitGroup
+	var stat runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stat)
+	idle, most, over := stat.HeapInuse, uint64(0), make(chan bool)
+	go func() {
+		for {
+			select {
+			case <-over:
+				return
+			case <-time.After(10 * time.Millisecond):
+				var stat runtime.MemStats
+				runtime.ReadMemStats(&stat)
+				most = max(most, stat.HeapInuse)
+			}
+		}
+	}()
+	b.ResetTimer()
+	for n := range connections {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			defer c.Close()
+			piece := make([]byte, 64<<10)
+			for i := range (b.N + connections - 1) / connections {
+				fmt.Fprintf(c, "mg long v O%d-%d Pc=read,d=900\r\n", n, i)
+				for left := len(fmt.Sprintf("VA %d O%d-%d\r\n", len(long), n, i)) + len(long) + 2; left > 0; {
+					k, err := c.Read(piece[:min(left, len(piece))])
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					left -= k
+					time.Sleep(pause)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	b.StopTimer()
+	over <- true
+	b.ReportMetric(float64(max(most, idle)-idle)/(1<<20), "heap-MB")
+}
+
 // One retrieval through a node by either protocol, and straight to a cache, in one run: what the node adds. Clients and caches are in the
 // same process, so allocations are of all three; the difference is the node's.
 func BenchmarkRetrieval(b *testing.B) {
@@ -141,6 +203,10 @@
 	for n.Phase() != node.Serving {
 		time.Sleep(time.Millisecond)
 	}
+	for name, addr := range map[string]string{"straight": rows[0]["hostPort"].(string), "node": n.Addr()} {
+		b.Run("long-"+name, func(b *testing.B) { askLong(b, addr, 32, 0) })
+		b.Run("long-slow-"+name, func(b *testing.B) { askLong(b, addr, 32, 5*time.Millisecond) })
+	}
 	for _, connections := range []int{1, 64} {
 		for name, addr := range map[string]string{"straight": rows[0]["hostPort"].(string), "node": n.Addr(), "http": n.FrontAddr(0)} {
 			b.Run(fmt.Sprintf("%s-%d", name, connections), func(b *testing.B) {
