Long values: a reader that comes to be slow is looked at at once, one that stops is left

A test of readers that take nothing took 5 s: a value that was first passed on freely had its next look due in 5 s, and who came to be held then brought no bytes that would wake it, so its rest stood still for up to 5 s. A sooner look goes before a later one now. And a reader that takes nothing for 10 s is closed, with its cache's connection.

--- a/internal/net/relay/stream.go
+++ b/internal/net/relay/stream.go
@@ -11,6 +11,7 @@
 	streamOver  = 64 << 10             // bytes from which a value is passed on as it comes: what clients may write goes whole
 	streamAhead = 64 << 10             // bytes that may wait for a slow reader before its server is not read any more
 	streamLook  = 5 * time.Millisecond // between looks whether such a reader has caught up
+	readerQuiet = 10 * time.Second     // without taking a byte, and its reader will take none: it holds a cache's connection
 	streamQuiet = 5 * time.Second      // without a byte, nor a reader who holds it up, the server has fallen silent
 )
 
@@ -25,9 +26,11 @@
 	left   int // bytes of the value still to come
 	tail   int // and of what the server ends it with
 	begun  bool
-	held   bool // its server is not read: the reader is slow, or waits for answers before it
-	looks  bool // a look is due
+	held   bool           // its server is not read: the reader is slow, or waits for answers before it
+	lookAt policy.Instant // when it is looked at next; 0 for not yet
 	lastAt policy.Instant
+	unsent int64 // bytes that waited for the reader at the last look
+	tookAt policy.Instant
 }
 
 // startStream begins to pass on a long value of which the head is there, and tells whether it did.
@@ -73,13 +76,20 @@
 	if s.held = hold; hold {
 		s.lastAt = r.now()
 	}
-	if !s.looks {
-		s.looks = true
-		wait := streamQuiet
-		if hold {
-			wait = streamLook
-		}
-		r.due.Put(r.now().Add(wait), due{stream: l.id})
+	if n := c.wire.Unsent(); !hold || c.first != s.turn || n != s.unsent {
+		s.unsent, s.tookAt = n, r.now()
+	} else if r.now().Since(s.tookAt) >= readerQuiet { // guards against readers that keep caches' connections for good
+		r.count.Overdue++
+		r.closeClient(c)
+		return
+	}
+	wait := streamQuiet
+	if hold {
+		wait = streamLook
+	}
+	if at := r.now().Add(wait); s.lookAt == 0 || at < s.lookAt { // sooner than was thought: who is held is brought no bytes that would wake it
+		s.lookAt = at
+		r.due.Put(at, due{stream: l.id})
 	}
 }
 
@@ -172,11 +182,11 @@
 // lookAtStream goes on with a value whose reader was slow, and ends one whose server has fallen silent.
 func (r *Relay) lookAtStream(id linkID) {
 	l := r.links.Get(id)
-	if l == nil || l.stream == nil {
+	if l == nil || l.stream == nil || r.now() < l.stream.lookAt {
 		return
 	}
 	s := l.stream
-	s.looks = false
+	s.lookAt = 0
 	if !s.held && r.now().Since(s.lastAt) >= streamQuiet {
 		r.lose(l, policy.TimedOut)
 		return
--- a/internal/net/relay/stream_test.go
+++ b/internal/net/relay/stream_test.go
@@ -81,3 +81,33 @@
 		t.Errorf("%+v", n)
 	}
 }
+
+// A reader that takes nothing more kept its cache's connection for good.
+func TestAReaderThatTakesNothingIsLeftAfterAWhile(t *testing.T) {
+	long := strings.Repeat("v", 4<<20)
+	g := newRig(t, 200, func(line string) string { return fmt.Sprintf("VA %d %s\r\n%s\r\n", len(long), id(line), long) })
+	c, _ := g.client()
+	for n := range 6 { // more than the kernel holds
+		fmt.Fprintf(c, "mg k v O%d Pc=read,d=9000\r\n", n)
+	}
+	stuck := make(chan bool, 1)
+	g.until("it is left", func(n counters.Counters) bool {
+		g.ask(func() {
+			g.links.Each(func(_ linkID, l *link) {
+				if l.stream != nil && l.stream.held && l.stream.begun { // as after a while
+					l.stream.tookAt = l.stream.tookAt.Add(-readerQuiet)
+				}
+			})
+			stuck <- g.clients.Len() == 1
+		})
+		return !<-stuck && n.Overdue == 1
+	})
+	g.until("and its links", func(counters.Counters) bool {
+		g.ask(func() {
+			busy := false
+			g.links.Each(func(_ linkID, l *link) { busy = busy || l.stream != nil })
+			stuck <- busy
+		})
+		return !<-stuck
+	})
+}
