Upgrade: two processes' descriptors stay within the node's, operators' callers counted

By reckoning: with 384 sockets each process had 155 connections, 24 files and 26 for operators, 410 together at the worst. Half is taken of the whole now, and a node that operators call needs 136. Long values by HTTP, and from the origin, have a test.

--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -69,6 +69,7 @@
 	Operator          fronts.File // further listeners, and caches that speak HTTP
 	Seed              int64
 	Descriptors       int
+	Beside            int   // descriptors that the process has for other things
 	Memory            int64 // bytes it may use in all
 	Terms             houserules.Terms
 	Known             *fastjson.Value // the list as last held, or nil
--- a/internal/net/relay/stream_test.go
+++ b/internal/net/relay/stream_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -111,3 +113,34 @@
 		return !<-stuck
 	})
 }
+
+// By HTTP a long value has its length in the head, is whole, and leaves the connection for what comes next; the origin's is passed on alike.
+func TestLongValuesReachClientsOfHTTPWhole(t *testing.T) {
+	long := strings.Repeat("v", 2<<20)
+	g := newRig(t, 200, func(line string) string {
+		if strings.HasPrefix(line, "mg away ") {
+			return "EN " + id(line) + "\r\n"
+		}
+		return fmt.Sprintf("VA %d %s\r\n%s\r\n", len(long), id(line), long)
+	}, withFront)
+	page := strings.Repeat("o", 1<<20)
+	origin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(len(page)))
+		io.WriteString(w, page)
+	}))
+	defer origin.Close()
+	g.ask(func() { g.caches["o"].addr = strings.TrimPrefix(origin.URL, "http://") })
+	for key, want := range map[string]string{"k": long, "away": page, "k2": long} {
+		a, err := http.Get("http://" + g.Addr(1) + "/p/" + key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(a.Body)
+		if a.Body.Close(); err != nil || string(got) != want || a.ContentLength != int64(len(want)) {
+			t.Errorf("%s: %d of %d bytes, %v", key, len(got), len(want), err)
+		}
+	}
+	if n := g.Counts(); n.Satisfied != 3 || n.Clients != 1 || n.Strange != 0 {
+		t.Errorf("%+v", n)
+	}
+}
--- a/internal/net/relay/succession.go
+++ b/internal/net/relay/succession.go
@@ -29,7 +29,7 @@
 func (r *Relay) together(two bool) {
 	descriptors, memory := r.Descriptors, r.allMemory
 	if two {
-		descriptors, memory = descriptors/shareTogether, memory/shareTogether
+		descriptors, memory = (descriptors+r.Beside)/shareTogether-r.Beside, memory/shareTogether
 	}
 	r.Memory = memory
 	r.eng.Limit(descriptors)
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 
 const (
 	fewestSockets = 64   // descriptors that a node can do anything with
+	fewestWithOps = 136  // the same where a node can be replaced: two processes, each with operators' callers
 	usualSockets  = 1024 // descriptors where no limit is stated: what most systems allow
 	usualMemory   = 192  // MB where no limit is stated
 	rarely        = 200  // percent that the heap may grow between collections: it is small, and a long value is a fair part of it
@@ -74,16 +75,16 @@
 		note = n.note
 	}
 	var err error
-	descriptors := cmp.Or(p.Sockets, usualSockets)
+	beside := 0
 	if p.Ops != "" {
 		if n.desk, err = ops.Open(p.Ops); err != nil {
 			return nil, err
 		}
-		descriptors -= ops.MostCallers + deskFiles
+		beside = ops.MostCallers + deskFiles
 	}
 	succeeds, handoverAt := n.predecessor()
 	n.relay, err = relay.New(relay.Berth{
-		Listen: p.Listen, Operator: p.operator, Discovery: p.Discovery, Seed: p.Seed, Descriptors: descriptors, Figures: n.desk != nil,
+		Listen: p.Listen, Operator: p.operator, Discovery: p.Discovery, Seed: p.Seed, Descriptors: cmp.Or(p.Sockets, usualSockets) - beside, Beside: beside, Figures: n.desk != nil,
 		Succeeds: succeeds, Handover: handoverAt, Together: n.together,
 		Memory: p.memory(), Terms: p.terms, Known: p.known, Log: log,
 		Moved: func(to Phase) { n.phase.Store(int32(to)) }, Name: p.Name, Records: note,
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -16,7 +16,9 @@
 func TestAPostingThatCantBeUsedIsToldInOneLine(t *testing.T) {
 	for _, bad := range []string{"", "no", "[1]", "{}", strings.Replace(posting, "127.0.0.1:0", "nowhere", 1),
 		strings.Replace(posting, "127.0.0.1:1", "host.name:1", 1), strings.Replace(posting, "100", "3", 1),
-		strings.Replace(posting, "service_grades", "x", 1)} {
+		strings.Replace(posting, "service_grades", "x", 1), strings.Replace(posting, `"seed"`, `"ops":"127.0.0.1:0","seed"`, 1),
+		strings.Replace(strings.Replace(posting, "100", "200", 1), `"seed"`, `"ops":"nowhere","seed"`, 1),
+		strings.Replace(strings.Replace(posting, "100", "200", 1), `"seed"`, `"ops":"127.0.0.1:0","seed"`, 1)} {
 		if _, err := ParsePosting([]byte(bad)); err == nil || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%q: %v", bad, err)
 		}
--- a/node/posting.go
+++ b/node/posting.go
@@ -95,6 +95,9 @@
 	if p.Ops == "" {
 		return nil
 	}
+	if p.Sockets > 0 && p.Sockets < fewestWithOps {
+		return fmt.Errorf("the configuration's limits are too low for operators' calls: %d sockets, %d are needed", p.Sockets, fewestWithOps)
+	}
 	if _, err := netip.ParseAddrPort(p.Ops); err != nil {
 		return fmt.Errorf("the address for operators, ops, is not an address and a port: %q", p.Ops)
 	}
