--- a/internal/net/relay/operators.go
+++ b/internal/net/relay/operators.go
@@ -14,13 +14,22 @@
 
 const (
 	standbyComing = 350 * time.Millisecond // after the call to stand by, the front still sends new clients: 0.2 s after its next question
+	trialsApart   = time.Second            // between legs to a cache that is only tried: two sooner are its share of the work
 	standbyTakes  = 2 * time.Second        // then, who still keeps a connection busy is dismissed until it falls idle
 )
 
 // stance hears how the module says that caches stand, and passes all on to the records' book if there is one.
 type stance struct {
 	host.Watcher
-	of map[policy.CacheID]policy.Standing // those that are not in use as usual
+	of   map[policy.CacheID]policy.Standing   // those that are not in use as usual
+	sent map[policy.CacheID][2]policy.Instant // the last two legs there, the latest last
+}
+
+// avoided tells whether a cache gets nothing that another could have. One that errs may for some grades only; one that has been
+// silent stands so until it answers, but is avoided only once it gets no more than a leg now and then, as a trial.
+func (s *stance) avoided(now policy.Instant, id policy.CacheID) bool {
+	is := s.of[id]
+	return is > policy.Quiet || is == policy.Quiet && now.Since(s.sent[id][0]) >= trialsApart
 }
 
 func (s *stance) Stands(now policy.Instant, id policy.CacheID, is policy.Standing) {
@@ -31,6 +40,7 @@
 }
 
 func (s *stance) Sent(now policy.Instant, id policy.CacheID) {
+	s.sent[id] = [2]policy.Instant{s.sent[id][1], now}
 	if s.Watcher != nil {
 		s.Watcher.Sent(now, id)
 	}
@@ -48,9 +58,6 @@
 	}
 }
 
-// avoids tells whether a cache that stands so gets nothing that another could have; one that errs may for some grades only.
-func avoids(s policy.Standing) bool { return s >= policy.Quiet }
-
 // publish hands out a new copy of the figures.
 func (r *Relay) publish() {
 	if r.stance == nil {
@@ -59,12 +66,14 @@
 	s := &counters.Sheet{At: time.Now(), Takes: r.phase == Serving, Phase: r.phase.String(), Grades: slices.Clone(r.byGrade),
 		Legs: r.whole, Pending: r.pending}
 	maps.DeleteFunc(r.stance.of, func(id policy.CacheID, _ policy.Standing) bool { return r.caches[id] == nil })
+	maps.DeleteFunc(r.stance.sent, func(id policy.CacheID, _ [2]policy.Instant) bool { return r.caches[id] == nil })
+	now := r.now()
 	for id, c := range r.caches {
 		if _, store := c.carrier.(originCarrier); store {
 			continue
 		}
 		s.Members++
-		if avoids(r.stance.of[id]) {
+		if r.stance.avoided(now, id) {
 			s.Unavailable++
 		}
 	}
--- a/internal/net/relay/operators_test.go
+++ b/internal/net/relay/operators_test.go
@@ -121,6 +121,19 @@
 	if s := look(); s.Unavailable != 1 {
 		t.Errorf("%+v", s)
 	}
+	g.ask(func() { // silent, and still with its share of legs: not avoided; with a trial now and then: avoided
+		g.stance.Stands(g.now(), "c", policy.Quiet)
+		for range 2 {
+			g.stance.Sent(g.now(), "c")
+		}
+	})
+	if s := look(); s.Unavailable != 0 {
+		t.Errorf("%+v", s)
+	}
+	g.ask(func() { g.stance.sent["c"] = [2]policy.Instant{g.now().Add(-trialsApart), g.now()} })
+	if s := look(); s.Unavailable != 1 {
+		t.Errorf("%+v", s)
+	}
 	close(hold)
 	g.expect(r, "VA 5 Oheld", "hello")
 	if s := look(); s.Pending != 0 {
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -178,7 +178,7 @@
 		r.byGrade[n].Name = name
 	}
 	if b.Figures {
-		r.stance = &stance{Watcher: watcher, of: map[policy.CacheID]policy.Standing{}}
+		r.stance = &stance{Watcher: watcher, of: map[policy.CacheID]policy.Standing{}, sent: map[policy.CacheID][2]policy.Instant{}}
 		watcher = r.stance
 	}
 	r.host = host.With(r.now(), decider, r, watcher)
