--- a/internal/emulator/client/client.go
+++ b/internal/emulator/client/client.go
@@ -24,7 +24,8 @@
 	connectWithin = time.Second
 	beyond        = 300 * time.Millisecond // over its hard stop that an answer is still looked for: a late one is to be seen
 	mostIdle      = 512                    // connections kept for one node
-	mostValue     = 2 << 20
+	longOver      = 64 << 10               // bytes from which a node may pass a value on as it comes
+	mostValue     = 4<<20 + 1<<10
 )
 
 // Ask is one try.
@@ -261,7 +262,10 @@
 			return answer, errors.New("a value's length can't be read")
 		}
 		b := make([]byte, n+2)
-		if _, err = io.ReadFull(r, b); err != nil {
+		var late net.Error
+		if _, err = io.ReadFull(r, b); err != nil && n > longOver && !(errors.As(err, &late) && late.Timeout()) {
+			return Answer{Final: judge.Scrapped, last: true}, nil // begun and not whole, as its reader can tell
+		} else if err != nil {
 			return answer, err
 		}
 		if !bytes.HasSuffix(b, []byte("\r\n")) {
--- a/internal/emulator/onwire/servers.go
+++ b/internal/emulator/onwire/servers.go
@@ -431,7 +431,7 @@
 		return
 	}
 	s := r.servers[l.server]
-	out := answerOf(d, r.script.Fleet.Reports)
+	out := r.answerOf(d, r.script.Fleet.Reports)
 	if r.script.Fleet.Protocol == fronts.HTTP {
 		out = keptAnswer(d, s.fault == "stale", l.tag)
 	}
@@ -447,14 +447,15 @@
 }
 
 // answerOf writes a cache's answer.
-func answerOf(d world.Done, reports bool) []byte {
+func (r *Rig) answerOf(d world.Done, reports bool) []byte {
 	load := ""
 	if reports {
 		load = fmt.Sprintf(" Loutstanding=%g", d.Load)
 	}
 	switch id := d.Job.Retrieval; d.Said {
 	case world.Value:
-		return fmt.Appendf(nil, "VA %d O%s h1%s\r\n%s\r\n", len(d.Text), id, load, d.Text)
+		text := r.script.Value(d.Text)
+		return fmt.Appendf(nil, "VA %d O%s h1%s\r\n%s\r\n", len(text), id, load, text)
 	case world.Receipt:
 		return fmt.Appendf(nil, "HD O%s c%s%s\r\n", id, d.Text, load)
 	case world.Miss:
@@ -494,7 +495,12 @@
 			http.Error(out, "failed", http.StatusInternalServerError)
 			return
 		}
-		io.WriteString(out, d.Text)
+		text := d.Text
+		if d.Said == world.Value {
+			text = r.script.Value(text)
+		}
+		out.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		io.WriteString(out, text)
 	case <-in.Context().Done(): // called off, or the origin is gone
 		r.mu.Lock()
 		r.left(tag, policy.Cancelled)
--- a/internal/emulator/script/script.go
+++ b/internal/emulator/script/script.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"hash/crc32"
 	"math"
 	"os"
 	"slices"
@@ -121,7 +122,9 @@
 	Keys      int     `toml:"keys"`
 	Zipf      float64 `toml:"zipf"`
 	Jitter    float64 `toml:"jitter"`
-	Protocol  string  `toml:"protocol"` // of clients
+	Protocol  string  `toml:"protocol"`   // of clients
+	LongShare float64 `toml:"long_share"` // of the keys, which have a long value; on sockets only, as virtual time has no bytes
+	LongKB    int     `toml:"long_kb"`
 }
 
 // Grade is one service grade.
@@ -196,6 +199,18 @@
 	scrape  = "node_scrape"
 )
 
+// mostLongKB is the longest value there may be, in KiB.
+const mostLongKB = 4096
+
+// Value is a key's value by its usual one: of a share of the keys it is long, and the same wherever it is kept.
+func (s *Script) Value(usual string) string {
+	t := &s.Traffic
+	if float64(crc32.ChecksumIEEE([]byte(usual))%1000) >= 1000*t.LongShare {
+		return usual
+	}
+	return usual + strings.Repeat(" "+usual, max(0, t.LongKB<<10/(len(usual)+1)))
+}
+
 // Operated tells whether operators call nodes.
 func (s *Script) Operated() bool {
 	return slices.ContainsFunc(s.Events, func(e Event) bool { return e.Do == upgrade || e.Do == standby || e.Do == scrape })
@@ -299,6 +314,9 @@
 	c.Within(float64(t.Keys), 1, mostKeys, "traffic.keys")
 	c.Within(t.Zipf, 0, 5, "traffic.zipf")
 	c.Within(t.Jitter, 0, 10, "traffic.jitter")
+	c.Within(t.LongShare, 0, 1, "traffic.long_share")
+	c.Within(float64(t.LongKB), 0, mostLongKB, "traffic.long_kb")
+	c.Want(t.LongShare == 0 || t.Protocol == fronts.Meta, "traffic.long_share", "values are long only by %s", fronts.Meta)
 	s.checkGrades(c)
 	s.checkEvents(c)
 	s.checkExpect(c)
