Operators' desk moves to internal/net/ops, beside what it imports

internal/ops imported internal/net/counters, the one import that ran back up from a concern to the network below it. No behaviour changed; tests of the packages touched pass.

--- a/internal/net/relay/operators.go
+++ b/internal/net/relay/operators.go
@@ -8,7 +8,7 @@
 
 	"dahliapin/internal/host"
 	"dahliapin/internal/net/counters"
-	"dahliapin/internal/ops"
+	"dahliapin/internal/net/ops"
 	"dahliapin/policy"
 )
 
--- a/internal/net/relay/operators_test.go
+++ b/internal/net/relay/operators_test.go
@@ -11,7 +11,7 @@
 	"testing"
 
 	"dahliapin/internal/net/counters"
-	"dahliapin/internal/ops"
+	"dahliapin/internal/net/ops"
 	"dahliapin/policy"
 )
 
--- a/node/node.go
+++ b/node/node.go
@@ -16,8 +16,8 @@
 
 	"dahliapin/internal/net/counters"
 	"dahliapin/internal/net/handover"
+	"dahliapin/internal/net/ops"
 	"dahliapin/internal/net/relay"
-	"dahliapin/internal/ops"
 	"dahliapin/internal/records"
 )
 
