Rig of nodes together: go-between, faults between nodes, pauses, traces of their views

A go-between on loopback cuts, loses, doubles and delays each direction of each pair by itself; scripts have between_cut, between_loss, between_twice, between_late and node_pause, and the report tells second by second who knows of whom.

--- a/cmd/dahliapin/main.go
+++ b/cmd/dahliapin/main.go
@@ -22,16 +22,17 @@
 var version = "0.1.0"
 
 func main() {
-	var config, record, operator string
+	var config, record, operator, charter, traced string
 	root := &cobra.Command{Use: "dahliapin", Short: "A router for fleets of cache servers", SilenceUsage: true,
 		SilenceErrors: true}
 	root.PersistentFlags().StringVar(&config, "config", os.Getenv("RELAY_CONFIG"), "the configuration's file")
 	server := &cobra.Command{Use: "serve", Short: "Run one node until SIGTERM; SIGHUP reads its configuration again", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return serve(config, record, operator) }}
+		RunE: func(*cobra.Command, []string) error { return serve(config, record, operator, charter, traced) }}
+	server.Flags().StringVar(&traced, "trace", "", "file to which a line of each thing done in the fleet is added")
 	server.Flags().StringVar(&record, "records", "", "file to which records of what is done to caches are added, as JSON lines")
 	checking := &cobra.Command{Use: "check", Short: "Say whether a configuration can be used", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			p, err := posting(config, operator)
+			p, err := posting(config, operator, charter)
 			if err == nil {
 				fmt.Fprintf(c.OutOrStdout(), "%s: can be used; listens on %s\n", p.Name, p.Listen)
 			}
@@ -39,6 +40,7 @@
 		}}
 	for _, c := range []*cobra.Command{server, checking} {
 		c.Flags().StringVar(&operator, "operator", "", "file of further listeners, caches that speak HTTP, and service levels")
+		c.Flags().StringVar(&charter, "fleet", "", "file by which the node joins the others; without it, it knows of none")
 	}
 	root.AddCommand(server, checking,
 		migrate(), rehearse(), loadCommand(), demo(), opsCommand(),
@@ -68,7 +70,7 @@
 }
 
 // posting reads a configuration, and what an operator adds to it.
-func posting(config, operator string) (*node.Posting, error) {
+func posting(config, operator, charter string) (*node.Posting, error) {
 	p, err := node.ReadPosting(config)
 	if at := os.Getenv("RELAY_OPS"); err == nil && at != "" {
 		err = p.OpsAt(at)
@@ -76,6 +78,9 @@
 	if err == nil && operator != "" {
 		err = p.Open(operator)
 	}
+	if err == nil && charter != "" {
+		err = p.Join(charter)
+	}
 	return p, err
 }
 
@@ -110,8 +115,8 @@
 	return nil
 }
 
-func serve(config, record, operator string) error {
-	p, err := posting(config, operator)
+func serve(config, record, operator, charter, traced string) error {
+	p, err := posting(config, operator, charter)
 	if err != nil {
 		return err
 	}
@@ -120,6 +125,13 @@
 			return err
 		}
 	}
+	if traced != "" {
+		f, err := os.OpenFile(traced, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+		if err != nil {
+			return fmt.Errorf("the trace cannot be kept: %w", err)
+		}
+		p.Trace = func(line []byte) { _, _ = f.Write(line) }
+	}
 	node.Fit(p)
 	signals := make(chan os.Signal, 4) // before the node is there, or an early one would end the process
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
--- a/cmd/dahliapin/migrate_test.go
+++ b/cmd/dahliapin/migrate_test.go
@@ -7,11 +7,9 @@
 	"regexp"
 	"strings"
 	"testing"
-	"time"
 
 	"dahliapin/internal/emulator/onwire"
 	"dahliapin/internal/emulator/script"
-	"dahliapin/internal/records"
 )
 
 // What an operator must fill in, and what was lost, must be said; what stands is left alone, and no half file is left.
@@ -47,14 +45,16 @@
 // moved starts nodes on what migrate makes of their configuration, with what an operator fills in.
 type moved struct{ dir string }
 
-func (m moved) Start(name string, text, operator []byte, note func(records.Entry, time.Time)) (onwire.Process, error) {
+func (m moved) Start(o onwire.Order) (onwire.Process, error) {
+	text := o.Configuration
 	if m.dir != "" {
 		os.WriteFile(m.dir+"/old", text, 0o600)
 		migrateFile(io.Discard, m.dir+"/old", m.dir+"/new", false, true)
 		text, _ = os.ReadFile(m.dir + "/new") // nothing, and no node, where that failed
 		text = []byte(strings.Replace(string(text), `"cross_zone":0`, `"cross_zone":0.2`, 1))
 	}
-	return onwire.Embedded{}.Start(name, text, operator, note)
+	o.Configuration = text
+	return onwire.Embedded{}.Start(o)
 }
 
 // A node on a migrated file must serve, and ask its own zone's caches; gone back to the old one it asks all.
--- a/internal/emulator/course/course.go
+++ b/internal/emulator/course/course.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"dahliapin/internal/emulator/between"
 	"dahliapin/internal/emulator/script"
 	"dahliapin/internal/emulator/world"
 	"dahliapin/policy"
@@ -19,18 +20,20 @@
 
 // Rig is the shell: what an event means to connections, nodes and the list.
 type Rig interface {
-	Broke(server int)                          // all connections to it are reset
-	Listed(e policy.Entry)                     // the list has changed
-	Discovery(up bool)                         // the list is told to nodes, or not
-	Registry() *world.Registry                 // what discovery can bear
-	EndNode(node int, orderly bool)            // a node is told to end, or killed
-	StartNode(node int)                        // and started anew
-	UpgradeNode(node int)                      // another process takes its place
-	StandbyNode(node int, by bool)             // operators have it stand by, or back
-	ScrapeNode(node int, until policy.Instant) // its figures are fetched and held against what its clients saw
-	Fault(server int, kind string)             // what goes wrong on its connections; "" for nothing
-	At(at policy.Instant, do func())           // do it then
-	Said(now policy.Instant, what string)      // for the log of the run
+	Broke(server int)                           // all connections to it are reset
+	Listed(e policy.Entry)                      // the list has changed
+	Discovery(up bool)                          // the list is told to nodes, or not
+	Registry() *world.Registry                  // what discovery can bear
+	EndNode(node int, orderly bool)             // a node is told to end, or killed
+	StartNode(node int)                         // and started anew
+	UpgradeNode(node int)                       // another process takes its place
+	StandbyNode(node int, by bool)              // operators have it stand by, or back
+	ScrapeNode(node int, until policy.Instant)  // its figures are fetched and held against what its clients saw
+	PauseNode(node int, stop bool)              // its process stands still, or goes on
+	Between(from, to int, f func(*between.Way)) // what goes wrong between two nodes, one way
+	Fault(server int, kind string)              // what goes wrong on its connections; "" for nothing
+	At(at policy.Instant, do func())            // do it then
+	Said(now policy.Instant, what string)       // for the log of the run
 }
 
 // Course plays one script.
@@ -174,6 +177,22 @@
 				c.rig.At(at.Add(long), func() { c.rig.StandbyNode(n-1, false) })
 			})
 		}
+	case "node_pause":
+		members := c.script.Members(e)
+		for i, n := range members {
+			c.spaced(now, e, i, len(members), func(at policy.Instant) {
+				c.rig.PauseNode(n-1, true)
+				c.rig.At(at.Add(long), func() { c.rig.PauseNode(n-1, false) })
+			})
+		}
+	case "between_cut":
+		c.turns(now, end, e, func(w *between.Way, on bool) { w.Cut = on })
+	case "between_loss":
+		c.turns(now, end, e, func(w *between.Way, on bool) { w.Loss = e.Share * float64(bit(on)) })
+	case "between_twice":
+		c.turns(now, end, e, func(w *between.Way, on bool) { w.Twice = e.Share * float64(bit(on)) })
+	case "between_late":
+		c.turns(now, end, e, func(w *between.Way, on bool) { w.Late = script.Span(e.LateMs/1000) * time.Duration(bit(on)) })
 	case "fault":
 		c.each(now, e, func(now policy.Instant, s int) {
 			if c.rig.Fault(s, e.Fault); e.Fault == "refuse" {
@@ -189,6 +208,32 @@
 	}
 }
 
+func bit(on bool) int {
+	if on {
+		return 1
+	}
+	return 0
+}
+
+// turns changes ways between nodes until an end, or by turns where the event comes and goes.
+func (c *Course) turns(now, end policy.Instant, e *script.Event, set func(w *between.Way, on bool)) {
+	all := func(on bool) {
+		for _, p := range c.script.Pairs(e) {
+			c.rig.Between(p[0], p[1], func(w *between.Way) { set(w, on) })
+		}
+	}
+	all(true)
+	if turn := script.Span(e.TurnS); turn > 0 {
+		on := true
+		for at := now.Add(turn); at < end; at = at.Add(turn) {
+			on = !on
+			is := on
+			c.rig.At(at, func() { all(is) })
+		}
+	}
+	c.rig.At(end, func() { all(false) })
+}
+
 // start starts a server's process anew. Connections that outlived the old one, as a vanished machine's do, are reset.
 func (c *Course) start(now policy.Instant, s int) {
 	c.world.Start(now, s)
@@ -249,6 +294,21 @@
 	if e.Fault != "" {
 		text += " " + e.Fault
 	}
+	if len(e.From) > 0 {
+		text += fmt.Sprint(" from ", e.From)
+	}
+	if len(e.To) > 0 {
+		text += fmt.Sprint(" to ", e.To)
+	}
+	if e.Both {
+		text += " both ways"
+	}
+	if e.LateMs > 0 {
+		text += fmt.Sprintf(" by up to %g ms", e.LateMs)
+	}
+	if e.TurnS > 0 {
+		text += fmt.Sprintf(" by turns of %g s", e.TurnS)
+	}
 	if e.OverS > 0 {
 		text += fmt.Sprintf(" over %g s", e.OverS)
 	}
--- a/internal/emulator/onwire/member.go
+++ b/internal/emulator/onwire/member.go
@@ -24,7 +24,9 @@
 	pool    *client.Pool
 	process Process
 	life    int
-	lives   int // of these, those that began after the one before had ended: what was in hand then is excused
+	asks    map[string]bool // in hand
+	excused map[string]bool // of these, those that it stood still with
+	lives   int             // of these, those that began after the one before had ended: what was in hand then is excused
 	figures figures
 	serving bool // clients come to it
 	killed  bool // by the script: what it had in hand is excused
@@ -50,7 +52,7 @@
 	if r.script.Traffic.Protocol == fronts.HTTP {
 		pool = &client.Pool{Addr: addrs[1], HTTP: true}
 	}
-	return &member{r: r, number: number, name: fmt.Sprintf("n%d", number+1), addr: addrs[0], http: addrs[1], agent: a, pool: pool}, nil
+	return &member{r: r, number: number, name: fmt.Sprintf("n%d", number+1), addr: addrs[0], http: addrs[1], agent: a, pool: pool, asks: map[string]bool{}, excused: map[string]bool{}}, nil
 }
 
 // start starts its node, with the list as its agent last had it.
@@ -78,7 +80,8 @@
 		return err
 	}
 	number := m.number
-	p, err := m.r.runner.Start(m.name, configuration, m.r.script.Operator(m.http), func(e records.Entry, at time.Time) { m.r.note(number, e, at) })
+	p, err := m.r.runner.Start(Order{Name: m.name, Configuration: configuration, Operator: m.r.script.Operator(m.http), Charter: m.r.charter(number),
+		Note: func(e records.Entry, at time.Time) { m.r.note(number, e, at) }, Trace: m.r.traced})
 	if err != nil {
 		return fmt.Errorf("node %s does not start: %w", m.name, err)
 	}
@@ -90,6 +93,7 @@
 		return nil
 	}
 	m.process, m.killed, m.ending = p, false, false
+	m.r.views.Truth(m.r.now(), m.name, true)
 	if m.life++; !replaces {
 		m.lives++
 	}
@@ -111,6 +115,7 @@
 func (r *Rig) EndNode(number int, orderly bool) {
 	m := r.nodes[number]
 	m.ending = true
+	r.views.Truth(r.now(), m.name, false)
 	if !orderly {
 		m.killed, m.serving = true, false
 		m.process.Kill()
--- a/internal/emulator/onwire/onwire_test.go
+++ b/internal/emulator/onwire/onwire_test.go
@@ -93,7 +93,8 @@
 	end   sync.Once
 }
 
-func (s *stub) Start(_ string, configuration, _ []byte, _ func(records.Entry, time.Time)) (Process, error) {
+func (s *stub) Start(o Order) (Process, error) {
+	configuration := o.Configuration
 	var c struct{ Listen, Discovery string }
 	if err := json.Unmarshal(configuration, &c); err != nil {
 		return nil, err
--- a/internal/emulator/onwire/rig.go
+++ b/internal/emulator/onwire/rig.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"dahliapin/internal/emulator/between"
 	"dahliapin/internal/emulator/client"
 	"dahliapin/internal/emulator/course"
 	"dahliapin/internal/emulator/judge"
@@ -34,8 +35,17 @@
 
 // Runner starts nodes.
 type Runner interface {
-	// Start starts a node with such a configuration. Its records go to note, in the time of their making.
-	Start(name string, configuration, operator []byte, note func(records.Entry, time.Time)) (Process, error)
+	Start(Order) (Process, error)
+}
+
+// Order is a node to start.
+type Order struct {
+	Name          string
+	Configuration []byte
+	Operator      []byte                         // nil for none
+	Charter       []byte                         // by which it joins other nodes; nil for none
+	Note          func(records.Entry, time.Time) // told its records, in the time of their making
+	Trace         func([]byte)                   // told a line of its trace
 }
 
 // Process is one node that runs.
@@ -46,6 +56,9 @@
 	Ended() string         // how, once it has; "" for well
 }
 
+// Pausing is a process that can be made to stand still, and to go on.
+type Pausing interface{ Pause(stop bool) }
+
 // Rig is one run.
 type Rig struct {
 	script *script.Script
@@ -74,6 +87,11 @@
 	pending  []policy.Entry
 	died     []string
 	asking   sync.WaitGroup
+	between  *between.Sockets    // nil where nodes do not know one another
+	doors    []map[string]string // the way from each node to each address
+	boot     policy.Instant      // the shared clock when the run began
+	hears    []string            // where each node hears the others
+	views    *outcome.Views
 	closing  bool // no node is started any more
 	stopped  bool // nor anything else done
 }
@@ -105,6 +123,9 @@
 	if s.Fleet.Warm {
 		r.warm()
 	}
+	if err := r.join(); err != nil {
+		return nil, err
+	}
 	go r.clock()
 	for n := range s.Fleet.Nodes {
 		m, err := r.newMember(n)
@@ -123,6 +144,7 @@
 	start := r.now()
 	r.log = outcome.NewLog(s, start)
 	ear.Log = r.log
+	r.log.Views = r.views
 	r.fleet = records.New(outcome.FleetsBook, r.log.Note, isOrigin)
 	r.fleet.Listed(start, policy.Whole, course.Entries(r.world))
 	r.course = course.Play(s, r.world, r.traffic, start, r)
@@ -292,6 +314,7 @@
 	m := up[int(r.chance.Next()*float64(len(up)))]
 	now, life := r.now(), m.lives
 	m.figures.open++
+	m.asks[req.ID] = true
 	r.judge.Sent(now, req.ID, m.number, req.Grade, req.Label, now.Add(req.HardStop), isFirst)
 	a := &client.Ask{ID: req.ID, Key: req.Key, Label: req.Label, Grade: g.Name, Write: g.Write, Repeat: req.Try > 1, Wait: req.HardStop}
 	if g.Write {
@@ -314,11 +337,16 @@
 	if r.stopped {
 		return
 	}
+	delete(m.asks, req.ID)
 	g, now := &r.traffic.Grades[req.Grade], r.at(got.Got)
 	if got.Extra {
 		r.judge.Wrong(now, "", "more came on a connection than one answer for each retrieval")
 	}
 	switch {
+	case m.excused[req.ID]:
+		delete(m.excused, req.ID)
+		r.judge.Grades[req.Grade].Cut++
+		return
 	case got.Silent: // the judge counts it as lost at its hard stop
 		return
 	case got.Final == judge.Cut && m.lives != life || got.Final == judge.Cut && m.killed:
@@ -453,5 +481,8 @@
 		m.pool.Close()
 		m.agent.close()
 	}
+	if r.between != nil {
+		r.between.Close()
+	}
 	r.asking.Wait()
 }
--- a/internal/emulator/onwire/runner.go
+++ b/internal/emulator/onwire/runner.go
@@ -28,15 +28,19 @@
 }
 
 // Start starts one.
-func (Embedded) Start(name string, configuration, operator []byte, note func(records.Entry, time.Time)) (Process, error) {
-	p, err := node.ParsePosting(configuration)
-	if err == nil && operator != nil {
-		err = p.OpenText("operator", operator)
+func (Embedded) Start(o Order) (Process, error) {
+	p, err := node.ParsePosting(o.Configuration)
+	if err == nil && o.Operator != nil {
+		err = p.OpenText("operator", o.Operator)
+	}
+	if err == nil && o.Charter != nil {
+		p.Trace = o.Trace
+		err = p.JoinText("charter", o.Charter)
 	}
 	if err != nil {
 		return nil, err
 	}
-	p.Records = note
+	p.Records = o.Note
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	n, err := node.New(p, quiet)
@@ -70,9 +74,9 @@
 }
 
 // Start starts one.
-func (ps *Processes) Start(name string, configuration, operator []byte, note func(records.Entry, time.Time)) (Process, error) {
-	base := filepath.Join(ps.Dir, fmt.Sprintf("%s-%d", name, ps.started.Add(1)))
-	if err := os.WriteFile(base+".json", configuration, 0o600); err != nil {
+func (ps *Processes) Start(o Order) (Process, error) {
+	base := filepath.Join(ps.Dir, fmt.Sprintf("%s-%d", o.Name, ps.started.Add(1)))
+	if err := os.WriteFile(base+".json", o.Configuration, 0o600); err != nil {
 		return nil, err
 	}
 	log, err := os.Create(base + ".log")
@@ -85,28 +89,54 @@
 		return nil, err
 	}
 	cmd := exec.Command(ps.Program, "serve", "--config", base+".json", "--records", "/dev/fd/3")
-	if operator != nil {
-		if err := os.WriteFile(base+".toml", operator, 0o600); err != nil {
+	if o.Operator != nil {
+		if err := os.WriteFile(base+".toml", o.Operator, 0o600); err != nil {
 			return nil, err
 		}
 		cmd.Args = append(cmd.Args, "--operator", base+".toml")
 	}
+	var traced *os.File
+	passed := []*os.File{to}
+	if o.Charter != nil {
+		if err := os.WriteFile(base+"-fleet.toml", o.Charter, 0o600); err != nil {
+			return nil, err
+		}
+		cmd.Args = append(cmd.Args, "--fleet", base+"-fleet.toml", "--trace", "/dev/fd/4")
+		r, w, err := os.Pipe()
+		if err != nil {
+			return nil, err
+		}
+		traced, passed = r, append(passed, w)
+	}
 	cmd.Env = append(os.Environ(), "TMPDIR="+ps.Dir) // common to the processes of a node, and gone with the run
-	cmd.Stdout, cmd.Stderr, cmd.ExtraFiles = log, log, []*os.File{to}
+	cmd.Stdout, cmd.Stderr, cmd.ExtraFiles = log, log, passed
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true} // Ctrl-C is the rig's to hear
 	err = cmd.Start()
-	to.Close()
+	for _, f := range passed {
+		f.Close()
+	}
 	if err != nil {
 		from.Close()
+		if traced != nil {
+			traced.Close()
+		}
 		return nil, err
 	}
+	if traced != nil {
+		go func() {
+			defer traced.Close()
+			for lines := bufio.NewScanner(traced); lines.Scan(); {
+				o.Trace(lines.Bytes())
+			}
+		}()
+	}
 	p := &process{cmd: cmd, done: make(chan struct{})}
 	go func() {
 		defer from.Close()
 		for lines := bufio.NewScanner(from); lines.Scan(); {
 			var e records.Entry
 			if json.Unmarshal(lines.Bytes(), &e) == nil {
-				note(e, time.Unix(0, int64(e.At)))
+				o.Note(e, time.Unix(0, int64(e.At)))
 			}
 		}
 	}()
@@ -123,6 +153,15 @@
 	return p, nil
 }
 
+// Pause stops it, or has it go on.
+func (p *process) Pause(stop bool) {
+	if stop {
+		p.cmd.Process.Signal(syscall.SIGSTOP)
+		return
+	}
+	p.cmd.Process.Signal(syscall.SIGCONT)
+}
+
 func (p *process) End()                  { p.cmd.Process.Signal(syscall.SIGTERM) }
 func (p *process) Kill()                 { p.cmd.Process.Kill() }
 func (p *process) Done() <-chan struct{} { return p.done }
--- a/internal/emulator/outcome/outcome.go
+++ b/internal/emulator/outcome/outcome.go
@@ -75,6 +75,7 @@
 	Events  []Said
 	Late    int // arrivals that were played late
 	Played  int
+	Views   *Views // what nodes say of one another; nil where they know of none
 }
 
 // Said is a line of what the script did.
@@ -192,6 +193,7 @@
 	Events   []Said          `json:"events"`
 	Records  []records.Entry `json:"-"`
 	Dropped  int             `json:"records_dropped,omitempty"`
+	Views    *Views          `json:"views,omitempty"`
 }
 
 // Draw up a report. first is when the first event begins and last when the last ends, 0 for none.
@@ -227,6 +229,7 @@
 		r.Origin = max(r.Origin, sec.Origin)
 	}
 	r.Back = l.recovered(first, last)
+	r.Views = l.Views.from(l.began)
 	if l.Played > 0 && float64(l.Late) > lateArrivals*float64(l.Played) {
 		r.Busy = fmt.Sprintf("%d of %d arrivals were played over %v late", l.Late, l.Played, LateBy)
 	}
@@ -366,6 +369,7 @@
 			fmt.Fprintln(to, e)
 		}
 	}
+	r.Views.print(to, time.Duration(r.Seconds*1e9))
 	for i, b := range r.Breaches {
 		if i == 10 {
 			fmt.Fprintf(to, "... and %d more\n", len(r.Breaches)-i)
--- a/internal/emulator/script/script.go
+++ b/internal/emulator/script/script.go
@@ -48,6 +48,7 @@
 	Events    []Event        `toml:"event"`
 	Expect    Expect         `toml:"expect"`
 	Levels    []levels.Level `toml:"level"` // of all nodes
+	Together  *Together      `toml:"together"`
 }
 
 // Fleet says what caches and nodes there are.
@@ -157,6 +158,11 @@
 	Count  int      `toml:"count"`
 	ForS   float64  `toml:"for_s"`
 	Fault  string   `toml:"fault"`
+	From   []int    `toml:"from"`    // nodes whose messages to others it concerns; none for all
+	To     []int    `toml:"to"`      // nodes to which
+	Both   bool     `toml:"both"`    // and the other way
+	TurnS  float64  `toml:"turn_s"`  // it comes and goes, each for so long
+	LateMs float64  `toml:"late_ms"` // the most that messages are late
 }
 
 // Expect says what makes a run good, beside the four rules, which always hold.
@@ -182,13 +188,15 @@
 
 // What an event may do, and what it needs.
 var kinds = map[string]struct {
-	caches, factor, share, nodes, long bool
+	caches, factor, share, nodes, long, pairs, late bool
 }{
 	"slow": {caches: true, factor: true, long: true}, "crowd": {caches: true, share: true, long: true},
 	"pause": {caches: true, long: true}, "kill": {caches: true}, "silent": {caches: true}, "restart": {caches: true},
 	"drain": {caches: true}, "add": {}, "shrink": {}, "hot": {share: true, long: true}, "burst": {factor: true, long: true},
 	"origin_slow": {factor: true, long: true}, "discovery_down": {long: true},
 	"discovery_slow": {factor: true, long: true}, "node_restart": {nodes: true},
+	cut: {pairs: true, long: true}, loss: {pairs: true, share: true, long: true}, twice: {pairs: true, share: true, long: true},
+	late: {pairs: true, late: true, long: true}, pause: {nodes: true, long: true},
 	upgrade: {nodes: true}, standby: {nodes: true, long: true}, scrape: {nodes: true, long: true}, "node_kill": {nodes: true}, "fault": {caches: true, long: true}, "errors": {caches: true, share: true, long: true},
 }
 
@@ -197,6 +205,15 @@
 	upgrade = "node_upgrade"
 	standby = "node_standby"
 	scrape  = "node_scrape"
+	pause   = "node_pause"
+)
+
+// What goes wrong between nodes.
+const (
+	cut   = "between_cut"
+	loss  = "between_loss"
+	twice = "between_twice"
+	late  = "between_late"
 )
 
 // mostLongKB is the longest value there may be, in KiB.
@@ -321,6 +338,7 @@
 	s.checkEvents(c)
 	s.checkExpect(c)
 	s.checkLevels(c)
+	s.checkTogether(c)
 }
 
 func (s *Script) checkGrades(c *strictly.Checker) {
@@ -399,6 +417,17 @@
 		} else {
 			c.Want(e.Share == 0, at+"share", "%s takes no share", e.Do)
 		}
+		c.Want(!k.pairs || s.Together != nil, at+"do", "nodes say nothing to each other: there is no [together]")
+		c.Want(k.pairs || len(e.From)+len(e.To) == 0 && !e.Both && e.TurnS == 0, at+"from", "%s is not between nodes", e.Do)
+		for _, n := range slices.Concat(e.From, e.To) {
+			c.Want(n >= 1 && n <= s.Fleet.Nodes, at+"from", "there is no node %d", n)
+		}
+		c.Within(e.TurnS, 0, mostSeconds, at+"turn_s")
+		if k.late {
+			c.Within(e.LateMs, 1, 1e5, at+"late_ms")
+		} else {
+			c.Want(e.LateMs == 0, at+"late_ms", "%s makes nothing late", e.Do)
+		}
 		c.Within(float64(e.Rank), 0, float64(s.Traffic.Keys-1), at+"rank")
 		c.Within(float64(e.Count), 0, mostCaches, at+"count")
 		c.Want(e.Do != "shrink" || e.Count < s.Fleet.Caches, at+"count", "a fleet of %d can't shrink by %d", s.Fleet.Caches, e.Count)
--- /dev/null
+++ b/internal/emulator/script/together.go
@@ -0,0 +1,86 @@
+package script
+
+import (
+	"fmt"
+	"strings"
+
+	"dahliapin/internal/fleet/charter"
+	"dahliapin/internal/strictly"
+)
+
+// Together says that nodes know one another. The spans are those of a node's file; what is not written has its usual value.
+type Together struct {
+	Engine string  `toml:"engine"`
+	PauseS float64 `toml:"pause_s"`
+	BackS  float64 `toml:"back_s"`
+	Seeds  int     `toml:"seeds"` // of the nodes, the first so many
+}
+
+const usualSeeds = 3
+
+func (s *Script) checkTogether(c *strictly.Checker) {
+	t := s.Together
+	if t == nil {
+		return
+	}
+	usual := charter.Usual()
+	if t.Engine == "" {
+		t.Engine = usual.Fleet.Engine
+	}
+	if t.PauseS == 0 {
+		t.PauseS = usual.Members.PauseS
+	}
+	if t.BackS == 0 {
+		t.BackS = usual.Members.BackS
+	}
+	if t.Seeds == 0 {
+		t.Seeds = min(usualSeeds, s.Fleet.Nodes)
+	}
+	c.Want(t.Engine == charter.Tuned || t.Engine == charter.Plain, "together.engine", "%q is neither %s nor %s", t.Engine, charter.Tuned, charter.Plain)
+	c.Within(t.PauseS, 0.2, 60, "together.pause_s")
+	c.Within(t.BackS, 0, 600, "together.back_s")
+	c.Within(float64(t.Seeds), 1, float64(min(s.Fleet.Nodes, 64)), "together.seeds")
+	c.Within(float64(s.Fleet.Nodes), 1, 64, "fleet.nodes") // a door for each ordered pair
+}
+
+// Pairs are the ordered pairs of nodes, from 0, that an event concerns.
+func (s *Script) Pairs(e *Event) (ps [][2]int) {
+	all := func(some []int) []int {
+		if len(some) > 0 {
+			return some
+		}
+		for n := range s.Fleet.Nodes {
+			some = append(some, n+1)
+		}
+		return some
+	}
+	for _, a := range all(e.From) {
+		for _, b := range all(e.To) {
+			if a == b {
+				continue
+			}
+			ps = append(ps, [2]int{a - 1, b - 1})
+			if e.Both {
+				ps = append(ps, [2]int{b - 1, a - 1})
+			}
+		}
+	}
+	return ps
+}
+
+// Charter is the file by which a node joins the others: where each of them hears, and the way to it.
+func (s *Script) Charter(node int, hears []string, ways map[string]string) []byte {
+	var b strings.Builder
+	t := s.Together
+	fmt.Fprintf(&b, "[fleet]\nlisten = %q\nengine = %q\nseeds = [", hears[node], t.Engine)
+	for _, at := range hears[:t.Seeds] {
+		fmt.Fprintf(&b, "%q, ", at)
+	}
+	fmt.Fprintf(&b, "]\n[members]\npause_s = %g\nback_s = %g\n", t.PauseS, t.BackS)
+	for _, to := range hears {
+		if through := ways[to]; through != "" {
+			fmt.Fprintf(&b, "[[way]]\nto = %q\nthrough = %q\n", to, through)
+		}
+	}
+	return []byte(b.String())
+}
--- a/internal/emulator/virtual/virtual.go
+++ b/internal/emulator/virtual/virtual.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"dahliapin/internal/emulator/between"
 	"dahliapin/internal/emulator/course"
 	"dahliapin/internal/emulator/judge"
 	"dahliapin/internal/emulator/outcome"
@@ -273,6 +274,10 @@
 func (r *Run) StandbyNode(int, bool)          {}
 func (r *Run) ScrapeNode(int, policy.Instant) {}
 
+// PauseNode and Between concern processes and what is between them.
+func (r *Run) PauseNode(int, bool)                  {}
+func (r *Run) Between(int, int, func(*between.Way)) {}
+
 // StartNode starts it anew: it has its last list, and hears the whole one soon after.
 func (r *Run) StartNode(number int) {
 	n := r.nodes[number]
--- /dev/null
+++ b/internal/fleet/charter/charter.go
@@ -0,0 +1,132 @@
+// Package charter reads what an operator states of nodes that know one another: where a node is heard, whom it asks first, and how
+// long a silence is borne. Without such a file a node knows of no other.
+package charter
+
+import (
+	"encoding/base64"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"dahliapin/internal/strictly"
+)
+
+const (
+	mostSeeds = 64   // asked one after the other: more make a start slow
+	mostWays  = 4096 // other ways to members: one for each there may be
+)
+
+// The engines that carry what members say.
+const (
+	Tuned = "tuned" // bounds that bear loss: for service
+	Plain = "plain" // the gossip library as it comes: a baseline for rehearsals
+)
+
+// File is what the operator's file states.
+type File struct {
+	Fleet   Fleet   `toml:"fleet"`
+	Members Members `toml:"members"`
+	Ways    []Way   `toml:"way"`
+}
+
+// Fleet says how this node is reached and reaches others.
+type Fleet struct {
+	Listen    string   `toml:"listen"`    // address and port, for datagrams and streams
+	Advertise string   `toml:"advertise"` // the same as others see it; empty for the same
+	Seeds     []string `toml:"seeds"`     // members to ask first, of which one alive is enough
+	Key       string   `toml:"key"`       // base64 of 16, 24 or 32 bytes for the library's encryption; empty for none
+	Engine    string   `toml:"engine"`
+}
+
+// Members says how failures are told.
+type Members struct {
+	PauseS  float64 `toml:"pause_s"`  // that a process may stand still and stays a member
+	HelloMs float64 `toml:"hello_ms"` // between two signs of life to a neighbour
+	BackS   float64 `toml:"back_s"`   // that who was taken out must be heard before it is taken in again
+	LoopS   float64 `toml:"loop_s"`   // that the loop which serves clients may stand still and the node still gives signs of life
+	ForgetS float64 `toml:"forget_s"` // after which one that was taken out is forgotten
+	Most    int     `toml:"most"`     // members
+}
+
+// Way is how a member is reached elsewhere than where it says: by a forwarded port, say.
+type Way struct {
+	To      string `toml:"to"`
+	Through string `toml:"through"`
+}
+
+// Usual is what holds where nothing is written.
+func Usual() File {
+	return File{Fleet: Fleet{Engine: Tuned}, Members: Members{PauseS: 2, HelloMs: 300, BackS: 1, LoopS: 1, ForgetS: 60, Most: 4000}}
+}
+
+// Read reads a file.
+func Read(path string) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("the fleet's file cannot be read: %w", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse reads a file's text; all that is wrong with it is told with its line.
+func Parse(file string, text []byte) (*File, error) {
+	f := Usual()
+	c, err := strictly.Parse(file, text, &f)
+	if err != nil {
+		return nil, err
+	}
+	address := func(at, path string) {
+		_, err := netip.ParseAddrPort(at)
+		c.Want(err == nil, path, "%q is not an address and a port", at)
+	}
+	address(f.Fleet.Listen, "fleet.listen")
+	if f.Fleet.Advertise == "" {
+		f.Fleet.Advertise = f.Fleet.Listen
+	}
+	if at, err := netip.ParseAddrPort(f.Fleet.Advertise); err != nil || at.Addr().IsUnspecified() || at.Port() == 0 {
+		c.Want(false, "fleet.advertise", "%q is not an address and a port that others can reach", f.Fleet.Advertise)
+	}
+	c.Want(len(f.Fleet.Seeds) <= mostSeeds, "fleet.seeds", "more than %d", mostSeeds)
+	for _, s := range f.Fleet.Seeds {
+		address(s, "fleet.seeds")
+	}
+	key, err := base64.StdEncoding.DecodeString(f.Fleet.Key)
+	c.Want(err == nil && (len(key) == 0 || len(key) == 16 || len(key) == 24 || len(key) == 32), "fleet.key", "it is not the base64 of 16, 24 or 32 bytes")
+	c.Want(f.Fleet.Engine == Tuned || f.Fleet.Engine == Plain, "fleet.engine", "%q is neither %s nor %s", f.Fleet.Engine, Tuned, Plain)
+	m := &f.Members
+	c.Within(m.PauseS, 0.2, 60, "members.pause_s")
+	c.Within(m.HelloMs, 50, 5000, "members.hello_ms")
+	c.Want(m.HelloMs <= m.PauseS*500, "members.hello_ms", "at least two signs of life have to fit into pause_s")
+	c.Within(m.BackS, 0, 600, "members.back_s")
+	c.Within(m.LoopS, 0.2, 60, "members.loop_s")
+	c.Within(m.ForgetS, m.PauseS+m.BackS, 86400, "members.forget_s")
+	c.Within(float64(m.Most), 1, 100_000, "members.most")
+	c.Want(len(f.Ways) <= mostWays, "way", "more than %d", mostWays)
+	for i, w := range f.Ways {
+		address(w.To, fmt.Sprintf("way.%d.to", i))
+		address(w.Through, fmt.Sprintf("way.%d.through", i))
+	}
+	if err := c.Err(); err != nil {
+		return nil, err
+	}
+	return &f, nil
+}
+
+// KeyBytes is the key, nil for none.
+func (f *Fleet) KeyBytes() []byte {
+	key, _ := base64.StdEncoding.DecodeString(f.Key) // looked at when it was read
+	if len(key) == 0 {
+		return nil
+	}
+	return key
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Pause, Hello, Back, Loop and Forget are the spans as they are used.
+func (m *Members) Pause() time.Duration  { return seconds(m.PauseS) }
+func (m *Members) Hello() time.Duration  { return seconds(m.HelloMs / 1000) }
+func (m *Members) Back() time.Duration   { return seconds(m.BackS) }
+func (m *Members) Loop() time.Duration   { return seconds(m.LoopS) }
+func (m *Members) Forget() time.Duration { return seconds(m.ForgetS) }
--- /dev/null
+++ b/internal/net/fleet/trace.go
@@ -0,0 +1,64 @@
+package fleet
+
+import (
+	"encoding/json"
+	"sync/atomic"
+
+	"golang.org/x/sys/unix"
+
+	"dahliapin/internal/fleet/trace"
+	"dahliapin/policy"
+)
+
+const traceAhead = 4096 // lines that may wait for who keeps them; more are dropped, as nothing is to wait
+
+// Boottime reads the clock that all processes of a machine share, and that runs on through a suspend.
+func Boottime() policy.Instant {
+	var t unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &t) != nil {
+		return 0
+	}
+	return policy.Instant(t.Nano())
+}
+
+// tracer hands lines over without waiting.
+type tracer struct {
+	lines chan trace.Line
+	done  chan struct{}
+	lost  atomic.Uint64
+}
+
+func newTracer(keep func([]byte)) *tracer {
+	if keep == nil {
+		return nil
+	}
+	t := &tracer{lines: make(chan trace.Line, traceAhead), done: make(chan struct{})}
+	go func() {
+		defer close(t.done)
+		for l := range t.lines {
+			l.Lost = t.lost.Load()
+			if text, err := json.Marshal(l); err == nil {
+				keep(append(text, '\n'))
+			}
+		}
+	}()
+	return t
+}
+
+func (t *tracer) say(l trace.Line) {
+	if t == nil {
+		return
+	}
+	select {
+	case t.lines <- l:
+	default:
+		t.lost.Add(1)
+	}
+}
+
+func (t *tracer) close() {
+	if t != nil {
+		close(t.lines)
+		<-t.done
+	}
+}
--- /dev/null
+++ b/internal/net/fleet/transport.go
@@ -0,0 +1,273 @@
+package fleet
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+const (
+	longestDatagram = 1400                   // bytes that go unbroken over any network
+	packetsAhead    = 1024                   // datagrams that may wait for the library; more are dropped and counted
+	streamsAtOnce   = 32                     // that others may have open here: each is over in a moment
+	prefaceBy       = 2 * time.Second        // for a stream to say what it is
+	refusedRest     = 200 * time.Millisecond // after a failure to accept, as for want of descriptors
+)
+
+// What stands before each datagram and stream: two bytes that are nobody else's, the version of this way of speaking, and the kind.
+const (
+	magic0, magic1 = 0xda, 0x17
+	speaks         = 1
+	prefaceLen     = 4
+)
+
+const (
+	kindLibrary = 'g' // of the gossip library
+	kindHello   = 'h' // a sign of life
+)
+
+func preface(kind byte) []byte { return []byte{magic0, magic1, speaks, kind} }
+
+func prefaceOf(b []byte) (kind byte, ok bool) {
+	if len(b) < prefaceLen || b[0] != magic0 || b[1] != magic1 || b[2] != speaks {
+		return 0, false
+	}
+	return b[3], true
+}
+
+// Lines are what datagrams and streams go over: sockets in service, memory in virtual time.
+type Lines struct {
+	Datagrams net.PacketConn
+	Streams   net.Listener
+	Dial      func(addr string, within time.Duration) (net.Conn, error)
+	Addr      func(addr string) (net.Addr, error)
+}
+
+// Listen opens sockets for datagrams and streams at the same address.
+func Listen(addr string) (Lines, error) {
+	at, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return Lines{}, err
+	}
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return Lines{}, err
+	}
+	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(udp.LocalAddr().(*net.UDPAddr).AddrPort()))
+	if err != nil {
+		_ = udp.Close()
+		return Lines{}, err
+	}
+	return Lines{Datagrams: udp, Streams: tcp,
+		Dial: func(addr string, within time.Duration) (net.Conn, error) { return net.DialTimeout("tcp", addr, within) },
+		Addr: func(addr string) (net.Addr, error) {
+			at, err := netip.ParseAddrPort(addr)
+			if err != nil {
+				return nil, err
+			}
+			return net.UDPAddrFromAddrPort(at), nil
+		}}, nil
+}
+
+func (l *Lines) close() {
+	_ = l.Datagrams.Close()
+	_ = l.Streams.Close()
+}
+
+// traffic counts what came and went.
+type traffic struct{ in, inBytes, out, outBytes, foreign, dropped, streams atomic.Uint64 }
+
+// transport carries the library's messages and the signs of life over the same two sockets. Whatever does not begin as it should is
+// dropped with a count, before anybody reads it.
+type transport struct {
+	lines   Lines
+	at      netip.AddrPort // as others see it
+	ways    map[string]string
+	hello   func(b []byte, from string)
+	packets chan *memberlist.Packet
+	streams chan net.Conn
+	slots   chan struct{}
+	closed  chan struct{}
+	once    sync.Once
+	count   traffic
+}
+
+func newTransport(l Lines, at netip.AddrPort, ways map[string]string, hello func([]byte, string)) *transport {
+	t := &transport{lines: l, at: at, ways: ways, hello: hello, packets: make(chan *memberlist.Packet, packetsAhead), streams: make(chan net.Conn),
+		slots: make(chan struct{}, streamsAtOnce), closed: make(chan struct{})}
+	go t.readDatagrams()
+	go t.acceptStreams()
+	return t
+}
+
+// way is where a member is reached that says it is at an address.
+func (t *transport) way(addr string) string {
+	if through, is := t.ways[addr]; is {
+		return through
+	}
+	return addr
+}
+
+func (t *transport) readDatagrams() {
+	buf := make([]byte, 1<<16)
+	for {
+		n, from, err := t.lines.Datagrams.ReadFrom(buf)
+		if err != nil {
+			if t.over() || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			continue // of one datagram: an address that nobody hears, say
+		}
+		t.count.in.Add(1)
+		t.count.inBytes.Add(uint64(n))
+		kind, ok := prefaceOf(buf[:n])
+		body := append([]byte(nil), buf[min(n, prefaceLen):n]...)
+		switch {
+		case !ok:
+			t.count.foreign.Add(1)
+		case kind == kindHello:
+			t.hello(body, from.String())
+		case kind == kindLibrary && len(body) > 0:
+			select {
+			case t.packets <- &memberlist.Packet{Buf: body, From: from, Timestamp: time.Now()}:
+			default:
+				t.count.dropped.Add(1)
+			}
+		default:
+			t.count.foreign.Add(1)
+		}
+	}
+}
+
+func (t *transport) over() bool {
+	select {
+	case <-t.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+func (t *transport) acceptStreams() {
+	for {
+		c, err := t.lines.Streams.Accept()
+		if err != nil {
+			if t.over() || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(refusedRest)
+			continue
+		}
+		select {
+		case t.slots <- struct{}{}:
+			go t.take(c)
+		default:
+			t.count.dropped.Add(1)
+			_ = c.Close()
+		}
+	}
+}
+
+// take reads a stream's preface and hands the rest to the library.
+func (t *transport) take(c net.Conn) {
+	held := &slotted{Conn: c, slots: t.slots}
+	b := make([]byte, prefaceLen)
+	_ = c.SetReadDeadline(time.Now().Add(prefaceBy))
+	if _, err := io.ReadFull(c, b); err != nil {
+		t.count.foreign.Add(1)
+		_ = held.Close()
+		return
+	}
+	if kind, ok := prefaceOf(b); !ok || kind != kindLibrary {
+		t.count.foreign.Add(1)
+		_ = held.Close()
+		return
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	t.count.streams.Add(1)
+	select {
+	case t.streams <- held:
+	case <-t.closed:
+		_ = held.Close()
+	}
+}
+
+// slotted gives its slot back once it is closed.
+type slotted struct {
+	net.Conn
+	slots chan struct{}
+	once  sync.Once
+}
+
+func (s *slotted) Close() error {
+	s.once.Do(func() { <-s.slots })
+	return s.Conn.Close()
+}
+
+func (t *transport) send(kind byte, b []byte, addr string) error {
+	to, err := t.lines.Addr(t.way(addr))
+	if err != nil {
+		return err
+	}
+	whole := append(preface(kind), b...)
+	t.count.out.Add(1)
+	t.count.outBytes.Add(uint64(len(whole)))
+	_, err = t.lines.Datagrams.WriteTo(whole, to)
+	return err
+}
+
+// FinalAdvertiseAddr is memberlist's.
+func (t *transport) FinalAdvertiseAddr(string, int) (net.IP, int, error) {
+	return t.at.Addr().AsSlice(), int(t.at.Port()), nil
+}
+
+// WriteTo is memberlist's.
+func (t *transport) WriteTo(b []byte, addr string) (time.Time, error) {
+	return time.Now(), t.send(kindLibrary, b, addr)
+}
+
+// WriteToAddress is memberlist's.
+func (t *transport) WriteToAddress(b []byte, addr memberlist.Address) (time.Time, error) {
+	return t.WriteTo(b, addr.Addr)
+}
+
+// PacketCh is memberlist's.
+func (t *transport) PacketCh() <-chan *memberlist.Packet { return t.packets }
+
+// DialTimeout is memberlist's.
+func (t *transport) DialTimeout(addr string, within time.Duration) (net.Conn, error) {
+	c, err := t.lines.Dial(t.way(addr), within)
+	if err != nil {
+		return nil, err
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(within))
+	if _, err := c.Write(preface(kindLibrary)); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	_ = c.SetWriteDeadline(time.Time{})
+	return c, nil
+}
+
+// DialAddressTimeout is memberlist's.
+func (t *transport) DialAddressTimeout(addr memberlist.Address, within time.Duration) (net.Conn, error) {
+	return t.DialTimeout(addr.Addr, within)
+}
+
+// StreamCh is memberlist's.
+func (t *transport) StreamCh() <-chan net.Conn { return t.streams }
+
+// Shutdown is memberlist's.
+func (t *transport) Shutdown() error {
+	t.once.Do(func() {
+		close(t.closed)
+		t.lines.close()
+	})
+	return nil
+}
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -78,6 +78,7 @@
 	Figures           bool                           // hand out copies of the figures, for operators
 	Succeeds          *handover.Taken                // what the process had that this one replaces; nil for none
 	Handover          string                         // where another process may take this one's place; empty for nowhere
+	Turned            func()                         // called at each turn of the loop, and not to wait; nil for nobody
 	Together          func(bool)                     // told when two processes share the node's limits, and when not; nil for nobody
 	Name              string                         // for records
 	Records           func(records.Entry, time.Time) // told of each, within the loop, and not to wait; nil for nobody
@@ -278,6 +279,9 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for r.phase != Stopped {
+		if r.Turned != nil {
+			r.Turned()
+		}
 		for i, events := 0, r.eng.Take(); i < len(events); i++ {
 			r.event(&events[i])
 			if i%eventsAtOne == eventsAtOne-1 {
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"dahliapin/internal/net/counters"
+	"dahliapin/internal/net/fleet"
 	"dahliapin/internal/net/handover"
 	"dahliapin/internal/net/ops"
 	"dahliapin/internal/net/relay"
@@ -62,8 +63,9 @@
 	dropped uint64 // records; the loop's own until it has ended
 	phase   atomic.Int32
 	log     *logrus.Logger
-	posting *Posting  // as it started
-	desk    *ops.Desk // nil where no operators call
+	posting *Posting    // as it started
+	desk    *ops.Desk   // nil where no operators call
+	post    *fleet.Post // nil where it knows of no other node
 }
 
 // New listens as the posting says and starts. Serve is to follow.
@@ -101,6 +103,14 @@
 	if n.desk != nil {
 		n.desk.Serve(n.relay, log)
 	}
+	if err := n.join(); err != nil {
+		n.relay.End()
+		n.relay.Run()
+		if n.desk != nil {
+			n.desk.Close()
+		}
+		return nil, err
+	}
 	log.WithFields(logrus.Fields{"name": p.Name, "listen": n.Addr()}).Info("listening")
 	return n, nil
 }
@@ -119,6 +129,7 @@
 	if n.desk != nil {
 		defer n.desk.Close()
 	}
+	defer n.leave()
 	if n.records == nil {
 		n.relay.Run()
 		return
@@ -137,6 +148,21 @@
 	}
 }
 
+// join has it know the other nodes, where a file says how.
+func (n *Node) join() (err error) {
+	if n.posting.charter == nil {
+		return nil
+	}
+	n.post, err = fleet.Open(fleet.Berth{Name: n.posting.Name, Charter: n.posting.charter, Log: n.log, Now: fleet.Boottime, Trace: n.posting.Trace})
+	return err
+}
+
+func (n *Node) leave() {
+	if n.post != nil {
+		n.post.Close(true)
+	}
+}
+
 // End asks the node to drain and stop. It may be called from anywhere.
 func (n *Node) End() { n.relay.End() }
 
--- a/node/posting.go
+++ b/node/posting.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fastjson"
 
+	"dahliapin/internal/fleet/charter"
 	"dahliapin/internal/fronts"
 	"dahliapin/internal/houserules"
 	"dahliapin/internal/keyhash"
@@ -25,7 +26,9 @@
 	terms                   houserules.Terms
 	known                   *fastjson.Value
 	operator                fronts.File
-	fitted                  bool // the process keeps within its limits
+	charter                 *charter.File // by which it joins other nodes; nil for none
+	Trace                   func([]byte)  // told each line of what it does in the fleet, from a goroutine of its own; nil for nobody
+	fitted                  bool          // the process keeps within its limits
 }
 
 // Open adds what an operator's file states: further listeners, caches that speak HTTP, service levels.
@@ -40,6 +43,18 @@
 	return err
 }
 
+// Join adds the file by which it joins other nodes.
+func (p *Posting) Join(path string) (err error) {
+	p.charter, err = charter.Read(path)
+	return err
+}
+
+// JoinText does so with the text of such a file.
+func (p *Posting) JoinText(name string, text []byte) (err error) {
+	p.charter, err = charter.Parse(name, text)
+	return err
+}
+
 // ReadPosting reads a posting from a file.
 func ReadPosting(path string) (*Posting, error) {
 	if path == "" {
