Members: who is there, decided from what several neighbours say; views with a mark

Need: the library's defaults take 7 s for a killed process, keep one out that is cut off one way, and it does not know. internal/fleet/members decides above it, without I/O: each process hears twelve neighbours, says whom it hears and misses, and doubts itself before others; who is missed by more than hear it is out, once, and back once heard.

--- a/cmd/dahliapin/main.go
+++ b/cmd/dahliapin/main.go
@@ -153,5 +153,5 @@
 	}()
 	n.Serve()
 	n.LogCounts()
-	return nil
+	return n.Fault()
 }
--- /dev/null
+++ b/internal/fleet/members/book.go
@@ -0,0 +1,414 @@
+package members
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"dahliapin/internal/keyhash"
+	"dahliapin/policy"
+)
+
+// Book is one process's knowledge of the fleet.
+type Book struct {
+	terms  Terms
+	own    *peer
+	all    map[ProcessID]*peer
+	gone   map[ProcessID]ended // forgotten, so that late words of them are none
+	seeds  []string
+	chance keyhash.Source
+
+	last  policy.Instant // look, by the clock
+	ran   time.Duration  // that the process has run: what all spans are measured by
+	began bool
+
+	ring      []*peer // neighbours
+	reordered bool    // processes came or went since the ring was made
+	changed   bool    // what was said, since standings were looked at
+	sum       uint64
+
+	turns      uint64
+	turnedAt   time.Duration
+	hellosAt   time.Duration // when the next signs of life are due
+	askedGone  time.Duration
+	syncedAt   time.Duration
+	saidAt     time.Duration // when the own statement last changed
+	replies    []string
+	sureAt     time.Duration // when it last stopped doubting itself
+	judgedAt   time.Duration
+	pending    bool // some standing is to change with time
+	frozen     bool
+	verdict    error
+	view       *View
+	wantsSync  string // whom to ask for all it has heard
+	unsaid     bool   // the own statement has changed, and nobody was told
+	heardOther bool
+}
+
+type peer struct {
+	Statement
+	standing Standing
+	since    time.Duration
+	foundAt  time.Duration // when it was first told of
+	knownAt  time.Duration // since when it is a neighbour
+
+	heard   bool
+	heardAt time.Duration // first-hand
+	doubtAt time.Duration // since when it says of itself that it doubts; -1 for not
+	askAt   time.Duration // when its sum first differed; -1 for not
+
+	hears, misses, raw int           // who hears and misses it, of those believed; and of all
+	held               time.Duration // for how long it was to stand otherwise
+}
+
+type ended struct {
+	revision Revision
+	addr     string
+	at       time.Duration
+}
+
+// New begins a book; the process has not taken its name yet.
+func New(terms Terms, process ProcessID, node NodeName, addr string, seeds []string) *Book {
+	b := &Book{terms: terms, all: map[ProcessID]*peer{}, gone: map[ProcessID]ended{}, seeds: seeds,
+		chance: keyhash.Source{Seed: uint32(process)}, reordered: true, view: &View{Own: process}}
+	b.own = &peer{Statement: Statement{Process: process, Node: node, Addr: addr, Revision: 1}, doubtAt: -1, askAt: -1}
+	b.all[process] = b.own
+	b.sum ^= b.own.sum()
+	b.unsaid = true
+	return b
+}
+
+func (p *peer) sum() uint64 { return keyhash.Mix(uint64(p.Process) ^ keyhash.Mix(uint64(p.Revision))) }
+
+// Own is the process's statement, and whether it is new since this was last asked.
+func (b *Book) Own() (s Statement, isNew bool) {
+	isNew, b.unsaid = b.unsaid, false
+	return b.own.Statement, isNew
+}
+
+// View is the latest.
+func (b *Book) View() *View { return b.view }
+
+// Verdict tells why this process is to end: another one has its name. Nil while it is not.
+func (b *Book) Verdict() error { return b.verdict }
+
+// Known counts the processes.
+func (b *Book) Known() int { return len(b.all) }
+
+// Turned tells how often the loop that serves clients has turned.
+func (b *Book) Turned(turns uint64) {
+	if turns != b.turns {
+		b.turns, b.turnedAt = turns, b.ran
+	}
+}
+
+// Told takes a statement, however it came, and tells whether it was news.
+func (b *Book) Told(s Statement) bool {
+	if !s.valid() {
+		return false
+	}
+	if s.Process == b.own.Process {
+		if s.Revision > b.own.Revision { // of an earlier word that this process does not know: it goes beyond
+			b.own.Revision = s.Revision
+			b.say()
+		}
+		return false
+	}
+	p := b.all[s.Process]
+	if p == nil {
+		if was, is := b.gone[s.Process]; is && s.Revision <= was.revision || len(b.all) >= b.terms.Most || s.Leaves {
+			return false
+		}
+		p = &peer{standing: Joining, since: b.ran, foundAt: b.ran, knownAt: b.ran, doubtAt: -1, askAt: -1}
+		b.all[s.Process] = p
+		delete(b.gone, s.Process)
+		b.reordered = true
+	} else if s.Revision <= p.Revision || s.Node != p.Node {
+		return false
+	} else {
+		b.sum ^= p.sum()
+	}
+	if s.Leaves != p.Leaves {
+		b.reordered = true
+	}
+	s.Hears, s.Misses = slices.Clone(s.Hears), slices.Clone(s.Misses)
+	p.Statement = s
+	b.sum ^= p.sum()
+	b.doubted(p, s.Doubts)
+	b.changed, b.heardOther = true, true
+	return true
+}
+
+func (b *Book) doubted(p *peer, doubts bool) {
+	switch {
+	case !doubts:
+		p.doubtAt = -1
+	case p.doubtAt < 0:
+		p.doubtAt = b.ran
+	}
+}
+
+// Heard takes a sign of life.
+func (b *Book) Heard(h Hello) {
+	if h.Process == b.own.Process || h.Process == 0 || len(h.Addr) > LongestAddr || h.Addr == "" {
+		return
+	}
+	if h.Asks && len(b.replies) < mostReplies {
+		b.replies = append(b.replies, h.Addr)
+	}
+	p := b.all[h.Process]
+	if p == nil {
+		if was, is := b.gone[h.Process]; !is || h.Revision > was.revision {
+			b.sync(h.Addr)
+		}
+		return
+	}
+	p.heard, p.heardAt = true, b.ran
+	b.doubted(p, h.Doubts)
+	switch {
+	case uint32(h.Sum) == uint32(b.sum):
+		p.askAt = -1
+	case p.askAt < 0:
+		p.askAt = b.ran
+	case b.ran-p.askAt >= syncApart || h.Revision > p.Revision && b.ran-p.askAt >= settled:
+		p.askAt = -1
+		b.sync(p.Addr)
+	}
+}
+
+// sync asks for all that another has heard, not too often.
+func (b *Book) sync(addr string) {
+	if b.wantsSync == "" && (b.syncedAt == 0 || b.ran-b.syncedAt >= syncApart/2+time.Duration(len(b.all))*syncEach) {
+		b.wantsSync, b.syncedAt = addr, b.ran
+	}
+}
+
+// Todo is what is to be sent now.
+type Todo struct {
+	Hello   Hello
+	Hellos  []string // addresses
+	Replies []string
+	Asks    []string // for a sign of life in return
+	Sync    string   // address; empty for none
+}
+
+// Look does what is due. It is to be called several times between two signs of life.
+func (b *Book) Look(now policy.Instant) (do Todo) {
+	if !b.began {
+		b.began, b.last = true, now
+	}
+	// guards against a process that was stopped, or starved: what it has not heard meanwhile is its own doing
+	b.ran += min(now.Since(b.last), longestStep*b.terms.Hello)
+	b.last = now
+	b.neighbours()
+	b.listen()
+	b.claim()
+	b.judge()
+	do.Hello = Hello{Process: b.own.Process, Revision: b.own.Revision, Sum: b.sum, Addr: b.own.Addr, Doubts: b.own.Doubts}
+	do.Sync, b.wantsSync = b.wantsSync, ""
+	do.Replies, b.replies = b.replies, nil
+	// guards against a node that is alive to others and dead to its clients
+	if b.ran-b.turnedAt > b.terms.Loop || b.own.Leaves {
+		do.Replies = nil
+		return do
+	}
+	if b.ran >= b.hellosAt {
+		b.hellosAt = max(b.hellosAt+b.terms.Hello, b.ran+b.terms.Hello/2)
+		for _, p := range b.ring {
+			do.Hellos = append(do.Hellos, p.Addr)
+		}
+		if b.own.Life == 0 {
+			for _, p := range b.named(b.own.Node) {
+				do.Asks = append(do.Asks, p.Addr)
+			}
+		}
+	}
+	if b.ran-b.askedGone >= askGoneEach {
+		b.askedGone = b.ran
+		if at := b.missing(); at != "" {
+			do.Asks = append(do.Asks, at)
+		}
+	}
+	return do
+}
+
+// missing picks somebody who is not known: after a long cut, nobody else would look for the other side.
+func (b *Book) missing() string {
+	known := map[string]bool{}
+	for _, p := range b.all {
+		known[p.Addr] = true
+	}
+	var at []string
+	for _, s := range b.seeds {
+		if !known[s] {
+			at = append(at, s)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(b.gone)) {
+		if a := b.gone[id].addr; !known[a] {
+			at = append(at, a)
+		}
+	}
+	if len(at) == 0 {
+		return ""
+	}
+	return at[int(b.chance.Next()*float64(len(at)))]
+}
+
+// neighbours makes the rings anew where processes came or went: each ring is an order of all by chance, the same everywhere, and a
+// process has those before and after it. Who is few has all.
+func (b *Book) neighbours() {
+	if !b.reordered {
+		return
+	}
+	b.reordered, b.changed = false, true
+	ids := make([]ProcessID, 0, len(b.all))
+	for id, p := range b.all {
+		if !p.Leaves {
+			ids = append(ids, id)
+		}
+	}
+	mine := map[ProcessID]bool{}
+	for r := range rings {
+		if len(ids) <= neighbours+1 {
+			for _, id := range ids {
+				mine[id] = true
+			}
+			break
+		}
+		slices.SortFunc(ids, func(x, y ProcessID) int {
+			return cmp.Or(cmp.Compare(keyhash.Salted(uint64(x), r), keyhash.Salted(uint64(y), r)), cmp.Compare(x, y))
+		})
+		at := slices.Index(ids, b.own.Process)
+		mine[ids[(at+1)%len(ids)]], mine[ids[(at+len(ids)-1)%len(ids)]] = true, true
+	}
+	delete(mine, b.own.Process)
+	was := map[ProcessID]bool{}
+	for _, p := range b.ring {
+		was[p.Process] = true
+	}
+	b.ring = b.ring[:0]
+	for _, id := range slices.Sorted(maps.Keys(mine)) {
+		p := b.all[id]
+		if b.ring = append(b.ring, p); !was[id] {
+			p.knownAt = b.ran // a neighbour from now on: what it says to others says nothing of its silence
+			if p.heardAt < b.ran-b.terms.Misses {
+				p.heard = false
+			}
+		}
+	}
+}
+
+// silent is how long a neighbour has said nothing here.
+func (b *Book) silent(p *peer) time.Duration { return b.ran - max(p.heardAt, p.knownAt) }
+
+// listen looks whom of the neighbours this process hears, whether it doubts itself, and says so.
+func (b *Book) listen() {
+	hears, missed, counted := make([]ProcessID, 0, neighbours), make([]ProcessID, 0, neighbours), 0
+	heard := 0
+	for _, p := range b.ring {
+		here := b.silent(p) < b.terms.Misses
+		if p.standing != Cut {
+			if counted++; here {
+				heard++
+			}
+		}
+		switch {
+		case !here, p.doubtAt >= 0 && !b.own.Doubts && b.ran-max(p.doubtAt, p.knownAt, b.sureAt) >= b.terms.Deaf:
+			missed = append(missed, p.Process)
+		case p.heard:
+			hears = append(hears, p.Process)
+		}
+	}
+	doubts := 2*heard < counted
+	if doubts { // what it says of others counts for nothing; it stays as it was, so that there is no more to say
+		hears, missed = b.own.Hears, b.own.Misses
+	}
+	if doubts == b.own.Doubts && slices.Equal(hears, b.own.Hears) && slices.Equal(missed, b.own.Misses) {
+		return
+	}
+	if b.ran-b.saidAt < b.terms.Hello/2 && b.saidAt > 0 && doubts == b.own.Doubts {
+		return // several changes go in one
+	}
+	if b.own.Doubts && !doubts { // of those who were cut off along with it, it hears that they doubt for a while yet
+		b.sureAt = b.ran
+	}
+	b.own.Hears, b.own.Misses, b.own.Doubts = hears, missed, doubts
+	b.say()
+}
+
+// say makes the own statement new.
+func (b *Book) say() {
+	b.sum ^= b.own.sum()
+	b.own.Revision++
+	b.sum ^= b.own.sum()
+	b.saidAt, b.unsaid, b.changed = b.ran, true, true
+}
+
+// Leave says that this process ends in order or stands by; where another takes its place, it yields its name instead.
+func (b *Book) Leave(yields bool) {
+	if b.own.Leaves || b.own.Yields {
+		return
+	}
+	b.own.Leaves, b.own.Yields = !yields, yields
+	b.reordered = true
+	b.say()
+}
+
+// Return takes that back.
+func (b *Book) Return() {
+	if b.own.Leaves || b.own.Yields {
+		b.own.Leaves, b.own.Yields, b.reordered = false, false, true
+		b.say()
+	}
+}
+
+// named are the other processes with a node's name.
+func (b *Book) named(node NodeName) (ps []*peer) {
+	for _, p := range b.all {
+		if p != b.own && p.Node == node && !p.Leaves {
+			ps = append(ps, p)
+		}
+	}
+	slices.SortFunc(ps, func(x, y *peer) int { return cmp.Compare(x.Process, y.Process) })
+	return ps
+}
+
+// claim takes the node's name once no other process with it lives, or has this process end. Guards against one name started twice: who
+// has the name and lives keeps it, and of two that start at once the same one gives way wherever one looks.
+func (b *Book) claim() {
+	if b.own.Life > 0 || b.verdict != nil {
+		return
+	}
+	if !b.yielded() {
+		wait := b.terms.Claim
+		if !b.heardOther && len(b.seeds) > 0 { // somebody may yet answer
+			wait += b.terms.Claim
+		}
+		for _, p := range b.named(b.own.Node) { // each had the time to say that it lives
+			wait = max(wait, p.foundAt+b.terms.Claim)
+		}
+		if b.ran < wait {
+			return
+		}
+	}
+	life := Life(0)
+	for _, p := range b.named(b.own.Node) {
+		lives := p.heard && b.ran-p.heardAt < b.terms.Misses && !p.Yields
+		if lives && (p.Life > 0 || p.Process < b.own.Process) {
+			b.verdict = fmt.Errorf("another process has the name %s and lives, at %s", p.Node, p.Addr)
+			return
+		}
+		life = max(life, p.Life)
+	}
+	b.own.Life = life + 1
+	b.own.standing, b.own.since = Present, b.ran
+	b.say()
+}
+
+// yielded tells whether a process with this one's name gives it up.
+func (b *Book) yielded() bool {
+	return slices.ContainsFunc(b.named(b.own.Node), func(p *peer) bool { return p.Yields })
+}
--- /dev/null
+++ b/internal/fleet/members/judge.go
@@ -0,0 +1,218 @@
+package members
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Freezing, in parts of all members that are missing at once: half where all hear one another; two fifths with rings, where not all that
+// are missing are missed by two.
+const (
+	frozenWhole = 0.5
+	frozenRings = 0.4
+	recent      = 4                      // holds, after which one that was taken out counts no longer as missing at once
+	gather      = 400 * time.Millisecond // that others who are about to be taken out are waited for, so that the view changes once
+	leftStays   = 5 * time.Second        // that one who left is shown
+)
+
+func (p *peer) member() bool { return p.standing == Present || p.standing == Suspected }
+
+// count sums up who hears and who misses each process. Not believed are: who doubts itself, who is no member yet as to misses, and
+// who is missed by several, as what it said last may be old.
+func (b *Book) count() {
+	for _, p := range b.all {
+		p.hears, p.misses, p.raw = 0, 0, 0
+	}
+	speaks := func(o *peer) bool { return !o.Doubts && !o.Leaves && (o.member() || o.standing == Joining) }
+	for _, o := range b.all {
+		if !speaks(o) || !o.member() {
+			continue
+		}
+		for _, id := range o.Misses {
+			if p := b.all[id]; p != nil {
+				p.raw++
+			}
+		}
+	}
+	for _, o := range b.all {
+		if !speaks(o) || o.raw >= observers {
+			continue
+		}
+		for _, id := range o.Hears {
+			if p := b.all[id]; p != nil {
+				p.hears++
+			}
+		}
+		if !o.member() {
+			continue
+		}
+		for _, id := range o.Misses {
+			if p := b.all[id]; p != nil {
+				p.misses++
+			}
+		}
+	}
+}
+
+// freeze tells whether so many are missing that it may well be this process which is cut off. Guards against the sides of a cut that
+// take each other out, and against one who takes all others for dead.
+func (b *Book) freeze() bool {
+	members, missing := 0, 0
+	for _, p := range b.all {
+		cutLately := p.standing == Cut && b.ran-p.since < recent*b.terms.Hold
+		if p.member() || cutLately {
+			members++
+		}
+		if p.member() && p.raw >= observers || cutLately {
+			missing++
+		}
+	}
+	part := frozenWhole
+	if len(b.all) > neighbours+1 {
+		part = frozenRings
+	}
+	return b.own.Doubts || members > 1 && float64(missing) > part*float64(members)
+}
+
+// judge looks at all standings, and makes a new view where something has changed.
+func (b *Book) judge() {
+	step := b.ran - b.judgedAt
+	b.judgedAt = b.ran
+	if !b.changed && !b.pending {
+		return
+	}
+	if b.changed {
+		b.count()
+	}
+	was := b.frozen
+	b.frozen = b.freeze()
+	news := b.changed || was != b.frozen
+	b.changed, b.pending = false, b.frozen
+	var out []*peer
+	waits := false // for others that are about to be taken out
+	for _, p := range b.all {
+		switch {
+		case p.Leaves && p.standing != Left:
+			b.stand(p, Left)
+		case p.standing == Left && !p.Leaves:
+			b.stand(p, Joining)
+		case p.standing == Left:
+			if b.pending = true; p != b.own && b.ran-p.since >= leftStays {
+				b.forget(p, Left)
+			}
+		case p.standing == Joining:
+			if p.Life > 0 && p.hears > 0 && p.hears >= p.misses {
+				b.stand(p, Present)
+			} else if b.pending = true; p != b.own && b.ran-p.since >= b.terms.Forget {
+				b.forget(p, Gone)
+			}
+		case p.standing == Cut:
+			b.pending = true
+			if p.held += step; p.hears == 0 || p.hears < p.misses {
+				p.held = 0
+			}
+			if p.held >= b.terms.Back {
+				b.stand(p, Present)
+			} else if p != b.own && b.ran-p.since >= b.terms.Forget {
+				b.forget(p, Gone)
+			}
+		default:
+			if p.misses < observers || p.misses <= p.hears || b.frozen {
+				p.held = 0
+				if to := suspicion[p.raw > 0]; to != p.standing {
+					p.standing, news = to, true // no change of who is a member
+				}
+				break
+			}
+			b.pending = true
+			if p.held += step; p.held >= b.terms.Hold {
+				out = append(out, p)
+			} else if p.held >= b.terms.Hold-gather {
+				waits = true
+			}
+		}
+	}
+	if waits && !slices.ContainsFunc(out, func(p *peer) bool { return p.held >= b.terms.Hold+gather }) {
+		out = nil
+	}
+	for _, p := range out {
+		b.stand(p, Cut)
+	}
+	b.names()
+	if news || b.changed {
+		b.show()
+	}
+}
+
+var suspicion = map[bool]Standing{false: Present, true: Suspected}
+
+func (b *Book) stand(p *peer, as Standing) {
+	p.standing, p.since, p.held = as, b.ran, 0
+	b.changed = true // what others say may count otherwise now
+}
+
+func (b *Book) forget(p *peer, as Standing) {
+	b.sum ^= p.sum()
+	delete(b.all, p.Process)
+	p.standing = as
+	if len(b.gone) >= mostGone {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(b.gone)), func(x, y ProcessID) int {
+			return cmp.Or(cmp.Compare(b.gone[x].at, b.gone[y].at), cmp.Compare(x, y))
+		})
+		delete(b.gone, oldest)
+	}
+	b.gone[p.Process] = ended{p.Revision, p.Addr, b.ran}
+	b.changed, b.reordered = true, true
+}
+
+// names leaves one process to each name: the latest life, and of two with the same the lower process.
+func (b *Book) names() {
+	if !b.changed {
+		return
+	}
+	holds := map[NodeName]*peer{}
+	for _, p := range b.all {
+		if h := holds[p.Node]; p.member() && (h == nil || p.before(h)) {
+			holds[p.Node] = p
+		}
+	}
+	for _, p := range b.all {
+		h := holds[p.Node]
+		if h == nil || h == p || p.Life == 0 || !h.before(p) || p.standing == Left {
+			continue
+		}
+		if p == b.own {
+			if b.verdict == nil {
+				b.verdict = fmt.Errorf("another process has taken the name %s, at %s", h.Node, h.Addr)
+			}
+			continue
+		}
+		b.forget(p, Gone)
+	}
+}
+
+func (p *peer) before(o *peer) bool {
+	return cmp.Or(-cmp.Compare(p.Life, o.Life), cmp.Compare(p.Process, o.Process)) < 0
+}
+
+// show makes a new view. Its number goes up where another set of nodes are members.
+func (b *Book) show() {
+	v := &View{Number: b.view.Number, Own: b.own.Process, Life: b.own.Life, CutOff: b.frozen || b.own.standing == Cut}
+	for _, p := range b.all {
+		v.Members = append(v.Members, Member{Process: p.Process, Node: p.Node, Life: p.Life, Addr: p.Addr, Standing: p.standing, Since: p.since,
+			Hears: p.hears, Misses: p.misses})
+		if p.member() {
+			v.Nodes = append(v.Nodes, p.Node)
+		}
+	}
+	slices.SortFunc(v.Members, func(x, y Member) int { return cmp.Or(cmp.Compare(x.Node, y.Node), cmp.Compare(x.Process, y.Process)) })
+	slices.Sort(v.Nodes)
+	v.Nodes = slices.Compact(v.Nodes)
+	if v.Mark = mark(v.Nodes); !slices.Equal(v.Nodes, b.view.Nodes) {
+		v.Number++
+	}
+	b.view = v
+}
--- /dev/null
+++ b/internal/fleet/members/types.go
@@ -0,0 +1,144 @@
+// Package members decides who is there: from what each process says of itself and of its neighbours it makes a view, the same at all
+// who have heard the same. It has no I/O and takes time as an argument.
+//
+// Invariants, in this order:
+//  1. Nobody is taken out on one observer's word, nor by one who doubts itself, nor where half of all would go.
+//  2. Views depend on statements alone: who has the same statements comes to the same view, however they came.
+//  3. Whoever is taken out comes back once more of its neighbours hear it than miss it, for a stated time.
+//  4. Of two processes with one name at most one is a member, the same at all.
+package members
+
+import (
+	"slices"
+	"time"
+
+	"dahliapin/internal/keyhash"
+)
+
+type (
+	ProcessID uint64 // drawn anew by each process
+	NodeName  string // stays over restarts
+	Life      uint32 // which process of a node's: each takes the next; 0 for one that has not taken its name
+	Revision  uint64 // of what a process says: the highest holds
+)
+
+// Bounds of what others may say.
+const (
+	LongestName = 64 // bytes of a node's name
+	LongestAddr = 64 // bytes of an address
+	MostOf      = 64 // neighbours in one statement
+)
+
+// Statement is all that a process says, of itself and of its neighbours. Only the process itself makes it.
+type Statement struct {
+	Process  ProcessID
+	Node     NodeName
+	Life     Life
+	Revision Revision
+	Addr     string
+	Leaves   bool // it ends in order
+	Yields   bool // its name goes to the next process, which may take it at once
+	Doubts   bool // it hears too few of its neighbours to be believed
+	Hears    []ProcessID
+	Misses   []ProcessID
+}
+
+// Hello is a sign of life between neighbours.
+type Hello struct {
+	Process  ProcessID
+	Revision Revision // of its statement
+	Sum      uint64   // of all that it has heard, its lower half: two with the same sum have heard the same
+	Addr     string
+	Doubts   bool
+	Asks     bool // for one in return
+}
+
+// Standing is what a process is to the fleet.
+type Standing int
+
+const (
+	Joining   Standing = iota // heard of; not yet heard by enough
+	Present                   // a member
+	Suspected                 // a member that some neighbour misses
+	Cut                       // taken out: more neighbours miss it than hear it
+	Left                      // gone in order
+	Gone                      // forgotten, or another process has its name
+)
+
+func (s Standing) String() string {
+	return [...]string{"joining", "present", "suspected", "cut", "left", "gone"}[s]
+}
+
+// Terms are the spans by which the book decides, in time that the process has run.
+type Terms struct {
+	Hello  time.Duration // between two signs of life to a neighbour
+	Misses time.Duration // without one, after which a neighbour is missed
+	Hold   time.Duration // that enough must miss it before it is taken out
+	Back   time.Duration // that enough must hear it before it is taken in again
+	Deaf   time.Duration // that a neighbour may say that it doubts itself before it is missed
+	Loop   time.Duration // that the loop which serves clients may stand still
+	Forget time.Duration // after which one that was taken out is forgotten
+	Claim  time.Duration // that a process looks whether another with its name lives
+	Most   int           // processes known
+}
+
+// TermsFor makes terms of a stated pause that a process is to bear, and how often signs of life go out.
+//
+// A process that stands still for the whole pause, from just before a sign of life was due, has been silent for pause + hello. It is
+// missed before that, so that whoever is on the wrong side of a cut has long known it, and taken out after it.
+func TermsFor(pause, hello, back, loop, forget time.Duration, most int) Terms {
+	misses := max(pause-hello*8/5, 2*hello)
+	return Terms{Hello: hello, Misses: misses, Hold: pause + hello - misses + spareToHear, Back: back, Deaf: misses, Loop: loop, Forget: forget,
+		Claim: misses + 2*hello, Most: most}
+}
+
+const (
+	spareToHear = 400 * time.Millisecond // that the word of one who is back takes to come round
+	neighbours  = 12                     // that each process has at most: six rings, two sides; so many that up to 13 hear one another all
+	rings       = neighbours / 2
+	observers   = 2                      // that must miss a process before anything follows from it
+	settled     = 300 * time.Millisecond // that changes of statements are gathered for before the own one follows
+	syncApart   = time.Second            // between two calls for all that another has heard
+	syncEach    = 5 * time.Millisecond   // more for each process known: it is that much to send
+	mostGone    = 1024                   // of those forgotten whose last word is kept
+	askGoneEach = 2 * time.Second        // between signs of life to one who is not known: a seed, one forgotten
+	longestStep = 2                      // signs of life: that between two looks counts as time the process has run
+	mostReplies = 32                     // signs of life in return between two looks
+)
+
+// Member is what is known of one process.
+type Member struct {
+	Process  ProcessID
+	Node     NodeName
+	Life     Life
+	Addr     string
+	Standing Standing
+	Since    time.Duration // that it has stood so
+	Hears    int           // of those who may be believed: who hears it
+	Misses   int           // and who misses it
+}
+
+// View is who is there, to one process. Nobody changes it.
+type View struct {
+	Number  uint64 // of changes, at this process
+	Mark    uint64 // the same wherever the same nodes are members
+	Nodes   []NodeName
+	Members []Member // all that are known, by node and process
+	CutOff  bool     // this process is taken out, hears too few, or half the fleet is missing: the view stays as it was
+	Own     ProcessID
+	Life    Life
+}
+
+// mark sums up names, in whatever order.
+func mark(names []NodeName) (sum uint64) {
+	for _, n := range names {
+		sum ^= keyhash.Text(string(n))
+	}
+	return sum
+}
+
+// valid tells whether a statement keeps the bounds.
+func (s *Statement) valid() bool {
+	return s.Process != 0 && s.Node != "" && len(s.Node) <= LongestName && s.Addr != "" && len(s.Addr) <= LongestAddr &&
+		len(s.Hears) <= MostOf && len(s.Misses) <= MostOf && !slices.Contains(s.Hears, s.Process) && !slices.Contains(s.Misses, s.Process)
+}
--- a/internal/net/fleet/fleet.go
+++ b/internal/net/fleet/fleet.go
@@ -13,12 +13,14 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/memberlist"
 	"github.com/sirupsen/logrus"
 
 	"dahliapin/internal/fleet/charter"
+	"dahliapin/internal/fleet/members"
 	"dahliapin/internal/fleet/trace"
 	"dahliapin/policy"
 )
@@ -27,7 +29,9 @@
 	nameEnds   = "~"                    // before the process, in the names that the library knows
 	joinEach   = 500 * time.Millisecond // between attempts to reach a seed, while nobody is known
 	leaveBy    = 300 * time.Millisecond // to say that this node leaves
-	turnsApart = 50 * time.Millisecond  // between looks at what is due
+	lookEach   = 50 * time.Millisecond  // between looks at what is due: several between two signs of life
+	retransmit = 4                      // times the logarithm of the fleet that a word is passed on: the library's own measure
+	statesBy   = 20 << 20               // bytes of all that another has heard
 )
 
 // Berth is where and with what a node joins.
@@ -37,20 +41,30 @@
 	Log     *logrus.Logger
 	Now     func() policy.Instant // by a clock that runs through suspends
 	Trace   func([]byte)          // told each line of what is done here, off the loop; nil for nobody
+	Ended   func(error)           // told once that this process is to end, as another has its name; nil for nobody
 }
 
 // Post is one node's part in the fleet.
 type Post struct {
 	Berth
-	process uint64
+	process members.ProcessID
 	t       *transport
 	list    *memberlist.Memberlist
 	trace   *tracer
+	queue   *memberlist.TransmitLimitedQueue
 	closed  chan struct{}
 	done    sync.WaitGroup
+	syncs   chan string
+	turns   atomic.Uint64
+	known   atomic.Int64
+	bad     atomic.Uint64 // messages that could not be read
+	view    atomic.Pointer[members.View]
 
 	mu    sync.Mutex
-	there []string // names of members, as the library has them
+	book  *members.Book
+	raw   map[members.ProcessID][]byte // statements as they came
+	there []string                     // names of members, as the library has them
+	ended bool
 }
 
 // Open joins by sockets of its own.
@@ -59,35 +73,44 @@
 	if err != nil {
 		return nil, fmt.Errorf("cannot listen for other nodes on %s: %w", b.Charter.Fleet.Listen, err)
 	}
-	p, err := Join(b, lines)
-	if err != nil {
-		lines.close()
-	}
-	return p, err
+	return Join(b, lines)
 }
 
-// Join joins over such lines.
+// Join joins over such lines, and closes them at its end.
 func Join(b Berth, lines Lines) (*Post, error) {
 	var id [8]byte
-	if _, err := rand.Read(id[:]); err != nil {
-		return nil, err
-	}
-	p := &Post{Berth: b, process: binary.LittleEndian.Uint64(id[:]), closed: make(chan struct{}), trace: newTracer(b.Trace)}
 	at, err := netip.ParseAddrPort(b.Charter.Fleet.Advertise)
+	if err == nil {
+		_, err = rand.Read(id[:])
+	}
 	if err != nil {
+		lines.close()
 		return nil, err
 	}
+	p := &Post{Berth: b, process: members.ProcessID(binary.LittleEndian.Uint64(id[:]) | 1), closed: make(chan struct{}), trace: newTracer(b.Trace),
+		syncs: make(chan string, 1), raw: map[members.ProcessID][]byte{}}
+	p.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: retransmit, NumNodes: func() int { return int(p.known.Load()) }}
+	m := &b.Charter.Members
+	p.book = members.New(members.TermsFor(m.Pause(), m.Hello(), m.Back(), m.Loop(), m.Forget(), m.Most), p.process, members.NodeName(b.Name),
+		at.String(), b.Charter.Fleet.Seeds)
+	p.view.Store(p.book.View())
 	ways := map[string]string{}
 	for _, w := range b.Charter.Ways {
 		ways[w.To] = w.Through
 	}
-	p.t = newTransport(lines, at, ways, func([]byte, string) {})
+	p.t = newTransport(lines, at, ways, p.hello)
 	if p.list, err = memberlist.Create(p.engine()); err != nil {
 		_ = p.t.Shutdown()
+		p.trace.close()
 		return nil, fmt.Errorf("the gossip between nodes does not start: %w", err)
 	}
-	p.done.Add(1)
+	p.done.Add(2)
 	go p.joining()
+	go p.syncing()
+	if b.Charter.Fleet.Engine != charter.Plain {
+		p.done.Add(1)
+		go p.looking()
+	}
 	return p, nil
 }
 
@@ -95,7 +118,7 @@
 func (p *Post) engine() *memberlist.Config {
 	c := memberlist.DefaultLANConfig()
 	c.Name = fmt.Sprintf("%s%s%016x", p.Name, nameEnds, p.process)
-	c.Transport, c.Events, c.SecretKey = p.t, p, p.Charter.Fleet.KeyBytes()
+	c.Transport, c.Events, c.Delegate, c.SecretKey = p.t, p, delegate{p}, p.Charter.Fleet.KeyBytes()
 	c.Logger = stdlog.New(io.Discard, "", 0)
 	if p.Charter.Fleet.Engine == charter.Tuned {
 		tune(c)
@@ -103,8 +126,15 @@
 	return c
 }
 
+// tune sets the library's bounds for a carrier of words: it is quick to pass them on and slow to take anybody out, as who is there is
+// decided above it.
 func tune(c *memberlist.Config) {
 	c.EnableCompression = false // messages are short: it costs more than it saves
+	c.GossipInterval, c.GossipNodes = 100*time.Millisecond, 4
+	c.ProbeInterval, c.ProbeTimeout = 2*time.Second, time.Second
+	c.SuspicionMult, c.IndirectChecks = 8, 4
+	c.PushPullInterval = 15 * time.Second
+	c.GossipToTheDeadTime = time.Minute
 }
 
 // joining asks the seeds until somebody is known.
@@ -127,7 +157,231 @@
 	}
 }
 
-// NotifyJoin, NotifyLeave and NotifyUpdate are memberlist's.
+// syncing exchanges all that is known with who is named, one after the other.
+func (p *Post) syncing() {
+	defer p.done.Done()
+	for {
+		select {
+		case <-p.closed:
+			return
+		case addr := <-p.syncs:
+			_, _ = p.list.Join([]string{addr})
+		}
+	}
+}
+
+// looking does what is due.
+func (p *Post) looking() {
+	defer p.done.Done()
+	each := time.NewTicker(lookEach)
+	defer each.Stop()
+	for {
+		select {
+		case <-p.closed:
+			return
+		case <-each.C:
+			p.look()
+		}
+	}
+}
+
+func (p *Post) look() {
+	p.mu.Lock()
+	p.book.Turned(p.turns.Load())
+	do := p.book.Look(p.Now())
+	view, verdict := p.book.View(), p.book.Verdict()
+	p.tellOwn()
+	p.known.Store(int64(p.book.Known()))
+	p.forget(view)
+	tell := verdict != nil && !p.ended
+	p.ended = p.ended || tell
+	p.mu.Unlock()
+	if was := p.view.Swap(view); was.Number != view.Number || was.CutOff != view.CutOff {
+		p.changed(was, view)
+	}
+	p.send(do.Hello, do.Hellos)
+	p.send(do.Hello, do.Replies)
+	asks := do.Hello
+	asks.Asks = true
+	p.send(asks, do.Asks)
+	if do.Sync != "" {
+		select {
+		case p.syncs <- do.Sync:
+		default: // one is under way
+		}
+	}
+	if tell && p.Ended != nil {
+		p.Ended(verdict)
+	}
+}
+
+func (p *Post) send(h members.Hello, to []string) {
+	if len(to) == 0 {
+		return
+	}
+	b, err := encodeHello(h)
+	if err != nil {
+		return
+	}
+	for _, addr := range to {
+		_ = p.t.send(kindHello, b, addr) // one that is lost is like any other
+	}
+}
+
+// tellOwn has the own statement passed on where it is new; the lock is held.
+func (p *Post) tellOwn() {
+	if own, isNew := p.book.Own(); isNew {
+		if b, err := encodeStatement(own); err == nil {
+			p.raw[own.Process] = b
+			p.queue.QueueBroadcast(word{own.Process, b})
+		}
+	}
+}
+
+// forget drops the words of those who are known no more; the lock is held.
+func (p *Post) forget(v *members.View) {
+	if len(p.raw) <= p.book.Known() {
+		return
+	}
+	is := map[members.ProcessID]bool{p.process: true}
+	for _, m := range v.Members {
+		is[m.Process] = true
+	}
+	for id := range p.raw {
+		if !is[id] {
+			delete(p.raw, id)
+		}
+	}
+}
+
+func (p *Post) changed(was, is *members.View) {
+	l := trace.Line{What: trace.View, Number: is.Number, Mark: fmt.Sprintf("%016x", is.Mark), Cut: is.CutOff}
+	for _, n := range is.Nodes {
+		l.Members = append(l.Members, string(n))
+	}
+	p.say(l)
+	log := p.Log.WithFields(logrus.Fields{"members": len(is.Nodes), "view": is.Number, "cut_off": is.CutOff})
+	for _, n := range is.Nodes {
+		if !slices.Contains(was.Nodes, n) {
+			log = log.WithField("in", n)
+		}
+	}
+	for _, n := range was.Nodes {
+		if !slices.Contains(is.Nodes, n) {
+			log = log.WithField("out", n)
+		}
+	}
+	log.Info("members")
+}
+
+// hello hears a sign of life.
+func (p *Post) hello(b []byte, _ string) {
+	h, err := decodeHello(b)
+	if err != nil {
+		p.bad.Add(1)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.book.Heard(h)
+}
+
+// Turned tells that the loop which serves clients has turned. It may be called from anywhere, and waits for nothing.
+func (p *Post) Turned() { p.turns.Add(1) }
+
+// View is who is there, as it was last known.
+func (p *Post) View() *members.View { return p.view.Load() }
+
+// Leave tells the others that this process ends or stands by; where another takes its place, that its name goes to that one.
+func (p *Post) Leave(yields bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.book.Leave(yields)
+	p.tellOwn()
+}
+
+// Return takes that back.
+func (p *Post) Return() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.book.Return()
+	p.tellOwn()
+}
+
+// word is a statement on its way.
+type word struct {
+	of   members.ProcessID
+	text []byte
+}
+
+// Invalidates is memberlist's: a newer word of the same process takes an older one's place.
+func (w word) Invalidates(o memberlist.Broadcast) bool {
+	old, is := o.(word)
+	return is && old.of == w.of
+}
+
+// Message is memberlist's.
+func (w word) Message() []byte { return w.text }
+
+// Finished is memberlist's.
+func (w word) Finished() {}
+
+// delegate is what the library calls.
+type delegate struct{ p *Post }
+
+// NodeMeta is memberlist's.
+func (delegate) NodeMeta(int) []byte { return nil }
+
+// NotifyMsg is memberlist's: a statement has come.
+func (d delegate) NotifyMsg(b []byte) { d.told(slices.Clone(b)) }
+
+func (d delegate) told(b []byte) {
+	s, err := decodeStatement(b)
+	if err != nil {
+		d.p.bad.Add(1)
+		return
+	}
+	d.p.mu.Lock()
+	defer d.p.mu.Unlock()
+	if d.p.book.Told(s) {
+		d.p.raw[s.Process] = b
+		d.p.queue.QueueBroadcast(word{s.Process, b})
+	}
+}
+
+// GetBroadcasts is memberlist's.
+func (d delegate) GetBroadcasts(overhead, limit int) [][]byte {
+	return d.p.queue.GetBroadcasts(overhead, limit)
+}
+
+// LocalState is memberlist's: all that this process has heard.
+func (d delegate) LocalState(bool) []byte {
+	d.p.mu.Lock()
+	defer d.p.mu.Unlock()
+	all := make([][]byte, 0, len(d.p.raw))
+	for _, b := range d.p.raw {
+		all = append(all, b)
+	}
+	b, err := encodeState(all)
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+// MergeRemoteState is memberlist's.
+func (d delegate) MergeRemoteState(b []byte, _ bool) {
+	all, err := decodeState(b)
+	if err != nil || len(b) > statesBy {
+		d.p.bad.Add(1)
+		return
+	}
+	for _, w := range all {
+		d.told(slices.Clone(w))
+	}
+}
+
+// NotifyJoin is memberlist's.
 func (p *Post) NotifyJoin(n *memberlist.Node) { p.library(n.Name, true) }
 
 // NotifyLeave is memberlist's.
@@ -137,31 +391,39 @@
 func (p *Post) NotifyUpdate(*memberlist.Node) {}
 
 func (p *Post) library(name string, here bool) {
+	if p.trace == nil {
+		return
+	}
 	node, _, _ := strings.Cut(name, nameEnds)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.there = slices.DeleteFunc(p.there, func(n string) bool { return n == node })
-	l := trace.Line{What: trace.Library, Seen: node, Here: here}
+	p.there = slices.DeleteFunc(p.there, func(n string) bool { return n == name })
 	if here {
-		p.there = append(p.there, node)
+		p.there = append(p.there, name)
 	}
-	slices.Sort(p.there)
-	l.Members = slices.Clone(p.there)
+	l := trace.Line{What: trace.Library, Seen: node, Here: here}
+	for _, n := range p.there {
+		node, _, _ := strings.Cut(n, nameEnds)
+		l.Members = append(l.Members, node)
+	}
+	slices.Sort(l.Members)
+	l.Members = slices.Compact(l.Members)
 	p.say(l)
 }
 
 func (p *Post) say(l trace.Line) {
-	l.At, l.Node, l.Process = p.Now(), p.Name, fmt.Sprintf("%016x", p.process)
+	l.At, l.Node, l.Process = p.Now(), p.Name, fmt.Sprintf("%016x", uint64(p.process))
 	p.trace.say(l)
 }
 
-// Close leaves the fleet, in order or not.
+// Close ends it, and first tells the others in order, if it is to.
 func (p *Post) Close(orderly bool) {
-	close(p.closed)
-	p.done.Wait()
 	if orderly {
+		p.Leave(false)
 		_ = p.list.Leave(leaveBy)
 	}
+	close(p.closed)
+	p.done.Wait()
 	_ = p.list.Shutdown()
 	p.trace.close()
 }
--- a/node/node.go
+++ b/node/node.go
@@ -60,7 +60,9 @@
 	relay   *relay.Relay
 	records chan told // nil where nobody is told
 	kept    chan struct{}
-	dropped uint64 // records; the loop's own until it has ended
+	turned  atomic.Pointer[func()] // told of each turn of the loop, once the node has joined others
+	fault   atomic.Pointer[error]  // why it had to end
+	dropped uint64                 // records; the loop's own until it has ended
 	phase   atomic.Int32
 	log     *logrus.Logger
 	posting *Posting    // as it started
@@ -85,7 +87,16 @@
 		beside = ops.MostCallers + deskFiles
 	}
 	succeeds, handoverAt := n.predecessor()
+	var turned func()
+	if p.charter != nil {
+		turned = func() {
+			if f := n.turned.Load(); f != nil {
+				(*f)()
+			}
+		}
+	}
 	n.relay, err = relay.New(relay.Berth{
+		Turned: turned,
 		Listen: p.Listen, Operator: p.operator, Discovery: p.Discovery, Seed: p.Seed, Descriptors: cmp.Or(p.Sockets, usualSockets) - beside, Beside: beside, Figures: n.desk != nil,
 		Succeeds: succeeds, Handover: handoverAt, Together: n.together,
 		Memory: p.memory(), Terms: p.terms, Known: p.known, Log: log,
@@ -153,7 +164,16 @@
 	if n.posting.charter == nil {
 		return nil
 	}
-	n.post, err = fleet.Open(fleet.Berth{Name: n.posting.Name, Charter: n.posting.charter, Log: n.log, Now: fleet.Boottime, Trace: n.posting.Trace})
+	n.post, err = fleet.Open(fleet.Berth{Name: n.posting.Name, Charter: n.posting.charter, Log: n.log, Now: fleet.Boottime, Trace: n.posting.Trace,
+		Ended: func(err error) {
+			n.log.WithError(err).Error("this process ends")
+			n.fault.Store(&err)
+			n.End()
+		}})
+	if err == nil {
+		turned := n.post.Turned
+		n.turned.Store(&turned)
+	}
 	return err
 }
 
@@ -182,6 +202,14 @@
 	n.relay.Move(p.Discovery)
 }
 
+// Fault tells why the node had to end by itself; nil for no such reason. It is to be asked once Serve has returned.
+func (n *Node) Fault() error {
+	if err := n.fault.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
 // Phase tells how far it has come.
 func (n *Node) Phase() Phase { return Phase(n.phase.Load()) }
 
