--- /dev/null
+++ b/internal/emulator/judge/views.go
@@ -0,0 +1,343 @@
+package judge
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"dahliapin/internal/fleet/trace"
+	"dahliapin/policy"
+)
+
+const (
+	mostLines  = 200_000                // of traces that are kept
+	afterwards = 3 * time.Second        // after what befell a node, until what it says and what is said of it counts again
+	outAfter   = time.Second            // a trouble has ended, one may still be taken out for it
+	outBy      = 10 * time.Second       // for the fleet to come to its decision
+	sameBy     = 5 * time.Second        // after the last fault, for all views to be the same
+	onWaking   = 300 * time.Millisecond // that a node takes to be about itself: no removal by it counts as one by somebody sound
+)
+
+// Views are what nodes say of one another, and what befell them.
+type Views struct {
+	Nodes   int          `json:"nodes"` // named n1 and so on
+	Lines   []trace.Line `json:"lines"`
+	Truths  []Truth      `json:"truths"`
+	Dropped int          `json:"dropped,omitempty"`
+	cuts    []cutting
+}
+
+// Truth is that a node's process runs from then on, or does not.
+type Truth struct {
+	At   policy.Instant `json:"at_ns"`
+	Node string         `json:"node"`
+	Runs bool           `json:"runs"`
+	New  bool           `json:"new,omitempty"` // by another process than before
+}
+
+type cutting struct {
+	at       policy.Instant
+	from, to int
+	cut      bool
+}
+
+// NewViews has heard nothing yet.
+func NewViews(nodes int) *Views { return &Views{Nodes: nodes} }
+
+// NameOf is a node's name, by its number from 0.
+func NameOf(n int) string { return "n" + strconv.Itoa(n+1) }
+
+// Heard keeps a line.
+func (v *Views) Heard(at policy.Instant, l trace.Line) {
+	l.At = at
+	if len(v.Lines) >= mostLines {
+		v.Dropped++
+		return
+	}
+	v.Lines = append(v.Lines, l)
+}
+
+// Truth keeps what is true of a node from now on.
+func (v *Views) Truth(now policy.Instant, node string, runs, anew bool) {
+	if v != nil {
+		v.Truths = append(v.Truths, Truth{now, node, runs, anew})
+	}
+}
+
+// Cut keeps that what one node sends reaches the other no more, or again.
+func (v *Views) Cut(now policy.Instant, from, to int, cut bool) {
+	v.cuts = append(v.cuts, cutting{now, from, to, cut})
+}
+
+// From has times begin with the script's, in order. Lines of several processes do not come in order.
+func (v *Views) From(began policy.Instant) *Views {
+	if v == nil {
+		return nil
+	}
+	c := &Views{Nodes: v.Nodes, Lines: slices.Clone(v.Lines), Truths: slices.Clone(v.Truths), Dropped: v.Dropped, cuts: slices.Clone(v.cuts)}
+	for i := range c.Lines {
+		c.Lines[i].At -= began
+	}
+	for i := range c.Truths {
+		c.Truths[i].At -= began
+	}
+	for i := range c.cuts {
+		c.cuts[i].at -= began
+	}
+	slices.SortStableFunc(c.Lines, func(a, b trace.Line) int { return cmp.Compare(a.At, b.At) })
+	return c
+}
+
+// episode is that a node did not run, or was cut off from half of the others or more, in one direction or the other.
+type episode struct {
+	node     int
+	from, to policy.Instant
+	stood    bool // it did not run
+	ended    bool // and another process came for it
+}
+
+// episodes finds them all until an end.
+func (v *Views) episodes(end policy.Instant) (all []episode) {
+	type change struct {
+		at   policy.Instant
+		make func()
+	}
+	runs, anew, cut := make([]bool, v.Nodes), make([]bool, v.Nodes), map[[2]int]bool{}
+	for n := range runs {
+		runs[n] = true // before the script begins all are started
+	}
+	var changes []change
+	for _, t := range v.Truths {
+		if n, err := strconv.Atoi(t.Node[1:]); err == nil && t.At >= 0 && n <= v.Nodes {
+			changes = append(changes, change{t.At, func() { runs[n-1], anew[n-1] = t.Runs, t.New }})
+		}
+	}
+	for _, c := range v.cuts {
+		changes = append(changes, change{c.at, func() { cut[[2]int{c.from, c.to}] = c.cut }})
+	}
+	slices.SortStableFunc(changes, func(a, b change) int { return cmp.Compare(a.at, b.at) })
+	open := make([]*episode, v.Nodes)
+	look := func(at policy.Instant) {
+		for n := range v.Nodes {
+			sent, heard := 0, 0
+			for o := range v.Nodes {
+				if o != n && !cut[[2]int{n, o}] {
+					sent++
+				}
+				if o != n && !cut[[2]int{o, n}] {
+					heard++
+				}
+			}
+			bad := !runs[n] || 2*min(sent, heard) < v.Nodes-1
+			switch e := open[n]; {
+			case bad && e == nil:
+				open[n] = &episode{node: n, from: at, stood: !runs[n]}
+			case bad:
+				e.stood = e.stood || !runs[n]
+			case e != nil:
+				e.to, e.ended = at, e.stood && anew[n]
+				all = append(all, *e)
+				open[n] = nil
+			}
+		}
+	}
+	for i, c := range changes {
+		if c.make(); i+1 == len(changes) || changes[i+1].at > c.at {
+			look(c.at)
+		}
+	}
+	for _, e := range open {
+		if e != nil {
+			e.to = end
+			all = append(all, *e)
+		}
+	}
+	return all
+}
+
+// Verdict is what the judge finds of views.
+type Verdict struct {
+	Formed  float64   `json:"formed_s"`       // when all first had all
+	False   int       `json:"false_removals"` // of nodes that nothing had befallen, or nothing for long enough
+	Rash    int       `json:"rash_removals"`  // by nodes that were cut off, or stood still, themselves
+	Missed  int       `json:"missed"`         // nodes that should have been out and were not, by observers
+	Flaps   int       `json:"flaps"`          // further removals within one trouble, by observers
+	Unlike  int       `json:"unlike"`         // seconds in which views should have been the same as the truth, and were not
+	Changes int       `json:"changes"`        // of a view, the most at one node, after the first that had all
+	Detect  []float64 `json:"detect_s"`       // from what befell a node until it was out, by observers
+	Alike   float64   `json:"alike_after_s"`  // from the last change of what befell nodes until all views were the same
+	What    []string  `json:"what,omitempty"` // the first things that were wrong
+}
+
+// Wrong counts what must not be.
+func (d *Verdict) Wrong() int { return d.False + d.Rash + d.Missed + d.Flaps + d.Unlike }
+
+func (d *Verdict) note(format string, args ...any) {
+	if len(d.What) < 20 {
+		d.What = append(d.What, fmt.Sprintf(format, args...))
+	}
+}
+
+// Judge looks at one kind of lines; pause is how long a node may stand still and stays a member.
+func (v *Views) Judge(what string, pause time.Duration, end policy.Instant) *Verdict {
+	d := &Verdict{Formed: -1, Alike: -1}
+	es := v.episodes(end)
+	in := func(n int, at policy.Instant, spare time.Duration) *episode {
+		for i := range es {
+			if e := &es[i]; e.node == n && at >= e.from && at <= e.to.Add(spare) {
+				return e
+			}
+		}
+		return nil
+	}
+	sound := func(n int, at policy.Instant) bool { return in(n, at, afterwards) == nil }
+	now, has := make([][]string, v.Nodes), make([]int, v.Nodes) // by observer; and how many changes
+	names, process := make([]string, v.Nodes), make([]string, v.Nodes)
+	for n := range names {
+		names[n] = NameOf(n)
+	}
+	slices.Sort(names)
+	type seen struct {
+		o int
+		e *episode
+	}
+	outs := map[seen]int{}
+	formed := func() bool {
+		return !slices.ContainsFunc(now, func(has []string) bool { return len(has) < v.Nodes })
+	}
+	unlike := func(at policy.Instant) int { // the first observer whose view is not the truth where it should be, or -1
+		var want []string
+		for n := range v.Nodes {
+			if e := in(n, at, 0); e == nil {
+				want = append(want, NameOf(n))
+			}
+		}
+		if 2*len(want) <= v.Nodes {
+			return -1
+		}
+		slices.Sort(want)
+		for o := range v.Nodes {
+			if in(o, at, 0) == nil && !slices.Equal(now[o], want) {
+				return o
+			}
+		}
+		return -1
+	}
+	quiet := func(at policy.Instant) bool { // nothing has begun or ended for so long that all are to be the same
+		for _, e := range es {
+			if e.from <= at && at < e.from.Add(outBy) || e.to <= at && at < e.to.Add(sameBy) {
+				return false
+			}
+		}
+		return true
+	}
+	last := policy.Instant(0)
+	for _, e := range es {
+		last = max(last, e.from)
+		if e.to < end {
+			last = max(last, e.to)
+		}
+	}
+	second, apart := policy.Instant(0), policy.Instant(-1)
+	tick := func(until policy.Instant) {
+		for ; second <= until; second = second.Add(time.Second / 10) {
+			if d.Formed < 0 {
+				continue
+			}
+			o := unlike(second)
+			if o < 0 {
+				continue
+			}
+			if apart = second; quiet(second) && second%policy.Instant(time.Second) == 0 {
+				d.Unlike++
+				d.note("%.1f s: %s has %v", time.Duration(second).Seconds(), NameOf(o), now[o])
+			}
+		}
+	}
+	for _, l := range v.Lines {
+		if l.What != what || l.At > end {
+			continue
+		}
+		if l.At >= 0 {
+			tick(l.At)
+		}
+		o, err := strconv.Atoi(l.Node[1:])
+		if err != nil || o < 1 || o > v.Nodes {
+			continue
+		}
+		o--
+		if process[o] != l.Process { // what another knew is not taken back by it
+			process[o], now[o] = l.Process, nil
+		}
+		was := now[o]
+		now[o] = slices.Clone(l.Members)
+		slices.Sort(now[o])
+		if d.Formed < 0 {
+			if formed() {
+				d.Formed = max(0, time.Duration(l.At).Seconds())
+			}
+			continue
+		}
+		if slices.Equal(was, now[o]) {
+			continue
+		}
+		if has[o]++; in(o, l.At, afterwards) == nil {
+			d.Changes = max(d.Changes, has[o])
+		}
+		for n := range v.Nodes {
+			name := NameOf(n)
+			if n == o || !slices.Contains(was, name) || slices.Contains(now[o], name) {
+				continue
+			}
+			e := in(n, l.At, outAfter)
+			if own := in(o, l.At, onWaking); own != nil {
+				befell := slices.ContainsFunc(es, func(e episode) bool { return e.node == n && e.from <= l.At && e.to >= own.from })
+				if own.stood && !befell || !own.stood && l.At > own.from.Add(time.Second) {
+					d.Rash++
+					d.note("%.1f s: %s, in trouble itself, takes out %s", time.Duration(l.At).Seconds(), NameOf(o), name)
+				}
+				continue
+			}
+			if !sound(o, l.At) {
+				continue
+			}
+			if e == nil || e.to.Since(e.from) <= pause && !e.ended {
+				d.False++
+				d.note("%.1f s: %s takes out %s, which nothing befell", time.Duration(l.At).Seconds(), NameOf(o), name)
+				continue
+			}
+			if outs[seen{o, e}]++; outs[seen{o, e}] > 1 {
+				d.Flaps++
+				d.note("%.1f s: %s takes out %s once more", time.Duration(l.At).Seconds(), NameOf(o), name)
+				continue
+			}
+			d.Detect = append(d.Detect, l.At.Since(e.from).Seconds())
+		}
+	}
+	tick(end)
+	for i := range es {
+		e := &es[i]
+		if d.Formed < 0 || e.to.Since(e.from) < outBy || e.from.Since(0).Seconds() < d.Formed {
+			continue
+		}
+		for o := range v.Nodes {
+			majority := 0
+			for n := range v.Nodes {
+				if in(n, e.from.Add(outBy), 0) == nil {
+					majority++
+				}
+			}
+			if o != e.node && 2*majority > v.Nodes && sound(o, e.from) && sound(o, e.from.Add(outBy)) && outs[seen{o, e}] == 0 {
+				d.Missed++
+				d.note("%.1f s: %s does not take out %s", time.Duration(e.from).Seconds(), NameOf(o), NameOf(e.node))
+			}
+		}
+	}
+	if apart < policy.Instant(end)-policy.Instant(time.Second) {
+		d.Alike = max(0, apart.Since(last).Seconds())
+	}
+	slices.Sort(d.Detect)
+	return d
+}
--- a/internal/emulator/onwire/member.go
+++ b/internal/emulator/onwire/member.go
@@ -93,7 +93,7 @@
 		return nil
 	}
 	m.process, m.killed, m.ending = p, false, false
-	m.r.views.Truth(m.r.now(), m.name, true)
+	m.r.views.Truth(m.r.now(), m.name, true, true)
 	if m.life++; !replaces {
 		m.lives++
 	}
@@ -115,7 +115,7 @@
 func (r *Rig) EndNode(number int, orderly bool) {
 	m := r.nodes[number]
 	m.ending = true
-	r.views.Truth(r.now(), m.name, false)
+	r.views.Truth(r.now(), m.name, false, false)
 	if !orderly {
 		m.killed, m.serving = true, false
 		m.process.Kill()
--- a/internal/emulator/onwire/rig.go
+++ b/internal/emulator/onwire/rig.go
@@ -91,7 +91,7 @@
 	doors    []map[string]string // the way from each node to each address
 	boot     policy.Instant      // the shared clock when the run began
 	hears    []string            // where each node hears the others
-	views    *outcome.Views
+	views    *judge.Views
 	closing  bool // no node is started any more
 	stopped  bool // nor anything else done
 }
--- a/internal/emulator/onwire/together.go
+++ b/internal/emulator/onwire/together.go
@@ -5,7 +5,7 @@
 	"net"
 
 	"dahliapin/internal/emulator/between"
-	"dahliapin/internal/emulator/outcome"
+	"dahliapin/internal/emulator/judge"
 	"dahliapin/internal/fleet/trace"
 	"dahliapin/internal/net/fleet"
 )
@@ -16,7 +16,7 @@
 		return nil
 	}
 	r.boot = fleet.Boottime()
-	r.views = outcome.NewViews(r.script.Fleet.Nodes)
+	r.views = judge.NewViews(r.script.Fleet.Nodes)
 	r.between = between.Open(between.New(uint32(r.script.Seed)))
 	for range r.script.Fleet.Nodes {
 		at, err := freeForBoth()
@@ -98,7 +98,7 @@
 		}
 	}
 	p.Pause(stop)
-	r.views.Truth(r.now(), m.name, !stop)
+	r.views.Truth(r.now(), m.name, !stop, false)
 	if !stop {
 		r.At(r.now().Add(r.terms.LongestStop), func() {
 			if !m.ending {
@@ -109,4 +109,11 @@
 }
 
 // Between changes what goes wrong between two nodes, one way.
-func (r *Rig) Between(from, to int, change func(*between.Way)) { r.between.Change(from, to, change) }
+func (r *Rig) Between(from, to int, change func(*between.Way)) {
+	r.between.Change(from, to, func(w *between.Way) {
+		was := w.Cut
+		if change(w); w.Cut != was {
+			r.views.Cut(r.now(), from, to, w.Cut)
+		}
+	})
+}
--- a/internal/emulator/outcome/outcome.go
+++ b/internal/emulator/outcome/outcome.go
@@ -75,7 +75,7 @@
 	Events  []Said
 	Late    int // arrivals that were played late
 	Played  int
-	Views   *Views // what nodes say of one another; nil where they know of none
+	Views   *judge.Views // what nodes say of one another; nil where they know of none
 }
 
 // Said is a line of what the script did.
@@ -193,7 +193,7 @@
 	Events   []Said          `json:"events"`
 	Records  []records.Entry `json:"-"`
 	Dropped  int             `json:"records_dropped,omitempty"`
-	Views    *Views          `json:"views,omitempty"`
+	Together *Fleet          `json:"together,omitempty"`
 }
 
 // Draw up a report. first is when the first event begins and last when the last ends, 0 for none.
@@ -229,7 +229,9 @@
 		r.Origin = max(r.Origin, sec.Origin)
 	}
 	r.Back = l.recovered(first, last)
-	r.Views = l.Views.from(l.began)
+	if l.Views != nil {
+		r.Together = newFleet(l.Views.From(l.began), script.Span(s.Together.PauseS), policy.Instant(s.Long()))
+	}
 	if l.Played > 0 && float64(l.Late) > lateArrivals*float64(l.Played) {
 		r.Busy = fmt.Sprintf("%d of %d arrivals were played over %v late", l.Late, l.Played, LateBy)
 	}
@@ -311,6 +313,10 @@
 	if most := s.Expect.Excess; most > 0 {
 		r.want(r.PerAsked <= most, fmt.Sprintf("%.3f", r.PerAsked), "at most %g legs for each retrieval", most)
 	}
+	if f := r.Together; f != nil && f.View != nil {
+		r.want(f.View.Wrong() == 0 && f.View.Formed >= 0, fmt.Sprintf("%d wrong, formed at %.1f s", f.View.Wrong(), f.View.Formed),
+			"views are as what befell nodes has them")
+	}
 	if by := s.Expect.RecoveredBy; by > 0 {
 		r.want(r.Back >= 0 && r.Back <= by, fmt.Sprintf("%.0f s", r.Back), "as good as before from %g s on", by)
 	}
@@ -369,7 +375,7 @@
 			fmt.Fprintln(to, e)
 		}
 	}
-	r.Views.print(to, time.Duration(r.Seconds*1e9))
+	r.Together.print(to, time.Duration(r.Seconds*1e9))
 	for i, b := range r.Breaches {
 		if i == 10 {
 			fmt.Fprintf(to, "... and %d more\n", len(r.Breaches)-i)
--- a/internal/emulator/outcome/views.go
+++ b/internal/emulator/outcome/views.go
@@ -8,70 +8,31 @@
 	"strings"
 	"time"
 
+	"dahliapin/internal/emulator/judge"
 	"dahliapin/internal/fleet/trace"
 	"dahliapin/policy"
 )
 
-const mostLines = 200_000 // of traces that are kept
-
-// Views are what nodes say of one another, and what is true of them.
-type Views struct {
-	Nodes   int          `json:"nodes"` // named n1 and so on
-	Lines   []trace.Line `json:"lines"`
-	Truths  []Truth      `json:"truths"`
-	Dropped int          `json:"dropped,omitempty"`
-}
-
-// Truth is that a node's process runs from then on, or does not.
-type Truth struct {
-	At   policy.Instant `json:"at_ns"`
-	Node string         `json:"node"`
-	Runs bool           `json:"runs"`
-}
-
-// NewViews has heard nothing yet.
-func NewViews(nodes int) *Views { return &Views{Nodes: nodes} }
-
-// Heard keeps a line.
-func (v *Views) Heard(at policy.Instant, l trace.Line) {
-	l.At = at
-	if len(v.Lines) >= mostLines {
-		v.Dropped++
-		return
-	}
-	v.Lines = append(v.Lines, l)
-}
-
-// Truth keeps what is true of a node from now on.
-func (v *Views) Truth(now policy.Instant, node string, runs bool) {
-	if v != nil {
-		v.Truths = append(v.Truths, Truth{now, node, runs})
-	}
+// Fleet is what became of the nodes' views of one another.
+type Fleet struct {
+	Views   *judge.Views   `json:"views"`
+	Library *judge.Verdict `json:"library"` // of the gossip library's members
+	View    *judge.Verdict `json:"view"`    // of the views; nil where there were none
 }
 
-// from has times begin with the script's, in order. Lines of several processes do not come in order.
-func (v *Views) from(began policy.Instant) *Views {
-	if v == nil {
-		return nil
-	}
-	c := &Views{Nodes: v.Nodes, Lines: slices.Clone(v.Lines), Truths: slices.Clone(v.Truths), Dropped: v.Dropped}
-	for i := range c.Lines {
-		c.Lines[i].At -= began
-	}
-	for i := range c.Truths {
-		c.Truths[i].At -= began
+func newFleet(v *judge.Views, pause time.Duration, end policy.Instant) *Fleet {
+	f := &Fleet{Views: v, Library: v.Judge(trace.Library, pause, end)}
+	if slices.ContainsFunc(v.Lines, func(l trace.Line) bool { return l.What == trace.View }) {
+		f.View = v.Judge(trace.View, pause, end)
 	}
-	slices.SortStableFunc(c.Lines, func(a, b trace.Line) int { return int(a.At.Since(b.At)) })
-	return c
+	return f
 }
 
-func (v *Views) name(n int) string { return "n" + strconv.Itoa(n+1) }
-
 // letters writes members as a letter each, in the order of their numbers.
-func (v *Views) letters(names []string) string {
+func letters(nodes int, names []string) string {
 	var b strings.Builder
-	for n := range v.Nodes {
-		if slices.Contains(names, v.name(n)) {
+	for n := range nodes {
+		if slices.Contains(names, judge.NameOf(n)) {
 			b.WriteString(strconv.FormatInt(int64(n+1), 36))
 		} else {
 			b.WriteByte('.')
@@ -81,23 +42,24 @@
 }
 
 // print tells who knows of whom, a row for each second in which that has changed.
-func (v *Views) print(to io.Writer, long time.Duration) {
-	if v == nil {
+func (f *Fleet) print(to io.Writer, long time.Duration) {
+	if f == nil {
 		return
 	}
+	v := f.Views
 	fmt.Fprintln(to, "who knows of whom, a letter for each node; by the library's word, and by the view where there is one; x: does not run, !: says it is cut off")
 	last := ""
 	for at := policy.Instant(0); at <= policy.Instant(long); at += policy.Instant(time.Second) {
 		row := ""
 		for n := range v.Nodes {
-			cell := v.letters(v.at(at, v.name(n), trace.Library).Members)
-			if l := v.at(at, v.name(n), trace.View); l.What != "" {
-				cell += "/" + v.letters(l.Members)
+			cell := letters(v.Nodes, lineAt(v, at, judge.NameOf(n), trace.Library).Members)
+			if l := lineAt(v, at, judge.NameOf(n), trace.View); l.What != "" {
+				cell += "/" + letters(v.Nodes, l.Members)
 				if l.Cut {
 					cell += "!"
 				}
 			}
-			if !v.runs(at, v.name(n)) {
+			if !runsAt(v, at, judge.NameOf(n)) {
 				cell = strings.Repeat("x", len(cell))
 			}
 			row += " " + cell
@@ -107,10 +69,30 @@
 		}
 		last = row
 	}
+	for _, d := range []struct {
+		of string
+		*judge.Verdict
+	}{{"library", f.Library}, {"view", f.View}} {
+		if d.Verdict == nil {
+			continue
+		}
+		fmt.Fprintf(to, "%-8s formed %.1f s; false removals %d, rash %d, missed %d, flaps %d, seconds unlike %d; changes %d; out after median %.2f s, p99 %.2f s (%d); alike after %.1f s\n",
+			d.of, d.Formed, d.False, d.Rash, d.Missed, d.Flaps, d.Unlike, d.Changes, at(d.Detect, 0.5), at(d.Detect, 0.99), len(d.Detect), d.Alike)
+		for _, w := range d.What {
+			fmt.Fprintln(to, "        ", w)
+		}
+	}
+}
+
+func at(sorted []float64, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
 }
 
-// at is the last line of a kind that a node had written by then.
-func (v *Views) at(at policy.Instant, node, what string) (last trace.Line) {
+// lineAt is the last line of a kind that a node had written by then.
+func lineAt(v *judge.Views, at policy.Instant, node, what string) (last trace.Line) {
 	for _, l := range v.Lines {
 		if l.At > at {
 			break
@@ -122,7 +104,7 @@
 	return last
 }
 
-func (v *Views) runs(at policy.Instant, node string) (runs bool) {
+func runsAt(v *judge.Views, at policy.Instant, node string) (runs bool) {
 	for _, t := range v.Truths {
 		if t.At <= at && t.Node == node {
 			runs = t.Runs
--- a/internal/fleet/members/book.go
+++ b/internal/fleet/members/book.go
@@ -11,8 +11,22 @@
 	"dahliapin/policy"
 )
 
+// rules are what a process goes by; tests break them one at a time.
+type rules struct {
+	observers int  // that must miss a process before anything follows from it
+	majority  bool // and more of them than hear it
+	doubts    bool // who hears too few doubts itself
+	freezes   bool // nobody is taken out while too many are missing at once
+	runs      bool // spans are measured by the time that the process has run, not by the clock
+	turns     bool // who is dead to clients says nothing
+}
+
+// sound are the rules as they are.
+var sound = rules{observers: 2, majority: true, doubts: true, freezes: true, runs: true, turns: true}
+
 // Book is one process's knowledge of the fleet.
 type Book struct {
+	rules
 	terms  Terms
 	own    *peer
 	all    map[ProcessID]*peer
@@ -29,7 +43,7 @@
 	changed   bool    // what was said, since standings were looked at
 	sum       uint64
 
-	turns      uint64
+	turned     uint64 // how often the loop that serves clients has
 	turnedAt   time.Duration
 	hellosAt   time.Duration // when the next signs of life are due
 	askedGone  time.Duration
@@ -71,7 +85,7 @@
 
 // New begins a book; the process has not taken its name yet.
 func New(terms Terms, process ProcessID, node NodeName, addr string, seeds []string) *Book {
-	b := &Book{terms: terms, all: map[ProcessID]*peer{}, gone: map[ProcessID]ended{}, seeds: seeds,
+	b := &Book{rules: sound, terms: terms, all: map[ProcessID]*peer{}, gone: map[ProcessID]ended{}, seeds: seeds,
 		chance: keyhash.Source{Seed: uint32(process)}, reordered: true, view: &View{Own: process}}
 	b.own = &peer{Statement: Statement{Process: process, Node: node, Addr: addr, Revision: 1}, doubtAt: -1, askAt: -1}
 	b.all[process] = b.own
@@ -99,8 +113,8 @@
 
 // Turned tells how often the loop that serves clients has turned.
 func (b *Book) Turned(turns uint64) {
-	if turns != b.turns {
-		b.turns, b.turnedAt = turns, b.ran
+	if turns != b.turned {
+		b.turned, b.turnedAt = turns, b.ran
 	}
 }
 
@@ -200,7 +214,11 @@
 		b.began, b.last = true, now
 	}
 	// guards against a process that was stopped, or starved: what it has not heard meanwhile is its own doing
-	b.ran += min(now.Since(b.last), longestStep*b.terms.Hello)
+	step := now.Since(b.last)
+	if b.runs {
+		step = min(step, longestStep*b.terms.Hello)
+	}
+	b.ran += step
 	b.last = now
 	b.neighbours()
 	b.listen()
@@ -210,7 +228,7 @@
 	do.Sync, b.wantsSync = b.wantsSync, ""
 	do.Replies, b.replies = b.replies, nil
 	// guards against a node that is alive to others and dead to its clients
-	if b.ran-b.turnedAt > b.terms.Loop || b.own.Leaves {
+	if b.turns && b.ran-b.turnedAt > b.terms.Loop || b.own.Leaves {
 		do.Replies = nil
 		return do
 	}
@@ -322,7 +340,7 @@
 			hears = append(hears, p.Process)
 		}
 	}
-	doubts := 2*heard < counted
+	doubts := b.doubts && 2*heard < counted
 	if doubts { // what it says of others counts for nothing; it stays as it was, so that there is no more to say
 		hears, missed = b.own.Hears, b.own.Misses
 	}
@@ -388,6 +406,10 @@
 			wait += b.terms.Claim
 		}
 		for _, p := range b.named(b.own.Node) { // each had the time to say that it lives
+			if p.misses >= b.observers && p.misses > p.hears { // it is known to be silent
+				wait = 0
+				break
+			}
 			wait = max(wait, p.foundAt+b.terms.Claim)
 		}
 		if b.ran < wait {
--- a/internal/fleet/members/judge.go
+++ b/internal/fleet/members/judge.go
@@ -14,7 +14,7 @@
 	frozenWhole = 0.5
 	frozenRings = 0.4
 	recent      = 4                      // holds, after which one that was taken out counts no longer as missing at once
-	gather      = 400 * time.Millisecond // that others who are about to be taken out are waited for, so that the view changes once
+	gather      = 400 * time.Millisecond // that others who are about to be taken out, or in, are waited for, so that the view changes once
 	leftStays   = 5 * time.Second        // that one who left is shown
 )
 
@@ -38,7 +38,7 @@
 		}
 	}
 	for _, o := range b.all {
-		if !speaks(o) || o.raw >= observers {
+		if !speaks(o) || o.raw >= b.observers {
 			continue
 		}
 		for _, id := range o.Hears {
@@ -66,7 +66,7 @@
 		if p.member() || cutLately {
 			members++
 		}
-		if p.member() && p.raw >= observers || cutLately {
+		if p.member() && p.raw >= b.observers || cutLately {
 			missing++
 		}
 	}
@@ -74,6 +74,9 @@
 	if len(b.all) > neighbours+1 {
 		part = frozenRings
 	}
+	if !b.freezes {
+		return b.own.Doubts
+	}
 	return b.own.Doubts || members > 1 && float64(missing) > part*float64(members)
 }
 
@@ -91,8 +94,8 @@
 	b.frozen = b.freeze()
 	news := b.changed || was != b.frozen
 	b.changed, b.pending = false, b.frozen
-	var out []*peer
-	waits := false // for others that are about to be taken out
+	var out, in []*peer
+	waits, comes := false, false // for others that are about to be taken out, or in
 	for _, p := range b.all {
 		switch {
 		case p.Leaves && p.standing != Left:
@@ -115,12 +118,14 @@
 				p.held = 0
 			}
 			if p.held >= b.terms.Back {
-				b.stand(p, Present)
+				in = append(in, p)
+			} else if p.held > 0 {
+				comes = true
 			} else if p != b.own && b.ran-p.since >= b.terms.Forget {
 				b.forget(p, Gone)
 			}
 		default:
-			if p.misses < observers || p.misses <= p.hears || b.frozen {
+			if p.misses < b.observers || b.majority && p.misses <= p.hears || b.frozen {
 				p.held = 0
 				if to := suspicion[p.raw > 0]; to != p.standing {
 					p.standing, news = to, true // no change of who is a member
@@ -135,6 +140,13 @@
 			}
 		}
 	}
+	// whom one trouble befell together is out together, and in again
+	if comes && !slices.ContainsFunc(in, func(p *peer) bool { return p.held >= b.terms.Back+gather }) {
+		in = nil
+	}
+	for _, p := range in {
+		b.stand(p, Present)
+	}
 	if waits && !slices.ContainsFunc(out, func(p *peer) bool { return p.held >= b.terms.Hold+gather }) {
 		out = nil
 	}
--- /dev/null
+++ b/internal/fleet/members/members_test.go
@@ -0,0 +1,183 @@
+package members_test
+
+import (
+	"testing"
+	"time"
+
+	"dahliapin/internal/emulator/between"
+	"dahliapin/internal/fleet/members"
+)
+
+const sec = time.Second
+
+func seq(from, to int) (ns []int) {
+	for n := from; n <= to; n++ {
+		ns = append(ns, n)
+	}
+	return ns
+}
+
+// apart cuts two groups from each other for a while.
+func (s *sim) apart(long time.Duration, both bool, from, to []int) {
+	for _, yes := range []bool{true, false} {
+		for _, a := range from {
+			for _, b := range to {
+				if a != b {
+					if s.cut(a, b, yes); both {
+						s.cut(b, a, yes)
+					}
+				}
+			}
+		}
+		if yes {
+			s.run(long)
+		}
+	}
+}
+
+func (s *sim) stopFor(long time.Duration, ns ...int) {
+	for _, n := range ns {
+		s.nodes[n].stop(true)
+	}
+	s.run(long)
+	for _, n := range ns {
+		s.nodes[n].stop(false)
+	}
+}
+
+func (s *sim) noisy(loss, twice float64, late time.Duration) {
+	for a := range s.nodes {
+		for b := range s.nodes {
+			s.faults.Change(a, b, func(w *between.Way) { w.Loss, w.Twice, w.Late = loss, twice, late })
+		}
+	}
+}
+
+// trouble is one hard case; changes is how often a view may change by it where nothing befell the node.
+type trouble struct {
+	name    string
+	changes int
+	play    func(*sim)
+}
+
+var troubles = []trouble{
+	{"30% lost, doubled and late, one killed", 2, func(s *sim) {
+		s.noisy(0.3, 0.2, 300*time.Millisecond)
+		s.run(20 * sec)
+		s.nodes[4].kill()
+		s.run(20 * sec)
+		s.noisy(0, 0, 0)
+		s.nodes[4].start()
+	}},
+	{"half of all lost", 0, func(s *sim) { s.noisy(0.5, 0, 100*time.Millisecond); s.run(60 * sec); s.noisy(0, 0, 0) }},
+	{"stopped for less than is borne", 0, func(s *sim) {
+		for n := range 10 {
+			s.stopFor(sec/2, n)
+			s.run(sec)
+			s.stopFor(pause, 11-n)
+			s.run(2 * sec)
+		}
+	}},
+	{"stopped for more", 20, func(s *sim) {
+		for n := range 5 {
+			s.stopFor(5*sec, n)
+			s.run(5 * sec)
+			s.stopFor(15*sec, 11-n)
+			s.run(5 * sec)
+		}
+	}},
+	{"a third stopped at once", 2, func(s *sim) { s.stopFor(8*sec, 1, 4, 7, 10) }},
+	{"heard by nobody", 2, func(s *sim) { s.apart(20*sec, false, []int{2}, seq(0, 11)) }},
+	{"hears nobody", 2, func(s *sim) { s.apart(20*sec, false, seq(0, 11), []int{2}) }},
+	{"two do not hear each other", 0, func(s *sim) { s.apart(20*sec, true, []int{2}, []int{5}) }},
+	{"one does not hear another", 0, func(s *sim) { s.apart(20*sec, false, []int{2}, []int{5}) }},
+	{"a ring that does not hear the next", 0, func(s *sim) {
+		for a := range 6 {
+			s.cut(a, (a+1)%6, true)
+		}
+		s.run(20 * sec)
+		for a := range 6 {
+			s.cut(a, (a+1)%6, false)
+		}
+	}},
+	{"a link that comes and goes", 0, func(s *sim) {
+		for range 30 {
+			s.apart(sec, true, []int{7}, seq(0, 11))
+			s.run(sec)
+		}
+	}},
+	{"halves", 0, func(s *sim) { s.apart(60*sec, true, seq(0, 5), seq(6, 11)) }},
+	{"eight and four", 2, func(s *sim) { s.apart(40*sec, true, seq(0, 7), seq(8, 11)) }},
+	{"the network down for everyone", 0, func(s *sim) { s.apart(10*sec, false, seq(0, 11), seq(0, 11)) }},
+	{"restarted one after the other", 24, func(s *sim) {
+		for n := range 12 {
+			s.nodes[n].kill()
+			s.run(2 * sec)
+			s.nodes[n].start()
+		}
+	}},
+	{"nearly all killed at once and back", 0, func(s *sim) {
+		for n := range 11 {
+			s.nodes[n].kill()
+		}
+		s.run(2 * sec)
+		for n := range 11 {
+			s.nodes[n].start()
+		}
+	}},
+	{"the loop hangs", 2, func(s *sim) {
+		s.nodes[3].hangs = true
+		s.views.Truth(s.now, "n4", false, false)
+		s.run(15 * sec)
+		s.nodes[3].hangs = false
+		s.views.Truth(s.now, "n4", true, false)
+	}},
+}
+
+func played(nodes int, seed uint32, broken func(*members.Book), t trouble) *sim {
+	s := newSim(nodes, seed, broken)
+	s.run(6 * sec)
+	t.play(s)
+	s.run(15 * sec)
+	return s
+}
+
+// Each hard case, in virtual time. Nobody is taken out whom nothing befell, all come to one view, and it does not change more often than
+// the trouble has beginnings and ends.
+func TestHardCasesInVirtualTime(t *testing.T) {
+	for _, c := range troubles {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint32(3) {
+				if d := played(12, seed, nil, c).verdict(); d.Wrong() > 0 || d.Formed < 0 || d.Changes > c.changes {
+					t.Errorf("seed %d: %+v", seed, d)
+				}
+			}
+		})
+	}
+}
+
+// The judge is shown to work: each book that breaks one rule is caught in a case that the sound one passes.
+func TestBrokenBooksAreCaught(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		in     string
+		breaks func(*members.Book)
+	}{
+		{"one observer's word is enough", "one does not hear another", func(b *members.Book) { members.Break(b, 1, false, true, true, true, true) }},
+		{"doubts nothing, stops at nothing", "halves", func(b *members.Book) { members.Break(b, 2, true, false, false, true, true) }},
+		{"takes all others for dead", "the network down for everyone", func(b *members.Book) { members.Break(b, 1, true, false, false, true, true) }},
+		{"measures by the clock", "stopped for more", func(b *members.Book) { members.Break(b, 1, false, false, false, false, true) }},
+		{"gives signs of life while its loop hangs", "the loop hangs", func(b *members.Book) { members.Break(b, 2, true, true, true, true, false) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for _, k := range troubles {
+				if k.name != c.in {
+					continue
+				}
+				if d := played(12, 1, c.breaks, k).verdict(); d.Wrong() == 0 && d.Changes <= k.changes {
+					t.Errorf("not caught: %+v", d)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/fleet/members/sim_test.go
@@ -0,0 +1,242 @@
+package members_test
+
+import (
+	"fmt"
+	"time"
+
+	"dahliapin/internal/emulator/between"
+	"dahliapin/internal/emulator/judge"
+	"dahliapin/internal/fleet/members"
+	"dahliapin/internal/fleet/trace"
+	"dahliapin/internal/keyhash"
+	"dahliapin/internal/net/deadlines"
+	"dahliapin/policy"
+)
+
+const (
+	step     = 50 * time.Millisecond
+	pause    = 2 * time.Second
+	fanOut   = 4 // as the library has it: each 100 ms to so many, some rounds long
+	rounds   = 8
+	onTheWay = time.Millisecond
+)
+
+var terms = members.TermsFor(pause, 300*time.Millisecond, time.Second, time.Second, time.Minute, 4000)
+
+// sim plays books in virtual time: the decisions as in service, on a network of the go-between's faults, with gossip like the library's.
+type sim struct {
+	now    policy.Instant
+	nodes  []*simNode
+	faults *between.Faults
+	queue  deadlines.Queue[func()]
+	chance keyhash.Source
+	views  *judge.Views
+	made   uint64
+	broken func(*members.Book)
+	ticks  int
+}
+
+type simNode struct {
+	s       *sim
+	number  int
+	process *simProcess // nil while none runs
+	stopped bool
+	hangs   bool
+	waiting []func(*simProcess) // messages that came while it stood still
+}
+
+type simProcess struct {
+	n     *simNode
+	book  *members.Book
+	words map[members.ProcessID]members.Statement
+	fresh map[members.ProcessID]int // rounds still to go
+	shown uint64
+	cut   bool
+	turns uint64
+	addr  string
+}
+
+func newSim(nodes int, seed uint32, broken func(*members.Book)) *sim {
+	s := &sim{now: 1, faults: between.New(seed), chance: keyhash.Source{Seed: seed}, views: judge.NewViews(nodes), broken: broken}
+	for n := range nodes {
+		s.nodes = append(s.nodes, &simNode{s: s, number: n})
+	}
+	for _, n := range s.nodes {
+		n.start()
+	}
+	return s
+}
+
+func addrOf(n int) string { return fmt.Sprintf("10.0.0.%d:7946", n+1) }
+
+func (n *simNode) start() {
+	s := n.s
+	s.made++
+	id := members.ProcessID(keyhash.Mix(s.made<<20^uint64(s.chance.Seed)) | 1)
+	p := &simProcess{n: n, words: map[members.ProcessID]members.Statement{}, fresh: map[members.ProcessID]int{}, addr: addrOf(n.number)}
+	p.book = members.New(terms, id, members.NodeName(judge.NameOf(n.number)), p.addr, []string{addrOf(0), addrOf(1), addrOf(2)})
+	if s.broken != nil {
+		s.broken(p.book)
+	}
+	n.process, n.stopped, n.waiting = p, false, nil
+	for _, o := range []int{0, 1, 2} {
+		s.at(onTheWay, func() { p.sync(addrOf(o)) })
+	}
+	s.views.Truth(s.now, judge.NameOf(n.number), true, true)
+}
+
+func (n *simNode) kill() {
+	n.process, n.waiting = nil, nil
+	n.s.views.Truth(n.s.now, judge.NameOf(n.number), false, false)
+}
+
+func (n *simNode) stop(yes bool) {
+	if n.process == nil || n.stopped == yes {
+		return
+	}
+	n.stopped = yes
+	n.s.views.Truth(n.s.now, judge.NameOf(n.number), !yes, false)
+	if !yes {
+		late := n.waiting
+		n.waiting = nil
+		n.process.look() // the worst order: what it missed is not read yet
+		if n.process == nil {
+			return
+		}
+		for _, f := range late {
+			f(n.process)
+		}
+	}
+}
+
+func (s *sim) cut(from, to int, yes bool) {
+	s.faults.Change(from, to, func(w *between.Way) { w.Cut = yes })
+	s.views.Cut(s.now, from, to, yes)
+}
+
+func (s *sim) at(in time.Duration, do func()) { s.queue.Put(s.now.Add(in), do) }
+
+// send has a datagram come to whoever has an address then.
+func (p *simProcess) send(addr string, hear func(*simProcess)) {
+	s := p.n.s
+	for _, to := range s.nodes {
+		if addrOf(to.number) != addr || to.number == p.n.number {
+			continue
+		}
+		for _, late := range s.faults.Fate(p.n.number, to.number) {
+			s.at(onTheWay+late, func() {
+				switch {
+				case to.process == nil:
+				case to.stopped:
+					if len(to.waiting) < 500 {
+						to.waiting = append(to.waiting, hear)
+					}
+				default:
+					hear(to.process)
+				}
+			})
+		}
+	}
+}
+
+func (p *simProcess) told(w members.Statement) {
+	if p.book.Told(w) {
+		p.words[w.Process], p.fresh[w.Process] = w, rounds
+	}
+}
+
+// sync exchanges all that both have heard, where streams come through.
+func (p *simProcess) sync(addr string) {
+	s := p.n.s
+	for _, to := range s.nodes {
+		if addrOf(to.number) != addr || to.process == nil || to.stopped || to.process == p || p.n.process != p {
+			continue
+		}
+		if _, stands := s.faults.Piece(p.n.number, to.number); stands {
+			continue
+		}
+		for _, w := range p.words {
+			to.process.told(w)
+		}
+		for _, w := range to.process.words {
+			p.told(w)
+		}
+	}
+}
+
+func (p *simProcess) look() {
+	s := p.n.s
+	if !p.n.hangs {
+		p.turns++
+	}
+	p.book.Turned(p.turns)
+	do := p.book.Look(s.now)
+	if own, isNew := p.book.Own(); isNew {
+		p.words[own.Process], p.fresh[own.Process] = own, rounds
+	}
+	hello := func(to []string, h members.Hello) {
+		for _, a := range to {
+			p.send(a, func(o *simProcess) { o.book.Heard(h) })
+		}
+	}
+	hello(do.Hellos, do.Hello)
+	hello(do.Replies, do.Hello)
+	asks := do.Hello
+	asks.Asks = true
+	hello(do.Asks, asks)
+	if do.Sync != "" {
+		s.at(onTheWay, func() { p.sync(do.Sync) })
+	}
+	if s.ticks%2 == 0 {
+		for id, left := range p.fresh {
+			w := p.words[id]
+			for range fanOut {
+				if to := s.nodes[int(s.chance.Next()*float64(len(s.nodes)))]; to != p.n {
+					p.send(addrOf(to.number), func(o *simProcess) { o.told(w) })
+				}
+			}
+			if p.fresh[id] = left - 1; left <= 1 {
+				delete(p.fresh, id)
+			}
+		}
+	}
+	if p.book.Verdict() != nil {
+		p.n.kill()
+		return
+	}
+	if v := p.book.View(); v.Number != p.shown || v.CutOff != p.cut {
+		p.shown, p.cut = v.Number, v.CutOff
+		l := trace.Line{Node: judge.NameOf(p.n.number), What: trace.View, Process: fmt.Sprint(v.Own), Number: v.Number, Cut: v.CutOff}
+		for _, n := range v.Nodes {
+			l.Members = append(l.Members, string(n))
+		}
+		s.views.Heard(s.now, l)
+	}
+}
+
+// run goes on for a while.
+func (s *sim) run(long time.Duration) {
+	for end := s.now.Add(long); s.now < end; s.ticks++ {
+		for i, n := range s.nodes {
+			s.queue.Put(s.now.Add(time.Duration(i)*step/time.Duration(len(s.nodes))), func() {
+				if n.process != nil && !n.stopped {
+					n.process.look()
+				}
+			})
+		}
+		next := s.now.Add(step)
+		for {
+			at, any := s.queue.Next()
+			if !any || at >= next {
+				break
+			}
+			do, _ := s.queue.Due(at)
+			s.now = max(s.now, at)
+			do()
+		}
+		s.now = next
+	}
+}
+
+// verdict is the judge's, who sees what nodes wrote and what befell them.
+func (s *sim) verdict() *judge.Verdict { return s.views.Judge(trace.View, pause, s.now) }
--- a/internal/fleet/members/types.go
+++ b/internal/fleet/members/types.go
@@ -96,7 +96,6 @@
 	spareToHear = 400 * time.Millisecond // that the word of one who is back takes to come round
 	neighbours  = 12                     // that each process has at most: six rings, two sides; so many that up to 13 hear one another all
 	rings       = neighbours / 2
-	observers   = 2                      // that must miss a process before anything follows from it
 	settled     = 300 * time.Millisecond // that changes of statements are gathered for before the own one follows
 	syncApart   = time.Second            // between two calls for all that another has heard
 	syncEach    = 5 * time.Millisecond   // more for each process known: it is that much to send
--- a/internal/net/ops/ops.go
+++ b/internal/net/ops/ops.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -38,6 +39,12 @@
 	Active(context.Context) error
 }
 
+// Fleet is what is asked of a node that knows others.
+type Fleet interface {
+	FleetStatus() (status any, whole bool) // whether it takes part, not cut off
+	FleetMembers() any
+}
+
 // Desk takes the calls.
 type Desk struct {
 	l    net.Listener
@@ -60,9 +67,9 @@
 // Addr is where it listens.
 func (d *Desk) Addr() string { return d.l.Addr().String() }
 
-// Serve starts to answer for a node.
-func (d *Desk) Serve(n Node, log *logrus.Logger) {
-	d.http = http.Server{Handler: handler(n, log), ReadTimeout: headBy, WriteTimeout: headBy + answerBy, MaxHeaderBytes: longestHead,
+// Serve starts to answer for a node, and for what it knows of others; nil for nothing.
+func (d *Desk) Serve(n Node, f Fleet, log *logrus.Logger) {
+	d.http = http.Server{Handler: handler(n, f, log), ReadTimeout: headBy, WriteTimeout: headBy + answerBy, MaxHeaderBytes: longestHead,
 		ConnState: d.state, ErrorLog: stdlog.New(io.Discard, "", 0)}
 	d.http.SetKeepAlivesEnabled(false)
 	go func() { _ = d.http.Serve(d.l) }()
@@ -96,7 +103,7 @@
 	}
 }
 
-func handler(n Node, log *logrus.Logger) http.Handler {
+func handler(n Node, f Fleet, log *logrus.Logger) http.Handler {
 	calls := http.NewServeMux() // a path that it does not know gets 404, a method 405
 	calls.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
 		s := n.Sheet()
@@ -131,6 +138,13 @@
 	}
 	calls.HandleFunc("PUT /standby", told("standby", n.Standby))
 	calls.HandleFunc("PUT /active", told("active", n.Active))
+	if f != nil {
+		calls.HandleFunc("GET /fleet/status", func(w http.ResponseWriter, _ *http.Request) {
+			status, whole := f.FleetStatus()
+			say(w, status, whole)
+		})
+		calls.HandleFunc("GET /fleet/members", func(w http.ResponseWriter, _ *http.Request) { say(w, f.FleetMembers(), true) })
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength > longestBody {
 			http.Error(w, "a body is too long", http.StatusRequestEntityTooLarge)
@@ -139,3 +153,17 @@
 		calls.ServeHTTP(w, r)
 	})
 }
+
+// say answers with JSON.
+func say(w http.ResponseWriter, what any, yes bool) {
+	text, err := json.Marshal(what)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if !yes {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_, _ = w.Write(append(text, '\n'))
+}
--- a/internal/net/ops/ops_test.go
+++ b/internal/net/ops/ops_test.go
@@ -34,14 +34,18 @@
 	return s.err
 }
 
-func open(t *testing.T, n Node) string {
+func open(t *testing.T, n Node, f ...Fleet) string {
 	d, err := Open("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
-	d.Serve(n, quiet)
+	var fleet Fleet
+	if len(f) > 0 {
+		fleet = f[0]
+	}
+	d.Serve(n, fleet, quiet)
 	t.Cleanup(d.Close)
 	return d.Addr()
 }
@@ -133,3 +137,28 @@
 		}
 	}
 }
+
+// others is a fleet whose answers a test sets.
+type others struct{ whole bool }
+
+func (o others) FleetStatus() (any, bool) { return map[string]int{"members": 5}, o.whole }
+func (o others) FleetMembers() any        { return []string{"n1"} }
+
+// A node that is cut off says so by its status, as scripts look at that; one that knows of no others has no such calls.
+func TestCallsAboutTheFleet(t *testing.T) {
+	for _, c := range []struct {
+		at     string
+		path   string
+		status int
+		body   string
+	}{
+		{open(t, &standIn{}, others{true}), "/fleet/status", 200, `{"members":5}`},
+		{open(t, &standIn{}, others{false}), "/fleet/status", 503, `{"members":5}`},
+		{open(t, &standIn{}, others{}), "/fleet/members", 200, `["n1"]`},
+		{open(t, &standIn{}), "/fleet/members", 404, "404 page not found"},
+	} {
+		if status, body := call(t, c.at, "GET "+c.path+" HTTP/1.1\r\nHost: n\r\n\r\n"); status != c.status || strings.TrimSpace(body) != c.body {
+			t.Errorf("%s: %d %q, want %d %q", c.path, status, body, c.status, c.body)
+		}
+	}
+}
--- a/internal/net/relay/succession.go
+++ b/internal/net/relay/succession.go
@@ -72,6 +72,9 @@
 	}
 }
 
+// Replaced tells whether another process lets people in. It is for the loop, as Moved is called within it.
+func (r *Relay) Replaced() bool { return r.replaced }
+
 // giveBack leaves clients to the process that this one was to replace, if that is still there: going back needs no more than to end
 // the newcomer.
 func (r *Relay) giveBack() {
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 	"reflect"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -60,14 +61,15 @@
 	relay   *relay.Relay
 	records chan told // nil where nobody is told
 	kept    chan struct{}
-	turned  atomic.Pointer[func()] // told of each turn of the loop, once the node has joined others
-	fault   atomic.Pointer[error]  // why it had to end
-	dropped uint64                 // records; the loop's own until it has ended
+	fault   atomic.Pointer[error] // why it had to end
+	dropped uint64                // records; the loop's own until it has ended
 	phase   atomic.Int32
 	log     *logrus.Logger
-	posting *Posting    // as it started
-	desk    *ops.Desk   // nil where no operators call
-	post    *fleet.Post // nil where it knows of no other node
+	posting *Posting                   // as it started
+	desk    *ops.Desk                  // nil where no operators call
+	post    atomic.Pointer[fleet.Post] // nil where it knows of no other node, or not yet
+	takes   sync.Once                  // its place among the nodes
+	yields  bool                       // its place in the fleet goes to the process that replaces it; the loop's own
 }
 
 // New listens as the posting says and starts. Serve is to follow.
@@ -89,18 +91,14 @@
 	succeeds, handoverAt := n.predecessor()
 	var turned func()
 	if p.charter != nil {
-		turned = func() {
-			if f := n.turned.Load(); f != nil {
-				(*f)()
-			}
-		}
+		turned = n.turned
 	}
 	n.relay, err = relay.New(relay.Berth{
 		Turned: turned,
 		Listen: p.Listen, Operator: p.operator, Discovery: p.Discovery, Seed: p.Seed, Descriptors: cmp.Or(p.Sockets, usualSockets) - beside, Beside: beside, Figures: n.desk != nil,
 		Succeeds: succeeds, Handover: handoverAt, Together: n.together,
 		Memory: p.memory(), Terms: p.terms, Known: p.known, Log: log,
-		Moved: func(to Phase) { n.phase.Store(int32(to)) }, Name: p.Name, Records: note,
+		Moved: n.moved, Name: p.Name, Records: note,
 	})
 	if err != nil {
 		if n.desk != nil {
@@ -112,15 +110,17 @@
 		return nil, err
 	}
 	if n.desk != nil {
-		n.desk.Serve(n.relay, log)
+		n.desk.Serve(n.relay, n.fleet(), log)
 	}
-	if err := n.join(); err != nil {
-		n.relay.End()
-		n.relay.Run()
-		if n.desk != nil {
-			n.desk.Close()
+	if p.charter != nil && succeeds == nil { // else it waits for the one before it to go
+		if err := n.join(); err != nil {
+			n.relay.End()
+			n.relay.Run()
+			if n.desk != nil {
+				n.desk.Close()
+			}
+			return nil, err
 		}
-		return nil, err
 	}
 	log.WithFields(logrus.Fields{"name": p.Name, "listen": n.Addr()}).Info("listening")
 	return n, nil
@@ -140,7 +140,11 @@
 	if n.desk != nil {
 		defer n.desk.Close()
 	}
-	defer n.leave()
+	defer func() {
+		if post := n.post.Load(); post != nil {
+			post.Close(!n.yields)
+		}
+	}()
 	if n.records == nil {
 		n.relay.Run()
 		return
@@ -159,30 +163,6 @@
 	}
 }
 
-// join has it know the other nodes, where a file says how.
-func (n *Node) join() (err error) {
-	if n.posting.charter == nil {
-		return nil
-	}
-	n.post, err = fleet.Open(fleet.Berth{Name: n.posting.Name, Charter: n.posting.charter, Log: n.log, Now: fleet.Boottime, Trace: n.posting.Trace,
-		Ended: func(err error) {
-			n.log.WithError(err).Error("this process ends")
-			n.fault.Store(&err)
-			n.End()
-		}})
-	if err == nil {
-		turned := n.post.Turned
-		n.turned.Store(&turned)
-	}
-	return err
-}
-
-func (n *Node) leave() {
-	if n.post != nil {
-		n.post.Close(true)
-	}
-}
-
 // End asks the node to drain and stop. It may be called from anywhere.
 func (n *Node) End() { n.relay.End() }
 
@@ -260,6 +240,9 @@
 	if n.posting.fitted {
 		n.posting.fit(two)
 	}
+	if !two && n.posting.charter != nil && n.post.Load() == nil {
+		n.takes.Do(func() { go n.takeOver() })
+	}
 }
 
 func (p *Posting) fit(together bool) {
--- /dev/null
+++ b/node/together.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"time"
+
+	"dahliapin/internal/net/fleet"
+	"dahliapin/internal/net/ops"
+)
+
+const (
+	takeOverBy    = 10 * time.Second // for the process before this one to leave its place among the nodes
+	takeOverAgain = 50 * time.Millisecond
+)
+
+// join has the node know the others.
+func (n *Node) join() error {
+	post, err := fleet.Open(fleet.Berth{Name: n.posting.Name, Charter: n.posting.charter, Log: n.log, Now: fleet.Boottime, Trace: n.posting.Trace,
+		Ended: func(err error) {
+			n.log.WithError(err).Error("this process ends")
+			n.fault.Store(&err)
+			n.End()
+		}})
+	if err == nil {
+		n.post.Store(post)
+	}
+	return err
+}
+
+// takeOver joins once the process before this one has left its address free.
+func (n *Node) takeOver() {
+	for by := time.Now().Add(takeOverBy); ; time.Sleep(takeOverAgain) {
+		err := n.join()
+		if err == nil || n.Phase() >= Draining {
+			return
+		}
+		if time.Now().After(by) {
+			n.log.WithError(err).Error("this node does not know the others")
+			return
+		}
+	}
+}
+
+// turned is called at each turn of the loop.
+func (n *Node) turned() {
+	if post := n.post.Load(); post != nil {
+		post.Turned()
+	}
+}
+
+// moved hears of each phase, within the loop.
+func (n *Node) moved(to Phase) {
+	was := Phase(n.phase.Swap(int32(to)))
+	post := n.post.Load()
+	if post == nil {
+		return
+	}
+	switch {
+	case to == Draining:
+		n.yields = n.relay.Replaced()
+		go post.Leave(n.yields)
+	case to == Standby:
+		go post.Leave(false)
+	case was == Standby && to != Standby:
+		go post.Return()
+	}
+}
+
+// fleet is what operators may ask of the others; nil where there are none.
+func (n *Node) fleet() ops.Fleet {
+	if n.posting.charter == nil {
+		return nil
+	}
+	return known{n}
+}
+
+type known struct{ n *Node }
+
+// FleetStatus is how the node stands among the others.
+func (k known) FleetStatus() (any, bool) {
+	if post := k.n.post.Load(); post != nil {
+		return post.FleetStatus()
+	}
+	return struct {
+		Waits string `json:"waits"`
+	}{"for the process before this one to go"}, false
+}
+
+// FleetMembers are those that are known.
+func (k known) FleetMembers() any {
+	if post := k.n.post.Load(); post != nil {
+		return post.FleetMembers()
+	}
+	return []struct{}{}
+}
