Rehearsals of members: a loop that hangs, one name started twice; posts on sockets, their messages fuzzed

Need: hard cases on sockets. node_hang stops a node's loop while its gossip goes on (a switch of rehearsed processes only), node_twin starts another process with a taken name, which has to end by itself. Ports for processes are below the ephemeral range: two of five rehearsals side by side had lost one to a connection.

--- a/cmd/dahliapin/main.go
+++ b/cmd/dahliapin/main.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"dahliapin/internal/emulator/onwire"
 	"dahliapin/internal/strictly"
 	"dahliapin/node"
 	"dahliapin/policy"
@@ -135,6 +136,9 @@
 	node.Fit(p)
 	signals := make(chan os.Signal, 4) // before the node is there, or an early one would end the process
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	if os.Getenv(onwire.Rehearsed) != "" {
+		signal.Notify(signals, syscall.SIGUSR2)
+	}
 	n, err := node.New(p, logrus.StandardLogger())
 	if err != nil {
 		return err
@@ -144,6 +148,8 @@
 			switch s {
 			case syscall.SIGUSR1:
 				n.LogCounts()
+			case syscall.SIGUSR2:
+				n.Hang()
 			case syscall.SIGHUP:
 				reload(n, config)
 			default:
--- a/internal/emulator/course/course.go
+++ b/internal/emulator/course/course.go
@@ -30,6 +30,8 @@
 	StandbyNode(node int, by bool)              // operators have it stand by, or back
 	ScrapeNode(node int, until policy.Instant)  // its figures are fetched and held against what its clients saw
 	PauseNode(node int, stop bool)              // its process stands still, or goes on
+	HangNode(node int, yes bool)                // its loop stands still, and all else in it goes on
+	TwinNode(node int)                          // another process with its name is started elsewhere
 	Between(from, to int, f func(*between.Way)) // what goes wrong between two nodes, one way
 	Fault(server int, kind string)              // what goes wrong on its connections; "" for nothing
 	At(at policy.Instant, do func())            // do it then
@@ -177,12 +179,20 @@
 				c.rig.At(at.Add(long), func() { c.rig.StandbyNode(n-1, false) })
 			})
 		}
-	case "node_pause":
+	case "node_twin":
+		for _, n := range c.script.Members(e) {
+			c.rig.TwinNode(n - 1)
+		}
+	case "node_pause", "node_hang":
+		still := c.rig.PauseNode
+		if e.Do == "node_hang" {
+			still = c.rig.HangNode
+		}
 		members := c.script.Members(e)
 		for i, n := range members {
 			c.spaced(now, e, i, len(members), func(at policy.Instant) {
-				c.rig.PauseNode(n-1, true)
-				c.rig.At(at.Add(long), func() { c.rig.PauseNode(n-1, false) })
+				still(n-1, true)
+				c.rig.At(at.Add(long), func() { still(n-1, false) })
 			})
 		}
 	case "between_cut":
--- a/internal/emulator/onwire/member.go
+++ b/internal/emulator/onwire/member.go
@@ -57,14 +57,6 @@
 
 // start starts its node, with the list as its agent last had it.
 func (m *member) start(replaces bool) error {
-	var held []policy.Entry
-	m.agent.mu.Lock()
-	for _, id := range m.agent.order {
-		if e := m.agent.all[id]; e.State != policy.Gone {
-			held = append(held, e)
-		}
-	}
-	m.agent.mu.Unlock()
 	if m.r.script.Operated() {
 		free, err := net.Listen("tcp", "127.0.0.1:0") // new for each process: two may be up at once
 		if err != nil {
@@ -73,9 +65,7 @@
 		m.ops = free.Addr().String()
 		free.Close()
 	}
-	configuration, err := json.Marshal(map[string]any{"ops": m.ops, "name": m.name, "listen": m.addr, "discovery": m.agent.at.Addr().String(),
-		"seed": fmt.Sprintf("%x", m.r.script.Seed*7919+int64(m.number)*31+int64(m.life)), "limits": map[string]int{"memory_mb": 192, "sockets": 1024},
-		"settings": m.r.script.Settings(m.r.script.ZoneOf(m.number)), "known": json.RawMessage(m.r.list(0, true, held))})
+	configuration, err := m.configuration(m.addr)
 	if err != nil {
 		return err
 	}
@@ -179,3 +169,22 @@
 		<-p.Done()
 	}
 }
+
+// configuration is what its process is told, with the list as its agent last had it.
+func (m *member) configuration(listen string) ([]byte, error) {
+	ops := m.ops
+	if listen != m.addr { // a twin, which no operator calls
+		ops = ""
+	}
+	var held []policy.Entry
+	m.agent.mu.Lock()
+	for _, id := range m.agent.order {
+		if e := m.agent.all[id]; e.State != policy.Gone {
+			held = append(held, e)
+		}
+	}
+	m.agent.mu.Unlock()
+	return json.Marshal(map[string]any{"ops": ops, "name": m.name, "listen": listen, "discovery": m.agent.at.Addr().String(),
+		"seed": fmt.Sprintf("%x", m.r.script.Seed*7919+int64(m.number)*31+int64(m.life)), "limits": map[string]int{"memory_mb": 192, "sockets": 1024},
+		"settings": m.r.script.Settings(m.r.script.ZoneOf(m.number)), "known": json.RawMessage(m.r.list(0, true, held))})
+}
--- a/internal/emulator/onwire/rig.go
+++ b/internal/emulator/onwire/rig.go
@@ -57,7 +57,10 @@
 }
 
 // Pausing is a process that can be made to stand still, and to go on.
-type Pausing interface{ Pause(stop bool) }
+type Pausing interface {
+	Pause(stop bool)
+	Hang(stop bool) // its loop only
+}
 
 // Rig is one run.
 type Rig struct {
--- a/internal/emulator/onwire/runner.go
+++ b/internal/emulator/onwire/runner.go
@@ -60,6 +60,9 @@
 func (e *embedded) Done() <-chan struct{} { return e.done }
 func (e *embedded) Ended() string         { return "" }
 
+// Rehearsed is set in the environment of a node process that is part of a rehearsal: its loop can be made to hang there.
+const Rehearsed = "DAHLIAPIN_REHEARSED"
+
 // Processes runs each node as a process of its own, by a program that takes serve, --config and --records.
 type Processes struct {
 	Program string
@@ -108,7 +111,7 @@
 		}
 		traced, passed = r, append(passed, w)
 	}
-	cmd.Env = append(os.Environ(), "TMPDIR="+ps.Dir) // common to the processes of a node, and gone with the run
+	cmd.Env = append(os.Environ(), "TMPDIR="+ps.Dir, Rehearsed+"=1") // common to the processes of a node, and gone with the run
 	cmd.Stdout, cmd.Stderr, cmd.ExtraFiles = log, log, passed
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true} // Ctrl-C is the rig's to hear
 	err = cmd.Start()
@@ -153,6 +156,9 @@
 	return p, nil
 }
 
+// Hang has its loop stand still, or go on: a switch that only processes of a rehearsal have.
+func (p *process) Hang(bool) { p.cmd.Process.Signal(syscall.SIGUSR2) }
+
 // Pause stops it, or has it go on.
 func (p *process) Pause(stop bool) {
 	if stop {
--- a/internal/emulator/onwire/together.go
+++ b/internal/emulator/onwire/together.go
@@ -2,14 +2,23 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
+	"os"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
 
 	"dahliapin/internal/emulator/between"
 	"dahliapin/internal/emulator/judge"
 	"dahliapin/internal/fleet/trace"
 	"dahliapin/internal/net/fleet"
+	"dahliapin/internal/records"
 )
 
+const twinEndsBy = 15 * time.Second // for a process that finds its name taken
+
 // join opens what is between the nodes, where they know one another: a door for each ordered pair.
 func (r *Rig) join() error {
 	if r.script.Together == nil {
@@ -42,24 +51,29 @@
 	return nil
 }
 
-// freeForBoth finds a port that is free for datagrams and for streams; the node takes it right away.
+// Ports from which those are taken that a process will listen on: below those that systems give to whoever asks for any, or one of the
+// many connections of a rehearsal could have it before the process does.
+const firstPort, morePorts = 12_000, 20_000
+
+var ports atomic.Uint32
+
+// freeForBoth finds a port that is free for datagrams and for streams.
 func freeForBoth() (string, error) {
-	for tries := 0; ; tries++ {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", err
+	var err error
+	for range morePorts {
+		at := fmt.Sprintf("127.0.0.1:%d", firstPort+(uint32(os.Getpid())*397+ports.Add(1))%morePorts)
+		var l net.Listener
+		if l, err = net.Listen("tcp", at); err != nil {
+			continue
 		}
-		at := l.Addr().String()
-		u, err := net.ListenPacket("udp", at)
 		l.Close()
-		if err == nil {
+		var u net.PacketConn
+		if u, err = net.ListenPacket("udp", at); err == nil {
 			u.Close()
 			return at, nil
 		}
-		if tries == 20 {
-			return "", err
-		}
 	}
+	return "", err
 }
 
 func (r *Rig) charter(number int) []byte {
@@ -90,6 +104,11 @@
 	if !can || m.ending {
 		return
 	}
+	r.still(m, stop, p.Pause)
+}
+
+// still has a node do nothing, or go on.
+func (r *Rig) still(m *member, stop bool, do func(bool)) {
 	if stop {
 		m.serving = false
 		for id := range m.asks {
@@ -97,7 +116,7 @@
 			m.excused[id] = true
 		}
 	}
-	p.Pause(stop)
+	do(stop)
 	r.views.Truth(r.now(), m.name, !stop, false)
 	if !stop {
 		r.At(r.now().Add(r.terms.LongestStop), func() {
@@ -108,6 +127,59 @@
 	}
 }
 
+// HangNode has a node's loop stand still, or go on, while all else in its process runs; the lock is held.
+func (r *Rig) HangNode(number int, yes bool) {
+	m := r.nodes[number]
+	p, can := m.process.(Pausing)
+	if !can || m.ending {
+		return
+	}
+	r.still(m, yes, p.Hang)
+}
+
+// TwinNode starts another process with a node's name, at addresses of its own. It is to end by itself, as the name is taken; the lock is
+// held.
+func (r *Rig) TwinNode(number int) {
+	m := r.nodes[number]
+	go func() {
+		p, err := m.twin()
+		if err != nil {
+			m.failed(err.Error())
+			return
+		}
+		select {
+		case <-p.Done():
+			if !strings.Contains(p.Ended(), "has the name") {
+				m.failed("its twin ended otherwise: " + p.Ended())
+			}
+		case <-time.After(twinEndsBy):
+			m.failed("its twin does not end")
+			p.Kill()
+			<-p.Done()
+		}
+	}()
+}
+
+// twin starts one, which no client asks.
+func (m *member) twin() (Process, error) {
+	hears, err := freeForBoth()
+	if err != nil {
+		return nil, err
+	}
+	serves, err := freeForBoth()
+	if err != nil {
+		return nil, err
+	}
+	configuration, err := m.configuration(serves)
+	if err != nil {
+		return nil, err
+	}
+	all := slices.Clone(m.r.hears)
+	all[m.number] = hears
+	return m.r.runner.Start(Order{Name: m.name + "-twin", Configuration: configuration, Charter: m.r.script.Charter(m.number, all, nil),
+		Note: func(records.Entry, time.Time) {}, Trace: func([]byte) {}})
+}
+
 // Between changes what goes wrong between two nodes, one way.
 func (r *Rig) Between(from, to int, change func(*between.Way)) {
 	r.between.Change(from, to, func(w *between.Way) {
--- a/internal/emulator/outcome/views.go
+++ b/internal/emulator/outcome/views.go
@@ -1,8 +1,10 @@
 package outcome
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -46,26 +48,34 @@
 	if f == nil {
 		return
 	}
-	v := f.Views
-	fmt.Fprintln(to, "who knows of whom, a letter for each node; by the library's word, and by the view where there is one; x: does not run, !: says it is cut off")
+	v, what := f.Views, trace.Library
+	if f.View != nil {
+		what = trace.View
+	}
+	fmt.Fprintf(to, "whom nodes have as members by the %s, a letter for each; those apart that do not say what most say; x: does not run, !: says it is cut off\n", what)
 	last := ""
 	for at := policy.Instant(0); at <= policy.Instant(long); at += policy.Instant(time.Second) {
-		row := ""
+		says := map[string][]string{}
 		for n := range v.Nodes {
-			cell := letters(v.Nodes, lineAt(v, at, judge.NameOf(n), trace.Library).Members)
-			if l := lineAt(v, at, judge.NameOf(n), trace.View); l.What != "" {
-				cell += "/" + letters(v.Nodes, l.Members)
-				if l.Cut {
-					cell += "!"
-				}
+			l := lineAt(v, at, judge.NameOf(n), what)
+			cell := letters(v.Nodes, l.Members)
+			if l.Cut {
+				cell += "!"
 			}
 			if !runsAt(v, at, judge.NameOf(n)) {
-				cell = strings.Repeat("x", len(cell))
+				cell = "x"
 			}
-			row += " " + cell
+			says[cell] = append(says[cell], judge.NameOf(n))
+		}
+		cells := slices.SortedFunc(maps.Keys(says), func(a, b string) int {
+			return cmp.Or(-cmp.Compare(len(says[a]), len(says[b])), cmp.Compare(says[a][0], says[b][0]))
+		})
+		row := cells[0]
+		for _, c := range cells[1:] {
+			row += "  " + strings.Join(says[c], ",") + " " + c
 		}
 		if row != last {
-			fmt.Fprintf(to, "%8.3f s %s\n", time.Duration(at).Seconds(), row)
+			fmt.Fprintf(to, "%8.3f s  %s\n", time.Duration(at).Seconds(), row)
 		}
 		last = row
 	}
--- a/internal/emulator/script/script.go
+++ b/internal/emulator/script/script.go
@@ -196,7 +196,7 @@
 	"origin_slow": {factor: true, long: true}, "discovery_down": {long: true},
 	"discovery_slow": {factor: true, long: true}, "node_restart": {nodes: true},
 	cut: {pairs: true, long: true}, loss: {pairs: true, share: true, long: true}, twice: {pairs: true, share: true, long: true},
-	late: {pairs: true, late: true, long: true}, pause: {nodes: true, long: true},
+	late: {pairs: true, late: true, long: true}, pause: {nodes: true, long: true}, hang: {nodes: true, long: true}, twin: {nodes: true},
 	upgrade: {nodes: true}, standby: {nodes: true, long: true}, scrape: {nodes: true, long: true}, "node_kill": {nodes: true}, "fault": {caches: true, long: true}, "errors": {caches: true, share: true, long: true},
 }
 
@@ -206,6 +206,8 @@
 	standby = "node_standby"
 	scrape  = "node_scrape"
 	pause   = "node_pause"
+	hang    = "node_hang"
+	twin    = "node_twin"
 )
 
 // What goes wrong between nodes.
@@ -417,6 +419,7 @@
 		} else {
 			c.Want(e.Share == 0, at+"share", "%s takes no share", e.Do)
 		}
+		c.Want(e.Do != twin || s.Together != nil, at+"do", "nodes do not know one another: there is no [together]")
 		c.Want(!k.pairs || s.Together != nil, at+"do", "nodes say nothing to each other: there is no [together]")
 		c.Want(k.pairs || len(e.From)+len(e.To) == 0 && !e.Both && e.TurnS == 0, at+"from", "%s is not between nodes", e.Do)
 		for _, n := range slices.Concat(e.From, e.To) {
--- a/internal/emulator/virtual/virtual.go
+++ b/internal/emulator/virtual/virtual.go
@@ -274,8 +274,10 @@
 func (r *Run) StandbyNode(int, bool)          {}
 func (r *Run) ScrapeNode(int, policy.Instant) {}
 
-// PauseNode and Between concern processes and what is between them.
+// PauseNode, HangNode, TwinNode and Between concern processes and what is between them.
 func (r *Run) PauseNode(int, bool)                  {}
+func (r *Run) HangNode(int, bool)                   {}
+func (r *Run) TwinNode(int)                         {}
 func (r *Run) Between(int, int, func(*between.Way)) {}
 
 // StartNode starts it anew: it has its last list, and hears the whole one soon after.
--- a/internal/fleet/charter/charter.go
+++ b/internal/fleet/charter/charter.go
@@ -81,10 +81,11 @@
 		c.Want(err == nil, path, "%q is not an address and a port", at)
 	}
 	address(f.Fleet.Listen, "fleet.listen")
-	if f.Fleet.Advertise == "" {
+	listens := f.Fleet.Advertise == ""
+	if listens {
 		f.Fleet.Advertise = f.Fleet.Listen
 	}
-	if at, err := netip.ParseAddrPort(f.Fleet.Advertise); err != nil || at.Addr().IsUnspecified() || at.Port() == 0 {
+	if at, err := netip.ParseAddrPort(f.Fleet.Advertise); err != nil && !listens || err == nil && (at.Addr().IsUnspecified() || at.Port() == 0) {
 		c.Want(false, "fleet.advertise", "%q is not an address and a port that others can reach", f.Fleet.Advertise)
 	}
 	c.Want(len(f.Fleet.Seeds) <= mostSeeds, "fleet.seeds", "more than %d", mostSeeds)
@@ -97,7 +98,7 @@
 	m := &f.Members
 	c.Within(m.PauseS, 0.2, 60, "members.pause_s")
 	c.Within(m.HelloMs, 50, 5000, "members.hello_ms")
-	c.Want(m.HelloMs <= m.PauseS*500, "members.hello_ms", "at least two signs of life have to fit into pause_s")
+	c.Want(m.PauseS <= 0 || m.HelloMs <= m.PauseS*500, "members.hello_ms", "at least two signs of life have to fit into pause_s")
 	c.Within(m.BackS, 0, 600, "members.back_s")
 	c.Within(m.LoopS, 0.2, 60, "members.loop_s")
 	c.Within(m.ForgetS, m.PauseS+m.BackS, 86400, "members.forget_s")
--- a/internal/fleet/members/members_test.go
+++ b/internal/fleet/members/members_test.go
@@ -266,3 +266,94 @@
 		}
 	})
 }
+
+// One name started twice: at once, of two the same one gives way wherever one looks; later, the one that has the name and lives keeps it.
+func TestOneNameStartedTwice(t *testing.T) {
+	for seed := range uint32(10) {
+		for _, late := range []time.Duration{0, 8 * sec} {
+			s := newSim(5, seed, nil)
+			s.run(late)
+			twin := &simNode{s: s, number: 5, name: "n2"}
+			s.nodes = append(s.nodes, twin)
+			twin.start()
+			first := s.nodes[1].process
+			s.run(12 * sec)
+			if here, there := s.nodes[1].process != nil, twin.process != nil; here == there || late > 0 && !here {
+				t.Errorf("seed %d, %v later: the first runs: %v, the second: %v", seed, late, here, there)
+			}
+			if late > 0 && s.nodes[1].process != first {
+				t.Errorf("seed %d: the first is another", seed)
+			}
+			var marks []uint64
+			for _, n := range s.nodes {
+				if n.process != nil {
+					v := n.process.book.View()
+					if marks = append(marks, v.Mark); v.Mark != marks[0] || len(v.Nodes) != 5 {
+						t.Errorf("seed %d, %v later: %s has %v", seed, late, n.name, v.Nodes)
+					}
+				}
+			}
+		}
+	}
+}
+
+// A process that takes another's place has its name at once, and nobody sees it leave and join.
+func TestAProcessThatIsReplacedStaysAMember(t *testing.T) {
+	for seed := range uint32(5) {
+		s := newSim(5, seed, nil)
+		s.run(6 * sec)
+		s.nodes[2].process.book.Leave(true)
+		s.run(sec / 2)
+		s.nodes[2].process = nil
+		s.nodes[2].start()
+		s.run(8 * sec)
+		if d := s.verdict(); d.Wrong() > 0 || d.Changes > 0 {
+			t.Errorf("seed %d: %+v", seed, d)
+		}
+	}
+}
+
+// One that leaves in order is out at once, and its return is that of the same process.
+func TestOneThatLeavesIsOutAtOnceAndMayReturn(t *testing.T) {
+	s := newSim(5, 1, nil)
+	s.run(6 * sec)
+	b := s.nodes[2].process.book
+	for _, c := range []struct {
+		do   func()
+		want int
+	}{{func() { b.Leave(false) }, 4}, {b.Return, 5}, {func() { b.Leave(false) }, 4}} {
+		c.do()
+		s.run(sec)
+		for _, n := range []int{0, 1, 3, 4} {
+			if v := s.nodes[n].process.book.View(); len(v.Nodes) != c.want {
+				t.Errorf("n%d has %v, want %d", n+1, v.Nodes, c.want)
+			}
+		}
+		s.run(6 * sec)
+	}
+}
+
+// What no process would say is not taken.
+func TestStatementsOutOfBoundsAreNone(t *testing.T) {
+	b := members.New(terms, 7, "n1", "10.0.0.1:1", nil)
+	good := members.Statement{Process: 9, Node: "n2", Addr: "10.0.0.2:1", Revision: 3}
+	for _, bad := range []func(*members.Statement){
+		func(s *members.Statement) { s.Process = 0 }, func(s *members.Statement) { s.Node = "" }, func(s *members.Statement) { s.Addr = "" },
+		func(s *members.Statement) { s.Node = members.NodeName(make([]byte, members.LongestName+1)) },
+		func(s *members.Statement) { s.Hears = make([]members.ProcessID, members.MostOf+1) },
+		func(s *members.Statement) { s.Misses = []members.ProcessID{9} },
+	} {
+		s := good
+		if bad(&s); b.Told(s) {
+			t.Errorf("taken: %+v", s)
+		}
+	}
+	if !b.Told(good) || b.Told(good) {
+		t.Error("a good one is news once")
+	}
+	renamed := good
+	renamed.Node, renamed.Revision = "n3", 4
+	if b.Told(renamed) {
+		t.Error("a process has one name")
+	}
+}
--- /dev/null
+++ b/internal/net/fleet/fleet_test.go
@@ -0,0 +1,171 @@
+package fleet
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"dahliapin/internal/fleet/charter"
+	"dahliapin/internal/fleet/members"
+)
+
+func quiet() *logrus.Logger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return l
+}
+
+// posts opens some that know one another by the first's address.
+func posts(t *testing.T, n int, change func(*charter.File)) (ps []*Post) {
+	t.Helper()
+	seed := ""
+	for i := range n {
+		lines, err := Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := charter.Usual()
+		f.Members.HelloMs, f.Members.PauseS, f.Members.BackS = 50, 0.4, 0.3
+		f.Fleet.Advertise = lines.Datagrams.LocalAddr().String()
+		if i == 0 {
+			seed = f.Fleet.Advertise
+		}
+		f.Fleet.Seeds = []string{seed}
+		if change != nil {
+			change(&f)
+		}
+		p, err := Join(Berth{Name: string(rune('a' + i)), Charter: &f, Log: quiet(), Now: Boottime}, lines)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ps = append(ps, p)
+		over := make(chan bool)
+		go func() { // the loop that serves clients
+			for {
+				select {
+				case <-over:
+					return
+				case <-time.After(20 * time.Millisecond):
+					p.Turned()
+				}
+			}
+		}()
+		t.Cleanup(func() { close(over); p.Close(false) })
+	}
+	return ps
+}
+
+func within(t *testing.T, what string, yes func() bool) {
+	t.Helper()
+	for by := time.Now().Add(20 * time.Second); !yes(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(by) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func all(ps []*Post, n int) func() bool {
+	return func() bool {
+		for _, p := range ps {
+			if v := p.View(); len(v.Nodes) != n || v.Mark != ps[0].View().Mark {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// Three on sockets come to one view; one that leaves in order is out of it, and what is foreign is dropped with a count and harms nobody.
+func TestPostsJoinLeaveAndDropWhatIsForeign(t *testing.T) {
+	ps := posts(t, 3, func(f *charter.File) { f.Fleet.Key = "MDEyMzQ1Njc4OWFiY2RlZg==" })
+	within(t, "all know all", all(ps, 3))
+	at := ps[0].Charter.Fleet.Advertise
+	c, err := net.Dial("udp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for _, rubbish := range []string{"", "x", "\xda\x17\x01", "\xda\x17\x02h", "\xda\x17\x01z...", "\xda\x17\x01h", "\xda\x17\x01h\xa1\x00\x01", "\xda\x17\x01g", "\xda\x17\x01g\xff\xff\xff",
+		"\xda\x17\x01h\xbf", string(make([]byte, 9000))} {
+		io.WriteString(c, rubbish)
+	}
+	for _, rubbish := range []string{"GET / HTTP/1.1\r\n\r\n", "\xda\x17\x01h", "\xda\x17"} {
+		s, err := net.Dial("tcp", at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(s, rubbish)
+		s.(*net.TCPConn).CloseWrite()
+		s.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if _, err := io.ReadAll(s); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%q: not closed: %v", rubbish, err)
+		}
+		s.Close()
+	}
+	within(t, "all rubbish is counted", func() bool {
+		s, _ := ps[0].FleetStatus()
+		got := s.(Status)
+		return got.Foreign >= 9 && got.Unread >= 3
+	})
+	ps[2].Leave(false)
+	within(t, "the one that left is out", all(ps[:2], 2))
+	ps[2].Return()
+	within(t, "and back", all(ps, 3))
+	if s, whole := ps[0].FleetStatus(); !whole || s.(Status).CutOff {
+		t.Errorf("%+v", s)
+	}
+}
+
+// Whatever comes is read or refused, and what is read is written the same again.
+func FuzzMessages(f *testing.F) {
+	s := members.Statement{Process: 7, Node: "n1", Life: 2, Revision: 9, Addr: "10.0.0.1:7946", Doubts: true, Hears: []members.ProcessID{8}, Misses: []members.ProcessID{9}}
+	one, err := encodeStatement(s)
+	if err != nil {
+		f.Fatal(err)
+	}
+	state, _ := encodeState([][]byte{one, one})
+	hello, _ := encodeHello(members.Hello{Process: 7, Revision: 9, Sum: 1, Addr: "[::1]:1"})
+	for _, b := range [][]byte{one, state, hello, {}, {0xbf}, {0xa1, 0x00, 0x01}, {0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}} {
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if s, err := decodeStatement(b); err == nil && s.Addr != "" {
+			again, err := encodeStatement(s)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if back, err := decodeStatement(again); err != nil || back.Process != s.Process || back.Revision != s.Revision || back.Node != s.Node || back.Addr != s.Addr {
+				t.Errorf("%+v became %+v, %v", s, back, err)
+			}
+		}
+		if h, err := decodeHello(b); err == nil && (h.Process == 0 || h.Addr == "") {
+			t.Errorf("taken: %+v", h)
+		}
+		_, _ = decodeState(b)
+	})
+}
+
+// A field that an older node does not know is passed over, and goes on to others as it came.
+func TestUnknownFieldsArePassedOver(t *testing.T) {
+	one, err := encodeStatement(members.Statement{Process: 7, Node: "n1", Revision: 9, Addr: "10.0.0.1:7946"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	newer := append([]byte{one[0] + 1}, one[1:]...) // one more pair in the map: 23, true
+	newer = append(newer, 0x17, 0xf5)
+	if s, err := decodeStatement(newer); err != nil || s.Process != 7 {
+		t.Errorf("%+v, %v", s, err)
+	}
+	state, err := encodeState([][]byte{newer})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if back, err := decodeState(state); err != nil || len(back) != 1 || string(back[0]) != string(newer) {
+		t.Errorf("%v, %v", back, err)
+	}
+}
--- a/internal/net/relay/succession.go
+++ b/internal/net/relay/succession.go
@@ -72,6 +72,9 @@
 	}
 }
 
+// Hang has the loop do nothing until a channel is closed. It is for rehearsals.
+func (r *Relay) Hang(until <-chan struct{}) { r.ask(func() { <-until }) }
+
 // Replaced tells whether another process lets people in. It is for the loop, as Moved is called within it.
 func (r *Relay) Replaced() bool { return r.replaced }
 
--- a/node/node.go
+++ b/node/node.go
@@ -68,6 +68,7 @@
 	posting *Posting                   // as it started
 	desk    *ops.Desk                  // nil where no operators call
 	post    atomic.Pointer[fleet.Post] // nil where it knows of no other node, or not yet
+	hung    chan struct{}              // closed when the loop is to go on; nil while it does
 	takes   sync.Once                  // its place among the nodes
 	yields  bool                       // its place in the fleet goes to the process that replaces it; the loop's own
 }
--- a/node/together.go
+++ b/node/together.go
@@ -92,3 +92,15 @@
 	}
 	return []struct{}{}
 }
+
+// Hang has the loop stand still, or go on, while all else in the process runs. It is for rehearsals: a node that is alive to its peers
+// and dead to its clients. It is to be called from one goroutine.
+func (n *Node) Hang() {
+	if n.hung != nil {
+		close(n.hung)
+		n.hung = nil
+		return
+	}
+	n.hung = make(chan struct{})
+	n.relay.Hang(n.hung)
+}
