dahliapin nemesis: random schedules of troubles between processes, shortened to what breaks

Need: faults on no list. A schedule comes from its seed, leaves two thirds of the nodes alone at any time, is played on sockets, and one that shows a breach is shortened by leaving out events and kept as a script that plays again.

--- a/cmd/dahliapin/main.go
+++ b/cmd/dahliapin/main.go
@@ -44,7 +44,7 @@
 		c.Flags().StringVar(&charter, "fleet", "", "file by which the node joins the others; without it, it knows of none")
 	}
 	root.AddCommand(server, checking,
-		migrate(), rehearse(), loadCommand(), demo(), opsCommand(), fleetCommand(),
+		migrate(), rehearse(), loadCommand(), demo(), opsCommand(), fleetCommand(), nemesis(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "dahliapin", version, built()) }},
 	)
@@ -56,7 +56,7 @@
 				fmt.Fprintln(os.Stderr, "dahliapin:", f)
 			}
 		}
-		if errors.Is(err, errNo) {
+		if errors.Is(err, errNo) || errors.Is(err, errCall) {
 			os.Exit(2)
 		}
 		os.Exit(1)
--- /dev/null
+++ b/internal/emulator/script/nemesis_test.go
@@ -0,0 +1,37 @@
+package script
+
+import (
+	"reflect"
+	"testing"
+)
+
+// A schedule is the same for the same seed, can be read back as it is, and leaves most nodes alone at any time.
+func TestSchedulesOfTheNemesisPlayAgain(t *testing.T) {
+	events := 0
+	for seed := range int64(200) {
+		s := Nemesis(seed, 5+int(seed%9), 60)
+		text, err := s.Text()
+		if err != nil {
+			t.Fatal(err)
+		}
+		back, err := Parse("nemesis.toml", text)
+		if err != nil {
+			t.Fatalf("seed %d: %v\n%s", seed, err, text)
+		}
+		if !reflect.DeepEqual(back.Events, Nemesis(seed, 5+int(seed%9), 60).Events) || len(back.Events) == 0 {
+			t.Errorf("seed %d: %+v", seed, back.Events)
+		}
+		events += len(back.Events)
+		if less := back.Without(0); len(less.Events) != len(back.Events)-1 {
+			t.Errorf("seed %d: one event less is %d of %d", seed, len(less.Events), len(back.Events))
+		}
+		for _, e := range s.Events {
+			if e.AtS < formsIn || e.AtS+e.ForS > s.Seconds-quietLast+1e-6 {
+				t.Errorf("seed %d: %+v is not within its time", seed, e)
+			}
+		}
+	}
+	if events < 1000 {
+		t.Errorf("%d events in 200 schedules", events)
+	}
+}
--- a/internal/emulator/script/script.go
+++ b/internal/emulator/script/script.go
@@ -47,7 +47,7 @@
 	Grades    []Grade        `toml:"grade"`
 	Events    []Event        `toml:"event"`
 	Expect    Expect         `toml:"expect"`
-	Levels    []levels.Level `toml:"level"` // of all nodes
+	Levels    []levels.Level `toml:"level,omitempty"` // of all nodes
 	Together  *Together      `toml:"together"`
 }
 
@@ -145,24 +145,24 @@
 
 // Event is one thing that goes wrong, or is done.
 type Event struct {
-	AtS    float64  `toml:"at_s"`
-	Do     string   `toml:"do"`
-	Caches []string `toml:"caches"`
-	Part   float64  `toml:"part"` // of the caches or nodes, chosen by the seed, instead of names or numbers
-	Zone   string   `toml:"zone"` // all caches there
-	Nodes  []int    `toml:"nodes"`
-	OverS  float64  `toml:"over_s"` // spread over so long, one after the other
-	Factor float64  `toml:"factor"`
-	Share  float64  `toml:"share"`
-	Rank   int      `toml:"rank"`
-	Count  int      `toml:"count"`
-	ForS   float64  `toml:"for_s"`
-	Fault  string   `toml:"fault"`
-	From   []int    `toml:"from"`    // nodes whose messages to others it concerns; none for all
-	To     []int    `toml:"to"`      // nodes to which
-	Both   bool     `toml:"both"`    // and the other way
-	TurnS  float64  `toml:"turn_s"`  // it comes and goes, each for so long
-	LateMs float64  `toml:"late_ms"` // the most that messages are late
+	AtS    float64  `toml:"at_s,omitempty"`
+	Do     string   `toml:"do,omitempty"`
+	Caches []string `toml:"caches,omitempty"`
+	Part   float64  `toml:"part,omitempty"` // of the caches or nodes, chosen by the seed, instead of names or numbers
+	Zone   string   `toml:"zone,omitempty"` // all caches there
+	Nodes  []int    `toml:"nodes,omitempty"`
+	OverS  float64  `toml:"over_s,omitempty"` // spread over so long, one after the other
+	Factor float64  `toml:"factor,omitempty"`
+	Share  float64  `toml:"share,omitempty"`
+	Rank   int      `toml:"rank,omitempty"`
+	Count  int      `toml:"count,omitempty"`
+	ForS   float64  `toml:"for_s,omitempty"`
+	Fault  string   `toml:"fault,omitempty"`
+	From   []int    `toml:"from,omitempty"`    // nodes whose messages to others it concerns; none for all
+	To     []int    `toml:"to,omitempty"`      // nodes to which
+	Both   bool     `toml:"both,omitempty"`    // and the other way
+	TurnS  float64  `toml:"turn_s,omitempty"`  // it comes and goes, each for so long
+	LateMs float64  `toml:"late_ms,omitempty"` // the most that messages are late
 }
 
 // Expect says what makes a run good, beside the four rules, which always hold.
