Fleets have a label: what comes from another fleet is dropped before it is read

Seen: two rehearsals side by side, the nodes of one met those of the other at a port that had changed hands, and as both have an n7, nodes ended by 'another process has the name n7'. Nothing told one fleet's messages from another's. The label's checksum now stands before each datagram and stream; each rehearsal has a label of its own. Test: messages of another label are dropped with a count.

--- a/internal/emulator/onwire/together.go
+++ b/internal/emulator/onwire/together.go
@@ -76,11 +76,14 @@
 	return "", err
 }
 
+// label is the run's own: a port that another run had may still be written to.
+func (r *Rig) label() string { return fmt.Sprintf("%s-%d-%d", r.script.Name, os.Getpid(), r.boot) }
+
 func (r *Rig) charter(number int) []byte {
 	if r.between == nil {
 		return nil
 	}
-	return r.script.Charter(number, r.hears, r.doors[number])
+	return r.script.Charter(number, r.label(), r.hears, r.doors[number])
 }
 
 // traced hears a line of a process's trace.
@@ -176,7 +179,7 @@
 	}
 	all := slices.Clone(m.r.hears)
 	all[m.number] = hears
-	return m.r.runner.Start(Order{Name: m.name + "-twin", Configuration: configuration, Charter: m.r.script.Charter(m.number, all, nil),
+	return m.r.runner.Start(Order{Name: m.name + "-twin", Configuration: configuration, Charter: m.r.script.Charter(m.number, m.r.label(), all, nil),
 		Note: func(records.Entry, time.Time) {}, Trace: func([]byte) {}})
 }
 
--- a/internal/emulator/outcome/views.go
+++ b/internal/emulator/outcome/views.go
@@ -79,6 +79,9 @@
 		}
 		last = row
 	}
+	if out := rates(v); len(out) > 0 {
+		fmt.Fprintf(to, "datagrams between nodes: median %.0f, most %.0f bytes a second sent by a node\n", at(out, 0.5), out[len(out)-1])
+	}
 	for _, d := range []struct {
 		of string
 		*judge.Verdict
@@ -94,6 +97,27 @@
 	}
 }
 
+// rates are the bytes a second that each process sent to other nodes.
+func rates(v *judge.Views) (out []float64) {
+	first, last := map[string]trace.Line{}, map[string]trace.Line{}
+	for _, l := range v.Lines {
+		if l.What != trace.Traffic {
+			continue
+		}
+		if _, is := first[l.Process]; !is {
+			first[l.Process] = l
+		}
+		last[l.Process] = l
+	}
+	for id, l := range last {
+		if long := l.At.Since(first[id].At).Seconds(); long > 0 {
+			out = append(out, float64(l.Out-first[id].Out)/long)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 func at(sorted []float64, q float64) float64 {
 	if len(sorted) == 0 {
 		return 0
--- a/internal/emulator/script/together.go
+++ b/internal/emulator/script/together.go
@@ -69,10 +69,10 @@
 }
 
 // Charter is the file by which a node joins the others: where each of them hears, and the way to it.
-func (s *Script) Charter(node int, hears []string, ways map[string]string) []byte {
+func (s *Script) Charter(node int, label string, hears []string, ways map[string]string) []byte {
 	var b strings.Builder
 	t := s.Together
-	fmt.Fprintf(&b, "[fleet]\nlisten = %q\nengine = %q\nseeds = [", hears[node], t.Engine)
+	fmt.Fprintf(&b, "[fleet]\nlabel = %q\nlisten = %q\nengine = %q\nseeds = [", label, hears[node], t.Engine)
 	for _, at := range hears[:t.Seeds] {
 		fmt.Fprintf(&b, "%q, ", at)
 	}
--- a/internal/fleet/charter/charter.go
+++ b/internal/fleet/charter/charter.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	mostSeeds = 64   // asked one after the other: more make a start slow
-	mostWays  = 4096 // other ways to members: one for each there may be
+	longestLabel = 200  // bytes
+	mostSeeds    = 64   // asked one after the other: more make a start slow
+	mostWays     = 4096 // other ways to members: one for each there may be
 )
 
 // The engines that carry what members say.
@@ -32,6 +33,7 @@
 
 // Fleet says how this node is reached and reaches others.
 type Fleet struct {
+	Label     string   `toml:"label"`     // of the fleet: what comes from one with another is dropped
 	Listen    string   `toml:"listen"`    // address and port, for datagrams and streams
 	Advertise string   `toml:"advertise"` // the same as others see it; empty for the same
 	Seeds     []string `toml:"seeds"`     // members to ask first, of which one alive is enough
@@ -88,6 +90,7 @@
 	if at, err := netip.ParseAddrPort(f.Fleet.Advertise); err != nil && !listens || err == nil && (at.Addr().IsUnspecified() || at.Port() == 0) {
 		c.Want(false, "fleet.advertise", "%q is not an address and a port that others can reach", f.Fleet.Advertise)
 	}
+	c.Want(len(f.Fleet.Label) <= longestLabel, "fleet.label", "longer than %d bytes", longestLabel)
 	c.Want(len(f.Fleet.Seeds) <= mostSeeds, "fleet.seeds", "more than %d", mostSeeds)
 	for _, s := range f.Fleet.Seeds {
 		address(s, "fleet.seeds")
--- a/internal/fleet/members/members_test.go
+++ b/internal/fleet/members/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"strconv"
 	"testing"
 	"time"
 
@@ -357,3 +358,24 @@
 		t.Error("a process has one name")
 	}
 }
+
+// How long it takes until all know of one that was killed, by the number of nodes: decisions as in service, gossip as the library has it.
+func BenchmarkKilledOneIsOut(b *testing.B) {
+	for _, nodes := range []int{12, 100} {
+		b.Run(strconv.Itoa(nodes), func(b *testing.B) {
+			for i := range b.N {
+				s := newSim(nodes, uint32(i+1), nil)
+				s.run(15 * sec)
+				s.nodes[nodes/2].kill()
+				s.run(12 * sec)
+				d := s.verdict()
+				if d.Wrong() > 0 || len(d.Detect) != nodes-1 {
+					b.Fatalf("%d heard of it: %+v", len(d.Detect), d.What)
+				}
+				b.ReportMetric(d.Detect[len(d.Detect)/2], "median-s")
+				b.ReportMetric(d.Detect[len(d.Detect)*99/100], "p99-s")
+				b.ReportMetric(d.Formed, "formed-s")
+			}
+		})
+	}
+}
--- a/internal/fleet/trace/trace.go
+++ b/internal/fleet/trace/trace.go
@@ -7,6 +7,7 @@
 const (
 	Library = "library" // a change of the gossip library's members
 	View    = "view"    // a change of the view
+	Traffic = "traffic" // what went and came between nodes until now
 )
 
 // Line is one thing that a process did.
@@ -21,5 +22,7 @@
 	Number  uint64         `json:"number,omitempty"`  // of the view
 	Mark    string         `json:"mark,omitempty"`    // the same for the same members
 	Cut     bool           `json:"cut_off,omitempty"` // it says of itself that it is cut off
-	Lost    uint64         `json:"lost,omitempty"`    // lines that were dropped until now
+	Out     uint64         `json:"out,omitempty"`     // bytes sent to other nodes, in datagrams
+	In      uint64         `json:"in,omitempty"`
+	Lost    uint64         `json:"lost,omitempty"` // lines that were dropped until now
 }
--- a/internal/net/fleet/fleet.go
+++ b/internal/net/fleet/fleet.go
@@ -26,12 +26,13 @@
 )
 
 const (
-	nameEnds   = "~"                    // before the process, in the names that the library knows
-	joinEach   = 500 * time.Millisecond // between attempts to reach a seed, while nobody is known
-	leaveBy    = 300 * time.Millisecond // to say that this node leaves
-	lookEach   = 50 * time.Millisecond  // between looks at what is due: several between two signs of life
-	retransmit = 4                      // times the logarithm of the fleet that a word is passed on: the library's own measure
-	statesBy   = 20 << 20               // bytes of all that another has heard
+	nameEnds    = "~"                    // before the process, in the names that the library knows
+	joinEach    = 500 * time.Millisecond // between attempts to reach a seed, while nobody is known
+	leaveBy     = 300 * time.Millisecond // to say that this node leaves
+	lookEach    = 50 * time.Millisecond  // between looks at what is due: several between two signs of life
+	trafficEach = 40                     // looks between lines of how much went and came
+	retransmit  = 4                      // times the logarithm of the fleet that a word is passed on: the library's own measure
+	statesBy    = 20 << 20               // bytes of all that another has heard
 )
 
 // Berth is where and with what a node joins.
@@ -65,6 +66,7 @@
 	raw   map[members.ProcessID][]byte // statements as they came
 	there []string                     // names of members, as the library has them
 	ended bool
+	looks int // by its one goroutine
 }
 
 // Open joins by sockets of its own.
@@ -98,7 +100,7 @@
 	for _, w := range b.Charter.Ways {
 		ways[w.To] = w.Through
 	}
-	p.t = newTransport(lines, at, ways, p.hello)
+	p.t = newTransport(lines, at, b.Charter.Fleet.Label, ways, p.hello)
 	if p.list, err = memberlist.Create(p.engine()); err != nil {
 		_ = p.t.Shutdown()
 		p.trace.close()
@@ -186,6 +188,9 @@
 }
 
 func (p *Post) look() {
+	if p.looks++; p.looks%trafficEach == 0 {
+		p.say(trace.Line{What: trace.Traffic, Out: p.t.count.outBytes.Load(), In: p.t.count.inBytes.Load()})
+	}
 	p.mu.Lock()
 	p.book.Turned(p.turns.Load())
 	do := p.book.Look(p.Now())
--- a/internal/net/fleet/fleet_test.go
+++ b/internal/net/fleet/fleet_test.go
@@ -90,11 +90,13 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	for _, rubbish := range []string{"", "x", "\xda\x17\x01", "\xda\x17\x02h", "\xda\x17\x01z...", "\xda\x17\x01h", "\xda\x17\x01h\xa1\x00\x01", "\xda\x17\x01g", "\xda\x17\x01g\xff\xff\xff",
-		"\xda\x17\x01h\xbf", string(make([]byte, 9000))} {
+	ours := func(kind byte) string { return string(ps[0].t.preface(kind)) }
+	other := transport{label: 1}
+	for _, rubbish := range []string{"", "x", "\xda\x17\x01", "\xda\x17\x02hhhhh", ours('z') + "...", ours('h'), ours('h') + "\xa1\x00\x01", ours('g'),
+		ours('g') + "\xff\xff\xff", ours('h') + "\xbf", string(other.preface('h')), string(make([]byte, 9000))} {
 		io.WriteString(c, rubbish)
 	}
-	for _, rubbish := range []string{"GET / HTTP/1.1\r\n\r\n", "\xda\x17\x01h", "\xda\x17"} {
+	for _, rubbish := range []string{"GET / HTTP/1.1\r\n\r\n", ours('h'), string(other.preface('g')), "\xda\x17"} {
 		s, err := net.Dial("tcp", at)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/net/fleet/transport.go
+++ b/internal/net/fleet/transport.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"encoding/binary"
 	"errors"
+	"hash/crc32"
 	"io"
 	"net"
 	"net/netip"
@@ -20,11 +22,12 @@
 	refusedRest     = 200 * time.Millisecond // after a failure to accept, as for want of descriptors
 )
 
-// What stands before each datagram and stream: two bytes that are nobody else's, the version of this way of speaking, and the kind.
+// What stands before each datagram and stream: two bytes that are nobody else's, the version of this way of speaking, the kind, and
+// the fleet. Guards against an address that has come to be another fleet's, whose nodes may well have the same names.
 const (
 	magic0, magic1 = 0xda, 0x17
 	speaks         = 1
-	prefaceLen     = 4
+	prefaceLen     = 8
 )
 
 const (
@@ -32,10 +35,12 @@
 	kindHello   = 'h' // a sign of life
 )
 
-func preface(kind byte) []byte { return []byte{magic0, magic1, speaks, kind} }
+func (t *transport) preface(kind byte) []byte {
+	return binary.BigEndian.AppendUint32([]byte{magic0, magic1, speaks, kind}, t.label)
+}
 
-func prefaceOf(b []byte) (kind byte, ok bool) {
-	if len(b) < prefaceLen || b[0] != magic0 || b[1] != magic1 || b[2] != speaks {
+func (t *transport) prefaceOf(b []byte) (kind byte, ok bool) {
+	if len(b) < prefaceLen || b[0] != magic0 || b[1] != magic1 || b[2] != speaks || binary.BigEndian.Uint32(b[4:]) != t.label {
 		return 0, false
 	}
 	return b[3], true
@@ -88,6 +93,7 @@
 type transport struct {
 	lines   Lines
 	at      netip.AddrPort // as others see it
+	label   uint32         // of the fleet
 	ways    map[string]string
 	hello   func(b []byte, from string)
 	packets chan *memberlist.Packet
@@ -98,8 +104,8 @@
 	count   traffic
 }
 
-func newTransport(l Lines, at netip.AddrPort, ways map[string]string, hello func([]byte, string)) *transport {
-	t := &transport{lines: l, at: at, ways: ways, hello: hello, packets: make(chan *memberlist.Packet, packetsAhead), streams: make(chan net.Conn),
+func newTransport(l Lines, at netip.AddrPort, label string, ways map[string]string, hello func([]byte, string)) *transport {
+	t := &transport{lines: l, at: at, label: crc32.ChecksumIEEE([]byte(label)), ways: ways, hello: hello, packets: make(chan *memberlist.Packet, packetsAhead), streams: make(chan net.Conn),
 		slots: make(chan struct{}, streamsAtOnce), closed: make(chan struct{})}
 	go t.readDatagrams()
 	go t.acceptStreams()
@@ -126,7 +132,7 @@
 		}
 		t.count.in.Add(1)
 		t.count.inBytes.Add(uint64(n))
-		kind, ok := prefaceOf(buf[:n])
+		kind, ok := t.prefaceOf(buf[:n])
 		body := append([]byte(nil), buf[min(n, prefaceLen):n]...)
 		switch {
 		case !ok:
@@ -184,7 +190,7 @@
 		_ = held.Close()
 		return
 	}
-	if kind, ok := prefaceOf(b); !ok || kind != kindLibrary {
+	if kind, ok := t.prefaceOf(b); !ok || kind != kindLibrary {
 		t.count.foreign.Add(1)
 		_ = held.Close()
 		return
@@ -215,7 +221,7 @@
 	if err != nil {
 		return err
 	}
-	whole := append(preface(kind), b...)
+	whole := append(t.preface(kind), b...)
 	t.count.out.Add(1)
 	t.count.outBytes.Add(uint64(len(whole)))
 	_, err = t.lines.Datagrams.WriteTo(whole, to)
@@ -247,7 +253,7 @@
 		return nil, err
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(within))
-	if _, err := c.Write(preface(kindLibrary)); err != nil {
+	if _, err := c.Write(t.preface(kindLibrary)); err != nil {
 		_ = c.Close()
 		return nil, err
 	}
