--- a/internal/emulator/onwire/operators.go
+++ b/internal/emulator/onwire/operators.go
@@ -74,6 +74,7 @@
 // StandbyNode has a node stand by, or take clients again, as operators and the front see it; the lock is held.
 func (r *Rig) StandbyNode(number int, by bool) {
 	m := r.nodes[number]
+	r.views.Truth(r.now(), m.name, !by, false) // who stands by is no member
 	go func() {
 		path, begun := "/active", time.Now()
 		if by {
