--- a/cmd/dahliapin/load.go
+++ b/cmd/dahliapin/load.go
@@ -70,11 +70,15 @@
 
 func demo() *cobra.Command {
 	var long time.Duration
+	var nodes int
 	c := &cobra.Command{Use: "demo", Short: "Show a node at work: fleet, origin, discovery and traffic on free loopback ports",
 		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 			if long < time.Second || long > time.Hour {
 				return fmt.Errorf("--for %v is not from 1s to 1h", long)
 			}
+			if nodes != 1 {
+				return demoTogether(c, nodes)
+			}
 			text, _ := rehearsals.Text("demo")
 			s, err := script.Parse("demo.toml", text)
 			if err != nil {
@@ -95,6 +99,37 @@
 			r.Print(out)
 			return nil
 		}}
-	c.Flags().DurationVar(&long, "for", 20*time.Second, "how long")
+	c.Flags().DurationVar(&long, "for", 20*time.Second, "how long; with several nodes the troubles say")
+	c.Flags().IntVar(&nodes, "nodes", 1, "how many nodes; several know one another, and one is killed, one cut off")
 	return c
 }
+
+const (
+	fewestTogether = 3 // of fewer none can tell who is cut off
+	mostTogether   = 12
+)
+
+// demoTogether shows nodes that know one another, with troubles between them.
+func demoTogether(c *cobra.Command, nodes int) error {
+	if nodes < fewestTogether || nodes > mostTogether {
+		return fmt.Errorf("--nodes %d is not 1, nor from %d to %d", nodes, fewestTogether, mostTogether)
+	}
+	text, _ := rehearsals.Text("members-first")
+	s, err := script.Parse("members-first.toml", text)
+	if err != nil {
+		return err
+	}
+	s.Fleet.Nodes = nodes
+	out := c.OutOrStdout()
+	fmt.Fprintf(out, "%s\n%d node processes of this program and a go-between for each pair, all on loopback, for %g s; Ctrl-C ends it.\n", s.About, nodes, s.Seconds)
+	r, err := onSockets(c.Context(), s, func(line string) { fmt.Fprintln(out, line) })
+	if errors.Is(err, context.Canceled) {
+		fmt.Fprintln(out, "ended")
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	r.Print(out)
+	return nil
+}
--- a/internal/emulator/judge/views.go
+++ b/internal/emulator/judge/views.go
@@ -175,6 +175,7 @@
 		for j := range all {
 			if a, b := &all[i], &all[j]; a.node == b.node && b.from > a.from && (a.ended && b.from < a.to.Add(afterwards) || b.from < a.to.Add(betweenTwo)) {
 				b.from, b.stood, b.weak, b.ended = a.from, a.stood || b.stood, true, a.ended || b.ended
+				*a = *b
 			}
 		}
 	}
