--- a/cmd/dahliapin/load.go
+++ b/cmd/dahliapin/load.go
@@ -88,16 +88,7 @@
 			s.Repeat() // its troubles come round for as long as it runs
 			out := c.OutOrStdout()
 			fmt.Fprintf(out, "%s\nA node of this program, %d caches, an origin and discovery, all on loopback, for %v; Ctrl-C ends it.\n", s.About, s.Fleet.Caches, long)
-			r, err := onSockets(c.Context(), s, func(line string) { fmt.Fprintln(out, line) })
-			if errors.Is(err, context.Canceled) {
-				fmt.Fprintln(out, "ended")
-				return nil
-			}
-			if err != nil {
-				return err
-			}
-			r.Print(out)
-			return nil
+			return shown(c, s)
 		}}
 	c.Flags().DurationVar(&long, "for", 20*time.Second, "how long; with several nodes the troubles say")
 	c.Flags().IntVar(&nodes, "nodes", 1, "how many nodes; several know one another, and one is killed, one cut off")
@@ -122,6 +113,12 @@
 	s.Fleet.Nodes = nodes
 	out := c.OutOrStdout()
 	fmt.Fprintf(out, "%s\n%d node processes of this program and a go-between for each pair, all on loopback, for %g s; Ctrl-C ends it.\n", s.About, nodes, s.Seconds)
+	return shown(c, s)
+}
+
+// shown plays a script on sockets and tells what happens, until its end or Ctrl-C.
+func shown(c *cobra.Command, s *script.Script) error {
+	out := c.OutOrStdout()
 	r, err := onSockets(c.Context(), s, func(line string) { fmt.Fprintln(out, line) })
 	if errors.Is(err, context.Canceled) {
 		fmt.Fprintln(out, "ended")
