Post: ends in a second whoever is silent, keeps orders in order, its sockets are counted

A seed that takes calls and says nothing kept a node from ending for 10 s a seed (Close waited for the call); what the library told after the end went to a closed channel, a panic; leaving and returning were told by a goroutine each, which could change places; the other nodes' sockets were in no count of descriptors; a state was measured after it was read; the log named the last node of several that came or went.

--- a/internal/net/fleet/fleet.go
+++ b/internal/net/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/memberlist"
 	"github.com/sirupsen/logrus"
 
@@ -29,6 +30,8 @@
 	nameEnds    = "~"                    // before the process, in the names that the library knows
 	joinEach    = 500 * time.Millisecond // between attempts to reach a seed, while nobody is known
 	leaveBy     = 300 * time.Millisecond // to say that this node leaves
+	endBy       = 500 * time.Millisecond // for what is under way to end: a call to one who does not answer is left to itself
+	streamBy    = 2 * time.Second        // for a stream to come up, and for each answer on it
 	lookEach    = 50 * time.Millisecond  // between looks at what is due: several between two signs of life
 	trafficEach = 40                     // looks between lines of how much went and came
 	retransmit  = 4                      // times the logarithm of the fleet that a word is passed on: the library's own measure
@@ -60,6 +63,8 @@
 	known   atomic.Int64
 	bad     atomic.Uint64 // messages that could not be read
 	view    atomic.Pointer[members.View]
+	stance  atomic.Int32 // what this process is to be to the others
+	once    sync.Once
 
 	mu    sync.Mutex
 	book  *members.Book
@@ -121,6 +126,7 @@
 	c := memberlist.DefaultLANConfig()
 	c.Name = fmt.Sprintf("%s%s%016x", p.Name, nameEnds, p.process)
 	c.Transport, c.Events, c.Delegate, c.SecretKey = p.t, p, delegate{p}, p.Charter.Fleet.KeyBytes()
+	c.UDPBufferSize = longestDatagram - prefaceLen
 	c.Logger = stdlog.New(io.Discard, "", 0)
 	if p.Charter.Fleet.Engine == charter.Tuned {
 		tune(c)
@@ -136,7 +142,7 @@
 	c.ProbeInterval, c.ProbeTimeout = 2*time.Second, time.Second
 	c.SuspicionMult, c.IndirectChecks = 8, 4
 	c.PushPullInterval = 15 * time.Second
-	c.GossipToTheDeadTime = time.Minute
+	c.GossipToTheDeadTime, c.TCPTimeout = time.Minute, streamBy
 }
 
 // joining asks the seeds until somebody is known.
@@ -144,7 +150,7 @@
 	defer p.done.Done()
 	for {
 		for _, seed := range p.Charter.Fleet.Seeds {
-			if p.list.NumMembers() > 1 {
+			if p.list.NumMembers() > 1 || p.over() {
 				break
 			}
 			if seed != p.Charter.Fleet.Advertise {
@@ -159,6 +165,15 @@
 	}
 }
 
+func (p *Post) over() bool {
+	select {
+	case <-p.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 // syncing exchanges all that is known with who is named, one after the other.
 func (p *Post) syncing() {
 	defer p.done.Done()
@@ -193,6 +208,7 @@
 	}
 	p.mu.Lock()
 	p.book.Turned(p.turns.Load())
+	p.stand()
 	do := p.book.Look(p.Now())
 	view, verdict := p.book.View(), p.book.Verdict()
 	p.tellOwn()
@@ -265,22 +281,15 @@
 		l.Members = append(l.Members, string(n))
 	}
 	p.say(l)
-	log := p.Log.WithFields(logrus.Fields{"members": len(is.Nodes), "view": is.Number, "cut_off": is.CutOff})
-	for _, n := range is.Nodes {
-		if !slices.Contains(was.Nodes, n) {
-			log = log.WithField("in", n)
-		}
-	}
-	for _, n := range was.Nodes {
-		if !slices.Contains(is.Nodes, n) {
-			log = log.WithField("out", n)
-		}
+	less := func(of, than []members.NodeName) []members.NodeName {
+		return slices.DeleteFunc(slices.Clone(of), func(n members.NodeName) bool { return slices.Contains(than, n) })
 	}
-	log.Info("members")
+	p.Log.WithFields(logrus.Fields{"members": len(is.Nodes), "view": is.Number, "cut_off": is.CutOff, "in": less(is.Nodes, was.Nodes),
+		"out": less(was.Nodes, is.Nodes)}).Info("members")
 }
 
 // hello hears a sign of life.
-func (p *Post) hello(b []byte, _ string) {
+func (p *Post) hello(b []byte) {
 	h, err := decodeHello(b)
 	if err != nil {
 		p.bad.Add(1)
@@ -297,19 +306,28 @@
 // View is who is there, as it was last known.
 func (p *Post) View() *members.View { return p.view.Load() }
 
-// Leave tells the others that this process ends or stands by; where another takes its place, that its name goes to that one.
-func (p *Post) Leave(yields bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.book.Leave(yields)
-	p.tellOwn()
-}
+// Stance is what a process is to the others.
+type Stance int32
 
-// Return takes that back.
-func (p *Post) Return() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.book.Return()
+const (
+	Staying  Stance = iota
+	Leaving         // it ends, or stands by
+	Yielding        // it ends, and its name goes to the process that takes its place
+)
+
+// Stand has it be that, at the next look. It may be called from anywhere, and waits for nothing.
+func (p *Post) Stand(s Stance) { p.stance.Store(int32(s)) }
+
+// stand tells the others of a stance that has changed; the lock is held.
+func (p *Post) stand() {
+	switch Stance(p.stance.Load()) {
+	case Staying:
+		p.book.Return()
+	case Leaving:
+		p.book.Leave(false)
+	case Yielding:
+		p.book.Leave(true)
+	}
 	p.tellOwn()
 }
 
@@ -376,8 +394,12 @@
 
 // MergeRemoteState is memberlist's.
 func (d delegate) MergeRemoteState(b []byte, _ bool) {
-	all, err := decodeState(b)
-	if err != nil || len(b) > statesBy {
+	var all []cbor.RawMessage
+	err := errWire
+	if len(b) <= statesBy {
+		all, err = decodeState(b)
+	}
+	if err != nil {
 		d.p.bad.Add(1)
 		return
 	}
@@ -420,18 +442,32 @@
 }
 
 func (p *Post) say(l trace.Line) {
-	l.At, l.Node, l.Process = p.Now(), p.Name, fmt.Sprintf("%016x", uint64(p.process))
+	l.At, l.Node, l.Process = p.Now(), p.Name, hex(p.process)
 	p.trace.say(l)
 }
 
-// Close ends it, and first tells the others in order, if it is to.
+// Close ends it, and first tells the others in order, if it is to. It takes a second at the most, whoever does not answer.
 func (p *Post) Close(orderly bool) {
-	if orderly {
-		p.Leave(false)
-		_ = p.list.Leave(leaveBy)
-	}
-	close(p.closed)
-	p.done.Wait()
-	_ = p.list.Shutdown()
-	p.trace.close()
+	p.once.Do(func() {
+		close(p.closed)
+		if orderly {
+			p.mu.Lock()
+			p.Stand(Leaving)
+			p.stand()
+			p.mu.Unlock()
+			_ = p.list.Leave(leaveBy)
+		}
+		ended := make(chan struct{})
+		go func() {
+			p.done.Wait()
+			close(ended)
+		}()
+		// guards against a node that can't end since a seed takes its call and says nothing
+		select {
+		case <-ended:
+		case <-time.After(endBy):
+		}
+		_ = p.list.Shutdown()
+		p.trace.close()
+	})
 }
--- a/internal/net/fleet/fleet_test.go
+++ b/internal/net/fleet/fleet_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/memberlist"
 	"github.com/sirupsen/logrus"
 
 	"dahliapin/internal/fleet/charter"
@@ -39,7 +40,7 @@
 		if change != nil {
 			change(&f)
 		}
-		p, err := Join(Berth{Name: string(rune('a' + i)), Charter: &f, Log: quiet(), Now: Boottime}, lines)
+		p, err := Join(Berth{Name: string(rune('a' + i)), Charter: &f, Log: quiet(), Now: Boottime, Trace: func([]byte) {}}, lines)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -114,9 +115,9 @@
 		got := s.(Status)
 		return got.Foreign >= 9 && got.Unread >= 3
 	})
-	ps[2].Leave(false)
+	ps[2].Stand(Leaving)
 	within(t, "the one that left is out", all(ps[:2], 2))
-	ps[2].Return()
+	ps[2].Stand(Staying)
 	within(t, "and back", all(ps, 3))
 	if s, whole := ps[0].FleetStatus(); !whole || s.(Status).CutOff {
 		t.Errorf("%+v", s)
@@ -171,3 +172,24 @@
 		t.Errorf("%v, %v", back, err)
 	}
 }
+
+// A seed that takes calls and says nothing kept a node from ending for ten seconds a seed; and a library that still had something to tell
+// wrote to a trace that was closed.
+func TestAPostEndsWhoeverDoesNotAnswer(t *testing.T) {
+	mute, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer mute.Close()
+	p := posts(t, 1, func(f *charter.File) {
+		f.Fleet.Seeds = []string{mute.Addr().String(), mute.Addr().String(), mute.Addr().String()}
+	})[0]
+	time.Sleep(50 * time.Millisecond) // the call to the first is under way
+	began := time.Now()
+	p.Close(true)
+	p.Close(true)
+	if took := time.Since(began); took > endBy+leaveBy+time.Second {
+		t.Errorf("took %v to end", took)
+	}
+	p.NotifyLeave(&memberlist.Node{Name: "x"})
+}
--- a/internal/net/fleet/trace.go
+++ b/internal/net/fleet/trace.go
@@ -21,9 +21,10 @@
 	return policy.Instant(t.Nano())
 }
 
-// tracer hands lines over without waiting.
+// tracer hands lines over without waiting. Who still has something to say after its end says it to nobody.
 type tracer struct {
 	lines chan trace.Line
+	end   chan struct{}
 	done  chan struct{}
 	lost  atomic.Uint64
 }
@@ -32,13 +33,24 @@
 	if keep == nil {
 		return nil
 	}
-	t := &tracer{lines: make(chan trace.Line, traceAhead), done: make(chan struct{})}
+	t := &tracer{lines: make(chan trace.Line, traceAhead), end: make(chan struct{}), done: make(chan struct{})}
+	tell := func(l trace.Line) {
+		l.Lost = t.lost.Load()
+		if text, err := json.Marshal(l); err == nil {
+			keep(append(text, '\n'))
+		}
+	}
 	go func() {
 		defer close(t.done)
-		for l := range t.lines {
-			l.Lost = t.lost.Load()
-			if text, err := json.Marshal(l); err == nil {
-				keep(append(text, '\n'))
+		for {
+			select {
+			case l := <-t.lines:
+				tell(l)
+			case <-t.end:
+				for len(t.lines) > 0 {
+					tell(<-t.lines)
+				}
+				return
 			}
 		}
 	}()
@@ -58,7 +70,7 @@
 
 func (t *tracer) close() {
 	if t != nil {
-		close(t.lines)
+		close(t.end)
 		<-t.done
 	}
 }
--- a/internal/net/fleet/transport.go
+++ b/internal/net/fleet/transport.go
@@ -15,13 +15,17 @@
 )
 
 const (
-	longestDatagram = 1400                   // bytes that go unbroken over any network
+	longestDatagram = 1400                   // bytes that go unbroken over any network, with what stands before them
 	packetsAhead    = 1024                   // datagrams that may wait for the library; more are dropped and counted
 	streamsAtOnce   = 32                     // that others may have open here: each is over in a moment
+	streamsOut      = 4                      // that this node has open to others: it joins, exchanges and tries one that does not answer
 	prefaceBy       = 2 * time.Second        // for a stream to say what it is
 	refusedRest     = 200 * time.Millisecond // after a failure to accept, as for want of descriptors
 )
 
+// Files are the descriptors that a post may have.
+const Files = 2 + streamsAtOnce + streamsOut + 1 // its sockets, and a stream that is just being refused
+
 // What stands before each datagram and stream: two bytes that are nobody else's, the version of this way of speaking, the kind, and
 // the fleet. Guards against an address that has come to be another fleet's, whose nodes may well have the same names.
 const (
@@ -46,7 +50,7 @@
 	return b[3], true
 }
 
-// Lines are what datagrams and streams go over: sockets in service, memory in virtual time.
+// Lines are what datagrams and streams go over: sockets.
 type Lines struct {
 	Datagrams net.PacketConn
 	Streams   net.Listener
@@ -95,7 +99,7 @@
 	at      netip.AddrPort // as others see it
 	label   uint32         // of the fleet
 	ways    map[string]string
-	hello   func(b []byte, from string)
+	hello   func(b []byte)
 	packets chan *memberlist.Packet
 	streams chan net.Conn
 	slots   chan struct{}
@@ -104,7 +108,7 @@
 	count   traffic
 }
 
-func newTransport(l Lines, at netip.AddrPort, label string, ways map[string]string, hello func([]byte, string)) *transport {
+func newTransport(l Lines, at netip.AddrPort, label string, ways map[string]string, hello func([]byte)) *transport {
 	t := &transport{lines: l, at: at, label: crc32.ChecksumIEEE([]byte(label)), ways: ways, hello: hello, packets: make(chan *memberlist.Packet, packetsAhead), streams: make(chan net.Conn),
 		slots: make(chan struct{}, streamsAtOnce), closed: make(chan struct{})}
 	go t.readDatagrams()
@@ -128,7 +132,8 @@
 			if t.over() || errors.Is(err, net.ErrClosed) {
 				return
 			}
-			continue // of one datagram: an address that nobody hears, say
+			time.Sleep(refusedRest)
+			continue
 		}
 		t.count.in.Add(1)
 		t.count.inBytes.Add(uint64(n))
@@ -138,7 +143,7 @@
 		case !ok:
 			t.count.foreign.Add(1)
 		case kind == kindHello:
-			t.hello(body, from.String())
+			t.hello(body)
 		case kind == kindLibrary && len(body) > 0:
 			select {
 			case t.packets <- &memberlist.Packet{Buf: body, From: from, Timestamp: time.Now()}:
--- a/node/node.go
+++ b/node/node.go
@@ -89,6 +89,9 @@
 		}
 		beside = ops.MostCallers + deskFiles
 	}
+	if p.charter != nil {
+		beside += fleet.Files
+	}
 	succeeds, handoverAt := n.predecessor()
 	var turned func()
 	if p.charter != nil {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -76,3 +77,17 @@
 		t.Error(n.Phase(), n.Counts())
 	}
 }
+
+// The other nodes' sockets were not counted: a node at its limit could have gone over it.
+func TestOtherNodesNeedDescriptors(t *testing.T) {
+	text := `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","limits":{"sockets":%d},"settings":{"service_grades":[{"name":"read"}]}}`
+	for sockets, want := range map[int]bool{64: false, 102: false, 103: true, 0: true} {
+		p, err := ParsePosting([]byte(strings.Replace(text, "%d", strconv.Itoa(sockets), 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := p.JoinText("f", []byte("[fleet]\nlisten = \"127.0.0.1:7946\"\n")); (err == nil) != want {
+			t.Errorf("%d sockets: %v", sockets, err)
+		}
+	}
+}
--- a/node/posting.go
+++ b/node/posting.go
@@ -14,6 +14,7 @@
 	"dahliapin/internal/fronts"
 	"dahliapin/internal/houserules"
 	"dahliapin/internal/keyhash"
+	"dahliapin/internal/net/fleet"
 )
 
 // Posting is what a node is told at its start: its name, where it stands, and the terms it works under.
@@ -46,12 +47,24 @@
 // Join adds the file by which it joins other nodes.
 func (p *Posting) Join(path string) (err error) {
 	p.charter, err = charter.Read(path)
-	return err
+	return p.mayJoin(err)
 }
 
 // JoinText does so with the text of such a file.
 func (p *Posting) JoinText(name string, text []byte) (err error) {
 	p.charter, err = charter.Parse(name, text)
+	return p.mayJoin(err)
+}
+
+// mayJoin tells whether there are descriptors for the other nodes as well.
+func (p *Posting) mayJoin(err error) error {
+	fewest := fewestSockets + fleet.Files
+	if p.Ops != "" {
+		fewest = fewestWithOps + 2*fleet.Files
+	}
+	if err == nil && p.Sockets > 0 && p.Sockets < fewest {
+		return fmt.Errorf("the configuration's limits are too low for other nodes: %d sockets, %d are needed", p.Sockets, fewest)
+	}
 	return err
 }
 
--- a/node/together.go
+++ b/node/together.go
@@ -30,7 +30,13 @@
 func (n *Node) takeOver() {
 	for by := time.Now().Add(takeOverBy); ; time.Sleep(takeOverAgain) {
 		err := n.join()
-		if err == nil || n.Phase() >= Draining {
+		if n.Phase() >= Draining { // it was ended meanwhile, and nobody else would close it
+			if err == nil {
+				n.post.Load().Close(true)
+			}
+			return
+		}
+		if err == nil {
 			return
 		}
 		if time.Now().After(by) {
@@ -56,12 +62,15 @@
 	}
 	switch {
 	case to == Draining:
-		n.yields = n.relay.Replaced()
-		go post.Leave(n.yields)
+		stance := fleet.Leaving
+		if n.yields = n.relay.Replaced(); n.yields {
+			stance = fleet.Yielding
+		}
+		post.Stand(stance)
 	case to == Standby:
-		go post.Leave(false)
+		post.Stand(fleet.Leaving)
 	case was == Standby && to != Standby:
-		go post.Return()
+		post.Stand(fleet.Staying)
 	}
 }
 
