Members: processes indexed by node, members counted once; islands and dead seeds in virtual time

Found on reading again: who joins had all members counted anew at each look, names of ghosts were looked for among all, and the own name at each look: quadratic in the fleet. Three islands and all seeds dead had no case in virtual time.

--- a/internal/fleet/members/book.go
+++ b/internal/fleet/members/book.go
@@ -30,7 +30,8 @@
 	terms  Terms
 	own    *peer
 	all    map[ProcessID]*peer
-	order  []*peer             // all of them; nil where it is to be made anew
+	order  []*peer // all of them, in one order; nil where it is to be made anew, byNode with it
+	byNode map[NodeName][]*peer
 	gone   map[ProcessID]ended // forgotten, so that late words of them are none
 	seeds  []string
 	chance keyhash.Source
@@ -42,7 +43,8 @@
 	ring      []*peer // neighbours
 	reordered bool    // processes came or went since the ring was made
 	changed   bool    // what was said, since standings were looked at
-	sum       uint64
+	sum       uint64  // of what members have said, and how many they are, when that was last counted
+	members   int
 
 	turned     uint64 // how often the loop that serves clients has
 	turnedAt   time.Duration
@@ -189,7 +191,7 @@
 		p.askAt = -1
 	case p.askAt < 0:
 		p.askAt = b.ran
-	case b.ran-p.askAt >= syncApart || h.Revision > p.Revision && b.ran-p.askAt >= settled:
+	case b.ran-p.askAt >= syncApart || h.Revision > p.Revision && b.ran-p.askAt >= wordBy:
 		p.askAt = -1
 		b.sync(p.Addr)
 	}
@@ -241,7 +243,7 @@
 			do.Hellos = append(do.Hellos, p.Addr)
 		}
 		if b.own.Life == 0 {
-			for _, p := range b.named(b.own.Node) {
+			for _, p := range b.named() {
 				do.Asks = append(do.Asks, p.Addr)
 			}
 		}
@@ -336,10 +338,20 @@
 func (b *Book) sorted() []*peer {
 	if b.order == nil {
 		b.order = slices.SortedFunc(maps.Values(b.all), func(x, y *peer) int { return cmp.Compare(x.Process, y.Process) })
+		b.byNode = map[NodeName][]*peer{}
+		for _, p := range b.order {
+			b.byNode[p.Node] = append(b.byNode[p.Node], p)
+		}
 	}
 	return b.order
 }
 
+// of are the processes of a node, nearly always one, in the same order.
+func (b *Book) of(node NodeName) []*peer {
+	b.sorted()
+	return b.byNode[node]
+}
+
 // silent is how long a neighbour has said nothing here.
 func (b *Book) silent(p *peer) time.Duration { return b.ran - max(p.heardAt, p.knownAt) }
 
@@ -388,8 +400,8 @@
 // succeeded tells whether another process of the same node is heard. Guards against a fleet of which so many were started anew that each
 // who stayed doubts itself, and so none of the new ones is believed to be there.
 func (b *Book) succeeded(p *peer) bool {
-	return slices.ContainsFunc(b.ring, func(o *peer) bool {
-		return o != p && o.Node == p.Node && o.heard && b.silent(o) < b.terms.Misses
+	return slices.ContainsFunc(b.of(p.Node), func(o *peer) bool {
+		return o != p && o.beside && o.heard && b.silent(o) < b.terms.Misses
 	})
 }
 
@@ -417,10 +429,10 @@
 	}
 }
 
-// named are the other processes with a node's name.
-func (b *Book) named(node NodeName) (ps []*peer) {
-	for _, p := range b.sorted() {
-		if p != b.own && p.Node == node && !p.Leaves {
+// named are the other processes with this one's name.
+func (b *Book) named() (ps []*peer) {
+	for _, p := range b.of(b.own.Node) {
+		if p != b.own && !p.Leaves {
 			ps = append(ps, p)
 		}
 	}
@@ -434,7 +446,7 @@
 		return
 	}
 	if b.own.Life > 0 { // guards against one that took its name before it had heard of the process that had it
-		for _, p := range b.named(b.own.Node) {
+		for _, p := range b.named() {
 			if p.before(b.own) && (p.Addr == b.own.Addr || p.silenced(b.observers)) {
 				b.own.Life, b.reordered = p.Life+1, true
 				b.say()
@@ -450,7 +462,7 @@
 				b.sync(b.ring[int(b.chance.Next()*float64(len(b.ring)))].Addr)
 			}
 		}
-		for _, p := range b.named(b.own.Node) { // each had the time to say that it lives
+		for _, p := range b.named() { // each had the time to say that it lives
 			if p.Addr == b.own.Addr || p.silenced(b.observers) { // its place is this one's, or it is known to be silent
 				wait = 0
 				break
@@ -462,7 +474,7 @@
 		}
 	}
 	life := Life(0)
-	for _, p := range b.named(b.own.Node) {
+	for _, p := range b.named() {
 		lives := p.Addr != b.own.Addr && p.heard && b.ran-p.heardAt < b.terms.Misses && !p.Yields
 		if lives && (p.Life > 0 || p.Process < b.own.Process) {
 			b.verdict = fmt.Errorf("another process has the name %s and lives, at %s", p.Node, p.Addr)
@@ -484,5 +496,5 @@
 
 // yielded tells whether a process with this one's name gives it up.
 func (b *Book) yielded() bool {
-	return slices.ContainsFunc(b.named(b.own.Node), func(p *peer) bool { return p.Yields })
+	return slices.ContainsFunc(b.named(), func(p *peer) bool { return p.Yields })
 }
--- a/internal/fleet/members/judge.go
+++ b/internal/fleet/members/judge.go
@@ -27,10 +27,10 @@
 	for _, p := range b.sorted() {
 		p.hears, p.misses, p.raw, p.unsure = 0, 0, 0, 0
 	}
-	b.sum = 0
+	b.sum, b.members = 0, 0
 	for _, p := range b.sorted() { // of members only: who is out is forgotten here sooner than there
 		if p.member() {
-			b.sum ^= p.sum()
+			b.sum, b.members = b.sum^p.sum(), b.members+1
 		}
 	}
 	speaks := func(o *peer) bool { return !o.Doubts && !o.Leaves && (o.member() || o.standing == Joining) }
@@ -129,13 +129,13 @@
 			b.stand(p, Joining)
 		case p.standing == Left:
 			if b.pending = true; p != b.own && b.ran-p.since >= leftStays {
-				b.forget(p, Left)
+				b.forget(p)
 			}
 		case p.standing == Joining:
 			if p.Life > 0 && p.hears > 0 && p.hears >= p.misses && (p == b.own || b.fits(p)) {
 				b.stand(p, Present)
 			} else if b.pending = true; p != b.own && b.ran-p.since >= b.terms.Forget {
-				b.forget(p, Gone)
+				b.forget(p)
 			}
 		case p.standing == Cut:
 			b.pending = true
@@ -147,7 +147,7 @@
 			} else if p.held > 0 {
 				comes = true
 			} else if p != b.own && b.ran-p.since >= b.terms.Forget {
-				b.forget(p, Gone)
+				b.forget(p)
 			}
 		default:
 			missed := p.misses >= b.observers && (!b.majority || p.misses > p.hears+p.unsure)
@@ -190,11 +190,9 @@
 // fits tells whether one that joins hears half of those it should, and half of them hear it. Guards against one that is cut off in one
 // direction from its start: it would be in until it comes to doubt itself, or the others to miss it.
 func (b *Book) fits(p *peer) bool {
-	others := 0
-	for _, o := range b.sorted() {
-		if o.member() && o.Node != p.Node {
-			others++
-		}
+	others := b.members
+	if slices.ContainsFunc(b.of(p.Node), (*peer).member) {
+		others--
 	}
 	return len(p.Hears) > 0 && 2*min(len(p.Hears), p.hears) >= min(others, neighbours)
 }
@@ -206,9 +204,9 @@
 	b.changed = true // what others say may count otherwise now
 }
 
-func (b *Book) forget(p *peer, as Standing) {
+func (b *Book) forget(p *peer) {
 	delete(b.all, p.Process)
-	p.standing = as
+	p.standing = Gone
 	if len(b.gone) >= mostGone {
 		oldest := slices.MinFunc(slices.Collect(maps.Keys(b.gone)), func(x, y ProcessID) int {
 			return cmp.Or(cmp.Compare(b.gone[x].at, b.gone[y].at), cmp.Compare(x, y))
@@ -233,10 +231,10 @@
 		if p == b.own || !p.member() || p.hears > 0 || b.frozen {
 			continue
 		}
-		for _, o := range b.sorted() {
+		for _, o := range b.of(p.Node) {
 			// one that has just come is about to be a member, unless it is known to be silent
 			if o.succeeds(p) && (o.standing != Joining || b.ran-o.foundAt >= joinsIn*b.terms.Claim || o.silenced(b.observers)) {
-				b.forget(p, Gone)
+				b.forget(p)
 				delete(holds, p.Node)
 				break
 			}
@@ -253,7 +251,7 @@
 			}
 			continue
 		}
-		b.forget(p, Gone)
+		b.forget(p)
 	}
 }
 
--- a/internal/fleet/members/members_test.go
+++ b/internal/fleet/members/members_test.go
@@ -65,7 +65,8 @@
 	return n
 }
 
-// trouble is one hard case; changes is how often a view may change by it where nothing befell the node.
+// trouble is one hard case; changes is how often a view may change by it where nothing befell the node: by whom it befell together once out
+// and once in, by new processes once each.
 type trouble struct {
 	name    string
 	changes int
@@ -119,6 +120,32 @@
 		}
 	}},
 	{"halves", 0, func(s *sim) { s.apart(60*sec, true, seq(0, 5), seq(6, 11)) }},
+	{"three islands, all seeds on one", 0, func(s *sim) {
+		for a := range 12 {
+			for b := range 12 {
+				if a/4 != b/4 {
+					s.cut(a, b, true)
+				}
+			}
+		}
+		s.run(20 * sec)
+		for a := range 12 {
+			for b := range 12 {
+				if a/4 != b/4 {
+					s.cut(a, b, false)
+				}
+			}
+		}
+	}},
+	{"all seeds dead, and another", 5, func(s *sim) {
+		for _, n := range []int{0, 1, 2, 8} {
+			s.nodes[n].kill()
+		}
+		s.run(12 * sec)
+		for _, n := range []int{0, 1, 2, 8} {
+			s.nodes[n].start()
+		}
+	}},
 	{"eight and four", 2, func(s *sim) { s.apart(40*sec, true, seq(0, 7), seq(8, 11)) }},
 	{"the network down for everyone", 0, func(s *sim) { s.apart(10*sec, false, seq(0, 11), seq(0, 11)) }},
 	{"restarted one after the other", 24, func(s *sim) {
@@ -372,7 +399,7 @@
 
 // How long it takes until all know of one that was killed, by the number of nodes: decisions as in service, gossip as the library has it.
 func BenchmarkKilledOneIsOut(b *testing.B) {
-	for _, nodes := range []int{12, 100} {
+	for _, nodes := range []int{12, 100, 400} {
 		b.Run(strconv.Itoa(nodes), func(b *testing.B) {
 			for i := range b.N {
 				s := newSim(nodes, uint32(i+1), nil)
--- a/internal/fleet/members/sim_test.go
+++ b/internal/fleet/members/sim_test.go
@@ -36,6 +36,7 @@
 	made   uint64
 	broken func(*members.Book)
 	ticks  int
+	byAddr map[string]*simNode
 }
 
 type simNode struct {
@@ -60,7 +61,7 @@
 }
 
 func newSim(nodes int, seed uint32, broken func(*members.Book)) *sim {
-	s := &sim{now: 1, faults: between.New(seed), chance: keyhash.Source{Seed: seed}, views: judge.NewViews(nodes), broken: broken}
+	s := &sim{now: 1, faults: between.New(seed), chance: keyhash.Source{Seed: seed}, views: judge.NewViews(nodes), broken: broken, byAddr: map[string]*simNode{}}
 	for n := range nodes {
 		s.nodes = append(s.nodes, &simNode{s: s, number: n, name: judge.NameOf(n)})
 	}
@@ -81,7 +82,7 @@
 	if s.broken != nil {
 		s.broken(p.book)
 	}
-	n.process, n.stopped, n.waiting = p, false, nil
+	n.process, n.stopped, n.waiting, s.byAddr[p.addr] = p, false, nil, n
 	for _, o := range []int{0, 1, 2} {
 		s.at(onTheWay, func() { p.sync(addrOf(o)) })
 	}
@@ -122,10 +123,7 @@
 // send has a datagram come to whoever has an address then.
 func (p *simProcess) send(addr string, hear func(*simProcess)) {
 	s := p.n.s
-	for _, to := range s.nodes {
-		if addrOf(to.number) != addr || to.number == p.n.number {
-			continue
-		}
+	if to := s.byAddr[addr]; to != nil && to != p.n {
 		for _, late := range s.faults.Fate(p.n.number, to.number) {
 			s.at(onTheWay+late, func() {
 				switch {
@@ -151,12 +149,9 @@
 // sync exchanges all that both have heard, where streams come through.
 func (p *simProcess) sync(addr string) {
 	s := p.n.s
-	for _, to := range s.nodes {
-		if addrOf(to.number) != addr || to.process == nil || to.stopped || to.process == p || p.n.process != p {
-			continue
-		}
+	if to := s.byAddr[addr]; to != nil && to.process != nil && !to.stopped && to.process != p && p.n.process == p {
 		if _, stands := s.faults.Piece(p.n.number, to.number); stands {
-			continue
+			return
 		}
 		for _, id := range slices.Sorted(maps.Keys(p.words)) {
 			to.process.told(p.words[id])
--- a/internal/fleet/members/types.go
+++ b/internal/fleet/members/types.go
@@ -96,7 +96,7 @@
 	spareToHear = 400 * time.Millisecond // that the word of one who is back takes to come round
 	neighbours  = 12                     // that each process has at most: six rings, two sides; so many that up to 13 hear one another all
 	rings       = neighbours / 2
-	settled     = 300 * time.Millisecond // that changes of statements are gathered for before the own one follows
+	wordBy      = 300 * time.Millisecond // for a newer word that a sign of life tells of to come by itself, before it is asked for
 	syncApart   = time.Second            // between two calls for all that another has heard
 	syncEach    = 5 * time.Millisecond   // more for each process known: it is that much to send
 	mostGone    = 1024                   // of those forgotten whose last word is kept
