--- a/cmd/dahliapin/nemesis.go
+++ b/cmd/dahliapin/nemesis.go
@@ -50,7 +50,8 @@
 			case what != "members":
 				return fmt.Errorf("%w: --what %q is not there: members is", errCall, what)
 			}
-			return hunt(c, schedules, shrink, out, func(k int) *script.Script { return script.Nemesis(seed+int64(k), nodes, long.Seconds()) })
+			return hunt(c.OutOrStdout(), schedules, shrink, out, func(k int) *script.Script { return script.Nemesis(seed+int64(k), nodes, long.Seconds()) },
+				func(s *script.Script) (*outcome.Report, error) { return played(c, s) })
 		}}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", errCall, err) })
 	c.Flags().IntVar(&nodes, "nodes", 12, "processes")
@@ -63,22 +64,25 @@
 	return c
 }
 
-// hunt plays schedules until one shows a breach, and shortens that.
-func hunt(c *cobra.Command, schedules, shrink int, out string, make func(k int) *script.Script) error {
-	to := c.OutOrStdout()
+// hunt plays schedules until one shows a breach, and shortens that. Those that the machine was too busy for show nothing, and it says so.
+func hunt(to io.Writer, schedules, shrink int, out string, schedule func(k int) *script.Script, play func(*script.Script) (*outcome.Report, error)) error {
+	busy := 0
 	for k := range schedules {
-		s := make(k)
-		r, err := played(c, s)
+		s := schedule(k)
+		r, err := play(s)
 		if err != nil {
 			return err
 		}
 		tellPlay(to, s, r)
+		if r.Busy != "" {
+			busy++
+		}
 		if !broken(r) {
 			continue
 		}
 		for n, plays := 0, 0; n < len(s.Events) && plays < shrink; plays++ { // an event that the breach does not need goes
 			less := s.Without(n)
-			without, err := played(c, less)
+			without, err := play(less)
 			if err != nil {
 				return err
 			}
@@ -91,6 +95,7 @@
 		}
 		return breach(to, s, r, out)
 	}
+	fmt.Fprintf(to, "%d schedules: nothing broke; %d of them not judged\n", schedules, busy)
 	return nil
 }
 
@@ -110,12 +115,11 @@
 func broken(r *outcome.Report) bool { return r.Busy == "" && !r.Good() }
 
 func tellPlay(to io.Writer, s *script.Script, r *outcome.Report) {
-	d := r.Together.View
-	if d == nil {
+	if r.Together == nil || r.Together.View == nil {
 		fmt.Fprintf(to, "%s: no node had a view\n", s.Name)
 		return
 	}
-	worst := 0.0
+	d, worst := r.Together.View, 0.0
 	if len(d.Detect) > 0 {
 		worst = d.Detect[len(d.Detect)-1]
 	}
--- a/cmd/dahliapin/rehearse_test.go
+++ b/cmd/dahliapin/rehearse_test.go
@@ -3,15 +3,18 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"dahliapin/internal/emulator/outcome"
+	"dahliapin/internal/emulator/script"
 	"dahliapin/internal/records"
 )
 
@@ -127,7 +130,7 @@
 // What can't be played is told in one line, and nothing is played.
 func TestBadCallsAreToldInOneLine(t *testing.T) {
 	config := scriptFile(t, `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{"service_grades":[{"name":"read"}]}}`)
-	for _, args := range [][]string{{"check", "--config", config, "--operator", scriptFile(t, "[[listener]]\nport = 1")}, {"rehearse", "nowhere.toml"}, {"rehearse", "upgrade", "--virtual"},
+	for _, args := range [][]string{{"check", "--config", config, "--operator", scriptFile(t, "[[listener]]\nport = 1")}, {"rehearse", "nowhere.toml"}, {"rehearse", "upgrade", "--virtual"}, {"rehearse", "members-loss", "--virtual"},
 		{"ops"}, {"ops", "standbye"}, {"ops", "status", "--at", "here"}, {"ops", "status", "--at", "127.0.0.1:1"}, {"rehearse", scriptFile(t, "secs = 1")}, {"rehearse", "moves", "--decider", "ring"},
 		{"rehearse", "moves", "--virtual", "--decider", "best"}, {"load", "example.org:80"}, {"load", "192.0.2.1:80"}, {"load", "127.0.0.1:1", "--rate", "-1"}, {"load", "127.0.0.1:1", "--protocol", "htp"},
 		{"load", "127.0.0.1:1", "--for", "99h"}, {"demo", "--for", "0s"}, {"serve", "--records", "/nowhere/at/all"}, {"demo", "--nodes", "2"},
@@ -145,12 +148,12 @@
 	}
 }
 
-// Five processes, one killed, one heard by nobody while it hears all: what they say of one another is as the judge knows it to be.
+// Five processes, one killed, one heard by nobody while it hears all, one replaced, which nobody sees: what they say of one another is as the judge knows it to be.
 func TestProcessesKnowOneAnother(t *testing.T) {
 	if testing.Short() {
-		t.Skip("plays for 22 s")
+		t.Skip("plays for 24 s")
 	}
-	text := strings.Replace(strings.Split(short, "[[event]]")[0], "seconds = 5", "seconds = 22", 1)
+	text := strings.Replace(strings.Split(short, "[[event]]")[0], "seconds = 5", "seconds = 24", 1)
 	text = strings.Replace(text, "nodes = 2", "nodes = 5", 1) + "[together]\n" + `[[event]]
 at_s = 4
 do = "node_kill"
@@ -161,9 +164,47 @@
 do = "between_cut"
 from = [3]
 for_s = 6
+[[event]]
+at_s = 17
+do = "node_upgrade"
+nodes = [4]
+[expect]
+most_view_changes = 4
 `
 	out, code, left := program(t, nil, "rehearse", scriptFile(t, text))
 	if code != 0 || len(left) > 0 || !strings.Contains(out, "met      views are as what befell nodes has them (0 wrong") {
 		t.Errorf("exit %d, left %v:\n%s", code, left, out)
 	}
 }
+
+// A schedule that shows a breach is shortened to the events that it needs, kept as it then is, and named in the last line; one that the
+// machine was too busy for shows nothing.
+func TestTheNemesisShortensWhatBreaks(t *testing.T) {
+	dir, plays := t.TempDir(), 0
+	needs := func(s *script.Script, do string) bool {
+		return slices.ContainsFunc(s.Events, func(e script.Event) bool { return e.Do == do })
+	}
+	play := func(s *script.Script) (*outcome.Report, error) {
+		plays++
+		return &outcome.Report{Expected: []outcome.Expected{{What: "all is well", Met: !needs(s, "node_pause") || !needs(s, "node_kill")}}}, nil
+	}
+	schedule := func(k int) *script.Script { return script.Nemesis(int64(k), 12, 90) }
+	var said bytes.Buffer
+	err := hunt(&said, 50, 100, dir, schedule, play)
+	lines := strings.Split(strings.TrimSpace(said.String()), "\n")
+	if !errors.Is(err, errNotMet) {
+		t.Fatalf("%v\n%s", err, &said)
+	}
+	s, err := script.Read(lines[len(lines)-1])
+	if err != nil || len(s.Events) != 2 || !needs(s, "node_pause") || !needs(s, "node_kill") {
+		t.Errorf("kept %+v, %v", s, err)
+	}
+	if _, err := os.Stat(filepath.Join(dir, "report.json")); err != nil {
+		t.Error(err)
+	}
+	said.Reset()
+	busy := func(*script.Script) (*outcome.Report, error) { return &outcome.Report{Busy: "late"}, nil }
+	if err := hunt(&said, 3, 100, dir, schedule, busy); err != nil || !strings.HasSuffix(said.String(), "3 schedules: nothing broke; 3 of them not judged\n") {
+		t.Errorf("%v: %s", err, &said)
+	}
+}
--- /dev/null
+++ b/internal/emulator/judge/views_test.go
@@ -0,0 +1,84 @@
+package judge
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"dahliapin/internal/fleet/trace"
+	"dahliapin/policy"
+)
+
+func at(s float64) policy.Instant { return policy.Instant(s * float64(time.Second)) }
+
+// course writes what nodes of five say: "n1-n2" at a time means that n1 has n2 no more, "n1+n2" that it has it again.
+func course(v *Views, says map[float64]string) {
+	has := map[string]string{}
+	say := func(s float64, node string) {
+		v.Heard(at(s), trace.Line{Node: node, Process: node, What: trace.View, Members: strings.Fields(has[node])})
+	}
+	for n := range 5 {
+		has[NameOf(n)] = "n1 n2 n3 n4 n5"
+		say(0, NameOf(n))
+	}
+	for s := range 400 {
+		for word := range strings.FieldsSeq(says[float64(s)/10]) {
+			if a, b, out := strings.Cut(word, "-"); out {
+				has[a] = strings.ReplaceAll(has[a], b, "")
+				say(float64(s)/10, a)
+			} else if a, b, in := strings.Cut(word, "+"); in {
+				has[a] += " " + b
+				say(float64(s)/10, a)
+			}
+		}
+	}
+}
+
+// Each thing that must not be is counted where it is, and nothing where all is as it should be.
+func TestViewsAreJudged(t *testing.T) {
+	killed := func(from, to float64) func(*Views) {
+		return func(v *Views) {
+			v.Truth(at(from), "n2", false, false)
+			v.Truth(at(to), "n2", true, true)
+		}
+	}
+	deaf := func(v *Views) {
+		for _, cut := range []bool{true, false} {
+			for n := 1; n < 5; n++ {
+				v.Cut(at(map[bool]float64{true: 10, false: 30}[cut]), n, 0, cut)
+			}
+		}
+	}
+	out, in := "n1-n2 n3-n2 n4-n2 n5-n2", "n1+n2 n3+n2 n4+n2 n5+n2"
+	for _, c := range []struct {
+		name  string
+		truth func(*Views)
+		says  map[float64]string
+		want  Verdict
+	}{
+		{"one is killed, out and in again", killed(10, 20), map[float64]string{12.8: out, 22.5: in}, Verdict{Changes: 2, Detect: []float64{2.8, 2.8, 2.8, 2.8}}},
+		{"a pause that is borne", func(v *Views) { v.Truth(at(10), "n2", false, false); v.Truth(at(11.9), "n2", true, false) }, nil, Verdict{}},
+		{"a pause that is borne, and one who does not", func(v *Views) { v.Truth(at(10), "n2", false, false); v.Truth(at(11.9), "n2", true, false) },
+			map[float64]string{12.4: "n3-n2", 14.8: "n3+n2"}, Verdict{False: 1}},
+		{"taken out for nothing", func(*Views) {}, map[float64]string{10: "n1-n4", 10.9: "n1+n4"}, Verdict{False: 1}},
+		{"not taken out, by one", killed(10, 39), map[float64]string{12.8: "n3-n2 n4-n2 n5-n2"}, Verdict{Missed: 1, Unlike: 1}},
+		{"out, in, out", killed(10, 39), map[float64]string{12.8: out, 14: "n1+n2", 16: "n1-n2"}, Verdict{Flaps: 1}},
+		{"not taken in again", killed(10, 20), map[float64]string{12.8: out, 22.5: "n3+n2 n4+n2 n5+n2"}, Verdict{Unlike: 1}},
+		{"one that hears nobody takes others out", deaf, map[float64]string{13: "n2-n1 n3-n1 n4-n1 n5-n1", 14: "n1-n2", 32.5: "n2+n1 n3+n1 n4+n1 n5+n1", 32.6: "n1+n2"},
+			Verdict{Rash: 1}},
+	} {
+		v := NewViews(5)
+		c.truth(v)
+		course(v, c.says)
+		d := v.From(0).Judge(trace.View, 2*time.Second, at(40))
+		if d.Formed != 0 || c.want.Detect != nil && !reflect.DeepEqual(d.Detect, c.want.Detect) || c.want.Changes > 0 && d.Changes != c.want.Changes {
+			t.Errorf("%s: %+v", c.name, d)
+		}
+		for _, n := range [][2]int{{d.False, c.want.False}, {d.Rash, c.want.Rash}, {d.Missed, c.want.Missed}, {d.Flaps, c.want.Flaps}, {d.Unlike, c.want.Unlike}} {
+			if (n[0] > 0) != (n[1] > 0) {
+				t.Errorf("%s: %+v", c.name, d)
+			}
+		}
+	}
+}
