Rehearsals: a node's own ports are below the ephemeral range, too; docs as the code is

Seen: members-islands beside six others did not start, as a door had been given the port that was free for a node's clients a moment before.

--- a/cmd/dahliapin/main.go
+++ b/cmd/dahliapin/main.go
@@ -127,6 +127,9 @@
 		}
 	}
 	if traced != "" {
+		if charter == "" {
+			return errors.New("--trace is of what is done in the fleet: it needs --fleet")
+		}
 		f, err := os.OpenFile(traced, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
 		if err != nil {
 			return fmt.Errorf("the trace cannot be kept: %w", err)
--- a/cmd/dahliapin/rehearse_test.go
+++ b/cmd/dahliapin/rehearse_test.go
@@ -133,7 +133,7 @@
 	for _, args := range [][]string{{"check", "--config", config, "--operator", scriptFile(t, "[[listener]]\nport = 1")}, {"rehearse", "nowhere.toml"}, {"rehearse", "upgrade", "--virtual"}, {"rehearse", "members-loss", "--virtual"},
 		{"ops"}, {"ops", "standbye"}, {"ops", "status", "--at", "here"}, {"ops", "status", "--at", "127.0.0.1:1"}, {"rehearse", scriptFile(t, "secs = 1")}, {"rehearse", "moves", "--decider", "ring"},
 		{"rehearse", "moves", "--virtual", "--decider", "best"}, {"load", "example.org:80"}, {"load", "192.0.2.1:80"}, {"load", "127.0.0.1:1", "--rate", "-1"}, {"load", "127.0.0.1:1", "--protocol", "htp"},
-		{"load", "127.0.0.1:1", "--for", "99h"}, {"demo", "--for", "0s"}, {"serve", "--records", "/nowhere/at/all"}, {"demo", "--nodes", "2"},
+		{"load", "127.0.0.1:1", "--for", "99h"}, {"demo", "--for", "0s"}, {"serve", "--records", "/nowhere/at/all"}, {"serve", "--config", config, "--trace", t.TempDir() + "/trace"}, {"demo", "--nodes", "2"},
 		{"fleet"}, {"fleet", "statuss"}, {"fleet", "status", "--at", "here"}, {"fleet", "members", "--at", "127.0.0.1:1"}, {"check", "--config", config, "--fleet", scriptFile(t, "[fleet]\nport = 1")},
 		{"rehearse", scriptFile(t, short+"[[event]]\nat_s = 1\ndo = 'between_cut'\nfor_s = 1")}, {"nemesis", "--nodes", "2"}, {"nemesis", "--for", "1s"}, {"nemesis", "--what", "all"}, {"nemesis", "--seeds"},
 		{"nemesis", "now"}} {
--- a/internal/emulator/onwire/member.go
+++ b/internal/emulator/onwire/member.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"time"
 
 	"dahliapin/internal/emulator/client"
@@ -40,14 +39,11 @@
 		return nil, fmt.Errorf("discovery cannot listen: %w", err)
 	}
 	var addrs [2]string
-	for i := range addrs { // ports that are free; the node takes them right away
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+	for i := range addrs { // the node takes them right away
+		if addrs[i], err = freeForBoth(); err != nil {
 			a.close()
 			return nil, err
 		}
-		addrs[i] = l.Addr().String()
-		defer l.Close()
 	}
 	pool := &client.Pool{Addr: addrs[0]}
 	if r.script.Traffic.Protocol == fronts.HTTP {
@@ -59,12 +55,10 @@
 // start starts its node, with the list as its agent last had it.
 func (m *member) start(replaces bool) error {
 	if m.r.script.Operated() {
-		free, err := net.Listen("tcp", "127.0.0.1:0") // new for each process: two may be up at once
-		if err != nil {
+		var err error
+		if m.ops, err = freeForBoth(); err != nil { // new for each process: two may be up at once
 			return err
 		}
-		m.ops = free.Addr().String()
-		free.Close()
 	}
 	configuration, err := m.configuration(m.addr)
 	if err != nil {
--- a/internal/fleet/members/types.go
+++ b/internal/fleet/members/types.go
@@ -2,9 +2,9 @@
 // who have heard the same. It has no I/O and takes time as an argument.
 //
 // Invariants, in this order:
-//  1. Nobody is taken out on one observer's word, nor by one who doubts itself, nor where half of all would go.
-//  2. Views depend on statements alone: who has the same statements comes to the same view, however they came.
-//  3. Whoever is taken out comes back once more of its neighbours hear it than miss it, for a stated time.
+//  1. Nobody is taken out on one observer's word, nor by one who doubts itself, nor while more than half of all are missing.
+//  2. Views depend on statements, however they came; what is heard first-hand tells only whose words may be old.
+//  3. Whoever is taken out comes back once as many of its neighbours hear it as miss it, for a stated time.
 //  4. Of two processes with one name at most one is a member, the same at all.
 package members
 
