--- a/internal/net/fleet/fleet_test.go
+++ b/internal/net/fleet/fleet_test.go
@@ -193,3 +193,14 @@
 	}
 	p.NotifyLeave(&memberlist.Node{Name: "x"})
 }
+
+// Any port that was free for datagrams was taken, whether it was for streams or not: one start in some hundred failed.
+func TestAnyPortIsFreeForBoth(t *testing.T) {
+	for range 300 {
+		l, err := Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.close()
+	}
+}
--- a/internal/net/fleet/transport.go
+++ b/internal/net/fleet/transport.go
@@ -20,6 +20,7 @@
 	streamsAtOnce   = 32                     // that others may have open here: each is over in a moment
 	streamsOut      = 4                      // that this node has open to others: it joins, exchanges and tries one that does not answer
 	prefaceBy       = 2 * time.Second        // for a stream to say what it is
+	anyPortTries    = 20                     // where any port will do
 	refusedRest     = 200 * time.Millisecond // after a failure to accept, as for want of descriptors
 )
 
@@ -64,14 +65,19 @@
 	if err != nil {
 		return Lines{}, err
 	}
-	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
-	if err != nil {
-		return Lines{}, err
-	}
-	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(udp.LocalAddr().(*net.UDPAddr).AddrPort()))
-	if err != nil {
+	var udp *net.UDPConn
+	var tcp *net.TCPListener
+	for tries := 0; ; tries++ {
+		if udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at)); err != nil {
+			return Lines{}, err
+		}
+		if tcp, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(udp.LocalAddr().(*net.UDPAddr).AddrPort())); err == nil {
+			break
+		}
 		_ = udp.Close()
-		return Lines{}, err
+		if at.Port() != 0 || tries == anyPortTries { // any port has to be free for both
+			return Lines{}, err
+		}
 	}
 	return Lines{Datagrams: udp, Streams: tcp,
 		Dial: func(addr string, within time.Duration) (net.Conn, error) { return net.DialTimeout("tcp", addr, within) },
