Discovery: a slow list is waited for longer the second time; nodes are ready soon after a restart

Change: once a call was given up (and not broken), the next may take 3 s. The bound on news stays: such a call, a rest of 0.25 s, the answer.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -14,6 +14,7 @@
 	wholeWithin  = 500 * time.Millisecond  // that the whole list may take at first: the agent answers at once
 	wholeEach    = 30 * time.Millisecond   // more that it may take for each node, as all may ask at once after a restart
 	promptWithin = 1500 * time.Millisecond // that any call may take after a failure, and the whole list at most: a slow answer is one
+	slowWithin   = 3 * time.Second         // the same after a call that was not answered in time: discovery may be slow
 	againWithin  = 50 * time.Millisecond   // after a call that broke, at most: far under the 200 ms of a watch's renewal
 	lostEach     = 10 * time.Millisecond   // the same for each node once two calls in a row have failed: 200 a second from the whole fleet
 	refusedEach  = 200 * time.Millisecond  // the same for each node after a refusal, as far as news can wait
@@ -55,6 +56,7 @@
 	since  int
 	fails  int  // in a row
 	lost   bool // the last was lost
+	late   bool // it was given up, and not broken
 	doubts bool // the version held may not be known there, so the whole list is asked for once
 	spread bool // the last rest was a share by chance of a long span, as those of all nodes by now
 }
@@ -72,17 +74,21 @@
 func (c *Caller) asksWhole() bool { return c.since == unknown || c.doubts }
 
 // Next is the call to make now. One that is slow has much to do, and who stops waiting and asks again makes it do the same once more: so
-// the whole list may take longer where many ask for it, and longer still once a call has failed. After a call that was lost it asks for
+// the whole list may take longer where many ask for it, and any call once another was given up. After a call that was lost it asks for
 // what is new at once: a second watch that falls silent would be known as late again, and the news that the first has missed with it. For
 // the same reason a watch after a refusal is a short one.
 func (c *Caller) Next() Call {
+	within := promptWithin
+	if c.late {
+		within = slowWithin
+	}
 	switch {
 	case c.asksWhole() && c.fails == 0:
-		return Call{Whole: true, Within: min(promptWithin, wholeWithin+time.Duration(c.nodes)*wholeEach)}
+		return Call{Whole: true, Within: min(within, wholeWithin+time.Duration(c.nodes)*wholeEach)}
 	case c.asksWhole():
-		return Call{Whole: true, Within: promptWithin}
+		return Call{Whole: true, Within: within}
 	case c.lost:
-		return Call{Since: c.since, Wait: atOnce, Within: promptWithin}
+		return Call{Since: c.since, Wait: atOnce, Within: within}
 	case c.fails > 0:
 		return Call{Since: c.since, Wait: promptWithin - watchSlack, Within: promptWithin}
 	}
@@ -113,6 +119,7 @@
 // it from then on. It guards against a discovery that has too much to do and is kept there by all nodes, each of them asking again as
 // often as if it were alone.
 func (c *Caller) Failed(how Failure, took time.Duration, chance float64) (rest time.Duration, first bool) {
+	c.late = how == Lost && took >= c.Next().Within
 	c.fails++
 	if c.lost = how == Lost; !c.lost { // one that was lost says nothing of the version
 		c.doubts = how == Unreadable && !c.asksWhole()
--- a/internal/discovery/news_test.go
+++ b/internal/discovery/news_test.go
@@ -18,8 +18,10 @@
 const (
 	way       = time.Millisecond        // from a node to discovery, or back
 	lateBy    = 1400 * time.Millisecond // that a late discovery takes for an answer
+	slowBy    = 2500 * time.Millisecond // that one takes which is slower than calls may take at first
 	newsBound = 5 * time.Second         // by which news is to be told after discovery had it and could be reached: a second before it counts as told
 	lateBound = 6 * time.Second         // the same where discovery is late with the news itself
+	slowBound = 9 * time.Second         // the same where it is slower than that
 )
 
 // manner is how discovery treats its calls.
@@ -88,13 +90,14 @@
 	nodes     []*asker
 	perSecond []int
 	price     *world.Registry  // what calls cost discovery; nil for nothing
+	takes     time.Duration    // that it takes for an answer while it is late
 	slow      [2]time.Duration // from when until when it is slow
 	refused   int              // calls that it had too much to do for
 	refusedAt time.Duration    // the last of them
 }
 
 func newTrial(nodes, seed int, phases []phase, news time.Duration) *trial {
-	t := &trial{phases: phases, news: news, old: 41, new: 42}
+	t := &trial{phases: phases, news: news, old: 41, new: 42, takes: lateBy}
 	for n := range nodes {
 		a := &asker{Caller: New(nodes), chance: keyhash.Source{Seed: uint32(seed*1000 + n)}}
 		a.Hold(t.old)
@@ -168,7 +171,7 @@
 		}
 		answerIn := time.Duration(0)
 		if m == late {
-			answerIn = lateBy
+			answerIn = t.takes
 		}
 		if t.price != nil && m <= late {
 			factor := 1.
@@ -303,6 +306,7 @@
 	holds   bool          // a last list is held then
 	anew    bool          // discovery's versions begin anew
 	moment  time.Duration // that discovery is back for, with the news; then it is away again for some seconds
+	slow    bool          // it takes longer than calls may at first
 	bound   time.Duration // of the time by which all are told
 	somehow int           // nodes of a hundred that are told within the moment, at least
 }
@@ -328,6 +332,9 @@
 		phases = append(phases, phase{order[len(order)-1], at + o.moment}, phase{o.ends, forGood})
 	}
 	r := newTrial(nodes, seed, phases, at)
+	if o.slow {
+		r.takes = slowBy
+	}
 	if o.anew {
 		r.new = 3
 	}
@@ -342,7 +349,7 @@
 			r.after(time.Duration(draw.Next()*float64(at)), func() { r.moves(a) })
 		}
 	}
-	r.play(forGood+2*lateBound, o.starts)
+	r.play(forGood+2*slowBound, o.starts)
 	for _, a := range r.nodes {
 		switch {
 		case a.told == 0:
@@ -366,6 +373,7 @@
 	for _, o := range []outage{
 		{name: "well again", holds: true, bound: newsBound},
 		{name: "late with the news", ends: late, holds: true, bound: lateBound},
+		{name: "slow with the news", ends: late, slow: true, holds: true, bound: slowBound},
 		{name: "SIGHUP in between", moves: true, holds: true, bound: newsBound},
 		{name: "a call lost once it is well", drops: true, holds: true, bound: newsBound},
 		{name: "from the start, with a last list", starts: true, holds: true, bound: newsBound},
