Cold caches and the origin bear the sum of all nodes, also at 480

Cause: floors of single nodes grow with their number. At a cold cache each node might always have one request in the time that it is cold.

Change: the opening room is shared by the stated nodes, the first request of each comes by chance, room doubles until one is lost, only good answers shorten what a request there is taken to last, and what is not known yet is not taken for a short origin. The longest rest before a cold cache grows with the nodes beyond 160.

--- a/internal/emulator/script/settings.go
+++ b/internal/emulator/script/settings.go
@@ -28,7 +28,8 @@
 		"bounds": map[string]any{"most_legs": a.MostLegs, "second_copies": a.SecondCopies, "cancel": a.Cancel, "probes": a.Probes,
 			"retry_after": a.ComeBackMs > 0, "max_retry_after_s": a.ComeBackMs / 1000, "conn_idle_s": s.Fleet.IdleS,
 			"connect_timeout_s": a.ConnectMs / 1000},
-		"rules":   map[string]any{"cold_from": s.Fleet.ColdFrom, "cold_s": s.Fleet.ColdS, "stop_sending_within_s": a.GraceMs / 1000},
+		"rules": map[string]any{"cold_from": s.Fleet.ColdFrom, "cold_s": s.Fleet.ColdS, "overload_factor": s.Fleet.FallMultiple,
+			"overload_for_s": s.Fleet.FallS, "stop_sending_within_s": a.GraceMs / 1000},
 		"tariffs": map[string]any{"waste": a.WastePrice, "cross_zone": 0},
 	}
 	if s.Fleet.Reports {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,7 @@
-// Package policy decides, for one node, where retrievals go. Its interface and id types are in types.go. A
-// caller asks a Router by Where (send this retrieval there, or not yet, or never), After (what to do after a
-// leg's outcome), Still (may a leg go out) and Wait (upkeep), and tells what was heard by Listed and Probed.
-// It keeps the timers and the retrievals and carries out each Move as it stands. Routers share nothing.
+// Package policy decides, for one node, where retrievals go; interface and id types are in types.go. A caller
+// asks by Where (send it there, or not yet, or never), After (what to do after a leg's outcome), Still (may a
+// leg go out) and Wait (upkeep), and tells what was heard by Listed and Probed. It keeps the timers and the
+// retrievals and carries out each Move as it stands. Routers share nothing.
 package policy
 
 import (
@@ -19,7 +19,6 @@
 const (
 	segments     = 7                      // segments: the design's k
 	copies       = 3                      // holders of a key: the design's number
-	enough       = copies                 // caches of a zone that it can do with alone
 	upkeepEvery  = 100 * time.Millisecond // upkeep period: a few service times, so that trouble is seen soon
 	halveEvery   = 10                     // upkeeps between halvings of what is measured: about a second
 	holds        = 4 * time.Second        // longest rest of a failing cache; a report fades over five times that
@@ -44,8 +43,9 @@
 	spareMost    = 10                     // second copies saved up: covers one cache falling silent
 	lostLeast    = 1.1                    // asked per answer before any is turned away: a few are bad luck
 	fullShare    = 0.1                    // lost legs that one turned away as full counts for: cheap but vain
-	originFirst  = 16.0                   // legs there over all nodes, but one each, before anything is known
-	originGrow   = 0.1                    // room gained by an answer in time, where that is under a leg
+	originFirst  = 16.0                   // legs there over all nodes, before anything is known
+	originGrow   = 0.1                    // room gained by one in time, after any was lost: it doubles before
+	coldFirst    = 160.0                  // legs to a cold cache over all nodes, of those that know too little
 	originCut    = 0.9                    // room left after a late or lost answer: some are chance, ten a sign
 	originLate   = 3                      // times its usual time, and half the soft limit: a leg there is lost
 	originLeast  = 8.0                    // legs there that all nodes together may always have: a few a core
@@ -96,7 +96,7 @@
 	listed               []*cache              // without the origin
 	deals                [2]*placement         // of home and of all; nil until asked for
 	origin               *cache                // nil in through mode
-	room                 float64               // legs the origin may have, as learned
+	room, grow           float64               // legs the origin may have, as learned; growth by one in time
 	fetches              map[uint64]*Retrieval // who fetches a key from the origin; others that miss it wait
 	queue                []*Retrieval          // waiting for room at the origin or for another's fetch
 	wanted               map[uint64]float64    // benefit asked of each key; halved now and then
@@ -105,27 +105,28 @@
 	took, alone, pace    tally.Histogram       // of legs to caches: time, that of lone ones, time by each before
 	originTook           time.Duration         // by a leg there, smoothed
 	slow, patience       time.Duration         // the slow twentieth, and what means silence
-	coldShare            float64               // how much of what it surely bears a cold cache is sent
+	coldShare, coldMost  float64               // part of what it surely bears sent to a cold cache; longest rest
 	usual, othersLoad    float64               // legs a warm cache of weight 1 answered; mean foreign load
 	doors                [2]door               // as the deals
 	spare, cheap, asking float64               // second copies saved up; mean cheapness; benefit asked
-	apart                bool                  // whether the home zone has a deal of its own
-	cut                  map[ZoneID]int        // legs in a row that no cache of a zone took a connection for
-	metered              []Instant             // up to when each league has used its share
 	upkeeps, askFails    int
-	newsAt, roomCut      Instant // of the last report; of the last cut of the room
-	originAt, askAt      Instant // when a small room may have its next leg; when to ask for the list
+	apart                bool           // whether the home zone has a deal of its own
+	cut                  map[ZoneID]int // legs in a row that no cache of a zone took a connection for
+	metered              []Instant      // up to when each league has used its share
+	newsAt, roomCut      Instant        // of the last report; of the last cut of the room
+	originAt, askAt      Instant        // when a small room may have its next leg; when to ask for the list
 }
 
 func New(now Instant, seed int64, rules HouseRules) *Router {
 	rules.Nodes, rules.MostLegs = max(1, rules.Nodes), max(1, rules.MostLegs)
 	rules.Round = max(time.Millisecond, rules.Round)
-	p := &Router{rules: rules, caches: map[CacheID]*cache{}, fetches: map[uint64]*Retrieval{}, cheap: 1,
-		room: max(1, originFirst/float64(rules.Nodes)), coldShare: max(1, fallPart*rules.FallMultiple), askAt: now,
-		wanted: map[uint64]float64{}, cut: map[ZoneID]int{}, metered: make([]Instant, len(rules.Leagues))}
-	p.doors = [2]door{{evidence, evidence}, {evidence, evidence}}
-	p.chance.Seed = uint32(seed ^ seed>>32)
+	p := &Router{rules: rules, cheap: 1, grow: 1, askAt: now, room: originFirst / float64(rules.Nodes),
+		coldShare: max(1, fallPart*rules.FallMultiple), doors: [2]door{{evidence, evidence}, {evidence, evidence}},
+		coldMost: float64(rules.ColdFor) * max(1, float64(rules.Nodes)/coldFirst), cut: map[ZoneID]int{},
+		caches: map[CacheID]*cache{}, fetches: map[uint64]*Retrieval{}, wanted: map[uint64]float64{},
+		metered: make([]Instant, len(rules.Leagues)), chance: keyhash.Source{Seed: uint32(seed ^ seed>>32)}}
 	p.retime()
+	p.originAt = now.Add(time.Duration(p.chance.Next() * float64(p.slow/originLate) / p.room))
 	return p
 }
 
@@ -187,7 +188,7 @@
 	slices.SortFunc(p.listed, func(a, b *cache) int {
 		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.ID, b.ID))
 	})
-	p.apart = p.rules.CrossingPrice > 0 && n >= enough && n < len(p.listed)
+	p.apart = p.rules.CrossingPrice > 0 && n >= copies && n < len(p.listed)
 }
 
 func (p *Router) sideOf(c *cache) int {
@@ -296,7 +297,7 @@
 
 func (p *Router) spaceOut(now Instant, c *cache, share float64) {
 	gap := 2 * halveEvery * float64(upkeepEvery) / (p.coldShare * p.warmth(now, c) * p.usual * c.Weight)
-	c.coldAt = now.Add(time.Duration(share * min(float64(p.rules.ColdFor), gap)))
+	c.coldAt = now.Add(time.Duration(share * min(p.coldMost, gap)))
 }
 
 // load is own legs there and what it reports beside them: the others' mean if it does not, or as that ages.
@@ -384,7 +385,7 @@
 
 // holders lists a key's caches, first ranked first. One that drains, is silent, fails this grade fast and so
 // looks idle, or is too cold for the key yields to the next ranked spare. Reads of a key that is asked for
-// more than three caches' even share have more holders, or those would be full while all others had room.
+// more than three caches' even share have more holders, or those would be full while others had room.
 func (p *Router) holders(now Instant, r *Retrieval, side int) (hs []*cache) {
 	n, w := copies, p.wanted[r.memo.key]
 	if !r.Write && w*p.cheap*p.cheap >= hotLeast {
@@ -442,8 +443,7 @@
 
 // crowded tells whether those before a leg would take what its own work, known apart, leaves of a time.
 func (p *Router) crowded(load float64, left time.Duration, sooner float64) bool {
-	spare := max(left-p.alone.Quantile(0.5, 0), left/4)
-	return load*float64(p.pace.Quantile(0.5, 0))*sooner > float64(spare)
+	return load*float64(p.pace.Quantile(0.5, 0))*sooner > float64(max(left-p.alone.Quantile(0.5, 0), left/4))
 }
 
 // tie parts equal loads, as most are at a node that sees few: by chance, worth, rank and open connections.
@@ -579,12 +579,11 @@
 		p.fetches[r.memo.key] = r
 	}
 	if leads && !queued {
-		if p.short -= p.short / lately; full {
+		if p.short -= p.short / lately; full && (p.room >= 1 || p.grow < 1) { // else it is only not known yet
 			p.short += 1.0 / lately
 		}
 	}
 	if leads && !full {
-		p.originAt = now.Add(time.Duration(float64(p.originTook) / p.room))
 		return p.send(now, r, p.origin)
 	}
 	if !queued {
@@ -658,11 +657,11 @@
 }
 
 func (p *Router) learn(now Instant, c *cache, r *Retrieval, leg Leg, o Outcome) {
-	d, at, own, inTime := &p.doors[p.sideOf(c)], r.memo.at, float64(c.out), 0.0
-	if (leg.Result == Answered || leg.Result == Missed) && o.Took <= r.memo.grade.SoftLimit {
+	d, g, at, own, inTime := &p.doors[p.sideOf(c)], r.memo.grade, r.memo.at, float64(c.out), 0.0
+	if (leg.Result == Answered || leg.Result == Missed) && o.Took <= g.SoftLimit {
 		inTime = 1
 	} else if leg.Result == Answered {
-		inTime = r.memo.grade.Late
+		inTime = g.Late
 	}
 	if c.faulty *= beliefKept; leg.Result == Errored {
 		c.faulty += (1 - c.faulty) * faultyOne
@@ -704,20 +703,21 @@
 		p.othersLoad += (min(c.foreign, 2*p.othersLoad+1) - p.othersLoad) / evidence
 		p.newsAt = now
 	}
-	switch {
-	case errs[leg.Result] > 0, leg.Result == Cancelled, leg.Result == NeverSent,
-		leg.Result == Unconnected: // no sign of load
+	switch { // first what is no sign of load
+	case errs[leg.Result] > 0, leg.Result == Cancelled, leg.Result == NeverSent, leg.Result == Unconnected:
 	case leg.Result == TurnedAway && c != p.origin:
 		d.asked, c.vain = d.asked+fullShare, c.vain+(1-c.vain)/vainLegs
 	case c != p.origin:
 		d.asked, d.good, c.vain = d.asked+1, d.good+inTime, c.vain+(1-inTime-c.vain)/vainLegs
 	default:
-		if p.originTook += (o.Took - p.originTook) / 8; inTime == 1 && o.Took <= r.memo.grade.SoftLimit/2 {
+		took := max(o.Took, time.Duration((1-inTime)*float64(cmp.Or(p.originTook, p.slow)))) // full is no measure
+		if p.originTook = (7*cmp.Or(p.originTook, took) + took) / 8; inTime == 1 && o.Took <= g.SoftLimit/2 {
 			p.strain -= p.strain / evidence
-			p.room += min(1/p.room, originGrow*p.room, max(0, 2*own-p.room)) // room that is not used is no sign
+			p.room += min(1/p.room, p.grow*p.room, max(0, 2*own-p.room)) // room that is not used is no sign
 		} else if p.strain += (1 - p.strain) / evidence; now.Since(p.roomCut) > p.slow {
-			p.room, p.roomCut = max(originLeast/float64(p.rules.Nodes), p.room*originCut), now
+			p.room, p.grow, p.roomCut = max(originLeast/float64(p.rules.Nodes), p.room*originCut), originGrow, now
 		}
+		p.originAt = now.Add(time.Duration(float64(p.originTook) / p.room))
 	}
 }
 
