--- a/internal/net/relay/leaving_test.go
+++ b/internal/net/relay/leaving_test.go
@@ -129,6 +129,47 @@
 	}
 }
 
+// By HTTP a client goes in the same ways, and no attempt begins for it either, first or further.
+func TestWhoHasLeftByHTTPIsNotSentOnFor(t *testing.T) {
+	for way, leave := range leaving {
+		for _, after := range []string{"", "a miss"} {
+			t.Run(way+" "+after, func(t *testing.T) {
+				t.Parallel()
+				may := make(chan bool)
+				g := newRig(t, 64, func(line string) string {
+					if after != "" && strings.Contains(line, "Ohttp") {
+						<-may
+						return "EN " + id(line) + "\r\n"
+					}
+					return value(line)
+				}, withFront)
+				warm, r := g.client()
+				fmt.Fprint(warm, "mg k v Owarm Pc=read,d=9000\r\n")
+				g.expect(r, "VA 5 Owarm", "hello")
+				wait(t, g.lines)
+				c, err := net.Dial("tcp", g.Addr(1))
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				ask := func() { io.WriteString(c, req("GET /p/k", "X-Id: http")) }
+				if after == "" {
+					g.held(ask, nil, func() { leave(c.(*net.TCPConn)) })
+				} else {
+					ask()
+					wait(t, g.lines)
+					g.held(func() { may <- true }, nil, func() { leave(c.(*net.TCPConn)) })
+				}
+				g.until("it has left", func(n counters.Counters) bool { return n.Left == 1 })
+				g.until("nothing is out", func(n counters.Counters) bool { return n.Ended[policy.NeverSent] == 1 })
+				if n := g.Counts(); len(g.lines) > 0 || len(g.calls) > 0 {
+					t.Errorf("an attempt went out: %v", n.Ended)
+				}
+			})
+		}
+	}
+}
+
 // narrow leaves little room in the kernel for what this process sends to an address.
 func narrow(t *testing.T, addr string) {
 	for fd := range 1024 {
