Benchmark: processor time and memory of a node's process by size of value

Cause: the capacity page needs slopes of the data path of the node alone; the benchmarks there are had clients and caches in the same process. Change: BenchmarkNodeProcess runs the node in a process of its own and reads its processor time and resident memory.

--- /dev/null
+++ b/cmd/dahliapin/capacity_test.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// clockTick is the unit of processor times in /proc, as Linux states it to programs on every machine.
+const clockTick = 10 * time.Millisecond
+
+// spent tells what processor time a process has taken, and what of its memory is resident, in bytes.
+func spent(tb testing.TB, pid int) (cpu time.Duration, resident float64) {
+	tb.Helper()
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+2:]))
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	pages, _ := strconv.Atoi(fields[21])
+	return time.Duration(user+system) * clockTick, float64(pages * os.Getpagesize())
+}
+
+// values is a cache that answers each request with a value of so many bytes.
+func values(tb testing.TB, size int) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { l.Close() })
+	value := bytes.Repeat([]byte("v"), size)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for r := bufio.NewReader(c); ; {
+					line, err := r.ReadString('\n')
+					if err != nil {
+						return
+					}
+					_, id, _ := strings.Cut(line, " O")
+					id, _, _ = strings.Cut(id, " ")
+					if _, err = fmt.Fprintf(c, "VA %d O%s\r\n", size, id); err == nil {
+						if _, err = c.Write(value); err == nil {
+							_, err = io.WriteString(c, "\r\n")
+						}
+					}
+					if err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// BenchmarkNodeProcess is what docs/CAPACITY.md takes its slopes of the data path from: processor time of a node's process alone, by the
+// size of a value, and resident memory by the clients that are connected and idle.
+func BenchmarkNodeProcess(b *testing.B) {
+	for _, size := range []int{500, 64 << 10, 673_000, 4_000_000} {
+		b.Run(fmt.Sprint(size, "-bytes"), func(b *testing.B) {
+			pid, addr := oneNode(b, size)
+			const connections = 32
+			before, _ := spent(b, pid)
+			b.ResetTimer()
+			var all sync.WaitGroup
+			for n := range connections {
+				all.Add(1)
+				go func() {
+					defer all.Done()
+					c, err := net.Dial("tcp", addr)
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					defer c.Close()
+					r := bufio.NewReaderSize(c, 64<<10)
+					for i := range (b.N + connections - 1) / connections {
+						fmt.Fprintf(c, "mg k%d v O%d-%d Pc=read,d=9000\r\n", i%1000, n, i)
+						if head, err := r.ReadString('\n'); err != nil || !strings.HasPrefix(head, "VA") {
+							b.Error(head, err)
+							return
+						}
+						if _, err := r.Discard(size + 2); err != nil {
+							b.Error(err)
+							return
+						}
+					}
+				}()
+			}
+			all.Wait()
+			b.StopTimer()
+			after, resident := spent(b, pid)
+			requests := float64((b.N + connections - 1) / connections * connections)
+			b.ReportMetric((after-before).Seconds()*1e6/requests, "cpu-us/request")
+			b.ReportMetric((after-before).Seconds()*1e3/(requests*float64(size)*8/1e9), "cpu-ms/Gbit")
+			b.ReportMetric(requests*float64(size)*8/1e9/b.Elapsed().Seconds(), "Gbit/s")
+			b.ReportMetric(resident/1e6, "resident-MB")
+		})
+	}
+	for _, clients := range []int{0, 250, 500, 1000} {
+		b.Run(fmt.Sprint(clients, "-clients"), func(b *testing.B) {
+			pid, addr := oneNode(b, 500)
+			for i := range clients {
+				c, err := net.Dial("tcp", addr)
+				if err != nil {
+					b.Fatal(err)
+				}
+				defer c.Close()
+				fmt.Fprintf(c, "mg k%d v Oc%d Pc=read,d=9000\r\n", i, i)
+				if head, err := bufio.NewReader(c).ReadString('\n'); err != nil || !strings.HasPrefix(head, "VA") {
+					b.Fatal(head, err)
+				}
+			}
+			_, resident := spent(b, pid)
+			b.ReportMetric(resident/1e6, "resident-MB")
+		})
+	}
+}
+
+// oneNode runs a node in a process of its own before a cache with values of a size.
+func oneNode(b *testing.B, size int) (pid int, addr string) {
+	over := make(chan bool)
+	list := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery != "" {
+			select {
+			case <-over:
+			case <-r.Context().Done():
+			}
+			return
+		}
+		fmt.Fprintf(w, `{"generation":1,"reset":true,"instances":[{"instanceId":"c","hostPort":%q,"lifecycle":"in_service","zone":"z"}]}`, values(b, size))
+	}))
+	b.Cleanup(func() { close(over); list.Close() })
+	p, addr := serving(b, b.TempDir(), list.Listener.Addr().String(), `"seed":"1","limits":{"memory_mb":512,"sockets":4096},"settings":{
+"service_grades":[{"name":"read","effect":"idempotent","benefit":1,"soft_limit_s":5,"hard_stop_s":9}],"zone":"z","n_instances":1,
+"round_s":0.005,"bounds":{"most_legs":3,"conn_idle_s":60},"family_info":{"mode":"through"}}`)
+	for by := time.Now().Add(10 * time.Second); !ready(addr); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(by) {
+			b.Fatal("the node is not ready")
+		}
+	}
+	return p.Process.Pid, addr
+}
--- a/cmd/dahliapin/start_test.go
+++ b/cmd/dahliapin/start_test.go
@@ -25,7 +25,7 @@
 }
 
 // serving starts a process of a node with a configuration's further parts, and returns where it listens. It ends with the test.
-func serving(t *testing.T, dir, discovery, more string, env ...string) (p *exec.Cmd, listen string) {
+func serving(t testing.TB, dir, discovery, more string, env ...string) (p *exec.Cmd, listen string) {
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
