--- /dev/null
+++ b/internal/fleet/accord/accord_test.go
@@ -0,0 +1,246 @@
+package accord
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+)
+
+func purge(n int) Proposal {
+	p := Proposal{Kind: Purge, Body: fmt.Appendf(nil, "key-%d", n)}
+	p.ID[0], p.ID[1], p.ID[2] = 1, byte(n), byte(n>>8)
+	return p
+}
+
+func config(n int) Proposal {
+	p := purge(n)
+	p.Kind, p.Body = Config, fmt.Appendf(nil, "config %d", n)
+	return p
+}
+
+// node keeps what a node did by the log.
+type node struct {
+	did      []string
+	at       []Index
+	config   string
+	presumed Index
+	refuse   string
+}
+
+func (n *node) Presume(upTo Index) { n.presumed = upTo }
+func (n *node) Purge(at Index, key string) {
+	n.did, n.at = append(n.did, key), append(n.at, at)
+}
+func (n *node) Configure(at Index, text []byte) error {
+	n.did, n.at = append(n.did, string(text)), append(n.at, at)
+	if n.refuse != "" && string(text) == n.refuse {
+		return errors.New("it can't be used")
+	}
+	n.config = string(text)
+	return nil
+}
+
+// Whatever is proposed, proposed again, trimmed, snapshot and restored: all machines have the same log, each change is in it once, and a
+// reader that begins anywhere and comes back now and then sees each entry after its beginning once and in order, under the latest
+// configuration.
+func TestTheLogHasEachChangeOnceAndInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bounds := Bounds{Entries: rapid.IntRange(3, 40).Draw(t, "entries"), Bytes: rapid.IntRange(100, 4000).Draw(t, "bytes"), Least: rapid.IntRange(0, 3).Draw(t, "least")}
+		a, b := New(bounds), New(bounds)
+		var said []string // by index from 1
+		first := map[ProposalID]Index{}
+		did := &node{}
+		reader := NewReader(did)
+		seen, begins := Index(0), 0
+		follow := func() {
+			raw, _, is := a.After(reader.Now().Applied, rapid.IntRange(0, 200).Draw(t, "frame"))
+			if !reader.Now().Begun || !is {
+				at, base := a.Begin(!reader.Now().Begun)
+				if err := reader.Begin(at, base); err != nil {
+					t.Fatal(err)
+				}
+				seen, begins = at, begins+1
+				latest := ""
+				for _, text := range said[:at] {
+					if text[0] == 'c' {
+						latest = text
+					}
+				}
+				if did.config != latest || did.presumed != at {
+					t.Fatalf("begins at %d with %q, presumed %d; in force there: %q", at, did.config, did.presumed, latest)
+				}
+				did.did, did.at = nil, nil
+				return
+			}
+			if err := reader.Take(raw); err != nil {
+				t.Fatal(err)
+			}
+			for i, at := range did.at {
+				if seen++; at != seen || did.did[i] != said[at-1] {
+					t.Fatalf("applied %d %q, wanted %d %q", at, did.did[i], seen, said[seen-1])
+				}
+			}
+			did.did, did.at = nil, nil
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "turns") {
+			var batch Batch
+			for _, n := range rapid.SliceOfN(rapid.IntRange(1, 90), 0, 12).Draw(t, "proposals") {
+				p := purge(n)
+				if n%7 == 0 {
+					p = config(n)
+				}
+				batch.Proposals = append(batch.Proposals, p)
+			}
+			if rapid.IntRange(0, 4).Draw(t, "trims") == 0 {
+				batch.Trim = Index(rapid.IntRange(0, 100).Draw(t, "trim"))
+			}
+			sent, err := DecodeBatch(batch.Encode())
+			if err != nil {
+				t.Fatal(err)
+			}
+			at, other := a.Apply(sent), b.Apply(sent)
+			if !slices.Equal(at, other) {
+				t.Fatalf("%v and %v", at, other)
+			}
+			for i, p := range batch.Proposals {
+				if was, is := first[p.ID]; is && at[i] != was {
+					t.Fatalf("proposed again, %d became %d", was, at[i])
+				} else if !is {
+					if said = append(said, string(p.Body)); at[i] != Index(len(said)) {
+						t.Fatalf("index %d, wanted %d", at[i], len(said))
+					}
+					first[p.ID] = at[i]
+				}
+			}
+			if len(a.tail) > bounds.Entries || a.Bytes(a.floor, a.last) > uint64(bounds.Bytes) && len(a.tail) > 1 {
+				t.Fatalf("%d entries, %d bytes are kept", len(a.tail), a.Bytes(a.floor, a.last))
+			}
+			if rapid.IntRange(0, 5).Draw(t, "restores") == 0 {
+				text := b.Snapshot()
+				if b, err = Restore(text, bounds); err != nil {
+					t.Fatal(err)
+				}
+				if !bytes.Equal(text, b.Snapshot()) || !bytes.Equal(text, a.Snapshot()) {
+					t.Fatal("a snapshot is not what it was taken of")
+				}
+			}
+			if rapid.Bool().Draw(t, "follows") {
+				follow()
+			}
+		}
+		for reader.Now().Applied < a.Last() || !reader.Now().Begun {
+			follow()
+		}
+	})
+}
+
+func TestAnIDIsForgottenOnlyAfterSoManyEntries(t *testing.T) {
+	s := New(Bounds{Entries: 10, Bytes: 1 << 20})
+	one := purge(1)
+	s.Apply(Batch{Proposals: []Proposal{one}})
+	p := purge(2)
+	for n := range Remembered - 1 {
+		p.ID[5], p.ID[6], p.ID[7] = byte(n), byte(n>>8), byte(n>>16)
+		s.Apply(Batch{Proposals: []Proposal{p}})
+	}
+	if at := s.Apply(Batch{Proposals: []Proposal{one}}); at[0] != 1 || s.Repeated() != 1 {
+		t.Errorf("among the last %d: %v", Remembered, at)
+	}
+	if s.Apply(Batch{Proposals: []Proposal{purge(3)}}); len(s.ids) != Remembered || len(s.recent) != Remembered {
+		t.Errorf("%d ids, %d in a row", len(s.ids), len(s.recent))
+	}
+	if r, err := Restore(s.Snapshot(), s.bounds); err != nil || len(r.ids) != Remembered || r.ids[p.ID] != s.last-1 {
+		t.Errorf("restored: %v, %v", r, err)
+	}
+}
+
+func raws(t *testing.T, from, upTo Index) (raw []cbor.RawMessage) {
+	t.Helper()
+	for i := from; i <= upTo; i++ {
+		raw = append(raw, encodeEntry(Entry{i, purge(int(i))}))
+	}
+	return raw
+}
+
+func TestAReaderLetsNoGapPass(t *testing.T) {
+	did := &node{}
+	r := NewReader(did)
+	if err := r.Take(raws(t, 1, 1)); !errors.Is(err, ErrGap) {
+		t.Errorf("before it began: %v", err)
+	}
+	if err := r.Begin(4, encodeEntry(Entry{2, config(2)})); err != nil || did.config != "config 2" || did.presumed != 4 {
+		t.Errorf("%v, %q, presumed %d", err, did.config, did.presumed)
+	}
+	if err := r.Take(append(raws(t, 3, 6), raws(t, 8, 9)...)); !errors.Is(err, ErrGap) {
+		t.Errorf("a gap: %v", err)
+	}
+	if now := r.Now(); now.Applied != 6 || now.Gaps != 2 || !slices.Equal(did.at, []Index{2, 5, 6}) {
+		t.Errorf("%+v, %v", now, did.at)
+	}
+	if err := r.Begin(6, nil); !errors.Is(err, ErrGap) {
+		t.Errorf("an old beginning was taken: %v", err)
+	}
+}
+
+func TestARefusedConfigurationIsToldAndChangesNothing(t *testing.T) {
+	did := &node{refuse: "config 2"}
+	r := NewReader(did)
+	_ = r.Begin(0, nil)
+	_ = r.Take([]cbor.RawMessage{encodeEntry(Entry{1, config(1)}), encodeEntry(Entry{2, config(2)}), encodeEntry(Entry{3, purge(3)})})
+	if now := r.Now(); now.Config != 1 || now.Refused != 2 || now.Reason == "" || now.Applied != 3 || did.config != "config 1" {
+		t.Errorf("%+v, %q", now, did.config)
+	}
+	_ = r.Take([]cbor.RawMessage{encodeEntry(Entry{4, config(4)})})
+	if now := r.Now(); now.Config != 4 || now.Refused != 0 || now.Reason != "" {
+		t.Errorf("%+v", now)
+	}
+}
+
+func TestWhatIsNoPartOfTheLogIsRefused(t *testing.T) {
+	for name, p := range map[string]Proposal{"no id": {Kind: Purge, Body: []byte("k")}, "no key": {ID: ProposalID{1}, Kind: Purge},
+		"a long key": {ID: ProposalID{1}, Kind: Purge, Body: make([]byte, LongestKey+1)}, "a kind": {ID: ProposalID{1}, Kind: 9, Body: []byte("k")},
+		"a long configuration": {ID: ProposalID{1}, Kind: Config, Body: make([]byte, LongestConfig+1)}} {
+		if s := New(UsualBounds); !errors.Is(p.Check(), ErrProposal) || s.Apply(Batch{Proposals: []Proposal{p}})[0] != 0 || s.Last() != 0 {
+			t.Errorf("%s: %v", name, p.Check())
+		}
+	}
+	good := Batch{Proposals: []Proposal{purge(1)}}.Encode()
+	for _, bad := range [][]byte{nil, {0xff}, good[:len(good)-1], encode(wireBatch{}), encode(wireBatch{Version: 1, Proposals: []wireProposal{{ID: []byte("short")}}}),
+		encode(wireBatch{Version: 1, Proposals: make([]wireProposal, MostAtOnce+1)})} {
+		if _, err := DecodeBatch(bad); !errors.Is(err, ErrWire) {
+			t.Errorf("% x: %v", bad[:min(len(bad), 20)], err)
+		}
+	}
+	for _, bad := range [][]byte{nil, encode(wireState{}), encode(wireState{Version: 1, Last: 2, Tail: []cbor.RawMessage{encodeEntry(Entry{1, purge(1)})}}),
+		encode(wireState{Version: 1, Last: 1, Tail: []cbor.RawMessage{encodeEntry(Entry{2, purge(1)})}}), encode(wireState{Version: 1, IDs: make([]byte, 16)})} {
+		if _, err := Restore(bad, UsualBounds); !errors.Is(err, ErrWire) {
+			t.Errorf("% x: %v", bad, err)
+		}
+	}
+	newer, _ := cbor.Marshal(map[int]any{0: 2, 1: []any{}, 2: 5, 77: "later"})
+	if b, err := DecodeBatch(newer); err != nil || b.Trim != 5 {
+		t.Errorf("a newer one: %v, %v", b, err)
+	}
+}
+
+func TestProposalsGoIntoFewBatches(t *testing.T) {
+	var all []Proposal
+	for n := range 2500 {
+		all = append(all, purge(n+1))
+	}
+	if got := Batches(all); len(got) != 3 || len(got[2].Proposals) != 2500-2*MostAtOnce {
+		t.Errorf("%d batches", len(got))
+	}
+	big := config(1)
+	big.Body = make([]byte, LongestConfig)
+	for _, b := range Batches(slices.Repeat([]Proposal{big}, 20)) {
+		if n := len(b.Encode()); n > longestBatch+1000 {
+			t.Errorf("a batch of %d bytes", n)
+		}
+	}
+}
