Log of changes: control machines, and nodes that follow them

Found on the way: proposals put forward again came in the order of a map, 1,000 of one caller shuffled; they have a place now (TestChangesReachAllInOrderWhileALeaderEnds).

--- /dev/null
+++ b/internal/net/accord/accord_test.go
@@ -0,0 +1,434 @@
+package accord
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	"dahliapin/internal/fleet/accord"
+	"dahliapin/internal/fleet/charter"
+	"dahliapin/policy"
+)
+
+func quietly() *logrus.Logger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return l
+}
+
+func boottime() policy.Instant {
+	var t unix.Timespec
+	_ = unix.ClockGettime(unix.CLOCK_BOOTTIME, &t)
+	return policy.Instant(t.Nano())
+}
+
+// fleet is some control machines in this process, whose streams can be cut.
+type fleet struct {
+	t    *testing.T
+	dirs []string
+	mu   sync.Mutex
+	ms   []*Machine
+	cut  map[string]bool // addresses that are not reached
+	open map[string][]net.Conn
+	bent func(i int, b *Berth) // a broken variant
+	file func(*charter.ControlFile)
+}
+
+func peerAt(i int) string { return fmt.Sprintf("10.0.0.%d:1", i+1) }
+func nodeAt(i int) string { return fmt.Sprintf("10.0.0.%d:2", i+1) }
+
+func newFleet(t *testing.T, file func(*charter.ControlFile), bent func(int, *Berth)) *fleet {
+	f := &fleet{t: t, cut: map[string]bool{}, open: map[string][]net.Conn{}, ms: make([]*Machine, 4), bent: bent, file: file}
+	for range f.ms {
+		f.dirs = append(f.dirs, t.TempDir())
+	}
+	for i := range f.ms {
+		f.start(i, true)
+	}
+	t.Cleanup(func() {
+		for i := range f.ms {
+			f.stop(i)
+		}
+	})
+	return f
+}
+
+func (f *fleet) start(i int, first bool) {
+	f.t.Helper()
+	file := charter.UsualControl()
+	file.Control = charter.Control{ID: uint64(i + 1), Label: "l", Peers: "127.0.0.1:0", Nodes: "127.0.0.1:0", Data: f.dirs[i]}
+	file.Bounds.ElectMs = 500
+	for j := range f.ms {
+		file.Machines = append(file.Machines, charter.Machine{ID: uint64(j + 1), Name: fmt.Sprintf("c%d", j+1), Addr: peerAt(j), Learner: j == 3})
+	}
+	if f.file != nil {
+		f.file(&file)
+	}
+	b := Berth{File: &file, New: first, Log: quietly(), Now: boottime, Dial: func(addr string, within time.Duration) (net.Conn, error) {
+		if f.isCut(nodeAt(i)) { // a machine that is cut off reaches nobody
+			return nil, errors.New("cut")
+		}
+		return f.dial(addr, within)
+	}}
+	if f.bent != nil {
+		f.bent(i, &b)
+	}
+	m, err := Open(b)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.mu.Lock()
+	f.ms[i] = m
+	f.mu.Unlock()
+}
+
+func (f *fleet) stop(i int) {
+	f.mu.Lock()
+	m := f.ms[i]
+	f.ms[i] = nil
+	f.mu.Unlock()
+	if m != nil {
+		m.Close()
+	}
+}
+
+func (f *fleet) isCut(addr string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut[addr]
+}
+
+// dial reaches a machine by the address that is stated for it.
+func (f *fleet) dial(addr string, within time.Duration) (net.Conn, error) {
+	f.mu.Lock()
+	to := ""
+	for i, m := range f.ms {
+		if m != nil && addr == peerAt(i) {
+			to = m.PeersAddr()
+		} else if m != nil && addr == nodeAt(i) {
+			to = m.Addr()
+		}
+	}
+	cut := f.cut[addr]
+	f.mu.Unlock()
+	if to == "" || cut {
+		return nil, errors.New("nobody there")
+	}
+	c, err := net.DialTimeout("tcp", to, within)
+	if err == nil {
+		f.mu.Lock()
+		f.open[addr] = append(f.open[addr], c)
+		f.mu.Unlock()
+	}
+	return c, err
+}
+
+// sever cuts a machine off, or brings it back.
+func (f *fleet) sever(i int, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, addr := range []string{peerAt(i), nodeAt(i)} {
+		f.cut[addr] = cut
+		for _, c := range f.open[addr] {
+			if cut {
+				_ = c.Close()
+			}
+		}
+	}
+	if m := f.ms[i]; m != nil && cut {
+		for _, p := range m.peers {
+			for _, c := range f.open[p.Addr] {
+				_ = c.Close() // others' streams to it come again
+			}
+		}
+	}
+}
+
+func (f *fleet) leader() int {
+	for by := time.Now().Add(10 * time.Second); time.Now().Before(by); time.Sleep(20 * time.Millisecond) {
+		for i, m := range f.ms {
+			if m != nil && m.Leads() && !f.isCut(peerAt(i)) {
+				return i
+			}
+		}
+	}
+	f.t.Fatal("nobody leads")
+	return 0
+}
+
+func (f *fleet) all() (at []string) {
+	for i := range f.ms {
+		at = append(at, nodeAt(i))
+	}
+	return at
+}
+
+func (f *fleet) publish(all []accord.Proposal, at ...string) []accord.Index {
+	f.t.Helper()
+	if len(at) == 0 {
+		at = f.all()
+	}
+	ctx, done := context.WithTimeout(context.Background(), 20*time.Second)
+	defer done()
+	got, err := Caller{At: at, Label: "l", Dial: f.dial}.Publish(ctx, all)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return got
+}
+
+// follower keeps what it did by the log.
+type follower struct {
+	*Following
+	mu       sync.Mutex
+	index    []accord.Index
+	did      []string
+	presumed []accord.Index
+	cut      bool
+}
+
+func (n *follower) Presume(upTo accord.Index) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.presumed = append(n.presumed, upTo)
+}
+
+func (n *follower) Purge(at accord.Index, key string) { _ = n.Configure(at, []byte(key)) }
+
+func (n *follower) Configure(at accord.Index, text []byte) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.index, n.did = append(n.index, at), append(n.did, string(text))
+	if strings.HasPrefix(string(text), "bad") {
+		return errors.New("it can't be used")
+	}
+	return nil
+}
+
+func (f *fleet) follow(name string, seed uint32) *follower {
+	n := &follower{}
+	n.Following = Follow(FollowBerth{Name: name, Label: "l", At: f.all(), Seed: seed, Stale: time.Second, Reader: accord.NewReader(n), Log: quietly(), Now: boottime,
+		Dial: func(addr string, within time.Duration) (net.Conn, error) {
+			n.mu.Lock()
+			cut := n.cut
+			n.mu.Unlock()
+			if cut {
+				return nil, errors.New("cut")
+			}
+			c, err := f.dial(addr, within)
+			if err != nil {
+				return nil, err
+			}
+			return &cuttable{c, n}, nil
+		}})
+	f.t.Cleanup(n.Close)
+	return n
+}
+
+// cuttable is a stream that breaks once its node is cut off.
+type cuttable struct {
+	net.Conn
+	n *follower
+}
+
+func (c *cuttable) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	if c.n.cut {
+		_ = c.Conn.Close()
+		return 0, errors.New("cut")
+	}
+	return n, err
+}
+
+// upTo waits until a follower has applied up to an index.
+func (f *fleet) upTo(n *follower, at accord.Index) {
+	f.t.Helper()
+	for by := time.Now().Add(15 * time.Second); n.Status().Applied < at; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(by) {
+			f.t.Fatalf("%s: %+v, wanted up to %d", n.Name, n.Status(), at)
+		}
+	}
+}
+
+func purges(from, n int) (all []accord.Proposal) {
+	for i := range n {
+		all = append(all, NewProposal(accord.Purge, fmt.Appendf(nil, "key-%d", from+i)))
+	}
+	return all
+}
+
+func (n *follower) have(t *testing.T, from accord.Index, want ...string) {
+	t.Helper()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !slices.Equal(n.did, want) {
+		first := 0
+		for first < min(len(want), len(n.did)) && want[first] == n.did[first] {
+			first++
+		}
+		t.Errorf("%s did %d, wanted %d; the same up to %d: %q", n.Name, len(n.did), len(want), first, n.did[min(first, len(n.did)):min(first+3, len(n.did))])
+	}
+	for i, at := range n.index {
+		if at != from+accord.Index(i) {
+			t.Errorf("%s: entry %d at %d", n.Name, at, i)
+			return
+		}
+	}
+}
+
+func bodies(all ...[]accord.Proposal) (out []string) {
+	for _, some := range all {
+		for _, p := range some {
+			out = append(out, string(p.Body))
+		}
+	}
+	return out
+}
+
+// Each change becomes one entry, however often it is put forward and at whichever machine; every node has each in order, while the leader
+// ends and comes back with its disk, and a node is cut off meanwhile.
+func TestChangesReachAllInOrderWhileALeaderEnds(t *testing.T) {
+	f := newFleet(t, nil, nil)
+	var nodes []*follower
+	for i := range 24 {
+		nodes = append(nodes, f.follow(fmt.Sprintf("n%02d", i), uint32(i)))
+	}
+	for _, n := range nodes {
+		for by := time.Now().Add(10 * time.Second); !n.now.Load().Begun && time.Now().Before(by); {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	one, burst, last := purges(0, 5), purges(100, 1000), purges(2000, 7)
+	for i := range one {
+		at := f.publish(one[i:i+1], nodeAt(i%4))
+		if again := f.publish(one[i:i+1], nodeAt((i+1)%4)); at[0] != accord.Index(i+1) || again[0] != at[0] {
+			t.Errorf("ordered at %v, again at %v", at, again)
+		}
+	}
+	was := f.leader()
+	f.stop(was)
+	nodes[0].mu.Lock()
+	nodes[0].cut = true
+	nodes[0].mu.Unlock()
+	if at := f.publish(burst); at[0] != 6 || at[999] != 1005 {
+		t.Errorf("a burst was ordered from %d to %d", at[0], at[999])
+	}
+	f.start(was, false)
+	f.publish(last, nodeAt(was))
+	nodes[0].mu.Lock()
+	nodes[0].cut = false
+	nodes[0].mu.Unlock()
+	for _, n := range nodes {
+		f.upTo(n, 1012)
+		n.have(t, 1, bodies(one, burst, last)...)
+		if s := n.Status(); s.Gaps != 0 || s.Purges != 1012 {
+			t.Errorf("%+v", s)
+		}
+	}
+	used := map[string]int{}
+	for _, n := range nodes {
+		used[n.Status().Via]++
+	}
+	if len(used) < 3 {
+		t.Errorf("the nodes are at %v", used)
+	}
+	time.Sleep(2 * toldEach)
+	o, err := Caller{At: f.all(), Label: "l", Dial: f.dial}.Changes()
+	if err != nil || !o.Whole() || len(o.Nodes) != 24 || o.Last != 1012 || len(o.Machines) != 4 {
+		t.Errorf("%v: %+v", err, o)
+	}
+	if err := f.ms[was].Fault(); err != nil {
+		t.Error(err)
+	}
+}
+
+// A machine that is cut off from the voters orders nothing, and its nodes leave it.
+func TestNodesLeaveAMachineThatHearsNoLeader(t *testing.T) {
+	f := newFleet(t, nil, nil)
+	var nodes []*follower
+	for i := range 4 {
+		nodes = append(nodes, f.follow(fmt.Sprintf("n%d", i), uint32(i)))
+	}
+	f.publish(purges(0, 1))
+	for _, n := range nodes {
+		f.upTo(n, 1-min(1, n.Status().Presumed))
+	}
+	gone := f.leader()
+	f.sever(gone, true)
+	lone := f.ms[gone]
+	f.publish(purges(1, 1))
+	for _, n := range nodes {
+		f.upTo(n, 2)
+	}
+	if lone.Last() != 1 {
+		t.Errorf("a machine without a majority has %d", lone.Last())
+	}
+	lone.asks <- &ask{all: purges(9, 1), answer: make(chan *ask, 2)}
+	time.Sleep(700 * time.Millisecond)
+	if lone.Last() != 1 || lone.Leads() {
+		t.Errorf("alone it has %d, leads: %t", lone.Last(), lone.Leads())
+	}
+	f.sever(gone, false)
+	at := f.publish(purges(2, 1))
+	for _, n := range nodes {
+		f.upTo(n, at[0])
+	}
+	f.upTo(nodes[0], 4) // what waited there was ordered, too, once it could be
+}
+
+// A machine and a node that are behind what is kept begin anew: the latest configuration, and all before may have been purged.
+func TestWhoIsBehindWhatIsKeptBeginsAnew(t *testing.T) {
+	f := newFleet(t, func(c *charter.ControlFile) { c.Bounds.Entries = 1024 }, nil)
+	n := f.follow("n", 1)
+	f.publish([]accord.Proposal{NewProposal(accord.Config, []byte("first")), NewProposal(accord.Config, []byte("bad one"))})
+	f.upTo(n, 2)
+	if s := n.Status(); s.Config > 1 || s.Presumed < 2 && (s.Refused != 2 || s.Reason == "") {
+		t.Errorf("%+v", s)
+	}
+	n.mu.Lock()
+	n.cut, n.did, n.index = true, nil, nil
+	n.mu.Unlock()
+	behind := (f.leader() + 1) % 3
+	f.stop(behind)
+	f.publish([]accord.Proposal{NewProposal(accord.Config, []byte("second"))}, f.others(behind)...)
+	late := purges(0, 2000)
+	f.publish(late, f.others(behind)...)
+	if s := n.Status(); s.Stale != (s.HeardS > 1) {
+		t.Errorf("%+v", s)
+	}
+	f.start(behind, false)
+	n.mu.Lock()
+	n.cut = false
+	n.mu.Unlock()
+	f.upTo(n, 2003)
+	floor := n.Status().Presumed
+	if floor < 2003-1024 || floor > 2003-1 {
+		t.Errorf("it began at %d", floor)
+	}
+	if n.Status().Config != 3 {
+		t.Errorf("%+v", n.Status())
+	}
+	n.mu.Lock()
+	n.index[0] = floor // the configuration, which is as of there
+	n.mu.Unlock()
+	n.have(t, floor, append([]string{"second"}, bodies(late)[floor-3:]...)...)
+	for by := time.Now().Add(10 * time.Second); f.ms[behind].Last() < 2003; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(by) {
+			t.Fatalf("the machine that was off has %d", f.ms[behind].Last())
+		}
+	}
+}
+
+func (f *fleet) others(i int) []string { return slices.Delete(f.all(), i, i+1) }
--- /dev/null
+++ b/internal/net/accord/client.go
@@ -0,0 +1,217 @@
+package accord
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"time"
+
+	"dahliapin/internal/fleet/accord"
+)
+
+const (
+	askBy    = 900 * time.Millisecond // for a machine to tell of the nodes: an operator is told within a second
+	askAgain = 200 * time.Millisecond // between two rounds of all machines while nobody orders
+)
+
+// Caller is who publishes or asks.
+type Caller struct {
+	At    []string // control machines, asked one after the other
+	Label string
+	Dial  func(addr string, within time.Duration) (net.Conn, error) // nil for TCP
+}
+
+// ErrNobody says that no control machine did what was asked.
+var ErrNobody = errors.New("no control machine answers")
+
+// NewProposal gives a change its id, by which it becomes one entry however often it is put forward.
+func NewProposal(kind accord.Kind, body []byte) accord.Proposal {
+	p := accord.Proposal{Kind: kind, Body: body}
+	_, _ = rand.Read(p.ID[:]) // never fails
+	return p
+}
+
+// Publish has changes ordered and tells the index of each: they are on disk at a majority of the voters then. It asks one machine after
+// the other until one says so, with the same ids. An error says that it is not known whether they are ordered, or that they can't be.
+func (c Caller) Publish(ctx context.Context, all []accord.Proposal) ([]accord.Index, error) {
+	for i, p := range all {
+		if err := p.Check(); err != nil {
+			return nil, fmt.Errorf("number %d: %w", i+1, err)
+		}
+	}
+	var out []accord.Index
+	for _, b := range accord.Batches(all) {
+		at, err := c.batch(ctx, b)
+		if err != nil {
+			return out, err
+		}
+		out = append(out, at...)
+	}
+	return out, nil
+}
+
+func (c Caller) batch(ctx context.Context, b accord.Batch) (out []accord.Index, err error) {
+	err = ErrNobody
+	w := word{Kind: wordPublish, Batch: b.Encode()}
+	for {
+		for _, addr := range c.At {
+			if ctx.Err() != nil {
+				return nil, fmt.Errorf("it is not known whether it is ordered: %w", err)
+			}
+			said, fault := c.one(addr, w, orderBy+writeBy)
+			switch {
+			case fault != nil:
+				err = fmt.Errorf("%w: %w", ErrNobody, fault)
+			case said.Kind == wordRefused:
+				err = fmt.Errorf("%s: %s", addr, said.Reason)
+			case said.Kind == wordOrdered && len(said.Indexes) == len(b.Proposals):
+				for _, at := range said.Indexes {
+					out = append(out, accord.Index(at))
+				}
+				return out, nil
+			default:
+				err = fmt.Errorf("%s: %w", addr, errWord)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(askAgain):
+		}
+	}
+}
+
+func (c Caller) one(addr string, w word, by time.Duration) (word, error) {
+	l, err := call(c.Dial, addr, kindCaller, c.Label, longestFrame)
+	if err != nil {
+		return word{}, err
+	}
+	defer l.Close()
+	if _, err := l.say(w, min(by, writeBy)); err != nil {
+		return word{}, err
+	}
+	said, _, err := l.hear(by)
+	return said, err
+}
+
+// NodeRow is how a node stands.
+type NodeRow struct {
+	Node     string       `json:"node"`
+	Applied  accord.Index `json:"applied"`
+	Lacks    uint64       `json:"lacks"` // entries, up to the newest
+	Config   accord.Index `json:"config"`
+	Refused  accord.Index `json:"refused,omitempty"`
+	Reason   string       `json:"reason,omitempty"`
+	Presumed accord.Index `json:"presumed,omitempty"`
+	Gaps     uint64       `json:"gaps,omitempty"`
+	Machine  uint64       `json:"machine"` // where it was heard
+	HeardS   float64      `json:"heard_s"` // since then
+	Silent   bool         `json:"silent,omitempty"`
+}
+
+// MachineRow is how a control machine stands.
+type MachineRow struct {
+	ID      uint64       `json:"id"`
+	Name    string       `json:"name"`
+	Learner bool         `json:"learner,omitempty"`
+	Leads   bool         `json:"leads,omitempty"`
+	Term    uint64       `json:"term"`
+	Last    accord.Index `json:"last"`
+	Floor   accord.Index `json:"floor"`
+	Config  accord.Index `json:"config"`
+	HeardS  float64      `json:"heard_s"`
+	Silent  bool         `json:"silent,omitempty"`
+}
+
+// Overview is who has applied what.
+type Overview struct {
+	Last     accord.Index `json:"last"` // the newest entry that any control machine has
+	Led      bool         `json:"led"`  // the machine that was asked hears a leader
+	Nodes    []NodeRow    `json:"nodes"`
+	Machines []MachineRow `json:"machines"`
+}
+
+// Whole tells whether every node has applied all and is heard.
+func (o Overview) Whole() bool {
+	for _, n := range o.Nodes {
+		if n.Lacks > 0 || n.Silent || n.Refused > 0 {
+			return false
+		}
+	}
+	return o.Led
+}
+
+// Changes asks all control machines at once for who has applied what, and takes of each node and machine what was heard last.
+func (c Caller) Changes() (Overview, error) {
+	type said struct {
+		word
+		error
+	}
+	all := make(chan said, len(c.At))
+	for _, addr := range c.At {
+		go func() {
+			w, fault := c.one(addr, word{Kind: wordAsk}, askBy)
+			if fault == nil && w.Kind != wordTable {
+				fault = errWord
+			}
+			all <- said{w, fault}
+		}()
+	}
+	err, is, whole := ErrNobody, false, word{}
+	nodes, machines := map[string]row{}, map[uint64]machineRow{}
+	for by := time.After(askBy); len(c.At) > 0; {
+		var s said
+		select {
+		case s = <-all:
+		case <-by:
+			s.error = context.DeadlineExceeded
+			c.At = c.At[:1] // whoever else was asked is not waited for
+		}
+		if c.At = c.At[1:]; s.error != nil {
+			err = fmt.Errorf("%w: %w", ErrNobody, s.error)
+			continue
+		}
+		is, whole.Led, whole.Head = true, whole.Led || s.Led, max(whole.Head, s.Head)
+		for _, r := range s.Rows {
+			if was, known := nodes[r.Node]; !known || r.AgoMs < was.AgoMs || r.AgoMs == was.AgoMs && r.Applied > was.Applied {
+				nodes[r.Node] = r
+			}
+		}
+		for _, r := range s.Machines {
+			if was, known := machines[r.ID]; !known || was.Unheard || !r.Unheard && r.AgoMs < was.AgoMs {
+				machines[r.ID] = r
+			}
+		}
+	}
+	if !is {
+		return Overview{}, err
+	}
+	for _, name := range slices.Sorted(maps.Keys(nodes)) {
+		whole.Rows = append(whole.Rows, nodes[name])
+	}
+	for _, id := range slices.Sorted(maps.Keys(machines)) {
+		whole.Machines = append(whole.Machines, machines[id])
+	}
+	return overview(whole), nil
+}
+
+func overview(w word) Overview {
+	o := Overview{Last: accord.Index(w.Head), Led: w.Led, Nodes: []NodeRow{}, Machines: []MachineRow{}}
+	const heardWithin = float64(nodeSilence / time.Second)
+	for _, r := range w.Rows {
+		n := NodeRow{Node: r.Node, Applied: accord.Index(r.Applied), Config: accord.Index(r.Config), Refused: accord.Index(r.Refused), Reason: r.Reason,
+			Presumed: accord.Index(r.Presumed), Gaps: r.Gaps, Machine: r.Machine, HeardS: float64(r.AgoMs) / 1000}
+		if n.Silent = n.HeardS > heardWithin; w.Head > r.Applied {
+			n.Lacks = w.Head - r.Applied
+		}
+		o.Nodes = append(o.Nodes, n)
+	}
+	for _, r := range w.Machines {
+		h := float64(r.AgoMs) / 1000
+		o.Machines = append(o.Machines, MachineRow{r.ID, r.Name, r.Learner, r.Leads, r.Term, accord.Index(r.Head), accord.Index(r.Floor), accord.Index(r.Config), h, r.Unheard || h > heardWithin})
+	}
+	return o
+}
--- /dev/null
+++ b/internal/net/accord/table.go
@@ -0,0 +1,145 @@
+package accord
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dahliapin/internal/fleet/accord"
+	"dahliapin/policy"
+)
+
+// seen is a node's row, and when it was heard.
+type seen struct {
+	row
+	heard policy.Instant
+}
+
+// heardMachine is another control machine's word on itself, and when it came.
+type heardMachine struct {
+	machineRow
+	heard policy.Instant
+}
+
+// table is how nodes stand: own rows of those that follow here, and others' as other control machines tell them. All are hints.
+type table struct {
+	m          *Machine
+	mu         sync.Mutex
+	rows       map[string]seen // by node's name; at most mostRows
+	machines   map[uint64]heardMachine
+	turnedAway atomic.Uint64 // streams for want of room
+	foreign    atomic.Uint64 // streams and messages that were not to be read
+	inBytes    atomic.Uint64
+	outBytes   atomic.Uint64
+}
+
+func newTable(m *Machine) *table {
+	return &table{m: m, rows: map[string]seen{}, machines: map[uint64]heardMachine{}}
+}
+
+// note takes a node's row. Of two tellings of one node the one heard last holds.
+func (t *table) note(r row, heard policy.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	was, is := t.rows[r.Node]
+	if is && was.heard > heard || !is && len(t.rows) >= mostRows && !t.forget() {
+		return
+	}
+	t.rows[r.Node] = seen{r, heard}
+}
+
+// forget makes room: for nodes that were not heard for long. It tells whether there is some.
+func (t *table) forget() bool {
+	now := t.m.Now()
+	for name, s := range t.rows {
+		if time.Duration(now-s.heard) > t.m.File.Bounds.Forget() {
+			delete(t.rows, name)
+		}
+	}
+	return len(t.rows) < mostRows
+}
+
+func ago(now, at policy.Instant) uint64 {
+	return uint64(max(0, time.Duration(now-at)) / time.Millisecond)
+}
+
+// own is what the machine tells others: its nodes, and how it stands itself.
+func (t *table) own() word {
+	w := word{Kind: wordTable, Machines: []machineRow{t.m.stands()}}
+	now := t.m.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.rows {
+		if s.Machine == t.m.id {
+			s.AgoMs = ago(now, s.heard)
+			w.Rows = append(w.Rows, s.row)
+		}
+	}
+	return w
+}
+
+// hear takes another's telling.
+func (t *table) hear(from uint64, w word) {
+	now := t.m.Now()
+	for _, r := range w.Rows {
+		if r.Node != "" && len(r.Node) <= longestName && len(r.Reason) <= longestReason && r.AgoMs < 1<<40 {
+			r.Machine = from
+			t.note(r, now-policy.Instant(time.Duration(r.AgoMs)*time.Millisecond))
+		}
+	}
+	for _, r := range w.Machines {
+		if r.ID == from {
+			t.mu.Lock()
+			t.machines[from] = heardMachine{r, now}
+			t.mu.Unlock()
+		}
+	}
+}
+
+// least is up to where all nodes have applied that were heard within a time.
+func (t *table) least(within time.Duration) (least accord.Index, is bool) {
+	now := t.m.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.rows {
+		if at := accord.Index(s.Applied); time.Duration(now-s.heard) <= within && (!is || at < least) {
+			least, is = at, true
+		}
+	}
+	return least, is
+}
+
+// stands is the machine's word on itself.
+func (m *Machine) stands() machineRow {
+	l, self := m.lead.Load(), m.File.Self()
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return machineRow{ID: m.id, Name: self.Name, Learner: self.Learner, Leads: l.leads, Term: l.term, Head: uint64(m.state.Last()), Floor: uint64(m.state.Floor()), Config: uint64(m.state.Config())}
+}
+
+// all is the whole table, for operators.
+func (t *table) all() word {
+	w := word{Kind: wordTable, Machines: []machineRow{t.m.stands()}, Led: t.m.lead.Load().led}
+	w.Head = w.Machines[0].Head
+	now := t.m.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget()
+	for _, s := range t.rows {
+		s.AgoMs = ago(now, s.heard)
+		w.Rows = append(w.Rows, s.row)
+	}
+	for _, o := range t.m.File.Machines {
+		if o.ID == t.m.id {
+			continue
+		}
+		r := machineRow{ID: o.ID, Name: o.Name, Learner: o.Learner, Unheard: true}
+		if h, is := t.machines[o.ID]; is {
+			r = h.machineRow
+			r.Name, r.Learner, r.AgoMs = o.Name, o.Learner, ago(now, h.heard)
+		}
+		w.Machines = append(w.Machines, r)
+		w.Head = max(w.Head, r.Head)
+	}
+	return w
+}
