dahliapin control, fleet publish, fleet changes

control runs one machine by deploy/control.toml; publish prints the index of each change once it is on disk at a majority; changes asks all control machines at once and tells who has applied what: 0 all have all, 2 someone lacks, 1 nobody can be asked.

--- /dev/null
+++ b/cmd/dahliapin/changes.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	changes "dahliapin/internal/fleet/accord"
+	"dahliapin/internal/net/accord"
+	"dahliapin/node"
+)
+
+const (
+	publishBy    = 30 * time.Second // for changes to be ordered: a leader is elected anew within some
+	mostToAsk    = 16               // control machines in --at
+	shownLacking = 40               // nodes that lack something, a line each
+)
+
+// errLacks says that not every node has all; scripts tell it by the exit code.
+var errLacks = fmt.Errorf("%w: not every node has all changes", errNo)
+
+func callerOf(at, label string) (accord.Caller, error) {
+	c := accord.Caller{At: strings.Split(at, ","), Label: label}
+	for _, a := range c.At {
+		if _, err := netip.ParseAddrPort(a); err != nil || len(c.At) > mostToAsk {
+			return c, fmt.Errorf("--at %q is not one to %d addresses and ports of control machines, with commas", at, mostToAsk)
+		}
+	}
+	return c, nil
+}
+
+// publishCommand has changes ordered.
+func publishCommand() *cobra.Command {
+	var at, label, file string
+	var keys []string
+	var by time.Duration
+	c := &cobra.Command{Use: "publish --at ADDR[,ADDR] (--purge KEY[,KEY] | --config FILE)", Short: "Have purges or a configuration ordered for every node",
+		Long: "Prints the index of each, once it is on disk at a majority of the control machines that vote.\nExits with 0 then, and 1 where it is not known to be.",
+		RunE: func(c *cobra.Command, args []string) error {
+			caller, err := callerOf(at, label)
+			if err != nil {
+				return err
+			}
+			var all []changes.Proposal
+			for _, key := range append(keys, args...) {
+				all = append(all, accord.NewProposal(changes.Purge, []byte(key)))
+			}
+			if (len(keys) > 0) == (file != "") || len(args) > 0 && len(keys) == 0 {
+				return errors.New("either --purge with keys or --config with a file is needed")
+			}
+			if file != "" {
+				text, err := os.ReadFile(file)
+				if err == nil {
+					_, err = node.ParsePosting(text)
+				}
+				if err != nil {
+					return fmt.Errorf("not published: %w", err)
+				}
+				all = append(all, accord.NewProposal(changes.Config, text))
+			}
+			ctx, done := context.WithTimeout(c.Context(), by)
+			defer done()
+			indexes, err := caller.Publish(ctx, all)
+			for _, i := range indexes {
+				fmt.Fprintln(c.OutOrStdout(), i)
+			}
+			return err
+		}}
+	c.Flags().StringVar(&at, "at", "", "control machines, as nodes reach them, with commas: asked one after the other")
+	c.Flags().StringVar(&label, "label", "", "of the fleet")
+	c.Flags().StringArrayVar(&keys, "purge", nil, "a key that caches are no longer to serve; more may follow as words")
+	c.Flags().StringVar(&file, "config", "", "a node's configuration, for every node; each keeps its own name, address and limits")
+	c.Flags().DurationVar(&by, "by", publishBy, "how long to try")
+	return c
+}
+
+// changesCommand tells who has applied what.
+func changesCommand(plain *bool) *cobra.Command {
+	var at, label string
+	c := &cobra.Command{Use: "changes --at ADDR[,ADDR]", Short: "Tell up to where each node has applied the log of changes", Args: cobra.NoArgs,
+		Long: "Exits with 0 where every node that was heard has all, 2 where one lacks something, refused a configuration or is not heard, and 1 where no control machine can be asked.",
+		RunE: func(c *cobra.Command, _ []string) error {
+			caller, err := callerOf(at, label)
+			if err != nil {
+				return err
+			}
+			o, err := caller.Changes()
+			if err != nil {
+				return err
+			}
+			if *plain {
+				err = json.NewEncoder(c.OutOrStdout()).Encode(o)
+			} else {
+				err = showChanges(c.OutOrStdout(), o)
+			}
+			if err == nil && !o.Whole() {
+				return errLacks
+			}
+			return err
+		}}
+	c.Flags().StringVar(&at, "at", "", "control machines, as nodes reach them, with commas: all are asked at once")
+	c.Flags().StringVar(&label, "label", "", "of the fleet")
+	return c
+}
+
+func showChanges(to io.Writer, o accord.Overview) error {
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "newest entry %d, a leader is heard: %t\n\ncontrol\trole\tlast\tkept after\tconfig\theard\n", o.Last, o.Led)
+	for _, m := range o.Machines {
+		role := "voter"
+		switch {
+		case m.Learner:
+			role = "learner"
+		case m.Leads:
+			role = fmt.Sprintf("leader, term %d", m.Term)
+		}
+		heard := fmt.Sprintf("%.1f s ago", m.HeardS)
+		if m.Silent {
+			heard += ", silent"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\n", m.Name, role, m.Last, m.Floor, m.Config, heard)
+	}
+	var lacking []accord.NodeRow
+	for _, n := range o.Nodes {
+		if n.Lacks > 0 || n.Silent || n.Refused > 0 {
+			lacking = append(lacking, n)
+		}
+	}
+	fmt.Fprintf(w, "\n%d nodes, %d of them have all\n", len(o.Nodes), len(o.Nodes)-len(lacking))
+	if len(lacking) > 0 {
+		fmt.Fprintln(w, "node\tapplied\tlacks\tconfig\tat control\theard")
+	}
+	for i, n := range lacking {
+		if i == shownLacking {
+			fmt.Fprintf(w, "and %d more: --json has all\n", len(lacking)-i)
+			break
+		}
+		heard := fmt.Sprintf("%.1f s ago", n.HeardS)
+		if n.Silent {
+			heard += ", silent"
+		}
+		if n.Refused > 0 {
+			heard += fmt.Sprintf(", refused %d: %s", n.Refused, n.Reason)
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%s\n", n.Node, n.Applied, n.Lacks, n.Config, n.Machine, heard)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/cmd/dahliapin/control.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	changes "dahliapin/internal/fleet/accord"
+	"dahliapin/internal/fleet/charter"
+	"dahliapin/internal/net/accord"
+	"dahliapin/internal/net/fleet"
+	"dahliapin/internal/scale/changes/trace"
+)
+
+// controlCommand runs one control machine of the log of changes.
+func controlCommand() *cobra.Command {
+	var first bool
+	var traced string
+	c := &cobra.Command{Use: "control FILE.toml", Short: "Run one control machine of the fleet's log of changes until SIGTERM", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error { return control(args[0], first, traced) }}
+	c.Flags().BoolVar(&first, "new", false, "the first start of a voter: its data folder may be empty")
+	c.Flags().StringVar(&traced, "trace", "", "file to which a line of what is on this machine's disk is added, for a judge")
+	return c
+}
+
+func control(path string, first bool, traced string) error {
+	f, err := charter.ReadControl(path)
+	if err != nil {
+		return err
+	}
+	b := accord.Berth{File: f, New: first, Log: logrus.StandardLogger(), Now: fleet.Boottime}
+	if traced != "" {
+		keep, end, err := keptTrace(traced)
+		if err != nil {
+			return err
+		}
+		defer end()
+		b.Kept = keep
+	}
+	ends := make(chan os.Signal, 1)
+	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
+	m, err := accord.Open(b)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ends:
+	case <-m.Done():
+	}
+	m.Close()
+	return m.Fault()
+}
+
+// keptTrace writes a line of each write to disk.
+func keptTrace(path string) (keep func([]changes.Proposal), end func(), err error) {
+	f, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, nil, fmt.Errorf("the trace cannot be kept: %w", err)
+	}
+	var mu sync.Mutex
+	w := bufio.NewWriter(f)
+	keep = func(all []changes.Proposal) {
+		l := trace.Kept{At: fleet.Boottime()}
+		for _, p := range all {
+			l.Marks = append(l.Marks, p.Mark())
+		}
+		if text, err := json.Marshal(l); err == nil {
+			mu.Lock()
+			defer mu.Unlock()
+			_, _ = w.Write(append(text, '\n'))
+			_ = w.Flush()
+		}
+	}
+	return keep, func() { _ = f.Close() }, nil
+}
--- a/cmd/dahliapin/fleet.go
+++ b/cmd/dahliapin/fleet.go
@@ -23,7 +23,7 @@
 	c := &cobra.Command{Use: "fleet", Short: "Ask a running node, at its operators' address, what it knows of the others",
 		Long: "Exits with 0 for yes, 2 where the node is cut off or knows of no others, and 1 where it can't be asked.",
 		RunE: func(_ *cobra.Command, args []string) error {
-			return fmt.Errorf("fleet %q: the calls are status and members", strings.Join(args, " "))
+			return fmt.Errorf("fleet %q: the calls are status, members, publish and changes", strings.Join(args, " "))
 		}}
 	c.PersistentFlags().StringVar(&at, "at", os.Getenv("RELAY_OPS"), "the node's operators' address and port")
 	c.PersistentFlags().BoolVar(&plain, "json", false, "as the node says it")
@@ -41,6 +41,7 @@
 			return call.show(c.OutOrStdout(), said.Bytes())
 		}})
 	}
+	c.AddCommand(publishCommand(), changesCommand(&plain))
 	return c
 }
 
