A node follows the log of changes, where its fleet file says so

[changes] in the fleet file names control machines; without it nothing is added: no stream, no goroutine, no figure. A published configuration goes the way of SIGHUP, by Reload, with each node's own name, addresses and limits; one that can't be used changes nothing, and its refusal is told. Purges are counted and handed to a hook, not yet carried out at caches. fleet status tells how it follows.

--- a/cmd/dahliapin/changes.go
+++ b/cmd/dahliapin/changes.go
@@ -26,7 +26,7 @@
 )
 
 // errLacks says that not every node has all; scripts tell it by the exit code.
-var errLacks = fmt.Errorf("%w: not every node has all changes", errNo)
+var errLacks = errors.New("not every node has all changes, or no leader is heard")
 
 func callerOf(at, label string) (accord.Caller, error) {
 	c := accord.Caller{At: strings.Split(at, ","), Label: label}
--- a/cmd/dahliapin/fleet.go
+++ b/cmd/dahliapin/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"dahliapin/internal/net/fleet"
+	"dahliapin/node"
 )
 
 // fleetCommand asks a running node what it knows of the others.
@@ -48,12 +49,16 @@
 var errAnswer = errors.New("the node's answer can't be read")
 
 func showStatus(to io.Writer, text []byte) error {
-	var s fleet.Status
+	var s node.FleetStatus
 	if json.Unmarshal(text, &s) != nil {
 		return errAnswer
 	}
 	_, err := fmt.Fprintf(to, "%s (process %s, life %d): view %d, mark %s, %d members, %d suspected, cut off: %t\n%d datagrams in (%d bytes), %d out (%d bytes), %d streams in; foreign %d, unread %d, dropped %d\n",
 		s.Node, s.Process, s.Life, s.View, s.Mark, s.Members, s.Suspected, s.CutOff, s.In, s.InBytes, s.Out, s.OutBytes, s.Streams, s.Foreign, s.Unread, s.Dropped)
+	if c := s.Changes; c != nil && err == nil {
+		_, err = fmt.Fprintf(to, "changes: applied up to %d of %d, configuration %d, refused %d %s, %d purges, all up to %d presumed purged; at %s, heard %.1f s ago, stale: %t, %d gaps\n",
+			c.Applied, c.Head, c.Config, c.Refused, c.Reason, c.Purges, c.Presumed, c.Via, c.HeardS, c.Stale, c.Gaps)
+	}
 	return err
 }
 
--- a/cmd/dahliapin/main.go
+++ b/cmd/dahliapin/main.go
@@ -56,7 +56,7 @@
 				fmt.Fprintln(os.Stderr, "dahliapin:", f)
 			}
 		}
-		if errors.Is(err, errNo) || errors.Is(err, errCall) {
+		if errors.Is(err, errNo) || errors.Is(err, errCall) || errors.Is(err, errLacks) {
 			os.Exit(2)
 		}
 		os.Exit(1)
--- a/internal/fleet/charter/charter.go
+++ b/internal/fleet/charter/charter.go
@@ -28,6 +28,7 @@
 type File struct {
 	Fleet   Fleet   `toml:"fleet"`
 	Members Members `toml:"members"`
+	Changes Changes `toml:"changes"`
 	Ways    []Way   `toml:"way"`
 }
 
@@ -51,6 +52,12 @@
 	Most    int     `toml:"most"`     // members
 }
 
+// Changes says where this node follows the fleet's log of changes. Without control machines it follows none.
+type Changes struct {
+	At     []string `toml:"at"`      // of control machines, where they hear nodes
+	StaleS float64  `toml:"stale_s"` // without a word from one that hears a leader: the node says then that it is stale, and goes on
+}
+
 // Way is how a member is reached elsewhere than where it says: by a forwarded port, say.
 type Way struct {
 	To      string `toml:"to"`
@@ -59,7 +66,8 @@
 
 // Usual is what holds where nothing is written.
 func Usual() File {
-	return File{Fleet: Fleet{Engine: Tuned}, Members: Members{PauseS: 2, HelloMs: 300, BackS: 2, LoopS: 1, ForgetS: 60, Most: 4000}}
+	return File{Fleet: Fleet{Engine: Tuned}, Members: Members{PauseS: 2, HelloMs: 300, BackS: 2, LoopS: 1, ForgetS: 60, Most: 4000},
+		Changes: Changes{StaleS: 30}}
 }
 
 // Read reads a file.
@@ -106,6 +114,11 @@
 	c.Within(m.LoopS, 0.2, 60, "members.loop_s")
 	c.Within(m.ForgetS, m.PauseS+m.BackS, 86400, "members.forget_s")
 	c.Within(float64(m.Most), 1, 100_000, "members.most")
+	c.Want(len(f.Changes.At) <= mostMachines, "changes.at", "more than %d", mostMachines)
+	for _, at := range f.Changes.At {
+		address(at, "changes.at")
+	}
+	c.Within(f.Changes.StaleS, 5, 86_400, "changes.stale_s")
 	c.Want(len(f.Ways) <= mostWays, "way", "more than %d", mostWays)
 	for i, w := range f.Ways {
 		address(w.To, fmt.Sprintf("way.%d.to", i))
@@ -128,6 +141,9 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// Stale is the span as it is used.
+func (c *Changes) Stale() time.Duration { return seconds(c.StaleS) }
+
 // Pause, Hello, Back, Loop and Forget are the spans as they are used.
 func (m *Members) Pause() time.Duration  { return seconds(m.PauseS) }
 func (m *Members) Hello() time.Duration  { return seconds(m.HelloMs / 1000) }
--- a/internal/net/accord/client.go
+++ b/internal/net/accord/client.go
@@ -62,7 +62,11 @@
 			if ctx.Err() != nil {
 				return nil, fmt.Errorf("it is not known whether it is ordered: %w", err)
 			}
-			said, fault := c.one(addr, w, orderBy+writeBy)
+			by := orderBy + writeBy
+			if until, is := ctx.Deadline(); is {
+				by = min(by, time.Until(until))
+			}
+			said, fault := c.one(addr, w, by)
 			switch {
 			case fault != nil:
 				err = fmt.Errorf("%w: %w", ErrNobody, fault)
--- /dev/null
+++ b/node/changes_test.go
@@ -0,0 +1,108 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	changes "dahliapin/internal/fleet/accord"
+	"dahliapin/internal/fleet/charter"
+	"dahliapin/internal/net/accord"
+	"dahliapin/internal/net/fleet"
+)
+
+// control is a control machine on its own.
+func control(t *testing.T) accord.Caller {
+	f := charter.UsualControl()
+	f.Control = charter.Control{ID: 1, Label: "l", Peers: "127.0.0.1:0", Nodes: "127.0.0.1:0", Data: t.TempDir()}
+	f.Machines, f.Bounds.ElectMs = []charter.Machine{{ID: 1, Name: "c", Addr: "127.0.0.1:1"}}, 200
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	m, err := accord.Open(accord.Berth{File: &f, New: true, Log: quiet, Now: fleet.Boottime})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(m.Close)
+	return accord.Caller{At: []string{m.Addr()}, Label: "l"}
+}
+
+func published(t *testing.T, c accord.Caller, all ...changes.Proposal) {
+	t.Helper()
+	ctx, done := context.WithTimeout(context.Background(), 10*time.Second)
+	defer done()
+	if _, err := c.Publish(ctx, all); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A published configuration is taken as one that is read again, keeps each node's own, and one that can't be used changes nothing; purges
+// reach the hook. Operators see it; who follows nothing has no word of it.
+func TestANodeFollowsTheLogOfChanges(t *testing.T) {
+	at := control(t)
+	published(t, at, accord.NewProposal(changes.Purge, []byte("before it began")))
+	text := strings.Replace(posting, `"sockets":100`, `"sockets":200`, 1)
+	start := func(followed string) (*Node, *strings.Builder, func()) {
+		p, err := ParsePosting([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := p.JoinText("f", []byte("[fleet]\nlabel='l'\nlisten='127.0.0.1:0'\nadvertise='127.0.0.1:9'\n"+followed)); err != nil {
+			t.Fatal(err)
+		}
+		purged := make(chan string, 9)
+		p.Purged = func(index uint64, key string) { purged <- fmt.Sprint(index, key) }
+		log, said := logrus.New(), &strings.Builder{}
+		log.SetOutput(io.Discard)
+		n, err := New(p, log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan bool)
+		go func() { n.Serve(); close(done) }()
+		return n, said, func() {
+			n.End()
+			<-done
+			close(purged)
+			for k := range purged {
+				said.WriteString(k + ";")
+			}
+		}
+	}
+	n, purged, end := start(fmt.Sprintf("[changes]\nat=['%s']\n", at.At[0]))
+	status := func() *accord.FollowStatus {
+		s, _ := known{n}.FleetStatus()
+		return s.(FleetStatus).Changes
+	}
+	until := func(what string, is func(s *accord.FollowStatus) bool) {
+		t.Helper()
+		for by := time.Now().Add(10 * time.Second); !is(status()); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(by) {
+				t.Fatalf("never %s: %+v", what, status())
+			}
+		}
+	}
+	until("began", func(s *accord.FollowStatus) bool { return s.Presumed == 1 })
+	published(t, at, accord.NewProposal(changes.Purge, []byte("k")), accord.NewProposal(changes.Config, []byte(strings.Replace(text, `"n"`, `"all"`, 1))))
+	until("took a configuration", func(s *accord.FollowStatus) bool { return s.Config == 3 && s.Applied == 3 })
+	published(t, at, accord.NewProposal(changes.Config, []byte("no configuration")), accord.NewProposal(changes.Purge, []byte("l")))
+	until("refused one", func(s *accord.FollowStatus) bool { return s.Refused == 4 && s.Config == 3 && s.Reason != "" && s.Applied == 5 })
+	if s := status(); s.Purges != 2 || s.Stale || s.Gaps != 0 || n.posting.Name != "n" {
+		t.Errorf("%+v", s)
+	}
+	if end(); purged.String() != "2k;5l;" {
+		t.Errorf("purges: %s", purged)
+	}
+	n, _, end = start("")
+	if s, _ := (known{n}).FleetStatus(); n.follows.Load() != nil {
+		t.Errorf("a node without control machines: %+v", s)
+	}
+	if s, _ := (known{n}).FleetStatus(); fmt.Sprintf("%T", s) != "fleet.Status" {
+		t.Errorf("its status: %T", s)
+	}
+	end()
+}
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"dahliapin/internal/net/accord"
 	"dahliapin/internal/net/counters"
 	"dahliapin/internal/net/fleet"
 	"dahliapin/internal/net/handover"
@@ -65,12 +66,13 @@
 	dropped uint64                // records; the loop's own until it has ended
 	phase   atomic.Int32
 	log     *logrus.Logger
-	posting *Posting                   // as it started
-	desk    *ops.Desk                  // nil where no operators call
-	post    atomic.Pointer[fleet.Post] // nil where it knows of no other node, or not yet
-	hung    chan struct{}              // closed when the loop is to go on; nil while it does
-	takes   sync.Once                  // its place among the nodes
-	yields  bool                       // its place in the fleet goes to the process that replaces it; the loop's own
+	posting *Posting                         // as it started
+	desk    *ops.Desk                        // nil where no operators call
+	post    atomic.Pointer[fleet.Post]       // nil where it knows of no other node, or not yet
+	follows atomic.Pointer[accord.Following] // nil where it follows no log of changes, or not yet
+	hung    chan struct{}                    // closed when the loop is to go on; nil while it does
+	takes   sync.Once                        // its place among the nodes
+	yields  bool                             // its place in the fleet goes to the process that replaces it; the loop's own
 }
 
 // New listens as the posting says and starts. Serve is to follow.
@@ -89,9 +91,7 @@
 		}
 		beside = ops.MostCallers + deskFiles
 	}
-	if p.charter != nil {
-		beside += fleet.Files
-	}
+	beside += p.fleetFiles()
 	succeeds, handoverAt := n.predecessor()
 	var turned func()
 	if p.charter != nil {
@@ -148,6 +148,9 @@
 		if post := n.post.Load(); post != nil {
 			post.Close(!n.yields)
 		}
+		if follows := n.follows.Load(); follows != nil {
+			follows.Close()
+		}
 	}()
 	if n.records == nil {
 		n.relay.Run()
--- a/node/posting.go
+++ b/node/posting.go
@@ -14,6 +14,7 @@
 	"dahliapin/internal/fronts"
 	"dahliapin/internal/houserules"
 	"dahliapin/internal/keyhash"
+	"dahliapin/internal/net/accord"
 	"dahliapin/internal/net/fleet"
 )
 
@@ -27,9 +28,10 @@
 	terms                   houserules.Terms
 	known                   *fastjson.Value
 	operator                fronts.File
-	charter                 *charter.File // by which it joins other nodes; nil for none
-	Trace                   func([]byte)  // told each line of what it does in the fleet, from a goroutine of its own; nil for nobody
-	fitted                  bool          // the process keeps within its limits
+	charter                 *charter.File                  // by which it joins other nodes; nil for none
+	Trace                   func([]byte)                   // told each line of what it does in the fleet, from a goroutine of its own; nil for nobody
+	Purged                  func(index uint64, key string) // told of each purge that the log of changes brings, from a goroutine of its own; nil for nobody
+	fitted                  bool                           // the process keeps within its limits
 }
 
 // Open adds what an operator's file states: further listeners, caches that speak HTTP, service levels.
@@ -58,9 +60,9 @@
 
 // mayJoin tells whether there are descriptors for the other nodes as well.
 func (p *Posting) mayJoin(err error) error {
-	fewest := fewestSockets + fleet.Files
+	fewest := fewestSockets + p.fleetFiles()
 	if p.Ops != "" {
-		fewest = fewestWithOps + 2*fleet.Files
+		fewest = fewestWithOps + 2*p.fleetFiles()
 	}
 	if err == nil && p.Sockets > 0 && p.Sockets < fewest {
 		return fmt.Errorf("the configuration's limits are too low for other nodes: %d sockets, %d are needed", p.Sockets, fewest)
@@ -68,6 +70,17 @@
 	return err
 }
 
+// fleetFiles are the descriptors for what the charter has this node do; 0 without one.
+func (p *Posting) fleetFiles() int {
+	switch {
+	case p.charter == nil:
+		return 0
+	case len(p.charter.Changes.At) > 0:
+		return fleet.Files + accord.FollowFiles
+	}
+	return fleet.Files
+}
+
 // ReadPosting reads a posting from a file.
 func ReadPosting(path string) (*Posting, error) {
 	if path == "" {
--- a/node/together.go
+++ b/node/together.go
@@ -22,6 +22,7 @@
 		}})
 	if err == nil {
 		n.post.Store(post)
+		n.follow()
 	}
 	return err
 }
@@ -33,6 +34,9 @@
 		if n.Phase() >= Draining { // it was ended meanwhile, and nobody else would close it
 			if err == nil {
 				n.post.Load().Close(true)
+				if follows := n.follows.Load(); follows != nil {
+					follows.Close()
+				}
 			}
 			return
 		}
@@ -87,7 +91,7 @@
 // FleetStatus is how the node stands among the others.
 func (k known) FleetStatus() (any, bool) {
 	if post := k.n.post.Load(); post != nil {
-		return post.FleetStatus()
+		return k.n.withChanges(post.FleetStatus())
 	}
 	return struct {
 		Waits string `json:"waits"`
