Log of changes at the size of a fleet: dahliapin scale-changes, and a judge

Control machines as processes with disks, hollow nodes (the real Follow) in a process for each region, some real nodes, and a network between regions: delay by region, lost packets as streams that stand still by TCP's time-outs, regions cut off. The judge takes clocks of disks, publishers and nodes: none missing, none doubled, none out of order, none acknowledged or in force before a majority had it on disk, nothing told too early, no old beginning.

Six broken variants, by running code in tests only, are caught: a gap passed over, acknowledged before a majority (disks that only say so), an old configuration at the beginning, told too early, applied again after a break, doubled on retry with another id.

--- /dev/null
+++ b/cmd/dahliapin/scale_changes_test.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+
+	"dahliapin/internal/scale/changes/rig"
+)
+
+// The rig at its smallest, with all that can befall: packets lost, the leader killed outright and back, a region cut off. What was kept is
+// asked of the judge; times are the machine's, and no matter here.
+func TestTheLogOfChangesAtASmallSize(t *testing.T) {
+	if testing.Short() {
+		t.Skip("real processes for 20 s: without the race detector, which they do not have")
+	}
+	dir := t.TempDir()
+	_, code := asked(t, "scale-changes", "--nodes", "9", "--real", "1", "--regions", "3", "--for", "6s", "--kill", "--loss", "0.01", "--plays", "steady,cut", "--cut-for", "2s", "--after", "1s",
+		"--cut-purges", "400", "--cut-configs", "3", "--seed", "5", "--out", dir)
+	text, err := os.ReadFile(dir + "/report.json")
+	if err != nil {
+		t.Fatalf("%v, exit %d", err, code)
+	}
+	var r rig.Report
+	if err := json.Unmarshal(text, &r); err != nil {
+		t.Fatal(err)
+	}
+	if j := r.Judge; len(j.Breaches) > 0 || j.Entries < 57+6+403+28 || j.Applied != j.Entries*9 || j.Presumed > 0 || j.Refused > 0 || r.RealWhole != 1 {
+		t.Errorf("%+v\n%q, real ones with all: %d", j, r.Notes, r.RealWhole)
+	}
+	for _, bad := range [][]string{{"--nodes", "1"}, {"--plays", "all"}, {"--loss", "0.9"}, {"more"}, {"--no-such"}} {
+		if _, code := asked(t, append([]string{"scale-changes", "--out", t.TempDir()}, bad...)...); code != 2 {
+			t.Errorf("%q: exit %d", bad, code)
+		}
+	}
+}
--- /dev/null
+++ b/internal/net/accord/variants_test.go
@@ -0,0 +1,296 @@
+package accord
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	pb "go.etcd.io/raft/v3/raftpb"
+
+	"dahliapin/internal/fleet/accord"
+	"dahliapin/internal/fleet/accord/store"
+	"dahliapin/internal/scale/changes/judge"
+	"dahliapin/internal/scale/changes/trace"
+)
+
+// evidence is what a small fleet leaves for the judge.
+type evidence struct {
+	mu      sync.Mutex
+	kept    [4][]trace.Kept
+	orders  []trace.Ordered
+	records []trace.Record
+}
+
+func (e *evidence) put(r trace.Record) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.At = boottime()
+	e.records = append(e.records, r)
+}
+
+func (e *evidence) keeps(i int) func([]accord.Proposal) {
+	return func(all []accord.Proposal) {
+		k := trace.Kept{At: boottime()}
+		for _, p := range all {
+			k.Marks = append(k.Marks, p.Mark())
+		}
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.kept[i] = append(e.kept[i], k)
+	}
+}
+
+func (e *evidence) publish(f *fleet, p accord.Proposal) {
+	o := trace.Ordered{Mark: p.Mark(), Config: p.Kind == accord.Config, Sent: boottime()}
+	o.Index = uint64(f.publish([]accord.Proposal{p})[0])
+	o.Acked = boottime()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, o)
+}
+
+// sound is a reader that keeps the rules and writes down what it does. The broken ones stand on it.
+type sound struct {
+	*accord.Reader
+	e      *evidence
+	number uint32
+	begins bool
+	mark   uint64
+}
+
+func (s *sound) note(at accord.Index, p accord.Proposal) {
+	if s.begins {
+		s.mark = p.Mark()
+		return
+	}
+	s.e.put(trace.Record{Index: uint64(at), Mark: p.Mark(), Node: s.number, What: trace.Applied})
+}
+
+func (s *sound) Presume(accord.Index) {}
+func (s *sound) Purge(at accord.Index, key string) {
+	s.note(at, accord.Proposal{Kind: accord.Purge, Body: []byte(key)})
+}
+func (s *sound) Configure(at accord.Index, text []byte) error {
+	s.note(at, accord.Proposal{Kind: accord.Config, Body: text})
+	return nil
+}
+
+func (s *sound) Begin(at accord.Index, config cbor.RawMessage) error {
+	s.begins = true
+	err := s.Reader.Begin(at, config)
+	if s.begins = false; err == nil {
+		s.e.put(trace.Record{Index: uint64(at), Mark: s.mark, Node: s.number, What: trace.Began})
+	}
+	return err
+}
+
+// unheeding takes an old configuration, or none, for the one in force where it begins.
+type unheeding struct{ *sound }
+
+func (u unheeding) Begin(at accord.Index, _ cbor.RawMessage) error { return u.sound.Begin(at, nil) }
+
+// gapped loses a frame and goes on with the next as if nothing were missing.
+type gapped struct {
+	*sound
+	frames  int
+	applied accord.Index
+}
+
+func (g *gapped) Begin(at accord.Index, config cbor.RawMessage) error {
+	g.applied = at
+	return g.sound.Begin(at, config)
+}
+
+func (g *gapped) Take(raw []cbor.RawMessage) error {
+	if len(raw) > 0 { // else it is a sign of life
+		if g.frames++; g.frames == 3 {
+			return nil
+		}
+	}
+	for _, b := range raw {
+		if e, err := accord.DecodeEntry(b); err == nil {
+			g.note(e.Index, e.Proposal)
+			g.applied = e.Index
+		}
+	}
+	return nil
+}
+
+func (g *gapped) Now() accord.Standing {
+	s := g.sound.Now()
+	s.Applied = g.applied
+	return s
+}
+
+// hasty tells of entries when they have come, and applies them later.
+type hasty struct {
+	*sound
+	heard accord.Index
+	later []cbor.RawMessage
+}
+
+func (h *hasty) Take(raw []cbor.RawMessage) error {
+	now := append(h.later, raw...)
+	if h.later = nil; len(now) > 0 && len(raw) > 0 { // the newest waits for the next frame
+		h.later, now = now[len(now)-1:], now[:len(now)-1]
+	}
+	for _, b := range h.later {
+		if e, err := accord.DecodeEntry(b); err == nil {
+			h.heard = e.Index
+		}
+	}
+	return h.sound.Take(now)
+}
+
+func (h *hasty) Now() accord.Standing {
+	s := h.sound.Now()
+	s.Applied = max(s.Applied, h.heard)
+	return s
+}
+
+// late says for a while yet that it is one entry back, so that its next stream brings that one again, and it does not look.
+type late struct{ gapped }
+
+func (l *late) Now() accord.Standing {
+	s := l.gapped.Now()
+	s.Applied = max(1, s.Applied) - 1
+	return s
+}
+
+// lazy is a disk that says that all is kept, and keeps it a while later.
+type lazy struct {
+	*store.Store
+	done sync.WaitGroup
+}
+
+func (l *lazy) Save(hard *pb.HardState, entries []*pb.Entry, snap *pb.Snapshot) error {
+	tell := l.Store.OnDisk
+	l.Store.OnDisk = nil
+	err := l.Store.Save(hard, entries, snap) // in memory, as far as a judge can know: what is told of is on disk
+	l.Store.OnDisk = tell
+	l.done.Go(func() {
+		time.Sleep(200 * time.Millisecond)
+		tell(entries)
+	})
+	return err
+}
+
+func (l *lazy) Close() error {
+	l.done.Wait()
+	return l.Store.Close()
+}
+
+// The judge finds nothing where the rules are kept, and each of these rules when it is broken: by code that runs, not by made-up traces.
+func TestTheJudgeCatchesBrokenVariants(t *testing.T) {
+	for _, v := range []struct {
+		name   string
+		reader func(*sound) Reader
+		disk   bool // lazy ones
+		again  bool // who publishes gives a change another id when it tries again
+		want   []string
+	}{
+		{name: "sound"},
+		{name: "a gap passed over", reader: func(s *sound) Reader { return &gapped{sound: s} }, want: []string{judge.Missing}},
+		{name: "acknowledged before a majority", disk: true, want: []string{judge.EarlyAck, judge.EarlyInForce}},
+		{name: "an old beginning", reader: func(s *sound) Reader { return unheeding{s} }, want: []string{judge.OldBeginning}},
+		{name: "told too early", reader: func(s *sound) Reader { return &hasty{sound: s} }, want: []string{judge.EarlyTold}},
+		{name: "applied again", reader: func(s *sound) Reader { return &late{gapped{sound: s, frames: 100}} }, want: []string{judge.Doubled}},
+		{name: "doubled on retry", again: true, want: []string{judge.Doubled}},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			t.Parallel()
+			e := &evidence{}
+			f := newFleet(t, nil, func(i int, b *Berth) {
+				b.Kept = e.keeps(i)
+				if v.disk {
+					s, err := store.Open(b.File.Control.Data, store.Owner{ID: uint64(i + 1), Label: "l"}, []uint64{1, 2, 3}, []uint64{4}, true)
+					if err != nil {
+						t.Fatal(err)
+					}
+					s.OnDisk = func(all []*pb.Entry) { (&Machine{Berth: *b}).OnDisk(all) }
+					b.Disk = &lazy{Store: s}
+				}
+			})
+			one := NewProposal(accord.Config, []byte("the first"))
+			e.publish(f, one)
+			for _, m := range f.ms {
+				for by := time.Now().Add(10 * time.Second); m.Last() < 1 && time.Now().Before(by); {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			var nodes []*Following
+			for i := range uint32(2) {
+				s := &sound{e: e, number: i}
+				s.Reader = accord.NewReader(s)
+				var r Reader = s
+				if v.reader != nil && i == 0 {
+					r = v.reader(s)
+				}
+				n := Follow(FollowBerth{Name: fmt.Sprint("n", i), Label: "l", At: f.all(), Seed: i, Stale: time.Second, Reader: r, Log: quietly(), Now: boottime, Dial: f.dial,
+					Told: func(at accord.Index) { e.put(trace.Record{Index: uint64(at), Node: i, What: trace.Told}) }})
+				t.Cleanup(n.Close)
+				nodes = append(nodes, n)
+			}
+			for by := time.Now().Add(10 * time.Second); !nodes[0].now.Load().Begun || !nodes[1].now.Load().Begun; time.Sleep(time.Millisecond) {
+				if time.Now().After(by) {
+					t.Fatal("they never began")
+				}
+			}
+			for i := range 12 {
+				p := NewProposal(accord.Purge, fmt.Append(nil, "key-", i))
+				e.publish(f, p)
+				if i == 7 {
+					if v.again {
+						p = NewProposal(p.Kind, p.Body)
+					}
+					f.publish([]accord.Proposal{p}) // its answer was lost, say
+				}
+				if i == 5 {
+					f.mu.Lock() // streams break, and come again
+					for j := range f.ms {
+						for _, c := range f.open[nodeAt(j)] {
+							_ = c.Close()
+						}
+					}
+					f.mu.Unlock()
+				}
+				time.Sleep(2 * gatherFor)
+			}
+			time.Sleep(2*toldEach + 300*time.Millisecond)
+			for _, n := range nodes {
+				n.Close()
+			}
+			for i := range f.ms {
+				f.stop(i)
+			}
+			j := judge.New(3, nil)
+			for i := range 3 {
+				for _, k := range e.kept[i] {
+					j.Kept(i, k)
+				}
+			}
+			for _, o := range e.orders {
+				j.Order(o)
+			}
+			for _, r := range e.records {
+				j.Saw(r)
+			}
+			r := j.Report(2)
+			var got []string
+			for _, b := range r.Breaches {
+				got = append(got, b.What)
+			}
+			if v.want == nil && got != nil {
+				t.Errorf("%+v", r)
+			}
+			for _, want := range v.want {
+				if !slices.Contains(got, want) {
+					t.Errorf("not caught: %s, but %q", want, got)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/scale/changes/judge/judge.go
@@ -0,0 +1,304 @@
+// Package judge looks at what a run of the log of changes left behind: none missing, none doubled, none out of order, none acknowledged
+// or in force before a majority had it on disk, nothing told too early; and how long the last node took. It takes nobody's own word for
+// any of it but the clocks.
+package judge
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"dahliapin/internal/scale/changes/trace"
+	"dahliapin/policy"
+)
+
+const mostExamples = 5 // of each breach that are told
+
+// The breaches.
+const (
+	Missing      = "missing"                          // a node went on past an entry, or ended without an acknowledged one
+	Doubled      = "doubled"                          // an entry applied twice, or a change ordered twice
+	OutOfOrder   = "out of order"                     // nodes, or who published, differ on what an index is
+	EarlyAck     = "acknowledged before a majority"   // fewer voters had it on disk by then
+	EarlyInForce = "in force before it was ordered"   // fewer voters had it on disk by then
+	EarlyTold    = "told too early"                   // a node told of more than it had applied
+	OldBeginning = "began under an old configuration" // a later one was in force there
+)
+
+// Breach is what was broken how often.
+type Breach struct {
+	What     string   `json:"what"`
+	Count    int      `json:"count"`
+	Examples []string `json:"examples"`
+}
+
+// Spans are times by rank.
+type Spans struct {
+	Count  int     `json:"count"`
+	Median float64 `json:"median_s"`
+	P99    float64 `json:"p99_s"`
+	Most   float64 `json:"most_s"`
+}
+
+// PlayReport is how long a play's changes took: to be acknowledged, and from publishing and from acknowledgement to the last node of those
+// that are looked at.
+type PlayReport struct {
+	Play        string `json:"play"`
+	Config      bool   `json:"config"` // of configurations, else of purges
+	Acked       Spans  `json:"acked"`
+	FromSent    Spans  `json:"from_sent_to_last_node"`
+	FromAcked   Spans  `json:"from_acked_to_last_node"`
+	Unacked     int    `json:"never_acknowledged"`
+	NodesOfLast int    `json:"nodes_looked_at"`
+}
+
+// Report is the judgement.
+type Report struct {
+	Breaches []Breach     `json:"breaches"`
+	Entries  uint64       `json:"entries"`
+	Nodes    int          `json:"nodes"`
+	Applied  uint64       `json:"applied"`
+	Presumed int          `json:"presumed_purged"` // times that a node began anew after it had begun
+	Refused  int          `json:"refused"`
+	Plays    []PlayReport `json:"plays"`
+}
+
+type change struct {
+	index uint64
+	kept  []policy.Instant // by voter, when it was on its disk first
+}
+
+type nodeSeen struct {
+	begun   bool
+	applied uint64
+}
+
+type beginning struct {
+	node        uint32
+	index, mark uint64
+}
+
+type timed struct {
+	last  policy.Instant
+	nodes int
+}
+
+// Judge gathers evidence: first what was kept and ordered, then each node's records in their order.
+type Judge struct {
+	voters  int
+	changes map[uint64]*change // by mark
+	byIndex map[uint64]uint64  // marks
+	orders  []trace.Ordered
+	nodes   map[uint32]*nodeSeen
+	begins  []beginning
+	last    map[uint64]*timed // by index
+	looked  func(node uint32) bool
+	breach  map[string]*Breach
+	report  Report
+	highest uint64
+	configs []uint64 // indexes of configurations
+}
+
+// New is a judge of a log with so many voters. Times are of the nodes that are looked at; nil for all.
+func New(voters int, looked func(node uint32) bool) *Judge {
+	if looked == nil {
+		looked = func(uint32) bool { return true }
+	}
+	return &Judge{voters: voters, changes: map[uint64]*change{}, byIndex: map[uint64]uint64{}, nodes: map[uint32]*nodeSeen{}, last: map[uint64]*timed{},
+		looked: looked, breach: map[string]*Breach{}}
+}
+
+func (j *Judge) broke(what, format string, args ...any) {
+	b := j.breach[what]
+	if b == nil {
+		b = &Breach{What: what}
+		j.breach[what] = b
+	}
+	if b.Count++; len(b.Examples) < mostExamples {
+		b.Examples = append(b.Examples, fmt.Sprintf(format, args...))
+	}
+}
+
+// Kept takes what a voter, numbered from 0, has on disk. Learners are no evidence.
+func (j *Judge) Kept(voter int, k trace.Kept) {
+	for _, mark := range k.Marks {
+		c := j.changes[mark]
+		if c == nil {
+			c = &change{kept: make([]policy.Instant, j.voters)}
+			j.changes[mark] = c
+		}
+		if c.kept[voter] == 0 || k.At < c.kept[voter] {
+			c.kept[voter] = k.At
+		}
+	}
+}
+
+// majority is when a majority of the voters had a change on disk; the end of time for never.
+func (j *Judge) majority(mark uint64) policy.Instant {
+	c := j.changes[mark]
+	if c == nil {
+		return math.MaxInt64
+	}
+	at := slices.Clone(c.kept)
+	for i := range at {
+		if at[i] == 0 {
+			at[i] = math.MaxInt64
+		}
+	}
+	slices.Sort(at)
+	return at[j.voters/2]
+}
+
+// Order takes a change that was published.
+func (j *Judge) Order(o trace.Ordered) {
+	j.orders = append(j.orders, o)
+	if o.Index == 0 {
+		return
+	}
+	if at := j.majority(o.Mark); at > o.Acked {
+		j.broke(EarlyAck, "entry %d", o.Index)
+	}
+	j.place(o.Mark, o.Index, "its publisher")
+	if o.Config {
+		j.configs = append(j.configs, o.Index)
+	}
+	j.highest = max(j.highest, o.Index)
+}
+
+// place notes what an index is; all have to agree.
+func (j *Judge) place(mark, index uint64, by string) {
+	if was, is := j.byIndex[index]; is && was != mark {
+		j.broke(OutOfOrder, "entry %d is another to %s", index, by)
+		return
+	}
+	c := j.changes[mark]
+	if c == nil {
+		c = &change{kept: make([]policy.Instant, j.voters)}
+		j.changes[mark] = c
+	}
+	if c.index != 0 && c.index != index {
+		j.broke(Doubled, "the change of entry %d is also entry %d to %s", c.index, index, by)
+	}
+	c.index, j.byIndex[index] = index, mark
+}
+
+// Saw takes a node's next record.
+func (j *Judge) Saw(r trace.Record) {
+	n := j.nodes[r.Node]
+	if n == nil {
+		n = &nodeSeen{}
+		j.nodes[r.Node] = n
+	}
+	switch r.What {
+	case trace.Began:
+		if n.begun {
+			j.report.Presumed++
+		}
+		if n.begun && r.Index <= n.applied {
+			j.broke(Doubled, "node %d began at %d after it had %d", r.Node, r.Index, n.applied)
+		}
+		j.begins = append(j.begins, beginning{r.Node, r.Index, r.Mark})
+		n.begun, n.applied = true, r.Index
+	case trace.Refused:
+		j.report.Refused++
+	case trace.Applied:
+		j.report.Applied++
+		switch {
+		case r.Index <= n.applied:
+			j.broke(Doubled, "node %d applied %d after %d", r.Node, r.Index, n.applied)
+		case !n.begun || r.Index > n.applied+1:
+			j.broke(Missing, "node %d applied %d after %d", r.Node, r.Index, n.applied)
+		}
+		n.applied = max(n.applied, r.Index)
+		j.place(r.Mark, r.Index, fmt.Sprintf("node %d", r.Node))
+		if j.majority(r.Mark) > r.At {
+			j.broke(EarlyInForce, "node %d, entry %d", r.Node, r.Index)
+		}
+		if j.looked(r.Node) {
+			t := j.last[r.Index]
+			if t == nil {
+				t = &timed{}
+				j.last[r.Index] = t
+			}
+			t.last = max(t.last, r.At)
+			t.nodes++
+		}
+	case trace.Told:
+		if r.Index > n.applied {
+			j.broke(EarlyTold, "node %d told of %d with %d", r.Node, r.Index, n.applied)
+		}
+	}
+}
+
+func spans(all []time.Duration) Spans {
+	if len(all) == 0 {
+		return Spans{}
+	}
+	slices.Sort(all)
+	at := func(q float64) float64 {
+		return all[min(len(all)-1, int(math.Ceil(q*float64(len(all))))-1)].Seconds()
+	}
+	return Spans{len(all), at(0.5), at(0.99), all[len(all)-1].Seconds()}
+}
+
+// Report judges, once all evidence is in, so many nodes being expected.
+func (j *Judge) Report(nodes int) Report {
+	j.report.Nodes = len(j.nodes)
+	if len(j.nodes) != nodes {
+		j.broke(Missing, "%d nodes of %d left a trace", len(j.nodes), nodes)
+	}
+	for id, n := range j.nodes {
+		if n.applied < j.highest {
+			j.broke(Missing, "node %d ended with %d of %d", id, n.applied, j.highest)
+		}
+	}
+	slices.Sort(j.configs)
+	for _, b := range j.begins {
+		at, _ := slices.BinarySearch(j.configs, b.index+1)
+		if at > 0 && j.byIndex[j.configs[at-1]] != b.mark {
+			j.broke(OldBeginning, "node %d at %d, where configuration %d was in force", b.node, b.index, j.configs[at-1])
+		}
+	}
+	j.report.Entries = uint64(len(j.byIndex))
+	looked := 0
+	for id := range j.nodes {
+		if j.looked(id) {
+			looked++
+		}
+	}
+	type key struct {
+		play   string
+		config bool
+	}
+	type times struct{ acked, sent, last []time.Duration }
+	all, order := map[key]*times{}, []key{}
+	unacked := map[key]int{}
+	for _, o := range j.orders {
+		k := key{o.Play, o.Config}
+		if all[k] == nil {
+			all[k] = &times{}
+			order = append(order, k)
+		}
+		if o.Index == 0 {
+			unacked[k]++
+			continue
+		}
+		all[k].acked = append(all[k].acked, time.Duration(o.Acked-o.Sent))
+		if t := j.last[o.Index]; t != nil {
+			all[k].sent = append(all[k].sent, time.Duration(t.last-o.Sent))
+			all[k].last = append(all[k].last, max(0, time.Duration(t.last-o.Acked)))
+		}
+	}
+	for _, k := range order {
+		t := all[k]
+		j.report.Plays = append(j.report.Plays, PlayReport{k.play, k.config, spans(t.acked), spans(t.sent), spans(t.last), unacked[k], looked})
+	}
+	j.report.Breaches = []Breach{}
+	for _, what := range []string{Missing, Doubled, OutOfOrder, EarlyAck, EarlyInForce, EarlyTold, OldBeginning} {
+		if b := j.breach[what]; b != nil {
+			j.report.Breaches = append(j.report.Breaches, *b)
+		}
+	}
+	return j.report
+}
--- /dev/null
+++ b/internal/scale/changes/rig/between.go
@@ -0,0 +1,229 @@
+package rig
+
+import (
+	"errors"
+	"math"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dahliapin/internal/keyhash"
+)
+
+const (
+	pieceBytes   = 16 << 10               // of a stream that are carried at a time
+	segment      = 1448                   // bytes that one lost packet takes with it
+	firstAgain   = 200 * time.Millisecond // that a stream stands still for a lost packet: a usual first time-out of TCP, doubled each time
+	synAgain     = time.Second            // the same for the packet that opens it
+	mostAgain    = 4                      // times that one is lost in a row
+	piecesAhead  = 64                     // on the way in one direction: the rest waits at its sender, as by TCP's window
+	lookAtCut    = 10 * time.Millisecond  // between looks of a stream that stands still
+	inRegion     = time.Millisecond       // one way, within a region
+	nextRegion   = 10 * time.Millisecond  // one way, to another, and
+	furtherEach  = 12 * time.Millisecond  // more for each region on the shorter way around
+	acceptPauses = 20 * time.Millisecond  // after a failure to accept
+)
+
+// Between is the network between regions, for streams: a door on loopback for each way. It adds the delay of the way; a lost packet, by
+// chance for each 1,448 bytes, makes the stream stand still by a time-out, as it comes again and what came behind it waits; while a
+// region is cut off all of its streams to others stand still, and what is begun or ended on them is not heard.
+type Between struct {
+	regions int
+	loss    float64
+	seed    uint32
+	streams atomic.Uint32
+	lost    atomic.Uint64
+	cut     []atomic.Bool
+	closed  chan struct{}
+	mu      sync.Mutex
+	doors   []net.Listener
+	conns   map[net.Conn]bool
+	done    sync.WaitGroup
+}
+
+// NewBetween has nothing cut.
+func NewBetween(regions int, loss float64, seed uint32) *Between {
+	return &Between{regions: regions, loss: loss, seed: seed, cut: make([]atomic.Bool, regions), closed: make(chan struct{}), conns: map[net.Conn]bool{}}
+}
+
+// Late is how long something takes from one region to another.
+func (b *Between) Late(from, to int) time.Duration {
+	if from == to {
+		return inRegion
+	}
+	d := from - to
+	if d < 0 {
+		d = -d
+	}
+	return nextRegion + furtherEach*time.Duration(min(d, b.regions-d))
+}
+
+// Cut cuts a region off from all others, or brings it back.
+func (b *Between) Cut(region int, is bool) { b.cut[region].Store(is) }
+
+func (b *Between) stands(from, to int) bool {
+	return from != to && (b.cut[from].Load() || b.cut[to].Load())
+}
+
+// Door opens an address at which a region reaches another one's.
+func (b *Between) Door(from, to int, hears string) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	b.mu.Lock()
+	b.doors = append(b.doors, l)
+	b.mu.Unlock()
+	b.done.Go(func() {
+		for {
+			c, err := l.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err != nil {
+				time.Sleep(acceptPauses)
+				continue
+			}
+			if b.hold(c) {
+				b.done.Go(func() { b.stream(from, to, c, hears) })
+			}
+		}
+	})
+	return l.Addr().String(), nil
+}
+
+func (b *Between) hold(c net.Conn) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case <-b.closed:
+		_ = c.Close()
+		return false
+	default:
+	}
+	b.conns[c] = true
+	return true
+}
+
+func (b *Between) release(c net.Conn) {
+	b.mu.Lock()
+	delete(b.conns, c)
+	b.mu.Unlock()
+	_ = c.Close()
+}
+
+// wait tells whether it is still wanted after a time.
+func (b *Between) wait(d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(d):
+		return true
+	case <-b.closed:
+		return false
+	}
+}
+
+// again is how long something of so many bytes stands still for packets that were lost.
+func (b *Between) again(chance *keyhash.Source, bytes int, first time.Duration) (late time.Duration) {
+	if b.loss == 0 {
+		return 0
+	}
+	p := 1 - math.Pow(1-b.loss, math.Ceil(float64(bytes)/segment))
+	for n := 0; n < mostAgain && chance.Next() < p; n++ {
+		late += first
+		first *= 2
+		p = b.loss
+		b.lost.Add(1)
+	}
+	return late
+}
+
+// stream carries one to its end.
+func (b *Between) stream(from, to int, near net.Conn, hears string) {
+	defer b.release(near)
+	number := b.streams.Add(1)
+	chance := keyhash.Source{Seed: uint32(keyhash.Salted(uint64(b.seed), int(number)))}
+	if !b.wait(2*b.Late(from, to) + b.again(&chance, 1, synAgain)) {
+		return
+	}
+	for b.stands(from, to) {
+		if !b.wait(lookAtCut) {
+			return
+		}
+	}
+	far, err := net.DialTimeout("tcp", hears, time.Second)
+	if err != nil || !b.hold(far) {
+		return
+	}
+	defer b.release(far)
+	var both sync.WaitGroup
+	both.Go(func() { b.carry(from, to, near, far, keyhash.Source{Seed: chance.Seed ^ 1}) })
+	both.Go(func() { b.carry(to, from, far, near, keyhash.Source{Seed: chance.Seed ^ 2}) })
+	both.Wait()
+}
+
+type piece struct {
+	due  time.Time
+	data []byte
+}
+
+// carry carries one direction. Its end is heard as late as all else.
+func (b *Between) carry(from, to int, in, out net.Conn, chance keyhash.Source) {
+	pieces := make(chan piece, piecesAhead)
+	go func() {
+		defer close(pieces)
+		buf := make([]byte, pieceBytes)
+		for {
+			n, err := in.Read(buf)
+			if n > 0 {
+				p := piece{time.Now().Add(b.Late(from, to) + b.again(&chance, n, firstAgain)), append([]byte(nil), buf[:n]...)}
+				select {
+				case pieces <- p:
+				case <-b.closed:
+					return
+				}
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	for p := range pieces {
+		if !b.wait(time.Until(p.due)) {
+			break
+		}
+		for b.stands(from, to) {
+			if !b.wait(lookAtCut) {
+				break
+			}
+		}
+		if _, err := out.Write(p.data); err != nil {
+			break
+		}
+	}
+	if b.wait(b.Late(from, to)) {
+		for b.stands(from, to) && b.wait(lookAtCut) {
+		}
+	}
+	_ = out.Close()
+	_ = in.Close()
+	for range pieces { // who reads is to end
+	}
+}
+
+// Close ends all.
+func (b *Between) Close() {
+	close(b.closed)
+	b.mu.Lock()
+	for _, l := range b.doors {
+		_ = l.Close()
+	}
+	for c := range b.conns {
+		_ = c.Close()
+	}
+	b.mu.Unlock()
+	b.done.Wait()
+}
--- /dev/null
+++ b/internal/scale/changes/rig/hollow.go
@@ -0,0 +1,213 @@
+package rig
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	"dahliapin/internal/fleet/accord"
+	net "dahliapin/internal/net/accord"
+	"dahliapin/internal/net/fleet"
+	"dahliapin/internal/scale/changes/trace"
+	"dahliapin/policy"
+)
+
+const (
+	sampleEach = time.Second
+	startOver  = 2 * time.Second // over which the hollow nodes of a process start
+	traceAhead = 1 << 20         // bytes of the trace written at once
+)
+
+// Spec is what a process of hollow nodes is told.
+type Spec struct {
+	Label string   `json:"label"`
+	At    []string `json:"at"` // control machines' doors
+	Seed  uint32   `json:"seed"`
+	First uint32   `json:"first"` // number of its first node
+	Nodes int      `json:"nodes"`
+	Trace string   `json:"trace"` // file
+	Stats string   `json:"stats"` // file
+}
+
+// Sample is what a process has used until then.
+type Sample struct {
+	At    policy.Instant `json:"at"`
+	CPU   float64        `json:"cpu_s"`
+	RSS   int64          `json:"rss"`  // bytes
+	Heap  uint64         `json:"heap"` // bytes, as of the last collection
+	In    []uint64       `json:"in"`   // bytes each node's streams took until now
+	Out   []uint64       `json:"out"`
+	Moves uint64         `json:"moves"`
+	Gaps  uint64         `json:"gaps"`
+	Stale int            `json:"stale"`
+	Least uint64         `json:"least"` // what the node that is furthest behind has applied
+}
+
+// writer writes records of many nodes.
+type writer struct {
+	mu sync.Mutex
+	w  *bufio.Writer
+}
+
+func (w *writer) put(r trace.Record) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = trace.Write(w.w, r) // a full disk shows as what is missing
+}
+
+// hollow is a node that follows the log by the real code, and does nothing by it but write it down.
+type hollow struct {
+	reader *accord.Reader
+	to     *writer
+	number uint32
+	begins bool
+	mark   uint64
+}
+
+func (h *hollow) Presume(accord.Index) {}
+
+func (h *hollow) note(what trace.What, at accord.Index, kind accord.Kind, body string) {
+	mark := accord.Proposal{Kind: kind, Body: []byte(body)}.Mark()
+	if h.begins {
+		h.mark = mark
+		return
+	}
+	h.to.put(trace.Record{At: fleet.Boottime(), Index: uint64(at), Mark: mark, Node: h.number, What: what})
+}
+
+func (h *hollow) Purge(at accord.Index, key string) { h.note(trace.Applied, at, accord.Purge, key) }
+
+func (h *hollow) Configure(at accord.Index, text []byte) error {
+	h.note(trace.Applied, at, accord.Config, string(text))
+	return nil
+}
+
+// Begin and Take are a Reader's.
+func (h *hollow) Begin(at accord.Index, config cbor.RawMessage) error {
+	h.begins, h.mark = true, 0
+	err := h.reader.Begin(at, config)
+	if h.begins = false; err == nil {
+		h.to.put(trace.Record{At: fleet.Boottime(), Index: uint64(at), Mark: h.mark, Node: h.number, What: trace.Began})
+	}
+	return err
+}
+
+func (h *hollow) Take(raw []cbor.RawMessage) error { return h.reader.Take(raw) }
+func (h *hollow) Now() accord.Standing             { return h.reader.Now() }
+
+func (h *hollow) told(at accord.Index) {
+	h.to.put(trace.Record{At: fleet.Boottime(), Index: uint64(at), Node: h.number, What: trace.Told})
+}
+
+// Name is a hollow node's.
+func Name(number uint32) string { return fmt.Sprintf("hollow-%04d", number) }
+
+// Hollow runs a process of hollow nodes until what it reads from ends.
+func Hollow(spec string, until io.Reader) error {
+	text, err := os.ReadFile(spec)
+	if err != nil {
+		return err
+	}
+	var s Spec
+	if err := json.Unmarshal(text, &s); err != nil {
+		return err
+	}
+	traced, err := os.Create(s.Trace)
+	if err != nil {
+		return err
+	}
+	stats, err := os.Create(s.Stats)
+	if err != nil {
+		return err
+	}
+	to := &writer{w: bufio.NewWriterSize(traced, traceAhead)}
+	log := logrus.New()
+	log.SetLevel(logrus.ErrorLevel)
+	var all []*net.Following
+	ends := make(chan error, 1)
+	go func() {
+		_, err := io.Copy(io.Discard, until)
+		ends <- err
+	}()
+	for i := range s.Nodes {
+		h := &hollow{to: to, number: s.First + uint32(i)}
+		h.reader = accord.NewReader(h)
+		all = append(all, net.Follow(net.FollowBerth{Name: Name(h.number), Process: uint64(h.number) + 1, Label: s.Label, At: s.At, Seed: s.Seed + h.number, Stale: 30 * time.Second,
+			Reader: h, Log: log, Now: fleet.Boottime, Told: h.told}))
+		time.Sleep(startOver / time.Duration(s.Nodes))
+	}
+	each := time.NewTicker(sampleEach)
+	defer each.Stop()
+	for over := false; !over; {
+		select {
+		case <-each.C:
+		case err = <-ends:
+			over = true
+		}
+		err = errors.Join(err, json.NewEncoder(stats).Encode(sample(all)))
+	}
+	for _, f := range all {
+		f.Close()
+	}
+	return errors.Join(err, to.w.Flush(), traced.Close(), stats.Close())
+}
+
+func sample(all []*net.Following) Sample {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	s := Sample{At: fleet.Boottime(), CPU: cpu(), RSS: resident(os.Getpid()), Heap: m.HeapAlloc, Least: 1 << 62}
+	for _, f := range all {
+		now := f.Status()
+		s.In, s.Out = append(s.In, now.InBytes), append(s.Out, now.OutBytes)
+		s.Moves, s.Gaps, s.Least = s.Moves+now.Moves, s.Gaps+now.Gaps, min(s.Least, uint64(now.Applied))
+		if now.Stale {
+			s.Stale++
+		}
+	}
+	return s
+}
+
+func cpu() float64 {
+	var u unix.Rusage
+	_ = unix.Getrusage(unix.RUSAGE_SELF, &u)
+	return float64(u.Utime.Nano()+u.Stime.Nano()) / 1e9
+}
+
+// resident is a process's memory in bytes; 0 where it is gone.
+func resident(pid int) int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if f := strings.Fields(string(text)); err == nil && len(f) > 1 {
+		pages, _ := strconv.ParseInt(f[1], 10, 64)
+		return pages * int64(os.Getpagesize())
+	}
+	return 0
+}
+
+const ticksASecond = 100 // of /proc's processor times, on Linux
+
+// used is a process's processor time in seconds; 0 where it is gone.
+func used(pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	f := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	if len(f) < 13 {
+		return 0
+	}
+	user, _ := strconv.ParseFloat(f[11], 64)
+	system, _ := strconv.ParseFloat(f[12], 64)
+	return (user + system) / ticksASecond
+}
