Log of changes: trims, full disks, strangers, and a race in Changes

Tests for what had none: what all nodes have is not kept and a node that is off holds it for hold_s; a machine whose disk takes nothing more acknowledges nothing and ends, the others go on; what is no part of the log is dropped with a count. The race detector, run over them in parallel, found Changes writing what its own goroutines read.

--- a/internal/net/accord/accord_test.go
+++ b/internal/net/accord/accord_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -13,9 +14,11 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	pb "go.etcd.io/raft/v3/raftpb"
 	"golang.org/x/sys/unix"
 
 	"dahliapin/internal/fleet/accord"
+	"dahliapin/internal/fleet/accord/store"
 	"dahliapin/internal/fleet/charter"
 	"dahliapin/policy"
 )
@@ -300,6 +303,7 @@
 // Each change becomes one entry, however often it is put forward and at whichever machine; every node has each in order, while the leader
 // ends and comes back with its disk, and a node is cut off meanwhile.
 func TestChangesReachAllInOrderWhileALeaderEnds(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, nil, nil)
 	var nodes []*follower
 	for i := range 24 {
@@ -356,6 +360,7 @@
 
 // A machine that is cut off from the voters orders nothing, and its nodes leave it.
 func TestNodesLeaveAMachineThatHearsNoLeader(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, nil, nil)
 	var nodes []*follower
 	for i := range 4 {
@@ -390,6 +395,7 @@
 
 // A machine and a node that are behind what is kept begin anew: the latest configuration, and all before may have been purged.
 func TestWhoIsBehindWhatIsKeptBeginsAnew(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, func(c *charter.ControlFile) { c.Bounds.Entries = 1024 }, nil)
 	n := f.follow("n", 1)
 	f.publish([]accord.Proposal{NewProposal(accord.Config, []byte("first")), NewProposal(accord.Config, []byte("bad one"))})
@@ -432,3 +438,118 @@
 }
 
 func (f *fleet) others(i int) []string { return slices.Delete(f.all(), i, i+1) }
+
+// What all nodes have applied is not kept on; a node that is off holds it until it was not heard for as long as stated.
+func TestWhatAllHaveIsNotKept(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, func(c *charter.ControlFile) { c.Bounds.Entries, c.Bounds.HoldS = 3000, 1 }, nil)
+	one, off := f.follow("one", 1), f.follow("off", 2)
+	f.publish(purges(0, 10))
+	f.upTo(one, 10)
+	f.upTo(off, 10)
+	off.mu.Lock()
+	off.cut = true
+	off.mu.Unlock()
+	f.publish(purges(10, 2690))
+	f.upTo(one, 2700)
+	time.Sleep(2*toldEach + 2*tablesEach)
+	trim := func() {
+		m := f.ms[f.leader()]
+		done := make(chan bool)
+		m.call(func() {
+			m.trimmed = time.Time{}
+			m.trim()
+			close(done)
+		})
+		<-done
+	}
+	floors := func() (all []accord.Index) {
+		for _, m := range f.ms {
+			m.mu.RLock()
+			all = append(all, m.state.Floor())
+			m.mu.RUnlock()
+		}
+		return all
+	}
+	for by := time.Now().Add(10 * time.Second); !slices.Equal(floors(), []accord.Index{1200, 1200, 1200, 1200}); time.Sleep(100 * time.Millisecond) {
+		if trim(); time.Now().After(by) {
+			t.Fatalf("kept after %v", floors())
+		}
+		if o, _ := (Caller{At: f.all(), Label: "l", Dial: f.dial}).Changes(); len(o.Nodes) == 2 && o.Nodes[0].HeardS < 0.8 && floors()[0] > 0 {
+			t.Fatalf("not held for %+v", o.Nodes[0])
+		}
+	}
+}
+
+// broken is a disk that takes nothing more from some time on.
+type broken struct {
+	Disk
+	mu   sync.Mutex
+	full bool
+}
+
+func (b *broken) Save(hard *pb.HardState, entries []*pb.Entry, snap *pb.Snapshot) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.full {
+		return errors.New("no space left")
+	}
+	return b.Disk.Save(hard, entries, snap)
+}
+
+// A machine whose disk takes nothing more acknowledges nothing more and ends; the others go on.
+func TestAMachineWhoseDiskIsFullEnds(t *testing.T) {
+	t.Parallel()
+	var disks [4]*broken
+	f := newFleet(t, nil, func(i int, b *Berth) {
+		s, err := store.Open(b.File.Control.Data, store.Owner{ID: uint64(i + 1), Label: "l"}, []uint64{1, 2, 3}, []uint64{4}, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		disks[i] = &broken{Disk: s}
+		b.Disk = disks[i]
+	})
+	f.publish(purges(0, 1))
+	i := f.leader()
+	disks[i].mu.Lock()
+	disks[i].full = true
+	disks[i].mu.Unlock()
+	if at := f.publish(purges(1, 1)); at[0] != 2 {
+		t.Errorf("ordered at %d", at)
+	}
+	select {
+	case <-f.ms[i].Done():
+	case <-time.After(5 * time.Second):
+		t.Fatal("it goes on")
+	}
+	if err := f.ms[i].Fault(); err == nil || !strings.Contains(err.Error(), "no space left") {
+		t.Errorf("it ended for %v", err)
+	}
+}
+
+// What is no part of the log is dropped with a count, and another fleet's before it is read.
+func TestStrangersAreDropped(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, nil, nil)
+	f.publish(purges(0, 1))
+	m := f.ms[0]
+	before := m.table.foreign.Load()
+	for _, said := range [][]byte{[]byte("GET / HTTP/1.1\r\n\r\n"), preface(kindNode, "another"), preface('x', "l"),
+		append(preface(kindNode, "l"), 0xff, 0xff, 0xff, 0xff), append(preface(kindNode, "l"), 0, 0, 0, 1, 0xff)} {
+		for _, at := range []string{m.Addr(), m.PeersAddr()} {
+			c, err := net.Dial("tcp", at)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = c.Write(said)
+			_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+			if n, err := c.Read(make([]byte, 1)); n > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("% x: %d bytes, %v", said, n, err)
+			}
+			_ = c.Close()
+		}
+	}
+	if got := m.table.foreign.Load() - before; got != 10 {
+		t.Errorf("%d of 10 were counted", got)
+	}
+}
--- a/internal/net/accord/client.go
+++ b/internal/net/accord/client.go
@@ -166,15 +166,14 @@
 	}
 	err, is, whole := ErrNobody, false, word{}
 	nodes, machines := map[string]row{}, map[uint64]machineRow{}
-	for by := time.After(askBy); len(c.At) > 0; {
+	for by, wait := time.After(askBy), len(c.At); wait > 0; wait-- {
 		var s said
 		select {
 		case s = <-all:
 		case <-by:
-			s.error = context.DeadlineExceeded
-			c.At = c.At[:1] // whoever else was asked is not waited for
+			s.error, wait = context.DeadlineExceeded, 1 // whoever else was asked is not waited for
 		}
-		if c.At = c.At[1:]; s.error != nil {
+		if s.error != nil {
 			err = fmt.Errorf("%w: %w", ErrNobody, s.error)
 			continue
 		}
--- a/internal/net/accord/machine.go
+++ b/internal/net/accord/machine.go
@@ -128,7 +128,6 @@
 	applied   uint64 // raft's index
 	heardLead time.Time
 	trimmed   time.Time
-	looked    time.Time
 }
 
 // Open starts a control machine.
--- a/internal/net/accord/variants_test.go
+++ b/internal/net/accord/variants_test.go
@@ -185,6 +185,7 @@
 
 // The judge finds nothing where the rules are kept, and each of these rules when it is broken: by code that runs, not by made-up traces.
 func TestTheJudgeCatchesBrokenVariants(t *testing.T) {
+	t.Parallel()
 	for _, v := range []struct {
 		name   string
 		reader func(*sound) Reader
