Log of changes: nodes tell one log from another

Where all control machines had lost their disks, a new log began at 1, and nodes that had applied more passed its first entries over in silence. A log has an id now, agreed with its first entries; a node that comes from another one begins anew (presume-purged). With the id left out TestNodesBeginAnewWithAnotherLog fails: the node stays at 20. The rig can cut off any region.

--- a/cmd/dahliapin/scale_changes.go
+++ b/cmd/dahliapin/scale_changes.go
@@ -47,6 +47,12 @@
 				p.Loss < 0 || p.Loss > 0.2 || p.For < time.Second || p.For > time.Hour || p.CutFor < time.Second || p.After < 0 || p.CutPurges < 1 || p.CutPurges > 60_000 {
 				return fmt.Errorf("%w: a size is out of its bounds", errCall)
 			}
+			if p.CutRegion < 0 {
+				p.CutRegion = p.Regions - 1
+			}
+			if p.CutRegion >= p.Regions {
+				return fmt.Errorf("%w: --cut-region %d of %d", errCall, p.CutRegion, p.Regions)
+			}
 			for _, play := range p.Plays {
 				if play != rig.Steady && play != rig.Burst && play != rig.Cut {
 					return fmt.Errorf("%w: --plays %q: steady, burst and cut are", errCall, play)
@@ -83,6 +89,7 @@
 	f.StringVar(&plays, "plays", "steady,burst,cut", "which, one after the other")
 	f.DurationVar(&p.For, "for", time.Minute, "how long steady is")
 	f.DurationVar(&p.CutFor, "cut-for", 20*time.Second, "how long a region is cut off")
+	f.IntVar(&p.CutRegion, "cut-region", -1, "which region, from 0; -1 for the last, which has no control machine (with 11: 0, 2, 5 and 8 have)")
 	f.DurationVar(&p.After, "after", 20*time.Second, "how long purges at the stated rate go on once it is back")
 	f.IntVar(&p.CutPurges, "cut-purges", 34_200, "purges meanwhile: an hour's")
 	f.IntVar(&p.CutConfigs, "cut-configs", 71, "configurations meanwhile: an hour's")
--- a/internal/fleet/accord/accord.go
+++ b/internal/fleet/accord/accord.go
@@ -30,6 +30,9 @@
 // ProposalID tells a proposal made again from another one: 128 bits by chance.
 type ProposalID [16]byte
 
+// LogID tells one log from another that began anew, after all disks were lost: 64 bits by chance, 0 for not known yet.
+type LogID uint64
+
 // Kind is what an entry is.
 type Kind uint8
 
@@ -105,6 +108,7 @@
 // State is the log as a control machine has it. Who uses it from several goroutines locks it.
 type State struct {
 	bounds   Bounds
+	log      LogID
 	last     Index
 	floor    Index  // entries up to here are not kept
 	floorEnd uint64 // bytes up to there
@@ -123,6 +127,9 @@
 func (s *State) Last() Index  { return s.last }
 func (s *State) Floor() Index { return s.floor }
 
+// Log is which log it is; 0 until its first leader has said so.
+func (s *State) Log() LogID { return s.log }
+
 // Repeated counts proposals that were found to be in the log already.
 func (s *State) Repeated() uint64 { return s.repeated }
 
@@ -138,6 +145,9 @@
 // become an entry gets 0: all machines see the same of it.
 func (s *State) Apply(b Batch) []Index {
 	at := make([]Index, len(b.Proposals))
+	if s.log == 0 { // the first that is agreed holds
+		s.log = b.Log
+	}
 	for i, p := range b.Proposals {
 		if p.Check() != nil {
 			continue
--- a/internal/fleet/accord/accord_test.go
+++ b/internal/fleet/accord/accord_test.go
@@ -61,7 +61,7 @@
 			raw, _, is := a.After(reader.Now().Applied, rapid.IntRange(0, 200).Draw(t, "frame"))
 			if !reader.Now().Begun || !is {
 				at, base := a.Begin(!reader.Now().Begun)
-				if err := reader.Begin(at, base); err != nil {
+				if err := reader.Begin(0, at, base); err != nil {
 					t.Fatal(err)
 				}
 				seen, begins = at, begins+1
@@ -139,6 +139,19 @@
 	})
 }
 
+func TestALogKeepsItsFirstID(t *testing.T) {
+	s := New(UsualBounds)
+	for _, log := range []LogID{0, 5, 6, 0} {
+		b, err := DecodeBatch(Batch{Log: log}.Encode())
+		if s.Apply(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if r, err := Restore(s.Snapshot(), UsualBounds); err != nil || s.Log() != 5 || r.Log() != 5 {
+		t.Errorf("%d, %v", s.Log(), err)
+	}
+}
+
 func TestAnIDIsForgottenOnlyAfterSoManyEntries(t *testing.T) {
 	s := New(Bounds{Entries: 10, Bytes: 1 << 20})
 	one := purge(1)
@@ -173,7 +186,7 @@
 	if err := r.Take(raws(t, 1, 1)); !errors.Is(err, ErrGap) {
 		t.Errorf("before it began: %v", err)
 	}
-	if err := r.Begin(4, encodeEntry(Entry{2, config(2)})); err != nil || did.config != "config 2" || did.presumed != 4 {
+	if err := r.Begin(7, 4, encodeEntry(Entry{2, config(2)})); err != nil || did.config != "config 2" || did.presumed != 4 {
 		t.Errorf("%v, %q, presumed %d", err, did.config, did.presumed)
 	}
 	if err := r.Take(append(raws(t, 3, 6), raws(t, 8, 9)...)); !errors.Is(err, ErrGap) {
@@ -182,15 +195,18 @@
 	if now := r.Now(); now.Applied != 6 || now.Gaps != 2 || !slices.Equal(did.at, []Index{2, 5, 6}) {
 		t.Errorf("%+v, %v", now, did.at)
 	}
-	if err := r.Begin(6, nil); !errors.Is(err, ErrGap) {
+	if err := r.Begin(7, 6, nil); !errors.Is(err, ErrGap) {
 		t.Errorf("an old beginning was taken: %v", err)
 	}
+	if err := r.Begin(8, 1, encodeEntry(Entry{1, config(1)})); err != nil || r.Now().Applied != 1 || did.config != "config 1" || did.presumed != 1 {
+		t.Errorf("another log: %v, %+v", err, r.Now())
+	}
 }
 
 func TestARefusedConfigurationIsToldAndChangesNothing(t *testing.T) {
 	did := &node{refuse: "config 2"}
 	r := NewReader(did)
-	_ = r.Begin(0, nil)
+	_ = r.Begin(0, 0, nil)
 	_ = r.Take([]cbor.RawMessage{encodeEntry(Entry{1, config(1)}), encodeEntry(Entry{2, config(2)}), encodeEntry(Entry{3, purge(3)})})
 	if now := r.Now(); now.Config != 1 || now.Refused != 2 || now.Reason == "" || now.Applied != 3 || did.config != "config 1" {
 		t.Errorf("%+v, %q", now, did.config)
--- a/internal/fleet/accord/reader.go
+++ b/internal/fleet/accord/reader.go
@@ -23,6 +23,7 @@
 // Standing is up to where a node has come.
 type Standing struct {
 	Begun    bool
+	Log      LogID // that it begun with
 	Applied  Index
 	Config   Index // of the configuration in force, 0 for the node's own
 	Refused  Index // of the latest configuration that could not be taken, 0 for none since the one in force
@@ -45,10 +46,11 @@
 // Now is how it stands.
 func (r *Reader) Now() Standing { return r.Standing }
 
-// Begin starts at an index with the configuration in force there, encoded; empty for none. One that is no further than what was
-// applied is refused: it would take older for newer.
-func (r *Reader) Begin(at Index, config cbor.RawMessage) error {
-	if r.Begun && at <= r.Applied {
+// Begin starts at an index of a log with the configuration in force there, encoded; empty for none. One of the same log that is no
+// further than what was applied is refused: it would take older for newer.
+func (r *Reader) Begin(log LogID, at Index, config cbor.RawMessage) error {
+	another := r.Begun && log != r.Log
+	if r.Begun && !another && at <= r.Applied {
 		return fmt.Errorf("%w: to begin at %d, after %d was applied", ErrGap, at, r.Applied)
 	}
 	if len(config) > 0 {
@@ -58,11 +60,11 @@
 			return err
 		case e.Kind != Config || e.Index > at:
 			return fmt.Errorf("%w: to begin at %d with a %v of %d", ErrWire, at, e.Kind, e.Index)
-		case e.Index > max(r.Config, r.Refused):
+		case another || e.Index > max(r.Config, r.Refused):
 			r.configure(e)
 		}
 	}
-	r.Begun, r.Applied, r.Presumed = true, at, at
+	r.Begun, r.Log, r.Applied, r.Presumed = true, log, at, at
 	r.to.Presume(at)
 	return nil
 }
--- a/internal/fleet/accord/wire.go
+++ b/internal/fleet/accord/wire.go
@@ -19,6 +19,7 @@
 type Batch struct {
 	Proposals []Proposal
 	Trim      Index // 0 for nothing
+	Log       LogID // of a log that has none yet; 0 for nothing
 }
 
 type wireProposal struct {
@@ -36,6 +37,7 @@
 	Version   uint32         `cbor:"0,keyasint"`
 	Proposals []wireProposal `cbor:"1,keyasint,omitempty"`
 	Trim      uint64         `cbor:"2,keyasint,omitempty"`
+	Log       uint64         `cbor:"3,keyasint,omitempty"`
 }
 
 type wireState struct {
@@ -45,6 +47,7 @@
 	Base    cbor.RawMessage   `cbor:"3,keyasint,omitempty"`
 	Tail    []cbor.RawMessage `cbor:"4,keyasint"`
 	IDs     []byte            `cbor:"5,keyasint"` // 16 bytes each, of the last entries
+	Log     uint64            `cbor:"6,keyasint,omitempty"`
 }
 
 // ErrWire says that bytes are not what they should be.
@@ -97,7 +100,7 @@
 
 // Encode gives a batch's bytes.
 func (b Batch) Encode() []byte {
-	w := wireBatch{Version: wireVersion, Trim: uint64(b.Trim)}
+	w := wireBatch{Version: wireVersion, Trim: uint64(b.Trim), Log: uint64(b.Log)}
 	for _, p := range b.Proposals {
 		w.Proposals = append(w.Proposals, p.wire())
 	}
@@ -116,7 +119,7 @@
 	if w.Version == 0 || len(w.Proposals) > MostAtOnce {
 		return Batch{}, fmt.Errorf("%w: version %d, %d proposals", ErrWire, w.Version, len(w.Proposals))
 	}
-	out := Batch{Trim: Index(w.Trim)}
+	out := Batch{Trim: Index(w.Trim), Log: LogID(w.Log)}
 	for _, p := range w.Proposals {
 		to, err := p.proposal()
 		if err != nil {
@@ -143,7 +146,7 @@
 
 // Snapshot is all of the state, as bytes that Restore takes.
 func (s *State) Snapshot() []byte {
-	w := wireState{Version: wireVersion, Last: uint64(s.last), Floor: uint64(s.floor), Tail: make([]cbor.RawMessage, 0, len(s.tail)),
+	w := wireState{Version: wireVersion, Log: uint64(s.log), Last: uint64(s.last), Floor: uint64(s.floor), Tail: make([]cbor.RawMessage, 0, len(s.tail)),
 		IDs: make([]byte, 0, len(s.recent)*len(ProposalID{}))}
 	if s.base != nil {
 		w.Base = s.base.raw
@@ -168,7 +171,7 @@
 		return nil, fmt.Errorf("%w: a snapshot of version %d, %d entries from %d to %d, %d bytes of ids", ErrWire, w.Version, len(w.Tail), w.Floor, w.Last, len(w.IDs))
 	}
 	s := New(bounds)
-	s.floor, s.last = Index(w.Floor), Index(w.Floor)
+	s.log, s.floor, s.last = LogID(w.Log), Index(w.Floor), Index(w.Floor)
 	if len(w.Base) > 0 {
 		e, err := DecodeEntry(w.Base)
 		if err != nil {
--- a/internal/net/accord/accord_test.go
+++ b/internal/net/accord/accord_test.go
@@ -553,3 +553,32 @@
 		t.Errorf("%d of 10 were counted", got)
 	}
 }
+
+// Where all disks were lost and a new log begins, nodes that had more of the old one begin anew, rather than to pass its first entries over.
+func TestNodesBeginAnewWithAnotherLog(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, nil, nil)
+	n := f.follow("n", 1)
+	f.publish(purges(0, 20))
+	f.upTo(n, 20)
+	for i := range f.ms {
+		f.stop(i)
+		f.dirs[i] = t.TempDir()
+	}
+	n.mu.Lock()
+	n.did, n.index = nil, nil
+	n.mu.Unlock()
+	for i := range f.ms {
+		f.start(i, true)
+	}
+	for by := time.Now().Add(10 * time.Second); n.Status().Applied > 5; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(by) {
+			t.Fatalf("%+v", n.Status())
+		}
+	}
+	began := n.Status().Presumed
+	late := purges(100, 5)
+	f.publish(late)
+	f.upTo(n, 5)
+	n.have(t, began+1, bodies(late)[began:]...)
+}
--- a/internal/net/accord/follow.go
+++ b/internal/net/accord/follow.go
@@ -32,7 +32,7 @@
 
 // Reader is what applies the log at a node. accord.Reader is the one; tests have others.
 type Reader interface {
-	Begin(at accord.Index, config cbor.RawMessage) error
+	Begin(log accord.LogID, at accord.Index, config cbor.RawMessage) error
 	Take([]cbor.RawMessage) error
 	Now() accord.Standing
 }
@@ -185,7 +185,7 @@
 	stop, nudge := make(chan struct{}), make(chan struct{}, 1)
 	var told sync.WaitGroup
 	hello := f.stands(wordHello)
-	hello.Fresh = !f.now.Load().Begun
+	hello.Fresh, hello.Log = !f.now.Load().Begun, uint64(f.now.Load().Log)
 	n, err := l.say(hello, greetBy)
 	f.out.Add(uint64(n))
 	if err != nil {
@@ -203,11 +203,14 @@
 		}
 		switch w.Kind {
 		case wordBegin:
-			err = f.Reader.Begin(accord.Index(w.Index), w.Base)
+			err = f.Reader.Begin(accord.LogID(w.Log), accord.Index(w.Index), w.Base)
 		case wordEntries:
 			err = f.Reader.Take(w.Entries)
 		}
 		f.note()
+		if w.Kind == wordBegin {
+			f.head.Store(w.Head)
+		}
 		f.head.Store(max(f.head.Load(), w.Head))
 		if err != nil {
 			return err
--- a/internal/net/accord/machine.go
+++ b/internal/net/accord/machine.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"crypto/rand"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"net"
@@ -128,6 +130,7 @@
 	applied   uint64 // raft's index
 	heardLead time.Time
 	trimmed   time.Time
+	named     time.Time
 }
 
 // Open starts a control machine.
@@ -510,8 +513,14 @@
 	}
 }
 
-// trim has the leader say up to where every node has applied, so that all machines stop keeping it.
+// trim has the leader say up to where every node has applied, so that all machines stop keeping it; and, of a new log, which it is.
 func (m *Machine) trim() {
+	if m.lead.Load().leads && m.state.Log() == 0 && time.Since(m.named) > proposeAgain {
+		var id [8]byte
+		_, _ = rand.Read(id[:]) // never fails
+		m.named = time.Now()
+		_ = m.raw.Propose(accord.Batch{Log: accord.LogID(binary.LittleEndian.Uint64(id[:]) | 1)}.Encode())
+	}
 	hold := m.File.Bounds.Hold()
 	if time.Since(m.trimmed) < trimEach || !m.lead.Load().leads || time.Since(m.began) < hold { // a node may be cut off since before this process began
 		return
--- a/internal/net/accord/nodes.go
+++ b/internal/net/accord/nodes.go
@@ -123,7 +123,7 @@
 	go func() {
 		defer m.done.Done()
 		defer l.Close()
-		m.deliver(s, accord.Index(hello.Rows[0].Applied), hello.Fresh)
+		m.deliver(s, accord.LogID(hello.Log), accord.Index(hello.Rows[0].Applied), hello.Fresh)
 	}()
 	defer close(s.over)
 	for {
@@ -140,7 +140,7 @@
 }
 
 // deliver sends what follows an index, in order: so much unacknowledged at most, and by the pace of all where it lacks a lot.
-func (m *Machine) deliver(s *stream, sent accord.Index, anew bool) {
+func (m *Machine) deliver(s *stream, log accord.LogID, sent accord.Index, anew bool) {
 	begin := anew
 	window := uint64(m.File.Bounds.WindowKB * (1 << 10))
 	timer := time.NewTimer(0)
@@ -166,6 +166,12 @@
 		size, lacks := 0, uint64(0)
 		m.mu.RLock()
 		last := m.state.Last()
+		if now := m.state.Log(); now == 0 {
+			begin = false // nothing is known to be of the node's log, or for it to begin with
+			last = 0
+		} else if anew || log != now { // fresh, or from a log that is no more
+			log, begin, anew = now, true, true
+		}
 		if w.Head = uint64(last); !begin && sent < last {
 			lacks = m.state.Bytes(sent, last)
 			if m.state.Bytes(accord.Index(s.acked.Load()), sent) < window {
@@ -183,7 +189,7 @@
 		if begin {
 			at, base := m.state.Begin(anew)
 			if fresher = at > sent || anew; fresher {
-				w = word{Kind: wordBegin, Index: uint64(at), Base: base, Head: uint64(last), Led: w.Led}
+				w = word{Kind: wordBegin, Index: uint64(at), Log: uint64(log), Base: base, Head: uint64(last), Led: w.Led}
 				sent = at
 			}
 			begin, anew = false, false
--- a/internal/net/accord/variants_test.go
+++ b/internal/net/accord/variants_test.go
@@ -78,9 +78,9 @@
 	return nil
 }
 
-func (s *sound) Begin(at accord.Index, config cbor.RawMessage) error {
+func (s *sound) Begin(log accord.LogID, at accord.Index, config cbor.RawMessage) error {
 	s.begins = true
-	err := s.Reader.Begin(at, config)
+	err := s.Reader.Begin(log, at, config)
 	if s.begins = false; err == nil {
 		s.e.put(trace.Record{Index: uint64(at), Mark: s.mark, Node: s.number, What: trace.Began})
 	}
@@ -90,7 +90,9 @@
 // unheeding takes an old configuration, or none, for the one in force where it begins.
 type unheeding struct{ *sound }
 
-func (u unheeding) Begin(at accord.Index, _ cbor.RawMessage) error { return u.sound.Begin(at, nil) }
+func (u unheeding) Begin(log accord.LogID, at accord.Index, _ cbor.RawMessage) error {
+	return u.sound.Begin(log, at, nil)
+}
 
 // gapped loses a frame and goes on with the next as if nothing were missing.
 type gapped struct {
@@ -99,9 +101,9 @@
 	applied accord.Index
 }
 
-func (g *gapped) Begin(at accord.Index, config cbor.RawMessage) error {
+func (g *gapped) Begin(log accord.LogID, at accord.Index, config cbor.RawMessage) error {
 	g.applied = at
-	return g.sound.Begin(at, config)
+	return g.sound.Begin(log, at, config)
 }
 
 func (g *gapped) Take(raw []cbor.RawMessage) error {
--- a/internal/net/accord/wire.go
+++ b/internal/net/accord/wire.go
@@ -79,6 +79,7 @@
 	Raft     [][]byte          `cbor:"11,keyasint,omitempty"`
 	Fresh    bool              `cbor:"12,keyasint,omitempty"` // the node has applied nothing
 	Machines []machineRow      `cbor:"13,keyasint,omitempty"`
+	Log      uint64            `cbor:"14,keyasint,omitempty"` // which log: of a beginning, and of a node's hello
 }
 
 // row is how a node stands, as control machines tell each other and operators.
--- a/internal/scale/changes/rig/hollow.go
+++ b/internal/scale/changes/rig/hollow.go
@@ -95,9 +95,9 @@
 }
 
 // Begin and Take are a Reader's.
-func (h *hollow) Begin(at accord.Index, config cbor.RawMessage) error {
+func (h *hollow) Begin(log accord.LogID, at accord.Index, config cbor.RawMessage) error {
 	h.begins, h.mark = true, 0
-	err := h.reader.Begin(at, config)
+	err := h.reader.Begin(log, at, config)
 	if h.begins = false; err == nil {
 		h.to.put(trace.Record{At: fleet.Boottime(), Index: uint64(at), Mark: h.mark, Node: h.number, What: trace.Began})
 	}
--- a/internal/scale/changes/rig/rig.go
+++ b/internal/scale/changes/rig/rig.go
@@ -61,6 +61,7 @@
 	For            time.Duration // of steady
 	CutFor         time.Duration
 	After          time.Duration // that purges at the stated rate go on once it is back
+	CutRegion      int           // which region is cut off; control machines are in those at 0, 1, 2 and 3 quarters
 	CutPurges      int
 	CutConfigs     int
 	Loss           float64
@@ -425,9 +426,9 @@
 	return nil
 }
 
-// cutOff cuts the last region off while an hour's changes pass, and measures until it has all again.
+// cutOff cuts a region off while an hour's changes pass, and measures until it has all again.
 func (r *run) cutOff(ctx context.Context) error {
-	region := r.Regions - 1
+	region := r.CutRegion
 	r.cutFrom = fleet.Boottime()
 	r.between.Cut(region, true)
 	r.say("region %d is cut off", region)
@@ -568,8 +569,10 @@
 
 // judge hands all that was left to the judge, and adds up what was used.
 func (r *run) judge() error {
-	last := len(r.specs) - 1
-	inCut := func(node uint32) bool { return r.cutFrom > 0 && node >= r.specs[last].First }
+	off := r.specs[r.CutRegion]
+	inCut := func(node uint32) bool {
+		return r.cutFrom > 0 && node >= off.First && node < off.First+uint32(off.Nodes)
+	}
 	j := judge.New(machines-1, func(node uint32) bool { return !inCut(node) })
 	for i := range machines - 1 {
 		if err := trace.Lines(r.path("control-%d.trace", i), func(k trace.Kept) { j.Kept(i, k) }); err != nil {
@@ -621,7 +624,7 @@
 				if x.At <= m.until {
 					b = x
 				}
-				if r.cutFrom > 0 && i == len(r.specs)-1 && x.At <= r.cutUntil {
+				if r.cutFrom > 0 && i == r.CutRegion && x.At <= r.cutUntil {
 					r.report.StaleInCut = max(r.report.StaleInCut, x.Stale)
 				}
 			}); err != nil {
