Log of changes: tests that see what broken code had passed

Each rule was broken by hand and the tests run: a machine that hears no leader kept its nodes unseen (the test had closed their streams itself), a leader that has just begun trimmed unseen, and so did a published name that was taken for the node's own. Each is seen now.

--- a/internal/net/accord/accord_test.go
+++ b/internal/net/accord/accord_test.go
@@ -1,6 +1,7 @@
 package accord
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -20,6 +21,7 @@
 	"dahliapin/internal/fleet/accord"
 	"dahliapin/internal/fleet/accord/store"
 	"dahliapin/internal/fleet/charter"
+	"dahliapin/internal/keyhash"
 	"dahliapin/policy"
 )
 
@@ -78,7 +80,7 @@
 		f.file(&file)
 	}
 	b := Berth{File: &file, New: first, Log: quietly(), Now: boottime, Dial: func(addr string, within time.Duration) (net.Conn, error) {
-		if f.isCut(nodeAt(i)) { // a machine that is cut off reaches nobody
+		if f.isCut(peerAt(i)) { // a machine that is cut off reaches nobody
 			return nil, errors.New("cut")
 		}
 		return f.dial(addr, within)
@@ -136,16 +138,14 @@
 	return c, err
 }
 
-// sever cuts a machine off, or brings it back.
+// sever cuts a machine off from the others, not from nodes, or brings it back.
 func (f *fleet) sever(i int, cut bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, addr := range []string{peerAt(i), nodeAt(i)} {
-		f.cut[addr] = cut
-		for _, c := range f.open[addr] {
-			if cut {
-				_ = c.Close()
-			}
+	f.cut[peerAt(i)] = cut
+	for _, c := range f.open[peerAt(i)] {
+		if cut {
+			_ = c.Close()
 		}
 	}
 	if m := f.ms[i]; m != nil && cut {
@@ -358,7 +358,7 @@
 	}
 }
 
-// A machine that is cut off from the voters orders nothing, and its nodes leave it.
+// A machine that is cut off from the voters, and not from nodes, orders nothing, and its nodes leave it.
 func TestNodesLeaveAMachineThatHearsNoLeader(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, nil, nil)
@@ -371,9 +371,14 @@
 		f.upTo(n, 1-min(1, n.Status().Presumed))
 	}
 	gone := f.leader()
-	f.sever(gone, true)
 	lone := f.ms[gone]
-	f.publish(purges(1, 1))
+	n := &follower{} // a node that had rather be there than anywhere
+	n.Following = Follow(FollowBerth{Name: "there", Label: "l", At: f.all(), Seed: f.seedFor(gone), Stale: time.Second, Reader: accord.NewReader(n), Log: quietly(), Now: boottime, Dial: f.dial})
+	t.Cleanup(n.Close)
+	f.upTo(n, 1-min(1, n.Status().Presumed))
+	nodes = append(nodes, n)
+	f.sever(gone, true)
+	f.publish(purges(1, 1), f.others(gone)...)
 	for _, n := range nodes {
 		f.upTo(n, 2)
 	}
@@ -437,12 +442,24 @@
 	}
 }
 
+// seedFor is of a node that follows at a machine first.
+func (f *fleet) seedFor(i int) uint32 {
+	for seed := uint32(0); ; seed++ {
+		first := slices.MinFunc(f.all(), func(x, y string) int {
+			return cmp.Compare(keyhash.Salted(keyhash.Text(x), int(seed)), keyhash.Salted(keyhash.Text(y), int(seed)))
+		})
+		if first == nodeAt(i) {
+			return seed
+		}
+	}
+}
+
 func (f *fleet) others(i int) []string { return slices.Delete(f.all(), i, i+1) }
 
 // What all nodes have applied is not kept on; a node that is off holds it until it was not heard for as long as stated.
 func TestWhatAllHaveIsNotKept(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, func(c *charter.ControlFile) { c.Bounds.Entries, c.Bounds.HoldS = 3000, 1 }, nil)
+	f := newFleet(t, func(c *charter.ControlFile) { c.Bounds.Entries, c.Bounds.HoldS = 3000, 3600 }, nil)
 	one, off := f.follow("one", 1), f.follow("off", 2)
 	f.publish(purges(0, 10))
 	f.upTo(one, 10)
@@ -453,11 +470,11 @@
 	f.publish(purges(10, 2690))
 	f.upTo(one, 2700)
 	time.Sleep(2*toldEach + 2*tablesEach)
-	trim := func() {
+	trim := func(runs time.Duration) {
 		m := f.ms[f.leader()]
 		done := make(chan bool)
 		m.call(func() {
-			m.trimmed = time.Time{}
+			m.began, m.trimmed = time.Now().Add(-runs), time.Time{}
 			m.trim()
 			close(done)
 		})
@@ -471,13 +488,29 @@
 		}
 		return all
 	}
+	kept := func(why string) {
+		t.Helper()
+		time.Sleep(300 * time.Millisecond)
+		if slices.Max(floors()) > 0 {
+			t.Errorf("kept after %v, %s", floors(), why)
+		}
+	}
+	trim(2 * time.Hour)
+	kept("although a node lacks it that was heard within the hour")
+	for _, m := range f.ms {
+		m.table.mu.Lock()
+		if was, is := m.table.rows["off"]; is {
+			was.heard -= policy.Instant(2 * time.Hour)
+			m.table.rows["off"] = was
+		}
+		m.table.mu.Unlock()
+	}
+	trim(0)
+	kept("by a leader that has just begun, and may not know of all")
 	for by := time.Now().Add(10 * time.Second); !slices.Equal(floors(), []accord.Index{1200, 1200, 1200, 1200}); time.Sleep(100 * time.Millisecond) {
-		if trim(); time.Now().After(by) {
+		if trim(2 * time.Hour); time.Now().After(by) {
 			t.Fatalf("kept after %v", floors())
 		}
-		if o, _ := (Caller{At: f.all(), Label: "l", Dial: f.dial}).Changes(); len(o.Nodes) == 2 && o.Nodes[0].HeardS < 0.8 && floors()[0] > 0 {
-			t.Fatalf("not held for %+v", o.Nodes[0])
-		}
 	}
 }
 
--- a/internal/net/accord/follow.go
+++ b/internal/net/accord/follow.go
@@ -1,6 +1,7 @@
 package accord
 
 import (
+	"cmp"
 	"errors"
 	"math/bits"
 	"net"
@@ -93,14 +94,7 @@
 func Follow(b FollowBerth) *Following {
 	f := &Following{FollowBerth: b, order: slices.Clone(b.At), chance: keyhash.Source{Seed: b.Seed}, closed: make(chan struct{}), done: make(chan struct{})}
 	slices.SortFunc(f.order, func(x, y string) int { // each node's own order: a machine's nodes spread over all others when it is gone
-		a, c := keyhash.Salted(keyhash.Text(x), int(b.Seed)), keyhash.Salted(keyhash.Text(y), int(b.Seed))
-		switch {
-		case a < c:
-			return -1
-		case a > c:
-			return 1
-		}
-		return 0
+		return cmp.Compare(keyhash.Salted(keyhash.Text(x), int(b.Seed)), keyhash.Salted(keyhash.Text(y), int(b.Seed)))
 	})
 	f.note()
 	f.heard.Store(int64(b.Now()))
--- a/node/changes_test.go
+++ b/node/changes_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -40,6 +41,18 @@
 	}
 }
 
+// safe is written to by several.
+type safe struct {
+	mu sync.Mutex
+	to *strings.Builder
+}
+
+func (s *safe) Write(b []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.to.Write(b)
+}
+
 // A published configuration is taken as one that is read again, keeps each node's own, and one that can't be used changes nothing; purges
 // reach the hook. Operators see it; who follows nothing has no word of it.
 func TestANodeFollowsTheLogOfChanges(t *testing.T) {
@@ -57,7 +70,7 @@
 		purged := make(chan string, 9)
 		p.Purged = func(index uint64, key string) { purged <- fmt.Sprint(index, key) }
 		log, said := logrus.New(), &strings.Builder{}
-		log.SetOutput(io.Discard)
+		log.SetOutput(&safe{to: said})
 		n, err := New(p, log)
 		if err != nil {
 			t.Fatal(err)
@@ -73,7 +86,7 @@
 			}
 		}
 	}
-	n, purged, end := start(fmt.Sprintf("[changes]\nat=['%s']\n", at.At[0]))
+	n, said, end := start(fmt.Sprintf("[changes]\nat=['%s']\n", at.At[0]))
 	status := func() *accord.FollowStatus {
 		s, _ := known{n}.FleetStatus()
 		return s.(FleetStatus).Changes
@@ -90,12 +103,14 @@
 	published(t, at, accord.NewProposal(changes.Purge, []byte("k")), accord.NewProposal(changes.Config, []byte(strings.Replace(text, `"n"`, `"all"`, 1))))
 	until("took a configuration", func(s *accord.FollowStatus) bool { return s.Config == 3 && s.Applied == 3 })
 	published(t, at, accord.NewProposal(changes.Config, []byte("no configuration")), accord.NewProposal(changes.Purge, []byte("l")))
-	until("refused one", func(s *accord.FollowStatus) bool { return s.Refused == 4 && s.Config == 3 && s.Reason != "" && s.Applied == 5 })
-	if s := status(); s.Purges != 2 || s.Stale || s.Gaps != 0 || n.posting.Name != "n" {
+	until("refused one", func(s *accord.FollowStatus) bool {
+		return s.Refused == 4 && s.Config == 3 && s.Reason != "" && s.Applied == 5
+	})
+	if s := status(); s.Purges != 2 || s.Stale || s.Gaps != 0 {
 		t.Errorf("%+v", s)
 	}
-	if end(); purged.String() != "2k;5l;" {
-		t.Errorf("purges: %s", purged)
+	if end(); !strings.HasSuffix(said.String(), "2k;5l;") || strings.Contains(said.String(), "differs") || !strings.Contains(said.String(), "configuration read again") {
+		t.Errorf("purges, at the end, and what is each node's own: %s", said)
 	}
 	n, _, end = start("")
 	if s, _ := (known{n}).FleetStatus(); n.follows.Load() != nil {
