Log of changes: signs of life come whatever is acknowledged

A node's acknowledgements, one a second at least, began the wait for a machine's next sign of life anew each time: where nothing was published, nodes heard too few and went to another machine after 3 s. TestSignsOfLifeComeWhateverIsAcknowledged times out without the change. Open read the log's last index beside the loop: found by the race detector, under lock now.

--- a/internal/net/accord/accord_test.go
+++ b/internal/net/accord/accord_test.go
@@ -615,3 +615,29 @@
 	f.upTo(n, 5)
 	n.have(t, began+1, bodies(late)[began:]...)
 }
+
+// Where nothing is published, signs of life come each second however often a node says up to where it has applied.
+func TestSignsOfLifeComeWhateverIsAcknowledged(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, nil, nil)
+	f.publish(purges(0, 1))
+	l, err := call(nil, f.ms[f.leader()].Addr(), kindNode, "l", longestFrame)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		w := word{Kind: wordHello, Fresh: true, Rows: []row{{Node: "n"}}}
+		for ; ; time.Sleep(beatEach / 3) {
+			if _, err := l.say(w, writeBy); err != nil {
+				return
+			}
+			w.Kind = wordApplied
+		}
+	}()
+	for range 4 { // the beginning, and three signs of life
+		if _, _, err := l.hear(2 * beatEach); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/net/accord/machine.go
+++ b/internal/net/accord/machine.go
@@ -178,7 +178,7 @@
 	go m.gather()
 	go m.accept(m.nodes, m.File.Bounds.Followers+mostCallers, m.serve)
 	go m.accept(m.others, mostPeerStreams, m.hearPeer)
-	m.Log.WithFields(logrus.Fields{"name": self.Name, "id": m.id, "peers": m.others.Addr().String(), "nodes": m.nodes.Addr().String(), "last": m.state.Last()}).Info("control machine listening")
+	m.Log.WithFields(logrus.Fields{"name": self.Name, "id": m.id, "peers": m.others.Addr().String(), "nodes": m.nodes.Addr().String(), "last": m.Last()}).Info("control machine listening")
 	return m, nil
 }
 
--- a/internal/net/accord/nodes.go
+++ b/internal/net/accord/nodes.go
@@ -146,8 +146,9 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	beat := true // the first word tells at once whether this machine is led
-	rest := func(d time.Duration, fresh <-chan struct{}) (goes bool) {
-		timer.Reset(d)
+	said := time.Now()
+	rest := func(fresh <-chan struct{}) (goes bool) {
+		timer.Reset(time.Until(said.Add(beatEach))) // whatever is acknowledged meanwhile
 		select {
 		case <-timer.C:
 			beat = true
@@ -196,7 +197,7 @@
 		}
 		m.mu.RUnlock()
 		if size == 0 && !fresher && !beat {
-			if !rest(beatEach, fresh) {
+			if !rest(fresh) {
 				return
 			}
 			continue
@@ -213,6 +214,7 @@
 				}
 			}
 		}
+		said = time.Now()
 		n, err := s.say(w, 2*writeBy)
 		m.table.outBytes.Add(uint64(n))
 		if err != nil {
