--- a/cmd/dahliapin/scale_changes.go
+++ b/cmd/dahliapin/scale_changes.go
@@ -95,6 +95,7 @@
 	f.IntVar(&p.CutConfigs, "cut-configs", 71, "configurations meanwhile: an hour's")
 	f.Float64Var(&p.Loss, "loss", 0, "share of packets lost between regions and within, by which streams stand still")
 	f.BoolVar(&p.Kill, "kill", false, "kill the leader outright a third into steady; it is back after two thirds")
+	f.BoolVar(&p.Hang, "hang", false, "have the leader stand still (SIGSTOP) in that time instead")
 	f.Uint32Var(&p.Seed, "seed", 1, "of chance")
 	f.StringVar(&p.Dir, "out", "scale-changes", "folder for what the run leaves")
 	c.AddCommand(&cobra.Command{Use: "hollow SPEC", Hidden: true, Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
--- a/internal/scale/changes/rig/rig.go
+++ b/internal/scale/changes/rig/rig.go
@@ -66,6 +66,7 @@
 	CutConfigs     int
 	Loss           float64
 	Kill           bool // the leader outright, a third into steady, and back with its disk after two thirds
+	Hang           bool // the leader stands still (SIGSTOP) in that time instead, its streams open
 	Seed           uint32
 	Dir            string
 	Log            io.Writer
@@ -394,7 +395,7 @@
 func (r *run) steady(ctx context.Context) error {
 	var others sync.WaitGroup
 	var fault error
-	if r.Kill {
+	if r.Kill || r.Hang {
 		others.Go(func() {
 			time.Sleep(r.For / killedAt)
 			o, err := r.caller.Changes()
@@ -407,6 +408,14 @@
 				fault = errors.New("nobody to kill leads")
 				return
 			}
+			if r.Hang {
+				_ = r.control[at].Process.Signal(syscall.SIGSTOP)
+				r.say("control-%d, the leader, stands still at entry %d", at, o.Last)
+				time.Sleep(r.For / backAt)
+				_ = r.control[at].Process.Signal(syscall.SIGCONT)
+				r.say("control-%d goes on", at)
+				return
+			}
 			_ = r.control[at].Process.Kill()
 			_ = r.control[at].Wait()
 			r.say("control-%d, the leader, was killed at entry %d", at, o.Last)
