Log of changes: who publishes asks the next machine after a second

A rig of 33 nodes with a region cut off that has a voter in it: each call to publish that asked this voter first took 10 s, as it waits for an order that can't come. The caller asks the next machine as well after 1 s, with the same ids. TestNodesLeaveAMachineThatHearsNoLeader publishes by such a machine first and takes 10 s without the change.

Nodes that have not begun yet are told as such: the rig took them for ready, and 2 of 4,455 entries were before a node's beginning.

--- a/cmd/dahliapin/changes.go
+++ b/cmd/dahliapin/changes.go
@@ -131,7 +131,7 @@
 	}
 	var lacking []accord.NodeRow
 	for _, n := range o.Nodes {
-		if n.Lacks > 0 || n.Silent || n.Refused > 0 {
+		if n.Lacks > 0 || n.Silent || n.Begins || n.Refused > 0 {
 			lacking = append(lacking, n)
 		}
 	}
--- a/internal/net/accord/accord_test.go
+++ b/internal/net/accord/accord_test.go
@@ -378,7 +378,11 @@
 	f.upTo(n, 1-min(1, n.Status().Presumed))
 	nodes = append(nodes, n)
 	f.sever(gone, true)
-	f.publish(purges(1, 1), f.others(gone)...)
+	began := time.Now()
+	f.publish(purges(1, 1), append([]string{nodeAt(gone)}, f.others(gone)...)...)
+	if took := time.Since(began); took > orderBy/2 {
+		t.Errorf("it took %v, by a machine that can't order first", took)
+	}
 	for _, n := range nodes {
 		f.upTo(n, 2)
 	}
--- a/internal/net/accord/client.go
+++ b/internal/net/accord/client.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	askBy    = 900 * time.Millisecond // for a machine to tell of the nodes: an operator is told within a second
-	askAgain = 200 * time.Millisecond // between two rounds of all machines while nobody orders
+	askBy     = 900 * time.Millisecond // for a machine to tell of the nodes: an operator is told within a second
+	askNext   = time.Second            // without an answer, before the next machine is asked as well: with the same ids, so that it does no harm
+	mostAsked = 4                      // machines asked at a time
+	askAgain  = 200 * time.Millisecond // between two rounds of all machines while nobody orders
 )
 
 // Caller is who publishes or asks.
@@ -54,46 +56,63 @@
 	return out, nil
 }
 
+// batch asks one machine, and the next as well where one says no or nothing for a while: a machine that is cut off can't know yet that it is.
 func (c Caller) batch(ctx context.Context, b accord.Batch) (out []accord.Index, err error) {
+	ctx, done := context.WithCancel(ctx)
+	defer done()
 	err = ErrNobody
 	w := word{Kind: wordPublish, Batch: b.Encode()}
-	for {
-		for _, addr := range c.At {
-			if ctx.Err() != nil {
-				return nil, fmt.Errorf("it is not known whether it is ordered: %w", err)
-			}
-			by := orderBy + writeBy
-			if until, is := ctx.Deadline(); is {
-				by = min(by, time.Until(until))
-			}
-			said, fault := c.one(addr, w, by)
-			switch {
-			case fault != nil:
-				err = fmt.Errorf("%w: %w", ErrNobody, fault)
-			case said.Kind == wordRefused:
-				err = fmt.Errorf("%s: %s", addr, said.Reason)
-			case said.Kind == wordOrdered && len(said.Indexes) == len(b.Proposals):
-				for _, at := range said.Indexes {
+	type answer struct {
+		indexes []uint64
+		error
+	}
+	answers := make(chan answer, mostAsked)
+	for asked, waits := 0, 0; ; {
+		if waits < min(len(c.At), mostAsked) && ctx.Err() == nil {
+			addr := c.At[asked%len(c.At)]
+			asked, waits = asked+1, waits+1
+			go func() {
+				said, fault := c.one(ctx, addr, w, orderBy+writeBy)
+				switch {
+				case fault != nil:
+					fault = fmt.Errorf("%w: %w", ErrNobody, fault)
+				case said.Kind == wordRefused:
+					fault = fmt.Errorf("%s: %s", addr, said.Reason)
+				case said.Kind != wordOrdered || len(said.Indexes) != len(b.Proposals):
+					fault = fmt.Errorf("%s: %w", addr, errWord)
+				}
+				answers <- answer{said.Indexes, fault}
+			}()
+		}
+		select {
+		case a := <-answers:
+			waits--
+			if a.error == nil {
+				for _, at := range a.indexes {
 					out = append(out, accord.Index(at))
 				}
 				return out, nil
-			default:
-				err = fmt.Errorf("%s: %w", addr, errWord)
 			}
-		}
-		select {
+			if err = a.error; asked%len(c.At) == 0 { // all were asked: not at once again
+				select {
+				case <-ctx.Done():
+				case <-time.After(askAgain):
+				}
+			}
+		case <-time.After(askNext):
 		case <-ctx.Done():
-		case <-time.After(askAgain):
+			return nil, fmt.Errorf("it is not known whether it is ordered: %w", err)
 		}
 	}
 }
 
-func (c Caller) one(addr string, w word, by time.Duration) (word, error) {
+func (c Caller) one(ctx context.Context, addr string, w word, by time.Duration) (word, error) {
 	l, err := call(c.Dial, addr, kindCaller, c.Label, longestFrame)
 	if err != nil {
 		return word{}, err
 	}
 	defer l.Close()
+	defer context.AfterFunc(ctx, func() { _ = l.Close() })()
 	if _, err := l.say(w, min(by, writeBy)); err != nil {
 		return word{}, err
 	}
@@ -114,6 +133,7 @@
 	Machine  uint64       `json:"machine"` // where it was heard
 	HeardS   float64      `json:"heard_s"` // since then
 	Silent   bool         `json:"silent,omitempty"`
+	Begins   bool         `json:"begins,omitempty"` // it has not been told yet where it begins
 }
 
 // MachineRow is how a control machine stands.
@@ -141,7 +161,7 @@
 // Whole tells whether every node has applied all and is heard.
 func (o Overview) Whole() bool {
 	for _, n := range o.Nodes {
-		if n.Lacks > 0 || n.Silent || n.Refused > 0 {
+		if n.Lacks > 0 || n.Silent || n.Begins || n.Refused > 0 {
 			return false
 		}
 	}
@@ -157,7 +177,7 @@
 	all := make(chan said, len(c.At))
 	for _, addr := range c.At {
 		go func() {
-			w, fault := c.one(addr, word{Kind: wordAsk}, askBy)
+			w, fault := c.one(context.Background(), addr, word{Kind: wordAsk}, askBy)
 			if fault == nil && w.Kind != wordTable {
 				fault = errWord
 			}
@@ -206,7 +226,7 @@
 	const heardWithin = float64(nodeSilence / time.Second)
 	for _, r := range w.Rows {
 		n := NodeRow{Node: r.Node, Applied: accord.Index(r.Applied), Config: accord.Index(r.Config), Refused: accord.Index(r.Refused), Reason: r.Reason,
-			Presumed: accord.Index(r.Presumed), Gaps: r.Gaps, Machine: r.Machine, HeardS: float64(r.AgoMs) / 1000}
+			Presumed: accord.Index(r.Presumed), Gaps: r.Gaps, Machine: r.Machine, Begins: r.Begins, HeardS: float64(r.AgoMs) / 1000}
 		if n.Silent = n.HeardS > heardWithin; w.Head > r.Applied {
 			n.Lacks = w.Head - r.Applied
 		}
--- a/internal/net/accord/follow.go
+++ b/internal/net/accord/follow.go
@@ -21,8 +21,9 @@
 
 const (
 	toldEach   = 250 * time.Millisecond // between two tellings of up to where this node has applied
+	toldQuiet  = time.Second            // the same where it has not changed: a sign of life
 	toldBytes  = 64 << 10               // of entries applied that are told at once, so that more come
-	silence    = 3 * time.Second        // without a word, a sign of life being due each second: the node goes to another machine
+	silence    = 2 * time.Second        // without a word, a sign of life being due each half second: the node goes to another machine
 	unledFor   = 2 * time.Second        // that a machine may say it hears no leader, then the node goes to another
 	mostUnled  = 30 * time.Second       // the same where none hears one: doubled at each machine
 	firstAgain = 100 * time.Millisecond // before another machine is tried, jittered from 0; doubled up to mostAgain
@@ -243,7 +244,7 @@
 			return
 		}
 		now := *f.now.Load()
-		if now == last && time.Duration(quiet)*toldEach < beatEach {
+		if now == last && time.Duration(quiet)*toldEach < toldQuiet {
 			continue
 		}
 		w := f.stands(wordApplied)
@@ -262,5 +263,5 @@
 func (f *Following) stands(kind uint8) word {
 	s := f.now.Load()
 	return word{Kind: kind, Rows: []row{{Node: f.Name, Process: f.Process, Applied: uint64(s.Applied), Config: uint64(s.Config), Refused: uint64(s.Refused),
-		Presumed: uint64(s.Presumed), Gaps: s.Gaps, Reason: s.Reason[:min(len(s.Reason), longestReason)]}}}
+		Presumed: uint64(s.Presumed), Begins: !s.Begun, Gaps: s.Gaps, Reason: s.Reason[:min(len(s.Reason), longestReason)]}}}
 }
--- a/internal/net/accord/nodes.go
+++ b/internal/net/accord/nodes.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	beatEach    = time.Second            // a machine's sign of life where it has nothing else to say, and a node's
+	beatEach    = 500 * time.Millisecond // a machine's sign of life where it has nothing else to say
 	nodeSilence = 5 * time.Second        // after which a node's stream is dead
 	entryBytes  = 64 << 10               // of entries in a frame
 	behindBytes = 512 << 10              // that a node lacks, from which on it catches up, by the pace of all that do: a burst is less
--- a/internal/net/accord/wire.go
+++ b/internal/net/accord/wire.go
@@ -94,6 +94,7 @@
 	Reason   string `cbor:"8,keyasint,omitempty"`
 	Machine  uint64 `cbor:"9,keyasint,omitempty"`
 	AgoMs    uint64 `cbor:"10,keyasint,omitempty"` // since it was heard
+	Begins   bool   `cbor:"11,keyasint,omitempty"` // it has applied nothing, and not begun
 }
 
 // machineRow is how a control machine stands, as one of them knows it.
--- a/internal/scale/changes/rig/rig.go
+++ b/internal/scale/changes/rig/rig.go
@@ -492,7 +492,7 @@
 		if time.Now().After(by) {
 			var behind []string
 			for _, n := range o.Nodes {
-				if n.Lacks > 0 || n.Silent || n.Refused > 0 {
+				if n.Lacks > 0 || n.Silent || n.Begins || n.Refused > 0 {
 					behind = append(behind, fmt.Sprintf("%+v", n))
 				}
 			}
