Log of changes: a node from another log has no index of a configuration, nor a window by the old one

Its configuration's index was still the old log's in what it told; and what it had acknowledged there counted as acknowledged here, so that the first frames had no bound.

--- a/internal/fleet/accord/accord_test.go
+++ b/internal/fleet/accord/accord_test.go
@@ -201,6 +201,9 @@
 	if err := r.Begin(8, 1, encodeEntry(Entry{1, config(1)})); err != nil || r.Now().Applied != 1 || did.config != "config 1" || did.presumed != 1 {
 		t.Errorf("another log: %v, %+v", err, r.Now())
 	}
+	if err := r.Begin(9, 0, nil); err != nil || r.Now().Config != 0 {
+		t.Errorf("one without a configuration: %v, %+v", err, r.Now())
+	}
 }
 
 func TestARefusedConfigurationIsToldAndChangesNothing(t *testing.T) {
--- a/internal/fleet/accord/reader.go
+++ b/internal/fleet/accord/reader.go
@@ -53,6 +53,9 @@
 	if r.Begun && !another && at <= r.Applied {
 		return fmt.Errorf("%w: to begin at %d, after %d was applied", ErrGap, at, r.Applied)
 	}
+	if another { // what was in force by it stays, and has no index here
+		r.Config, r.Refused, r.Reason = 0, 0, ""
+	}
 	if len(config) > 0 {
 		e, err := DecodeEntry(config)
 		switch {
@@ -60,7 +63,7 @@
 			return err
 		case e.Kind != Config || e.Index > at:
 			return fmt.Errorf("%w: to begin at %d with a %v of %d", ErrWire, at, e.Kind, e.Index)
-		case another || e.Index > max(r.Config, r.Refused):
+		case e.Index > max(r.Config, r.Refused):
 			r.configure(e)
 		}
 	}
--- a/internal/net/accord/accord_test.go
+++ b/internal/net/accord/accord_test.go
@@ -645,3 +645,20 @@
 		}
 	}
 }
+
+func TestWhoLacksSomethingIsToldSo(t *testing.T) {
+	t.Parallel()
+	sound := word{Led: true, Head: 5, Rows: []row{{Node: "n", Applied: 5, Config: 2}}, Machines: []machineRow{{ID: 1, Head: 5}}}
+	if o := overview(sound); !o.Whole() {
+		t.Errorf("%+v", o)
+	}
+	for name, spoil := range map[string]func(w *word, r *row){
+		"lacks one": func(_ *word, r *row) { r.Applied = 4 }, "silent": func(_ *word, r *row) { r.AgoMs = 5100 }, "refused": func(_ *word, r *row) { r.Refused = 3 },
+		"has not begun": func(_ *word, r *row) { r.Begins = true }, "no leader": func(w *word, _ *row) { w.Led = false }} {
+		w := sound
+		w.Rows = slices.Clone(sound.Rows)
+		if spoil(&w, &w.Rows[0]); overview(w).Whole() {
+			t.Errorf("%s: whole", name)
+		}
+	}
+}
--- a/internal/net/accord/nodes.go
+++ b/internal/net/accord/nodes.go
@@ -192,6 +192,7 @@
 			if fresher = at > sent || anew; fresher {
 				w = word{Kind: wordBegin, Index: uint64(at), Log: uint64(log), Base: base, Head: uint64(last), Led: w.Led}
 				sent = at
+				s.acked.Store(uint64(at)) // what it had of another log is no measure
 			}
 			begin, anew = false, false
 		}
