Count what each kind of message between nodes takes, and dial from the known address

A node counted its datagrams as one sum, so nobody could tell signs of life from what the library gossips, nor see streams at all. Each kind is counted now (hellos, statements, the rest of gossip, streams; /fleet/status has them as flows). Streams are dialled from the address a node listens at, as datagrams go, so that who hears can tell whose they are. The go-between's ways may have a fixed delay, the check of [members] may be used by other files, and how often all that is known is exchanged is stated.

--- a/internal/emulator/between/between.go
+++ b/internal/emulator/between/between.go
@@ -21,6 +21,7 @@
 	Cut   bool
 	Loss  float64       // share of datagrams that get lost
 	Twice float64       // share that comes doubled
+	Delay time.Duration // that each takes
 	Late  time.Duration // the most that one is late by chance, so that they overtake each other
 }
 
@@ -62,9 +63,9 @@
 		copies = 2
 	}
 	for range copies {
-		var d time.Duration
+		d := w.Delay
 		if w.Late > 0 {
-			d = time.Duration(f.chance.Next() * float64(w.Late))
+			d += time.Duration(f.chance.Next() * float64(w.Late))
 		}
 		late = append(late, d)
 	}
@@ -80,6 +81,7 @@
 	if w.Cut || back.Cut {
 		return 0, true
 	}
+	late = w.Delay
 	again := streamAgain
 	for n := 0; n < mostAgain && w.Loss > 0 && f.chance.Next() < w.Loss; n++ {
 		late += again
--- a/internal/fleet/charter/charter.go
+++ b/internal/fleet/charter/charter.go
@@ -106,14 +106,7 @@
 	key, err := base64.StdEncoding.DecodeString(f.Fleet.Key)
 	c.Want(err == nil && (len(key) == 0 || len(key) == 16 || len(key) == 24 || len(key) == 32), "fleet.key", "it is not the base64 of 16, 24 or 32 bytes")
 	c.Want(f.Fleet.Engine == Tuned || f.Fleet.Engine == Plain, "fleet.engine", "%q is neither %s nor %s", f.Fleet.Engine, Tuned, Plain)
-	m := &f.Members
-	c.Within(m.PauseS, 0.2, 60, "members.pause_s")
-	c.Within(m.HelloMs, 50, 5000, "members.hello_ms")
-	c.Want(m.PauseS <= 0 || m.HelloMs <= m.PauseS*500, "members.hello_ms", "at least two signs of life have to fit into pause_s")
-	c.Within(m.BackS, 0, 600, "members.back_s")
-	c.Within(m.LoopS, 0.2, 60, "members.loop_s")
-	c.Within(m.ForgetS, m.PauseS+m.BackS, 86400, "members.forget_s")
-	c.Within(float64(m.Most), 1, 100_000, "members.most")
+	CheckMembers(c, &f.Members)
 	c.Want(len(f.Changes.At) <= mostMachines, "changes.at", "more than %d", mostMachines)
 	for _, at := range f.Changes.At {
 		address(at, "changes.at")
@@ -130,6 +123,17 @@
 	return &f, nil
 }
 
+// CheckMembers looks at how failures are told, in any file that states it.
+func CheckMembers(c *strictly.Checker, m *Members) {
+	c.Within(m.PauseS, 0.2, 60, "members.pause_s")
+	c.Within(m.HelloMs, 50, 5000, "members.hello_ms")
+	c.Want(m.PauseS <= 0 || m.HelloMs <= m.PauseS*500, "members.hello_ms", "at least two signs of life have to fit into pause_s")
+	c.Within(m.BackS, 0, 600, "members.back_s")
+	c.Within(m.LoopS, 0.2, 60, "members.loop_s")
+	c.Within(m.ForgetS, m.PauseS+m.BackS, 86400, "members.forget_s")
+	c.Within(float64(m.Most), 1, 100_000, "members.most")
+}
+
 // KeyBytes is the key, nil for none.
 func (f *Fleet) KeyBytes() []byte {
 	key, _ := base64.StdEncoding.DecodeString(f.Key) // looked at when it was read
--- a/internal/net/fleet/fleet.go
+++ b/internal/net/fleet/fleet.go
@@ -36,6 +36,9 @@
 	trafficEach = 40                     // looks between lines of how much went and came
 	retransmit  = 4                      // times the logarithm of the fleet that a word is passed on: the library's own measure
 	statesBy    = 20 << 20               // bytes of all that another has heard
+
+	exchangeEach = 15 * time.Second // between two exchanges of all that is known that a node begins, in a small fleet
+	exchangeFrom = 32               // members, from which on the library makes them rarer
 )
 
 // Berth is where and with what a node joins.
@@ -141,10 +144,19 @@
 	c.GossipInterval, c.GossipNodes = 100*time.Millisecond, 4
 	c.ProbeInterval, c.ProbeTimeout = 2*time.Second, time.Second
 	c.SuspicionMult, c.IndirectChecks = 8, 4
-	c.PushPullInterval = 15 * time.Second
+	c.PushPullInterval = exchangeEach
 	c.GossipToTheDeadTime, c.TCPTimeout = time.Minute, streamBy
 }
 
+// ExchangeEach is how often a node begins an exchange of all that is known, in a fleet of so many.
+func ExchangeEach(members int) time.Duration {
+	each := exchangeEach
+	for n := exchangeFrom; n < members; n *= 2 {
+		each += exchangeEach
+	}
+	return each
+}
+
 // joining asks the seeds until somebody is known.
 func (p *Post) joining() {
 	defer p.done.Done()
@@ -356,7 +368,10 @@
 func (delegate) NodeMeta(int) []byte { return nil }
 
 // NotifyMsg is memberlist's: a statement has come.
-func (d delegate) NotifyMsg(b []byte) { d.told(slices.Clone(b)) }
+func (d delegate) NotifyMsg(b []byte) {
+	d.p.t.count.flows[statements].came(len(b))
+	d.told(slices.Clone(b))
+}
 
 func (d delegate) told(b []byte) {
 	s, err := decodeStatement(b)
@@ -374,7 +389,11 @@
 
 // GetBroadcasts is memberlist's.
 func (d delegate) GetBroadcasts(overhead, limit int) [][]byte {
-	return d.p.queue.GetBroadcasts(overhead, limit)
+	all := d.p.queue.GetBroadcasts(overhead, limit)
+	for _, b := range all {
+		d.p.t.count.flows[statements].went(len(b))
+	}
+	return all
 }
 
 // LocalState is memberlist's: all that this process has heard.
--- a/internal/net/fleet/fleet_test.go
+++ b/internal/net/fleet/fleet_test.go
@@ -124,6 +124,65 @@
 	}
 }
 
+// Each byte is of one kind: those of datagrams add up to all that were counted, and what members say and exchange is told apart.
+func TestFlowsAreToldApart(t *testing.T) {
+	ps := posts(t, 3, nil)
+	within(t, "all know all", all(ps, 3))
+	ps[2].Stand(Leaving) // something to say
+	within(t, "the one that left is out", all(ps[:2], 2))
+	for _, p := range ps {
+		within(t, "what is counted adds up", func() bool { // it goes on meanwhile
+			told, _ := p.FleetStatus()
+			s, in, out := told.(Status), uint64(0), uint64(0)
+			for _, f := range s.Flows[:streams] {
+				if in, out = in+f.InBytes, out+f.OutBytes; f.InBytes == 0 || f.OutBytes == 0 || f.In == 0 || f.Out == 0 {
+					return false
+				}
+			}
+			ex := s.Flows[streams]
+			return in == s.InBytes && out == s.OutBytes && s.Flows[hellos].Out+s.Flows[gossip].Out == s.Out && s.Flows[hellos].In+s.Flows[gossip].In == s.In &&
+				ex.In == s.Streams && ex.InBytes > 0 && ex.OutBytes > 0 && ex.In+ex.Out > 0 && s.Flows[hellos].OutBytes > 2*s.Flows[hellos].Out*prefaceLen
+		})
+	}
+}
+
+// A stream comes from the address that datagrams come from, and that others know: else nobody can tell whose it is.
+func TestStreamsComeFromTheAddressThatIsKnown(t *testing.T) {
+	from, err := Listen("127.10.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer from.close()
+	to, err := Listen("127.11.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer to.close()
+	c, err := from.Dial(to.Streams.Addr().String(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	got, err := to.Streams.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer got.Close()
+	if at := got.RemoteAddr().(*net.TCPAddr).IP.String(); at != "127.10.0.1" {
+		t.Errorf("it comes from %s", at)
+	}
+	any, err := Listen("0.0.0.0:0") // one that listens everywhere calls from anywhere
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer any.close()
+	if c, err := any.Dial(to.Streams.Addr().String(), time.Second); err != nil {
+		t.Error(err)
+	} else {
+		c.Close()
+	}
+}
+
 // Whatever comes is read or refused, and what is read is written the same again.
 func FuzzMessages(f *testing.F) {
 	s := members.Statement{Process: 7, Node: "n1", Life: 2, Revision: 9, Addr: "10.0.0.1:7946", Doubts: true, Hears: []members.ProcessID{8}, Misses: []members.ProcessID{9}}
--- a/internal/net/fleet/status.go
+++ b/internal/net/fleet/status.go
@@ -24,6 +24,7 @@
 	Foreign   uint64           `json:"foreign"` // of no node of this fleet
 	Unread    uint64           `json:"unread"`  // of a node, and not to be read
 	Dropped   uint64           `json:"dropped"` // for want of room
+	Flows     []Flow           `json:"flows"`
 }
 
 // MemberStatus is one process that is known.
@@ -46,7 +47,7 @@
 	s := Status{Node: members.NodeName(p.Name), Process: hex(p.process), Life: v.Life, View: v.Number, Mark: fmt.Sprintf("%016x", v.Mark), CutOff: v.CutOff,
 		Members: len(v.Nodes), In: p.t.count.in.Load(), InBytes: p.t.count.inBytes.Load(), Out: p.t.count.out.Load(),
 		OutBytes: p.t.count.outBytes.Load(), Streams: p.t.count.streams.Load(), Foreign: p.t.count.foreign.Load(), Unread: p.bad.Load(),
-		Dropped: p.t.count.dropped.Load()}
+		Dropped: p.t.count.dropped.Load(), Flows: p.Flows()}
 	for _, m := range v.Members {
 		if m.Standing == members.Suspected {
 			s.Suspected++
--- a/internal/net/fleet/transport.go
+++ b/internal/net/fleet/transport.go
@@ -79,8 +79,17 @@
 			return Lines{}, err
 		}
 	}
+	// as datagrams do, streams come from the address that others know, so that who hears can tell by it
+	from := net.Dialer{}
+	if !at.Addr().IsUnspecified() {
+		from.LocalAddr = &net.TCPAddr{IP: at.Addr().AsSlice(), Zone: at.Addr().Zone()}
+	}
 	return Lines{Datagrams: udp, Streams: tcp,
-		Dial: func(addr string, within time.Duration) (net.Conn, error) { return net.DialTimeout("tcp", addr, within) },
+		Dial: func(addr string, within time.Duration) (net.Conn, error) {
+			d := from
+			d.Timeout = within
+			return d.Dial("tcp", addr)
+		},
 		Addr: func(addr string) (net.Addr, error) {
 			at, err := netip.ParseAddrPort(addr)
 			if err != nil {
@@ -95,8 +104,11 @@
 	_ = l.Streams.Close()
 }
 
-// traffic counts what came and went.
-type traffic struct{ in, inBytes, out, outBytes, foreign, dropped, streams atomic.Uint64 }
+// traffic counts what came and went: datagrams, and what each kind of message took.
+type traffic struct {
+	in, inBytes, out, outBytes, foreign, dropped, streams atomic.Uint64
+	flows                                                 [flowKinds]tally
+}
 
 // transport carries the library's messages and the signs of life over the same two sockets. Whatever does not begin as it should is
 // dropped with a count, before anybody reads it.
@@ -149,8 +161,10 @@
 		case !ok:
 			t.count.foreign.Add(1)
 		case kind == kindHello:
+			t.count.flows[hellos].came(n)
 			t.hello(body)
 		case kind == kindLibrary && len(body) > 0:
+			t.count.flows[gossip].came(n)
 			select {
 			case t.packets <- &memberlist.Packet{Buf: body, From: from, Timestamp: time.Now()}:
 			default:
@@ -193,6 +207,7 @@
 
 // take reads a stream's preface and hands the rest to the library.
 func (t *transport) take(c net.Conn) {
+	c = &countedConn{c, &t.count.flows[streams]}
 	held := &slotted{Conn: c, slots: t.slots}
 	b := make([]byte, prefaceLen)
 	_ = c.SetReadDeadline(time.Now().Add(prefaceBy))
@@ -208,6 +223,7 @@
 	}
 	_ = c.SetReadDeadline(time.Time{})
 	t.count.streams.Add(1)
+	t.count.flows[streams].in.Add(1)
 	select {
 	case t.streams <- held:
 	case <-t.closed:
@@ -235,6 +251,11 @@
 	whole := append(t.preface(kind), b...)
 	t.count.out.Add(1)
 	t.count.outBytes.Add(uint64(len(whole)))
+	flow := gossip
+	if kind == kindHello {
+		flow = hellos
+	}
+	t.count.flows[flow].went(len(whole))
 	_, err = t.lines.Datagrams.WriteTo(whole, to)
 	return err
 }
@@ -263,6 +284,8 @@
 	if err != nil {
 		return nil, err
 	}
+	c = &countedConn{c, &t.count.flows[streams]}
+	t.count.flows[streams].out.Add(1)
 	_ = c.SetWriteDeadline(time.Now().Add(within))
 	if _, err := c.Write(t.preface(kindLibrary)); err != nil {
 		_ = c.Close()
