--- /dev/null
+++ b/cmd/dahliapin/scale_test.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"dahliapin/internal/scale"
+)
+
+// calledOut runs the program to its end: what it printed, its errors, and the exit code.
+func calledOut(t *testing.T, args ...string) (out, errs string, code int) {
+	t.Helper()
+	var o, e strings.Builder
+	program := exec.Command(os.Args[0], args...)
+	program.Env = append(os.Environ(), asProgram+"=1")
+	program.Stdout, program.Stderr = &o, &e
+	if err := program.Run(); err != nil && program.ProcessState == nil {
+		t.Fatal(err)
+	}
+	return o.String(), e.String(), program.ProcessState.ExitCode()
+}
+
+func lastLine(text string) string {
+	lines := strings.Split(strings.TrimSpace(text), "\n")
+	return lines[len(lines)-1]
+}
+
+// A small fleet, hollow nodes beside real ones in processes of their own, over regions with a delay: both roles are measured at each size,
+// and send the same within what chance makes of two seconds. The same sizes are held against other budgets without being measured again.
+func TestScaleMeasuresSmallFleets(t *testing.T) {
+	dir := t.TempDir()
+	file, out := filepath.Join(dir, "f.toml"), filepath.Join(dir, "out")
+	if err := os.WriteFile(file, []byte("[places]\nregions = 3\nsites = 3\nzones = 3\n[between]\ndelay_ms = 2\nlate_ms = 1\n[list]\ncaches = 5\n[budget]\nkb_per_s = 100\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	call := []string{"scale", "--nodes", "12", "--sizes", "6,12", "--real", "2", "--for", "2s", "--seed", "5", "--out", out, file}
+	printed, errs, code := calledOut(t, call...)
+	if code != 0 || lastLine(printed) != "all within" {
+		t.Fatalf("exit %d: %s%s", code, printed, errs)
+	}
+	text, err := os.ReadFile(filepath.Join(out, "report.json"))
+	var r scale.Report
+	if err == nil {
+		err = json.Unmarshal(text, &r)
+	}
+	if err != nil || len(r.Sizes) != 2 {
+		t.Fatalf("%v: %s", err, text)
+	}
+	for _, s := range r.Sizes {
+		p := s.Phases["steady"]
+		if p == nil || s.Phases["forming"] == nil || p.Roles[scale.Hollow].Nodes != s.Nodes-2 || p.Roles[scale.Real].Nodes != 2 {
+			t.Fatalf("%d nodes: %+v", s.Nodes, s.Phases)
+		}
+		for role, taken := range p.Roles {
+			sent := taken.Flows["hellos out /s"]
+			if least := float64(s.Nodes-1) / 0.3 / 2; sent.Median < least || taken.Processor.Mean <= 0 || s.Memory[role].Resident.Mean <= 0 ||
+				s.Phases["forming"].Roles[role].Flows["list in B/s"].Mean <= 0 || s.Phases["forming"].Roles[role].Flows["streams out B/s"].Mean <= 0 {
+				t.Errorf("%d nodes, %s: %+v, memory %+v", s.Nodes, role, taken, s.Memory[role])
+			}
+		}
+		if h, x := p.Roles[scale.Hollow].Flows["all out B/s"].Mean, p.Roles[scale.Real].Flows["all out B/s"].Mean; h < x*0.5 || x < h*0.5 {
+			t.Errorf("%d nodes: hollow ones send %.0f B/s, real ones %.0f", s.Nodes, h, x)
+		}
+	}
+	printed, errs, code = calledOut(t, append(call, "--kept", "--kb", "0.001")...)
+	if want := "not within: steady, all sent and received at 12 nodes is "; code != 1 || !strings.HasPrefix(lastLine(printed), want) {
+		t.Errorf("exit %d: %s%s", code, lastLine(printed), errs)
+	}
+}
+
+// A call that can't be taken ends with 2 and one clear line, before anything is started.
+func TestScaleCallsAreChecked(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.toml")
+	if err := os.WriteFile(bad, []byte("[places]\nregion = 3\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args []string
+		want string
+	}{
+		{[]string{"--nodes", "2", "--out", "x"}, "--nodes 2 is not from 3"},
+		{[]string{"--nodes", "many", "--out", "x"}, "invalid argument"},
+		{[]string{"--nodes", "12", "--real", "2"}, "scale needs --out"},
+		{[]string{"--nodes", "12", "--real", "2", "--sizes", "2", "--out", "x"}, "--sizes: 2"},
+		{[]string{"--for", "1h", "--out", "x"}, "--for 1h0m0s is not from"},
+		{[]string{"--out", "x", bad}, "bad.toml:2: no such field: places.region"},
+		{[]string{"--out", "x", bad + "-gone"}, "cannot be read"},
+		{[]string{"--out", "x", "a", "b"}, "takes one file"},
+		{[]string{"--core", "x", "--out", "x"}, "invalid argument"},
+	} {
+		printed, errs, code := calledOut(t, append([]string{"scale"}, c.args...)...)
+		if code != 2 || printed != "" || strings.Count(errs, "\n") != 1 || !strings.Contains(errs, c.want) {
+			t.Errorf("%v: exit %d, %q, %q", c.args, code, printed, errs)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/hollow.go
@@ -0,0 +1,216 @@
+package scale
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fastjson"
+
+	"dahliapin/internal/discovery"
+	"dahliapin/internal/fleet/charter"
+	"dahliapin/internal/keyhash"
+	"dahliapin/internal/net/fleet"
+	"dahliapin/internal/net/http1"
+)
+
+const (
+	turnsEach   = 100 * time.Millisecond // between turns of the loop that a hollow node does not have
+	listPath    = "/registry/instances"
+	longestList = 8 << 20
+	listDialBy  = 2 * time.Second
+)
+
+// Part is something more of the control part that a hollow node runs.
+type Part interface{ Close() }
+
+// PartMaker opens a part of a node that has joined.
+type PartMaker func(*Node) (Part, error)
+
+// Node is one hollow node: the control part of a real one, on sockets.
+type Node struct {
+	Place Place
+	Post  *fleet.Post
+	parts []Part
+	once  sync.Once
+}
+
+// OpenNode starts one, by the same file as a real one, with more parts than its membership and its calls for the list.
+func OpenNode(at Place, f *charter.File, nodes int, r *ruler, more ...PartMaker) (*Node, error) {
+	lines, err := fleet.Listen(at.Addr)
+	if err != nil {
+		return nil, err
+	}
+	if r != nil {
+		lines = r.lines(lines, at.Region)
+	}
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	n := &Node{Place: at}
+	if n.Post, err = fleet.Join(fleet.Berth{Name: at.Name, Charter: f, Log: quiet, Now: fleet.Boottime}, lines); err != nil {
+		return nil, err
+	}
+	n.parts = append(n.parts, turn(n.Post))
+	if at.List != "" {
+		n.parts = append(n.parts, follow(at.List, nodes, uint32(keyhash.Text(at.Name))))
+	}
+	for _, open := range more {
+		p, err := open(n)
+		if err != nil {
+			n.Close(false)
+			return nil, err
+		}
+		n.parts = append(n.parts, p)
+	}
+	return n, nil
+}
+
+// Close ends it; where it is not to end in order, the others are told nothing.
+func (n *Node) Close(orderly bool) {
+	n.once.Do(func() {
+		for i := len(n.parts) - 1; i >= 0; i-- {
+			n.parts[i].Close()
+		}
+		n.Post.Close(orderly)
+	})
+}
+
+// turning stands for the loop that serves clients.
+type turning struct{ end chan struct{} }
+
+func turn(p *fleet.Post) turning {
+	t := turning{make(chan struct{})}
+	go func() {
+		each := time.NewTicker(turnsEach)
+		defer each.Stop()
+		for {
+			select {
+			case <-t.end:
+				return
+			case <-each.C:
+				p.Turned()
+			}
+		}
+	}()
+	return t
+}
+
+func (t turning) Close() { close(t.end) }
+
+// caller calls for the list of caches as a node does, and drops what it hears.
+type caller struct {
+	addr   string
+	calls  discovery.Caller
+	chance keyhash.Source
+	began  time.Time // the call that is out; its connection, where it is the first there
+	end    chan struct{}
+	done   chan struct{}
+	mu     sync.Mutex
+	conn   net.Conn
+	closed bool
+}
+
+func follow(addr string, nodes int, seed uint32) *caller {
+	c := &caller{addr: addr, calls: discovery.New(nodes), chance: keyhash.Source{Seed: seed}, end: make(chan struct{}), done: make(chan struct{})}
+	go func() {
+		defer close(c.done)
+		for {
+			c.began = time.Now()
+			how := c.follow()
+			rest, _ := c.calls.Failed(how, time.Since(c.began), c.chance.Next())
+			select {
+			case <-c.end:
+				return
+			case <-time.After(rest):
+			}
+		}
+	}()
+	return c
+}
+
+// follow calls on one connection until it fails.
+func (c *caller) follow() discovery.Failure {
+	conn, err := net.DialTimeout("tcp", c.addr, listDialBy)
+	if err != nil || !c.hold(conn) {
+		return discovery.Lost
+	}
+	defer conn.Close()
+	in, have := make([]byte, 0, 4<<10), 0
+	var parser fastjson.Parser
+	for first := true; ; first = false {
+		if !first {
+			c.began = time.Now()
+		}
+		path, call := []byte(listPath), c.calls.Next()
+		if !call.Whole {
+			path = strconv.AppendInt(append(path, "?since="...), int64(call.Since), 10)
+			path = strconv.AppendInt(append(path, "&timeout_ms="...), int64(call.Wait/time.Millisecond), 10)
+		}
+		_ = conn.SetDeadline(time.Now().Add(call.Within))
+		if _, err := conn.Write(http1.AppendRequest(nil, "GET", path, c.addr, nil, nil)); err != nil {
+			return discovery.Lost
+		}
+		for {
+			a, size, err := http1.ReadAnswer(in[:have], longestList, false)
+			if err != nil {
+				return discovery.Unreadable
+			}
+			if size > 0 {
+				if how := c.heard(&a, &parser); how >= 0 {
+					return how
+				}
+				have = copy(in, in[size:have])
+				break
+			}
+			if have == cap(in) {
+				in = append(make([]byte, 0, 2*cap(in)), in[:have]...)
+			}
+			n, err := conn.Read(in[have:cap(in)])
+			if err != nil {
+				return discovery.Lost
+			}
+			have += n
+		}
+	}
+}
+
+const taken discovery.Failure = -1
+
+func (c *caller) heard(a *http1.Answer, parser *fastjson.Parser) discovery.Failure {
+	if a.Status == http1.Unavailable || a.Status == http1.TooMany {
+		return discovery.Refused
+	}
+	news, err := parser.ParseBytes(bytes.Clone(a.Body))
+	if a.Status != 200 || err != nil || !news.Exists("generation") || !c.calls.Takes(news.GetInt("generation"), news.GetBool("reset")) {
+		return discovery.Unreadable
+	}
+	c.calls.Heard(news.GetInt("generation"), news.GetBool("reset"))
+	return taken
+}
+
+func (c *caller) hold(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		_ = conn.Close()
+		return false
+	}
+	c.conn = conn
+	return true
+}
+
+// Close ends it.
+func (c *caller) Close() {
+	c.mu.Lock()
+	c.closed = true
+	if c.conn != nil {
+		_ = c.conn.Close()
+	}
+	c.mu.Unlock()
+	close(c.end)
+	<-c.done
+}
--- /dev/null
+++ b/internal/scale/places.go
@@ -0,0 +1,122 @@
+package scale
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"dahliapin/internal/emulator/between"
+	"dahliapin/internal/keyhash"
+)
+
+// RegionID is a region's number, from 0.
+type RegionID int
+
+// Role is what a node is here.
+type Role string
+
+// The roles.
+const (
+	Hollow Role = "hollow" // its control part only, many to a process
+	Real   Role = "real"   // a process of its own, by the program's own serve
+)
+
+// Place is one node: where it stands and is reached.
+type Place struct {
+	Name   string   `json:"name"`
+	Role   Role     `json:"role"`
+	Region RegionID `json:"region"`
+	Site   int      `json:"site"`
+	Zone   int      `json:"zone"`
+	Addr   string   `json:"addr"` // for other nodes
+	List   string   `json:"list"` // of the discovery that it calls
+}
+
+// An address tells region and role: 127.REGION+firstRegion.K.N, with K from realFrom on for real nodes.
+const (
+	firstRegion = 10
+	realFrom    = 200
+	inOctet     = 250
+)
+
+// Lay puts nodes where they stand. The real ones are all in one region, the first: between two of them no rule would be kept. All others
+// go where the fewest are.
+func Lay(nodes, real int, at Places, port uint16) (all []Place) {
+	in, hollows := make([]int, at.Regions), make([]int, at.Regions)
+	for i := range nodes {
+		p := Place{Name: fmt.Sprintf("n%d", i+1), Role: Hollow}
+		k := 0
+		if i < real {
+			p.Role, k = Real, realFrom*inOctet+i
+		} else {
+			for r := range in {
+				if in[r] < in[p.Region] {
+					p.Region = RegionID(r)
+				}
+			}
+			k = hollows[p.Region]
+			hollows[p.Region]++
+		}
+		turn := in[p.Region]
+		in[p.Region]++
+		p.Site, p.Zone = turnOf(turn, p.Region, at.Regions, at.Sites), turnOf(turn, p.Region, at.Regions, at.Zones)
+		p.Addr = fmt.Sprintf("127.%d.%d.%d:%d", firstRegion+int(p.Region), k/inOctet, k%inOctet+1, port)
+		all = append(all, p)
+	}
+	return all
+}
+
+// turnOf is which of a region's sites or zones has a turn: those whose number leaves the region's.
+func turnOf(turn int, region RegionID, regions, of int) int {
+	mine := (of - int(region) + regions - 1) / regions
+	return turn%mine*regions + int(region)
+}
+
+// whose tells by an address in which region a node stands, and whether it is a real one.
+func whose(at netip.Addr) (region RegionID, role Role, ok bool) {
+	at = at.Unmap()
+	if !at.Is4() {
+		return 0, "", false
+	}
+	b := at.As4()
+	if b[0] != 127 || b[1] < firstRegion {
+		return 0, "", false
+	}
+	role = Hollow
+	if b[2] >= realFrom {
+		role = Real
+	}
+	return RegionID(b[1] - firstRegion), role, true
+}
+
+// Faults are the rules between regions, with which a run begins.
+func (f *File) Faults(seed int64) *between.Faults {
+	faults := between.New(uint32(seed))
+	chance := keyhash.Source{Seed: uint32(seed) ^ 0x5ca1e}
+	for a := range f.Places.Regions {
+		for b := range a {
+			d := ms(f.Between.DelayMs + chance.Next()*(f.Between.DelayMostMs-f.Between.DelayMs))
+			for _, pair := range [][2]int{{a, b}, {b, a}} {
+				faults.Change(pair[0], pair[1], func(w *between.Way) {
+					w.Delay, w.Late, w.Loss = d, ms(f.Between.LateMs), f.Between.Loss
+				})
+			}
+		}
+	}
+	return faults
+}
+
+// cut cuts a region off from all others, or ends that.
+func cut(faults *between.Faults, region RegionID, regions int, off bool) {
+	for other := range regions {
+		if other == int(region) {
+			continue
+		}
+		faults.Change(int(region), other, func(w *between.Way) { w.Cut = off })
+		faults.Change(other, int(region), func(w *between.Way) { w.Cut = off })
+	}
+}
+
+func ms(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
+
+func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
