Members at size: have a large fleet form, by waiting longer for words and looking at less

From 33 processes on words are waited for and gathered half as long again each time that the fleet is as large again, and judged less often; up to 32 nothing of that differs. A word that is held is not read again, one that waits is looked up by name, and neighbours and views are found without sorting.

Views come to the same neighbours and the same order: tests say so, and fail without.

--- a/internal/fleet/members/book.go
+++ b/internal/fleet/members/book.go
@@ -30,7 +30,8 @@
 	terms  Terms
 	own    *peer
 	all    map[ProcessID]*peer
-	order  []*peer // all of them, in one order; nil where it is to be made anew, byNode with it
+	order  []*peer // all of them, in one order; nil where it is to be made anew, shown and byNode with it
+	shown  []*peer // in the order of views
 	byNode map[NodeName][]*peer
 	gone   map[ProcessID]ended // forgotten, so that late words of them are none
 	seeds  []string
@@ -191,12 +192,22 @@
 		p.askAt = -1
 	case p.askAt < 0:
 		p.askAt = b.ran
-	case b.ran-p.askAt >= syncApart || h.Revision > p.Revision && b.ran-p.askAt >= wordBy:
+	case b.ran-p.askAt >= b.patience(syncApart) || h.Revision > p.Revision && b.ran-p.askAt >= b.patience(wordBy):
 		p.askAt = -1
 		b.sync(p.Addr)
 	}
 }
 
+// patience is how long words are waited for, or gathered: they take longer to come round the more there are to hear them. Guards against a
+// large fleet in which each change has all ask for all that is known, and each who is busy with that says more that has to come round.
+func (b *Book) patience(few time.Duration) time.Duration {
+	span := few
+	for n := soonTo; n < len(b.all); n *= 2 {
+		span += few / 2
+	}
+	return span
+}
+
 // sync asks for all that another has heard, not too often.
 func (b *Book) sync(addr string) {
 	if b.wantsSync == "" && (b.syncedAt == 0 || b.ran-b.syncedAt >= syncApart/2+time.Duration(len(b.all))*syncEach) {
@@ -305,11 +316,8 @@
 			}
 			break
 		}
-		slices.SortFunc(ids, func(x, y ProcessID) int {
-			return cmp.Or(cmp.Compare(keyhash.Salted(uint64(x), r), keyhash.Salted(uint64(y), r)), cmp.Compare(x, y))
-		})
-		i := slices.Index(ids, b.own.Process)
-		mine[ids[(i+1)%len(ids)]], mine[ids[(i+len(ids)-1)%len(ids)]] = true, true
+		before, after := b.beside(ids, r)
+		mine[before], mine[after] = true, true
 	}
 	delete(mine, b.own.Process)
 	was := map[ProcessID]bool{}
@@ -329,6 +337,39 @@
 	}
 }
 
+// beside finds who stands before and after this process in a ring: one look at each, as nobody needs the whole order.
+func (b *Book) beside(ids []ProcessID, ring int) (before, after ProcessID) {
+	type spot struct {
+		at uint64
+		id ProcessID
+	}
+	less := func(x, y spot) bool { return cmp.Or(cmp.Compare(x.at, y.at), cmp.Compare(x.id, y.id)) < 0 }
+	own := spot{keyhash.Salted(uint64(b.own.Process), ring), b.own.Process}
+	var first, last, under, over spot
+	for i, id := range ids {
+		s := spot{keyhash.Salted(uint64(id), ring), id}
+		if i == 0 || less(s, first) {
+			first = s
+		}
+		if i == 0 || less(last, s) {
+			last = s
+		}
+		if less(s, own) && (under.id == 0 || less(under, s)) {
+			under = s
+		}
+		if less(own, s) && (over.id == 0 || less(s, over)) {
+			over = s
+		}
+	}
+	if under.id == 0 {
+		under = last
+	}
+	if over.id == 0 {
+		over = first
+	}
+	return under.id, over.id
+}
+
 // succeeds tells whether a process is a later one of the same node.
 func (p *peer) succeeds(o *peer) bool {
 	return p.Node == o.Node && p.Life > o.Life && o.Life > 0
@@ -338,7 +379,8 @@
 func (b *Book) sorted() []*peer {
 	if b.order == nil {
 		b.order = slices.SortedFunc(maps.Values(b.all), func(x, y *peer) int { return cmp.Compare(x.Process, y.Process) })
-		b.byNode = map[NodeName][]*peer{}
+		b.shown = slices.SortedFunc(slices.Values(b.order), func(x, y *peer) int { return cmp.Or(cmp.Compare(x.Node, y.Node), cmp.Compare(x.Process, y.Process)) })
+		b.byNode = make(map[NodeName][]*peer, len(b.order))
 		for _, p := range b.order {
 			b.byNode[p.Node] = append(b.byNode[p.Node], p)
 		}
@@ -387,7 +429,7 @@
 	if doubts == b.own.Doubts && slices.Equal(hears, b.own.Hears) && slices.Equal(missed, b.own.Misses) {
 		return
 	}
-	if b.ran-b.saidAt < b.terms.Hello/2 && b.saidAt > 0 && doubts == b.own.Doubts {
+	if b.ran-b.saidAt < b.patience(b.terms.Hello/2) && b.saidAt > 0 && doubts == b.own.Doubts {
 		return // several changes go in one
 	}
 	if b.own.Doubts && !doubts { // of those who were cut off along with it, it hears that they doubt for a while yet
--- /dev/null
+++ b/internal/fleet/members/book_test.go
@@ -0,0 +1,67 @@
+package members
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"dahliapin/internal/keyhash"
+)
+
+// A process's neighbours in a ring are those before and after it in the order of all, whatever the size and wherever it stands.
+func TestNeighboursAreThoseBesideInEachRing(t *testing.T) {
+	for _, n := range []int{14, 15, 40, 200} {
+		for own := range n {
+			id := ProcessID(keyhash.Mix(uint64(own + 1)))
+			b := New(Terms{Most: 1000}, id, "n", "a", nil)
+			ids := []ProcessID{}
+			for i := range n {
+				ids = append(ids, ProcessID(keyhash.Mix(uint64(i+1))))
+			}
+			for ring := range rings {
+				before, after := b.beside(ids, ring)
+				slices.SortFunc(ids, func(x, y ProcessID) int {
+					if a, b := keyhash.Salted(uint64(x), ring), keyhash.Salted(uint64(y), ring); a != b {
+						return map[bool]int{true: -1, false: 1}[a < b]
+					}
+					return 0
+				})
+				i := slices.Index(ids, id)
+				if before != ids[(i+n-1)%n] || after != ids[(i+1)%n] {
+					t.Fatalf("%d processes, ring %d, at %d: %x and %x", n, ring, i, before, after)
+				}
+			}
+		}
+	}
+}
+
+// Up to a size all goes as it did; from there on words are waited for longer, each time that there are as many again.
+func TestPatienceGrowsWithTheFleet(t *testing.T) {
+	for n, want := range map[int]time.Duration{1: 300, 32: 300, 33: 450, 64: 450, 65: 600, 480: 900, 960: 1050} {
+		b := New(Terms{Most: 1000}, 1, "n", "a", nil)
+		for i := len(b.all); i < n; i++ {
+			b.all[ProcessID(i+1)] = &peer{}
+		}
+		if got := b.patience(wordBy); got != want*time.Millisecond {
+			t.Errorf("%d processes: %v", n, got)
+		}
+	}
+}
+
+// Views are in the order of nodes and processes, whoever came first.
+func TestViewsAreInOrder(t *testing.T) {
+	b := New(TermsFor(2*time.Second, 300*time.Millisecond, 2*time.Second, time.Second, time.Minute, 100), 50, "m", "127.0.0.1:1", nil)
+	for i, node := range []NodeName{"z", "a", "q", "a"} {
+		b.Told(Statement{Process: ProcessID(100 - i), Node: node, Revision: 1, Addr: fmt.Sprintf("127.0.0.1:%d", 2+i)})
+	}
+	b.Turned(1)
+	b.Look(1)
+	text := ""
+	for _, m := range b.View().Members {
+		text += fmt.Sprintf("%s%d ", m.Node, m.Process)
+	}
+	if text != "a97 a99 m50 q98 z100 " {
+		t.Error(text)
+	}
+}
--- a/internal/fleet/members/judge.go
+++ b/internal/fleet/members/judge.go
@@ -17,6 +17,7 @@
 	gather      = 400 * time.Millisecond // that others who are about to be taken out, or in, are waited for, so that the view changes once
 	joinsIn     = 4                      // claims, by which one that joins has taken its name and is heard, or will not be
 	leftStays   = 5 * time.Second        // that one who left is shown
+	judgeApart  = 50 * time.Millisecond  // between two judgements in a large fleet, more for each time that it is as large again: each looks at all
 )
 
 func (p *peer) member() bool { return p.standing == Present || p.standing == Suspected }
@@ -108,6 +109,9 @@
 // judge looks at all standings, and makes a new view where something has changed.
 func (b *Book) judge() {
 	step := b.ran - b.judgedAt
+	if apart := b.patience(judgeApart) - judgeApart; step < apart {
+		return
+	}
 	b.judgedAt = b.ran
 	if !b.changed && !b.pending {
 		return
@@ -262,15 +266,15 @@
 // show makes a new view. Its number goes up where another set of nodes are members.
 func (b *Book) show() {
 	v := &View{Number: b.view.Number, Own: b.own.Process, Life: b.own.Life, CutOff: b.frozen || b.own.standing == Cut}
-	for _, p := range b.sorted() {
+	b.sorted()
+	v.Members, v.Nodes = make([]Member, 0, len(b.shown)), make([]NodeName, 0, len(b.shown))
+	for _, p := range b.shown {
 		v.Members = append(v.Members, Member{Process: p.Process, Node: p.Node, Life: p.Life, Addr: p.Addr, Standing: p.standing, Since: p.since,
 			Hears: p.hears, Misses: p.misses})
 		if p.member() {
 			v.Nodes = append(v.Nodes, p.Node)
 		}
 	}
-	slices.SortFunc(v.Members, func(x, y Member) int { return cmp.Or(cmp.Compare(x.Node, y.Node), cmp.Compare(x.Process, y.Process)) })
-	slices.Sort(v.Nodes)
 	v.Nodes = slices.Compact(v.Nodes)
 	if v.Mark = mark(v.Nodes); !slices.Equal(v.Nodes, b.view.Nodes) {
 		v.Number++
--- a/internal/fleet/members/types.go
+++ b/internal/fleet/members/types.go
@@ -99,6 +99,7 @@
 	wordBy      = 300 * time.Millisecond // for a newer word that a sign of life tells of to come by itself, before it is asked for
 	syncApart   = time.Second            // between two calls for all that another has heard
 	syncEach    = 5 * time.Millisecond   // more for each process known: it is that much to send
+	soonTo      = 32                     // processes, to whom words come within these spans; each time as many take half as long again
 	mostGone    = 1024                   // of those forgotten whose last word is kept
 	askGoneEach = 2 * time.Second        // between signs of life to one who is not known: a seed, one forgotten
 	longestStep = 2                      // signs of life: that between two looks counts as time the process has run
--- a/internal/net/fleet/fleet.go
+++ b/internal/net/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
+	"hash/maphash"
 	"io"
 	stdlog "log"
 	"net/netip"
@@ -71,8 +72,9 @@
 
 	mu    sync.Mutex
 	book  *members.Book
-	raw   map[members.ProcessID][]byte // statements as they came
-	there []string                     // names of members, as the library has them
+	raw   map[members.ProcessID]heldWord // statements as they came
+	held  map[uint64]bool                // their sums: each comes many times
+	there []string                       // names of members, as the library has them
 	ended bool
 	looks int // by its one goroutine
 }
@@ -98,7 +100,7 @@
 		return nil, err
 	}
 	p := &Post{Berth: b, process: members.ProcessID(binary.LittleEndian.Uint64(id[:]) | 1), closed: make(chan struct{}), trace: newTracer(b.Trace),
-		syncs: make(chan string, 1), raw: map[members.ProcessID][]byte{}}
+		syncs: make(chan string, 1), raw: map[members.ProcessID]heldWord{}, held: map[uint64]bool{}}
 	p.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: retransmit, NumNodes: func() int { return int(p.known.Load()) }}
 	m := &b.Charter.Members
 	p.book = members.New(members.TermsFor(m.Pause(), m.Hello(), m.Back(), m.Loop(), m.Forget(), m.Most), p.process, members.NodeName(b.Name),
@@ -265,7 +267,7 @@
 func (p *Post) tellOwn() {
 	if own, isNew := p.book.Own(); isNew {
 		if b, err := encodeStatement(own); err == nil {
-			p.raw[own.Process] = b
+			p.hold(own.Process, b)
 			p.queue.QueueBroadcast(word{own.Process, b})
 		}
 	}
@@ -282,24 +284,58 @@
 	}
 	for id := range p.raw {
 		if !is[id] {
+			delete(p.held, p.raw[id].sum)
 			delete(p.raw, id)
 		}
 	}
 }
 
+// heldWord is a process's last statement as it came.
+type heldWord struct {
+	text []byte
+	sum  uint64
+}
+
+var sums = maphash.MakeSeed()
+
+// hold keeps a process's last word; the lock is held.
+func (p *Post) hold(of members.ProcessID, b []byte) {
+	delete(p.held, p.raw[of].sum)
+	p.raw[of] = heldWord{b, maphash.Bytes(sums, b)}
+	p.held[p.raw[of].sum] = true
+}
+
+// holds tells whether a word is one that is held, as it came. Nothing new follows from it, and it need not be read again.
+func (p *Post) holds(b []byte) bool {
+	sum := maphash.Bytes(sums, b)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held[sum]
+}
+
 func (p *Post) changed(was, is *members.View) {
 	l := trace.Line{What: trace.View, Number: is.Number, Mark: fmt.Sprintf("%016x", is.Mark), Cut: is.CutOff}
 	for _, n := range is.Nodes {
 		l.Members = append(l.Members, string(n))
 	}
 	p.say(l)
-	less := func(of, than []members.NodeName) []members.NodeName {
-		return slices.DeleteFunc(slices.Clone(of), func(n members.NodeName) bool { return slices.Contains(than, n) })
-	}
 	p.Log.WithFields(logrus.Fields{"members": len(is.Nodes), "view": is.Number, "cut_off": is.CutOff, "in": less(is.Nodes, was.Nodes),
 		"out": less(was.Nodes, is.Nodes)}).Info("members")
 }
 
+// less are those of some names that others lack; both are in order.
+func less(of, than []members.NodeName) (rest []members.NodeName) {
+	for _, n := range of {
+		for len(than) > 0 && than[0] < n {
+			than = than[1:]
+		}
+		if len(than) == 0 || than[0] != n {
+			rest = append(rest, n)
+		}
+	}
+	return rest
+}
+
 // hello hears a sign of life.
 func (p *Post) hello(b []byte) {
 	h, err := decodeHello(b)
@@ -355,6 +391,9 @@
 	return is && old.of == w.of
 }
 
+// Name is memberlist's: with it, what a word takes the place of is looked up, else all that waits would be asked at each.
+func (w word) Name() string { return hex(w.of) }
+
 // Message is memberlist's.
 func (w word) Message() []byte { return w.text }
 
@@ -370,10 +409,14 @@
 // NotifyMsg is memberlist's: a statement has come.
 func (d delegate) NotifyMsg(b []byte) {
 	d.p.t.count.flows[statements].came(len(b))
-	d.told(slices.Clone(b))
+	d.told(b)
 }
 
 func (d delegate) told(b []byte) {
+	if d.p.holds(b) {
+		return
+	}
+	b = slices.Clone(b)
 	s, err := decodeStatement(b)
 	if err != nil {
 		d.p.bad.Add(1)
@@ -382,7 +425,7 @@
 	d.p.mu.Lock()
 	defer d.p.mu.Unlock()
 	if d.p.book.Told(s) {
-		d.p.raw[s.Process] = b
+		d.p.hold(s.Process, b)
 		d.p.queue.QueueBroadcast(word{s.Process, b})
 	}
 }
@@ -401,8 +444,8 @@
 	d.p.mu.Lock()
 	defer d.p.mu.Unlock()
 	all := make([][]byte, 0, len(d.p.raw))
-	for _, b := range d.p.raw {
-		all = append(all, b)
+	for _, w := range d.p.raw {
+		all = append(all, w.text)
 	}
 	b, err := encodeState(all)
 	if err != nil {
@@ -423,7 +466,7 @@
 		return
 	}
 	for _, w := range all {
-		d.told(slices.Clone(w))
+		d.told(w)
 	}
 	d.p.mu.Lock()
 	defer d.p.mu.Unlock()
