--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -40,6 +40,7 @@
 // File is what an operator states of a fleet to be. Without it there is one region, nothing goes wrong and no budget is stated.
 type File struct {
 	Places  Places          `toml:"places"`
+	Starts  Starts          `toml:"starts"`
 	Between Between         `toml:"between"`
 	Cut     Cut             `toml:"cut"`
 	Lost    Lost            `toml:"lost"`
@@ -55,6 +56,11 @@
 	Zones   int `toml:"zones"`
 }
 
+// Starts are how nodes are started: one after the other, or all fight for the one machine's cores at once, which nodes of a fleet do not.
+type Starts struct {
+	ApartMs float64 `toml:"apart_ms"`
+}
+
 // Between is what becomes of what crosses from one region to another: one rule for each pair. Within a region nothing goes wrong.
 type Between struct {
 	DelayMs     float64 `toml:"delay_ms"`      // the least of any pair
@@ -87,7 +93,7 @@
 }
 
 func usual() File {
-	return File{Places: Places{Regions: 1, Sites: 1, Zones: 1}, Members: charter.Usual().Members}
+	return File{Places: Places{Regions: 1, Sites: 1, Zones: 1}, Starts: Starts{ApartMs: 25}, Members: charter.Usual().Members}
 }
 
 // ReadFile reads such a file; no name is for the usual.
@@ -112,6 +118,7 @@
 	c.Within(float64(f.Places.Regions), 1, mostPlaces, "places.regions")
 	c.Within(float64(f.Places.Sites), float64(f.Places.Regions), MostNodes, "places.sites")
 	c.Within(float64(f.Places.Zones), float64(f.Places.Regions), MostNodes, "places.zones")
+	c.Within(f.Starts.ApartMs, 1, 10_000, "starts.apart_ms")
 	c.Within(f.Between.DelayMs, 0, 2000, "between.delay_ms")
 	if f.Between.DelayMostMs == 0 {
 		f.Between.DelayMostMs = f.Between.DelayMs
--- a/internal/scale/rig.go
+++ b/internal/scale/rig.go
@@ -27,10 +27,12 @@
 )
 
 const (
-	startsApart = 10 * time.Millisecond  // between two starts, over all processes
 	formsWithin = 3 * time.Minute        // from the last start until all know all
 	wholeWithin = time.Minute            // after a trouble, until all know all again
-	settles     = 4 * time.Second        // after that, until nothing more is told of it
+	settles     = 4 * time.Second        // after that, at the least, until nothing more is told of it
+	quietWithin = time.Minute            // at the most: who still tells something then does so usually
+	quietEach   = time.Second            // between looks whether somebody does
+	quietPart   = 0.1                    // statements a node in that time which are none: one node's troubles
 	lookEach    = 200 * time.Millisecond // between looks at how views stand
 	answerBy    = 30 * time.Second       // for a process to do what it is asked, beside what it is given for starts
 	callBy      = 5 * time.Second        // for a real node's answer to operators
@@ -361,7 +363,7 @@
 		}
 		f.hollows = append(f.hollows, h)
 	}
-	apart := startsApart * time.Duration(len(f.hollows))
+	apart := ms(f.plan.File.Starts.ApartMs) * time.Duration(len(f.hollows))
 	_, err := f.each(order{Do: doOpen, Fleet: &file, File: &f.plan.File, Seed: f.plan.Seed, Nodes: len(f.places), Apart: apart})
 	return errors.Join(err, ctx.Err())
 }
@@ -450,6 +452,33 @@
 	}
 }
 
+// quiet waits until nothing more is told of what has happened.
+func (f *fleetRun) quiet(ctx context.Context) error {
+	if err := pass(ctx, settles); err != nil {
+		return err
+	}
+	told := func() (sum float64, err error) {
+		s, err := f.read()
+		for _, flows := range s.nodes {
+			sum += flows["statements"].OutMessages
+		}
+		return sum, err
+	}
+	was, err := told()
+	for by := time.Now().Add(quietWithin); err == nil && time.Now().Before(by); {
+		if err = pass(ctx, quietEach); err != nil {
+			return err
+		}
+		is, bad := told()
+		if err = bad; is-was < quietPart*float64(len(f.places)) {
+			break
+		}
+		f.rig.tell("%d nodes: %.1f statements a node in %v still", len(f.places), (is-was)/float64(len(f.places)), quietEach)
+		was = is
+	}
+	return err
+}
+
 func pass(ctx context.Context, d time.Duration) error {
 	select {
 	case <-ctx.Done():
@@ -552,7 +581,7 @@
 		return nil, fmt.Errorf("forming: %w", err)
 	}
 	formed := time.Since(began)
-	if err := pass(ctx, settles); err != nil {
+	if err := f.quiet(ctx); err != nil {
 		return nil, err
 	}
 	last, err := f.read()
@@ -582,7 +611,10 @@
 	}
 	again := func(members int, of func(status) bool) (time.Duration, error) {
 		took, err := f.until(ctx, members, wholeWithin, of)
-		return took, cmp.Or(err, pass(ctx, settles))
+		if err == nil {
+			err = f.quiet(ctx)
+		}
+		return took, err
 	}
 	_ = phase(steady, func() (time.Duration, error) { return 0, pass(ctx, p.window(nodes)) })
 	if err == nil {
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -96,6 +96,7 @@
 		{"[places]\nregions = 11\nsites = 28\nzones = 37\n[cut]\nregion = 10\nfor_s = 3\n[budget]\nkb_per_s = 19", ""},
 		{"[places]\nregion = 11", "f.toml:2: no such field: places.region"},
 		{"[places]\nregions = 11\nsites = 28", "f.toml:1: places.zones: 1 is not from 11 to 2000"},
+		{"[starts]\napart_ms = 0", "f.toml:2: starts.apart_ms: 0 is not from 1 to 10000"},
 		{"[between]\nloss = 2", "f.toml:2: between.loss: 2 is not from 0 to 0.9"},
 		{"[between]\ndelay_ms = 5\ndelay_most_ms = 4", "f.toml:3: between.delay_most_ms: 4 is not from 5 to 2000"},
 		{"[cut]\nfor_s = 3", "f.toml:2: cut.for_s: there is one region only"},
