--- a/internal/baselines/baselines.go
+++ b/internal/baselines/baselines.go
@@ -159,7 +159,7 @@
 		mayHaveRun = mayHaveRun || !l.Result.NeverRan()
 	}
 	by := r.HardStop.Add(-spare)
-	again := !mayHaveRun || g.Effect == policy.Redoable ||
+	again := !mayHaveRun || g.Effect == policy.Idempotent ||
 		g.Effect == policy.Labelled && g.Scope == policy.AllCaches && now.Since(r.Legs[0].Sent) < g.Window-time.Second
 	if again && by > now && len(r.Legs) < p.rules.MostLegs {
 		to := policy.CacheID("")
@@ -174,7 +174,7 @@
 			return policy.Move{To: []policy.CacheID{to}, GiveUpAt: by}
 		}
 	}
-	if !mayHaveRun || g.Effect == policy.Redoable || g.Effect == policy.Labelled && g.Scope == policy.AllCaches {
+	if !mayHaveRun || g.Effect == policy.Idempotent || g.Effect == policy.Labelled && g.Scope == policy.AllCaches {
 		return policy.Move{Answer: policy.Dismiss, ComeBack: min(p.rules.MaxComeBack, waits)}
 	}
 	return policy.Move{Answer: policy.Scrap}
--- a/internal/emulator/judge/judge.go
+++ b/internal/emulator/judge/judge.go
@@ -183,7 +183,7 @@
 func (j *Judge) Excuse(id string) { delete(j.hand, id) }
 
 func harmless(g *policy.Grade) bool {
-	return g.Effect == policy.Redoable || g.Effect == policy.Labelled && g.Scope == policy.AllCaches
+	return g.Effect == policy.Idempotent || g.Effect == policy.Labelled && g.Scope == policy.AllCaches
 }
 
 func (t *taken) mayHaveRun() bool {
@@ -274,7 +274,7 @@
 	}
 }
 
-var effectName = map[policy.Effect]string{policy.Irreversible: "irreversible", policy.Labelled: "labelled", policy.Redoable: "redoable"}
+var effectName = map[policy.Effect]string{policy.Irreversible: "irreversible", policy.Labelled: "labelled", policy.Idempotent: "idempotent"}
 
 // Fell tells that a server was pushed over.
 func (j *Judge) Fell(now policy.Instant, server policy.CacheID, why string) {
--- a/internal/emulator/judge/judge_test.go
+++ b/internal/emulator/judge/judge_test.go
@@ -10,7 +10,7 @@
 const ms = policy.Instant(time.Millisecond)
 
 func grades() []policy.Grade {
-	return []policy.Grade{{SoftLimit: 50 * time.Millisecond, Effect: policy.Redoable},
+	return []policy.Grade{{SoftLimit: 50 * time.Millisecond, Effect: policy.Idempotent},
 		{SoftLimit: 50 * time.Millisecond, Effect: policy.Labelled, Scope: policy.SameGroup, Window: time.Second},
 		{SoftLimit: 50 * time.Millisecond, Effect: policy.Irreversible}}
 }
--- a/internal/emulator/script/nemesis.go
+++ b/internal/emulator/script/nemesis.go
@@ -23,7 +23,7 @@
 	s.Name, s.Seed, s.Seconds = fmt.Sprintf("nemesis-%d", seed), seed, math.Max(seconds, formsIn+quietLast+5)
 	s.About = "A random schedule of troubles between nodes."
 	s.Fleet.Nodes, s.Fleet.Caches, s.Traffic.PerSecond, s.Traffic.Keys = nodes, 4, 100, 500
-	s.Grades = []Grade{{Name: "read", Share: 1, Benefit: 1, SoftMs: 150, HardMs: 500, WorkMs: 2, Tries: 3, Effect: "redoable", Scope: "all"}}
+	s.Grades = []Grade{{Name: "read", Share: 1, Benefit: 1, SoftMs: 150, HardMs: 500, WorkMs: 2, Tries: 3, Effect: "idempotent", Scope: "all"}}
 	s.Together = &Together{}
 	chance := keyhash.Source{Seed: uint32(seed) ^ 0x0e5e}
 	upTo := func(most float64) float64 { return math.Round(chance.Next()*most*10) / 10 }
--- a/internal/emulator/script/script.go
+++ b/internal/emulator/script/script.go
@@ -360,12 +360,12 @@
 	names, sum := map[string]bool{}, 0.0
 	for i := range s.Grades {
 		g, at := &s.Grades[i], fmt.Sprintf("grade.%d.", i)
-		g.Tries, g.Effect, g.Scope = cmp.Or(g.Tries, 1), cmp.Or(g.Effect, "redoable"), cmp.Or(g.Scope, "all")
+		g.Tries, g.Effect, g.Scope = cmp.Or(g.Tries, 1), cmp.Or(g.Effect, "idempotent"), cmp.Or(g.Scope, "all")
 		c.Want(g.Name != "" && !strings.ContainsAny(g.Name, " ,=\r\n"), at+"name", "%q is no name", g.Name)
 		c.Want(!names[g.Name], at+"name", "%q stands twice", g.Name)
 		names[g.Name] = true
 		_, known := effects[g.Effect]
-		c.Want(known, at+"effect", "%q is none of redoable, labelled, irreversible", g.Effect)
+		c.Want(known, at+"effect", "%q is none of idempotent, labelled, irreversible", g.Effect)
 		_, known = scopes[g.Scope]
 		c.Want(known, at+"scope", "%q is none of all, zone, group", g.Scope)
 		c.Within(g.Share, 0, 1e6, at+"share")
@@ -375,7 +375,7 @@
 		c.Within(g.WorkMs, 0.01, 1e5, at+"work_ms")
 		c.Within(g.WindowS, 0, mostSeconds, at+"window_s")
 		c.Within(float64(g.Tries), 1, 20, at+"tries")
-		c.Want(g.Effect == "redoable" || g.Write, at+"effect", "a read is redoable")
+		c.Want(g.Effect == "idempotent" || g.Write, at+"effect", "a read is idempotent")
 		c.Want(g.Effect != "labelled" || !g.Write || g.WindowS > 0, at+"window_s", "a labelled grade needs a window")
 		sum += g.Share
 	}
@@ -489,7 +489,7 @@
 }
 
 var (
-	effects = map[string]policy.Effect{"redoable": policy.Redoable, "labelled": policy.Labelled, "irreversible": policy.Irreversible}
+	effects = map[string]policy.Effect{"idempotent": policy.Idempotent, "labelled": policy.Labelled, "irreversible": policy.Irreversible}
 	scopes  = map[string]policy.Scope{"all": policy.AllCaches, "zone": policy.SameZone, "group": policy.SameGroup}
 )
 
--- a/internal/emulator/script/script_test.go
+++ b/internal/emulator/script/script_test.go
@@ -43,7 +43,7 @@
 		{"for_s = 3", "for_s = nan"}:                             "x.toml:15: event.0.for_s",
 		{"hard_ms = 100", "hard_ms = 10"}:                        "x.toml:8: grade.0.hard_ms",
 		{"share = 1", "share = 0"}:                               "x.toml:4: grade.0: all shares are 0",
-		{"share = 1", "share = 1\neffect = \"labelled\""}:        "x.toml:7: grade.0.effect: a read is redoable",
+		{"share = 1", "share = 1\neffect = \"labelled\""}:        "x.toml:7: grade.0.effect: a read is idempotent",
 		{"for_s = 3", "for_s = 3\n[expect]\nsatisfied={a=1}"}:    `x.toml:17: expect.satisfied: there is no grade "a"`,
 		{`caches = ["c2"]`, `zone = "x"`}:                        `x.toml:13: event.0.zone: there is no zone "x"`,
 		{`caches = ["c2"]`, "caches = [\"c2\"]\npart = 0.5"}:     "x.toml:13: event.0.caches: slow needs either names",
--- a/internal/emulator/script/settings.go
+++ b/internal/emulator/script/settings.go
@@ -14,7 +14,7 @@
 
 // Settings is what a node of this deployment is told at its start, as its configuration has it.
 func (s *Script) Settings(zone string) json.RawMessage {
-	effect := map[string]string{"redoable": "idempotent", "labelled": "deduplicated", "irreversible": "irreversible"}
+	effect := map[string]string{"idempotent": "idempotent", "labelled": "deduplicated", "irreversible": "irreversible"}
 	var grades []map[string]any
 	for _, g := range s.Grades {
 		grades = append(grades, map[string]any{"name": g.Name, "benefit": g.Benefit, "effect": effect[g.Effect], "group": g.Scope,
--- a/internal/emulator/world/world_test.go
+++ b/internal/emulator/world/world_test.go
@@ -175,7 +175,7 @@
 // Arrivals are open loop at the stated rate, and clients repeat only what is harmless.
 func TestTrafficIsAsStated(t *testing.T) {
 	p := TrafficPlan{PerSecond: 1000, Keys: 100, Zipf: 1, Seed: 3, Grades: []Grade{{Name: "read", Share: 3, Tries: 2,
-		Grade: policy.Grade{Effect: policy.Redoable}}, {Name: "pay", Share: 1, Tries: 9, Write: true}}}
+		Grade: policy.Grade{Effect: policy.Idempotent}}, {Name: "pay", Share: 1, Tries: 9, Write: true}}}
 	tr := NewTraffic(p)
 	tr.Heat("hot", 0.5)
 	n, reads, hot := 0, 0, 0
--- a/internal/houserules/houserules.go
+++ b/internal/houserules/houserules.go
@@ -89,7 +89,7 @@
 	named := func(v *fastjson.Value) *fastjson.Value { return v.Get("name") }
 	n.grades, n.leagues = index(grades, named), index(env.GetArray("tenants"), named)
 	n.kinds = index(env.GetArray("kinds"), itself)
-	effects := map[string]policy.Effect{"idempotent": policy.Redoable, "deduplicated": policy.Labelled}
+	effects := map[string]policy.Effect{"idempotent": policy.Idempotent, "deduplicated": policy.Labelled}
 	scopes := map[string]policy.Scope{"all": policy.AllCaches, "zone": policy.SameZone}
 	for _, g := range grades {
 		r.Grades = append(r.Grades, policy.Grade{
--- a/internal/levels/levels.go
+++ b/internal/levels/levels.go
@@ -77,7 +77,7 @@
 		for _, name := range l.Shed {
 			g := terms.Names.Grade([]byte(name))
 			c.Want(g >= 0, at+"shed", "the deployment states no grade %q", name)
-			c.Want(g < 0 || terms.Rules.Grades[g].Effect == policy.Redoable, at+"shed", "%q may have an effect, and is never shed", name)
+			c.Want(g < 0 || terms.Rules.Grades[g].Effect == policy.Idempotent, at+"shed", "%q may have an effect, and is never shed", name)
 		}
 		c.Want(len(l.Shed) < len(terms.Rules.Grades), at+"shed", "leaves no grade")
 	}
--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -98,7 +98,7 @@
 		r.end(v, ref.leg, policy.NeverSent, nil)
 		return
 	}
-	l, err := r.linkTo(c, aLeg, !v.call.redoable || !c.carrier.names())
+	l, err := r.linkTo(c, aLeg, !v.call.idempotent || !c.carrier.names())
 	if err != nil {
 		r.end(v, ref.leg, policy.NeverSent, nil) // for want of a descriptor: the cache is not to blame
 		return
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -218,7 +218,7 @@
 		return
 	}
 	c.excess = false
-	asked.redoable = r.Terms.Rules.Grades[grade].Effect == policy.Redoable
+	asked.idempotent = r.Terms.Rules.Grades[grade].Effect == policy.Idempotent
 	v := &retrieval{grade: grade, client: c.id, turn: c.first + uint64(len(c.turns)), face: c.face}
 	v.call, v.bytes = copyOf(asked)
 	r.held += v.bytes
--- a/internal/net/relay/faces.go
+++ b/internal/net/relay/faces.go
@@ -59,7 +59,7 @@
 	write          bool
 	bare           bool          // the answer is to have no body
 	last           bool          // the connection ends with the answer
-	redoable       bool          // by its grade
+	idempotent     bool          // by its grade
 	wait           time.Duration // until its hard stop
 	sent           time.Time     // when the leg went out that is being answered
 	web            *webCall      // nil for a client of meta commands, and where no cache speaks HTTP
--- a/internal/net/relay/httpcarrier.go
+++ b/internal/net/relay/httpcarrier.go
@@ -58,7 +58,7 @@
 		r.how = spoilt
 	case a.Status == 504 && h.aside && !c.write && !only:
 		r.how = policy.Missed
-	case (a.Status == http1.Unavailable || a.Status == http1.TooMany) && c.redoable:
+	case (a.Status == http1.Unavailable || a.Status == http1.TooMany) && c.idempotent:
 		r.how = policy.TurnedAway
 	case c.write && (ok || a.Status == 201 || a.Status == 204):
 		if r.how = policy.Answered; c.web == nil && !meta.Plain(a.Body) { // a receipt is one word: the status, where none came
@@ -70,7 +70,7 @@
 	default:
 		if h.usable(&a, c) {
 			r.how = policy.Answered
-		} else if c.redoable {
+		} else if c.idempotent {
 			r.how = policy.Missed
 		}
 	}
--- a/internal/scale/placement.go
+++ b/internal/scale/placement.go
@@ -49,7 +49,7 @@
 	}
 	router := func(zone int) *policy.Router {
 		p := policy.New(1, int64(zone), policy.HouseRules{
-			Grades: []policy.Grade{{Benefit: 1, SoftLimit: soonEnough, Effect: policy.Redoable},
+			Grades: []policy.Grade{{Benefit: 1, SoftLimit: soonEnough, Effect: policy.Idempotent},
 				{Benefit: 1, SoftLimit: soonEnough, Effect: policy.Labelled, Scope: policy.AllCaches, Window: soonEnough}},
 			Zone: policy.ZoneID(fmt.Sprintf("zone-%d", zone)), Nodes: nodes, OriginKind: -1, CrossingPrice: price, MostLegs: holds + 1, SecondCopies: true, MayCancel: true,
 			Round: apartAsked, AskWithin: time.Hour, IdleConnection: time.Hour, InFlightAt: -1, WaitingAt: -1})
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -12,7 +12,7 @@
 func testRules() HouseRules {
 	return HouseRules{
 		Grades: []Grade{
-			{Benefit: 1, SoftLimit: 300 * ms, Effect: Redoable},
+			{Benefit: 1, SoftLimit: 300 * ms, Effect: Idempotent},
 			{Benefit: 5, SoftLimit: 250 * ms, Effect: Labelled, Scope: AllCaches, Window: 600 * ms},
 			{Benefit: 10, SoftLimit: 250 * ms, Effect: Irreversible},
 			{Benefit: 2, SoftLimit: 250 * ms, Effect: Labelled, Scope: SameGroup, Window: 600 * ms},
@@ -171,7 +171,7 @@
 		if l.Out && !h.SecondCopies {
 			return false
 		}
-		if !mayHaveRun(l) || g.Effect == Redoable {
+		if !mayHaveRun(l) || g.Effect == Idempotent {
 			continue
 		}
 		was := state[l.To]
@@ -186,6 +186,6 @@
 // plainAnswer is the plain model of dismissals: only where a retry is sure to do no harm.
 func plainAnswer(h HouseRules, r *Retrieval, a Answer) bool {
 	g := gradeOf(h, r)
-	return a == Scrap || g.Effect == Redoable || g.Effect == Labelled && g.Scope == AllCaches ||
+	return a == Scrap || g.Effect == Idempotent || g.Effect == Labelled && g.Scope == AllCaches ||
 		!slices.ContainsFunc(r.Legs, mayHaveRun)
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -316,7 +316,7 @@
 		if leg.Out && (!p.rules.SecondCopies || g.Effect == Irreversible) {
 			return false
 		}
-		if !leg.Out && leg.Result.NeverRan() || g.Effect == Redoable {
+		if !leg.Out && leg.Result.NeverRan() || g.Effect == Idempotent {
 			continue
 		}
 		if g.Effect == Irreversible || now.Since(leg.Sent) >= g.Window-p.rules.Round {
@@ -349,7 +349,7 @@
 // giveUp ends a retrieval at once: with a dismissal where a retry is sure to do no harm.
 func (p *Router) giveUp(r *Retrieval) Move {
 	g := r.memo.grade
-	if g.Effect == Redoable || g.Effect == Labelled && g.Scope == AllCaches ||
+	if g.Effect == Idempotent || g.Effect == Labelled && g.Scope == AllCaches ||
 		!slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.Out || !l.Result.NeverRan() }) {
 		return Move{Answer: Dismiss, ComeBack: min(p.rules.MaxComeBack, g.SoftLimit/2)}
 	}
@@ -530,7 +530,7 @@
 	// a last leg after a full one goes where the value surely is: a third cache may be full, or lack it
 	pressure := max(p.short, strainWeight*p.strain)
 	sure := p.origin != nil && p.free(now) > 0 && p.chance.Next() >= strainWeight*pressure && len(r.Legs) > 0 &&
-		len(r.Legs) == p.rules.MostLegs-1 && r.Legs[len(r.Legs)-1].Result == TurnedAway && g.Effect == Redoable
+		len(r.Legs) == p.rules.MostLegs-1 && r.Legs[len(r.Legs)-1].Result == TurnedAway && g.Effect == Idempotent
 	if p.rules.Aside && (r.Write || sure || slices.ContainsFunc(r.Legs, missed)) {
 		kept := p.caches[r.memo.keptAt]
 		if r.memo.keptAt = ""; kept != nil && p.lawful(now, r, kept) {
@@ -555,7 +555,7 @@
 		return p.send(now, r, hs[:min(len(hs), p.rules.MostLegs)]...) // through mode: to all holders
 	case c != nil:
 		return p.send(now, r, c)
-	case !full && len(p.listed) > 0 && p.rules.Aside && g.Effect == Redoable:
+	case !full && len(p.listed) > 0 && p.rules.Aside && g.Effect == Idempotent:
 		return p.toOrigin(now, r)
 	}
 	return p.giveUp(r)
--- a/policy/types.go
+++ b/policy/types.go
@@ -33,7 +33,7 @@
 const (
 	Irreversible Effect = iota
 	Labelled
-	Redoable
+	Idempotent
 )
 
 // Scope says which caches drop repeats of a labelled retrieval.
