--- a/cmd/dahliapin/scale_changes.go
+++ b/cmd/dahliapin/scale_changes.go
@@ -133,6 +133,7 @@
 	}
 	fmt.Fprintf(w, "\n%d entries, %d applied by %d nodes, %d of %d real nodes have all; began anew %d, moves %d, gaps %d; back after the cut in %.1f s, stale in it %d\n", r.Judge.Entries, r.Judge.Applied, r.Judge.Nodes,
 		r.RealWhole, r.Real, r.Judge.Presumed, r.Moves, r.Gaps, r.Back, r.StaleInCut)
+	fmt.Fprintf(w, "fleet changes showed an entry at every node at most %.3f s after it was acknowledged; one call took at most %.3f s\n", r.Shown, r.Asked)
 	for _, n := range r.Notes {
 		fmt.Fprintln(w, n)
 	}
--- a/cmd/dahliapin/scale_changes_test.go
+++ b/cmd/dahliapin/scale_changes_test.go
@@ -25,7 +25,7 @@
 	if err := json.Unmarshal(text, &r); err != nil {
 		t.Fatal(err)
 	}
-	if j := r.Judge; len(j.Breaches) > 0 || j.Entries < 57+6+403+28 || j.Applied != j.Entries*9 || j.Presumed > 0 || j.Refused > 0 || r.RealWhole != 1 {
+	if j := r.Judge; len(j.Breaches) > 0 || j.Entries < 57+6+403+28+20 || j.Applied != j.Entries*9 || j.Presumed > 0 || j.Refused > 0 || r.RealWhole != 1 {
 		t.Errorf("%+v\n%q, real ones with all: %d", j, r.Notes, r.RealWhole)
 	}
 	for _, bad := range [][]string{{"--nodes", "1"}, {"--plays", "all"}, {"--loss", "0.9"}, {"more"}, {"--no-such"}} {
--- a/internal/scale/changes/rig/rig.go
+++ b/internal/scale/changes/rig/rig.go
@@ -34,9 +34,12 @@
 	keyBytes     = 60   // of a purged key
 	configBytes  = 2048 // of a configuration
 	publishBy    = 30 * time.Second
-	readyBy      = 40 * time.Second // for all to have begun
-	settleBy     = 90 * time.Second // for all to have all
-	endBy        = 30 * time.Second // for a process to write down what is left
+	readyBy      = 40 * time.Second      // for all to have begun
+	settleBy     = 90 * time.Second      // for all to have all
+	endBy        = 30 * time.Second      // for a process to write down what is left
+	showings     = 10                    // entries by which it is measured how soon fleet changes shows them
+	showBy       = 10 * time.Second      // for one to show
+	showEach     = 20 * time.Millisecond // between two calls for it
 	lookEach     = 200 * time.Millisecond
 	callsAtOnce  = 256 // to publish, during a cut's backlog
 	backlogOf    = 190 // purges in one call during a cut: 34,200 in 180 calls
@@ -100,8 +103,10 @@
 	Back                 float64      `json:"back_s"` // from the end of the cut until the region had all; 0 for no cut
 	StaleInCut           int          `json:"stale_in_cut"`
 	Moves, Gaps          uint64
-	Turned               string `json:"ended"`
-	RealWhole            int    `json:"real_with_all"`
+	Turned               string  `json:"ended"`
+	RealWhole            int     `json:"real_with_all"`
+	Shown                float64 `json:"shown_s"` // the most from an entry's acknowledgement until fleet changes showed it at every node
+	Asked                float64 `json:"asked_s"` // the most that one such call took meanwhile
 }
 
 type process struct {
@@ -176,6 +181,9 @@
 		if err == nil {
 			err = r.settle(ctx)
 		}
+		if err == nil {
+			r.shown(ctx, play)
+		}
 		if err != nil {
 			return nil, fmt.Errorf("%s: %w", play, err)
 		}
@@ -479,6 +487,23 @@
 	return nil
 }
 
+// shown measures how soon fleet changes shows an entry at every node.
+func (r *run) shown(ctx context.Context, play string) {
+	for i := range showings {
+		r.publish(ctx, "shown", []accord.Proposal{net.NewProposal(accord.Purge, fmt.Append(nil, "shown/", play, "/", i))})
+		o := r.orders[len(r.orders)-1]
+		for by := time.Now().Add(showBy); o.Index > 0 && time.Now().Before(by); time.Sleep(showEach) {
+			asked := time.Now()
+			all, err := r.caller.Changes()
+			r.report.Asked = max(r.report.Asked, time.Since(asked).Seconds())
+			if err == nil && uint64(all.Last) >= o.Index && all.Whole() && len(all.Nodes) == r.Nodes+r.Real {
+				break
+			}
+		}
+		r.report.Shown = max(r.report.Shown, time.Duration(fleet.Boottime()-o.Acked).Seconds())
+	}
+}
+
 // settle waits until every node has all.
 func (r *run) settle(ctx context.Context) error {
 	for by := time.Now().Add(settleBy); ; time.Sleep(lookEach) {
