--- a/cmd/dahliapin/changes.go
+++ b/cmd/dahliapin/changes.go
@@ -114,7 +114,7 @@
 
 func showChanges(to io.Writer, o accord.Overview) error {
 	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(w, "newest entry %d, a leader is heard: %t\n\ncontrol\trole\tlast\tkept after\tconfig\theard\n", o.Last, o.Led)
+	fmt.Fprintf(w, "newest entry %d, a leader is heard: %t\n\ncontrol\trole\tlast\tkept after\tconfig\tbytes out\tforeign\tturned away\theard\n", o.Last, o.Led)
 	for _, m := range o.Machines {
 		role := "voter"
 		switch {
@@ -127,7 +127,7 @@
 		if m.Silent {
 			heard += ", silent"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\n", m.Name, role, m.Last, m.Floor, m.Config, heard)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", m.Name, role, m.Last, m.Floor, m.Config, m.Out, m.Foreign, m.Away, heard)
 	}
 	var lacking []accord.NodeRow
 	for _, n := range o.Nodes {
--- a/internal/net/accord/accord_test.go
+++ b/internal/net/accord/accord_test.go
@@ -589,6 +589,9 @@
 	if got := m.table.foreign.Load() - before; got != 10 {
 		t.Errorf("%d of 10 were counted", got)
 	}
+	if o, err := (Caller{At: []string{m.Addr()}, Label: "l"}).Changes(); err != nil || o.Machines[0].Foreign != before+10 || o.Machines[0].Out == 0 {
+		t.Errorf("told: %v, %+v", err, o)
+	}
 }
 
 // Where all disks were lost and a new log begins, nodes that had more of the old one begin anew, rather than to pass its first entries over.
--- a/internal/net/accord/client.go
+++ b/internal/net/accord/client.go
@@ -148,6 +148,10 @@
 	Config  accord.Index `json:"config"`
 	HeardS  float64      `json:"heard_s"`
 	Silent  bool         `json:"silent,omitempty"`
+	In      uint64       `json:"bytes_in"`
+	Out     uint64       `json:"bytes_out"`
+	Foreign uint64       `json:"foreign"`     // streams and messages that were not to be read
+	Away    uint64       `json:"turned_away"` // streams, for want of room
 }
 
 // Overview is who has applied what.
@@ -234,7 +238,7 @@
 	}
 	for _, r := range w.Machines {
 		h := float64(r.AgoMs) / 1000
-		o.Machines = append(o.Machines, MachineRow{r.ID, r.Name, r.Learner, r.Leads, r.Term, accord.Index(r.Head), accord.Index(r.Floor), accord.Index(r.Config), h, r.Unheard || h > heardWithin})
+		o.Machines = append(o.Machines, MachineRow{r.ID, r.Name, r.Learner, r.Leads, r.Term, accord.Index(r.Head), accord.Index(r.Floor), accord.Index(r.Config), h, r.Unheard || h > heardWithin, r.In, r.Out, r.Foreign, r.Away})
 	}
 	return o
 }
--- a/internal/net/accord/peers.go
+++ b/internal/net/accord/peers.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.etcd.io/raft/v3"
@@ -99,7 +98,6 @@
 	m      *Machine
 	out    chan *pb.Message
 	chance keyhash.Source
-	bytes  atomic.Uint64
 }
 
 func newPeer(m *Machine, other charter.Machine) *peer {
@@ -206,7 +204,7 @@
 			by = longWriteBy
 		}
 		n, err := l.say(w, by)
-		p.bytes.Add(uint64(n))
+		p.m.table.outBytes.Add(uint64(n))
 		for _, out := range all {
 			if err != nil {
 				p.m.call(func() { p.lost(out) })
--- a/internal/net/accord/table.go
+++ b/internal/net/accord/table.go
@@ -114,7 +114,8 @@
 	l, self := m.lead.Load(), m.File.Self()
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return machineRow{ID: m.id, Name: self.Name, Learner: self.Learner, Leads: l.leads, Term: l.term, Head: uint64(m.state.Last()), Floor: uint64(m.state.Floor()), Config: uint64(m.state.Config())}
+	return machineRow{ID: m.id, Name: self.Name, Learner: self.Learner, Leads: l.leads, Term: l.term, Head: uint64(m.state.Last()), Floor: uint64(m.state.Floor()), Config: uint64(m.state.Config()),
+		In: m.table.inBytes.Load(), Out: m.table.outBytes.Load(), Foreign: m.table.foreign.Load(), Away: m.table.turnedAway.Load()}
 }
 
 // all is the whole table, for operators.
--- a/internal/net/accord/wire.go
+++ b/internal/net/accord/wire.go
@@ -109,6 +109,10 @@
 	AgoMs   uint64 `cbor:"8,keyasint,omitempty"`
 	Unheard bool   `cbor:"9,keyasint,omitempty"` // never heard
 	Config  uint64 `cbor:"10,keyasint,omitempty"`
+	In      uint64 `cbor:"11,keyasint,omitempty"` // bytes, from nodes and other machines
+	Out     uint64 `cbor:"12,keyasint,omitempty"`
+	Foreign uint64 `cbor:"13,keyasint,omitempty"` // streams and messages that were not to be read
+	Away    uint64 `cbor:"14,keyasint,omitempty"` // streams turned away for want of room
 }
 
 const (
--- a/internal/scale/changes/rig/rig.go
+++ b/internal/scale/changes/rig/rig.go
@@ -27,25 +27,23 @@
 )
 
 const (
-	label        = "scale-changes"
-	machines     = 4   // control machines: three voters and a learner
-	purgeRate    = 9.5 // a second, as stated
-	configEach   = time.Second
-	keyBytes     = 60   // of a purged key
-	configBytes  = 2048 // of a configuration
-	publishBy    = 30 * time.Second
-	readyBy      = 40 * time.Second      // for all to have begun
-	settleBy     = 90 * time.Second      // for all to have all
-	endBy        = 30 * time.Second      // for a process to write down what is left
-	showings     = 10                    // entries by which it is measured how soon fleet changes shows them
-	showBy       = 10 * time.Second      // for one to show
-	showEach     = 20 * time.Millisecond // between two calls for it
-	lookEach     = 200 * time.Millisecond
-	callsAtOnce  = 256 // to publish, during a cut's backlog
-	backlogOf    = 190 // purges in one call during a cut: 34,200 in 180 calls
-	killedAt     = 3   // a third into a play
-	backAt       = 3   // and back, two thirds into it
-	mostRealLogs = 1 << 20
+	label       = "scale-changes"
+	machines    = 4    // control machines: three voters and a learner
+	purgeRate   = 9.5  // a second, as stated
+	keyBytes    = 60   // of a purged key
+	configBytes = 2048 // of a configuration
+	publishBy   = 30 * time.Second
+	readyBy     = 40 * time.Second      // for all to have begun
+	settleBy    = 90 * time.Second      // for all to have all
+	endBy       = 30 * time.Second      // for a process to write down what is left
+	showings    = 10                    // entries by which it is measured how soon fleet changes shows them
+	showBy      = 10 * time.Second      // for one to show
+	showEach    = 20 * time.Millisecond // between two calls for it
+	lookEach    = 200 * time.Millisecond
+	callsAtOnce = 256 // to publish, during a cut's backlog
+	backlogOf   = 190 // purges in one call during a cut: 34,200 in 180 calls
+	killedAt    = 3   // a third into a play
+	backAt      = 3   // and back, two thirds into it
 )
 
 // The plays.
@@ -103,7 +101,6 @@
 	Back                 float64      `json:"back_s"` // from the end of the cut until the region had all; 0 for no cut
 	StaleInCut           int          `json:"stale_in_cut"`
 	Moves, Gaps          uint64
-	Turned               string  `json:"ended"`
 	RealWhole            int     `json:"real_with_all"`
 	Shown                float64 `json:"shown_s"` // the most from an entry's acknowledgement until fleet changes showed it at every node
 	Asked                float64 `json:"asked_s"` // the most that one such call took meanwhile
