Scale: end a run whose processes take more memory than they may

A fleet too large for the machine would have taken its memory from everything else on it. Without the check the test's run goes on to its end.

--- a/cmd/dahliapin/scale.go
+++ b/cmd/dahliapin/scale.go
@@ -30,6 +30,7 @@
 	p := scale.Plan{}
 	var out string
 	var kept bool
+	var mostMB int
 	var budget scale.Budget
 	c := &cobra.Command{Use: "scale [FILE.toml]", Short: "Measure what knowing one another costs a fleet at its size, by nodes without clients beside real ones",
 		Long: "Exits with 0 where all is within the budget, 1 where something is not (named in the last line), and 2 for a bad call.",
@@ -56,10 +57,13 @@
 			if err := p.Check(); err != nil {
 				return fmt.Errorf("%w: %w", errCall, err)
 			}
+			if mostMB < 1 || mostMB > scale.MostMB {
+				return fmt.Errorf("%w: --most-mb %d is not from 1 to %d", errCall, mostMB, scale.MostMB)
+			}
 			if out == "" {
 				return fmt.Errorf("%w: scale needs --out", errCall)
 			}
-			return measure(c.Context(), c.OutOrStdout(), &p, out, kept)
+			return measure(c.Context(), c.OutOrStdout(), &p, out, kept, mostMB)
 		}}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", errCall, err) })
 	c.Flags().IntVar(&p.Nodes, "nodes", 480, "the stated size")
@@ -69,6 +73,7 @@
 	c.Flags().Int64Var(&p.Seed, "seed", 1, "of all chance between regions")
 	c.Flags().StringVar(&out, "out", "", "folder for report.json, and size-N.json of each size")
 	c.Flags().BoolVar(&kept, "kept", false, "take sizes that stand in the folder already from there")
+	c.Flags().IntVar(&mostMB, "most-mb", scale.MostMB, "that all its processes may take: it ends once they take more")
 	c.Flags().Float64Var(&budget.CorePercent, "core", 0, "budget: percent of a core a node, instead of the file's")
 	c.Flags().Float64Var(&budget.MemoryMB, "memory", 0, "budget: MB a node, resident")
 	c.Flags().Float64Var(&budget.KBPerS, "kb", 0, "budget: thousands of bytes a second a node, sent and received")
@@ -110,7 +115,7 @@
 }
 
 // measure runs a plan with processes of this very program, and keeps what comes of it.
-func measure(ctx context.Context, to io.Writer, p *scale.Plan, out string, kept bool) error {
+func measure(ctx context.Context, to io.Writer, p *scale.Plan, out string, kept bool, mostMB int) error {
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	self, err := os.Executable()
@@ -126,7 +131,7 @@
 	}
 	defer os.RemoveAll(dir)
 	of := func(nodes int) string { return filepath.Join(out, fmt.Sprintf("size-%d.json", nodes)) }
-	rig := &scale.Rig{Program: self, Dir: dir, Tell: progress()}
+	rig := &scale.Rig{Program: self, Dir: dir, Tell: progress(), MostMB: mostMB}
 	r, err := rig.Run(ctx, p, func(nodes int) *scale.Size {
 		text, err := os.ReadFile(of(nodes))
 		var s scale.Size
--- a/cmd/dahliapin/scale_test.go
+++ b/cmd/dahliapin/scale_test.go
@@ -72,6 +72,24 @@
 	}
 }
 
+// A run that takes more memory than it may ends, says so, and leaves no process behind.
+func TestScaleKeepsWithinItsMemory(t *testing.T) {
+	out := t.TempDir()
+	printed, errs, code := calledOut(t, "scale", "--nodes", "6", "--sizes", "6", "--real", "1", "--for", "2s", "--most-mb", "5", "--out", out)
+	if code != 1 || !strings.Contains(errs, "2 processes take ") || !strings.Contains(errs, ": 5 are the most") {
+		t.Errorf("exit %d: %s%s", code, printed, errs)
+	}
+	left, err := filepath.Glob("/proc/[0-9]*/cmdline")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range left {
+		if text, err := os.ReadFile(path); err == nil && strings.Contains(string(text), os.Args[0]+"\x00scale\x00hollow") {
+			t.Errorf("left behind: %s", path)
+		}
+	}
+}
+
 // A call that can't be taken ends with 2 and one clear line, before anything is started.
 func TestScaleCallsAreChecked(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "bad.toml")
@@ -86,6 +104,7 @@
 		{[]string{"--nodes", "many", "--out", "x"}, "invalid argument"},
 		{[]string{"--nodes", "12", "--real", "2"}, "scale needs --out"},
 		{[]string{"--nodes", "12", "--real", "2", "--sizes", "2", "--out", "x"}, "--sizes: 2"},
+		{[]string{"--most-mb", "20000", "--out", "x"}, "--most-mb 20000 is not from"},
 		{[]string{"--for", "1h", "--out", "x"}, "--for 1h0m0s is not from"},
 		{[]string{"--out", "x", bad}, "bad.toml:2: no such field: places.region"},
 		{[]string{"--out", "x", bad + "-gone"}, "cannot be read"},
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -20,6 +20,7 @@
 	MostReal      = 32               // processes that are nodes
 	MostSizes     = 12               // measured one after the other
 	MostProcesses = 300              // of a run
+	MostMB        = 12_000           // that they take together
 	mostPlaces    = 200              // regions: a part of the address each
 	ShortestFor   = 2 * time.Second  // a window in which anything can be counted
 	LongestFor    = 10 * time.Minute // each size has one
--- a/internal/scale/rig.go
+++ b/internal/scale/rig.go
@@ -48,6 +48,7 @@
 	Program string       // that takes serve and scale hollow
 	Dir     string       // for configurations and logs; the caller's to remove
 	Tell    func(string) // progress, a line at a time; nil for nobody
+	MostMB  int          // that all its processes may take: it ends once they take more
 }
 
 func (r *Rig) tell(text string, args ...any) {
@@ -446,12 +447,41 @@
 			return took, fmt.Errorf("views of %d nodes are not the same %d members within %v: %d to %d, %d different, %d cut off", len(f.places), members, within,
 				least, most, len(marks), off)
 		}
+		if err := f.bounded(); err != nil {
+			return took, err
+		}
 		if err := pass(ctx, lookEach); err != nil {
 			return took, err
 		}
 	}
 }
 
+// bounded tells that all processes together take more than they may.
+func (f *fleetRun) bounded() error {
+	sum := uint64(0)
+	for _, c := range f.children() {
+		k, err := c.Cost()
+		if err != nil {
+			return err
+		}
+		sum += k.Resident
+	}
+	if most := uint64(f.rig.MostMB) * mb; sum > most {
+		return fmt.Errorf("%d processes take %d MB: %d are the most", len(f.hollows)+len(f.reals), sum/mb, f.rig.MostMB)
+	}
+	return nil
+}
+
+func (f *fleetRun) children() (all []*Child) {
+	for _, h := range f.hollows {
+		all = append(all, h.Child)
+	}
+	for _, n := range f.reals {
+		all = append(all, n.Child)
+	}
+	return all
+}
+
 // quiet waits until nothing more is told of what has happened.
 func (f *fleetRun) quiet(ctx context.Context) error {
 	if err := pass(ctx, settles); err != nil {
@@ -499,6 +529,9 @@
 
 // read takes one.
 func (f *fleetRun) read() (s snapshot, err error) {
+	if err := f.bounded(); err != nil {
+		return s, err
+	}
 	s = snapshot{at: time.Now(), nodes: map[string]map[string]Flow{}, costs: map[string]Cost{}}
 	for _, h := range f.hollows { // before anybody is asked, as that costs
 		k, err := h.Cost()
