Scale: measure beside real nodes one that knows of no other

A real node takes 0.58% of a core more than a hollow one, and nobody could say whether that is for knowing others. One more real node without a fleet's file tells what it takes for all else.

--- a/cmd/dahliapin/scale_test.go
+++ b/cmd/dahliapin/scale_test.go
@@ -55,6 +55,9 @@
 		if p == nil || s.Phases["forming"] == nil || p.Roles[scale.Hollow].Nodes != s.Nodes-2 || p.Roles[scale.Real].Nodes != 2 {
 			t.Fatalf("%d nodes: %+v", s.Nodes, s.Phases)
 		}
+		if p.Alone <= 0 || p.Alone > p.Roles[scale.Real].Processor.Mean || s.AloneMB <= 0 {
+			t.Errorf("%d nodes: one that knows of no other takes %v %% and %v MB", s.Nodes, p.Alone, s.AloneMB)
+		}
 		for role, taken := range p.Roles {
 			sent := taken.Flows["hellos out /s"]
 			if least := float64(s.Nodes-1) / 0.3 / 2; sent.Median < least || taken.Processor.Mean <= 0 || s.Memory[role].Resident.Mean <= 0 ||
@@ -76,7 +79,7 @@
 func TestScaleKeepsWithinItsMemory(t *testing.T) {
 	out := t.TempDir()
 	printed, errs, code := calledOut(t, "scale", "--nodes", "6", "--sizes", "6", "--real", "1", "--for", "2s", "--most-mb", "5", "--out", out)
-	if code != 1 || !strings.Contains(errs, "2 processes take ") || !strings.Contains(errs, ": 5 are the most") {
+	if code != 1 || !strings.Contains(errs, "3 processes take ") || !strings.Contains(errs, ": 5 are the most") {
 		t.Errorf("exit %d: %s%s", code, printed, errs)
 	}
 	left, err := filepath.Glob("/proc/[0-9]*/cmdline")
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -29,6 +29,7 @@
 	Processes int               `json:"processes"`
 	Phases    map[string]*Phase `json:"phases"`
 	Memory    map[Role]Memory   `json:"memory"`
+	AloneMB   float64           `json:"alone_mb"`  // resident, of a real node that knows of no other; 0 for none
 	LostHere  uint64            `json:"lost_here"` // messages, for want of room in the rules' queue: no rule asked for that
 	Dropped   uint64            `json:"dropped"`   // messages that nodes had no room for
 }
@@ -53,6 +54,7 @@
 	LongS float64         `json:"long_s"`
 	TookS float64         `json:"took_s"` // until views were as they had to be
 	Roles map[Role]*Taken `json:"roles"`
+	Alone float64         `json:"alone"` // processor, percent of a core, of a real node that knows of no other; 0 for none
 }
 
 // Taken is what the nodes of a role took, each second.
@@ -118,6 +120,9 @@
 		}
 		p.Roles[role].Processor = Over(cpu[role])
 	}
+	if f.alone != nil {
+		p.Alone = 100 * (to.costs[alone].Processor - from.costs[alone].Processor).Seconds() / long
+	}
 	if s.Phases == nil {
 		s.Phases = map[string]*Phase{}
 	}
@@ -148,6 +153,13 @@
 			heap = append(heap, float64(a.Heap)/mb/float64(len(h.places)))
 		}
 	}
+	if f.alone != nil {
+		k, err := f.alone.Cost()
+		if err != nil {
+			return err
+		}
+		s.AloneMB = float64(k.Resident) / mb
+	}
 	s.Memory = map[Role]Memory{}
 	for role, xs := range resident {
 		s.Memory[role] = Memory{Resident: Over(xs)}
@@ -377,6 +389,8 @@
 			}
 			row(s.Nodes, c.what, c.hollow, c.real, note)
 		}
+		row(s.Nodes, "a node that knows of no other: processor, % of a core", "", p.Alone, fmt.Sprintf("so knowing them takes a real node %.4g", x.Processor.Mean-p.Alone))
+		row(s.Nodes, "a node that knows of no other: resident, MB", "", s.AloneMB, fmt.Sprintf("so knowing them takes a real node %.4g", s.Memory[Real].Resident.Mean-s.AloneMB))
 	}
 	row()
 	row("means of hollow nodes", "unit", "a node more", "standard error", "R2", fmt.Sprintf("line at %d", r.Nodes), "measured", "real is more by", "budget", "")
--- a/internal/scale/rig.go
+++ b/internal/scale/rig.go
@@ -65,6 +65,7 @@
 	list    *listing
 	hollows []*Hollows
 	reals   []*RealNode
+	alone   *RealNode // knows of no other: what a node takes for all else; nil where there are no real ones
 }
 
 // Child is a process that this one started.
@@ -220,9 +221,8 @@
 	ops   string
 }
 
-// StartReal starts one, by the program's serve.
-func (r *Rig) StartReal(at Place, f charter.File, nodes int, seed int64) (*RealNode, error) {
-	f.Fleet.Listen, f.Fleet.Advertise = at.Addr, at.Addr
+// StartReal starts one, by the program's serve. Without a fleet's file it knows of no other.
+func (r *Rig) StartReal(at Place, f *charter.File, nodes int, seed int64) (*RealNode, error) {
 	host, _, err := net.SplitHostPort(at.Addr)
 	if err != nil {
 		return nil, err
@@ -246,15 +246,23 @@
 	if err != nil {
 		return nil, err
 	}
-	joins, err := toml.Marshal(f)
-	if err != nil {
-		return nil, err
-	}
 	base := filepath.Join(r.Dir, at.Name)
-	if err := errors.Join(os.WriteFile(base+".json", configuration, 0o600), os.WriteFile(base+".toml", joins, 0o600)); err != nil {
+	cmd := exec.Command(r.Program, "serve", "--config", base+".json")
+	if f != nil {
+		own := *f
+		own.Fleet.Listen, own.Fleet.Advertise = at.Addr, at.Addr
+		joins, err := toml.Marshal(own)
+		if err != nil {
+			return nil, err
+		}
+		if err := os.WriteFile(base+".toml", joins, 0o600); err != nil {
+			return nil, err
+		}
+		cmd.Args = append(cmd.Args, "--fleet", base+".toml")
+	}
+	if err := os.WriteFile(base+".json", configuration, 0o600); err != nil {
 		return nil, err
 	}
-	cmd := exec.Command(r.Program, "serve", "--config", base+".json", "--fleet", base+".toml")
 	cmd.Env = append(os.Environ(), "TMPDIR="+r.Dir)
 	c, err := StartChild(cmd, base+".log")
 	return &RealNode{c, at, free[1]}, err
@@ -319,6 +327,9 @@
 	for _, n := range f.reals {
 		all = append(all, n.Close)
 	}
+	if f.alone != nil {
+		all = append(all, f.alone.Close)
+	}
 	return all
 }
 
@@ -351,12 +362,21 @@
 func (f *fleetRun) start(ctx context.Context, file charter.File) error {
 	real := 0
 	for ; real < len(f.places) && f.places[real].Role == Real; real++ {
-		n, err := f.rig.StartReal(f.places[real], file, len(f.places), f.plan.Seed+int64(real))
+		n, err := f.rig.StartReal(f.places[real], &file, len(f.places), f.plan.Seed+int64(real))
 		if err != nil {
 			return fmt.Errorf("a real node does not start: %w", err)
 		}
 		f.reals = append(f.reals, n)
 	}
+	if real > 0 {
+		list, err := f.list.door(alone)
+		if err != nil {
+			return err
+		}
+		if f.alone, err = f.rig.StartReal(Place{Name: alone, Role: Real, Addr: "127.0.0.1:0", List: list}, nil, len(f.places), f.plan.Seed); err != nil {
+			return fmt.Errorf("a node that is to know of no other does not start: %w", err)
+		}
+	}
 	for from := real; from < len(f.places); from += f.plan.Each {
 		h, err := f.rig.StartHollows(f.places[from:min(len(f.places), from+f.plan.Each)], fmt.Sprintf("hollow-%d", from))
 		if err != nil {
@@ -467,7 +487,7 @@
 		sum += k.Resident
 	}
 	if most := uint64(f.rig.MostMB) * mb; sum > most {
-		return fmt.Errorf("%d processes take %d MB: %d are the most", len(f.hollows)+len(f.reals), sum/mb, f.rig.MostMB)
+		return fmt.Errorf("%d processes take %d MB: %d are the most", len(f.children()), sum/mb, f.rig.MostMB)
 	}
 	return nil
 }
@@ -479,6 +499,9 @@
 	for _, n := range f.reals {
 		all = append(all, n.Child)
 	}
+	if f.alone != nil {
+		all = append(all, f.alone.Child)
+	}
 	return all
 }
 
@@ -548,6 +571,11 @@
 			return s, err
 		}
 	}
+	if f.alone != nil {
+		if s.costs[alone], err = f.alone.Cost(); err != nil {
+			return s, err
+		}
+	}
 	all, lost, err := f.look(doRead)
 	if err != nil {
 		return s, err
@@ -564,7 +592,10 @@
 	return s, nil
 }
 
-const theList = "list"
+const (
+	theList = "list"
+	alone   = "alone" // the node that knows of no other
+)
 
 // Run measures all sizes, the lowest first. Those that are kept from an earlier run by the same plan are taken as they are.
 func (r *Rig) Run(ctx context.Context, p *Plan, kept func(nodes int) *Size, keep func(*Size) error) (*Report, error) {
@@ -609,7 +640,7 @@
 		return nil, err
 	}
 	defer f.close()
-	s := &Size{Nodes: nodes, By: p.Terms(), Began: began.UTC(), Processes: len(f.reals) + len(f.hollows)}
+	s := &Size{Nodes: nodes, By: p.Terms(), Began: began.UTC(), Processes: len(f.children())}
 	if _, err := f.until(ctx, nodes, formsWithin, nil); err != nil {
 		return nil, fmt.Errorf("forming: %w", err)
 	}
