--- a/policy/policy.go
+++ b/policy/policy.go
@@ -94,7 +94,7 @@
 	listed               []*cache              // without the origin
 	deals                [2]*placement         // of home and of all; nil until asked for
 	origin               *cache                // nil in through mode
-	room                 float64               // legs the origin may have, as learned
+	room, turns          float64               // legs the origin may have, as learned; slow ones to rest for
 	fetches              map[uint64]*Retrieval // who fetches a key from the origin; others that miss it wait
 	queue                []*Retrieval          // waiting for room at the origin or for another's fetch
 	wanted               map[uint64]float64    // benefit asked of each key; halved now and then
@@ -119,12 +119,13 @@
 	rules.Nodes, rules.MostLegs = max(1, rules.Nodes), max(1, rules.MostLegs)
 	rules.Round = max(time.Millisecond, rules.Round)
 	p := &Router{rules: rules, cheap: 1, askAt: now, room: max(1, originFirst/float64(rules.Nodes)),
+		turns:     max(0, float64(rules.Nodes)/originFirst-1), // so that all together send few in a slow leg's time
 		coldShare: max(1, fallPart*rules.FallMultiple), doors: [2]door{{evidence, evidence}, {evidence, evidence}},
 		coldMost: float64(rules.ColdFor) * max(1, float64(rules.Nodes)/coldFirst), cut: map[ZoneID]int{},
 		caches: map[CacheID]*cache{}, fetches: map[uint64]*Retrieval{}, wanted: map[uint64]float64{},
 		metered: make([]Instant, len(rules.Leagues)), chance: keyhash.Source{Seed: uint32(seed ^ seed>>32)}}
 	p.retime()
-	p.originRest = now.Add(time.Duration(p.chance.Next() * p.turn() / originLate))
+	p.originRest = now.Add(time.Duration(p.chance.Next() * p.turns * float64(p.slow) / originLate))
 	return p
 }
 
@@ -335,11 +336,6 @@
 	return c != nil && p.lawful(now, &r, c)
 }
 
-// turn is a node's time between legs at the origin by which all nodes send it few in a slow one's time.
-func (p *Router) turn() float64 {
-	return float64(p.slow) * max(0, float64(p.rules.Nodes)/originFirst-1)
-}
-
 // left is the time in which a leg can still be answered before the hard stop.
 func (p *Router) left(now Instant, r *Retrieval) time.Duration {
 	return r.HardStop.Since(now) - 2*p.rules.Round
@@ -384,8 +380,9 @@
 	return slots[at]
 }
 
-// holders lists a key's caches, first ranked first, and the next ranked for one that drains, is silent, errs so
-// fast that it looks idle, or is too cold. A key asked for more than three caches' share has more of them.
+// holders lists a key's caches, first ranked first. One that drains, is silent, fails this grade fast and so
+// looks idle, or is too cold for the key yields to the next ranked spare. Reads of a key that is asked for
+// more than three caches' even share have more holders, or those would be full while others had room.
 func (p *Router) holders(now Instant, r *Retrieval, side int) (hs []*cache) {
 	n, w := copies, p.wanted[r.memo.key]
 	if !r.Write && w*p.cheap*p.cheap >= hotLeast {
@@ -712,7 +709,7 @@
 		d.asked, d.good, c.vain = d.asked+1, d.good+inTime, c.vain+(1-inTime-c.vain)/vainLegs
 	default:
 		if leg.Result == TurnedAway { // so may all be; and it does not tell how long work takes there
-			p.originRest = now.Add(time.Duration((0.5 + p.chance.Next()) * p.turn()))
+			p.originRest = now.Add(time.Duration((0.5 + p.chance.Next()) * p.turns * float64(p.slow)))
 			o.Took = max(o.Took, p.originTook)
 		}
 		if p.originTook += (o.Took - p.originTook) / 8; inTime == 1 && o.Took <= r.memo.grade.SoftLimit/2 {
