The origin: a node rests only when it is turned away again and again

Change: rests grow fourfold with each one turned away on end, up to the span by the number of nodes; at once to that before any answer was good.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,6 +48,7 @@
 	originCut    = 0.9                    // room left after a late or lost answer: some are chance, ten a sign
 	originLate   = 3                      // times its usual time, and half the soft limit: a leg there is lost
 	coldFirst    = 160.0                  // legs to a cold cache over all nodes, of those that know too little
+	originWary   = 4.0                    // growth of a rest from it; turned away so often before any was good
 	originLeast  = 8.0                    // legs there that all nodes together may always have: a few a core
 	strainWeight = 4.0                    // times the share of late legs there: a quarter is a full strain
 	fallPart     = 0.67                   // of the multiple that fells a cold cache; chance has the rest
@@ -94,7 +95,7 @@
 	listed               []*cache              // without the origin
 	deals                [2]*placement         // of home and of all; nil until asked for
 	origin               *cache                // nil in through mode
-	room, turns          float64               // legs the origin may have, as learned; slow ones to rest for
+	room, turns, spurned float64               // legs the origin may have; to rest for; turned away on end
 	fetches              map[uint64]*Retrieval // who fetches a key from the origin; others that miss it wait
 	queue                []*Retrieval          // waiting for room at the origin or for another's fetch
 	wanted               map[uint64]float64    // benefit asked of each key; halved now and then
@@ -119,11 +120,11 @@
 	rules.Nodes, rules.MostLegs = max(1, rules.Nodes), max(1, rules.MostLegs)
 	rules.Round = max(time.Millisecond, rules.Round)
 	p := &Router{rules: rules, cheap: 1, askAt: now, room: max(1, originFirst/float64(rules.Nodes)),
-		turns:     max(0, float64(rules.Nodes)/originFirst-1), // so that all together send few in a slow leg's time
+		turns: max(0, float64(rules.Nodes)/originFirst-1), spurned: originWary, cut: map[ZoneID]int{},
 		coldShare: max(1, fallPart*rules.FallMultiple), doors: [2]door{{evidence, evidence}, {evidence, evidence}},
-		coldMost: float64(rules.ColdFor) * max(1, float64(rules.Nodes)/coldFirst), cut: map[ZoneID]int{},
-		caches: map[CacheID]*cache{}, fetches: map[uint64]*Retrieval{}, wanted: map[uint64]float64{},
-		metered: make([]Instant, len(rules.Leagues)), chance: keyhash.Source{Seed: uint32(seed ^ seed>>32)}}
+		coldMost: float64(rules.ColdFor) * max(1, float64(rules.Nodes)/coldFirst), fetches: map[uint64]*Retrieval{},
+		caches: map[CacheID]*cache{}, wanted: map[uint64]float64{}, metered: make([]Instant, len(rules.Leagues)),
+		chance: keyhash.Source{Seed: uint32(seed ^ seed>>32)}}
 	p.retime()
 	p.originRest = now.Add(time.Duration(p.chance.Next() * p.turns * float64(p.slow) / originLate))
 	return p
@@ -196,8 +197,7 @@
 	return home
 }
 
-// deal returns a deal's slots. Where crossings have a price and a zone has caches enough, the design holds
-// within it; those elsewhere are spares, by a deal over all that the zones share.
+// deal returns a deal's slots: where the home zone has one, the design holds within it, and others' are spares.
 func (p *Router) deal(side int) *placement {
 	if p.deals[side] == nil {
 		var cs []*cache
@@ -563,8 +563,7 @@
 	return r.Write || f == nil || f == r || f.Over
 }
 
-// toOrigin sends a write, or a read that missed, to the origin. Against storms of misses one read fetches a
-// key and others wait, legs are bounded, and who would mostly wait in vain is turned away.
+// toOrigin sends a write, or a read that missed: one fetches a key while others wait, and legs are bounded.
 func (p *Router) toOrigin(now Instant, r *Retrieval) Move {
 	left := r.memo.grade.SoftLimit - now.Since(r.Arrived)
 	queued := slices.Contains(p.queue, r)
@@ -708,12 +707,13 @@
 	case c != p.origin:
 		d.asked, d.good, c.vain = d.asked+1, d.good+inTime, c.vain+(1-inTime-c.vain)/vainLegs
 	default:
-		if leg.Result == TurnedAway { // so may all be; and it does not tell how long work takes there
-			p.originRest = now.Add(time.Duration((0.5 + p.chance.Next()) * p.turns * float64(p.slow)))
-			o.Took = max(o.Took, p.originTook)
+		if leg.Result == TurnedAway { // once says little; again and again all are, and must not come back together
+			p.spurned, o.Took = p.spurned+1, p.originTook // nor does it tell how long work takes
+			rest := (0.5 + p.chance.Next()) * min(p.turns, math.Pow(originWary, p.spurned-1)-1)
+			p.originRest = now.Add(time.Duration(rest * float64(p.slow)))
 		}
 		if p.originTook += (o.Took - p.originTook) / 8; inTime == 1 && o.Took <= r.memo.grade.SoftLimit/2 {
-			p.strain -= p.strain / evidence
+			p.strain, p.spurned = p.strain-p.strain/evidence, 0
 			p.room += min(1/p.room, originGrow*p.room, max(0, 2*own-p.room)) // room that is not used is no sign
 		} else if p.strain += (1 - p.strain) / evidence; now.Since(p.cutAt) > p.slow {
 			p.room, p.cutAt = max(originLeast/float64(p.rules.Nodes), p.room*originCut), now
