Scale: end at once when told, and say how long processes waited for a core

A run that was told to end while its nodes were being started went on with that for as long as it took.

--- a/cmd/dahliapin/scale_test.go
+++ b/cmd/dahliapin/scale_test.go
@@ -6,7 +6,9 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"dahliapin/internal/scale"
 )
@@ -60,7 +62,7 @@
 		}
 		for role, taken := range p.Roles {
 			sent := taken.Flows["hellos out /s"]
-			if least := float64(s.Nodes-1) / 0.3 / 2; sent.Median < least || taken.Processor.Mean <= 0 || s.Memory[role].Resident.Mean <= 0 ||
+			if least := float64(s.Nodes-1) / 0.3 / 2; sent.Median < least || taken.Processor.Mean <= 0 || taken.Waited.Mean <= 0 || s.Memory[role].Resident.Mean <= 0 ||
 				s.Phases["forming"].Roles[role].Flows["list in B/s"].Mean <= 0 || s.Phases["forming"].Roles[role].Flows["streams out B/s"].Mean <= 0 {
 				t.Errorf("%d nodes, %s: %+v, memory %+v", s.Nodes, role, taken, s.Memory[role])
 			}
@@ -75,6 +77,50 @@
 	}
 }
 
+// A run that is told to end does so at once, also while its nodes are being started, and leaves no process behind.
+func TestScaleEndsWhenTold(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "f.toml")
+	if err := os.WriteFile(file, []byte("[starts]\napart_ms = 10000\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	program, logged := started(t, os.Args[0], "scale", "--nodes", "6", "--sizes", "6", "--real", "1", "--for", "2s", "--out", t.TempDir(), file)
+	for by := time.Now().Add(20 * time.Second); !hollowRuns(t); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(by) {
+			t.Fatal("no process of hollow nodes comes up")
+		}
+	}
+	time.Sleep(200 * time.Millisecond) // it is told to start nodes
+	began := time.Now()
+	if err := program.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	expect(t, logged, "context canceled")
+	if err := program.Wait(); err == nil || program.ProcessState.ExitCode() != 1 {
+		t.Errorf("it ended with %v", err)
+	}
+	if took := time.Since(began); took > 8*time.Second { // five for a process that is busy with something else
+		t.Errorf("it took %v to end", took)
+	}
+	if hollowRuns(t) {
+		t.Error("a process is left behind")
+	}
+}
+
+// hollowRuns tells whether a process of hollow nodes of this test's program is there.
+func hollowRuns(t *testing.T) bool {
+	t.Helper()
+	all, err := filepath.Glob("/proc/[0-9]*/cmdline")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range all {
+		if text, err := os.ReadFile(path); err == nil && strings.Contains(string(text), os.Args[0]+"\x00scale\x00hollow") {
+			return true
+		}
+	}
+	return false
+}
+
 // A run that takes more memory than it may ends, says so, and leaves no process behind.
 func TestScaleKeepsWithinItsMemory(t *testing.T) {
 	out := t.TempDir()
@@ -82,14 +128,8 @@
 	if code != 1 || !strings.Contains(errs, "3 processes take ") || !strings.Contains(errs, ": 5 are the most") {
 		t.Errorf("exit %d: %s%s", code, printed, errs)
 	}
-	left, err := filepath.Glob("/proc/[0-9]*/cmdline")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, path := range left {
-		if text, err := os.ReadFile(path); err == nil && strings.Contains(string(text), os.Args[0]+"\x00scale\x00hollow") {
-			t.Errorf("left behind: %s", path)
-		}
+	if hollowRuns(t) {
+		t.Error("a process is left behind")
 	}
 }
 
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"io"
 	"slices"
@@ -62,6 +63,7 @@
 	Nodes     int               `json:"nodes"`
 	Flows     map[string]Spread `json:"flows"`     // "hellos out B/s" and so on; "all ..." is of all flows
 	Processor Spread            `json:"processor"` // percent of one core
+	Waited    Spread            `json:"waited"`    // for a core, as a multiple of what was had of it
 }
 
 // Memory of a node, in MB.
@@ -86,7 +88,7 @@
 func (s *Size) add(f *fleetRun, name string, took time.Duration, from, to snapshot) {
 	long := to.at.Sub(from.at).Seconds()
 	p := &Phase{LongS: long, TookS: took.Seconds(), Roles: map[Role]*Taken{}}
-	each, cpu := map[Role]map[string][]float64{}, map[Role][]float64{}
+	each, cpu, waited := map[Role]map[string][]float64{}, map[Role][]float64{}, map[Role][]float64{}
 	for _, at := range f.places {
 		flows, there := to.nodes[at.Name]
 		if !there {
@@ -112,13 +114,15 @@
 		}
 		note(allFlows, all)
 		xs[bothWays] = append(xs[bothWays], all.Out+all.In)
-		cpu[at.Role] = append(cpu[at.Role], 100*(to.costs[at.Name].Processor-from.costs[at.Name].Processor).Seconds()/long)
+		had, waits := to.costs[at.Name].Processor-from.costs[at.Name].Processor, to.costs[at.Name].Waited-from.costs[at.Name].Waited
+		cpu[at.Role] = append(cpu[at.Role], 100*had.Seconds()/long)
+		waited[at.Role] = append(waited[at.Role], max(0, waits.Seconds())/max(had.Seconds(), 1e-6))
 	}
 	for role, xs := range each {
 		for what, x := range xs {
 			p.Roles[role].Flows[what] = Over(x)
 		}
-		p.Roles[role].Processor = Over(cpu[role])
+		p.Roles[role].Processor, p.Roles[role].Waited = Over(cpu[role]), Over(waited[role])
 	}
 	if f.alone != nil {
 		p.Alone = 100 * (to.costs[alone].Processor - from.costs[alone].Processor).Seconds() / long
@@ -130,7 +134,7 @@
 }
 
 // weigh reads what memory nodes take.
-func (s *Size) weigh(f *fleetRun) error {
+func (s *Size) weigh(ctx context.Context, f *fleetRun) error {
 	resident, heap := map[Role][]float64{}, []float64{}
 	for _, n := range f.reals {
 		k, err := n.Cost()
@@ -144,7 +148,7 @@
 		if err != nil {
 			return err
 		}
-		a, err := h.ask(order{Do: doWeigh}, answerBy)
+		a, err := h.ask(ctx, order{Do: doWeigh}, answerBy)
 		if err != nil {
 			return err
 		}
@@ -336,6 +340,7 @@
 			}
 			spread(s, role, bothWays, p.Roles[role].Flows[bothWays])
 			spread(s, role, "processor, % of a core", p.Roles[role].Processor)
+			spread(s, role, "waited for a core, times as long", p.Roles[role].Waited)
 			spread(s, role, "resident, MB", s.Memory[role].Resident)
 			if role == Hollow {
 				spread(s, role, "heap, MB", s.Memory[role].Heap)
--- a/internal/scale/rig.go
+++ b/internal/scale/rig.go
@@ -126,6 +126,7 @@
 // Cost is what a process has taken until now.
 type Cost struct {
 	Processor time.Duration // by its clock, which counts what rusage does
+	Waited    time.Duration // for a core, all its threads together
 	Resident  uint64        // bytes
 }
 
@@ -146,7 +147,16 @@
 		return k, err
 	}
 	k.Resident = resident * uint64(os.Getpagesize())
-	return k, nil
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	for _, at := range threads {
+		var ran, waited uint64
+		if text, bad := os.ReadFile(at); bad != nil { // it has ended meanwhile
+			continue
+		} else if _, bad := fmt.Sscan(string(text), &ran, &waited); bad == nil {
+			k.Waited += time.Duration(waited)
+		}
+	}
+	return k, err
 }
 
 // Hollows is a process of hollow nodes.
@@ -193,7 +203,7 @@
 }
 
 // ask has it do something, and waits for it.
-func (h *Hollows) ask(o order, within time.Duration) (answer, error) {
+func (h *Hollows) ask(ctx context.Context, o order, within time.Duration) (answer, error) {
 	if err := json.NewEncoder(h.in).Encode(o); err != nil {
 		return answer{}, fmt.Errorf("a process of hollow nodes takes no order: %w: %s", err, h.said())
 	}
@@ -206,6 +216,8 @@
 			return a, fmt.Errorf("a process of hollow nodes: %s", a.Fault)
 		}
 		return a, nil
+	case <-ctx.Done():
+		return answer{}, ctx.Err()
 	case <-time.After(within):
 		return answer{}, fmt.Errorf("a process of hollow nodes does not answer within %v to %s", within, o.Do)
 	}
@@ -385,12 +397,12 @@
 		f.hollows = append(f.hollows, h)
 	}
 	apart := ms(f.plan.File.Starts.ApartMs) * time.Duration(len(f.hollows))
-	_, err := f.each(order{Do: doOpen, Fleet: &file, File: &f.plan.File, Seed: f.plan.Seed, Nodes: len(f.places), Apart: apart})
+	_, err := f.each(ctx, order{Do: doOpen, Fleet: &file, File: &f.plan.File, Seed: f.plan.Seed, Nodes: len(f.places), Apart: apart})
 	return errors.Join(err, ctx.Err())
 }
 
 // each has all processes of hollow nodes do something at once.
-func (f *fleetRun) each(o order) (all []answer, err error) {
+func (f *fleetRun) each(ctx context.Context, o order) (all []answer, err error) {
 	all, errs := make([]answer, len(f.hollows)), make([]error, len(f.hollows))
 	var wait sync.WaitGroup
 	for i, h := range f.hollows {
@@ -401,7 +413,7 @@
 			if o.Do == doOpen {
 				o.Places = h.places
 			}
-			all[i], errs[i] = h.ask(o, answerBy+time.Duration(len(o.Places))*o.Apart)
+			all[i], errs[i] = h.ask(ctx, o, answerBy+time.Duration(len(o.Places))*o.Apart)
 		}()
 	}
 	wait.Wait()
@@ -409,11 +421,11 @@
 }
 
 // of has the process of one node do something for it.
-func (f *fleetRun) of(name, do string) error {
+func (f *fleetRun) of(ctx context.Context, name, do string) error {
 	for _, h := range f.hollows {
 		for _, at := range h.places {
 			if at.Name == name {
-				_, err := h.ask(order{Do: do, Name: name}, answerBy)
+				_, err := h.ask(ctx, order{Do: do, Name: name}, answerBy)
 				return err
 			}
 		}
@@ -422,8 +434,8 @@
 }
 
 // look is how all views stand.
-func (f *fleetRun) look(do string) (all []status, lost uint64, err error) {
-	said, err := f.each(order{Do: do})
+func (f *fleetRun) look(ctx context.Context, do string) (all []status, lost uint64, err error) {
+	said, err := f.each(ctx, order{Do: do})
 	if err != nil {
 		return nil, 0, err
 	}
@@ -447,7 +459,7 @@
 func (f *fleetRun) until(ctx context.Context, members int, within time.Duration, of func(status) bool) (took time.Duration, err error) {
 	began := time.Now()
 	for {
-		all, _, err := f.look(doLook)
+		all, _, err := f.look(ctx, doLook)
 		if err != nil {
 			return 0, err
 		}
@@ -511,7 +523,7 @@
 		return err
 	}
 	told := func() (sum float64, err error) {
-		s, err := f.read()
+		s, err := f.read(ctx)
 		for _, flows := range s.nodes {
 			sum += flows["statements"].OutMessages
 		}
@@ -551,7 +563,7 @@
 }
 
 // read takes one.
-func (f *fleetRun) read() (s snapshot, err error) {
+func (f *fleetRun) read(ctx context.Context) (s snapshot, err error) {
 	if err := f.bounded(); err != nil {
 		return s, err
 	}
@@ -563,7 +575,7 @@
 		}
 		n := len(h.places)
 		for _, at := range h.places {
-			s.costs[at.Name] = Cost{k.Processor / time.Duration(n), k.Resident / uint64(n)}
+			s.costs[at.Name] = Cost{k.Processor / time.Duration(n), k.Waited / time.Duration(n), k.Resident / uint64(n)}
 		}
 	}
 	for _, n := range f.reals {
@@ -576,7 +588,7 @@
 			return s, err
 		}
 	}
-	all, lost, err := f.look(doRead)
+	all, lost, err := f.look(ctx, doRead)
 	if err != nil {
 		return s, err
 	}
@@ -648,7 +660,7 @@
 	if err := f.quiet(ctx); err != nil {
 		return nil, err
 	}
-	last, err := f.read()
+	last, err := f.read(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -664,7 +676,7 @@
 			err = fmt.Errorf("%s: %w", name, bad)
 			return err
 		}
-		next, bad := f.read()
+		next, bad := f.read(ctx)
 		if bad != nil {
 			err = bad
 			return err
@@ -682,19 +694,19 @@
 	}
 	_ = phase(steady, func() (time.Duration, error) { return 0, pass(ctx, p.window(nodes)) })
 	if err == nil {
-		err = s.weigh(f)
+		err = s.weigh(ctx, f)
 	}
 	if lost := f.places[len(f.places)-1]; p.File.Lost.ForS > 0 {
 		_ = phase(lostOne, func() (time.Duration, error) {
 			began := time.Now()
-			if err := f.of(lost.Name, doDrop); err != nil {
+			if err := f.of(ctx, lost.Name, doDrop); err != nil {
 				return 0, err
 			}
 			took, err := f.until(ctx, nodes-1, wholeWithin, func(st status) bool { return st.Name != lost.Name })
 			return took, cmp.Or(err, pass(ctx, max(0, seconds(p.File.Lost.ForS)-time.Since(began))))
 		})
 		_ = phase(lostBack, func() (time.Duration, error) {
-			if err := f.of(lost.Name, doRaise); err != nil {
+			if err := f.of(ctx, lost.Name, doRaise); err != nil {
 				return 0, err
 			}
 			return again(nodes, nil)
@@ -713,14 +725,14 @@
 		}
 		_ = phase(cutOff, func() (time.Duration, error) {
 			began := time.Now()
-			if _, err := f.each(order{Do: doCut, Off: true}); err != nil {
+			if _, err := f.each(ctx, order{Do: doCut, Off: true}); err != nil {
 				return 0, err
 			}
 			took, err := f.until(ctx, left, wholeWithin, func(st status) bool { return !inside[st.Name] })
 			return took, cmp.Or(err, pass(ctx, max(0, seconds(p.File.Cut.ForS)-time.Since(began))))
 		})
 		_ = phase(cutBack, func() (time.Duration, error) {
-			if _, err := f.each(order{Do: doCut, Off: false}); err != nil {
+			if _, err := f.each(ctx, order{Do: doCut, Off: false}); err != nil {
 				return 0, err
 			}
 			return again(nodes, nil)
