--- a/cmd/dahliapin/capacity_test.go
+++ b/cmd/dahliapin/capacity_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -35,40 +34,16 @@
 
 // values is a cache that answers each request with a value of so many bytes.
 func values(tb testing.TB, size int) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		tb.Fatal(err)
-	}
-	tb.Cleanup(func() { l.Close() })
-	value := bytes.Repeat([]byte("v"), size)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				for r := bufio.NewReader(c); ; {
-					line, err := r.ReadString('\n')
-					if err != nil {
-						return
-					}
-					_, id, _ := strings.Cut(line, " O")
-					id, _, _ = strings.Cut(id, " ")
-					if _, err = fmt.Fprintf(c, "VA %d O%s\r\n", size, id); err == nil {
-						if _, err = c.Write(value); err == nil {
-							_, err = io.WriteString(c, "\r\n")
-						}
-					}
-					if err != nil {
-						return
-					}
-				}
-			}()
+	value := append(bytes.Repeat([]byte("v"), size), '\r', '\n')
+	return cacheOf(tb, func(to net.Conn, line string) error {
+		_, id, _ := strings.Cut(line, " O")
+		id, _, _ = strings.Cut(id, " ")
+		_, err := fmt.Fprintf(to, "VA %d O%s\r\n", size, id)
+		if err == nil {
+			_, err = to.Write(value)
 		}
-	}()
-	return l.Addr().String()
+		return err
+	})
 }
 
 // BenchmarkNodeProcess is what docs/CAPACITY.md takes its slopes of the data path from: processor time of a node's process alone, by the
--- a/cmd/dahliapin/idle_test.go
+++ b/cmd/dahliapin/idle_test.go
@@ -16,13 +16,13 @@
 	"time"
 )
 
-// cacheServer answers reads; keys that begin with "slow" after a second.
-func cacheServer(t *testing.T, asked *atomic.Int64) string {
+// cacheOf is a cache that answers each request's line, until that fails.
+func cacheOf(tb testing.TB, answer func(to net.Conn, line string) error) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
+	tb.Cleanup(func() { l.Close() })
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -33,15 +33,12 @@
 				defer c.Close()
 				for r := bufio.NewReader(c); ; {
 					line, err := r.ReadString('\n')
-					f := strings.Fields(line)
-					if err != nil || len(f) < 4 {
-						return
+					if err == nil {
+						err = answer(c, line)
 					}
-					asked.Add(1)
-					if strings.HasPrefix(f[1], "slow") {
-						time.Sleep(time.Second)
+					if err != nil {
+						return
 					}
-					fmt.Fprintf(c, "VA 5 %s\r\nhello\r\n", f[3])
 				}
 			}()
 		}
@@ -49,6 +46,22 @@
 	return l.Addr().String()
 }
 
+// cacheServer answers reads; keys that begin with "slow" after a second.
+func cacheServer(t *testing.T, asked *atomic.Int64) string {
+	return cacheOf(t, func(to net.Conn, line string) error {
+		f := strings.Fields(line)
+		if len(f) < 4 {
+			return io.EOF
+		}
+		asked.Add(1)
+		if strings.HasPrefix(f[1], "slow") {
+			time.Sleep(time.Second)
+		}
+		_, err := fmt.Fprintf(to, "VA 5 %s\r\nhello\r\n", f[3])
+		return err
+	})
+}
+
 // flood has clients connect without end, and keep what they have: half of them ask once, the others say nothing at all. One that is
 // closed comes again.
 func flood(listen string, clients int, over chan bool) *sync.WaitGroup {
