The origin: no rests in fleets of up to twice its first room; any answer ends a row

Change: none for up to twice the nodes that each may have a request there from the first; any outcome but being turned away ends the row, not a good one only.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -120,7 +120,7 @@
 	rules.Nodes, rules.MostLegs = max(1, rules.Nodes), max(1, rules.MostLegs)
 	rules.Round = max(time.Millisecond, rules.Round)
 	p := &Router{rules: rules, cheap: 1, askAt: now, room: max(1, originFirst/float64(rules.Nodes)),
-		turns: max(0, float64(rules.Nodes)/originFirst-1), spurned: originWary, cut: map[ZoneID]int{},
+		turns: max(0, float64(rules.Nodes)/originFirst-2), spurned: originWary, cut: map[ZoneID]int{},
 		coldShare: max(1, fallPart*rules.FallMultiple), doors: [2]door{{evidence, evidence}, {evidence, evidence}},
 		coldMost: float64(rules.ColdFor) * max(1, float64(rules.Nodes)/coldFirst), fetches: map[uint64]*Retrieval{},
 		caches: map[CacheID]*cache{}, wanted: map[uint64]float64{}, metered: make([]Instant, len(rules.Leagues)),
@@ -283,8 +283,7 @@
 	return min(1, p.rules.ColdFrom+(1-p.rules.ColdFrom)*old)
 }
 
-// coldTo guards against pushing a cold cache over: it takes a slice of the keys that widens with its warmth,
-// and legs as far apart as a warm one answers them, cut by its warmth; the first by chance, for many nodes.
+// coldTo guards against pushing a cold cache over: by a slice of the keys that widens, and by distance in time.
 func (p *Router) coldTo(now Instant, c *cache, key uint64) bool {
 	w := p.warmth(now, c)
 	if w < 1 && c.coldAt == 0 {
@@ -707,13 +706,14 @@
 	case c != p.origin:
 		d.asked, d.good, c.vain = d.asked+1, d.good+inTime, c.vain+(1-inTime-c.vain)/vainLegs
 	default:
-		if leg.Result == TurnedAway { // once says little; again and again all are, and must not come back together
-			p.spurned, o.Took = p.spurned+1, p.originTook // nor does it tell how long work takes
+		p.spurned = map[bool]float64{leg.Result == TurnedAway: p.spurned + 1}[true] // 0 after any other outcome
+		if leg.Result == TurnedAway {                                               // once says little; again and again all are, and must not come back together
+			o.Took = max(o.Took, p.originTook) // nor does it tell how long work takes
 			rest := (0.5 + p.chance.Next()) * min(p.turns, math.Pow(originWary, p.spurned-1)-1)
 			p.originRest = now.Add(time.Duration(rest * float64(p.slow)))
 		}
 		if p.originTook += (o.Took - p.originTook) / 8; inTime == 1 && o.Took <= r.memo.grade.SoftLimit/2 {
-			p.strain, p.spurned = p.strain-p.strain/evidence, 0
+			p.strain -= p.strain / evidence
 			p.room += min(1/p.room, originGrow*p.room, max(0, 2*own-p.room)) // room that is not used is no sign
 		} else if p.strain += (1 - p.strain) / evidence; now.Since(p.cutAt) > p.slow {
 			p.room, p.cutAt = max(originLeast/float64(p.rules.Nodes), p.room*originCut), now
