--- a/internal/emulator/script/script.go
+++ b/internal/emulator/script/script.go
@@ -305,6 +305,7 @@
 	c.Within(f.ColdFrom, 0.01, 1, "fleet.cold_from")
 	c.Within(f.ColdS, 0, mostSeconds, "fleet.cold_s")
 	c.Within(f.FallMultiple, 0, 1e6, "fleet.fall_multiple")
+	c.Want(f.FallMultiple == 0 || f.FallS > 0, "fleet.fall_s", "a multiple that fells a cache needs a time over which it counts")
 	c.Within(f.FallS, 0, mostSeconds, "fleet.fall_s")
 	c.Within(f.HandshakeMs, 0, 1000, "fleet.handshake_ms")
 	c.Within(f.IdleS, 0.1, mostSeconds, "fleet.idle_s")
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -197,7 +197,7 @@
 	return home
 }
 
-// deal returns a deal's slots: where the home zone has one, the design holds within it, and others' are spares.
+// deal returns a deal's slots: where the home zone has one, the design holds within it; others' are spares.
 func (p *Router) deal(side int) *placement {
 	if p.deals[side] == nil {
 		var cs []*cache
@@ -283,7 +283,7 @@
 	return min(1, p.rules.ColdFrom+(1-p.rules.ColdFrom)*old)
 }
 
-// coldTo guards against pushing a cold cache over: by a slice of the keys that widens, and by distance in time.
+// coldTo guards against pushing a cold cache over: by a slice of the keys that widens, and by gaps in time.
 func (p *Router) coldTo(now Instant, c *cache, key uint64) bool {
 	w := p.warmth(now, c)
 	if w < 1 && c.coldAt == 0 {
@@ -706,8 +706,8 @@
 	case c != p.origin:
 		d.asked, d.good, c.vain = d.asked+1, d.good+inTime, c.vain+(1-inTime-c.vain)/vainLegs
 	default:
-		p.spurned = map[bool]float64{leg.Result == TurnedAway: p.spurned + 1}[true] // 0 after any other outcome
-		if leg.Result == TurnedAway {                                               // once says little; again and again all are, and must not come back together
+		p.spurned = map[bool]float64{leg.Result == TurnedAway: p.spurned + 1}[true]
+		if leg.Result == TurnedAway { // once says little; on end all may be, and must not come back together
 			o.Took = max(o.Took, p.originTook) // nor does it tell how long work takes
 			rest := (0.5 + p.chance.Next()) * min(p.turns, math.Pow(originWary, p.spurned-1)-1)
 			p.originRest = now.Add(time.Duration(rest * float64(p.slow)))
