Tests: processes choose their own ports, or have them below those given to any connection

What is left is its addresses: both were free ports that were closed before the process bound them, while thousands of connections of other tests come and go in the same range.

Now processes listen on port 0 and their log says where, with the operators' port beside it; who has to know an address beforehand takes it below the range that systems give to connections (internal/ports, which was the rehearsals' own). A process that is not ready says why in the test's failure.

For that, a configuration may have port 0 for clients and for operators: they were held to be the same. The check that pinned this asked for port 0 twice; it asks for a real port twice now, and port 0 twice is a case of its own, which failed before.

--- a/cmd/dahliapin/changes_test.go
+++ b/cmd/dahliapin/changes_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"strings"
@@ -11,17 +10,18 @@
 	"time"
 
 	"dahliapin/internal/net/accord"
+	"dahliapin/internal/ports"
 )
 
-// freePorts are some that nobody had a moment ago.
+// freePorts are some that nobody has.
 func freePorts(t *testing.T, n int) (at []string) {
+	t.Helper()
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		one, err := ports.Free()
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer l.Close()
-		at = append(at, l.Addr().String())
+		at = append(at, one)
 	}
 	return at
 }
--- a/cmd/dahliapin/start_test.go
+++ b/cmd/dahliapin/start_test.go
@@ -9,8 +9,10 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"regexp"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -24,28 +26,81 @@
 	return 30
 }
 
-// serving starts a process of a node with a configuration's further parts, and returns where it listens. It ends with the test.
-func serving(t testing.TB, dir, discovery, more string, env ...string) (p *exec.Cmd, listen string) {
+// served is a process of a node, and what it logs.
+type served struct {
+	*exec.Cmd
+	up     chan bool // closed once it listens, or has ended without
+	listen string    // where; empty where it has ended before. Like ops to be read once up is closed
+	ops    string    // where operators call, if its configuration says so
+	kept   sync.Mutex
+	logged []string
+}
+
+// said is what it has logged, the last lines of it.
+func (p *served) said() string {
+	p.kept.Lock()
+	defer p.kept.Unlock()
+	return strings.Join(p.logged, "\n")
+}
+
+// at waits for where it listens.
+func (p *served) at(t testing.TB) string {
 	t.Helper()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	select {
+	case <-p.up:
+	case <-time.After(20 * time.Second):
+		t.Fatalf("does not listen; it said:\n%s", p.said())
 	}
-	listen = free.Addr().String()
-	free.Close()
-	file := fmt.Sprintf("%s/%s.json", dir, strings.ReplaceAll(listen, ":", "-"))
-	text := fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,%s}`, listen, discovery, more)
+	if p.listen == "" {
+		t.Fatalf("ended before it listened; it said:\n%s", p.said())
+	}
+	return p.listen
+}
+
+var listensAt, opsAt = regexp.MustCompile(`msg=listening .*listen="([^"]+)"`), regexp.MustCompile(`ops="([^"]+)"`)
+
+// serving starts a process of a node with a configuration's further parts. The system chooses its ports as it listens: one that was free
+// a moment before may be another's by then, as thousands of connections come and go beside it. It ends with the test.
+func serving(t testing.TB, dir, discovery, more string) *served {
+	t.Helper()
+	file := dir + "/config.json"
+	text := fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":%q,%s}`, discovery, more)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p = exec.Command(os.Args[0], "serve", "--config", file)
-	p.Env = append(append(os.Environ(), asProgram+"=1", "TMPDIR="+dir), env...)
+	p := &served{Cmd: exec.Command(os.Args[0], "serve", "--config", file), up: make(chan bool)}
+	p.Env = append(os.Environ(), asProgram+"=1", "TMPDIR="+dir)
 	p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := p.Start(); err != nil {
+	out, err := p.StderrPipe()
+	if err == nil {
+		err = p.Start()
+	}
+	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { p.Process.Kill(); p.Wait() })
-	return p, listen
+	read := make(chan bool)
+	go func() {
+		defer close(read)
+		listens := false
+		for l := bufio.NewScanner(out); l.Scan(); {
+			line := l.Text()
+			p.kept.Lock()
+			p.logged = append(p.logged[max(0, len(p.logged)-99):], line)
+			p.kept.Unlock()
+			if at := listensAt.FindStringSubmatch(line); at != nil && !listens {
+				p.listen, listens = at[1], true
+				if at = opsAt.FindStringSubmatch(line); at != nil {
+					p.ops = at[1]
+				}
+				close(p.up)
+			}
+		}
+		if !listens {
+			close(p.up)
+		}
+	}()
+	t.Cleanup(func() { p.Process.Kill(); <-read; p.Wait() })
+	return p
 }
 
 // ready tells whether a node says that it takes clients.
@@ -95,9 +150,9 @@
 					more += `,"known":` + list
 				}
 				start := time.Now()
-				_, listen := serving(t, t.TempDir(), strings.TrimPrefix(s.URL, "http://"), more)
+				p := serving(t, t.TempDir(), strings.TrimPrefix(s.URL, "http://"), more)
 				go func() {
-					for !ready(listen) && time.Since(start) < 2*readyIn {
+					for <-p.up; !ready(p.listen) && time.Since(start) < 2*readyIn; {
 						time.Sleep(20 * time.Millisecond)
 					}
 					took <- time.Since(start)
--- a/cmd/dahliapin/upgrade_test.go
+++ b/cmd/dahliapin/upgrade_test.go
@@ -66,12 +66,7 @@
 	}))
 	t.Cleanup(list.CloseClientConnections)
 	s.discovery = strings.TrimPrefix(list.URL, "http://")
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.listen = free.Addr().String()
-	free.Close()
+	s.listen = freePorts(t, 1)[0]
 	return s
 }
 
--- a/internal/emulator/onwire/member.go
+++ b/internal/emulator/onwire/member.go
@@ -7,6 +7,7 @@
 
 	"dahliapin/internal/emulator/client"
 	"dahliapin/internal/fronts"
+	"dahliapin/internal/ports"
 	"dahliapin/internal/records"
 	"dahliapin/policy"
 )
@@ -40,7 +41,7 @@
 	}
 	var addrs [2]string
 	for i := range addrs { // the node takes them right away
-		if addrs[i], err = freeForBoth(); err != nil {
+		if addrs[i], err = ports.Free(); err != nil {
 			a.close()
 			return nil, err
 		}
@@ -56,7 +57,7 @@
 func (m *member) start(replaces bool) error {
 	if m.r.script.Operated() {
 		var err error
-		if m.ops, err = freeForBoth(); err != nil { // new for each process: two may be up at once
+		if m.ops, err = ports.Free(); err != nil { // new for each process: two may be up at once
 			return err
 		}
 	}
--- a/internal/emulator/onwire/together.go
+++ b/internal/emulator/onwire/together.go
@@ -3,17 +3,16 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"dahliapin/internal/emulator/between"
 	"dahliapin/internal/emulator/judge"
 	"dahliapin/internal/fleet/trace"
 	"dahliapin/internal/net/fleet"
+	"dahliapin/internal/ports"
 	"dahliapin/internal/records"
 )
 
@@ -28,7 +27,7 @@
 	r.views = judge.NewViews(r.script.Fleet.Nodes)
 	r.between = between.Open(between.New(uint32(r.script.Seed)))
 	for range r.script.Fleet.Nodes {
-		at, err := freeForBoth()
+		at, err := ports.Free()
 		if err != nil {
 			return err
 		}
@@ -51,31 +50,6 @@
 	return nil
 }
 
-// Ports from which those are taken that a process will listen on: below those that systems give to whoever asks for any, or one of the
-// many connections of a rehearsal could have it before the process does.
-const firstPort, morePorts = 12_000, 20_000
-
-var ports atomic.Uint32
-
-// freeForBoth finds a port that is free for datagrams and for streams.
-func freeForBoth() (string, error) {
-	var err error
-	for range morePorts {
-		at := fmt.Sprintf("127.0.0.1:%d", firstPort+(uint32(os.Getpid())*397+ports.Add(1))%morePorts)
-		var l net.Listener
-		if l, err = net.Listen("tcp", at); err != nil {
-			continue
-		}
-		l.Close()
-		var u net.PacketConn
-		if u, err = net.ListenPacket("udp", at); err == nil {
-			u.Close()
-			return at, nil
-		}
-	}
-	return "", err
-}
-
 // label is the run's own: a port that another run had may still be written to.
 func (r *Rig) label() string { return fmt.Sprintf("%s-%d-%d", r.script.Name, os.Getpid(), r.boot) }
 
@@ -159,11 +133,11 @@
 
 // twin starts one, which no client asks.
 func (m *member) twin() (Process, error) {
-	hears, err := freeForBoth()
+	hears, err := ports.Free()
 	if err != nil {
 		return nil, err
 	}
-	serves, err := freeForBoth()
+	serves, err := ports.Free()
 	if err != nil {
 		return nil, err
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -126,7 +126,11 @@
 			return nil, err
 		}
 	}
-	log.WithFields(logrus.Fields{"name": p.Name, "listen": n.Addr()}).Info("listening")
+	listening := logrus.Fields{"name": p.Name, "listen": n.Addr()}
+	if ops := n.OpsAddr(); ops != "" {
+		listening["ops"] = ops
+	}
+	log.WithFields(listening).Info("listening")
 	return n, nil
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -19,11 +19,14 @@
 		strings.Replace(posting, "127.0.0.1:1", "host.name:1", 1), strings.Replace(posting, "100", "3", 1),
 		strings.Replace(posting, "service_grades", "x", 1), strings.Replace(posting, `"seed"`, `"ops":"127.0.0.1:0","seed"`, 1),
 		strings.Replace(strings.Replace(posting, "100", "200", 1), `"seed"`, `"ops":"nowhere","seed"`, 1),
-		strings.Replace(strings.Replace(posting, "100", "200", 1), `"seed"`, `"ops":"127.0.0.1:0","seed"`, 1)} {
+		strings.NewReplacer("100", "200", "127.0.0.1:0", "127.0.0.1:7", `"seed"`, `"ops":"127.0.0.1:7","seed"`).Replace(posting)} {
 		if _, err := ParsePosting([]byte(bad)); err == nil || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%q: %v", bad, err)
 		}
 	}
+	if _, err := ParsePosting([]byte(strings.NewReplacer("100", "200", `"seed"`, `"ops":"127.0.0.1:0","seed"`).Replace(posting))); err != nil {
+		t.Errorf("two ports that the system chooses are not the same: %v", err)
+	}
 	if _, err := ReadPosting("/nowhere/at/all"); err == nil {
 		t.Error("read what is not there")
 	}
--- a/node/posting.go
+++ b/node/posting.go
@@ -139,10 +139,11 @@
 	if p.Sockets > 0 && p.Sockets < fewestWithOps {
 		return fmt.Errorf("the configuration's limits are too low for operators' calls: %d sockets, %d are needed", p.Sockets, fewestWithOps)
 	}
-	if _, err := netip.ParseAddrPort(p.Ops); err != nil {
+	at, err := netip.ParseAddrPort(p.Ops)
+	if err != nil {
 		return fmt.Errorf("the address for operators, ops, is not an address and a port: %q", p.Ops)
 	}
-	if p.Ops == p.Listen {
+	if p.Ops == p.Listen && at.Port() != 0 { // port 0 is any that is free, another each time
 		return fmt.Errorf("the address for operators, ops, is that of clients: %q", p.Ops)
 	}
 	return nil
