Draining: what may be repeated is taken while its soft limit is left, up to the node's end

Seen: a draining node turned away at once whatever had a deadline beyond its own end, 3.4 s after SIGTERM: where clients wait for 5 s that is nearly all that comes. Most of it would be served within its soft limit. Lines at fault: Relay.take, which looked at the deadline alone.

Now an idempotent request whose soft limit is left gets the node's end as its deadline, which is also what its attempts tell caches. What may not simply be repeated is turned away as before: an unclear end costs it more than coming again elsewhere.

--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -208,7 +208,11 @@
 	}
 	r.count.Retrievals++
 	stop := at.Add(min(asked.wait, mostWait))
-	outlasts := r.phase == Draining && stop > r.endBy().Add(-lastWords)
+	outlasts := false
+	if by := r.endBy().Add(-lastWords); r.phase == Draining && stop > by {
+		outlasts = r.Terms.Rules.Grades[grade].Effect != policy.Idempotent || by.Since(at) < r.Terms.Rules.Grades[grade].SoftLimit
+		stop = by // guards against turning away what is served within its soft limit as a rule, and would have been
+	}
 	if len(c.turns) >= mostTurns || r.phase == Starting || outlasts || r.turnsAway() || c.excess && r.tooManyClients() ||
 		int64(r.held)+r.eng.Unsent() > r.Memory/shareHeld {
 		r.count.Crowded++
