--- a/cmd/dahliapin/rehearse_test.go
+++ b/cmd/dahliapin/rehearse_test.go
@@ -150,6 +150,7 @@
 
 // Five processes, one killed, one heard by nobody while it hears all, one replaced, which nobody sees: what they say of one another is as the judge knows it to be.
 func TestProcessesKnowOneAnother(t *testing.T) {
+	t.Parallel() // its processes wait most of their time
 	if testing.Short() {
 		t.Skip("plays for 24 s")
 	}
--- a/cmd/dahliapin/scale_changes_test.go
+++ b/cmd/dahliapin/scale_changes_test.go
@@ -11,6 +11,7 @@
 // The rig at its smallest, with all that can befall: packets lost, the leader killed outright and back, a region cut off. What was kept is
 // asked of the judge; times are the machine's, and no matter here.
 func TestTheLogOfChangesAtASmallSize(t *testing.T) {
+	t.Parallel() // its processes wait most of their time
 	if testing.Short() {
 		t.Skip("real processes for 20 s: without the race detector, which they do not have")
 	}
--- a/cmd/dahliapin/scale_test.go
+++ b/cmd/dahliapin/scale_test.go
@@ -34,6 +34,7 @@
 // A small fleet, hollow nodes beside real ones in processes of their own, over regions with a delay: both roles are measured at each size,
 // and send the same within what chance makes of two seconds. The same sizes are held against other budgets without being measured again.
 func TestScaleMeasuresSmallFleets(t *testing.T) {
+	t.Parallel() // its processes wait most of their time
 	dir := t.TempDir()
 	file, out := filepath.Join(dir, "f.toml"), filepath.Join(dir, "out")
 	if err := os.WriteFile(file, []byte("[places]\nregions = 3\nsites = 3\nzones = 3\n[between]\ndelay_ms = 2\nlate_ms = 1\n[list]\ncaches = 5\n[budget]\nkb_per_s = 100\n"), 0o600); err != nil {
