Sums of all nodes: played with more nodes than the settings state

Never played: shares of the origin and of cold caches are dealt by n_instances, and during an upgrade twice as many run, or a quarter joins before the number is raised.

Scripts have fleet.stated (what the settings name; 0 for as many as run) and traffic.skew (uneven traffic between nodes; in virtual time only).

--- a/internal/emulator/script/script.go
+++ b/internal/emulator/script/script.go
@@ -54,6 +54,7 @@
 // Fleet says what caches and nodes there are.
 type Fleet struct {
 	Nodes        int        `toml:"nodes"`
+	Stated       int        `toml:"stated"` // nodes that the settings name, where others run; 0 for as many as run
 	Caches       int        `toml:"caches"`
 	Zones        []string   `toml:"zones"`
 	Spread       bool       `toml:"spread"` // nodes stand in all zones by turns, not all in the first
@@ -123,6 +124,7 @@
 	Keys      int     `toml:"keys"`
 	Zipf      float64 `toml:"zipf"`
 	Jitter    float64 `toml:"jitter"`
+	Skew      float64 `toml:"skew"`       // exponent of how uneven nodes' traffic is, by their numbers; in virtual time only, 0 for even
 	Leaves    float64 `toml:"leaves"`     // share of tries whose clients go early
 	LeaveMs   float64 `toml:"leave_ms"`   // and after how long at the latest
 	Protocol  string  `toml:"protocol"`   // of clients
@@ -294,6 +296,7 @@
 	c.Within(s.Seconds, 1, mostSeconds, "seconds")
 	f := &s.Fleet
 	c.Within(float64(f.Nodes), 1, mostNodes, "fleet.nodes")
+	c.Within(float64(f.Stated), 0, mostNodes, "fleet.stated")
 	c.Within(float64(f.Caches), 1, mostCaches, "fleet.caches")
 	c.Within(float64(f.Cores), 1, 1024, "fleet.cores")
 	c.Within(float64(f.Queue), 0, 1e6, "fleet.queue")
@@ -343,6 +346,7 @@
 	c.Within(float64(t.Keys), 1, mostKeys, "traffic.keys")
 	c.Within(t.Zipf, 0, 5, "traffic.zipf")
 	c.Within(t.Jitter, 0, 10, "traffic.jitter")
+	c.Within(t.Skew, 0, 5, "traffic.skew")
 	c.Within(t.Leaves, 0, 1, "traffic.leaves")
 	c.Within(t.LeaveMs, 0, 1e5, "traffic.leave_ms")
 	c.Want(t.Leaves == 0 || t.LeaveMs > 0, "traffic.leave_ms", "clients that leave do so after some time")
--- a/internal/emulator/script/settings.go
+++ b/internal/emulator/script/settings.go
@@ -1,6 +1,7 @@
 package script
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 
@@ -22,7 +23,7 @@
 	}
 	a := &s.Allowed
 	settings := map[string]any{
-		"service_grades": grades, "zone": zone, "n_instances": s.Fleet.Nodes, "round_s": 0.002, "excess_benefit": 1,
+		"service_grades": grades, "zone": zone, "n_instances": cmp.Or(s.Fleet.Stated, s.Fleet.Nodes), "round_s": 0.002, "excess_benefit": 1,
 		"kinds":       []string{"cache", "origin"},
 		"family_info": map[string]any{"mode": a.Mode, "origin_kind": 1},
 		"bounds": map[string]any{"most_legs": a.MostLegs, "second_copies": a.SecondCopies, "cancel": a.Cancel, "probes": a.Probes,
--- /dev/null
+++ b/internal/emulator/script/stated_test.go
@@ -0,0 +1,26 @@
+package script
+
+import (
+	"strings"
+	"testing"
+)
+
+// Settings name a number of nodes, and others may run: then nodes go by what is stated.
+func TestNodesGoByTheNumberStated(t *testing.T) {
+	text := "[fleet]\nnodes = 6\n%[[grade]]\nname = \"read\"\nshare = 1\nbenefit = 1\nsoft_ms = 100\nhard_ms = 500\nwork_ms = 10\n"
+	for stated, want := range map[string]int{"": 6, "stated = 0\n": 6, "stated = 4\n": 4, "stated = -1\n": -1} {
+		s, err := Parse("s", []byte(strings.Replace(text, "%", stated, 1)))
+		if want < 0 {
+			if err == nil || !strings.Contains(err.Error(), "fleet.stated") {
+				t.Errorf("%q: %v", stated, err)
+			}
+			continue
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if terms, err := s.TermsAt("a"); err != nil || terms.Rules.Nodes != want {
+			t.Errorf("%q: nodes go by %d (%v), not %d", stated, terms.Rules.Nodes, err, want)
+		}
+	}
+}
--- a/internal/emulator/virtual/node.go
+++ b/internal/emulator/virtual/node.go
@@ -22,6 +22,7 @@
 type node struct {
 	r      *Run
 	number int
+	part   float64 // of the traffic, against others'
 	terms  houserules.Terms
 	life   int        // counts its starts, so that what was meant for an earlier one is passed over
 	host   *host.Host // nil while it is down
--- a/internal/emulator/virtual/virtual.go
+++ b/internal/emulator/virtual/virtual.go
@@ -90,7 +90,7 @@
 		r.warm()
 	}
 	for i := range s.Fleet.Nodes {
-		n := &node{r: r, number: i, terms: terms}
+		n := &node{r: r, number: i, terms: terms, part: math.Pow(float64(1+i%terms.Rules.Nodes), -s.Traffic.Skew)}
 		if zone := s.ZoneOf(i); zone != s.Fleet.Zones[0] {
 			if n.terms, err = s.TermsAt(zone); err != nil {
 				return nil, nil, err
@@ -325,7 +325,7 @@
 		r.judge.Grades[req.Grade].Cut++
 		return
 	}
-	n := r.serving[int(r.chance.Next()*float64(len(r.serving)))]
+	n := r.choose()
 	req.Sent = r.now
 	r.judge.Sent(r.now, req.ID, n.number, req.Grade, req.Label, r.now.Add(req.HardStop), isFirst)
 	life := n.life
@@ -342,6 +342,26 @@
 	})
 }
 
+// choose picks the node that a try goes to: any alike, or the earlier the more where their traffic is uneven. Two processes of one node,
+// which stand as far apart as the settings state nodes, share its part.
+func (r *Run) choose() *node {
+	x := r.chance.Next()
+	if r.script.Traffic.Skew == 0 {
+		return r.serving[int(x*float64(len(r.serving)))]
+	}
+	sum := 0.0
+	for _, n := range r.serving {
+		sum += n.part
+	}
+	x *= sum
+	for _, n := range r.serving {
+		if x -= n.part; x < 0 {
+			return n
+		}
+	}
+	return r.serving[len(r.serving)-1]
+}
+
 // cut is what a client does whose node died.
 func (r *Run) cut(req world.Request, first policy.Instant) {
 	r.judge.Grades[req.Grade].Cut++
