Members: one that is new takes its place in the orders; names that nobody shares are not looked at

480 hollow nodes on one machine starved each other while they started: each node sorted all it knows twice for each one that joins (once as it is heard of, once as it takes its name), and each judgement made a map of all names. Orders, standings and views are the same to the bit.

--- a/internal/fleet/members/book.go
+++ b/internal/fleet/members/book.go
@@ -138,14 +138,13 @@
 		}
 		return false
 	}
-	p := b.all[s.Process]
+	p, isNew := b.all[s.Process], false
 	if p == nil {
 		if was, is := b.gone[s.Process]; is && s.Revision <= was.revision || len(b.all) >= b.terms.Most || s.Leaves {
 			return false
 		}
 		p = &peer{standing: Joining, since: b.ran, foundAt: b.ran, knownAt: b.ran, doubtAt: -1, askAt: -1}
-		b.all[s.Process] = p
-		b.order = nil
+		b.all[s.Process], isNew = p, true
 		delete(b.gone, s.Process)
 		b.reordered = true
 	} else if s.Revision <= p.Revision || s.Node != p.Node {
@@ -155,7 +154,9 @@
 		b.reordered = true
 	}
 	s.Hears, s.Misses = slices.Clone(s.Hears), slices.Clone(s.Misses)
-	p.Statement = s
+	if p.Statement = s; isNew {
+		b.enlist(p)
+	}
 	b.doubted(p, s.Doubts)
 	b.changed, b.heardOther = true, true
 	return true
@@ -298,13 +299,10 @@
 		return
 	}
 	b.reordered, b.changed = false, true
-	ids, at := make([]ProcessID, 0, len(b.all)), map[string][]*peer{}
-	for _, p := range b.sorted() {
-		at[p.Addr] = append(at[p.Addr], p)
-	}
+	ids, shared := make([]ProcessID, 0, len(b.all)), b.shared()
 	for _, p := range b.sorted() {
 		// guards against rings full of the dead after a restart of many: whose address a successor has is not there
-		if !p.Leaves && !slices.ContainsFunc(at[p.Addr], func(o *peer) bool { return o.succeeds(p) }) {
+		if !p.Leaves && (!shared || !slices.ContainsFunc(b.of(p.Node), func(o *peer) bool { return o.Addr == p.Addr && o.succeeds(p) })) {
 			ids = append(ids, p.Process)
 		}
 	}
@@ -375,11 +373,20 @@
 	return p.Node == o.Node && p.Life > o.Life && o.Life > 0
 }
 
+func byProcess(x, y *peer) int { return cmp.Compare(x.Process, y.Process) }
+
+func byName(x, y *peer) int {
+	if x.Node != y.Node {
+		return cmp.Compare(x.Node, y.Node)
+	}
+	return byProcess(x, y)
+}
+
 // sorted are all processes in one order, so that the same words lead to the same standings.
 func (b *Book) sorted() []*peer {
 	if b.order == nil {
-		b.order = slices.SortedFunc(maps.Values(b.all), func(x, y *peer) int { return cmp.Compare(x.Process, y.Process) })
-		b.shown = slices.SortedFunc(slices.Values(b.order), func(x, y *peer) int { return cmp.Or(cmp.Compare(x.Node, y.Node), cmp.Compare(x.Process, y.Process)) })
+		b.order = slices.SortedFunc(maps.Values(b.all), byProcess)
+		b.shown = slices.SortedFunc(slices.Values(b.order), byName)
 		b.byNode = make(map[NodeName][]*peer, len(b.order))
 		for _, p := range b.order {
 			b.byNode[p.Node] = append(b.byNode[p.Node], p)
@@ -388,6 +395,25 @@
 	return b.order
 }
 
+// enlist puts one that is new in its place in each order. Guards against a large fleet that starts, in which each hears of all others one
+// by one: to sort all for each is most of what that would cost it.
+func (b *Book) enlist(p *peer) {
+	if b.order == nil {
+		return
+	}
+	in := func(all []*peer, by func(x, y *peer) int) []*peer {
+		i, _ := slices.BinarySearchFunc(all, p, by)
+		return slices.Insert(all, i, p)
+	}
+	b.order, b.shown, b.byNode[p.Node] = in(b.order, byProcess), in(b.shown, byName), in(b.byNode[p.Node], byProcess)
+}
+
+// shared tells whether any node has several processes.
+func (b *Book) shared() bool {
+	b.sorted()
+	return len(b.byNode) < len(b.order)
+}
+
 // of are the processes of a node, nearly always one, in the same order.
 func (b *Book) of(node NodeName) []*peer {
 	b.sorted()
--- a/internal/fleet/members/book_test.go
+++ b/internal/fleet/members/book_test.go
@@ -86,3 +86,37 @@
 		t.Error(text)
 	}
 }
+
+// One that is new takes its place in each order without all being sorted again, and the orders are those that sorting gives: also where a
+// node has several processes, and after one was forgotten.
+func TestNewProcessesTakeTheirPlace(t *testing.T) {
+	b := New(Terms{Most: 1000, Claim: time.Second}, 1<<40, "n7", "a", nil)
+	b.sorted()
+	chance := keyhash.Source{Seed: 5}
+	for i := range 300 {
+		id := ProcessID(keyhash.Mix(uint64(i + 1)))
+		if !b.Told(Statement{Process: id, Node: NodeName(fmt.Sprint("n", int(chance.Next()*200))), Revision: 1, Addr: fmt.Sprint("a", i)}) {
+			t.Fatalf("%d is no news", i)
+		}
+		if b.order == nil {
+			t.Fatalf("all are to be sorted again for the %d. process", i+1)
+		}
+		if i%50 == 49 {
+			b.forget(b.all[id])
+			b.sorted()
+		}
+	}
+	order, shown, byNode := b.sorted(), b.shown, b.byNode
+	b.order = nil
+	if !slices.Equal(order, b.sorted()) || !slices.Equal(shown, b.shown) || len(byNode) != len(b.byNode) {
+		t.Error("the orders differ from those that sorting gives")
+	}
+	for node, ps := range b.byNode {
+		if !slices.Equal(ps, byNode[node]) {
+			t.Errorf("%s: %d processes, and %d by sorting", node, len(byNode[node]), len(ps))
+		}
+	}
+	if !b.shared() {
+		t.Error("no node has several processes")
+	}
+}
--- a/internal/fleet/members/judge.go
+++ b/internal/fleet/members/judge.go
@@ -225,6 +225,9 @@
 // names leaves one process to each name: the latest life, and of two with the same the lower process. One that nobody hears, and that has
 // a successor, is none.
 func (b *Book) names() {
+	if !b.shared() {
+		return
+	}
 	holds := map[NodeName]*peer{}
 	for _, p := range b.sorted() {
 		if h := holds[p.Node]; p.member() && (h == nil || p.before(h)) {
@@ -276,8 +279,9 @@
 		}
 	}
 	v.Nodes = slices.Compact(v.Nodes)
-	if v.Mark = mark(v.Nodes); !slices.Equal(v.Nodes, b.view.Nodes) {
+	if v.Mark = b.view.Mark; !slices.Equal(v.Nodes, b.view.Nodes) {
 		v.Number++
+		v.Mark = mark(v.Nodes)
 	}
 	b.view = v
 }
