--- a/cmd/dahliapin/migrate_test.go
+++ b/cmd/dahliapin/migrate_test.go
@@ -43,7 +43,10 @@
 }
 
 // moved starts nodes on what migrate makes of their configuration, with what an operator fills in.
-type moved struct{ dir string }
+type moved struct {
+	onwire.Runner
+	dir string
+}
 
 func (m moved) Start(o onwire.Order) (onwire.Process, error) {
 	text := o.Configuration
@@ -54,14 +57,16 @@
 		text = []byte(strings.Replace(string(text), `"cross_zone":0`, `"cross_zone":0.2`, 1))
 	}
 	o.Configuration = text
-	return onwire.Embedded{}.Start(o)
+	return m.Runner.Start(o)
 }
 
 // A node on a migrated file must serve, and ask its own zone's caches; gone back to the old one it asks all.
 func TestAMigratedNodeKeepsToItsZoneAndGoesBack(t *testing.T) {
 	s, err := script.Parse("test.toml", []byte(strings.Replace(strings.Split(short, "[[event]]")[0], "caches = 4",
 		"caches = 12\nzones = [\"a\", \"b\"]", 1)))
-	for _, m := range []moved{{t.TempDir()}, {}} {
+	t.Setenv(asProgram, "1")
+	run := &onwire.Processes{Program: os.Args[0], Dir: t.TempDir()}
+	for _, m := range []moved{{run, t.TempDir()}, {run, ""}} {
 		report, bad := onwire.Play(context.Background(), s, m, nil)
 		if err != nil || bad != nil {
 			t.Fatal(err, bad)
