--- /dev/null
+++ b/internal/fleet/purges/purges.go
@@ -0,0 +1,420 @@
+// Package purges says how a control machine carries purges out at one cache: what is due there, what is done, and when to try again. It does
+// no I/O; time and chance are arguments.
+//
+// A purge is *done* at a cache once the cache has answered a delete that was sent later than any fill may take since the purge was known:
+// a fill that began before it, and would put the old value back, is over by then. A first delete is sent at once; it counts for nothing
+// but the time until the second. What is done stays done for each later process of that cache.
+//
+// Invariants: the cursor never leads what the cache has answered; it never falls but with another log; what is in flight is bounded, and
+// answers are taken in the order in which it was sent.
+package purges
+
+import (
+	"math/bits"
+	"sort"
+	"time"
+
+	"dahliapin/internal/fleet/accord"
+	"dahliapin/policy"
+)
+
+const (
+	Window     = 256                    // commands in flight at a cache: 1,800 a second over a way of 140 ms there and back
+	Burst      = 1024                   // commands that may go at once before the pace holds: a burst of a thousand purges
+	AnswerBy   = 2 * time.Second        // for a command to be answered, then the connection is dead
+	firstRest  = 100 * time.Millisecond // after a connection that broke, by chance from half of it; doubled
+	mostRest   = 3 * time.Second        // up to this: a cache that is back is found within it
+	flushAgain = 30 * time.Second       // after a flush without an answer: one that hangs is not to take the others' turns
+	othersBy   = 5 * time.Second        // for other control machines to tell of a cache's cursor before all of it has to go
+	NewsBy     = 30 * time.Second       // that the list of caches may be behind although it is answered: five times what discovery states
+	mostPoints = 65_536                 // points of time that are remembered: as many as entries are kept
+)
+
+// CacheID names a cache, Incarnation one process of it: when it was started, as discovery states it (Unix, ms; 0 for not known).
+type (
+	CacheID     string
+	Incarnation int64
+)
+
+// Cursor is up to where purges are done at a cache.
+type Cursor struct {
+	Log     accord.LogID // of which log; 0 for none yet
+	Started Incarnation  // at which process of the cache
+	Done    accord.Index
+}
+
+// Terms are how purges are carried out.
+type Terms struct {
+	Fills time.Duration // the longest that a fill may take: from reading the value at the origin until it is in a cache
+	Each  time.Duration // between two commands to a cache, once a burst has gone
+}
+
+// Log is what a control machine has of the log of changes.
+type Log interface {
+	Stands() (id accord.LogID, floor, last accord.Index)
+	Entry(accord.Index) (accord.Entry, bool) // false where it is not kept
+}
+
+type point struct {
+	at   policy.Instant
+	last accord.Index
+}
+
+// Times remembers when this machine had which entries. A purge was published before that.
+type Times struct {
+	log    accord.LogID
+	points []point
+}
+
+// Note says which entries there are now. With another log all begins anew.
+func (t *Times) Note(now policy.Instant, log accord.LogID, last accord.Index) {
+	if log != t.log {
+		t.log, t.points = log, nil
+	}
+	if n := len(t.points); n > 0 && t.points[n-1].last >= last {
+		return
+	}
+	if t.points = append(t.points, point{now, last}); len(t.points) > mostPoints {
+		t.points = t.points[1:]
+	}
+}
+
+// Last is the newest entry that was noted.
+func (t *Times) Last() accord.Index {
+	if len(t.points) == 0 {
+		return 0
+	}
+	return t.points[len(t.points)-1].last
+}
+
+// Had is when an entry was there at the latest; false for not yet.
+func (t *Times) Had(i accord.Index) (policy.Instant, bool) {
+	n := sort.Search(len(t.points), func(n int) bool { return t.points[n].last >= i })
+	if n == len(t.points) {
+		return 0, false
+	}
+	return t.points[n].at, true
+}
+
+// Newest is the newest entry that was there at a time; 0 where that is not known.
+func (t *Times) Newest(at policy.Instant) accord.Index {
+	n := sort.Search(len(t.points), func(n int) bool { return t.points[n].at > at })
+	if n == 0 {
+		return 0
+	}
+	return t.points[n-1].last
+}
+
+// Gate spreads flushes over time, as each empties a cache whose load goes to the origin.
+type Gate struct {
+	Each time.Duration
+	next policy.Instant
+}
+
+// pass takes a turn, or tells when there is one.
+func (g *Gate) pass(now policy.Instant) (is bool, at policy.Instant) {
+	if now < g.next {
+		return false, g.next
+	}
+	g.next = now.Add(g.Each)
+	return true, now
+}
+
+// Kind is what a command does.
+type Kind uint8
+
+// The kinds of commands.
+const (
+	First Kind = iota + 1 // deletes a key at once
+	Final                 // deletes it once no fill from before can be under way
+	Flush                 // has all of it go: what is lacking is not kept
+	Last                  // the same, once no fill from before can be under way
+)
+
+// Command is one to be sent.
+type Command struct {
+	Kind  Kind
+	Index accord.Index // of the purge; of a flush, up to where it goes
+	Key   []byte
+}
+
+type flight struct {
+	Command
+	upTo accord.Index // entries after it that are no purges
+	sent policy.Instant
+}
+
+// Cache is one cache, as one control machine knows it. It is used by one goroutine at a time.
+type Cache struct {
+	Terms
+	cursor  Cursor
+	log     accord.LogID // that all of the following are of
+	first   accord.Index // first deletes are answered up to here
+	sent1   accord.Index // and sent
+	sent2   accord.Index // final ones are sent
+	flights []flight     // at most Window
+	tat     policy.Instant
+	asks    policy.Instant // from when on it may be presumed that nobody knows what is done
+	emptied bool           // the first of two flushes was answered
+	flushed policy.Instant // when it was sent
+	flush   accord.Index   // up to where it went
+	skipped accord.Index   // up to here first deletes were left out, as it was time for final ones
+	fails   int
+	seen    policy.Instant // the list had this process of it then
+}
+
+// NewCache has what its cursor says.
+func NewCache(t Terms, c Cursor, now policy.Instant) *Cache {
+	return &Cache{Terms: t, cursor: c, log: c.Log, first: c.Done, sent1: c.Done, sent2: c.Done, asks: now.Add(othersBy), seen: policy.Never}
+}
+
+// Cursor is up to where purges are done.
+func (c *Cache) Cursor() Cursor { return c.cursor }
+
+// First is up to where each key was deleted at least once.
+func (c *Cache) First() accord.Index {
+	if c.done() < c.skipped {
+		return c.done()
+	}
+	return max(c.first, c.done())
+}
+
+// done is the cursor in the log that there is.
+func (c *Cache) done() accord.Index {
+	if c.cursor.Log != c.log {
+		return 0
+	}
+	return c.cursor.Done
+}
+
+// Flushing tells whether all of it has to go, or is going.
+func (c *Cache) Flushing(log Log) bool {
+	id, floor, _ := log.Stands()
+	return c.lacks(id, floor)
+}
+
+// Listed says that the list has a process of the cache now. A later one began empty, and no sooner than the list had the one before, so what
+// was known so long before that that its fills were over need not be done there.
+func (c *Cache) Listed(now policy.Instant, started Incarnation, t *Times) {
+	if started < c.cursor.Started { // an older list, or a clock set back: the cursor holds for whichever process it is
+		return
+	}
+	if started > c.cursor.Started {
+		if c.cursor.Started != 0 && c.seen != policy.Never {
+			if begin := t.Newest(c.seen.Add(-NewsBy - c.Fills)); begin > 0 && (c.cursor.Log != t.log || begin > c.cursor.Done) {
+				c.goOn(Cursor{t.log, started, begin})
+			}
+		}
+		c.cursor.Started = started
+		c.Broke(now, 0) // what is in flight is to the process before
+		c.emptied, c.fails = false, 0
+	}
+	c.seen = now
+}
+
+// Adopt takes what another control machine knows to be done at the same process of the cache: that does not become untrue.
+func (c *Cache) Adopt(o Cursor) {
+	if o.Log != 0 && o.Started == c.cursor.Started && (c.cursor.Log == 0 || o.Log == c.cursor.Log && o.Done > c.cursor.Done) {
+		c.goOn(o)
+	}
+}
+
+// of says which log there is. With another one nothing is sent or answered yet.
+func (c *Cache) of(log accord.LogID) {
+	if log != c.log {
+		c.log, c.first, c.sent1, c.sent2, c.skipped, c.flights = log, 0, 0, 0, 0, nil
+	}
+}
+
+// goOn has a cursor further on.
+func (c *Cache) goOn(to Cursor) {
+	c.of(to.Log)
+	c.cursor = to
+	c.first, c.sent1, c.sent2 = max(c.first, to.Done), max(c.sent1, to.Done), max(c.sent2, to.Done)
+}
+
+// lacks tells whether what is to be done can't be known: presume-purged, all of it has to go.
+func (c *Cache) lacks(log accord.LogID, floor accord.Index) bool {
+	return c.cursor.Log != log && (c.cursor.Log != 0 || floor > 0) || c.cursor.Done < floor
+}
+
+// Next is the command to send now, or when to ask again; a time of 0 is at the next entry or answer.
+func (c *Cache) Next(now policy.Instant, log Log, t *Times, g *Gate) (cmd Command, is bool, again policy.Instant) {
+	id, floor, _ := log.Stands()
+	last := t.Last()
+	if id == 0 || t.log != id {
+		return cmd, false, 0
+	}
+	c.of(id)
+	if len(c.flights) > 0 {
+		again = c.flights[0].sent.Add(AnswerBy)
+	}
+	if len(c.flights) >= Window {
+		return cmd, false, again
+	}
+	if c.tat = max(c.tat, now); c.tat > now.Add((Burst-1)*c.Each) {
+		return cmd, false, sooner(again, c.tat.Add(-(Burst-1)*c.Each))
+	}
+	if c.lacks(id, floor) {
+		if cmd, is, again = c.nextFlush(now, last, g, again); is || !c.emptied {
+			return cmd, is, again
+		}
+	} else if c.emptied = false; c.cursor.Log == 0 {
+		c.goOn(Cursor{id, c.cursor.Started, 0}) // all that the log has ever had is kept
+	}
+	over := t.Newest(now.Add(-c.Fills)) // fills from before these are over
+	if over > max(c.sent1, c.done()) && !c.emptied {
+		c.skipped = over
+	}
+	for n := max(c.sent1, c.done(), over) + 1; n <= last; n++ {
+		e, is := log.Entry(n)
+		if !is {
+			break
+		}
+		if c.sent1 = n; purge(e) {
+			return c.send(now, First, e), true, 0
+		}
+		c.pass(First, n)
+	}
+	for n := c.sent2 + 1; n <= last && !c.emptied; n++ {
+		e, is := log.Entry(n)
+		if !is {
+			break
+		}
+		if !purge(e) {
+			c.sent2 = n
+			c.pass(Final, n)
+			continue
+		}
+		if had, _ := t.Had(n); had.Add(c.Fills) > now {
+			return cmd, false, sooner(again, had.Add(c.Fills))
+		}
+		c.sent2 = n
+		return c.send(now, Final, e), true, 0
+	}
+	return cmd, false, again
+}
+
+// nextFlush has all of it go twice: at once, and once no fill from before can be under way.
+func (c *Cache) nextFlush(now policy.Instant, last accord.Index, g *Gate, again policy.Instant) (cmd Command, is bool, at policy.Instant) {
+	for _, f := range c.flights {
+		if f.Kind >= Flush {
+			return cmd, false, again
+		}
+	}
+	kind, ready := Flush, c.asks
+	if c.emptied {
+		kind, ready = Last, c.flushed.Add(c.Fills)
+	}
+	if now < ready {
+		return cmd, false, sooner(again, ready)
+	}
+	if kind == Flush {
+		if is, at := g.pass(now); !is {
+			return cmd, false, sooner(again, at)
+		}
+	}
+	return c.send(now, kind, accord.Entry{Index: last}), true, 0
+}
+
+func sooner(a, b policy.Instant) policy.Instant {
+	if a == 0 || b < a {
+		return b
+	}
+	return a
+}
+
+// purge tells whether an entry is one that a cache can have something to do with: no command can be made of other keys, and none kept.
+func purge(e accord.Entry) bool {
+	if e.Kind != accord.Purge || len(e.Body) > accord.LongestKey {
+		return false
+	}
+	for _, b := range e.Body {
+		if b <= ' ' || b == 0x7f {
+			return false
+		}
+	}
+	return len(e.Body) > 0
+}
+
+// pass goes past an entry that is no purge, with the one before it.
+func (c *Cache) pass(kind Kind, n accord.Index) {
+	for i := len(c.flights) - 1; i >= 0; i-- {
+		if c.flights[i].Kind == kind {
+			c.flights[i].upTo = n
+			return
+		}
+	}
+	if kind == Final {
+		c.cursor.Done = n
+	}
+	c.first = max(c.first, n)
+}
+
+func (c *Cache) send(now policy.Instant, kind Kind, e accord.Entry) Command {
+	cmd := Command{kind, e.Index, e.Body}
+	c.flights = append(c.flights, flight{cmd, e.Index, now})
+	c.tat = c.tat.Add(c.Each)
+	return cmd
+}
+
+// Due is the command whose answer comes next; false for none.
+func (c *Cache) Due() (Command, bool) {
+	if len(c.flights) == 0 {
+		return Command{}, false
+	}
+	return c.flights[0].Command, true
+}
+
+// Answered takes the cache's word that the command due is carried out.
+func (c *Cache) Answered(log Log, t *Times) {
+	if len(c.flights) == 0 {
+		return
+	}
+	f := c.flights[0]
+	c.flights = c.flights[1:]
+	c.fails = 0
+	switch f.Kind {
+	case First:
+		c.first = max(c.first, f.upTo)
+	case Final:
+		c.cursor.Done = max(c.cursor.Done, f.upTo)
+		c.first = max(c.first, f.upTo)
+	case Flush:
+		c.emptied, c.flush, c.flushed = true, f.Index, f.sent
+		c.first, c.sent1 = max(c.first, c.flush), max(c.sent1, c.flush)
+	case Last:
+		if id, floor, _ := log.Stands(); id == t.log && c.lacks(id, floor) {
+			c.goOn(Cursor{id, c.cursor.Started, max(c.flush, t.Newest(f.sent.Add(-c.Fills)))})
+		}
+		c.emptied = false
+	}
+}
+
+// Silent tells whether an answer is overdue.
+func (c *Cache) Silent(now policy.Instant) bool {
+	return len(c.flights) > 0 && now >= c.flights[0].sent.Add(AnswerBy)
+}
+
+// Broke says that a connection ended, or never came up: what was not answered is sent again, after a rest. Chance is from 0 up to 1.
+func (c *Cache) Broke(now policy.Instant, chance float64) (rest time.Duration) {
+	for _, f := range c.flights {
+		if f.Kind == Flush {
+			c.asks = now.Add(flushAgain)
+		}
+	}
+	c.flights = nil
+	c.sent1, c.sent2 = max(c.first, c.done()), c.done()
+	span := min(mostRest, firstRest<<min(c.fails, 8))
+	c.fails = min(c.fails+1, bits.UintSize)
+	return span/2 + time.Duration(chance*float64(span/2))
+}
+
+// Late counts entries that should be done by now, with so long a reserve.
+func (c *Cache) Late(now policy.Instant, t *Times, reserve time.Duration) uint64 {
+	due := t.Newest(now.Add(-c.Fills - reserve))
+	if c.cursor.Log != t.log {
+		return uint64(due)
+	}
+	return uint64(max(due, c.cursor.Done) - c.cursor.Done)
+}
--- /dev/null
+++ b/internal/fleet/purges/purges_test.go
@@ -0,0 +1,374 @@
+package purges
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dahliapin/internal/fleet/accord"
+	"dahliapin/internal/keyhash"
+	"dahliapin/policy"
+)
+
+// list is a log whose last so many entries are kept.
+type list struct {
+	id    accord.LogID
+	all   []accord.Entry
+	floor accord.Index
+}
+
+func (l *list) Stands() (accord.LogID, accord.Index, accord.Index) {
+	return l.id, l.floor, accord.Index(len(l.all))
+}
+func (l *list) Entry(i accord.Index) (e accord.Entry, is bool) {
+	if i <= l.floor || int(i) > len(l.all) {
+		return e, false
+	}
+	return l.all[i-1], true
+}
+func (l *list) add(kind accord.Kind, body string) {
+	l.all = append(l.all, accord.Entry{Index: accord.Index(len(l.all) + 1), Proposal: accord.Proposal{Kind: kind, Body: []byte(body)}})
+}
+
+var usual = Terms{Fills: 3 * time.Second, Each: 2 * time.Millisecond}
+
+// bench is one cache, as one control machine has it, and the clock.
+type bench struct {
+	t     *testing.T
+	now   policy.Instant
+	log   list
+	times Times
+	gate  Gate
+	*Cache
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, now: policy.Instant(time.Hour), log: list{id: 7}, gate: Gate{Each: 10 * time.Second}}
+	b.Cache = NewCache(usual, Cursor{}, b.now)
+	return b
+}
+
+func (b *bench) publish(keys ...string) {
+	for _, k := range keys {
+		b.log.add(accord.Purge, k)
+	}
+	b.note()
+}
+func (b *bench) note()                { b.times.Note(b.now, b.log.id, accord.Index(len(b.log.all))) }
+func (b *bench) wait(d time.Duration) { b.now = b.now.Add(d) }
+
+// sends tells all commands that go now, as kinds and indexes.
+func (b *bench) sends() (out string) {
+	for {
+		cmd, is, _ := b.Next(b.now, &b.log, &b.times, &b.gate)
+		if !is {
+			return out
+		}
+		out += fmt.Sprintf("%c%d ", " 12FL"[cmd.Kind], cmd.Index)
+	}
+}
+
+func (b *bench) answer(n int) {
+	for range n {
+		b.Answered(&b.log, &b.times)
+	}
+}
+
+// wants compares what goes now and where the cursor stands.
+func (b *bench) wants(what, sent string, done accord.Index) {
+	b.t.Helper()
+	if got := b.sends(); got != sent || b.Cursor().Done != done {
+		b.t.Errorf("%s: sent %q, done %d; wanted %q, %d", what, got, b.Cursor().Done, sent, done)
+	}
+}
+
+func TestAPurgeIsDoneWithTheSecondAnswer(t *testing.T) {
+	b := newBench(t)
+	b.publish("a", "b")
+	b.log.add(accord.Config, "c")
+	b.publish("a key", "a\r\nflush_all") // of these no command can be made
+	b.wants("at once", "11 12 ", 0)
+	b.answer(2)
+	if b.First() != 5 {
+		t.Errorf("first %d", b.First())
+	}
+	b.wait(usual.Fills - 1)
+	b.wants("while a fill may be under way", "", 0)
+	b.wait(1)
+	b.wants("then", "21 22 ", 0)
+	b.answer(1)
+	b.wants("one answer", "", 1)
+	b.answer(1)
+	b.wants("both", "", 5)
+	b.publish("a")
+	b.wants("what is purged already", "16 ", 5)
+}
+
+func TestWhatIsNotAnsweredGoesAgain(t *testing.T) {
+	b := newBench(t)
+	b.publish("a", "b", "c")
+	b.wants("first", "11 12 13 ", 0)
+	b.answer(1)
+	var rests []time.Duration
+	for range 7 {
+		rests = append(rests, b.Broke(b.now, 0.999999))
+	}
+	if rests[0] > firstRest || rests[1] < firstRest || rests[6] < mostRest*9/10 || rests[6] > mostRest || b.Broke(b.now, 0) != mostRest/2 {
+		t.Errorf("rests %v", rests)
+	}
+	b.wants("again", "12 13 ", 0)
+	b.answer(2)
+	b.wait(usual.Fills)
+	b.wants("final", "21 22 23 ", 0)
+	b.answer(2)
+	b.Broke(b.now, 0)
+	b.wants("the last final again", "23 ", 2)
+	if b.wait(AnswerBy - 1); b.Silent(b.now) {
+		t.Error("silent too early")
+	}
+	if b.wait(1); !b.Silent(b.now) {
+		t.Error("not silent")
+	}
+}
+
+func TestABurstIsBoundedAndPaced(t *testing.T) {
+	b := newBench(t)
+	for i := range 3000 {
+		b.log.add(accord.Purge, fmt.Sprint("k", i))
+	}
+	b.note()
+	if b.sends(); len(b.flights) != Window {
+		t.Errorf("%d in flight", len(b.flights))
+	}
+	sent := Window
+	for len(b.flights) > 0 {
+		b.answer(Window)
+		b.sends()
+		sent += len(b.flights)
+	}
+	if sent != Burst {
+		t.Errorf("%d went at once", sent)
+	}
+	_, is, at := b.Next(b.now, &b.log, &b.times, &b.gate)
+	if is || at != b.now.Add(usual.Each) {
+		t.Errorf("%t, %v later", is, at.Since(b.now))
+	}
+	b.wait(100 * usual.Each)
+	if b.sends(); len(b.flights) != 100 {
+		t.Errorf("%d by the pace", len(b.flights))
+	}
+}
+
+func TestACacheThatWasCutOffGoesOnFromItsCursor(t *testing.T) {
+	b := newBench(t)
+	b.publish("a")
+	b.sends()
+	b.wait(time.Minute)
+	b.publish("b")
+	b.Broke(b.now, 0)
+	b.wants("old ones once, as their fills are over, and what is new at once", "12 21 ", 0)
+	if b.First() != 0 {
+		t.Errorf("first %d", b.First())
+	}
+	b.answer(2)
+	b.wants("", "", 1)
+	if b.Late(b.now, &b.times, 0) != 0 || b.Late(b.now.Add(usual.Fills), &b.times, 0) != 1 {
+		t.Error("late")
+	}
+}
+
+func TestBeyondWhatIsKeptAllOfItGoesTwice(t *testing.T) {
+	for name, begin := range map[string]Cursor{"behind": {7, 0, 1}, "unknown": {}, "another log": {8, 0, 9}} {
+		b := newBench(t)
+		b.Cache = NewCache(usual, begin, b.now)
+		b.publish("a", "b", "c")
+		b.log.floor = 2
+		b.wants(name+": others are asked", "", begin.Done)
+		b.wait(othersBy)
+		b.wants(name+": flush", "F3 ", begin.Done)
+		b.publish("d")
+		b.answer(1)
+		b.wants(name+": what is new goes on", "14 ", begin.Done)
+		b.answer(1)
+		b.wait(usual.Fills - 1)
+		b.wants(name+": fills under way", "", begin.Done)
+		b.wait(1)
+		b.wants(name+": again", "L4 ", begin.Done)
+		b.answer(1)
+		if c := b.Cursor(); c.Log != 7 || c.Done < 3 || b.Flushing(&b.log) {
+			t.Errorf("%s: %+v", name, c)
+		}
+		other := NewCache(usual, Cursor{}, b.now)
+		if other.Adopt(Cursor{7, 0, 4}); other.Flushing(&b.log) || other.Cursor().Done != 4 {
+			t.Error("another machine has done it")
+		}
+		other = NewCache(usual, Cursor{}, b.now.Add(-othersBy))
+		other.send(b.now, Flush, accord.Entry{})
+		other.Broke(b.now, 0)
+		if _, is, at := other.Next(b.now, &b.log, &b.times, &Gate{}); is || at != b.now.Add(flushAgain) {
+			t.Error("one without an answer takes the next turn")
+		}
+		other = NewCache(usual, Cursor{}, b.now.Add(-othersBy))
+		if _, is, at := other.Next(b.now, &b.log, &b.times, &b.gate); is || at != b.gate.next {
+			t.Error("two flushes at once")
+		}
+	}
+}
+
+func TestAnEmptyLogOfAnotherKindIsNotLed(t *testing.T) {
+	b := newBench(t)
+	b.Cache = NewCache(usual, Cursor{8, 0, 9}, b.now.Add(-othersBy))
+	b.note()
+	b.wants("flush", "F0 ", 9)
+	b.answer(1)
+	b.wait(usual.Fills)
+	b.wants("again", "L0 ", 9)
+	b.answer(1)
+	b.wants("", "", 0)
+	b.publish("a")
+	b.wants("the first of it", "11 ", 0)
+}
+
+func TestACacheThatBeganAnew(t *testing.T) {
+	b := newBench(t)
+	b.Listed(b.now, 5, &b.times)
+	b.publish("a")
+	b.wait(NewsBy + usual.Fills)
+	b.Listed(b.now, 5, &b.times)
+	b.publish("b") // a fill from before may be under way to the new one
+	b.wants("it is down, and nothing answered", "12 21 ", 0)
+	b.wait(time.Second)
+	b.Listed(b.now, 6, &b.times)
+	b.wants("what its fills can't bring is left out", "12 ", 1)
+	b.answer(1)
+	b.wait(usual.Fills)
+	b.wants("and what they can is not", "22 ", 1)
+	b.answer(1)
+	b.publish("c")
+	b.Listed(b.now, 5, &b.times)
+	b.wants("an older list", "13 ", 2)
+	if b.Cursor().Started != 6 {
+		t.Error("an older process is taken for a later one")
+	}
+	if b.Adopt(Cursor{7, 5, 3}); b.Cursor().Done != 2 {
+		t.Error("another process's cursor is adopted")
+	}
+}
+
+// The whole by chance: values at caches are never older than what the cursor says is purged, whatever breaks. Fills that take longer than is
+// stated, and the other broken variants, show that it is looked at.
+func TestNoValueIsOlderThanWhatIsDone(t *testing.T) {
+	for _, v := range []struct {
+		name  string
+		fills time.Duration // that the machine goes by
+		leads bool          // its cursor on disk leads
+		fresh bool          // one that returns begins at the newest
+		want  bool
+	}{{name: "sound", fills: usual.Fills}, {name: "no second pass", want: true}, {name: "a cursor that leads", fills: usual.Fills, leads: true, want: true},
+		{name: "a returned one begins at the newest", fills: usual.Fills, fresh: true, want: true}} {
+		broken := 0
+		for seed := range uint32(20) {
+			broken += chances(t, seed, v.fills, v.leads, v.fresh)
+		}
+		if (broken > 0) != v.want {
+			t.Errorf("%s: %d", v.name, broken)
+		}
+	}
+}
+
+// chances plays ten minutes, and counts moments at which a value was too old.
+func chances(t *testing.T, seed uint32, fills time.Duration, leads, fresh bool) (broken int) {
+	const step, keys, kept = 50 * time.Millisecond, 6, 150
+	chance := keyhash.Source{Seed: seed}
+	is := func(p float64) bool { return chance.Next() < p }
+	b := newBench(t)
+	b.Cache = NewCache(Terms{fills, usual.Each}, Cursor{}, b.now)
+	disk, started, listed := Cursor{}, Incarnation(1), Incarnation(1)
+	origin, holds, asOf := [keys]int{}, map[int]int{}, map[accord.Index]int{}
+	type fill struct {
+		key, value int
+		at         policy.Instant
+	}
+	var filling []fill
+	var tells policy.Instant
+	cut, down, most, looked, purged := 0, 0, accord.Index(0), accord.Index(0), [keys]int{}
+	for n := range int(10 * time.Minute / step) {
+		b.wait(step)
+		if is(0.2) { // a write at the origin, and its purge
+			k := int(chance.Next() * keys)
+			origin[k]++
+			b.publish(fmt.Sprint(k))
+			asOf[accord.Index(len(b.log.all))] = origin[k]
+		}
+		b.log.floor = accord.Index(max(0, len(b.log.all)-kept))
+		if k := int(chance.Next() * keys); down == 0 && holds[k] == 0 {
+			filling = append(filling, fill{k, origin[k] + 1, b.now.Add(time.Duration(chance.Next() * float64(usual.Fills)))})
+		}
+		for i := 0; i < len(filling); i++ {
+			if f := filling[i]; f.at <= b.now {
+				if down == 0 {
+					holds[f.key] = f.value
+				}
+				filling = append(filling[:i], filling[i+1:]...)
+				i--
+			}
+		}
+		switch { // what befalls: a cut, a restart, or the control machine killed
+		case is(0.0015):
+			cut = int(chance.Next() * 1200)
+		case is(0.001):
+			down, started, tells = int(chance.Next()*200), started+1, b.now.Add(time.Duration(chance.Next()*6e9))
+			clear(holds)
+		case is(0.001):
+			if leads {
+				disk.Log, disk.Done = b.log.id, accord.Index(len(b.log.all))
+			}
+			b.Cache, b.times = NewCache(Terms{fills, usual.Each}, disk, b.now), Times{}
+			b.note()
+		}
+		if cut, down = max(0, cut-1), max(0, down-1); down == 0 && b.now >= tells {
+			listed = started
+		}
+		b.Listed(b.now, listed, &b.times)
+		if cut > 0 || down > 0 {
+			if b.Silent(b.now) || is(0.01) {
+				b.Broke(b.now, 0)
+			}
+			if b.sends(); fresh && cut+down == 1 {
+				b.goOn(Cursor{b.log.id, listed, accord.Index(len(b.log.all))})
+			}
+		} else {
+			b.sends()
+			for len(b.flights) > 0 && is(0.9) { // in order, some of it with the next step
+				cmd, _ := b.Due()
+				if cmd.Kind >= Flush {
+					clear(holds)
+				}
+				var k int
+				if _, err := fmt.Sscan(string(cmd.Key), &k); err == nil {
+					delete(holds, k)
+				}
+				b.answer(1)
+			}
+			if is(0.02) {
+				b.Broke(b.now, 0)
+			}
+		}
+		done := b.Cursor().Done
+		for ; looked < done; looked++ {
+			purged[b.log.all[looked].Body[0]-'0'] = asOf[looked+1]
+		}
+		for k, v := range holds {
+			if v-1 < purged[k] {
+				broken++
+			}
+		}
+		if most = max(most, done); n%20 == 0 {
+			disk = b.Cursor()
+		}
+	}
+	if most < 1000 {
+		t.Errorf("seed %d: only %d of %d done, %+v", seed, most, len(b.log.all), b.Cursor())
+	}
+	return broken
+}
