Purges at caches: connections, list, cursors on disk; a judge and its broken variants

Nothing starts it yet; [purges] of a control machine's file is read, strictly. Measured: the tests of the package with the race detector, twice.

--- a/internal/fleet/accord/accord.go
+++ b/internal/fleet/accord/accord.go
@@ -240,6 +240,14 @@
 	return raw, i, true
 }
 
+// Entry is one that is kept.
+func (s *State) Entry(i Index) (e Entry, is bool) {
+	if i <= s.floor || i > s.last {
+		return e, false
+	}
+	return s.tail[i-s.floor-1].Entry, true
+}
+
 // Begin is where a node starts that has nothing, or less than is kept: at an index, with the configuration in force there, encoded;
 // nil for none. A fresh node starts at the newest entry, one that is behind at the floor, so that it misses no purge that is kept.
 func (s *State) Begin(fresh bool) (Index, cbor.RawMessage) {
--- a/internal/fleet/charter/control.go
+++ b/internal/fleet/charter/control.go
@@ -10,6 +10,7 @@
 )
 
 const (
+	mostCaches   = 4096 // in a file
 	mostMachines = 9    // control machines: each further voter makes an order slower, not safer
 	longestName  = 100  // bytes
 	longestPath  = 1000 // bytes
@@ -20,6 +21,23 @@
 	Control  Control       `toml:"control"`
 	Machines []Machine     `toml:"machine"`
 	Bounds   ControlBounds `toml:"bounds"`
+	Purges   *Purges       `toml:"purges"` // nil: purges are ordered and delivered, and not carried out at caches
+}
+
+// Purges says at which caches this machine carries purges out, and how.
+type Purges struct {
+	Discovery string   `toml:"discovery"`    // address and port of discovery's list; empty for the [[purges.cache]]s
+	Origins   []string `toml:"origins"`      // machine types in the list that are no caches
+	FillsS    float64  `toml:"fills_s"`      // the longest that a fill may take, from reading at the origin until the value is in a cache
+	PaceS     float64  `toml:"commands_s"`   // a second to a cache, once a burst of 1,024 has gone
+	FlushS    float64  `toml:"flush_each_s"` // between two caches that have to be flushed
+	Caches    []Cache  `toml:"cache"`
+}
+
+// Cache is one of a list that doesn't change while the machine runs.
+type Cache struct {
+	ID   string `toml:"id"`
+	Addr string `toml:"addr"`
 }
 
 // Control says who this machine is and where it is reached.
@@ -56,6 +74,11 @@
 	return ControlFile{Bounds: ControlBounds{Entries: 65_536, KeptMB: 32, WindowKB: 256, PaceMB: 4, Followers: 600, HoldS: 7200, ForgetS: 86_400, ElectMs: 1200}}
 }
 
+// UsualPurges is what holds in [purges] where nothing else is written: a longest deadline of 3 s and a reserve.
+func UsualPurges() *Purges {
+	return &Purges{Origins: []string{"origin"}, FillsS: 3.5, PaceS: 500, FlushS: 10}
+}
+
 // ReadControl reads a control machine's file.
 func ReadControl(path string) (*ControlFile, error) {
 	text, err := os.ReadFile(path)
@@ -72,6 +95,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if f.Purges != nil { // again, over what is usual
+		f = UsualControl()
+		f.Purges = UsualPurges()
+		if c, err = strictly.Parse(file, text, &f); err != nil {
+			return nil, err
+		}
+	}
 	address := func(at, path string) {
 		_, err := netip.ParseAddrPort(at)
 		c.Want(err == nil, path, "%q is not an address and a port", at)
@@ -103,12 +133,33 @@
 	c.Within(b.HoldS, 1, 86_400, "bounds.hold_s")
 	c.Within(b.ForgetS, 10, 30*86_400, "bounds.forget_s")
 	c.Within(b.ElectMs, 200, 60_000, "bounds.election_ms")
+	if f.Purges != nil {
+		f.Purges.check(c, address)
+	}
 	if err := c.Err(); err != nil {
 		return nil, err
 	}
 	return &f, nil
 }
 
+func (p *Purges) check(c *strictly.Checker, address func(at, path string)) {
+	c.Want((p.Discovery != "") != (len(p.Caches) > 0), "purges", "either discovery or [[purges.cache]]s say which caches there are")
+	if p.Discovery != "" {
+		address(p.Discovery, "purges.discovery")
+	}
+	c.Want(len(p.Caches) <= mostCaches, "purges.cache", "more than %d", mostCaches)
+	ids := map[string]bool{}
+	for i, at := range p.Caches {
+		path := fmt.Sprintf("purges.cache.%d", i)
+		c.Want(at.ID != "" && len(at.ID) <= longestName && !ids[at.ID], path+".id", "%q is empty, too long or another's", at.ID)
+		address(at.Addr, path+".addr")
+		ids[at.ID] = true
+	}
+	c.Within(p.FillsS, 0.05, 600, "purges.fills_s")
+	c.Within(p.PaceS, 10, 10_000, "purges.commands_s")
+	c.Within(p.FlushS, 0.1, 3600, "purges.flush_each_s")
+}
+
 // Self is the machine that the file is of.
 func (f *ControlFile) Self() (m Machine) {
 	for _, m = range f.Machines {
@@ -119,6 +170,11 @@
 	return m
 }
 
+// Fills, Each and FlushEach are the same as they are used.
+func (p *Purges) Fills() time.Duration     { return seconds(p.FillsS) }
+func (p *Purges) Each() time.Duration      { return seconds(1 / p.PaceS) }
+func (p *Purges) FlushEach() time.Duration { return seconds(p.FlushS) }
+
 // Hold, Forget and Election are the spans as they are used.
 func (b *ControlBounds) Hold() time.Duration     { return seconds(b.HoldS) }
 func (b *ControlBounds) Forget() time.Duration   { return seconds(b.ForgetS) }
--- a/internal/fleet/purges/purges.go
+++ b/internal/fleet/purges/purges.go
@@ -238,6 +238,12 @@
 	return c.cursor.Log != log && (c.cursor.Log != 0 || floor > 0) || c.cursor.Done < floor
 }
 
+// Idle tells whether there is nothing to do, now or later, until there is more in the log.
+func (c *Cache) Idle(log Log, t *Times) bool {
+	id, floor, _ := log.Stands()
+	return id == 0 || c.cursor.Log == id && c.cursor.Done >= max(floor, t.Last())
+}
+
 // Next is the command to send now, or when to ask again; a time of 0 is at the next entry or answer.
 func (c *Cache) Next(now policy.Instant, log Log, t *Times, g *Gate) (cmd Command, is bool, again policy.Instant) {
 	id, floor, _ := log.Stands()
--- /dev/null
+++ b/internal/net/purges/disk.go
@@ -0,0 +1,90 @@
+package purges
+
+import (
+	"encoding/binary"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"go.etcd.io/bbolt"
+
+	"dahliapin/internal/fleet/accord"
+	"dahliapin/internal/fleet/purges"
+)
+
+const (
+	fileName  = "purges.bbolt"
+	lockBy    = time.Second // for the file to be free
+	cursorLen = 25          // bytes: a version, then log, process and index
+	version   = 1
+)
+
+var bucketCursors = []byte("cursors")
+
+// disk keeps cursors.
+type disk struct{ db *bbolt.DB }
+
+// openDisk reads what is kept. A cursor that can't be read is passed over: it is as if the cache were not known.
+func openDisk(dir string) (*disk, map[purges.CacheID]purges.Cursor, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, nil, fmt.Errorf("the data folder cannot be made: %w", err)
+	}
+	path := filepath.Join(dir, fileName)
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockBy})
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s cannot be opened (is another process at it?): %w", path, err)
+	}
+	known := map[purges.CacheID]purges.Cursor{}
+	err = db.Update(func(tx *bbolt.Tx) error {
+		b, err := tx.CreateBucketIfNotExists(bucketCursors)
+		if err != nil {
+			return err
+		}
+		return b.ForEach(func(id, v []byte) error {
+			if len(v) == cursorLen && v[0] == version && len(known) < mostKept {
+				known[purges.CacheID(id)] = purges.Cursor{Log: accord.LogID(binary.BigEndian.Uint64(v[1:])),
+					Started: purges.Incarnation(binary.BigEndian.Uint64(v[9:])), Done: accord.Index(binary.BigEndian.Uint64(v[17:]))}
+			}
+			return nil
+		})
+	})
+	if err != nil {
+		_ = db.Close()
+		return nil, nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return &disk{db}, known, nil
+}
+
+// put writes cursors, and takes those out that are not known any more. They are on disk when it returns without an error.
+func (d *disk) put(moved map[purges.CacheID]purges.Cursor, all []purges.CacheID) error {
+	return d.db.Update(func(tx *bbolt.Tx) error {
+		b := tx.Bucket(bucketCursors)
+		for id, c := range moved {
+			v := binary.BigEndian.AppendUint64([]byte{version}, uint64(c.Log))
+			v = binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(v, uint64(c.Started)), uint64(c.Done))
+			if err := b.Put([]byte(id), v); err != nil {
+				return err
+			}
+		}
+		known := map[string]bool{}
+		for _, id := range all {
+			known[string(id)] = true
+		}
+		var out [][]byte
+		_ = b.ForEach(func(id, _ []byte) error {
+			if !known[string(id)] {
+				out = append(out, append([]byte(nil), id...))
+			}
+			return nil
+		})
+		for _, id := range out {
+			if err := b.Delete(id); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func (d *disk) close() { _ = d.db.Close() }
