Control machines carry purges out at caches; fleet changes tells which cache lacks what

Purges were ordered and delivered and not carried out. With [purges] in its file each control machine does it by itself; cursors go with the tables that machines exchange, so that what one has done no other does again, and the log keeps what a cache lacks as far as its bounds go. fleet changes tells caches that lack something, and exits with 2 where one does. Without the section nothing is started and no word has a field more.

--- a/cmd/dahliapin/changes.go
+++ b/cmd/dahliapin/changes.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -26,7 +27,7 @@
 )
 
 // errLacks says that not every node has all; scripts tell it by the exit code.
-var errLacks = errors.New("not every node has all changes, or no leader is heard")
+var errLacks = errors.New("not every node has all changes, not all purges are done at every cache, or no leader is heard")
 
 func callerOf(at, label string) (accord.Caller, error) {
 	c := accord.Caller{At: strings.Split(at, ","), Label: label}
@@ -86,8 +87,8 @@
 // changesCommand tells who has applied what.
 func changesCommand(plain *bool) *cobra.Command {
 	var at, label string
-	c := &cobra.Command{Use: "changes --at ADDR[,ADDR]", Short: "Tell up to where each node has applied the log of changes", Args: cobra.NoArgs,
-		Long: "Exits with 0 where every node that was heard has all, 2 where one lacks something, refused a configuration or is not heard, and 1 where no control machine can be asked.",
+	c := &cobra.Command{Use: "changes --at ADDR[,ADDR]", Short: "Tell up to where each node has applied the log of changes, and purges are done at each cache", Args: cobra.NoArgs,
+		Long: "Exits with 0 where every node that was heard has all and all purges are done at every cache, 2 where one lacks something, refused a configuration or is not heard, and 1 where no control machine can be asked.",
 		RunE: func(c *cobra.Command, _ []string) error {
 			caller, err := callerOf(at, label)
 			if err != nil {
@@ -153,5 +154,37 @@
 		}
 		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%s\n", n.Node, n.Applied, n.Lacks, n.Config, n.Machine, heard)
 	}
+	showCaches(w, o)
 	return w.Flush()
 }
+
+// showCaches tells which caches lack purges, where control machines carry them out.
+func showCaches(w io.Writer, o accord.Overview) {
+	if o.Unlisted {
+		fmt.Fprintln(w, "\npurges are to be carried out at caches, and there is no list of them")
+	}
+	if len(o.Caches) == 0 {
+		return
+	}
+	lacking := slices.DeleteFunc(slices.Clone(o.Caches), func(c accord.CacheRow) bool { return c.Lacks == 0 })
+	fmt.Fprintf(w, "\n%d caches, purges are done at %d of them\n", len(o.Caches), len(o.Caches)-len(lacking))
+	if len(lacking) > 0 {
+		fmt.Fprintln(w, "cache\tdone\tlacks\tlate\tdeleted once\tmachines")
+	}
+	for i, c := range lacking {
+		if i == shownLacking {
+			fmt.Fprintf(w, "and %d more: --json has all\n", len(lacking)-i)
+			break
+		}
+		var why []string
+		for _, m := range c.Machines {
+			if m.Reason != "" && !m.Silent {
+				why = append(why, fmt.Sprintf("%d: %s, %.1f s", m.Machine, m.Reason, m.QuietS))
+			}
+		}
+		if c.Flushing {
+			why = append(why, "to be flushed: what it lacks is not kept")
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%s\n", c.Cache, c.Done, c.Lacks, c.Late, c.First, strings.Join(why, "; "))
+	}
+}
--- a/cmd/dahliapin/control.go
+++ b/cmd/dahliapin/control.go
@@ -14,6 +14,7 @@
 
 	changes "dahliapin/internal/fleet/accord"
 	"dahliapin/internal/fleet/charter"
+	"dahliapin/internal/fleet/purges"
 	"dahliapin/internal/net/accord"
 	"dahliapin/internal/net/fleet"
 	"dahliapin/internal/scale/changes/trace"
@@ -43,6 +44,12 @@
 		}
 		defer end()
 		b.Kept = keep
+		count, end, err := countedTrace(traced)
+		if err != nil {
+			return err
+		}
+		defer end()
+		b.Counted = count
 	}
 	ends := make(chan os.Signal, 1)
 	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
@@ -58,6 +65,21 @@
 	return m.Fault()
 }
 
+// countedTrace writes a line of each cache at which purges count as done up to a later index, beside the other trace.
+func countedTrace(path string) (count func(purges.CacheID, purges.Cursor), end func(), err error) {
+	f, err := os.OpenFile(path+".caches", os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, nil, fmt.Errorf("the trace cannot be kept: %w", err)
+	}
+	var mu sync.Mutex
+	out := json.NewEncoder(f)
+	return func(id purges.CacheID, c purges.Cursor) {
+		mu.Lock()
+		defer mu.Unlock()
+		_ = out.Encode(trace.Cached{At: fleet.Boottime(), Cache: string(id), What: trace.Counted, Index: uint64(c.Done)})
+	}, func() { _ = f.Close() }, nil
+}
+
 // keptTrace writes a line of each write to disk.
 func keptTrace(path string) (keep func([]changes.Proposal), end func(), err error) {
 	f, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
--- a/internal/net/accord/client.go
+++ b/internal/net/accord/client.go
@@ -1,16 +1,19 @@
 package accord
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"net"
 	"slices"
 	"time"
 
 	"dahliapin/internal/fleet/accord"
+	purger "dahliapin/internal/net/purges"
 )
 
 const (
@@ -150,8 +153,32 @@
 	Silent  bool         `json:"silent,omitempty"`
 	In      uint64       `json:"bytes_in"`
 	Out     uint64       `json:"bytes_out"`
-	Foreign uint64       `json:"foreign"`     // streams and messages that were not to be read
-	Away    uint64       `json:"turned_away"` // streams, for want of room
+	Foreign uint64       `json:"foreign"`           // streams and messages that were not to be read
+	Away    uint64       `json:"turned_away"`       // streams, for want of room
+	Purges  bool         `json:"purges,omitempty"`  // it carries purges out at caches
+	NoList  bool         `json:"no_list,omitempty"` // and has no list of them yet
+}
+
+// CacheRow is how a cache stands: what any control machine has done there is done.
+type CacheRow struct {
+	Cache    string       `json:"cache"`
+	Done     accord.Index `json:"done"`               // purges up to here count as done
+	First    accord.Index `json:"first"`              // and up to here were deleted at least once
+	Lacks    uint64       `json:"lacks"`              // entries, up to the newest
+	Late     uint64       `json:"late"`               // of them, that should be done by now
+	Flushing bool         `json:"flushing,omitempty"` // what it lacks is not kept anywhere: all of it has to go
+	Machines []CacheAt    `json:"machines"`
+}
+
+// CacheAt is how one control machine stands with it.
+type CacheAt struct {
+	Machine uint64       `json:"machine"`
+	Done    accord.Index `json:"done"`
+	Late    uint64       `json:"late"`
+	QuietS  float64      `json:"quiet_s"` // since it answered, where something was due
+	Reason  string       `json:"reason,omitempty"`
+	HeardS  float64      `json:"heard_s"`
+	Silent  bool         `json:"silent,omitempty"`
 }
 
 // Overview is who has applied what.
@@ -160,10 +187,20 @@
 	Led      bool         `json:"led"`  // the machine that was asked hears a leader
 	Nodes    []NodeRow    `json:"nodes"`
 	Machines []MachineRow `json:"machines"`
+	Caches   []CacheRow   `json:"caches,omitempty"`
+	Unlisted bool         `json:"unlisted,omitempty"` // purges are to be carried out at caches, and no machine that does it has a list of them
 }
 
-// Whole tells whether every node has applied all and is heard.
+// Whole tells whether every node has applied all and is heard, and all purges are done at every cache.
 func (o Overview) Whole() bool {
+	for _, c := range o.Caches {
+		if c.Lacks > 0 {
+			return false
+		}
+	}
+	if o.Unlisted {
+		return false
+	}
 	for _, n := range o.Nodes {
 		if n.Lacks > 0 || n.Silent || n.Begins || n.Refused > 0 {
 			return false
@@ -190,6 +227,11 @@
 	}
 	err, is, whole := ErrNobody, false, word{}
 	nodes, machines := map[string]row{}, map[uint64]machineRow{}
+	type spot struct {
+		cache   string
+		machine uint64
+	}
+	caches := map[spot]purger.Row{}
 	for by, wait := time.After(askBy), len(c.At); wait > 0; wait-- {
 		var s said
 		select {
@@ -207,6 +249,11 @@
 				nodes[r.Node] = r
 			}
 		}
+		for _, r := range s.Caches {
+			if was, known := caches[spot{r.Cache, r.Machine}]; !known || r.AgoMs < was.AgoMs {
+				caches[spot{r.Cache, r.Machine}] = r
+			}
+		}
 		for _, r := range s.Machines {
 			if was, known := machines[r.ID]; !known || was.Unheard || !r.Unheard && r.AgoMs < was.AgoMs {
 				machines[r.ID] = r
@@ -219,6 +266,9 @@
 	for _, name := range slices.Sorted(maps.Keys(nodes)) {
 		whole.Rows = append(whole.Rows, nodes[name])
 	}
+	whole.Caches = slices.SortedFunc(maps.Values(caches), func(a, b purger.Row) int {
+		return cmp.Or(cmp.Compare(a.Cache, b.Cache), cmp.Compare(a.Machine, b.Machine))
+	})
 	for _, id := range slices.Sorted(maps.Keys(machines)) {
 		whole.Machines = append(whole.Machines, machines[id])
 	}
@@ -238,7 +288,41 @@
 	}
 	for _, r := range w.Machines {
 		h := float64(r.AgoMs) / 1000
-		o.Machines = append(o.Machines, MachineRow{r.ID, r.Name, r.Learner, r.Leads, r.Term, accord.Index(r.Head), accord.Index(r.Floor), accord.Index(r.Config), h, r.Unheard || h > heardWithin, r.In, r.Out, r.Foreign, r.Away})
+		o.Machines = append(o.Machines, MachineRow{r.ID, r.Name, r.Learner, r.Leads, r.Term, accord.Index(r.Head), accord.Index(r.Floor), accord.Index(r.Config), h, r.Unheard || h > heardWithin, r.In, r.Out, r.Foreign, r.Away, r.Purges, r.NoList})
 	}
+	o.Caches, o.Unlisted = cacheRows(w, heardWithin)
 	return o
 }
+
+// cacheRows puts together what machines tell of caches, in their order. What is done stays done, also if who did it is silent now; which caches
+// there are, and what is late, only who is heard can say.
+func cacheRows(w word, heardWithin float64) (all []CacheRow, unlisted bool) {
+	heard, does := map[uint64]bool{}, false
+	for _, m := range w.Machines {
+		heard[m.ID] = !m.Unheard && float64(m.AgoMs)/1000 <= heardWithin
+		does, unlisted = does || m.Purges, unlisted || m.Purges && !m.NoList && heard[m.ID]
+	}
+	for _, r := range w.Caches {
+		n := len(all)
+		if n == 0 || all[n-1].Cache != r.Cache {
+			all = append(all, CacheRow{Cache: r.Cache, Late: math.MaxUint64, Flushing: true})
+			n++
+		}
+		c, at := &all[n-1], CacheAt{r.Machine, accord.Index(r.Done), r.Late, float64(r.QuietMs) / 1000, r.Reason, float64(r.AgoMs) / 1000, !heard[r.Machine]}
+		if r.Foreign {
+			at.Done = 0
+		}
+		c.Done, c.First = max(c.Done, at.Done), max(c.First, accord.Index(r.First))
+		if !at.Silent {
+			c.Late, c.Flushing = min(c.Late, r.Late), c.Flushing && r.Flushing
+		}
+		c.Machines = append(c.Machines, at)
+	}
+	all = slices.DeleteFunc(all, func(c CacheRow) bool {
+		return !slices.ContainsFunc(c.Machines, func(m CacheAt) bool { return !m.Silent })
+	})
+	for i := range all {
+		all[i].Lacks = max(w.Head, uint64(all[i].Done)) - uint64(all[i].Done)
+	}
+	return all, does && !unlisted
+}
--- a/internal/net/accord/machine.go
+++ b/internal/net/accord/machine.go
@@ -20,6 +20,9 @@
 	"dahliapin/internal/fleet/accord"
 	"dahliapin/internal/fleet/accord/store"
 	"dahliapin/internal/fleet/charter"
+	caches "dahliapin/internal/fleet/purges"
+	"dahliapin/internal/keyhash"
+	purger "dahliapin/internal/net/purges"
 	"dahliapin/policy"
 )
 
@@ -65,6 +68,8 @@
 	Kept func([]accord.Proposal)
 	Disk Disk // nil for the file's folder
 	Dial func(addr string, within time.Duration) (net.Conn, error)
+	// Counted is told up to where purges count as done at a cache, whenever that has changed: for a judge. nil for nobody.
+	Counted func(caches.CacheID, caches.Cursor)
 }
 
 // ask is a call to publish.
@@ -104,6 +109,7 @@
 	raw    *raft.RawNode
 	peers  map[uint64]*peer
 	table  *table
+	purger *purger.Purger // nil where purges are not carried out at caches
 	nodes  net.Listener
 	others net.Listener
 	inbox  chan *pb.Message
@@ -168,6 +174,14 @@
 		_ = m.disk.Close()
 		return nil, err
 	}
+	if t := b.File.Purges; t != nil {
+		var err error
+		if m.purger, err = purger.Open(purger.Berth{Terms: t, Machines: len(b.File.Machines), Log: log{m}, Dir: b.File.Control.Data, Logger: b.Log, Now: b.Now, Counted: b.Counted,
+			Seed: uint32(keyhash.Salted(keyhash.Text(b.File.Control.Label), int(self.ID)))}); err != nil {
+			_, _, _ = m.nodes.Close(), m.others.Close(), m.disk.Close()
+			return nil, err
+		}
+	}
 	for _, other := range b.File.Machines {
 		if other.ID != m.id {
 			m.peers[other.ID] = newPeer(m, other)
@@ -234,6 +248,23 @@
 	return m.state.Last()
 }
 
+// log is what the machine has, for who carries purges out.
+type log struct{ *Machine }
+
+func (l log) Stands() (accord.LogID, accord.Index, accord.Index) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.state.Log(), l.state.Floor(), l.state.Last()
+}
+
+func (l log) Entry(i accord.Index) (accord.Entry, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.state.Entry(i)
+}
+
+func (l log) Fresh() <-chan struct{} { return *l.fresh.Load() }
+
 // Done is closed once the machine has ended; Fault then tells why it had to, or nil.
 func (m *Machine) Done() <-chan struct{} { return m.closed }
 
@@ -249,6 +280,9 @@
 func (m *Machine) Close() {
 	m.end(nil)
 	m.done.Wait()
+	if m.purger != nil {
+		m.purger.Close()
+	}
 	_ = m.disk.Close()
 }
 
@@ -530,6 +564,11 @@
 	m.mu.RLock()
 	floor := m.state.Floor()
 	m.mu.RUnlock()
+	if m.purger != nil { // what a cache lacks is kept for it, as far as the bounds go
+		if least, some := m.purger.Least(); some {
+			all = min(all, least)
+		}
+	}
 	if is && all > floor+trimLeast {
 		_ = m.raw.Propose(accord.Batch{Trim: all}.Encode()) // the next look tries again
 	}
--- a/internal/net/accord/table.go
+++ b/internal/net/accord/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dahliapin/internal/fleet/accord"
+	purger "dahliapin/internal/net/purges"
 	"dahliapin/policy"
 )
 
@@ -15,10 +16,11 @@
 	heard policy.Instant
 }
 
-// heardMachine is another control machine's word on itself, and when it came.
+// heardMachine is another control machine's word on itself and on caches, and when it came.
 type heardMachine struct {
 	machineRow
-	heard policy.Instant
+	caches []purger.Row
+	heard  policy.Instant
 }
 
 // table is how nodes stand: own rows of those that follow here, and others' as other control machines tell them. All are hints.
@@ -65,7 +67,8 @@
 
 // own is what the machine tells others: its nodes, and how it stands itself.
 func (t *table) own() word {
-	w := word{Kind: wordTable, Machines: []machineRow{t.m.stands()}}
+	self := t.m.stands()
+	w := word{Kind: wordTable, Caches: t.m.cacheRows(&self), Machines: []machineRow{self}}
 	now := t.m.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -89,13 +92,33 @@
 	}
 	for _, r := range w.Machines {
 		if r.ID == from {
+			for i := range w.Caches {
+				w.Caches[i].Machine = from
+			}
+			w.Caches = w.Caches[:min(len(w.Caches), mostCacheRows)]
 			t.mu.Lock()
-			t.machines[from] = heardMachine{r, now}
+			t.machines[from] = heardMachine{r, w.Caches, now}
 			t.mu.Unlock()
+			if t.m.purger != nil {
+				t.m.purger.Heard(w.Caches)
+			}
 		}
 	}
 }
 
+// cacheRows are how the machine stands with caches; nil where it has nothing to do with them.
+func (m *Machine) cacheRows(self *machineRow) []purger.Row {
+	if m.purger == nil {
+		return nil
+	}
+	rows, listed := m.purger.Rows()
+	self.Purges, self.NoList = true, !listed
+	for i := range rows {
+		rows[i].Machine = m.id
+	}
+	return rows
+}
+
 // least is up to where all nodes have applied that were heard within a time.
 func (t *table) least(within time.Duration) (least accord.Index, is bool) {
 	now := t.m.Now()
@@ -120,7 +143,8 @@
 
 // all is the whole table, for operators.
 func (t *table) all() word {
-	w := word{Kind: wordTable, Machines: []machineRow{t.m.stands()}, Led: t.m.lead.Load().led}
+	self := t.m.stands()
+	w := word{Kind: wordTable, Caches: t.m.cacheRows(&self), Machines: []machineRow{self}, Led: t.m.lead.Load().led}
 	w.Head = w.Machines[0].Head
 	now := t.m.Now()
 	t.mu.Lock()
@@ -138,6 +162,10 @@
 		if h, is := t.machines[o.ID]; is {
 			r = h.machineRow
 			r.Name, r.Learner, r.AgoMs = o.Name, o.Learner, ago(now, h.heard)
+			for _, c := range h.caches {
+				c.AgoMs = r.AgoMs
+				w.Caches = append(w.Caches, c)
+			}
 		}
 		w.Machines = append(w.Machines, r)
 		w.Head = max(w.Head, r.Head)
--- a/internal/net/accord/wire.go
+++ b/internal/net/accord/wire.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"dahliapin/internal/fleet/accord"
+	purger "dahliapin/internal/net/purges"
 )
 
 const (
@@ -80,6 +81,7 @@
 	Fresh    bool              `cbor:"12,keyasint,omitempty"` // the node has applied nothing
 	Machines []machineRow      `cbor:"13,keyasint,omitempty"`
 	Log      uint64            `cbor:"14,keyasint,omitempty"` // which log: of a beginning, and of a node's hello
+	Caches   []purger.Row      `cbor:"15,keyasint,omitempty"` // how machines stand with caches
 }
 
 // row is how a node stands, as control machines tell each other and operators.
@@ -113,12 +115,16 @@
 	Out     uint64 `cbor:"12,keyasint,omitempty"`
 	Foreign uint64 `cbor:"13,keyasint,omitempty"` // streams and messages that were not to be read
 	Away    uint64 `cbor:"14,keyasint,omitempty"` // streams turned away for want of room
+	Purges  bool   `cbor:"15,keyasint,omitempty"` // it carries purges out at caches
+	NoList  bool   `cbor:"16,keyasint,omitempty"` // and has no list of them yet
 }
 
 const (
 	longestName   = 200  // bytes of a node's name
 	longestReason = 300  // bytes of why a configuration was refused
 	mostRows      = 4096 // nodes in a table
+	mostMachines  = 9    // whose tables are told together
+	mostCacheRows = 4096 // caches in one machine's
 )
 
 var errWord = errors.New("not a message of the log of changes")
@@ -186,8 +192,8 @@
 	if err := accord.Reading.Unmarshal(b, &w); err != nil {
 		return w, 0, fmt.Errorf("%w: %w", errWord, err)
 	}
-	if w.Version == 0 || len(w.Rows) > mostRows {
-		return w, 0, fmt.Errorf("%w: version %d, %d rows", errWord, w.Version, len(w.Rows))
+	if w.Version == 0 || len(w.Rows) > mostRows || len(w.Caches) > mostMachines*mostCacheRows {
+		return w, 0, fmt.Errorf("%w: version %d, %d rows, %d of caches", errWord, w.Version, len(w.Rows), len(w.Caches))
 	}
 	return w, n + len(head), nil
 }
