Emulated caches carry purges out: md and flush_all

The emulator's caches on sockets knew no deletion. They take the meta delete and the flush of the memcache text protocol, as the stand-in of purges does; a cache that stands still answers once it goes on. Tested on a socket; nothing else of the emulator is changed.

--- /dev/null
+++ b/internal/emulator/keeper/keeper_test.go
@@ -0,0 +1,39 @@
+package keeper
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+
+	"dahliapin/internal/scale/changes/trace"
+	"dahliapin/policy"
+)
+
+func TestADeletionTakesTheValueAndSaysWhetherItWasThere(t *testing.T) {
+	var told []trace.Did
+	c, err := Open("c", func() policy.Instant { return 1 }, func(x trace.Cached) { told = append(told, x.What) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	conn, err := net.DialTimeout("tcp", c.Addr(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	c.Fill("a", 1)
+	c.Fill("b", 1)
+	for _, x := range [][2]string{{"md a q O1f\r\n", "HD O1f\r\n"}, {"md a O20\r\n", "NF O20\r\n"}, {"mg b v\r\n", "ERROR\r\n"}, {"flush_all\r\n", "OK\r\n"}, {"md b O1\r\n", "NF O1\r\n"}} {
+		if _, err := conn.Write([]byte(x[0])); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := in.ReadString('\n'); got != x[1] {
+			t.Errorf("%q: %q, %v", x[0], got, err)
+		}
+	}
+	if _, is := c.Serve("b"); is || len(told) != 4 || told[2] != trace.Emptied {
+		t.Errorf("%t, %v", is, told)
+	}
+}
--- a/internal/emulator/onwire/onwire_test.go
+++ b/internal/emulator/onwire/onwire_test.go
@@ -416,3 +416,53 @@
 	}
 	return judge.New(judge.Terms{Grades: gs})
 }
+
+// A cache of the emulator's carries purges out: what it held is gone, and it says whether it held it.
+func TestACacheCarriesPurgesOut(t *testing.T) {
+	s := parse(t, small)
+	terms, err := s.TermsAt("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &Rig{script: s, terms: terms, began: time.Now(), world: newWorld(s), judge: newJudge(s), log: outcome.NewLog(s, epoch), legs: map[uint64]*leg{}, wake: make(chan struct{}, 1)}
+	if err := r.open(0); err != nil {
+		t.Fatal(err)
+	}
+	defer r.servers[0].shut()
+	r.traffic = world.NewTraffic(s.Asks())
+	r.warm()
+	held := 0
+	say := func(line string) string {
+		t.Helper()
+		c, err := net.DialTimeout("tcp", r.servers[0].addr, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, line)
+		_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
+		got, _ := bufio.NewReader(c).ReadString('\n')
+		return got
+	}
+	for rank := range 50 {
+		line := fmt.Sprintf("md %s O%x\r\n", world.KeyOf(rank), rank+1)
+		switch got := say(line); got {
+		case fmt.Sprintf("HD O%x\r\n", rank+1):
+			if held++; say(line) != fmt.Sprintf("NF O%x\r\n", rank+1) {
+				t.Error("a deleted key was there once more")
+			}
+		case fmt.Sprintf("NF O%x\r\n", rank+1):
+		default:
+			t.Fatalf("%q", got)
+		}
+	}
+	r.warm()
+	if got := say("flush_all\r\n"); got != "OK\r\n" || held == 0 {
+		t.Errorf("%q, %d held", got, held)
+	}
+	for rank := range 50 {
+		if got := say(fmt.Sprintf("md %s O1\r\n", world.KeyOf(rank))); got != "NF O1\r\n" {
+			t.Errorf("after a flush: %q", got)
+		}
+	}
+}
--- a/internal/emulator/onwire/servers.go
+++ b/internal/emulator/onwire/servers.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"dahliapin/internal/emulator/keeper"
 	"dahliapin/internal/emulator/world"
 	"dahliapin/internal/fronts"
 	"dahliapin/internal/net/meta"
@@ -26,6 +27,7 @@
 	readAtOnce  = 16 << 10               // bytes of commands read at once
 	mostCommand = 1 << 20                // bytes of a command that has not come whole
 	fillWithin  = 50 * time.Millisecond  // that a connection may take which only fills a queue
+	frozenLook  = time.Millisecond       // between looks whether a cache that stands still goes on
 	openAgain   = 100 * time.Millisecond // between tries to listen where it listened before
 	garbage     = "\x8c\xa1\x00 no answer of any protocol \xff\r\n"
 )
@@ -326,6 +328,16 @@
 			size := 0
 			if r.script.Fleet.Protocol == fronts.HTTP {
 				size = c.nextRequest(held)
+			} else if o, n := keeper.ReadOrder(held); n > 0 {
+				r.mu.Lock()
+				for r.world.Servers[c.s.number].Frozen(r.now()) && c.s.conns[c] {
+					r.mu.Unlock()
+					time.Sleep(frozenLook)
+					r.mu.Lock()
+				}
+				c.order(o)
+				r.mu.Unlock()
+				size = n
 			} else if command, n, fault := meta.ReadCommand(held); n > 0 || fault != nil {
 				r.mu.Lock()
 				c.command(&command, fault)
@@ -372,6 +384,24 @@
 	c.answer([]byte("SERVER_ERROR busy\r\n"))
 }
 
+// order carries out a purge, at a cache that lives; the lock is held.
+func (c *serverConn) order(o keeper.Order) {
+	r, s := c.s.r, c.s
+	w := r.world.Servers[s.number]
+	switch {
+	case w.Life == world.Silent || s.fault == "silent":
+	case s.fault == "reset":
+		c.gone(true)
+	case s.fault == "garbage":
+		c.answer([]byte(garbage))
+	case o.Flush:
+		r.world.Empty(s.number)
+		c.answer(o.Answer(true))
+	default:
+		c.answer(o.Answer(r.world.Drop(s.number, o.Key)))
+	}
+}
+
 // came tells of a leg that came whole.
 func (r *Rig) came(now policy.Instant, id string, server policy.CacheID) {
 	r.log.Leg(now, server)
--- a/internal/emulator/world/world.go
+++ b/internal/emulator/world/world.go
@@ -548,6 +548,17 @@
 	s.store = newStore(s.Keys)
 }
 
+// Drop deletes a key at a cache, by a purge, and tells whether it was there; Empty deletes all.
+func (w *World) Drop(server int, key string) (was bool) {
+	s := w.Servers[server].store
+	was = s.at[key] != nil
+	s.drop(key)
+	return was
+}
+
+// Empty has all of a cache go, while its process lives.
+func (w *World) Empty(server int) { w.Servers[server].store = newStore(w.Servers[server].Keys) }
+
 // Mute lets a server vanish without a word: what it has in hand is gone, what comes is swallowed.
 func (w *World) Mute(now policy.Instant, server int) {
 	w.Kill(now, server)
