--- a/cmd/dahliapin/changes.go
+++ b/cmd/dahliapin/changes.go
@@ -88,7 +88,8 @@
 func changesCommand(plain *bool) *cobra.Command {
 	var at, label string
 	c := &cobra.Command{Use: "changes --at ADDR[,ADDR]", Short: "Tell up to where each node has applied the log of changes, and purges are done at each cache", Args: cobra.NoArgs,
-		Long: "Exits with 0 where every node that was heard has all and all purges are done at every cache, 2 where one lacks something, refused a configuration or is not heard, and 1 where no control machine can be asked.",
+		Long: "Exits with 0 where every node that was heard has all and all purges are done at every cache, 2 where one lacks something, refused a\n" +
+			"configuration or is not heard, and 1 where no control machine can be asked.",
 		RunE: func(c *cobra.Command, _ []string) error {
 			caller, err := callerOf(at, label)
 			if err != nil {
--- a/internal/fleet/purges/purges_test.go
+++ b/internal/fleet/purges/purges_test.go
@@ -167,10 +167,11 @@
 	b.publish("b")
 	b.Broke(b.now, 0)
 	b.wants("old ones once, as their fills are over, and what is new at once", "12 21 ", 0)
+	b.answer(1)
 	if b.First() != 0 {
-		t.Errorf("first %d", b.First())
+		t.Errorf("first %d, though the one before was never deleted", b.First())
 	}
-	b.answer(2)
+	b.answer(1)
 	b.wants("", "", 1)
 	if b.Late(b.now, &b.times, 0) != 0 || b.Late(b.now.Add(usual.Fills), &b.times, 0) != 1 {
 		t.Error("late")
@@ -253,6 +254,11 @@
 	if b.Adopt(Cursor{7, 5, 3}); b.Cursor().Done != 2 {
 		t.Error("another process's cursor is adopted")
 	}
+	b.wait(2*NewsBy + usual.Fills)
+	b.Listed(b.now, 5, &b.times)
+	if b.Listed(b.now, 7, &b.times); b.Cursor().Done != 2 {
+		t.Error("an older list tells since when there is a later process")
+	}
 }
 
 // The whole by chance: values at caches are never older than what the cursor says is purged, whatever breaks. Fills that take longer than is
--- a/internal/net/accord/caches_test.go
+++ b/internal/net/accord/caches_test.go
@@ -27,7 +27,16 @@
 		t.Cleanup(c.Close)
 		caches, terms.Caches = append(caches, c), append(terms.Caches, charter.Cache{ID: c.Name(), Addr: c.Addr()})
 	}
-	f := newFleet(t, func(c *charter.ControlFile) { c.Purges, c.Bounds.Entries = terms, 3000 }, nil)
+	lame := *terms // the learner reaches no cache, and takes over what others have done
+	lame.Caches = slices.Clone(terms.Caches)
+	for i := range lame.Caches {
+		lame.Caches[i].Addr = "127.0.0.1:1"
+	}
+	f := newFleet(t, func(c *charter.ControlFile) {
+		if c.Purges, c.Bounds.Entries = terms, 3000; c.Control.ID == 4 {
+			c.Purges = &lame
+		}
+	}, nil)
 	until := func(what string, is func(Overview) bool) (o Overview) {
 		t.Helper()
 		for by := time.Now().Add(15 * time.Second); time.Now().Before(by); time.Sleep(20 * time.Millisecond) {
@@ -42,7 +51,9 @@
 	whole := func(o Overview) bool { return o.Whole() && len(o.Caches) == 3 }
 	caches[0].Fill("key-1", 1)
 	f.publish(purges(0, 10))
-	until("all is done", func(o Overview) bool { return whole(o) && o.Last == 10 })
+	until("all is done", func(o Overview) bool {
+		return whole(o) && o.Last == 10 && len(o.Caches[0].Machines) == 4 && o.Caches[0].Machines[3].Done == 10 && o.Caches[0].Machines[3].Reason != ""
+	})
 	if _, is := caches[0].Serve("key-1"); is {
 		t.Error("a purged value is served")
 	}
--- a/internal/net/accord/client.go
+++ b/internal/net/accord/client.go
@@ -193,14 +193,11 @@
 
 // Whole tells whether every node has applied all and is heard, and all purges are done at every cache.
 func (o Overview) Whole() bool {
-	for _, c := range o.Caches {
-		if c.Lacks > 0 {
-			return false
-		}
-	}
-	if o.Unlisted {
-		return false
-	}
+	return !o.Unlisted && o.NodesWhole() && !slices.ContainsFunc(o.Caches, func(c CacheRow) bool { return c.Lacks > 0 })
+}
+
+// NodesWhole tells whether every node has applied all and is heard.
+func (o Overview) NodesWhole() bool {
 	for _, n := range o.Nodes {
 		if n.Lacks > 0 || n.Silent || n.Begins || n.Refused > 0 {
 			return false
