--- a/internal/fleet/accord/accord.go
+++ b/internal/fleet/accord/accord.go
@@ -130,9 +130,6 @@
 // Log is which log it is; 0 until its first leader has said so.
 func (s *State) Log() LogID { return s.log }
 
-// Repeated counts proposals that were found to be in the log already.
-func (s *State) Repeated() uint64 { return s.repeated }
-
 // Config is the latest configuration and its index; 0 for none.
 func (s *State) Config() Index {
 	if s.config == nil {
--- a/internal/fleet/accord/accord_test.go
+++ b/internal/fleet/accord/accord_test.go
@@ -161,7 +161,7 @@
 		p.ID[5], p.ID[6], p.ID[7] = byte(n), byte(n>>8), byte(n>>16)
 		s.Apply(Batch{Proposals: []Proposal{p}})
 	}
-	if at := s.Apply(Batch{Proposals: []Proposal{one}}); at[0] != 1 || s.Repeated() != 1 {
+	if at := s.Apply(Batch{Proposals: []Proposal{one}}); at[0] != 1 || s.repeated != 1 {
 		t.Errorf("among the last %d: %v", Remembered, at)
 	}
 	if s.Apply(Batch{Proposals: []Proposal{purge(3)}}); len(s.ids) != Remembered || len(s.recent) != Remembered {
--- a/internal/net/accord/machine.go
+++ b/internal/net/accord/machine.go
@@ -234,12 +234,8 @@
 	}
 }
 
-// Addr is where nodes are heard, and PeersAddr where control machines are.
-func (m *Machine) Addr() string      { return m.nodes.Addr().String() }
-func (m *Machine) PeersAddr() string { return m.others.Addr().String() }
-
-// Leads tells whether it is the leader, as far as it knows.
-func (m *Machine) Leads() bool { return m.lead.Load().leads }
+// Addr is where nodes are heard.
+func (m *Machine) Addr() string { return m.nodes.Addr().String() }
 
 // Last is the newest entry that it has.
 func (m *Machine) Last() accord.Index {
