Purges at caches: a later process of a cache falls back to what it can't need

A cursor held for all processes of a cache. One that had moved could have taken old values while purges still went to the address of the one before, as the list had not told yet, and they counted.

--- a/internal/fleet/purges/purges.go
+++ b/internal/fleet/purges/purges.go
@@ -3,10 +3,10 @@
 //
 // A purge is *done* at a cache once the cache has answered a delete that was sent later than any fill may take since the purge was known:
 // a fill that began before it, and would put the old value back, is over by then. A first delete is sent at once; it counts for nothing
-// but the time until the second. What is done stays done for each later process of that cache.
+// but the time until the second. What is done at a process of the cache stays done there.
 //
-// Invariants: the cursor never leads what the cache has answered; it never falls but with another log; what is in flight is bounded, and
-// answers are taken in the order in which it was sent.
+// Invariants: the cursor never leads what the cache has answered; it never falls but with another process or log; what is in flight is
+// bounded, and answers are taken in the order in which it was sent.
 package purges
 
 import (
@@ -41,6 +41,7 @@
 	Log     accord.LogID // of which log; 0 for none yet
 	Started Incarnation  // at which process of the cache
 	Done    accord.Index
+	Sure    accord.Index // up to where a later process has nothing to do: it began empty, after their fills were over
 }
 
 // Terms are how purges are carried out.
@@ -160,12 +161,11 @@
 	flush   accord.Index   // up to where it went
 	skipped accord.Index   // up to here first deletes were left out, as it was time for final ones
 	fails   int
-	seen    policy.Instant // the list had this process of it then
 }
 
 // NewCache has what its cursor says.
 func NewCache(t Terms, c Cursor, now policy.Instant) *Cache {
-	return &Cache{Terms: t, cursor: c, log: c.Log, first: c.Done, sent1: c.Done, sent2: c.Done, asks: now.Add(othersBy), seen: policy.Never}
+	return &Cache{Terms: t, cursor: c, log: c.Log, first: c.Done, sent1: c.Done, sent2: c.Done, asks: now.Add(othersBy)}
 }
 
 // Cursor is up to where purges are done.
@@ -193,30 +193,38 @@
 	return c.lacks(id, floor)
 }
 
-// Listed says that the list has a process of the cache now. A later one began empty, and no sooner than the list had the one before, so what
-// was known so long before that that its fills were over need not be done there.
+// Listed says that the list has a process of the cache now. A later one may be elsewhere, and what was done since it began was done at the one
+// before it: it gets all that its fills could bring, which is what was known since so long before the list last had the one before.
 func (c *Cache) Listed(now policy.Instant, started Incarnation, t *Times) {
-	if started < c.cursor.Started { // an older list, or a clock set back: the cursor holds for whichever process it is
+	if started < c.cursor.Started { // an older list, or a clock set back: what is done is done at the later one
 		return
 	}
 	if started > c.cursor.Started {
-		if c.cursor.Started != 0 && c.seen != policy.Never {
-			if begin := t.Newest(c.seen.Add(-NewsBy - c.Fills)); begin > 0 && (c.cursor.Log != t.log || begin > c.cursor.Done) {
-				c.goOn(Cursor{t.log, started, begin})
-			}
+		if c.cursor.Started = started; c.cursor.Log != 0 {
+			c.cursor.Done = c.cursor.Sure
+			c.first, c.sent1, c.sent2, c.skipped = c.done(), c.done(), c.done(), 0
 		}
-		c.cursor.Started = started
 		c.Broke(now, 0) // what is in flight is to the process before
 		c.emptied, c.fails = false, 0
 	}
-	c.seen = now
+	if c.cursor.Log == t.log {
+		c.cursor.Sure = max(c.cursor.Sure, t.Newest(now.Add(-NewsBy-c.Fills)))
+	}
 }
 
 // Adopt takes what another control machine knows to be done at the same process of the cache: that does not become untrue.
 func (c *Cache) Adopt(o Cursor) {
 	if o.Log != 0 && o.Started == c.cursor.Started && (c.cursor.Log == 0 || o.Log == c.cursor.Log && o.Done > c.cursor.Done) {
-		c.goOn(o)
+		c.goOn(Cursor{o.Log, o.Started, o.Done, c.sure(o.Log)})
+	}
+}
+
+// sure is the same of a log.
+func (c *Cache) sure(log accord.LogID) accord.Index {
+	if c.cursor.Log != log {
+		return 0
 	}
+	return c.cursor.Sure
 }
 
 // of says which log there is. With another one nothing is sent or answered yet.
@@ -266,7 +274,7 @@
 			return cmd, is, again
 		}
 	} else if c.emptied = false; c.cursor.Log == 0 {
-		c.goOn(Cursor{id, c.cursor.Started, 0}) // all that the log has ever had is kept
+		c.goOn(Cursor{Log: id, Started: c.cursor.Started}) // all that the log has ever had is kept
 	}
 	over := t.Newest(now.Add(-c.Fills)) // fills from before these are over
 	if over > max(c.sent1, c.done()) && !c.emptied {
@@ -391,7 +399,7 @@
 		c.first, c.sent1 = max(c.first, c.flush), max(c.sent1, c.flush)
 	case Last:
 		if id, floor, _ := log.Stands(); id == t.log && c.lacks(id, floor) {
-			c.goOn(Cursor{id, c.cursor.Started, max(c.flush, t.Newest(f.sent.Add(-c.Fills)))})
+			c.goOn(Cursor{id, c.cursor.Started, max(c.flush, t.Newest(f.sent.Add(-c.Fills))), c.sure(id)})
 		}
 		c.emptied = false
 	}
--- a/internal/net/accord/caches_test.go
+++ b/internal/net/accord/caches_test.go
@@ -102,6 +102,7 @@
 		"one has done all":                {func(*word) {}, true, []uint64{0}},
 		"who did it is silent now":        {func(w *word) { w.Machines[0].AgoMs = 6000 }, true, []uint64{0}},
 		"it is another log's":             {func(w *word) { w.Caches[0].Foreign = true }, false, []uint64{5}},
+		"it is of the process before":     {func(w *word) { w.Caches[1].Started = 5 }, false, []uint64{5}},
 		"none has":                        {func(w *word) { w.Caches[0].Done = 8 }, false, []uint64{1}},
 		"only a silent one lists it":      {func(w *word) { w.Caches, w.Machines[1].AgoMs = append(w.Caches, row("b", 2, 1)), 6000 }, true, []uint64{0}},
 		"no machine has a list":           {func(w *word) { w.Caches, w.Machines[0].NoList, w.Machines[1].NoList = nil, true, true }, false, nil},
--- a/internal/net/accord/client.go
+++ b/internal/net/accord/client.go
@@ -299,6 +299,10 @@
 		heard[m.ID] = !m.Unheard && float64(m.AgoMs)/1000 <= heardWithin
 		does, unlisted = does || m.Purges, unlisted || m.Purges && !m.NoList && heard[m.ID]
 	}
+	latest := map[string]int64{} // process of each cache: what was done at one before it is no matter
+	for _, r := range w.Caches {
+		latest[r.Cache] = max(latest[r.Cache], r.Started)
+	}
 	for _, r := range w.Caches {
 		n := len(all)
 		if n == 0 || all[n-1].Cache != r.Cache {
@@ -306,8 +310,8 @@
 			n++
 		}
 		c, at := &all[n-1], CacheAt{r.Machine, accord.Index(r.Done), r.Late, float64(r.QuietMs) / 1000, r.Reason, float64(r.AgoMs) / 1000, !heard[r.Machine]}
-		if r.Foreign {
-			at.Done = 0
+		if r.Foreign || r.Started < latest[r.Cache] {
+			at.Done, r.First = 0, 0
 		}
 		c.Done, c.First = max(c.Done, at.Done), max(c.First, accord.Index(r.First))
 		if !at.Silent {
--- a/internal/net/purges/disk.go
+++ b/internal/net/purges/disk.go
@@ -16,7 +16,7 @@
 const (
 	fileName  = "purges.bbolt"
 	lockBy    = time.Second // for the file to be free
-	cursorLen = 25          // bytes: a version, then log, process and index
+	cursorLen = 33          // bytes: a version, then log, process and two indexes
 	version   = 1
 )
 
@@ -44,7 +44,8 @@
 		return b.ForEach(func(id, v []byte) error {
 			if len(v) == cursorLen && v[0] == version && len(known) < mostKept {
 				known[purges.CacheID(id)] = purges.Cursor{Log: accord.LogID(binary.BigEndian.Uint64(v[1:])),
-					Started: purges.Incarnation(binary.BigEndian.Uint64(v[9:])), Done: accord.Index(binary.BigEndian.Uint64(v[17:]))}
+					Started: purges.Incarnation(binary.BigEndian.Uint64(v[9:])), Done: accord.Index(binary.BigEndian.Uint64(v[17:])),
+					Sure: accord.Index(binary.BigEndian.Uint64(v[25:]))}
 			}
 			return nil
 		})
@@ -63,6 +64,7 @@
 		for id, c := range moved {
 			v := binary.BigEndian.AppendUint64([]byte{version}, uint64(c.Log))
 			v = binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(v, uint64(c.Started)), uint64(c.Done))
+			v = binary.BigEndian.AppendUint64(v, uint64(c.Sure))
 			if err := b.Put([]byte(id), v); err != nil {
 				return err
 			}
