Purges at caches: what goes by the pace goes by sixteens

After a burst each command by the pace woke its connection: 40 of them, two processors, fills of 0.4 s: a burst of 1,000 took 5.7 s until done. A test of what fleet changes shows of caches.

--- a/cmd/dahliapin/changes_test.go
+++ b/cmd/dahliapin/changes_test.go
@@ -99,3 +99,29 @@
 		t.Errorf("no leader: exit %d", code)
 	}
 }
+
+// What operators are told of caches: those that lack something, with each machine's reason; nothing where purges are not carried out.
+func TestCachesThatLackPurgesAreShown(t *testing.T) {
+	shown := func(o accord.Overview) string {
+		var out strings.Builder
+		if err := showChanges(&out, o); err != nil {
+			t.Fatal(err)
+		}
+		return out.String()
+	}
+	o := accord.Overview{Last: 9, Led: true}
+	if text := shown(o); strings.Contains(text, "cache") {
+		t.Errorf("%s", text)
+	}
+	o.Caches = []accord.CacheRow{{Cache: "well", Done: 9}, {Cache: "ill", Done: 4, First: 6, Lacks: 5, Late: 3, Flushing: true,
+		Machines: []accord.CacheAt{{Machine: 1, Reason: "refused", QuietS: 2.5}, {Machine: 2, Reason: "old word", Silent: true}}}}
+	text := shown(o)
+	for _, want := range []string{"2 caches, purges are done at 1 of them", "ill    4     5      3     6             1: refused, 2.5 s; to be flushed"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is not in\n%s", want, text)
+		}
+	}
+	if o.Unlisted = true; strings.Contains(text, "well") || strings.Contains(text, "old word") || !strings.Contains(shown(o), "there is no list of them") {
+		t.Errorf("%s", text)
+	}
+}
--- a/internal/fleet/purges/purges.go
+++ b/internal/fleet/purges/purges.go
@@ -21,6 +21,7 @@
 const (
 	Window     = 256                    // commands in flight at a cache: 1,800 a second over a way of 140 ms there and back
 	Burst      = 1024                   // commands that may go at once before the pace holds: a burst of a thousand purges
+	together   = 16                     // commands that go together by the pace: one at a time would wake somebody for each
 	AnswerBy   = 2 * time.Second        // for a command to be answered, then the connection is dead
 	firstRest  = 100 * time.Millisecond // after a connection that broke, by chance from half of it; doubled
 	mostRest   = 3 * time.Second        // up to this: a cache that is back is found within it
@@ -267,7 +268,7 @@
 		return cmd, false, again
 	}
 	if c.tat = max(c.tat, now); c.tat > now.Add((Burst-1)*c.Each) {
-		return cmd, false, sooner(again, c.tat.Add(-(Burst-1)*c.Each))
+		return cmd, false, sooner(again, c.tat.Add((together-Burst)*c.Each))
 	}
 	if c.lacks(id, floor) {
 		if cmd, is, again = c.nextFlush(now, last, g, again); is || !c.emptied {
