scale-changes: purges at emulated caches, fills under way, a cache that is silent, and the judge of it

The judge says whether an old value was served. The small test of it has not run yet for want of the machine.

--- a/cmd/dahliapin/scale_changes.go
+++ b/cmd/dahliapin/scale_changes.go
@@ -26,6 +26,7 @@
 	mostFollow   = 1000 // hollow nodes
 	mostReal     = 60   // real ones, a process each
 	mostRegions  = 40
+	mostKeepers  = 200 // caches
 )
 
 var errScale = errors.New("not all is within what is stated")
@@ -44,7 +45,8 @@
 		},
 		RunE: func(c *cobra.Command, _ []string) (err error) {
 			if p.Plays = strings.Split(plays, ","); p.Nodes < p.Regions || p.Nodes > mostFollow || p.Real < 0 || p.Real > mostReal || p.Regions < 2 || p.Regions > mostRegions ||
-				p.Loss < 0 || p.Loss > 0.2 || p.For < time.Second || p.For > time.Hour || p.CutFor < time.Second || p.After < 0 || p.CutPurges < 1 || p.CutPurges > 60_000 {
+				p.Loss < 0 || p.Loss > 0.2 || p.For < time.Second || p.For > time.Hour || p.CutFor < time.Second || p.After < 0 || p.CutPurges < 1 || p.CutPurges > 60_000 ||
+				p.Caches < 0 || p.Caches > mostKeepers || p.Fills < 100*time.Millisecond || p.Fills > time.Minute {
 				return fmt.Errorf("%w: a size is out of its bounds", errCall)
 			}
 			if p.CutRegion < 0 {
@@ -54,8 +56,11 @@
 				return fmt.Errorf("%w: --cut-region %d of %d", errCall, p.CutRegion, p.Regions)
 			}
 			for _, play := range p.Plays {
-				if play != rig.Steady && play != rig.Burst && play != rig.Cut {
-					return fmt.Errorf("%w: --plays %q: steady, burst and cut are", errCall, play)
+				if play != rig.Steady && play != rig.Burst && play != rig.Cut && play != rig.CacheCut {
+					return fmt.Errorf("%w: --plays %q: steady, burst, cut and cache-cut are", errCall, play)
+				}
+				if (play == rig.Cut) == (p.Caches > 0) && play != rig.Steady && play != rig.Burst {
+					return fmt.Errorf("%w: cut is played without --caches, and cache-cut with some", errCall)
 				}
 			}
 			if p.Program, err = os.Executable(); err != nil {
@@ -88,7 +93,7 @@
 	f.IntVar(&p.Regions, "regions", 11, "regions: a process of hollow nodes each")
 	f.StringVar(&plays, "plays", "steady,burst,cut", "which, one after the other")
 	f.DurationVar(&p.For, "for", time.Minute, "how long steady is")
-	f.DurationVar(&p.CutFor, "cut-for", 20*time.Second, "how long a region is cut off")
+	f.DurationVar(&p.CutFor, "cut-for", 20*time.Second, "how long a region is cut off, or a cache is silent")
 	f.IntVar(&p.CutRegion, "cut-region", -1, "which region, from 0; -1 for the last, which has no control machine (with 11: 0, 2, 5 and 8 have)")
 	f.DurationVar(&p.After, "after", 20*time.Second, "how long purges at the stated rate go on once it is back")
 	f.IntVar(&p.CutPurges, "cut-purges", 34_200, "purges meanwhile: an hour's")
@@ -96,6 +101,8 @@
 	f.Float64Var(&p.Loss, "loss", 0, "share of packets lost between regions and within, by which streams stand still")
 	f.BoolVar(&p.Kill, "kill", false, "kill the leader outright a third into steady; it is back after two thirds")
 	f.BoolVar(&p.Hang, "hang", false, "have the leader stand still (SIGSTOP) in that time instead")
+	f.IntVar(&p.Caches, "caches", 0, "emulated caches at which purges are carried out")
+	f.DurationVar(&p.Fills, "fills", 3500*time.Millisecond, "the longest that a fill may take there")
 	f.Uint32Var(&p.Seed, "seed", 1, "of chance")
 	f.StringVar(&p.Dir, "out", "scale-changes", "folder for what the run leaves")
 	c.AddCommand(&cobra.Command{Use: "hollow SPEC", Hidden: true, Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
@@ -134,6 +141,9 @@
 	fmt.Fprintf(w, "\n%d entries, %d applied by %d nodes, %d of %d real nodes have all; began anew %d, moves %d, gaps %d; back after the cut in %.1f s, stale in it %d\n", r.Judge.Entries, r.Judge.Applied, r.Judge.Nodes,
 		r.RealWhole, r.Real, r.Judge.Presumed, r.Moves, r.Gaps, r.Back, r.StaleInCut)
 	fmt.Fprintf(w, "fleet changes showed an entry at every node at most %.3f s after it was acknowledged; one call took at most %.3f s\n", r.Shown, r.Asked)
+	if r.Caches != nil {
+		out = append(out, showCachesOf(w, r)...)
+	}
 	for _, n := range r.Notes {
 		fmt.Fprintln(w, n)
 	}
@@ -154,3 +164,20 @@
 	}
 	return nil
 }
+
+// showCachesOf prints how caches fared.
+func showCachesOf(w io.Writer, r *rig.Report) (out []string) {
+	c := r.Caches
+	fmt.Fprintf(w, "\n%d caches, %d purges, %d deletions, emptied %d times, %d reads with a value; back after its silence in %.1f s\n", c.Caches, c.Purges, c.Deletes, c.Emptied, c.Served, r.CacheBack)
+	fmt.Fprintln(w, "play\tfirst deletion at the last cache: median\tp99\tmost\tdone at the last cache: median\tp99\tmost\tbudget")
+	for _, p := range c.Plays {
+		fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.1f s\n", p.Play, p.Deleted.Median, p.Deleted.P99, p.Deleted.Most, p.Done.Median, p.Done.P99, p.Done.Most, purgeWithin)
+		if p.Done.Most > purgeWithin {
+			out = append(out, fmt.Sprintf("%s: %.3f s until a purge was done at the last cache", p.Play, p.Done.Most))
+		}
+	}
+	for _, b := range c.Breaches {
+		out = append(out, fmt.Sprintf("broken at caches: %s, %d times: %s", b.What, b.Count, strings.Join(b.Examples, "; ")))
+	}
+	return out
+}
--- a/cmd/dahliapin/scale_changes_test.go
+++ b/cmd/dahliapin/scale_changes_test.go
@@ -28,9 +28,32 @@
 	if j := r.Judge; len(j.Breaches) > 0 || j.Entries < 57+6+403+28+20 || j.Applied != j.Entries*9 || j.Presumed > 0 || j.Refused > 0 || r.RealWhole != 1 {
 		t.Errorf("%+v\n%q, real ones with all: %d", j, r.Notes, r.RealWhole)
 	}
-	for _, bad := range [][]string{{"--nodes", "1"}, {"--plays", "all"}, {"--loss", "0.9"}, {"more"}, {"--no-such"}} {
+	for _, bad := range [][]string{{"--nodes", "1"}, {"--plays", "all"}, {"--loss", "0.9"}, {"--plays", "cache-cut"}, {"--caches", "2"}, {"--fills", "1ms"}, {"more"}, {"--no-such"}} {
 		if _, code := asked(t, append([]string{"scale-changes", "--out", t.TempDir()}, bad...)...); code != 2 {
 			t.Errorf("%q: exit %d", bad, code)
 		}
 	}
 }
+
+// Purges at caches, with fills under way, the leader killed outright and back, and a cache that is silent for a while: no value is served that
+// is older than what counts as done, and all is done.
+func TestPurgesAtCachesAtASmallSize(t *testing.T) {
+	if testing.Short() {
+		t.Skip("real processes for 25 s: without the race detector, which they do not have")
+	}
+	dir := t.TempDir()
+	_, code := asked(t, "scale-changes", "--nodes", "3", "--real", "0", "--regions", "3", "--for", "6s", "--kill", "--loss", "0.01", "--plays", "steady,cache-cut", "--cut-for", "3s", "--after", "1s",
+		"--caches", "6", "--fills", "500ms", "--seed", "6", "--out", dir)
+	text, err := os.ReadFile(dir + "/report.json")
+	if err != nil {
+		t.Fatalf("%v, exit %d", err, code)
+	}
+	var r rig.Report
+	if err := json.Unmarshal(text, &r); err != nil {
+		t.Fatal(err)
+	}
+	c := r.Caches
+	if len(r.Judge.Breaches) > 0 || c == nil || len(c.Breaches) > 0 || c.Purges < 57+38 || c.Caches != 6 || c.Deletes < 2*6*c.Purges || c.Served == 0 || r.CacheBack <= 0 {
+		t.Errorf("%+v\n%+v\n%q", r.Judge, c, r.Notes)
+	}
+}
--- /dev/null
+++ b/internal/scale/changes/rig/caches.go
@@ -0,0 +1,213 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"dahliapin/internal/emulator/keeper"
+	"dahliapin/internal/fleet/accord"
+	"dahliapin/internal/keyhash"
+	"dahliapin/internal/net/fleet"
+	"dahliapin/internal/scale/changes/judge"
+	"dahliapin/internal/scale/changes/trace"
+	"dahliapin/policy"
+)
+
+const (
+	refilled   = 0.2                   // share of keys and caches to which a fill with the old value is under way when the purge is published
+	refillLate = 50 * time.Millisecond // before the longest that a fill may take, after which one is left out: the rig's timers are not exact
+	readEach   = 2 * time.Millisecond  // between two reads at caches
+)
+
+// caches are the rig's cache servers, each in a region, and what befell them. A key's value has the version 1 before its purge is published,
+// and 2 at the origin from then on.
+type caches struct {
+	all     []*keeper.Cache
+	mu      sync.Mutex
+	records []trace.Cached
+	recent  []string // keys that were purged, to be read
+	chance  keyhash.Source
+	fills   sync.WaitGroup
+	purged  []trace.Purged
+	cut     string
+	back    policy.Instant
+	closed  chan struct{}
+}
+
+func (r *run) openCaches() error {
+	for i := range r.Caches {
+		c, err := keeper.Open(fmt.Sprintf("cache-%02d", i), fleet.Boottime, func(x trace.Cached) {
+			r.caches.mu.Lock()
+			defer r.caches.mu.Unlock()
+			r.caches.records = append(r.caches.records, x)
+		})
+		if err != nil {
+			return err
+		}
+		r.caches.all = append(r.caches.all, c)
+	}
+	if r.Caches > 0 {
+		go r.read()
+	}
+	return nil
+}
+
+func (r *run) closeCaches() {
+	close(r.caches.closed)
+	for _, c := range r.caches.all {
+		c.Close()
+	}
+}
+
+// cacheList is what a control machine's file says of caches: each in a region, over the network between.
+func (r *run) cacheList(machine int) (string, error) {
+	if r.Caches == 0 {
+		return "", nil
+	}
+	text := fmt.Sprintf("[purges]\nfills_s = %v\n", r.Fills.Seconds())
+	for i, c := range r.caches.all {
+		door, err := r.between.Door(r.region[machine], i%r.Regions, c.Addr())
+		if err != nil {
+			return "", err
+		}
+		text += fmt.Sprintf("[[purges.cache]]\nid = %q\naddr = %q\n", c.Name(), door)
+	}
+	return text, nil
+}
+
+// cached has all caches keep values that are about to be purged.
+func (r *run) cached(all []accord.Proposal) {
+	for _, p := range all {
+		for _, c := range r.caches.all {
+			if p.Kind == accord.Purge {
+				c.Fill(string(p.Body), 1)
+			}
+		}
+	}
+}
+
+func (r *run) chance() float64 {
+	r.caches.mu.Lock()
+	defer r.caches.mu.Unlock()
+	return r.caches.chance.Next()
+}
+
+// refill has fills with the old value under way when a purge is published: each ends within the longest that one may take.
+func (r *run) refill(all []accord.Proposal, sent policy.Instant) {
+	for _, c := range r.caches.all {
+		for _, p := range all {
+			if p.Kind != accord.Purge || r.chance() > refilled {
+				continue
+			}
+			key, by := string(p.Body), sent.Add(r.Fills-refillLate)
+			at := sent.Add(time.Duration(r.chance() * float64(r.Fills-2*refillLate)))
+			r.caches.fills.Add(1)
+			time.AfterFunc(at.Since(fleet.Boottime()), func() {
+				defer r.caches.fills.Done()
+				if fleet.Boottime() < by {
+					c.Fill(key, 1)
+				}
+			})
+		}
+	}
+	r.caches.mu.Lock()
+	defer r.caches.mu.Unlock()
+	for _, p := range all {
+		if p.Kind == accord.Purge && r.Caches > 0 {
+			r.caches.recent = append(r.caches.recent, string(p.Body))
+		}
+	}
+}
+
+// read reads keys at caches as it goes, what was purged late more often.
+func (r *run) read() {
+	for {
+		select {
+		case <-r.caches.closed:
+			return
+		case <-time.After(readEach):
+		}
+		back := r.chance()
+		which := int(r.chance() * float64(r.Caches))
+		r.caches.mu.Lock()
+		key, n := "", len(r.caches.recent)
+		if n > 0 {
+			key = r.caches.recent[n-1-int(back*back*float64(n))]
+		}
+		r.caches.mu.Unlock()
+		if key != "" {
+			_, _ = r.caches.all[which].Serve(key)
+		}
+	}
+}
+
+// readAll reads each key at each cache, once all is done: what has stayed is seen.
+func (r *run) readAll() {
+	r.caches.fills.Wait()
+	for _, c := range r.caches.all {
+		for _, key := range r.caches.recent {
+			_, _ = c.Serve(key)
+		}
+	}
+}
+
+// cutCache has a cache say nothing for a while, its contents staying.
+func (r *run) cutCache(ctx context.Context) error {
+	c := r.caches.all[0]
+	c.Break(keeper.Silent, 0)
+	r.caches.cut = c.Name()
+	r.say("%s is silent", c.Name())
+	var all sync.WaitGroup
+	all.Go(func() { r.pace(ctx, CacheCut, r.CutFor+r.After, r.PurgesASecond, 0) })
+	time.Sleep(r.CutFor)
+	o, err := r.caller.Changes()
+	for _, x := range o.Caches {
+		if x.Cache == c.Name() && err == nil {
+			why := []string{}
+			for _, m := range x.Machines {
+				why = append(why, fmt.Sprintf("%d: %s for %.1f s", m.Machine, m.Reason, m.QuietS))
+			}
+			r.report.Notes = append(r.report.Notes, fmt.Sprintf("at the end of its silence %s lacked %d of %d entries, told by fleet changes: %s",
+				x.Cache, x.Lacks, o.Last, strings.Join(why, "; ")))
+		}
+	}
+	c.Break(keeper.None, 0)
+	r.caches.back = fleet.Boottime()
+	all.Wait()
+	return err
+}
+
+// judgeCaches hands what befell caches to the judge.
+func (r *run) judgeCaches() error {
+	if r.Caches == 0 {
+		return nil
+	}
+	r.caches.mu.Lock()
+	defer r.caches.mu.Unlock()
+	target := uint64(0)
+	for _, o := range r.orders {
+		if o.Acked <= r.caches.back {
+			target = max(target, o.Index)
+		}
+	}
+	back := policy.Instant(0)
+	for i := range machines {
+		if err := trace.Lines(r.path("control-%d.trace.caches", i), func(x trace.Cached) {
+			r.caches.records = append(r.caches.records, x)
+			if x.Cache == r.caches.cut && x.Index >= target && (back == 0 || x.At < back) {
+				back = x.At
+			}
+		}); err != nil {
+			return err
+		}
+	}
+	if r.caches.back > 0 {
+		r.report.CacheBack = back.Since(r.caches.back).Seconds()
+	}
+	rep := judge.Caches(r.caches.purged, r.caches.records, func(name string) bool { return name != r.caches.cut })
+	r.report.Caches = &rep
+	return nil
+}
--- a/internal/scale/changes/rig/rig.go
+++ b/internal/scale/changes/rig/rig.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"dahliapin/internal/fleet/accord"
+	"dahliapin/internal/keyhash"
 	net "dahliapin/internal/net/accord"
 	"dahliapin/internal/net/fleet"
 	"dahliapin/internal/scale/changes/judge"
@@ -48,9 +49,10 @@
 
 // The plays.
 const (
-	Steady = "steady" // purges at the stated rate, and a configuration a second
-	Burst  = "burst"  // 1,000 purges at once
-	Cut    = "cut"    // a region is cut off while an hour's changes pass, and comes back
+	Steady   = "steady"    // purges at the stated rate, and a configuration a second
+	Burst    = "burst"     // 1,000 purges at once
+	CacheCut = "cache-cut" // a cache says nothing for a while
+	Cut      = "cut"       // a region is cut off while an hour's changes pass, and comes back
 )
 
 // Plan is a run.
@@ -71,7 +73,9 @@
 	Seed           uint32
 	Dir            string
 	Log            io.Writer
-	HollowArgs     []string // of the program, before the spec
+	Caches         int           // at which purges are carried out; 0 for none
+	Fills          time.Duration // the longest that a fill may take there
+	HollowArgs     []string      // of the program, before the spec
 	PurgesASecond  float64
 	ConfigsASecond float64
 }
@@ -101,9 +105,11 @@
 	Back                 float64      `json:"back_s"` // from the end of the cut until the region had all; 0 for no cut
 	StaleInCut           int          `json:"stale_in_cut"`
 	Moves, Gaps          uint64
-	RealWhole            int     `json:"real_with_all"`
-	Shown                float64 `json:"shown_s"` // the most from an entry's acknowledgement until fleet changes showed it at every node
-	Asked                float64 `json:"asked_s"` // the most that one such call took meanwhile
+	Caches               *judge.CachesReport `json:"caches,omitempty"`
+	CacheBack            float64             `json:"cache_back_s,omitempty"` // from the end of a cache's silence until all was done there that was published by then
+	RealWhole            int                 `json:"real_with_all"`
+	Shown                float64             `json:"shown_s"` // the most from an entry's acknowledgement until fleet changes showed it at every node
+	Asked                float64             `json:"asked_s"` // the most that one such call took meanwhile
 }
 
 type process struct {
@@ -129,6 +135,7 @@
 	marks    []mark
 	cutFrom  policy.Instant
 	cutUntil policy.Instant
+	caches   caches
 }
 
 // mark is when a play began and ended, with what real and control processes had used.
@@ -155,10 +162,11 @@
 	if p.PurgesASecond == 0 {
 		p.PurgesASecond, p.ConfigsASecond = purgeRate, 1
 	}
-	r := &run{Plan: p, between: NewBetween(p.Regions, p.Loss, p.Seed)}
+	r := &run{Plan: p, between: NewBetween(p.Regions, p.Loss, p.Seed), caches: caches{chance: keyhash.Source{Seed: p.Seed}, closed: make(chan struct{})}}
 	r.report = Report{Nodes: p.Nodes, Real: p.Real, Regions: p.Regions, Loss: p.Loss, Seed: p.Seed, Load: []string{Load()}}
 	defer r.between.Close()
 	defer r.kill()
+	defer r.closeCaches()
 	if err := r.start(); err != nil {
 		return nil, err
 	}
@@ -170,6 +178,8 @@
 			err = r.steady(ctx)
 		case Burst:
 			err = r.burst(ctx)
+		case CacheCut:
+			err = r.cutCache(ctx)
 		case Cut:
 			err = r.cutOff(ctx)
 		default:
@@ -190,6 +200,12 @@
 	}
 	r.report.Load = append(r.report.Load, Load())
 	r.realWhole()
+	if r.Caches > 0 { // the last entries are shown at all nodes before they are done at caches
+		if err := r.settle(ctx); err != nil {
+			return nil, err
+		}
+		r.readAll()
+	}
 	if err := r.end(); err != nil {
 		return nil, err
 	}
@@ -243,6 +259,9 @@
 			return err
 		}
 	}
+	if err := r.openCaches(); err != nil {
+		return err
+	}
 	for i := range machines {
 		text := fmt.Sprintf("[control]\nid = %d\nlabel = %q\npeers = %q\nnodes = %q\ndata = %q\n", i+1, label, r.peers[i], r.nodes[i], r.path("data-%d", i))
 		for j := range machines {
@@ -252,6 +271,11 @@
 			}
 			text += fmt.Sprintf("[[machine]]\nid = %d\nname = \"control-%d\"\naddr = %q\nlearner = %t\n", j+1, j, door, j == machines-1)
 		}
+		at, err := r.cacheList(i)
+		if err != nil {
+			return err
+		}
+		text += at
 		if err := os.WriteFile(r.path("control-%d.toml", i), []byte(text), 0o644); err != nil {
 			return err
 		}
@@ -353,7 +377,9 @@
 func (r *run) publish(ctx context.Context, play string, all []accord.Proposal) {
 	ctx, done := context.WithTimeout(ctx, publishBy)
 	defer done()
+	r.cached(all)
 	sent := fleet.Boottime()
+	r.refill(all, sent)
 	at, err := r.caller.Publish(ctx, all)
 	acked := fleet.Boottime()
 	r.mu.Lock()
@@ -364,6 +390,9 @@
 			o.Index = uint64(at[i])
 		}
 		r.orders = append(r.orders, o)
+		if p.Kind == accord.Purge && o.Index > 0 && r.Caches > 0 {
+			r.caches.purged = append(r.caches.purged, trace.Purged{Index: o.Index, Key: string(p.Body), Version: 2, Sent: sent, Play: play})
+		}
 	}
 	if err != nil {
 		r.report.Notes = append(r.report.Notes, fmt.Sprintf("%s: %v", play, err))
@@ -493,7 +522,7 @@
 			asked := time.Now()
 			all, err := r.caller.Changes()
 			r.report.Asked = max(r.report.Asked, time.Since(asked).Seconds())
-			if err == nil && uint64(all.Last) >= o.Index && all.Whole() && len(all.Nodes) == r.Nodes+r.Real {
+			if err == nil && uint64(all.Last) >= o.Index && all.NodesWhole() && len(all.Nodes) == r.Nodes+r.Real {
 				break
 			}
 		}
@@ -637,6 +666,9 @@
 		}
 	}
 	r.report.Judge = j.Report(r.Nodes)
+	if err := r.judgeCaches(); err != nil {
+		return err
+	}
 	return r.usage()
 }
 
