Purges at caches: fills are over while a purge is still being ordered

fills_s counted from when a machine had a purge in its log, so that an election came on top: 5.9 s at most with the leader killed. Who was asked to have it ordered knows that it was published before that, and counts from there, by its own clock; the others as before, and take over what it has done. Not measured at the size of the rig yet.

--- a/internal/fleet/purges/purges.go
+++ b/internal/fleet/purges/purges.go
@@ -55,6 +55,8 @@
 type Log interface {
 	Stands() (id accord.LogID, floor, last accord.Index)
 	Entry(accord.Index) (accord.Entry, bool) // false where it is not kept
+	// Asked is when this machine was first asked to have an entry ordered; false where it was not, or that is forgotten.
+	Asked(accord.Index) (policy.Instant, bool)
 }
 
 type point struct {
@@ -62,7 +64,7 @@
 	last accord.Index
 }
 
-// Times remembers when this machine had which entries. A purge was published before that.
+// Times remembers when this machine had which entries. A purge was published before that, as before this machine was asked to have it ordered.
 type Times struct {
 	log    accord.LogID
 	points []point
@@ -301,7 +303,11 @@
 			c.pass(Final, n)
 			continue
 		}
-		if had, _ := t.Had(n); had.Add(c.Fills) > now {
+		had, _ := t.Had(n)
+		if at, is := log.Asked(n); is { // it was published before that: what ordering took is no matter to fills
+			had = min(had, at)
+		}
+		if had.Add(c.Fills) > now {
 			return cmd, false, sooner(again, had.Add(c.Fills))
 		}
 		c.sent2 = n
--- a/internal/fleet/purges/purges_test.go
+++ b/internal/fleet/purges/purges_test.go
@@ -15,6 +15,7 @@
 	id    accord.LogID
 	all   []accord.Entry
 	floor accord.Index
+	asked map[accord.Index]policy.Instant
 }
 
 func (l *list) Stands() (accord.LogID, accord.Index, accord.Index) {
@@ -26,6 +27,10 @@
 	}
 	return l.all[i-1], true
 }
+func (l *list) Asked(i accord.Index) (policy.Instant, bool) {
+	at, is := l.asked[i]
+	return at, is
+}
 func (l *list) add(kind accord.Kind, body string) {
 	l.all = append(l.all, accord.Entry{Index: accord.Index(len(l.all) + 1), Proposal: accord.Proposal{Kind: kind, Body: []byte(body)}})
 }
@@ -104,6 +109,23 @@
 	b.wants("what is purged already", "16 ", 5)
 }
 
+// Who was asked to have it ordered knows that it was published before, and need not add what ordering took.
+func TestFillsAreOverWhileAPurgeIsOrdered(t *testing.T) {
+	b := newBench(t)
+	b.log.asked = map[accord.Index]policy.Instant{1: b.now, 3: b.now}
+	b.wait(2 * time.Second)
+	b.publish("a", "b", "c")
+	b.wants("at once", "11 12 13 ", 0)
+	b.answer(3)
+	b.wait(usual.Fills - 2*time.Second)
+	b.wants("the fills of the first are over", "21 ", 0)
+	b.answer(1)
+	b.wait(2*time.Second - 1)
+	b.wants("those of the second are not, and the third waits for it", "", 1)
+	b.wait(1)
+	b.wants("then", "22 23 ", 1)
+}
+
 func TestWhatIsNotAnsweredGoesAgain(t *testing.T) {
 	b := newBench(t)
 	b.publish("a", "b", "c")
@@ -303,7 +325,14 @@
 		key, value int
 		at         policy.Instant
 	}
+	type wait struct {
+		key, version   int
+		asked, ordered policy.Instant
+	}
+	var waits []wait
+	var ordered policy.Instant
 	var filling []fill
+	b.log.asked = map[accord.Index]policy.Instant{}
 	var tells policy.Instant
 	cut, down, most, looked, purged := 0, 0, accord.Index(0), accord.Index(0), [keys]int{}
 	for n := range int(10 * time.Minute / step) {
@@ -311,8 +340,15 @@
 		if is(0.2) { // a write at the origin, and its purge
 			k := int(chance.Next() * keys)
 			origin[k]++
-			b.publish(fmt.Sprint(k))
-			asOf[accord.Index(len(b.log.all))] = origin[k]
+			ordered = max(ordered, b.now.Add(time.Duration(chance.Next()*2e9)))
+			waits = append(waits, wait{k, origin[k], b.now, ordered})
+		}
+		for ; len(waits) > 0 && waits[0].ordered <= b.now; waits = waits[1:] {
+			b.publish(fmt.Sprint(waits[0].key))
+			last := accord.Index(len(b.log.all))
+			if asOf[last] = waits[0].version; last%3 > 0 { // the others were asked for elsewhere
+				b.log.asked[last] = waits[0].asked
+			}
 		}
 		b.log.floor = accord.Index(max(0, len(b.log.all)-kept))
 		if k := int(chance.Next() * keys); down == 0 && holds[k] == 0 {
--- a/internal/net/accord/caches_test.go
+++ b/internal/net/accord/caches_test.go
@@ -54,6 +54,9 @@
 	until("all is done", func(o Overview) bool {
 		return whole(o) && o.Last == 10 && len(o.Caches[0].Machines) == 4 && o.Caches[0].Machines[3].Done == 10 && o.Caches[0].Machines[3].Reason != ""
 	})
+	if at, is := (log{f.ms[0]}).Asked(10); !is || at <= 0 || at >= boottime() {
+		t.Errorf("the machine that was asked does not know since when: %v, %t", at, is)
+	}
 	if _, is := caches[0].Serve("key-1"); is {
 		t.Error("a purged value is served")
 	}
--- a/internal/net/accord/machine.go
+++ b/internal/net/accord/machine.go
@@ -27,25 +27,26 @@
 )
 
 const (
-	tick          = 100 * time.Millisecond // raft's unit of time; the leader's signs of life are one apart
-	mostInbox     = 1024                   // raft's messages that wait for the loop; who brings more waits
-	mostAsks      = 256                    // calls to publish that wait for the loop
-	mostWaiting   = 16_384                 // proposals that wait to be ordered; more are refused
-	mostWaitBytes = 16 << 20               // of them
-	mostTurn      = 512                    // messages and calls taken together into one write to disk
-	appendBytes   = 256 << 10              // of entries in one of raft's messages
-	appendAhead   = 256                    // such messages on the way to a machine
-	aheadBytes    = 16 << 20               // of them
-	uncommitted   = 64 << 20               // bytes of entries that a leader has and no majority
-	orderBy       = 10 * time.Second       // for a proposal to be ordered, then it is told as not known
-	proposeAgain  = time.Second            // a proposal not ordered by then is put forward again: the leader may have gone
-	gatherFor     = 20 * time.Millisecond  // between two deliveries to nodes: entries that come meanwhile go together
-	ledWithin     = 2 * time.Second        // since the leader was heard, for a machine to say that it is led
-	snapshotEach  = 8192                   // entries of raft's between two snapshots
-	snapshotBytes = 16 << 20               // or bytes of them
-	trimEach      = 10 * time.Second       // between two looks at what all nodes have applied
-	trimLeast     = 1024                   // entries that are worth a trim
-	tablesEach    = 300 * time.Millisecond // between two tellings of the own nodes' table to other machines
+	tick           = 100 * time.Millisecond // raft's unit of time; the leader's signs of life are one apart
+	mostInbox      = 1024                   // raft's messages that wait for the loop; who brings more waits
+	mostAsks       = 256                    // calls to publish that wait for the loop
+	mostWaiting    = 16_384                 // proposals that wait to be ordered; more are refused
+	mostWaitBytes  = 16 << 20               // of them
+	mostTurn       = 512                    // messages and calls taken together into one write to disk
+	appendBytes    = 256 << 10              // of entries in one of raft's messages
+	appendAhead    = 256                    // such messages on the way to a machine
+	aheadBytes     = 16 << 20               // of them
+	uncommitted    = 64 << 20               // bytes of entries that a leader has and no majority
+	orderBy        = 10 * time.Second       // for a proposal to be ordered, then it is told as not known
+	proposeAgain   = time.Second            // a proposal not ordered by then is put forward again: the leader may have gone
+	gatherFor      = 20 * time.Millisecond  // between two deliveries to nodes: entries that come meanwhile go together
+	ledWithin      = 2 * time.Second        // since the leader was heard, for a machine to say that it is led
+	snapshotEach   = 8192                   // entries of raft's between two snapshots
+	snapshotBytes  = 16 << 20               // or bytes of them
+	trimEach       = 10 * time.Second       // between two looks at what all nodes have applied
+	trimLeast      = 1024                   // entries that are worth a trim
+	mostRemembered = 16_384                 // entries of which it is remembered when this machine was asked for them: as many as wait, far more than come while a fill lasts
+	tablesEach     = 300 * time.Millisecond // between two tellings of the own nodes' table to other machines
 )
 
 // Disk is where a machine keeps its log.
@@ -85,7 +86,8 @@
 // wait is a proposal that is not ordered yet.
 type wait struct {
 	accord.Proposal
-	came  uint64    // its place among all that waited
+	came  uint64 // its place among all that waited
+	since policy.Instant
 	put   time.Time // when it was put forward; zero for not yet
 	asked []place
 }
@@ -128,6 +130,7 @@
 
 	mu    sync.RWMutex
 	state *accord.State
+	asked []asked // for purges at caches; by index, at most mostRemembered
 
 	// the loop's own
 	waits     map[accord.ProposalID]*wait
@@ -263,6 +266,34 @@
 	return l.state.Entry(i)
 }
 
+func (l log) Asked(i accord.Index) (policy.Instant, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	n, is := slices.BinarySearchFunc(l.asked, i, func(a asked, i accord.Index) int { return cmp.Compare(a.index, i) })
+	if !is {
+		return 0, false
+	}
+	return l.asked[n].at, true
+}
+
+// asked is when this machine was first asked to have an entry ordered.
+type asked struct {
+	index accord.Index
+	at    policy.Instant
+}
+
+// noteAsked remembers it of a batch's entries; the state's lock is held, and it is the loop that asks.
+func (m *Machine) noteAsked(b accord.Batch, at []accord.Index) {
+	for i, p := range b.Proposals {
+		if w := m.waits[p.ID]; w != nil && (len(m.asked) == 0 || m.asked[len(m.asked)-1].index < at[i]) {
+			m.asked = append(m.asked, asked{at[i], w.since})
+		}
+	}
+	if over := len(m.asked) - mostRemembered; over > 0 {
+		m.asked = slices.Delete(m.asked, 0, over)
+	}
+}
+
 func (l log) Fresh() <-chan struct{} { return *l.fresh.Load() }
 
 // Done is closed once the machine has ended; Fault then tells why it had to, or nil.
@@ -387,7 +418,7 @@
 		w := m.waits[p.ID]
 		if w == nil {
 			m.came++
-			w = &wait{Proposal: p, came: m.came}
+			w = &wait{Proposal: p, came: m.came, since: m.Now()}
 			m.waits[p.ID] = w
 			m.waitBytes += len(p.Body)
 			put = append(put, p)
@@ -506,6 +537,9 @@
 	}
 	m.mu.Lock()
 	at := m.state.Apply(b)
+	if m.purger != nil {
+		m.noteAsked(b, at)
+	}
 	m.mu.Unlock()
 	for i, p := range b.Proposals {
 		w := m.waits[p.ID]
--- a/internal/net/purges/purges_test.go
+++ b/internal/net/purges/purges_test.go
@@ -53,6 +53,8 @@
 	return l.all[i-1], true
 }
 
+func (l *log) Asked(accord.Index) (policy.Instant, bool) { return 0, false }
+
 func (l *log) Fresh() <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
