--- a/internal/fleet/charter/control.go
+++ b/internal/fleet/charter/control.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	mostCaches   = 4096 // in a file
+	mostCaches   = 1024 // in a file
 	mostMachines = 9    // control machines: each further voter makes an order slower, not safer
 	longestName  = 100  // bytes
 	longestPath  = 1000 // bytes
--- a/internal/net/accord/table.go
+++ b/internal/net/accord/table.go
@@ -1,6 +1,7 @@
 package accord
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,10 +93,13 @@
 	}
 	for _, r := range w.Machines {
 		if r.ID == from {
+			w.Caches = slices.DeleteFunc(w.Caches, func(c purger.Row) bool {
+				return c.Cache == "" || len(c.Cache) > longestName || len(c.Reason) > longestReason
+			})
+			w.Caches = w.Caches[:min(len(w.Caches), mostCacheRows)]
 			for i := range w.Caches {
 				w.Caches[i].Machine = from
 			}
-			w.Caches = w.Caches[:min(len(w.Caches), mostCacheRows)]
 			t.mu.Lock()
 			t.machines[from] = heardMachine{r, w.Caches, now}
 			t.mu.Unlock()
--- a/internal/net/accord/wire.go
+++ b/internal/net/accord/wire.go
@@ -124,7 +124,7 @@
 	longestReason = 300  // bytes of why a configuration was refused
 	mostRows      = 4096 // nodes in a table
 	mostMachines  = 9    // whose tables are told together
-	mostCacheRows = 4096 // caches in one machine's
+	mostCacheRows = 1024 // caches in one machine's
 )
 
 var errWord = errors.New("not a message of the log of changes")
--- a/internal/net/purges/purges.go
+++ b/internal/net/purges/purges.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	mostCaches    = 4096            // in a list
+	mostCaches    = 1024            // in a list: 20 times what is stated, and their rows fit into one frame
 	mostKept      = 2 * mostCaches  // cursors, of caches that left the list among them
 	longestID     = 100             // bytes of a cache's name
 	longestReason = 200             // bytes of why a cache can't be reached
