Scripts: connections that come up late, answers that never come, clients that wait less

network.late_share, late_ms and lost_share (in virtual time only: what lies between processes on sockets can't lose them), and traffic.short and short_ms in both shells, by a try's id as leaving is, so that all else is drawn as without.

--- a/internal/emulator/script/script.go
+++ b/internal/emulator/script/script.go
@@ -92,6 +92,9 @@
 	CrossZoneMs float64 `toml:"cross_zone_ms"`
 	ClientMs    float64 `toml:"client_ms"`
 	Jitter      float64 `toml:"jitter"`
+	LateShare   float64 `toml:"late_share"` // of new connections to caches, which come up late; this and the next two in virtual time only
+	LateMs      float64 `toml:"late_ms"`    // by so much at the most
+	LostShare   float64 `toml:"lost_share"` // of the answers of caches, which never come
 }
 
 // Discovery tells changes of the list late. Where a watch costs it work, nodes call it as they do in service, and what comes
@@ -127,6 +130,8 @@
 	Skew      float64 `toml:"skew"`       // exponent of how uneven nodes' traffic is, by their numbers; in virtual time only, 0 for even
 	Leaves    float64 `toml:"leaves"`     // share of tries whose clients go early
 	LeaveMs   float64 `toml:"leave_ms"`   // and after how long at the latest
+	Short     float64 `toml:"short"`      // share of tries whose clients wait less than the hard stop
+	ShortMs   float64 `toml:"short_ms"`   // and how long at the most; half of that at the least
 	Protocol  string  `toml:"protocol"`   // of clients
 	LongShare float64 `toml:"long_share"` // of the keys, which have a long value; on sockets only, as virtual time has no bytes
 	LongKB    int     `toml:"long_kb"`
@@ -325,11 +330,13 @@
 	c.Within(o.FallMultiple, 0, 1e6, "origin.fall_multiple")
 	c.Within(o.FallS, 0, mostSeconds, "origin.fall_s")
 	for path, ms := range map[string]float64{"network.one_way_ms": s.Network.OneWayMs, "network.cross_zone_ms": s.Network.CrossZoneMs,
-		"network.client_ms": s.Network.ClientMs, "allowed.come_back_ms": s.Allowed.ComeBackMs, "allowed.grace_ms": s.Allowed.GraceMs,
+		"network.client_ms": s.Network.ClientMs, "network.late_ms": s.Network.LateMs, "allowed.come_back_ms": s.Allowed.ComeBackMs, "allowed.grace_ms": s.Allowed.GraceMs,
 		"allowed.connect_ms": s.Allowed.ConnectMs} {
 		c.Within(ms, 0, 1e5, path)
 	}
 	c.Within(s.Network.Jitter, 0, 1, "network.jitter")
+	c.Within(s.Network.LateShare, 0, 1, "network.late_share")
+	c.Within(s.Network.LostShare, 0, 1, "network.lost_share")
 	c.Within(s.Discovery.NoticeS[0], 0, mostSeconds, "discovery.notice_s")
 	c.Within(s.Discovery.NoticeS[1], s.Discovery.NoticeS[0], mostSeconds, "discovery.notice_s")
 	for path, ms := range map[string]float64{"discovery.watch_ms": s.Discovery.WatchMs, "discovery.whole_ms": s.Discovery.WholeMs,
@@ -350,6 +357,9 @@
 	c.Within(t.Leaves, 0, 1, "traffic.leaves")
 	c.Within(t.LeaveMs, 0, 1e5, "traffic.leave_ms")
 	c.Want(t.Leaves == 0 || t.LeaveMs > 0, "traffic.leave_ms", "clients that leave do so after some time")
+	c.Within(t.Short, 0, 1, "traffic.short")
+	c.Within(t.ShortMs, 0, 1e5, "traffic.short_ms")
+	c.Want(t.Short == 0 || t.ShortMs > 0, "traffic.short_ms", "clients that wait less do so for some time")
 	c.Within(t.LongShare, 0, 1, "traffic.long_share")
 	c.Within(float64(t.LongKB), 0, mostLongKB, "traffic.long_kb")
 	c.Want(t.LongShare == 0 || t.Protocol == fronts.Meta, "traffic.long_share", "values are long only by %s", fronts.Meta)
@@ -543,7 +553,8 @@
 func (s *Script) Asks() world.TrafficPlan {
 	return world.TrafficPlan{PerSecond: s.Traffic.PerSecond, Swing: s.Traffic.Swing, Wave: Span(s.Traffic.WaveS), Keys: s.Traffic.Keys,
 		Zipf: s.Traffic.Zipf, Grades: s.Terms(), Seed: uint32(s.Seed) ^ 0x5eed, Jitter: s.Traffic.Jitter,
-		Leaves: s.Traffic.Leaves, LeaveMost: Span(s.Traffic.LeaveMs / 1000)}
+		Leaves: s.Traffic.Leaves, LeaveMost: Span(s.Traffic.LeaveMs / 1000),
+		Short: s.Traffic.Short, ShortMost: Span(s.Traffic.ShortMs / 1000)}
 }
 
 // Chosen returns the caches that an event concerns, in the order of their names' hashes where it chooses by a part.
--- a/internal/emulator/virtual/node.go
+++ b/internal/emulator/virtual/node.go
@@ -253,8 +253,17 @@
 		return
 	}
 	s.Held++
-	breaks := r.breaks(l.server)
-	r.after(r.way(l.n, l.server), func() {
+	breaks, late := r.breaks(l.server), r.late(l.server)
+	if most := script.Span(r.script.Allowed.ConnectMs / 1000); late > most {
+		r.At(l.sent.Add(most), func() {
+			if breaks == r.breaks(l.server) {
+				s.Held--
+			}
+			l.end(policy.Unconnected, nil)
+		})
+		return
+	}
+	r.after(r.way(l.n, l.server)+late, func() {
 		l.holds, l.breaks = true, breaks
 		switch {
 		case l.life != l.n.life || l.n.host == nil:
--- a/internal/emulator/virtual/virtual.go
+++ b/internal/emulator/virtual/virtual.go
@@ -162,6 +162,15 @@
 	return r.jittered(script.Span(ms / 1000))
 }
 
+// late is by how much a new connection to a cache comes up late.
+func (r *Run) late(server int) time.Duration {
+	n := &r.script.Network
+	if n.LateShare == 0 || r.world.IsOrigin(server) || r.chance.Next() >= n.LateShare {
+		return 0
+	}
+	return time.Duration(r.chance.Next() * float64(script.Span(n.LateMs/1000)))
+}
+
 // warm puts keys where the decider's own kind would send them.
 func (r *Run) warm() {
 	d := r.make(r.now, r.script.Seed, r.terms.Rules)
@@ -398,5 +407,8 @@
 	if r.script.Fleet.Reports && !r.world.IsOrigin(d.Server) && how != policy.Broken {
 		report = []float64{d.Load}
 	}
+	if lost := r.script.Network.LostShare; lost > 0 && !r.world.IsOrigin(d.Server) && r.chance.Next() < lost {
+		return // its connection has fallen silent under it
+	}
 	r.after(r.way(l.n, d.Server), func() { l.end(how, report) })
 }
--- a/internal/emulator/world/traffic.go
+++ b/internal/emulator/world/traffic.go
@@ -39,6 +39,8 @@
 	Jitter    float64 // of the time after which a client asks again
 	Leaves    float64 // share of tries whose client goes before its hard stop
 	LeaveMost time.Duration
+	Short     float64 // share of tries whose client waits less than its grade's hard stop
+	ShortMost time.Duration
 }
 
 // Traffic draws open-loop arrivals: they come whether or not earlier ones have been answered.
@@ -99,8 +101,8 @@
 	if !g.Write && t.hot != "" && t.chance.Next() < t.hotBy {
 		r.Key = t.hot
 	}
-	r.ID, r.HardStop = t.name(), g.HardStop
-	r.Leaves = t.leaves(r.ID)
+	r.ID = t.name()
+	r.HardStop, r.Leaves = t.waits(r.ID, g.HardStop), t.leaves(r.ID)
 	if g.Effect == policy.Labelled {
 		r.Label = "l" + r.ID
 	}
@@ -116,6 +118,15 @@
 	return max(1, time.Duration(of.Next()*float64(t.LeaveMost)))
 }
 
+// waits tells how long the client of a try waits: its grade's hard stop, or half to all of the short time. By the try's id, as above.
+func (t *Traffic) waits(id string, usual time.Duration) time.Duration {
+	of := keyhash.Source{Seed: ^uint32(keyhash.Text(id))}
+	if of.Next() >= t.Short {
+		return usual
+	}
+	return min(usual, max(1, time.Duration((1+of.Next())/2*float64(t.ShortMost))))
+}
+
 func (t *Traffic) name() string {
 	t.drawn++
 	return strconv.FormatUint(keyhash.Mix(uint64(t.Seed)<<32|t.drawn), 16)
@@ -141,6 +152,6 @@
 	wait += time.Duration(float64(wait) * t.Jitter * t.chance.Next())
 	r.Try++
 	r.ID, r.Sent = t.name(), now.Add(wait)
-	r.Leaves = t.leaves(r.ID)
+	r.HardStop, r.Leaves = t.waits(r.ID, g.HardStop), t.leaves(r.ID)
 	return r, r.Sent, true
 }
