The door: time-outs count by the time they had, and not where a later leg has overtaken them

What was believed so far, connections that come up late, is not what shuts it.

At fault: learn, d.asked+1 for each time-out, whatever time it had; and turnAway, which by what it refuses itself hardly opens again once nine in ten legs are good.

Change: a time-out counts by the share of its soft limit that it had; not at all where the same cache has answered in time what was sent to it later: a queue would have held up both. Ruled out as measures: what lone legs take (without load reports all look lone, and it grows with load), no time-outs at all (a collapse in which all time out would not shut it). lawful is two lines shorter, with the same decisions (FuzzLawful).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -68,6 +68,7 @@
 	vain, served      float64 // share of the last few legs that were full, late or lost; answered in two seconds
 	faulty            float64 // how far it is believed to err, by any grade
 	stood             Standing
+	passed            Instant // when the last leg to it that was answered in time was sent
 	usedAt, toldAt    Instant // when a connection there was last in use; when it last reported
 }
 
@@ -314,12 +315,10 @@
 		if !leg.Out && leg.Result.NeverRan() || g.Effect == Idempotent {
 			continue
 		}
-		if g.Effect == Irreversible || now.Since(leg.Sent) >= g.Window-p.rules.Round {
-			return false
-		}
 		was := p.caches[leg.To]
-		if g.Scope != AllCaches && (was == nil || g.Scope == SameZone && was.Zone != c.Zone ||
-			g.Scope == SameGroup && was.Group != c.Group) {
+		if g.Effect == Irreversible || now.Since(leg.Sent) >= g.Window-p.rules.Round ||
+			g.Scope != AllCaches && was == nil || g.Scope == SameZone && was.Zone != c.Zone ||
+			g.Scope == SameGroup && was.Group != c.Group {
 			return false
 		}
 	}
@@ -651,11 +650,13 @@
 }
 
 func (p *Router) learn(now Instant, c *cache, r *Retrieval, leg Leg, o Outcome) {
-	d, at, own, inTime := &p.doors[p.sideOf(c)], r.memo.at, float64(c.out), 0.0
+	d, at, own, inTime, sign := &p.doors[p.sideOf(c)], r.memo.at, float64(c.out), 0.0, 1.0
 	if (leg.Result == Answered || leg.Result == Missed) && o.Took <= r.memo.grade.SoftLimit {
-		inTime = 1
+		inTime, c.passed = 1, max(c.passed, leg.Sent)
 	} else if leg.Result == Answered {
 		inTime = r.memo.grade.Late
+	} else if leg.Result == TimedOut { // the less time it had, the less is the cache to blame
+		sign = min(1, float64(o.Took)/max(1, float64(r.memo.grade.SoftLimit)))
 	}
 	if c.faulty *= beliefKept; leg.Result == Errored {
 		c.faulty += (1 - c.faulty) * faultyOne
@@ -698,11 +699,12 @@
 		p.newsAt = now
 	}
 	switch { // first what is no sign of load
+	case leg.Result == TimedOut && c != p.origin && c.passed > leg.Sent: // a later one has overtaken it
 	case errs[leg.Result] > 0, leg.Result == Cancelled, leg.Result == NeverSent, leg.Result == Unconnected:
 	case leg.Result == TurnedAway && c != p.origin:
 		d.asked, c.vain = d.asked+fullShare, c.vain+(1-c.vain)/vainLegs
 	case c != p.origin:
-		d.asked, d.good, c.vain = d.asked+1, d.good+inTime, c.vain+(1-inTime-c.vain)/vainLegs
+		d.asked, d.good, c.vain = d.asked+sign, d.good+inTime, c.vain+(1-inTime-c.vain)/vainLegs
 	default:
 		p.spurned = map[bool]float64{leg.Result == TurnedAway: p.spurned + 1}[true]
 		if leg.Result == TurnedAway { // once says little; on end all may be, and must not come back together
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -412,6 +412,73 @@
 	}
 }
 
+// A time-out that a later leg to the same cache has overtaken is no matter of its queue: a fleet that did next to nothing was shut to
+// half of what came, as one answer in five got lost. One behind which nothing is answered shuts the door as ever.
+func TestOvertakenTimeOutsDoNotCloseTheDoor(t *testing.T) {
+	for name, c := range map[string]struct {
+		overtaken     bool
+		least, atMost int // let in of the last 400
+	}{"lost on the way": {true, 390, 400}, "queues that nobody leaves in time": {false, 10, 150}} {
+		rules := testRules()
+		rules.SecondCopies, rules.MayCancel = false, false
+		w, in := newWorld(t, rules, fleet(6, false)), 0
+		lost := map[CacheID]Instant{}
+		for i := range 800 {
+			r, m := w.arrive(anyKey(i), 0, false)
+			w.pass(20 * ms)
+			if len(m.To) == 0 {
+				continue
+			}
+			if i >= 400 {
+				in++
+			}
+			if i%5 == 0 {
+				lost[m.To[0]] = r.HardStop // until then nothing is answered there where queues are to blame
+			} else if r.Legs[0].Out && (c.overtaken || w.now > lost[m.To[0]]) {
+				w.end(r, 0, Answered)
+			}
+		}
+		if in < c.least || in > c.atMost {
+			t.Errorf("%s: %d of 400 were let in, want %d to %d", name, in, c.least, c.atMost)
+		}
+	}
+}
+
+// Clients that wait a third of the soft limit at an idle cache that takes about as long shut the door for all others. A leg that has had
+// its soft limit, or more, tells as much as ever.
+func TestALegGivenUpSoonTellsTheDoorLittle(t *testing.T) {
+	for _, c := range []struct {
+		waits         time.Duration
+		least, atMost int // let in of the last 400
+	}{{120 * ms, 380, 400}, {320 * ms, 10, 200}} {
+		rules := testRules()
+		rules.SecondCopies, rules.MayCancel = false, false
+		w, in := newWorld(t, rules, fleet(12, false)), 0
+		for i := range 800 {
+			r := &Retrieval{ID: RetrievalID(anyKey(i)), Key: anyKey(i), Arrived: w.now, HardStop: w.now.Add(800 * ms)}
+			if i%5 == 0 {
+				r.HardStop = w.now.Add(c.waits)
+			}
+			w.hand = append(w.hand, r)
+			m := w.apply(r, w.p.Where(w.now, r))
+			if w.pass(100 * ms); len(m.To) == 0 {
+				continue
+			}
+			if i >= 400 {
+				in++
+			}
+			if i%5 == 0 {
+				w.pass(c.waits)
+			} else {
+				w.end(r, 0, Answered)
+			}
+		}
+		if in < c.least || in > c.atMost {
+			t.Errorf("one in five waits %v: %d of 400 were let in, want %d to %d", c.waits, in, c.least, c.atMost)
+		}
+	}
+}
+
 // Many nodes have nothing in hand, so equal loads are parted by legs lost or
 // in vain there, and by open connections, as hundreds of nodes would open one for most legs.
 func TestWhatPartsHoldersOfEqualLoad(t *testing.T) {
