--- a/cmd/dahliapin/idle_test.go
+++ b/cmd/dahliapin/idle_test.go
@@ -140,9 +140,9 @@
 				}
 			}))
 			t.Cleanup(s.CloseClientConnections)
-			node := serving(t, t.TempDir(), strings.TrimPrefix(s.URL, "http://"), fmt.Sprintf(`"ops":"127.0.0.1:0","limits":{"memory_mb":192,"sockets":%d},
+			node := serving(t, t.TempDir(), strings.TrimPrefix(s.URL, "http://"), fmt.Sprintf(`"limits":{"memory_mb":192,"sockets":%d},
 "settings":{"n_instances":480,"service_grades":[{"name":"read","benefit":1,"effect":"idempotent","soft_limit_s":2,"hard_stop_s":3}],
-"bounds":{"most_legs":3,"conn_idle_s":15}}`, sockets))
+"bounds":{"most_legs":3,"conn_idle_s":15}}`, sockets), "RELAY_OPS=127.0.0.1:0")
 			listen, ops := node.at(t), node.ops
 			for by := time.Now().Add(20 * time.Second); !ready(listen); time.Sleep(10 * time.Millisecond) {
 				if time.Now().After(by) {
--- a/cmd/dahliapin/start_test.go
+++ b/cmd/dahliapin/start_test.go
@@ -31,7 +31,7 @@
 	*exec.Cmd
 	up     chan bool // closed once it listens, or has ended without
 	listen string    // where; empty where it has ended before. Like ops to be read once up is closed
-	ops    string    // where operators call, if its configuration says so
+	ops    string    // where operators call, if anywhere
 	kept   sync.Mutex
 	logged []string
 }
@@ -61,7 +61,7 @@
 
 // serving starts a process of a node with a configuration's further parts. The system chooses its ports as it listens: one that was free
 // a moment before may be another's by then, as thousands of connections come and go beside it. It ends with the test.
-func serving(t testing.TB, dir, discovery, more string) *served {
+func serving(t testing.TB, dir, discovery, more string, env ...string) *served {
 	t.Helper()
 	file := dir + "/config.json"
 	text := fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":%q,%s}`, discovery, more)
@@ -69,7 +69,7 @@
 		t.Fatal(err)
 	}
 	p := &served{Cmd: exec.Command(os.Args[0], "serve", "--config", file), up: make(chan bool)}
-	p.Env = append(os.Environ(), asProgram+"=1", "TMPDIR="+dir)
+	p.Env = append(append(os.Environ(), asProgram+"=1", "TMPDIR="+dir), env...)
 	p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := p.StderrPipe()
 	if err == nil {
