Members: those who are forgotten with one look are struck out together

Of 960 hollow nodes that starved on one machine half the time went into judging, three quarters of that into sorting all anew: forgetting one threw the orders away, and the next who was to join made them again. Now the node's own list is mended at once and all with the next who goes through them.

--- a/internal/fleet/members/book.go
+++ b/internal/fleet/members/book.go
@@ -33,6 +33,7 @@
 	order  []*peer // all of them, in one order; nil where it is to be made anew, shown and byNode with it
 	shown  []*peer // in the order of views
 	byNode map[NodeName][]*peer
+	struck bool                // some of these orders are forgotten
 	gone   map[ProcessID]ended // forgotten, so that late words of them are none
 	seeds  []string
 	chance keyhash.Source
@@ -392,15 +393,21 @@
 			b.byNode[p.Node] = append(b.byNode[p.Node], p)
 		}
 	}
+	if b.struck {
+		gone := func(p *peer) bool { return b.all[p.Process] != p }
+		b.order, b.shown = slices.DeleteFunc(slices.Clone(b.order), gone), slices.DeleteFunc(slices.Clone(b.shown), gone)
+	}
+	b.struck = false
 	return b.order
 }
 
 // enlist puts one that is new in its place in each order. Guards against a large fleet that starts, in which each hears of all others one
-// by one: to sort all for each is most of what that would cost it.
+// by one: to sort all for each is most of what that would cost it. The same holds for one that forgets many.
 func (b *Book) enlist(p *peer) {
 	if b.order == nil {
 		return
 	}
+	b.sorted()
 	in := func(all []*peer, by func(x, y *peer) int) []*peer {
 		i, _ := slices.BinarySearchFunc(all, p, by)
 		return slices.Insert(all, i, p)
@@ -408,6 +415,19 @@
 	b.order, b.shown, b.byNode[p.Node] = in(b.order, byProcess), in(b.shown, byName), in(b.byNode[p.Node], byProcess)
 }
 
+// strike takes out one that is forgotten: from its node's at once, and from all with the others that go along with it. Whoever is going
+// through all goes on through them as they were.
+func (b *Book) strike(p *peer) {
+	if b.order == nil {
+		return
+	}
+	b.struck = true
+	left := slices.DeleteFunc(slices.Clone(b.byNode[p.Node]), func(o *peer) bool { return o == p })
+	if b.byNode[p.Node] = left; len(left) == 0 {
+		delete(b.byNode, p.Node)
+	}
+}
+
 // shared tells whether any node has several processes.
 func (b *Book) shared() bool {
 	b.sorted()
@@ -416,7 +436,9 @@
 
 // of are the processes of a node, nearly always one, in the same order.
 func (b *Book) of(node NodeName) []*peer {
-	b.sorted()
+	if b.order == nil {
+		b.sorted()
+	}
 	return b.byNode[node]
 }
 
--- a/internal/fleet/members/book_test.go
+++ b/internal/fleet/members/book_test.go
@@ -88,7 +88,7 @@
 }
 
 // One that is new takes its place in each order without all being sorted again, and the orders are those that sorting gives: also where a
-// node has several processes, and after one was forgotten.
+// node has several processes, and after some were forgotten.
 func TestNewProcessesTakeTheirPlace(t *testing.T) {
 	b := New(Terms{Most: 1000, Claim: time.Second}, 1<<40, "n7", "a", nil)
 	b.sorted()
@@ -102,8 +102,14 @@
 			t.Fatalf("all are to be sorted again for the %d. process", i+1)
 		}
 		if i%50 == 49 {
-			b.forget(b.all[id])
-			b.sorted()
+			was := b.order
+			all := slices.Clone(was)
+			if b.forget(b.all[id]); b.order == nil {
+				t.Fatalf("all are to be sorted again once %d is forgotten", i+1)
+			}
+			if b.sorted(); !slices.Equal(was, all) || len(b.order) != len(all)-1 {
+				t.Fatal("who goes through all while one is forgotten misses another")
+			}
 		}
 	}
 	order, shown, byNode := b.sorted(), b.shown, b.byNode
--- a/internal/fleet/members/judge.go
+++ b/internal/fleet/members/judge.go
@@ -217,7 +217,7 @@
 		})
 		delete(b.gone, oldest)
 	}
-	b.order = nil
+	b.strike(p)
 	b.gone[p.Process] = ended{p.Revision, p.Addr, b.ran}
 	b.changed, b.reordered = true, true
 }
