--- a/cmd/dahliapin/load.go
+++ b/cmd/dahliapin/load.go
@@ -51,7 +51,7 @@
 			if protocol != fronts.Meta && protocol != fronts.HTTP {
 				return fmt.Errorf("--protocol %q is neither %s nor %s", protocol, fronts.Meta, fronts.HTTP)
 			}
-			asks.Seed = uint32(time.Now().UnixNano()) // names of retrievals are never to come twice at one node
+			asks.Seed = uint32(time.Now().UnixNano()) // names of requests are never to come twice at one node
 			ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
 			r := load.Run(ctx, args[0], protocol == fronts.HTTP, world.NewTraffic(asks), long)
@@ -62,7 +62,7 @@
 			return nil
 		}}
 	c.Flags().DurationVar(&long, "for", 10*time.Second, "how long")
-	c.Flags().Float64Var(&rate, "rate", 0, "retrievals a second, instead of the script's")
+	c.Flags().Float64Var(&rate, "rate", 0, "requests a second, instead of the script's")
 	c.Flags().StringVar(&protocol, "protocol", "", "meta or http, instead of the script's")
 	c.Flags().StringVar(&like, "like", "demo", "whose grades, keys and rate: a rehearsal's name or file")
 	return c
--- a/cmd/dahliapin/rehearse_test.go
+++ b/cmd/dahliapin/rehearse_test.go
@@ -102,7 +102,7 @@
 	}
 }
 
-// Operators replace one node's process under load and have the other stand by: a retrieval that is lost, a process that does not say
+// Operators replace one node's process under load and have the other stand by: a request that is lost, a process that does not say
 // yes or end, and a connection held four seconds after the call each fail it.
 func TestARehearsalPlaysWhatOperatorsDo(t *testing.T) {
 	calls := strings.Replace(short[:strings.Index(short, "[[event]]")], "seconds = 5", "seconds = 7", 1) + `[[event]]
--- a/cmd/dahliapin/scale.go
+++ b/cmd/dahliapin/scale.go
@@ -110,7 +110,7 @@
 	c.Flags().IntVar(&caches, "caches", 50, "caches, zone by zone")
 	c.Flags().IntVar(&keys, "keys", 50_000, "keys that are asked for, evenly from all zones")
 	c.Flags().IntVar(&nodes, "nodes", 480, "nodes of the fleet")
-	c.Flags().Float64Var(&price, "crossing-price", 0.2, "of a leg that crosses zones, as a share of a retrieval; 0 for none")
+	c.Flags().Float64Var(&price, "crossing-price", 0.2, "of a leg that crosses zones, as a share of a request; 0 for none")
 	return c
 }
 
--- a/cmd/dahliapin/upgrade_test.go
+++ b/cmd/dahliapin/upgrade_test.go
@@ -18,7 +18,7 @@
 )
 
 // station is where processes of one node come and go under load: a cache, discovery, and clients that keep connections or open new
-// ones for each retrieval.
+// ones for each request.
 type station struct {
 	t            *testing.T
 	dir, listen  string
--- a/internal/baselines/baselines.go
+++ b/internal/baselines/baselines.go
@@ -38,7 +38,7 @@
 	return nil, fmt.Errorf("there is no decider %q: module, %v", name, Names)
 }
 
-func maker(choose func(*plain, *policy.Retrieval) policy.CacheID) Maker {
+func maker(choose func(*plain, *policy.Request) policy.CacheID) Maker {
 	return func(_ policy.Instant, seed int64, rules policy.HouseRules) host.Decider {
 		p := &plain{rules: rules, choose: choose, caches: map[policy.CacheID]*cache{}, chance: keyhash.Source{Seed: uint32(seed)}}
 		p.rules.MostLegs = max(1, rules.MostLegs)
@@ -54,7 +54,7 @@
 // plain sends to whom choose says, tries again where the rules allow it, and gives up otherwise.
 type plain struct {
 	rules  policy.HouseRules
-	choose func(*plain, *policy.Retrieval) policy.CacheID
+	choose func(*plain, *policy.Request) policy.CacheID
 	caches map[policy.CacheID]*cache
 	ready  []*cache // those that may be sent to, by id; without the origin
 	ring   []point
@@ -105,7 +105,7 @@
 // Wait has no chores.
 func (p *plain) Wait(policy.Instant) (time.Duration, []policy.Chore) { return upkeep, nil }
 
-func tried(r *policy.Retrieval, id policy.CacheID) bool {
+func tried(r *policy.Request, id policy.CacheID) bool {
 	return slices.ContainsFunc(r.Legs, func(l policy.Leg) bool { return l.To == id })
 }
 
@@ -122,7 +122,7 @@
 }
 
 // anyone is a random one of the key's holders.
-func (p *plain) anyone(r *policy.Retrieval) policy.CacheID {
+func (p *plain) anyone(r *policy.Request) policy.CacheID {
 	hs := slices.DeleteFunc(p.on(r.Key), func(c *cache) bool { return tried(r, c.ID) })
 	if len(hs) == 0 {
 		return ""
@@ -131,7 +131,7 @@
 }
 
 // leastOfThree is the holder with the fewest own legs out, the first on the ring among equals.
-func (p *plain) leastOfThree(r *policy.Retrieval) policy.CacheID {
+func (p *plain) leastOfThree(r *policy.Request) policy.CacheID {
 	var best *cache
 	for _, c := range p.on(r.Key) {
 		if !tried(r, c.ID) && (best == nil || c.out < best.out) {
@@ -144,8 +144,8 @@
 	return best.ID
 }
 
-// Where sends a retrieval.
-func (p *plain) Where(now policy.Instant, r *policy.Retrieval) policy.Move {
+// Where sends a request.
+func (p *plain) Where(now policy.Instant, r *policy.Request) policy.Move {
 	if r.Over || slices.ContainsFunc(r.Legs, func(l policy.Leg) bool { return l.Out }) {
 		return policy.Move{}
 	}
@@ -181,13 +181,13 @@
 }
 
 // Still tells whether a leg may go out that has waited for its connection.
-func (p *plain) Still(_ policy.Instant, r policy.Retrieval, leg int) bool {
+func (p *plain) Still(_ policy.Instant, r policy.Request, leg int) bool {
 	c := p.caches[r.Legs[leg].To]
 	return c != nil && c.State == policy.Ready
 }
 
 // After hears a leg's outcome, and tries again.
-func (p *plain) After(now policy.Instant, r *policy.Retrieval, o policy.Outcome) policy.Move {
+func (p *plain) After(now policy.Instant, r *policy.Request, o policy.Outcome) policy.Move {
 	if c := p.caches[r.Legs[o.Leg].To]; c != nil {
 		c.out = max(0, c.out-1)
 	}
--- a/internal/emulator/client/client.go
+++ b/internal/emulator/client/client.go
@@ -1,4 +1,4 @@
-// Package client asks a node as clients do: over connections that are kept, one retrieval at a time on each, with a new
+// Package client asks a node as clients do: over connections that are kept, one request at a time on each, with a new
 // one whenever all are busy. Whoever asks never waits.
 package client
 
@@ -216,7 +216,7 @@
 	return n
 }
 
-// Ready tells whether the node takes retrievals.
+// Ready tells whether the node takes requests.
 func (p *Pool) Ready() bool {
 	c, err := net.DialTimeout("tcp", p.Addr, connectWithin)
 	if err != nil {
@@ -300,7 +300,7 @@
 		return answer, nil
 	}
 	if id := named(); id != a.ID {
-		answer.Wrong = "the answer names retrieval " + strconv.Quote(id)
+		answer.Wrong = "the answer names request " + strconv.Quote(id)
 	}
 	return answer, nil
 }
--- a/internal/emulator/judge/judge.go
+++ b/internal/emulator/judge/judge.go
@@ -30,17 +30,17 @@
 
 // Breach is one rule broken once.
 type Breach struct {
-	Rule      int            `json:"rule"`
-	At        policy.Instant `json:"at_ns"`
-	What      string         `json:"what"`
-	Retrieval string         `json:"retrieval,omitempty"`
-	Server    policy.CacheID `json:"server,omitempty"`
-	Node      int            `json:"node"`
+	Rule    int            `json:"rule"`
+	At      policy.Instant `json:"at_ns"`
+	What    string         `json:"what"`
+	Request string         `json:"request,omitempty"`
+	Server  policy.CacheID `json:"server,omitempty"`
+	Node    int            `json:"node"`
 }
 
 func (b Breach) String() string {
-	return fmt.Sprintf("rule %d at %.3f s: %s (retrieval %q, server %q, node %d)", b.Rule, time.Duration(b.At).Seconds(), b.What,
-		b.Retrieval, b.Server, b.Node)
+	return fmt.Sprintf("rule %d at %.3f s: %s (request %q, server %q, node %d)", b.Rule, time.Duration(b.At).Seconds(), b.What,
+		b.Request, b.Server, b.Node)
 }
 
 // Terms are what it judges by.
@@ -111,7 +111,7 @@
 	}
 }
 
-// Sent tells that a client has handed a retrieval to a node; repeats are tries of their own.
+// Sent tells that a client has handed a request to a node; repeats are tries of their own.
 func (j *Judge) Sent(now policy.Instant, id string, node, grade int, label string, stop policy.Instant, first bool) {
 	j.hand[id] = &taken{node: node, grade: grade, label: label, sent: now, stop: stop}
 	j.due.Put(stop.Add(j.terms.Slack), id)
@@ -173,13 +173,13 @@
 	}
 }
 
-// Wrong tells that an answer is not what a server made for this retrieval.
+// Wrong tells that an answer is not what a server made for this request.
 func (j *Judge) Wrong(now policy.Instant, id, what string) { j.breach(1, now, id, -1, "", what) }
 
 // Served counts a first try whose client was satisfied, by whichever try, within its soft limit.
 func (j *Judge) Served(grade int) { j.Grades[grade].FirstInTime++ }
 
-// Excuse forgets a retrieval whose node was killed by the script: nobody could have answered it.
+// Excuse forgets a request whose node was killed by the script: nobody could have answered it.
 func (j *Judge) Excuse(id string) { delete(j.hand, id) }
 
 func harmless(g *policy.Grade) bool {
@@ -224,7 +224,7 @@
 		j.breach(3, now, id, t.node, server, fmt.Sprintf("a leg went to a server %v after it was told to want none", sent.Since(at)))
 	}
 	if g.Effect == policy.Irreversible && t.mayHaveRun() {
-		j.breach(2, now, id, t.node, server, "another leg of an irreversible retrieval, though one may have run")
+		j.breach(2, now, id, t.node, server, "another leg of an irreversible request, though one may have run")
 	}
 	if t.answered != 0 && t.final == Dismissed && !harmless(g) {
 		j.breach(2, now, id, t.node, server, "a leg came after the dismissal")
@@ -281,7 +281,7 @@
 	j.breach(4, now, "", -1, server, "pushed over: "+why)
 }
 
-// Advance looks at what is due: retrievals without an answer at their hard stop.
+// Advance looks at what is due: requests without an answer at their hard stop.
 func (j *Judge) Advance(now policy.Instant) {
 	for {
 		id, ok := j.due.Due(now)
@@ -307,7 +307,7 @@
 	}
 }
 
-const keepFor = 5 * time.Second // that a retrieval is watched beyond its hard stop
+const keepFor = 5 * time.Second // that a request is watched beyond its hard stop
 
 // Broken counts all breaches.
 func (j *Judge) Broken() (n uint64) {
--- a/internal/emulator/onwire/rig.go
+++ b/internal/emulator/onwire/rig.go
@@ -343,7 +343,7 @@
 	delete(m.asks, req.ID)
 	g, now := &r.traffic.Grades[req.Grade], r.at(got.Got)
 	if got.Extra {
-		r.judge.Wrong(now, "", "more came on a connection than one answer for each retrieval")
+		r.judge.Wrong(now, "", "more came on a connection than one answer for each request")
 	}
 	switch {
 	case m.excused[req.ID]:
--- a/internal/emulator/onwire/servers.go
+++ b/internal/emulator/onwire/servers.go
@@ -437,7 +437,7 @@
 	r.tags++
 	l.server, l.id, l.came = s.number, id, now
 	r.legs[r.tags] = l
-	j := world.Job{Retrieval: id, Key: key, Label: item("k"), Grade: grade, Until: now.Add(time.Duration(wait*1e6) + slack), Tag: r.tags}
+	j := world.Job{Request: id, Key: key, Label: item("k"), Grade: grade, Until: now.Add(time.Duration(wait*1e6) + slack), Tag: r.tags}
 	if _, ok := r.world.Offer(now, s.number, j); !ok {
 		r.left(r.tags, policy.TurnedAway)
 		return false
@@ -482,7 +482,7 @@
 	if reports {
 		load = fmt.Sprintf(" Loutstanding=%g", d.Load)
 	}
-	switch id := d.Job.Retrieval; d.Said {
+	switch id := d.Job.Request; d.Said {
 	case world.Value:
 		text := r.script.Value(d.Text)
 		return fmt.Appendf(nil, "VA %d O%s h1%s\r\n%s\r\n", len(text), id, load, text)
--- a/internal/emulator/outcome/outcome.go
+++ b/internal/emulator/outcome/outcome.go
@@ -180,7 +180,7 @@
 	Caches   int             `json:"caches"`
 	Seconds  float64         `json:"seconds"`
 	Gain     float64         `json:"benefit_in_time"` // share of all benefit asked
-	PerAsked float64         `json:"legs_per_retrieval"`
+	PerAsked float64         `json:"legs_per_request"`
 	Origin   int             `json:"most_origin_legs_per_s"`
 	Back     float64         `json:"recovered_at_s"` // since when it serves as before the first event; -1 for never
 	Rules    [4]uint64       `json:"breaches_by_rule"`
@@ -311,7 +311,7 @@
 		}
 	}
 	if most := s.Expect.Excess; most > 0 {
-		r.want(r.PerAsked <= most, fmt.Sprintf("%.3f", r.PerAsked), "at most %g legs for each retrieval", most)
+		r.want(r.PerAsked <= most, fmt.Sprintf("%.3f", r.PerAsked), "at most %g legs for each request", most)
 	}
 	r.expectViews(s)
 	if by := s.Expect.RecoveredBy; by > 0 {
@@ -353,7 +353,7 @@
 		fmt.Fprintf(to, "%-12s %9d %8.2f%% %7.2f %10d %9d %5d %9.1f %9.1f\n", g.Name, g.Asked, 100*g.InTime, g.Tries, g.Dismissed, g.Scrapped, g.Cut,
 			g.P50, g.P99)
 	}
-	fmt.Fprintf(to, "benefit in time %.4f; %.3f legs for each retrieval, at most %d a second at the origin\n", r.Gain, r.PerAsked, r.Origin)
+	fmt.Fprintf(to, "benefit in time %.4f; %.3f legs for each request, at most %d a second at the origin\n", r.Gain, r.PerAsked, r.Origin)
 	fmt.Fprintln(to, "course:", r.sparks())
 	fmt.Fprint(to, "over the fleet, in all and most in a second:")
 	for _, name := range script.Counted {
--- a/internal/emulator/script/script.go
+++ b/internal/emulator/script/script.go
@@ -183,7 +183,7 @@
 	OriginMost  float64            `toml:"origin_most_per_s"` // legs there in any second
 	RecoveredBy float64            `toml:"recovered_by_s"`    // from then on, no worse than before the first event
 	MostPerS    map[string]float64 `toml:"most_per_s"`        // over the whole fleet, of what Counted names
-	Excess      float64            `toml:"most_legs_per_retrieval"`
+	Excess      float64            `toml:"most_legs_per_request"`
 	Views       *int               `toml:"most_view_changes"` // at any node that nothing befell, after all had all
 }
 
@@ -490,7 +490,7 @@
 	for _, name := range sorted(s.Expect.MostPerS) {
 		c.Want(slices.Contains(Counted, name), "expect.most_per_s", "%q is none of %s", name, strings.Join(Counted, ", "))
 	}
-	c.Within(s.Expect.Excess, 0, 100, "expect.most_legs_per_retrieval")
+	c.Within(s.Expect.Excess, 0, 100, "expect.most_legs_per_request")
 	c.Want(s.Expect.Views == nil || s.Together != nil && *s.Expect.Views >= 0, "expect.most_view_changes", "is for nodes that know one another, and not under 0")
 }
 
--- a/internal/emulator/virtual/node.go
+++ b/internal/emulator/virtual/node.go
@@ -18,7 +18,7 @@
 	"dahliapin/policy"
 )
 
-// node is one node: a host, its retrievals, and its connections.
+// node is one node: a host, its requests, and its connections.
 type node struct {
 	r      *Run
 	number int
@@ -32,7 +32,7 @@
 	held   int // the version of the list as last heard
 	kept   keeping.Span
 	called uint64 // counts its calls for the list, so that an answer knows its own
-	hand   map[policy.RetrievalID]*taken
+	hand   map[policy.RequestID]*taken
 	count  uint64
 	links  map[int][]idle // by server, the latest used last
 	avoids map[policy.CacheID]bool
@@ -44,9 +44,9 @@
 	breaks uint64 // of its server when it came up
 }
 
-// taken is one retrieval in hand.
+// taken is one request in hand.
 type taken struct {
-	id       policy.RetrievalID
+	id       policy.RequestID
 	req      world.Request
 	first    policy.Instant
 	legs     []*leg
@@ -70,7 +70,7 @@
 
 func (n *node) start(form policy.ListForm, entries []policy.Entry) {
 	n.life++
-	n.hand, n.links, n.avoids = map[policy.RetrievalID]*taken{}, map[int][]idle{}, map[policy.CacheID]bool{}
+	n.hand, n.links, n.avoids = map[policy.RequestID]*taken{}, map[int][]idle{}, map[policy.CacheID]bool{}
 	n.kept = keeping.New(n.terms.Rules.IdleConnection)
 	n.book = records.New("n"+strconv.Itoa(n.number+1), n.r.log.Note, isOrigin)
 	seed := n.r.script.Seed*7919 + int64(n.number)*31 + int64(n.life)
@@ -106,7 +106,7 @@
 func (n *node) kill() {
 	n.life++
 	n.host = nil
-	ids := make([]policy.RetrievalID, 0, len(n.hand))
+	ids := make([]policy.RequestID, 0, len(n.hand))
 	for id := range n.hand {
 		ids = append(ids, id)
 	}
@@ -129,7 +129,7 @@
 			n.r.avoiders[id]--
 		}
 	}
-	n.hand = map[policy.RetrievalID]*taken{}
+	n.hand = map[policy.RequestID]*taken{}
 	for s, idles := range n.links {
 		for _, i := range idles {
 			if i.breaks == n.r.breaks(s) {
@@ -144,10 +144,10 @@
 	n.count++
 	var b [8]byte
 	binary.BigEndian.PutUint64(b[:], n.count)
-	v := &taken{id: policy.RetrievalID(b[:]), req: req, first: first}
+	v := &taken{id: policy.RequestID(b[:]), req: req, first: first}
 	n.hand[v.id] = v
 	n.r.Decided++
-	n.host.Arrived(n.r.now, &policy.Retrieval{ID: v.id, Key: req.Key, Grade: policy.GradeID(req.Grade), League: -1,
+	n.host.Arrived(n.r.now, &policy.Request{ID: v.id, Key: req.Key, Grade: policy.GradeID(req.Grade), League: -1,
 		Write: n.r.traffic.Grades[req.Grade].Write, Arrived: n.r.now, HardStop: n.r.now.Add(req.HardStop)})
 	return v
 }
@@ -191,7 +191,7 @@
 	})
 }
 
-// release forgets a retrieval that is answered and has nothing out.
+// release forgets a request that is answered and has nothing out.
 func (n *node) release(v *taken) {
 	if v.answered && !slices.ContainsFunc(v.legs, func(l *leg) bool { return l.out }) {
 		delete(n.hand, v.id)
@@ -199,7 +199,7 @@
 }
 
 // Send starts a leg.
-func (n *node) Send(id policy.RetrievalID, to policy.CacheID, giveUpAt policy.Instant) {
+func (n *node) Send(id policy.RequestID, to policy.CacheID, giveUpAt policy.Instant) {
 	v, r := n.hand[id], n.r
 	l := &leg{n: n, life: n.life, v: v, number: len(v.legs), sent: r.now, out: true}
 	v.legs = append(v.legs, l)
@@ -307,7 +307,7 @@
 	case "silent":
 		return
 	}
-	j := world.Job{Retrieval: l.v.req.ID, Node: l.n.number, Key: l.v.req.Key, Label: l.v.req.Label, Grade: l.v.req.Grade,
+	j := world.Job{Request: l.v.req.ID, Node: l.n.number, Key: l.v.req.Key, Label: l.v.req.Label, Grade: l.v.req.Grade,
 		Until: l.v.req.Sent.Add(l.v.req.HardStop + slack), Tag: l.tag}
 	r.legs[l.tag] = l
 	if d, ok := r.world.Offer(r.now, l.server, j); !ok {
@@ -447,7 +447,7 @@
 }
 
 // Cancel calls a leg off.
-func (n *node) Cancel(id policy.RetrievalID, number int) {
+func (n *node) Cancel(id policy.RequestID, number int) {
 	v := n.hand[id]
 	if v == nil || number >= len(v.legs) || !v.legs[number].out {
 		return
@@ -461,7 +461,7 @@
 }
 
 // Dismiss answers that a retry is harmless.
-func (n *node) Dismiss(id policy.RetrievalID, comeBack time.Duration) {
+func (n *node) Dismiss(id policy.RequestID, comeBack time.Duration) {
 	if v := n.hand[id]; v != nil && !v.answered {
 		n.answer(v, judge.Dismissed, comeBack)
 		n.later(v)
@@ -469,14 +469,14 @@
 }
 
 // Scrap answers that it failed.
-func (n *node) Scrap(id policy.RetrievalID) {
+func (n *node) Scrap(id policy.RequestID) {
 	if v := n.hand[id]; v != nil && !v.answered {
 		n.answer(v, judge.Scrapped, 0)
 		n.later(v)
 	}
 }
 
-// later releases a retrieval once the call into the host that answered it is over.
+// later releases a request once the call into the host that answered it is over.
 func (n *node) later(v *taken) { n.r.after(0, func() { n.release(v) }) }
 
 // Timer wakes the host.
--- a/internal/emulator/virtual/virtual_test.go
+++ b/internal/emulator/virtual/virtual_test.go
@@ -127,7 +127,7 @@
 	}
 }
 
-func (w *wrong) Where(now policy.Instant, r *policy.Retrieval) policy.Move {
+func (w *wrong) Where(now policy.Instant, r *policy.Request) policy.Move {
 	m := w.Decider.Where(now, r)
 	switch by := r.HardStop; {
 	case len(r.Legs) > 0 || r.Over:
@@ -203,7 +203,7 @@
 // loops asks again at once, for ever.
 type loops struct{ host.Decider }
 
-func (loops) Where(now policy.Instant, r *policy.Retrieval) policy.Move {
+func (loops) Where(now policy.Instant, r *policy.Request) policy.Move {
 	return policy.Move{AskAgain: now}
 }
 
@@ -238,7 +238,7 @@
 	}
 }
 
-// Size is a fleet as grown: few retrievals a second at each of many nodes.
+// Size is a fleet as grown: few requests a second at each of many nodes.
 func size(nodes, caches int, perSecond, seconds float64) *script.Script {
 	s, err := script.Parse("size", fmt.Appendf(nil, `
 seconds = %g
--- a/internal/emulator/world/traffic.go
+++ b/internal/emulator/world/traffic.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	rarest   = 0.01                 // retrievals a second: a rate of nought is looked at again after its time
+	rarest   = 0.01                 // requests a second: a rate of nought is looked at again after its time
 	firstOff = 8 * time.Millisecond // that a client waits before it asks again, doubled each time, where it is told no time
 )
 
@@ -72,7 +72,7 @@
 	return t
 }
 
-// Rate is the retrievals a second that begin by now, apart from repeats.
+// Rate is the requests a second that begin by now, apart from repeats.
 func (t *Traffic) Rate(now policy.Instant) float64 {
 	r := t.PerSecond * t.burst
 	if t.Wave > 0 {
@@ -90,7 +90,7 @@
 // KeyOf names the key of a rank of popularity.
 func KeyOf(rank int) string { return "pack:" + strconv.Itoa(rank) }
 
-// Draw makes the retrieval that comes now.
+// Draw makes the request that comes now.
 func (t *Traffic) Draw(now policy.Instant) Request {
 	pick := func(cumulated []float64) int {
 		x := t.chance.Next() * cumulated[len(cumulated)-1]
--- a/internal/emulator/world/world.go
+++ b/internal/emulator/world/world.go
@@ -76,15 +76,15 @@
 
 // Job is a leg as a server sees it.
 type Job struct {
-	Retrieval string
-	Node      int
-	Key       string
-	Label     string // of a labelled write
-	Grade     int
-	Until     policy.Instant // when nobody waits any more
-	Tag       uint64         // the shell's own
-	server    int
-	drains    bool // was told to stop when it came
+	Request string
+	Node    int
+	Key     string
+	Label   string // of a labelled write
+	Grade   int
+	Until   policy.Instant // when nobody waits any more
+	Tag     uint64         // the shell's own
+	server  int
+	drains  bool // was told to stop when it came
 }
 
 // Done is a job's end.
@@ -93,7 +93,7 @@
 	Server int
 	Said   Said
 	Text   string  // the value or receipt
-	Load   float64 // reported: retrievals in hand, as of the last report
+	Load   float64 // reported: requests in hand, as of the last report
 }
 
 // Mode says whether caches only store, the origin being asked on a miss, or are the store themselves.
@@ -106,7 +106,7 @@
 
 // Hearer hears what really happened, whatever a router says of it.
 type Hearer interface {
-	Effect(now policy.Instant, retrieval, label string, grade int, server policy.CacheID)
+	Effect(now policy.Instant, request, label string, grade int, server policy.CacheID)
 	Fell(now policy.Instant, server policy.CacheID, why string)
 	Rose(now policy.Instant, server policy.CacheID) // a server that had fallen starts anew
 }
@@ -164,7 +164,7 @@
 	chance   keyhash.Source
 	due      deadlines.Queue[wake]
 	meanWork time.Duration    // of a request at a cache of speed 1
-	missed   map[string][]int // by retrieval: the caches that lacked its key
+	missed   map[string][]int // by request: the caches that lacked its key
 	forget   deadlines.Queue[string]
 	written  uint64 // version of values
 	now      policy.Instant
@@ -458,7 +458,7 @@
 		return w.write(now, s, g, j, d)
 	}
 	if s.origin != nil || w.plan.Mode == Through {
-		for _, c := range w.missed[j.Retrieval] { // those that missed for this retrieval keep the value now
+		for _, c := range w.missed[j.Request] { // those that missed for this request keep the value now
 			if w.Servers[c].Life == Up {
 				w.Servers[c].store.put(j.Key)
 			}
@@ -473,10 +473,10 @@
 	}
 	s.Misses++
 	d.Said = Miss
-	if w.missed[j.Retrieval] == nil {
-		w.forget.Put(now.Add(missesKept), j.Retrieval)
+	if w.missed[j.Request] == nil {
+		w.forget.Put(now.Add(missesKept), j.Request)
 	}
-	w.missed[j.Retrieval] = append(w.missed[j.Retrieval], j.server)
+	w.missed[j.Request] = append(w.missed[j.Request], j.server)
 	return d
 }
 
@@ -497,7 +497,7 @@
 	if j.Label != "" {
 		w.memory(s, g).keep(j.Label, d.Text, int64(now.Add(g.Window)))
 	}
-	w.plan.Hearer.Effect(now, j.Retrieval, j.Label, j.Grade, s.ID)
+	w.plan.Hearer.Effect(now, j.Request, j.Label, j.Grade, s.ID)
 	if s.origin != nil {
 		for _, c := range w.Servers {
 			if c.origin == nil {
@@ -581,7 +581,7 @@
 
 // WarmBy fills the caches with the keys of traffic, the most popular last, as a fleet that has served for long would hold
 // them. where is a decider's, which is not used again: each of three calls goes to the least loaded, so they tell the holders.
-func WarmBy(w *World, where func(policy.Instant, *policy.Retrieval) policy.Move, now policy.Instant, t *Traffic, most int) {
+func WarmBy(w *World, where func(policy.Instant, *policy.Request) policy.Move, now policy.Instant, t *Traffic, most int) {
 	grade := slices.IndexFunc(t.Grades, func(g Grade) bool { return !g.Write })
 	if grade < 0 {
 		return
@@ -589,7 +589,7 @@
 	for rank := min(t.Keys, most) - 1; rank >= 0; rank-- {
 		key := KeyOf(rank)
 		for range 3 {
-			m := where(now, &policy.Retrieval{ID: "w", Key: key, Grade: policy.GradeID(grade), League: -1, Arrived: now,
+			m := where(now, &policy.Request{ID: "w", Key: key, Grade: policy.GradeID(grade), League: -1, Arrived: now,
 				HardStop: now.Add(time.Hour)})
 			for _, id := range m.To {
 				if i, ok := w.byID[id]; ok && w.Servers[i].origin == nil {
--- a/internal/emulator/world/world_test.go
+++ b/internal/emulator/world/world_test.go
@@ -36,9 +36,9 @@
 	}
 }
 
-func job(id, key string) Job { return Job{Retrieval: id, Key: key, Until: 1 << 60} }
+func job(id, key string) Job { return Job{Request: id, Key: key, Until: 1 << 60} }
 
-// A miss is stored at the cache that missed only once the origin has answered that very retrieval, and what was used
+// A miss is stored at the cache that missed only once the origin has answered that very request, and what was used
 // longest ago gives way.
 func TestACacheKeepsWhatTheOriginBrought(t *testing.T) {
 	w := make1(&heard{}, nil)
@@ -109,7 +109,7 @@
 	h := &heard{}
 	w := make1(h, nil)
 	write := func(at policy.Instant, label string) string {
-		w.Offer(at, 1, Job{Retrieval: "r", Key: "k", Label: label, Grade: 1, Until: 1 << 60})
+		w.Offer(at, 1, Job{Request: "r", Key: "k", Label: label, Grade: 1, Until: 1 << 60})
 		return w.all(1 << 60)[0].Text
 	}
 	first := write(0, "l")
@@ -138,7 +138,7 @@
 		w := New(Plan{Mode: Through, Caches: ts, Hearer: h, Grades: []Grade{{Write: true, Work: time.Millisecond,
 			Grade: policy.Grade{Effect: policy.Labelled, Scope: scope, Window: time.Second}}}})
 		for n := range ts {
-			w.Offer(0, n, Job{Retrieval: "r", Label: "l", Until: 1 << 60})
+			w.Offer(0, n, Job{Request: "r", Label: "l", Until: 1 << 60})
 		}
 		if w.all(1 << 60); h.effects != effects {
 			t.Errorf("scope %v: %d effects, want %d", scope, h.effects, effects)
--- a/internal/fronts/fronts.go
+++ b/internal/fronts/fronts.go
@@ -1,5 +1,5 @@
 // Package fronts reads what an operator states of further listeners: the protocol spoken there, and for HTTP which
-// requests are retrievals of which service grade; which caches speak HTTP; and reduced
+// requests are of which service grade; which caches speak HTTP; and reduced
 // service levels.
 package fronts
 
@@ -62,9 +62,9 @@
 	// empty one states nothing.
 	GradeHeader    string  `toml:"grade_header"`
 	TenantHeader   string  `toml:"tenant_header"`
-	IDHeader       string  `toml:"id_header"` // and the name of its retrieval, of no two that are in hand
+	IDHeader       string  `toml:"id_header"` // and the name of its request, of no two that are in hand
 	DeadlineHeader string  `toml:"deadline_header"`
-	Ready          string  `toml:"ready_path"`    // answers whether retrievals are served; empty for none
+	Ready          string  `toml:"ready_path"`    // answers whether requests are served; empty for none
 	Counters       string  `toml:"counters_path"` // answers the counters; empty for none
 	SortQuery      bool    `toml:"sort_query"`    // the order of a query's parts makes no other key
 	Routes         []Route `toml:"route"`
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -1,4 +1,4 @@
-// Package host keeps one node's timers and retrievals in hand and carries out what its policy.Router says.
+// Package host keeps one node's timers and requests in hand and carries out what its policy.Router says.
 // It decides nothing, and two hosts share nothing.
 package host
 
@@ -11,10 +11,10 @@
 
 // Actions is what a host can make happen.
 type Actions interface {
-	Send(id policy.RetrievalID, to policy.CacheID, giveUpAt policy.Instant)
-	Cancel(id policy.RetrievalID, leg int)
-	Dismiss(id policy.RetrievalID, comeBack time.Duration)
-	Scrap(id policy.RetrievalID)
+	Send(id policy.RequestID, to policy.CacheID, giveUpAt policy.Instant)
+	Cancel(id policy.RequestID, leg int)
+	Dismiss(id policy.RequestID, comeBack time.Duration)
+	Scrap(id policy.RequestID)
 	Timer(in time.Duration, token string)
 	Probe(id policy.CacheID)
 	Follow()
@@ -22,17 +22,17 @@
 
 // Decider is what a host asks: the module, or a baseline that it is measured against.
 type Decider interface {
-	Where(now policy.Instant, r *policy.Retrieval) policy.Move
-	After(now policy.Instant, r *policy.Retrieval, o policy.Outcome) policy.Move
+	Where(now policy.Instant, r *policy.Request) policy.Move
+	After(now policy.Instant, r *policy.Request, o policy.Outcome) policy.Move
 	Wait(now policy.Instant) (time.Duration, []policy.Chore)
 	Listed(now policy.Instant, form policy.ListForm, entries []policy.Entry)
 	Probed(now policy.Instant, id policy.CacheID, found policy.Result)
-	Still(now policy.Instant, r policy.Retrieval, leg int) bool
+	Still(now policy.Instant, r policy.Request, leg int) bool
 }
 
 // Gate is a decider that may turn away what has just come, before it is in hand.
 type Gate interface {
-	Admit(now policy.Instant, r *policy.Retrieval) (m policy.Move, in bool)
+	Admit(now policy.Instant, r *policy.Request) (m policy.Move, in bool)
 }
 
 // Watcher hears what a node does to its caches. It is called within the node's loop and is not to wait.
@@ -44,18 +44,18 @@
 	Listed(now policy.Instant, form policy.ListForm, entries []policy.Entry)
 }
 
-const upkeep = "upkeep" // a token that no retrieval's id can be, being shorter
+const upkeep = "upkeep" // a token that no request's id can be, being shorter
 
 // Host is one node.
 type Host struct {
 	router  Decider
 	do      Actions
 	watcher Watcher // nil for nobody
-	hand    map[policy.RetrievalID]*held
+	hand    map[policy.RequestID]*held
 }
 
 type held struct {
-	policy.Retrieval
+	policy.Request
 	askAt policy.Instant // when Where is to be called again; 0 for not
 }
 
@@ -66,7 +66,7 @@
 
 // With starts a node that asks another decider, or is watched.
 func With(now policy.Instant, decider Decider, do Actions, watcher Watcher) *Host {
-	h := &Host{router: decider, do: do, watcher: watcher, hand: map[policy.RetrievalID]*held{}}
+	h := &Host{router: decider, do: do, watcher: watcher, hand: map[policy.RequestID]*held{}}
 	h.upkeep(now)
 	return h
 }
@@ -102,30 +102,30 @@
 	h.router.Probed(now, id, found)
 }
 
-// Arrived takes a retrieval in hand; one that is in hand already is left as it is.
-func (h *Host) Arrived(now policy.Instant, r *policy.Retrieval) {
+// Arrived takes a request in hand; one that is in hand already is left as it is.
+func (h *Host) Arrived(now policy.Instant, r *policy.Request) {
 	if h.hand[r.ID] != nil {
 		return
 	}
-	in := &held{Retrieval: *r}
+	in := &held{Request: *r}
 	h.hand[r.ID] = in
 	if gate, is := h.router.(Gate); is {
-		if m, let := gate.Admit(now, &in.Retrieval); !let {
+		if m, let := gate.Admit(now, &in.Request); !let {
 			h.carryOut(now, in, m)
 			return
 		}
 	}
-	h.carryOut(now, in, h.router.Where(now, &in.Retrieval))
+	h.carryOut(now, in, h.router.Where(now, &in.Request))
 }
 
 // Still tells whether a leg may go out that has waited for its connection.
-func (h *Host) Still(now policy.Instant, id policy.RetrievalID, leg int) bool {
+func (h *Host) Still(now policy.Instant, id policy.RequestID, leg int) bool {
 	in := h.hand[id]
-	return in != nil && !in.Over && leg < len(in.Legs) && h.router.Still(now, in.Retrieval, leg)
+	return in != nil && !in.Over && leg < len(in.Legs) && h.router.Still(now, in.Request, leg)
 }
 
 // Ended takes a leg's outcome; one that is not out any more is ignored.
-func (h *Host) Ended(now policy.Instant, id policy.RetrievalID, how policy.Result, over bool,
+func (h *Host) Ended(now policy.Instant, id policy.RequestID, how policy.Result, over bool,
 	o policy.Outcome) {
 	in := h.hand[id]
 	if in == nil || o.Leg < 0 || o.Leg >= len(in.Legs) || !in.Legs[o.Leg].Out {
@@ -136,11 +136,11 @@
 	if h.watcher != nil {
 		h.watcher.Ended(now, in.Legs[o.Leg].To, how, o.Took)
 	}
-	h.carryOut(now, in, h.router.After(now, &in.Retrieval, o))
+	h.carryOut(now, in, h.router.After(now, &in.Request, o))
 }
 
 // Started tells that an answer has begun to stream: from now on nothing is due for it but its end.
-func (h *Host) Started(id policy.RetrievalID) {
+func (h *Host) Started(id policy.RequestID) {
 	if in := h.hand[id]; in != nil {
 		in.askAt = 0
 	}
@@ -160,7 +160,7 @@
 }
 
 // Left tells that a client has gone.
-func (h *Host) Left(now policy.Instant, id policy.RetrievalID) {
+func (h *Host) Left(now policy.Instant, id policy.RequestID) {
 	if in := h.hand[id]; in != nil {
 		in.Over = true
 		h.drop(in)
@@ -171,14 +171,14 @@
 func (h *Host) Woken(now policy.Instant, token string) {
 	if token == upkeep {
 		h.upkeep(now)
-	} else if in := h.hand[policy.RetrievalID(token)]; in != nil && in.askAt != 0 && now >= in.askAt {
+	} else if in := h.hand[policy.RequestID(token)]; in != nil && in.askAt != 0 && now >= in.askAt {
 		h.ask(now, in)
 	}
 }
 
 func (h *Host) ask(now policy.Instant, in *held) {
 	in.askAt = 0
-	h.carryOut(now, in, h.router.Where(now, &in.Retrieval))
+	h.carryOut(now, in, h.router.Where(now, &in.Request))
 }
 
 func (h *Host) carryOut(now policy.Instant, in *held, m policy.Move) {
@@ -212,7 +212,7 @@
 	}
 }
 
-// drop forgets a retrieval once it is answered and nothing is out for it.
+// drop forgets a request once it is answered and nothing is out for it.
 func (h *Host) drop(in *held) {
 	if in.Over && !slices.ContainsFunc(in.Legs, func(l policy.Leg) bool { return l.Out }) {
 		delete(h.hand, in.ID)
--- a/internal/levels/filter.go
+++ b/internal/levels/filter.go
@@ -37,7 +37,7 @@
 
 // Admit tells whether what has just come is let through; else how it is answered. Those who are to come back come at times
 // of their own, so that they are no wave.
-func (f *Filter) Admit(now policy.Instant, r *policy.Retrieval) (m policy.Move, in bool) {
+func (f *Filter) Admit(now policy.Instant, r *policy.Request) (m policy.Move, in bool) {
 	f.look(now)
 	level, share := f.machine.At()
 	if level == 0 || !f.shed[level-1][r.Grade] || f.chance.Next() >= share {
@@ -62,14 +62,14 @@
 }
 
 // After counts a leg's end, and passes it on.
-func (f *Filter) After(now policy.Instant, r *policy.Retrieval, o policy.Outcome) policy.Move {
+func (f *Filter) After(now policy.Instant, r *policy.Request, o policy.Outcome) policy.Move {
 	leg := &r.Legs[o.Leg]
 	f.machine.Leg(leg.Result, o.Took, f.rules.Grades[r.Grade].SoftLimit, leg.To == f.origin)
 	return f.noted(f.Decider.After(now, r, o))
 }
 
 // Where passes on.
-func (f *Filter) Where(now policy.Instant, r *policy.Retrieval) policy.Move {
+func (f *Filter) Where(now policy.Instant, r *policy.Request) policy.Move {
 	return f.noted(f.Decider.Where(now, r))
 }
 
--- a/internal/levels/levels.go
+++ b/internal/levels/levels.go
@@ -14,7 +14,7 @@
 
 const (
 	window     = time.Second      // between two looks: a leg takes milliseconds, a trouble lasts seconds
-	leastSeen  = 60               // retrievals that a look needs: at 60 a share of a tenth is off by a third at most in two of three looks
+	leastSeen  = 60               // requests that a look needs: at 60 a share of a tenth is off by a third at most in two of three looks
 	thinFor    = 20 * window      // after which a look is taken of whatever there is
 	learnsFor  = 10 * time.Second // after its start that a node looks at nothing: the module turns away while it knows no cache yet
 	before     = 2                // looks in a row that enter a level: one may be a pause of this very machine
@@ -25,13 +25,13 @@
 	mostStay   = 10 * time.Minute // least stay that may be stated
 )
 
-// Shares are of the legs and retrievals of one look. As bounds, 0 looks at nothing.
+// Shares are of the legs and requests of one look. As bounds, 0 looks at nothing.
 type Shares struct {
 	Late       float64 `toml:"late"`        // answered after the soft limit
 	Lost       float64 `toml:"lost"`        // errors, breaks, and no answer in time
 	TurnedAway float64 `toml:"turned_away"` // by caches that are full
 	OriginLate float64 `toml:"origin_late"` // late or lost there, of the legs there
-	Dismissed  float64 `toml:"dismissed"`   // by the module, of the retrievals that the level lets through
+	Dismissed  float64 `toml:"dismissed"`   // by the module, of the requests that the level lets through
 }
 
 func (s Shares) each(o Shares, f func(name string, mine, other float64)) {
@@ -83,7 +83,7 @@
 	}
 }
 
-// counted are the legs and retrievals of a look.
+// counted are the legs and requests of a look.
 type counted struct{ legs, late, lost, away, origin, originLate, let, dismissed int }
 
 func (n *counted) shares() (s Shares) {
@@ -143,11 +143,11 @@
 	}
 }
 
-// Let takes a retrieval that is let through, and Dismissed one that the module dismissed.
+// Let takes a request that is let through, and Dismissed one that the module dismissed.
 func (m *Machine) Let()       { m.n.let++ }
 func (m *Machine) Dismissed() { m.n.dismissed++ }
 
-// Look moves on, and tells whether the level has changed. A look on few retrievals would dither at nodes that see few: it waits for more,
+// Look moves on, and tells whether the level has changed. A look on few requests would dither at nodes that see few: it waits for more,
 // and for so long only.
 func (m *Machine) Look(now policy.Instant) (changed bool) {
 	long := now.Since(m.from)
--- a/internal/levels/levels_test.go
+++ b/internal/levels/levels_test.go
@@ -67,7 +67,7 @@
 	})
 }
 
-// A node that sees three retrievals a second would enter and leave by single late legs, or see no trouble ever; one that starts
+// A node that sees three requests a second would enter and leave by single late legs, or see no trouble ever; one that starts
 // knows no cache yet.
 func TestThinEvidenceAndAStartChangeNothing(t *testing.T) {
 	for _, c := range []struct{ seconds, legs, every, at int }{ // each so many seconds all legs of two are late
--- a/internal/migration/migration.go
+++ b/internal/migration/migration.go
@@ -1,5 +1,5 @@
 // Package migration turns a node's configuration for a pool of nodes that clients share into its counterpart for a
-// node in each client process, with one retrieval a connection and caches in several zones.
+// node in each client process, with one request a connection and caches in several zones.
 package migration
 
 import (
--- a/internal/net/counters/counters.go
+++ b/internal/net/counters/counters.go
@@ -5,15 +5,15 @@
 
 // Counters are counted by one loop; a copy may be read anywhere.
 type Counters struct {
-	Clients, Retrievals, Malformed  uint64 // connections taken, retrievals taken, commands that were none
+	Clients, Requests, Malformed    uint64 // connections taken, requests taken, commands that were none
 	Satisfied, Dismissed, Scrapped  uint64 // final answers
 	Crowded, Left, Overdue          uint64 // dismissed for want of room; clients that went before the answer, or said nothing whole in time
 	Legs, Dials, Reused, Probes     uint64 // sent; connections opened for them, or used again; caches checked
 	Lists, Reconnects, Moves        uint64 // lists heard; new calls after one that failed; new addresses to call
 	IdleClosed, RoomClosed, Strange uint64 // connections closed when idle, to make room, for a wrong answer
-	Level, Shed                     uint64 // the service level, 0 for normal, and retrievals that levels turned away
+	Level, Shed                     uint64 // the service level, 0 for normal, and requests that levels turned away
 	Full                            uint64 // connections that a cache had no room for, though it lives
-	LeftWaiting                     uint64 // of the clients that went, those of whose retrieval nothing had been sent on
+	LeftWaiting                     uint64 // of the clients that went, those of whose request nothing had been sent on
 	Ended                           [policy.Missed + 1]uint64
 }
 
@@ -27,7 +27,7 @@
 		name string
 		n    uint64
 	}{
-		{"clients", c.Clients}, {"retrievals", c.Retrievals}, {"malformed", c.Malformed},
+		{"clients", c.Clients}, {"requests", c.Requests}, {"malformed", c.Malformed},
 		{"satisfied", c.Satisfied}, {"dismissed", c.Dismissed}, {"scrapped", c.Scrapped},
 		{"crowded", c.Crowded}, {"left", c.Left}, {"left_waiting", c.LeftWaiting}, {"overdue", c.Overdue}, {"legs", c.Legs}, {"dials", c.Dials}, {"reused", c.Reused},
 		{"probes", c.Probes}, {"lists", c.Lists}, {"reconnects", c.Reconnects}, {"moves", c.Moves},
--- a/internal/net/counters/sheet.go
+++ b/internal/net/counters/sheet.go
@@ -9,11 +9,11 @@
 // Sheet is a copy of a node's figures as they stood at one moment. The loop hands out a new one each time; nobody changes it.
 type Sheet struct {
 	At                   time.Time // by the monotonic clock: how fresh it is
-	Takes                bool      // clients are taken, and their retrievals served
+	Takes                bool      // clients are taken, and their requests served
 	Phase                string
 	Grades               []GradeSheet
 	Legs                 uint64 // written whole to servers
-	Pending              int    // retrievals taken and not ended
+	Pending              int    // requests taken and not ended
 	Members, Unavailable int    // caches in the list, and those of them that the node avoids
 }
 
--- a/internal/net/meta/meta.go
+++ b/internal/net/meta/meta.go
@@ -187,7 +187,7 @@
 	return true
 }
 
-// AppendCommand writes a retrieval for a cache: all as it came but for how long, in whole milliseconds, the
+// AppendCommand writes a request for a cache: all as it came but for how long, in whole milliseconds, the
 // asker waits, which stands under the name d in the flag P.
 func AppendCommand(to []byte, c *Command, waitMs int64) []byte {
 	if c.Verb == Set {
--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -80,7 +80,7 @@
 func (r *Relay) idleTime() time.Duration { return r.kept.Now(r.now()) }
 
 // Send starts a leg on the connection used last, or on a new one.
-func (r *Relay) Send(id policy.RetrievalID, to policy.CacheID, giveUpAt policy.Instant) {
+func (r *Relay) Send(id policy.RequestID, to policy.CacheID, giveUpAt policy.Instant) {
 	v := r.hand.Get(slotOf(id))
 	if v == nil {
 		return
@@ -151,9 +151,9 @@
 	return nil
 }
 
-// leftUnheard tells whether the client of a retrieval has gone, which the loop has not come to yet: its end stands behind others'
+// leftUnheard tells whether the client of a request has gone, which the loop has not come to yet: its end stands behind others'
 // bytes, or its own, and it may have waited long before anything of it was taken. Guards against legs for nobody.
-func (r *Relay) leftUnheard(v *retrieval) bool {
+func (r *Relay) leftUnheard(v *request) bool {
 	c := r.clients.Get(v.client)
 	if v.answered || c == nil || !c.wire.Left() {
 		return false
@@ -167,7 +167,7 @@
 }
 
 // write hands a leg to the kernel. Only if that fails is it sure that its last byte never was.
-func (r *Relay) write(l *link, v *retrieval, n int) {
+func (r *Relay) write(l *link, v *request, n int) {
 	wait := max(1, int64(v.legs[n].giveUpAt.Since(r.now())/time.Millisecond))
 	v.went = true
 	if l.wire.Write(l.cache.carrier.ask(&v.call, l.cache.addr, wait)) != nil {
@@ -180,7 +180,7 @@
 }
 
 // Cancel calls a leg off by closing its connection, which carries no other. One that is still coming up is kept.
-func (r *Relay) Cancel(id policy.RetrievalID, n int) {
+func (r *Relay) Cancel(id policy.RequestID, n int) {
 	v := r.hand.Get(slotOf(id))
 	if v == nil || n < 0 || n >= len(v.legs) || !v.legs[n].out {
 		return
@@ -190,7 +190,7 @@
 
 // inPart tells whether the kernel has not taken all of a leg yet. Such a leg has not been sent, and so may be stopped whatever the
 // settings say of calling off. Guards against one that goes out whole long after nobody waits for it any more.
-func (r *Relay) inPart(v *retrieval, n int) bool {
+func (r *Relay) inPart(v *request, n int) bool {
 	l := r.links.Get(v.legs[n].link)
 	return v.legs[n].out && l != nil && l.wire != nil && l.wire.Unsent() > 0
 }
@@ -202,7 +202,7 @@
 }
 
 // stopWaiting ends a leg. If its last byte never went to the kernel, it never ran.
-func (r *Relay) stopWaiting(v *retrieval, n int, how policy.Result) {
+func (r *Relay) stopWaiting(v *request, n int, how policy.Result) {
 	l := r.links.Get(v.legs[n].link)
 	if l != nil && (l.wire == nil || r.dropLink(l) > 0) {
 		if l.does = nothing; how == policy.TimedOut {
@@ -215,7 +215,7 @@
 }
 
 // end closes a leg with its one outcome; the host hears of it once it has carried out what it is at.
-func (r *Relay) end(v *retrieval, n int, how policy.Result, report []float64) {
+func (r *Relay) end(v *request, n int, how policy.Result, report []float64) {
 	l := &v.legs[n]
 	l.out = false
 	if l.begun && how != policy.Unconnected && how != policy.NeverSent {
@@ -230,8 +230,8 @@
 	})
 }
 
-// release forgets a retrieval that is answered and has nothing out.
-func (r *Relay) release(v *retrieval) {
+// release forgets a request that is answered and has nothing out.
+func (r *Relay) release(v *request) {
 	for _, l := range v.legs {
 		if l.out {
 			return
@@ -455,7 +455,7 @@
 }
 
 // legData reads a server's answer to a leg.
-func (r *Relay) legData(l *link, v *retrieval) {
+func (r *Relay) legData(l *link, v *request) {
 	came, size, wants := &r.came, 0, 0
 	v.call.sent = r.began.Add(v.legs[l.leg.leg].sent.Since(epoch))
 	*came, size, wants = l.cache.carrier.reply(l.buf.Unused(), &v.call, l.ended)
@@ -472,9 +472,9 @@
 	}
 }
 
-// answered ends a leg by what came back. What can't be read or answers another retrieval is served to nobody: the
+// answered ends a leg by what came back. What can't be read or answers another request is served to nobody: the
 // leg has failed and may have run, though the cache lives; whatever else comes on its connection can't be trusted.
-func (r *Relay) answered(l *link, v *retrieval, came *reply, size int) {
+func (r *Relay) answered(l *link, v *request, came *reply, size int) {
 	if came.how == spoilt {
 		r.count.Strange++
 		r.lose(l, policy.Errored)
--- a/internal/net/relay/carriers.go
+++ b/internal/net/relay/carriers.go
@@ -13,7 +13,7 @@
 type carrier interface {
 	// ask writes a leg that the node waits for so long.
 	ask(c *call, host string, waitMs int64) []byte
-	// names tells whether what serves a retrieval says which one.
+	// names tells whether what serves a request says which one.
 	names() bool
 	// reply reads the answer. A size of 0 without a fault asks for more bytes, of which wants says how many in all, where
 	// that is known; ended says that no more will come.
@@ -30,7 +30,7 @@
 	load    []byte        // the server's report
 	last    bool          // its connection ends with it
 	kept    bool          // it is from what a cache keeps
-	named   bool          // it says which retrieval it answers
+	named   bool          // it says which request it answers
 	status  int           // of HTTP; 0 for a good one of another protocol
 	head    int           // with a size of 0: bytes that stand before a good value of known length which is still coming
 	long    int           // and that length
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -20,7 +20,7 @@
 	shareIdle  = 8                      // part of the descriptors that idle clients may keep: under half of the third that clients may hold
 	flushFor   = time.Second            // that a connection to be closed may take to be read out
 	flushEvery = 20 * time.Millisecond
-	shareHeld  = 8 // part of the memory that retrievals and answers may take: the rest is for what grows with them
+	shareHeld  = 8 // part of the memory that requests and answers may take: the rest is for what grows with them
 	sharePart  = 4 // part of the memory that commands may take which have not come whole
 	shareAhead = 8 // part of the memory that what servers send may take before the loop has it
 	shareSpare = 8 // part of the descriptors kept for links that are not open yet
@@ -38,14 +38,14 @@
 	usedAt  policy.Instant
 	invited bool           // was told to go on with what has begun
 	closing bool           // nothing more is read; it closes once all is answered
-	excess  bool           // came when there were too many: its retrievals are dismissed, and it is closed when idle
+	excess  bool           // came when there were too many: its requests are dismissed, and it is closed when idle
 	partial int            // bytes of a command that has not come whole
 	since   policy.Instant // when that began, or the connection, while nothing has been said on it; 0 for neither
 	until   policy.Instant
 }
 
 type turn struct {
-	hand   handID // 0 for what is no retrieval
+	hand   handID // 0 for what is no request
 	done   bool
 	out    []byte
 	stream linkID // where a long value comes from that is passed on, or 0
@@ -58,8 +58,8 @@
 	return len(c.turns) == 0 && len(c.buf.Unused()) == 0 && c.wire.Unsent() == 0
 }
 
-// retrieval is one in hand. The host keeps its own part of it.
-type retrieval struct {
+// request is one in hand. The host keeps its own part of it.
+type request struct {
 	id       handID
 	grade    policy.GradeID
 	client   clientID
@@ -126,7 +126,7 @@
 		c.closing = c.closing || a.closes
 		c.buf.Use(size)
 		began = at
-		if len(c.turns) >= mostSaid { // else one retrieval that takes long would let anything pile up behind it
+		if len(c.turns) >= mostSaid { // else one request that takes long would let anything pile up behind it
 			r.say(c, c.face.refused(tooMany, false))
 			c.closing = true
 		}
@@ -186,13 +186,13 @@
 	}
 }
 
-// say answers a command that is no retrieval in hand, in its turn.
+// say answers a command that is no request in hand, in its turn.
 func (r *Relay) say(c *client, out []byte) {
 	r.held += len(out)
 	c.turns = append(c.turns, turn{done: true, out: out})
 }
 
-// take takes a retrieval in hand. One whose hard stop or grade can't be told is malformed, and so is one with the id
+// take takes a request in hand. One whose hard stop or grade can't be told is malformed, and so is one with the id
 // of another in hand: caches could not tell the two apart.
 func (r *Relay) take(c *client, asked *call, at policy.Instant) {
 	grade := r.Terms.Names.Grade(asked.grade)
@@ -206,7 +206,7 @@
 		r.say(c, c.face.refused(sameID, asked.bare))
 		return
 	}
-	r.count.Retrievals++
+	r.count.Requests++
 	stop := at.Add(min(asked.wait, mostWait))
 	outlasts := false
 	if by := r.endBy().Add(-lastWords); r.phase == Draining && stop > by {
@@ -223,14 +223,14 @@
 	}
 	c.excess = false
 	asked.idempotent = r.Terms.Rules.Grades[grade].Effect == policy.Idempotent
-	v := &retrieval{grade: grade, client: c.id, turn: c.first + uint64(len(c.turns)), face: c.face}
+	v := &request{grade: grade, client: c.id, turn: c.first + uint64(len(c.turns)), face: c.face}
 	v.call, v.bytes = copyOf(asked)
 	r.held += v.bytes
 	v.id = r.hand.Add(v)
 	r.pending++
 	r.taken[string(v.call.id)] = true
 	c.turns = append(c.turns, turn{hand: v.id})
-	r.host.Arrived(r.now(), &policy.Retrieval{ID: token(v.id), Key: string(asked.key),
+	r.host.Arrived(r.now(), &policy.Request{ID: token(v.id), Key: string(asked.key),
 		Grade: grade, League: r.Terms.Names.League(asked.league),
 		Write: asked.write, Arrived: at, HardStop: stop})
 }
@@ -249,8 +249,8 @@
 	return whole, size + len(c.beside().headers)
 }
 
-// answer gives a retrieval its one final answer.
-func (r *Relay) answer(v *retrieval, out, long []byte) {
+// answer gives a request its one final answer.
+func (r *Relay) answer(v *request, out, long []byte) {
 	v.answered = true
 	r.pending--
 	c := r.clients.Get(v.client)
@@ -395,7 +395,7 @@
 }
 
 // Dismiss answers that a retry is harmless.
-func (r *Relay) Dismiss(id policy.RetrievalID, comeBack time.Duration) {
+func (r *Relay) Dismiss(id policy.RequestID, comeBack time.Duration) {
 	if v := r.hand.Get(slotOf(id)); v != nil && !v.answered {
 		r.count.Dismissed++
 		r.byGrade[v.grade].Dismissed++
@@ -405,7 +405,7 @@
 }
 
 // Scrap answers that it failed.
-func (r *Relay) Scrap(id policy.RetrievalID) {
+func (r *Relay) Scrap(id policy.RequestID) {
 	if v := r.hand.Get(slotOf(id)); v != nil && !v.answered {
 		r.count.Scrapped++
 		r.byGrade[v.grade].Failed++
--- a/internal/net/relay/faces.go
+++ b/internal/net/relay/faces.go
@@ -36,8 +36,8 @@
 
 const (
 	more      wish = iota // it has not said yet
-	retrieve              // a retrieval
-	readiness             // whether retrievals are served
+	retrieve              // a request
+	readiness             // whether requests are served
 	counts                // the counters
 	invited               // to be told to go on with what has begun
 	unserved              // what can't be served, with its answer
@@ -51,7 +51,7 @@
 	closes bool   // nothing more is read after it
 }
 
-// call is a retrieval as its client puts it.
+// call is a request as its client puts it.
 type call struct {
 	id, key, value []byte
 	flags          []byte // what goes along to the servers, as meta commands write it
--- a/internal/net/relay/httpface_test.go
+++ b/internal/net/relay/httpface_test.go
@@ -65,7 +65,7 @@
 
 // Answers that change places, a body after HEAD, ids that two listeners make alike, or a header's text that reaches a cache as flags
 // would all be taken for something that was never said.
-func TestHTTPRequestsAreRetrievalsAnsweredInOrder(t *testing.T) {
+func TestHTTPRequestsAreAnsweredInOrder(t *testing.T) {
 	slow := make(chan bool)
 	g := newRig(t, 200, func(line string) string {
 		if strings.HasPrefix(line, "mg slow ") {
@@ -130,7 +130,7 @@
 	}
 }
 
-// The same seeded traffic with faults by meta commands and by HTTP: retrieval by retrieval the same answer, and no write that
+// The same seeded traffic with faults by meta commands and by HTTP: request by request the same answer, and no write that
 // may not be repeated reaches the origin twice.
 func TestTheSameTrafficIsAnsweredAlikeByBothProtocols(t *testing.T) {
 	answer := func(line string) string {
@@ -169,11 +169,11 @@
 		}
 		meta = strings.NewReplacer("SERVER_ERROR failed", "502 failed", "SERVER_ERROR busy", "503 busy").Replace(meta)
 		if web = web[:strings.LastIndexByte(web, ' ')]; web != meta {
-			t.Fatalf("retrieval %d, %s, kind %d: %q by meta commands, %q by HTTP", n, key, kind, meta, web)
+			t.Fatalf("request %d, %s, kind %d: %q by meta commands, %q by HTTP", n, key, kind, meta, web)
 		}
 		for _, calls := range []chan string{g.calls, h.calls} {
 			if seen := len(calls); kind < 2 && seen != 1 {
-				t.Errorf("retrieval %d reached the origin %d times", n, seen)
+				t.Errorf("request %d reached the origin %d times", n, seen)
 			}
 			for len(calls) > 0 {
 				<-calls
--- a/internal/net/relay/leaving_test.go
+++ b/internal/net/relay/leaving_test.go
@@ -50,7 +50,7 @@
 	close(goes)
 }
 
-// A client that had left while its retrieval waited was sent on for all the same: its end stands behind other events. Wherever it waits,
+// A client that had left while its request waited was sent on for all the same: its end stands behind other events. Wherever it waits,
 // here is an idle link, or one that is just coming up, by which a leg would go at once.
 func TestWhoHasLeftWhileWaitingIsNotSentOnFor(t *testing.T) {
 	ask := func(c net.Conn, id string) { fmt.Fprintf(c, "mg k v %s Pc=read,d=9000\r\n", id) }
--- a/internal/net/relay/operators_test.go
+++ b/internal/net/relay/operators_test.go
@@ -80,7 +80,7 @@
 
 // Figures that miss by more than a few are as good as none: each kind of end counts once, where it belongs, and a cache that says
 // nothing or drains is told as avoided.
-func TestFiguresTellWhatBecameOfEachRetrieval(t *testing.T) {
+func TestFiguresTellWhatBecameOfEachRequest(t *testing.T) {
 	hold := make(chan bool)
 	g := newRig(t, 200, func(line string) string {
 		switch {
@@ -96,7 +96,7 @@
 	g.expect(r, "VA 5 Oa", "hello", "VA 11 Omiss", "from-origin", "SERVER_ERROR failed")
 	gone, _ := g.client()
 	fmt.Fprint(gone, "mg k v Oheld2 Pc=read,d=9000\r\n")
-	g.until("both are held", func(n counters.Counters) bool { return n.Retrievals == 5 && n.Legs == 6 })
+	g.until("both are held", func(n counters.Counters) bool { return n.Requests == 5 && n.Legs == 6 })
 	gone.(*net.TCPConn).SetLinger(0)
 	gone.Close()
 	g.until("one has left", func(n counters.Counters) bool { return n.Left == 1 })
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -1,5 +1,5 @@
 // Package relay is a node on sockets: one loop that holds all state and drives a host, as the adapter does on the
-// simulator's wire. It decides nothing about retrievals, and knows no protocol of clients or servers. The loop and its clock
+// simulator's wire. It decides nothing about requests, and knows no protocol of clients or servers. The loop and its clock
 // are in this file; clients.go keeps the clients and faces.go speaks to them, caches.go keeps the servers and carriers.go
 // speaks to them, and discovery.go follows the list.
 package relay
@@ -97,7 +97,7 @@
 	due       deadlines.Queue[due]
 	clients   slots.Table[clientID, client]
 	links     slots.Table[linkID, link]
-	hand      slots.Table[handID, retrieval]
+	hand      slots.Table[handID, request]
 	taken     map[string]bool // the clients' ids of those in hand
 	asked     asked           // what was read last
 	came      reply           // the same of servers
@@ -108,7 +108,7 @@
 	chance    keyhash.Source
 	later     []func() // what must not happen within a call into the host
 	count     counters.Counters
-	held      int // bytes of retrievals in hand, and of answers that wait for those before them
+	held      int // bytes of requests in hand, and of answers that wait for those before them
 	partial   int // bytes of commands that have not come whole
 	coming    int // the same of answers of caches and origin
 	allMemory int64
@@ -120,7 +120,7 @@
 	sheet     atomic.Pointer[counters.Sheet]
 	byGrade   []counters.GradeSheet
 	whole     uint64         // legs written whole
-	pending   int            // retrievals taken and not ended
+	pending   int            // requests taken and not ended
 	looks     bool           // a look for idle clients is due, or was when the standby ended
 	stoodBy   policy.Instant // when the call to stand by came
 	ending    policy.Instant // when the call to end came
@@ -410,7 +410,7 @@
 func (r *Relay) hasten() {
 	by := r.endBy().Add(-lastWords)
 	r.host.Hasten(r.now(), by)
-	r.hand.Each(func(id handID, v *retrieval) {
+	r.hand.Each(func(id handID, v *request) {
 		for n, l := range v.legs {
 			if l.out && l.giveUpAt > by {
 				r.due.Put(by, due{leg: legRef{id, n}})
@@ -455,14 +455,14 @@
 	return r.ending.Add(min(cmp.Or(r.Terms.LongestStop, mostToStop), mostToStop) + spareToStop)
 }
 
-// token is a retrieval's id towards the host: a slot's, so that no client can name another's.
-func token(id handID) policy.RetrievalID {
+// token is a request's id towards the host: a slot's, so that no client can name another's.
+func token(id handID) policy.RequestID {
 	var b [8]byte
 	binary.BigEndian.PutUint64(b[:], uint64(id))
-	return policy.RetrievalID(b[:])
+	return policy.RequestID(b[:])
 }
 
-func slotOf(id policy.RetrievalID) handID {
+func slotOf(id policy.RequestID) handID {
 	if len(id) != 8 {
 		return 0
 	}
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -207,7 +207,7 @@
 
 func value(line string) string { return "VA 5 " + id(line) + " h1\r\nhello\r\n" }
 
-// holdingOa answers as value does, but the retrieval a only once it may.
+// holdingOa answers as value does, but the request a only once it may.
 func holdingOa(may chan bool) func(string) string {
 	return func(line string) string {
 		if strings.Contains(line, "Oa") {
@@ -296,7 +296,7 @@
 }
 
 // A second copy that came behind an answer was taken for the next one's if that leg went out in between; what the
-// origin sends does not name its retrieval.
+// origin sends does not name its request.
 func TestALinkThatBringsMoreCarriesNoOtherLeg(t *testing.T) {
 	cache := make(chan net.Conn, 9)
 	g := newRig(t, 200, value)
@@ -390,7 +390,7 @@
 	})
 }
 
-func TestEveryRetrievalIsAnsweredByItsHardStop(t *testing.T) {
+func TestEveryRequestIsAnsweredByItsHardStop(t *testing.T) {
 	g := newRig(t, 200, func(line string) string { return "" })
 	c, r := g.client()
 	fmt.Fprint(c, "mg k1 v Oa Pc=read,d=1000\r\nmg k1 v Ob Pc=put,d=1000\r\n")
@@ -411,7 +411,7 @@
 	g.until("all are gone", func(n counters.Counters) bool { return n.Malformed == 3 && n.Legs == 3 })
 }
 
-// What no cache could use went on to one, and an id in use made two retrievals one there.
+// What no cache could use went on to one, and an id in use made two requests one there.
 func TestWhatNoCacheCouldUseIsToldAndReachesNone(t *testing.T) {
 	hold := make(chan bool)
 	g := newRig(t, 200, holdingOa(hold))
@@ -487,7 +487,7 @@
 	}
 }
 
-func TestWhatPilesUpBehindOneRetrievalIsBounded(t *testing.T) {
+func TestWhatPilesUpBehindOneRequestIsBounded(t *testing.T) {
 	hold := make(chan bool)
 	g := newRig(t, 200, func(line string) string { <-hold; return value(line) })
 	c, r := g.client()
@@ -748,7 +748,7 @@
 			began := time.Now()
 			time.Sleep(c.after)
 			fmt.Fprint(to, c.asks+"\r\n")
-			g.until("it is taken", func(n counters.Counters) bool { return n.Retrievals == 2 })
+			g.until("it is taken", func(n counters.Counters) bool { return n.Requests == 2 })
 			if c.attempts > 1 {
 				line, left := wait(t, g.lines), 0
 				_, told, _ := strings.Cut(line, "d=")
@@ -802,7 +802,7 @@
 				fmt.Fprint(c, command+"\r\n")
 				told[command] = r
 			}
-			g.until("all are taken", func(n counters.Counters) bool { return n.Retrievals == 4 && n.Legs >= 4 })
+			g.until("all are taken", func(n counters.Counters) bool { return n.Requests == 4 && n.Legs >= 4 })
 			defer l.Close()
 			began := time.Now()
 			g.End()
@@ -831,7 +831,7 @@
 	}
 }
 
-func TestWithoutRoomRetrievalsAreDismissedNotCutOff(t *testing.T) {
+func TestWithoutRoomRequestsAreDismissedNotCutOff(t *testing.T) {
 	hold := make(chan bool)
 	g := newRig(t, 64, func(line string) string { <-hold; return value(line) })
 	var rs []*bufio.Reader
@@ -839,7 +839,7 @@
 		c, r := g.client()
 		fmt.Fprintf(c, "mg k%[1]d v Oa%[1]d Pc=read,d=9000\r\n", n)
 		rs = append(rs, r)
-		g.until("it is taken", func(c counters.Counters) bool { return c.Retrievals == uint64(n+1) })
+		g.until("it is taken", func(c counters.Counters) bool { return c.Requests == uint64(n+1) })
 	}
 	close(hold)
 	served, busy := 0, 0
@@ -860,7 +860,7 @@
 }
 
 // A link that is taken up just before its idle time was looked after again at once until its leg ended, and no
-// event was handled meanwhile: eight retrievals were lost on a rough day.
+// event was handled meanwhile: eight requests were lost on a rough day.
 func TestLinkInUseAtItsIdleTimeIsLeftForLater(t *testing.T) {
 	r := &Relay{began: time.Now()}
 	r.Terms.Rules.IdleConnection = 10 * time.Second
@@ -986,7 +986,7 @@
 // Where legs may not be called off, a link that comes up late must not carry a leg of what is answered by then.
 func TestNothingGoesOutAfterTheAnswer(t *testing.T) {
 	r := &Relay{began: time.Now()}
-	v := &retrieval{answered: true, legs: []leg{{out: true}}}
+	v := &request{answered: true, legs: []leg{{out: true}}}
 	v.id = r.hand.Add(v)
 	l := &link{does: aLeg, leg: legRef{hand: v.id}, cache: &cache{}}
 	l.id = r.links.Add(l)
--- a/internal/net/relay/stream.go
+++ b/internal/net/relay/stream.go
@@ -34,7 +34,7 @@
 }
 
 // startStream begins to pass on a long value of which the head is there, and tells whether it did.
-func (r *Relay) startStream(l *link, v *retrieval, came *reply, wants int) bool {
+func (r *Relay) startStream(l *link, v *request, came *reply, wants int) bool {
 	c := r.clients.Get(v.client)
 	if came.head == 0 || came.long <= streamOver || v.answered || v.call.bare || c == nil {
 		return false
--- a/internal/net/sockets/sockets.go
+++ b/internal/net/sockets/sockets.go
@@ -468,7 +468,7 @@
 
 // CloseIfQuiet closes the connection by a reset, unless bytes have been read from it that the loop has not taken, or
 // what was written has not arrived. A reset tells the other side that whatever it has just sent was not read: after
-// an orderly end it could not tell that from a retrieval that was taken and never answered.
+// an orderly end it could not tell that from a request that was taken and never answered.
 func (w *Wire) CloseIfQuiet() bool {
 	if !w.mu.TryLock() { // bytes are being handed over, and may wait for the very loop that asks
 		return false
--- a/internal/net/sockets/sockets_test.go
+++ b/internal/net/sockets/sockets_test.go
@@ -124,7 +124,7 @@
 	}
 }
 
-// A client was closed as idle while its retrieval stood in the queue: read, never answered, and not sent again.
+// A client was closed as idle while its request stood in the queue: read, never answered, and not sent again.
 func TestAConnectionIsNotClosedOverBytesThatWait(t *testing.T) {
 	e := engine(t)
 	c, err := net.Dial("tcp", e.Addr(0).String())
--- a/internal/simwire/decode.go
+++ b/internal/simwire/decode.go
@@ -19,10 +19,10 @@
 // Node is one instance, from its start until it is killed.
 type Node interface {
 	Listed(now policy.Instant, form policy.ListForm, entries []policy.Entry)
-	Arrived(now policy.Instant, r *policy.Retrieval)
-	Ended(now policy.Instant, id policy.RetrievalID, how policy.Result, over bool, o policy.Outcome)
-	Started(id policy.RetrievalID)
-	Left(now policy.Instant, id policy.RetrievalID)
+	Arrived(now policy.Instant, r *policy.Request)
+	Ended(now policy.Instant, id policy.RequestID, how policy.Result, over bool, o policy.Outcome)
+	Started(id policy.RequestID)
+	Left(now policy.Instant, id policy.RequestID)
 	Probed(now policy.Instant, id policy.CacheID, found policy.Result)
 	Woken(now policy.Instant, token string)
 }
@@ -152,14 +152,14 @@
 		in.node.Listed(now, form, in.last)
 	case "job_in":
 		flags := int(houserules.Number(at(8)))
-		r := &policy.Retrieval{
-			ID: policy.RetrievalID(at(1).GetStringBytes()), Key: string(at(6).GetStringBytes()),
+		r := &policy.Request{
+			ID: policy.RequestID(at(1).GetStringBytes()), Key: string(at(6).GetStringBytes()),
 			Grade:  in.names.Grade(at(3).GetStringBytes()),
 			League: in.names.League(at(4).GetStringBytes()),
 			Write:  flags&4 != 0, Arrived: now, HardStop: instant(at(5)),
 		}
 		if r.ID == "" || r.HardStop <= 0 {
-			fmt.Fprintln(s.log, "passed over a retrieval without an id or a hard stop")
+			fmt.Fprintln(s.log, "passed over a request without an id or a hard stop")
 			break
 		}
 		in.node.Arrived(now, r)
@@ -170,10 +170,10 @@
 			fmt.Fprintln(s.log, "passed over an outcome of an unknown kind")
 			break
 		}
-		in.node.Ended(now, policy.RetrievalID(at(1).GetStringBytes()), how, at(3).GetBool(),
+		in.node.Ended(now, policy.RequestID(at(1).GetStringBytes()), how, at(3).GetBool(),
 			policy.Outcome{Leg: leg.GetInt(), Took: houserules.Span(at(6)), Report: report(&in.names, at(8))})
 	case "timed_out_client":
-		in.node.Left(now, policy.RetrievalID(at(1).GetStringBytes()))
+		in.node.Left(now, policy.RequestID(at(1).GetStringBytes()))
 	case "sampled":
 		if how, ok := result(at(2)); ok {
 			in.node.Probed(now, s.cacheID(at(1)), how)
@@ -181,7 +181,7 @@
 	case "wake":
 		in.node.Woken(now, string(at(1).GetStringBytes()))
 	case "established":
-		in.node.Started(policy.RetrievalID(at(1).GetStringBytes()))
+		in.node.Started(policy.RequestID(at(1).GetStringBytes()))
 	case "inbox": // nodes tell each other nothing yet
 	default:
 		fmt.Fprintf(s.log, "passed over an unknown event %q\n", name)
--- a/internal/simwire/encode.go
+++ b/internal/simwire/encode.go
@@ -93,7 +93,7 @@
 func (w *Writer) end() { w.buf = append(w.buf, ']') }
 
 // Send starts a leg.
-func (w *Writer) Send(id policy.RetrievalID, to policy.CacheID, giveUpAt policy.Instant) {
+func (w *Writer) Send(id policy.RequestID, to policy.CacheID, giveUpAt policy.Instant) {
 	w.begin("place")
 	w.text(string(id))
 	w.text(string(to))
@@ -102,7 +102,7 @@
 }
 
 // Cancel calls a leg off.
-func (w *Writer) Cancel(id policy.RetrievalID, leg int) {
+func (w *Writer) Cancel(id policy.RequestID, leg int) {
 	w.begin("retract")
 	w.text(string(id))
 	w.number(int64(leg))
@@ -110,7 +110,7 @@
 }
 
 // Dismiss answers that a retry is harmless.
-func (w *Writer) Dismiss(id policy.RetrievalID, comeBack time.Duration) {
+func (w *Writer) Dismiss(id policy.RequestID, comeBack time.Duration) {
 	w.begin("shed")
 	w.text(string(id))
 	w.seconds(comeBack)
@@ -118,7 +118,7 @@
 }
 
 // Scrap answers that it failed.
-func (w *Writer) Scrap(id policy.RetrievalID) {
+func (w *Writer) Scrap(id policy.RequestID) {
 	w.begin("surrender")
 	w.text(string(id))
 	w.end()
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -31,7 +31,7 @@
 	return `{"t_s":` + t + `,"parts":[{"node_id":3,"news":[` + news + `]}]}`
 }
 
-func TestRetrievalFromArrivalToAnswer(t *testing.T) {
+func TestRequestFromArrivalToAnswer(t *testing.T) {
 	got, err := serve(t, batch("10", begin),
 		batch("10.1", `["job_in","id1",null,"read",null,10.6,"key1",null,0]`),
 		batch("10.12", `["attempt_end","id1",0,true,"a:1",0,0.02,null,{"outstanding":2}]`),
--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -62,7 +62,7 @@
 	return l.Addr().String()
 }
 
-// ask asks over so many connections, each with one retrieval at a time.
+// ask asks over so many connections, each with one request at a time.
 func ask(b *testing.B, addr string, connections int, web bool) {
 	var wg sync.WaitGroup
 	var vain atomic.Int64
@@ -164,9 +164,9 @@
 	b.ReportMetric(float64(max(most, idle)-idle)/(1<<20), "heap-MB")
 }
 
-// One retrieval through a node by either protocol, and straight to a cache, in one run: what the node adds. Clients and caches are in the
+// One request through a node by either protocol, and straight to a cache, in one run: what the node adds. Clients and caches are in the
 // same process, so allocations are of all three; the difference is the node's.
-func BenchmarkRetrieval(b *testing.B) {
+func BenchmarkRequest(b *testing.B) {
 	var rows []map[string]any
 	for n := range 12 {
 		rows = append(rows, map[string]any{"instanceId": fmt.Sprint("c", n), "hostPort": echo(b), "lifecycle": "in_service", "zone": "z"})
--- a/node/node.go
+++ b/node/node.go
@@ -32,7 +32,7 @@
 	rarely        = 200  // percent that the heap may grow between collections: it is small, and a long value is a fair part of it
 	heapShare     = 0.6  // of the memory limit at which the collector works harder: stacks and sockets need some
 	deskFiles     = 2    // descriptors of the operators' desk beside its callers: its listener and one just let in
-	recordsAhead  = 4096 // records that may wait for who keeps them; more are dropped and counted, as no retrieval is to wait
+	recordsAhead  = 4096 // records that may wait for who keeps them; more are dropped and counted, as no request is to wait
 	fewestThreads = 2    // so that the loop need not wait for the poller to come back from its wait
 )
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -76,7 +76,7 @@
 	}
 	n.End()
 	<-done
-	if n.LogCounts(); n.Phase() != Stopped || n.Counts().Retrievals != 1 {
+	if n.LogCounts(); n.Phase() != Stopped || n.Counts().Requests != 1 {
 		t.Error(n.Phase(), n.Counts())
 	}
 }
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -40,15 +40,15 @@
 	rules HouseRules
 	now   Instant
 	state map[CacheID]Entry
-	hand  []*Retrieval
-	due   map[*Retrieval]Instant
-	stop  map[*Retrieval]Instant // when its legs time out
-	says  []float64              // what caches report
+	hand  []*Request
+	due   map[*Request]Instant
+	stop  map[*Request]Instant // when its legs time out
+	says  []float64            // what caches report
 }
 
 func newWorld(t *testing.T, rules HouseRules, es []Entry) *world {
-	w := &world{t: t, p: New(0, 1, rules), rules: rules, state: map[CacheID]Entry{}, due: map[*Retrieval]Instant{},
-		stop: map[*Retrieval]Instant{}}
+	w := &world{t: t, p: New(0, 1, rules), rules: rules, state: map[CacheID]Entry{}, due: map[*Request]Instant{},
+		stop: map[*Request]Instant{}}
 	w.list(LastHeld, es...)
 	return w
 }
@@ -60,20 +60,20 @@
 	w.p.Listed(w.now, form, es)
 }
 
-func (w *world) arrive(key string, grade GradeID, write bool) (*Retrieval, Move) {
-	r := &Retrieval{ID: RetrievalID(fmt.Sprint("r", len(w.hand))), Key: key, Grade: grade, Write: write, Arrived: w.now,
+func (w *world) arrive(key string, grade GradeID, write bool) (*Request, Move) {
+	r := &Request{ID: RequestID(fmt.Sprint("r", len(w.hand))), Key: key, Grade: grade, Write: write, Arrived: w.now,
 		HardStop: w.now.Add(800 * ms)}
 	w.hand = append(w.hand, r)
 	return r, w.apply(r, w.p.Where(w.now, r))
 }
 
-func (w *world) end(r *Retrieval, leg int, how Result) Move {
+func (w *world) end(r *Request, leg int, how Result) Move {
 	r.Legs[leg].Out, r.Legs[leg].Result = false, how
 	r.Over = r.Over || how == Answered
 	return w.apply(r, w.p.After(w.now, r, Outcome{Leg: leg, Took: w.now.Since(r.Legs[leg].Sent), Report: w.says}))
 }
 
-// drive lets retrievals arrive, one after the other; how a first leg ends is asked, and no other is made. It
+// drive lets requests arrive, one after the other; how a first leg ends is asked, and no other is made. It
 // counts them by cache and in all.
 func (w *world) drive(n int, every time.Duration, key func(int) string, how func(int, CacheID) Result) (to map[CacheID]int, all int) {
 	to = map[CacheID]int{}
@@ -94,7 +94,7 @@
 func anyKey(i int) string                         { return fmt.Sprint("key", i) }
 func always(how Result) func(int, CacheID) Result { return func(int, CacheID) Result { return how } }
 
-func (w *world) apply(r *Retrieval, m Move) Move {
+func (w *world) apply(r *Request, m Move) Move {
 	delete(w.due, r)
 	if m.Answer != Nothing {
 		if !plainAnswer(w.rules, r, m.Answer) || r.Over {
@@ -118,7 +118,7 @@
 		}
 	}
 	for _, id := range m.Wake {
-		if i := slices.IndexFunc(w.hand, func(q *Retrieval) bool { return q.ID == id }); i >= 0 && !w.hand[i].Over {
+		if i := slices.IndexFunc(w.hand, func(q *Request) bool { return q.ID == id }); i >= 0 && !w.hand[i].Over {
 			w.apply(w.hand[i], w.p.Where(w.now, w.hand[i]))
 		}
 	}
@@ -153,7 +153,7 @@
 	return l.Out || !slices.Contains([]Result{TurnedAway, Unconnected, NeverSent, Missed}, l.Result)
 }
 
-func gradeOf(h HouseRules, r *Retrieval) Grade {
+func gradeOf(h HouseRules, r *Request) Grade {
 	if r.Grade >= 0 && int(r.Grade) < len(h.Grades) {
 		return h.Grades[r.Grade]
 	}
@@ -161,7 +161,7 @@
 }
 
 // plainAllowed is the plain model of what may be sent: slow, and with nothing taken from the module.
-func plainAllowed(h HouseRules, state map[CacheID]Entry, now Instant, r *Retrieval, to CacheID) bool {
+func plainAllowed(h HouseRules, state map[CacheID]Entry, now Instant, r *Request, to CacheID) bool {
 	e, listed := state[to]
 	if r.Over || !listed || e.State != Ready || len(r.Legs) >= h.MostLegs || now >= r.HardStop {
 		return false
@@ -184,7 +184,7 @@
 }
 
 // plainAnswer is the plain model of dismissals: only where a retry is sure to do no harm.
-func plainAnswer(h HouseRules, r *Retrieval, a Answer) bool {
+func plainAnswer(h HouseRules, r *Request, a Answer) bool {
 	g := gradeOf(h, r)
 	return a == Scrap || g.Effect == Idempotent || g.Effect == Labelled && g.Scope == AllCaches ||
 		!slices.ContainsFunc(r.Legs, mayHaveRun)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,7 @@
-// Package policy decides, for one node, where retrievals go. Its interface and id types are in types.go. A
-// caller asks a Router by Where (send this retrieval there, or not yet, or never), After (what to do after a
+// Package policy decides, for one node, where requests go. Its interface and id types are in types.go. A
+// caller asks a Router by Where (send this request there, or not yet, or never), After (what to do after a
 // leg's outcome), Still (may a leg go out) and Wait (upkeep), and tells what was heard by Listed and Probed.
-// It keeps the timers and the retrievals and carries out each Move as it stands. Routers share nothing.
+// It keeps the timers and the requests and carries out each Move as it stands. Routers share nothing.
 package policy
 
 import (
@@ -38,8 +38,8 @@
 	sooner       = 2.0                    // times shorter that queues are full for what is cheap, at the most
 	trialShare   = 0.03                   // of those asked that always get in, to see a recovery
 	evidence     = 10.0                   // asked, or reports, that are kept: fewer make chance a sign
-	lately       = 50                     // retrievals over which shares are taken: a second or two
-	spareShare   = 0.05                   // second copies per retrieval: what a slow twentieth needs
+	lately       = 50                     // requests over which shares are taken: a second or two
+	spareShare   = 0.05                   // second copies per request: what a slow twentieth needs
 	spareMost    = 10                     // second copies saved up: covers one cache falling silent
 	lostLeast    = 1.1                    // asked per answer before any is turned away: a few are bad luck
 	fullShare    = 0.1                    // lost legs that one turned away as full counts for: cheap but vain
@@ -63,7 +63,7 @@
 	waitingOn, heard  Instant // first sending since the last word from it, and that word
 	fails, refused    int     // legs in a row without a word, and without a connection
 	restUntil, coldAt Instant // no legs before these; the second counts while it is cold
-	foreign           float64 // retrievals of others it holds by its last report
+	foreign           float64 // requests of others it holds by its last report
 	erred             []uint8 // errors by grade, halved by answers and by time
 	vain, served      float64 // share of the last few legs that were full, late or lost; answered in two seconds
 	faulty            float64 // how far it is believed to err, by any grade
@@ -94,25 +94,25 @@
 	rules                HouseRules
 	chance               keyhash.Source
 	caches               map[CacheID]*cache
-	listed               []*cache              // without the origin
-	deals                [2]*placement         // of home and of all; nil until asked for
-	origin               *cache                // nil in through mode
-	room, turns, spurned float64               // legs the origin may have; to rest for; turned away on end
-	fetches              map[uint64]*Retrieval // who fetches a key from the origin; others that miss it wait
-	queue                []*Retrieval          // waiting for room at the origin or for another's fetch
-	wanted               map[uint64]float64    // benefit asked of each key; halved now and then
-	short, bar           float64               // share of those for the origin without room; best worth
-	strain, missing      float64               // share of late legs at the origin; of misses, by what they cost
-	took, alone, pace    tally.Histogram       // of legs to caches: time, that of lone ones, time by each before
-	originTook           time.Duration         // by a leg there, smoothed
-	slow, patience       time.Duration         // the slow twentieth, and what means silence
-	coldShare, coldMost  float64               // part of what it surely bears sent to a cold cache; longest rest
-	usual, othersLoad    float64               // legs a warm cache of weight 1 answered; mean foreign load
-	doors                [2]door               // as the deals
-	spare, cheap, asking float64               // second copies saved up; mean cheapness; benefit asked
-	apart                bool                  // whether the home zone has a deal of its own
-	cut                  map[ZoneID]int        // legs in a row that no cache of a zone took a connection for
-	metered              []Instant             // up to when each league has used its share
+	listed               []*cache            // without the origin
+	deals                [2]*placement       // of home and of all; nil until asked for
+	origin               *cache              // nil in through mode
+	room, turns, spurned float64             // legs the origin may have; to rest for; turned away on end
+	fetches              map[uint64]*Request // who fetches a key from the origin; others that miss it wait
+	queue                []*Request          // waiting for room at the origin or for another's fetch
+	wanted               map[uint64]float64  // benefit asked of each key; halved now and then
+	short, bar           float64             // share of those for the origin without room; best worth
+	strain, missing      float64             // share of late legs at the origin; of misses, by what they cost
+	took, alone, pace    tally.Histogram     // of legs to caches: time, that of lone ones, time by each before
+	originTook           time.Duration       // by a leg there, smoothed
+	slow, patience       time.Duration       // the slow twentieth, and what means silence
+	coldShare, coldMost  float64             // part of what it surely bears sent to a cold cache; longest rest
+	usual, othersLoad    float64             // legs a warm cache of weight 1 answered; mean foreign load
+	doors                [2]door             // as the deals
+	spare, cheap, asking float64             // second copies saved up; mean cheapness; benefit asked
+	apart                bool                // whether the home zone has a deal of its own
+	cut                  map[ZoneID]int      // legs in a row that no cache of a zone took a connection for
+	metered              []Instant           // up to when each league has used its share
 	upkeeps, askFails    int
 	newsAt, askAt, cutAt Instant // of the last report; when to ask for the list; of the last cut of the room
 	originAt, originRest Instant // when a small room may have its next leg, and when any may
@@ -124,7 +124,7 @@
 	p := &Router{rules: rules, cheap: 1, askAt: now, room: max(1, originFirst/float64(rules.Nodes)),
 		turns: max(0, float64(rules.Nodes)/originFirst-2), spurned: originWary, cut: map[ZoneID]int{},
 		coldShare: max(1, fallPart*rules.FallMultiple), doors: [2]door{{evidence, evidence}, {evidence, evidence}},
-		coldMost: float64(rules.ColdFor) * max(1, float64(rules.Nodes)/coldFirst), fetches: map[uint64]*Retrieval{},
+		coldMost: float64(rules.ColdFor) * max(1, float64(rules.Nodes)/coldFirst), fetches: map[uint64]*Request{},
 		caches: map[CacheID]*cache{}, wanted: map[uint64]float64{}, metered: make([]Instant, len(rules.Leagues)),
 		chance: keyhash.Source{Seed: uint32(seed ^ seed>>32)}}
 	p.retime()
@@ -302,8 +302,8 @@
 	return float64(c.out) + p.othersLoad + (c.foreign-p.othersLoad)*fresh
 }
 
-// lawful is the second rule and the third: may this retrieval go to this cache now, however wise it seems?
-func (p *Router) lawful(now Instant, r *Retrieval, c *cache) bool {
+// lawful is the second rule and the third: may this request go to this cache now, however wise it seems?
+func (p *Router) lawful(now Instant, r *Request, c *cache) bool {
 	if r.Over || c.State != Ready || len(r.Legs) >= p.rules.MostLegs || p.left(now, r) <= 0 {
 		return false
 	}
@@ -326,21 +326,21 @@
 }
 
 // Still tells whether a leg may go out whose connection took time: news may have come, or a window passed.
-func (p *Router) Still(now Instant, r Retrieval, leg int) bool {
+func (p *Router) Still(now Instant, r Request, leg int) bool {
 	c := p.caches[r.Legs[leg].To]
 	r.Legs = slices.Delete(slices.Clone(r.Legs), leg, leg+1)
 	return c != nil && p.lawful(now, &r, c)
 }
 
 // left is the time in which a leg can still be answered before the hard stop.
-func (p *Router) left(now Instant, r *Retrieval) time.Duration {
+func (p *Router) left(now Instant, r *Request) time.Duration {
 	return r.HardStop.Since(now) - 2*p.rules.Round
 }
 
 var isOut, missed = func(l Leg) bool { return l.Out }, func(l Leg) bool { return l.Result == Missed }
 
-// giveUp ends a retrieval at once: with a dismissal where a retry is sure to do no harm.
-func (p *Router) giveUp(r *Retrieval) Move {
+// giveUp ends a request at once: with a dismissal where a retry is sure to do no harm.
+func (p *Router) giveUp(r *Request) Move {
 	g := r.memo.grade
 	if g.Effect == Idempotent || g.Effect == Labelled && g.Scope == AllCaches ||
 		!slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.Out || !l.Result.NeverRan() }) {
@@ -350,7 +350,7 @@
 }
 
 // turnAway guards against collapse: while far more is asked than answered, by chance, cheaper ones more.
-func (p *Router) turnAway(r *Retrieval, side int) bool {
+func (p *Router) turnAway(r *Request, side int) bool {
 	d, least := &p.doors[side], lostLeast
 	if p.apart && side == home { // others' caches are asked by the share that home loses: it costs a crossing
 		least = 1 - trialShare
@@ -379,7 +379,7 @@
 // holders lists a key's caches, first ranked first. One that drains, is silent, fails this grade fast and so
 // looks idle, or is too cold for the key yields to the next ranked spare. Reads of a key that is asked for
 // more than three caches' even share have more holders, or those would be full while others had room.
-func (p *Router) holders(now Instant, r *Retrieval, side int) (hs []*cache) {
+func (p *Router) holders(now Instant, r *Request, side int) (hs []*cache) {
 	n, w := copies, p.wanted[r.memo.key]
 	if !r.Write && w*p.cheap*p.cheap >= hotLeast {
 		n = max(n, min(segments, int(w/p.asking*float64(len(p.listed)))))
@@ -400,7 +400,7 @@
 }
 
 // pick chooses the least loaded holder not yet tried; full: queues would take the rest of the soft limit.
-func (p *Router) pick(now Instant, r *Retrieval, hs []*cache) (best *cache, full bool) {
+func (p *Router) pick(now Instant, r *Request, hs []*cache) (best *cache, full bool) {
 	soft, least := r.memo.grade.SoftLimit, math.Inf(1)
 	// while the origin is short, earlier ones may have legs more; by chance, or it would part all equal loads
 	lean, rank := rankTie, max(0, rankLegs*max(p.short, min(1, p.missing))-p.chance.Next())
@@ -425,7 +425,7 @@
 }
 
 // choose picks a holder by a deal; where none can take it, of those away, also beside a leg that is silent.
-func (p *Router) choose(now Instant, r *Retrieval, side int) (c *cache, hs []*cache, full bool) {
+func (p *Router) choose(now Instant, r *Request, side int) (c *cache, hs []*cache, full bool) {
 	hs = p.holders(now, r, side)
 	if c, full = p.pick(now, r, hs); c == nil && p.apart && side != away {
 		spare, others, short := p.choose(now, r, away)
@@ -448,7 +448,7 @@
 	return tieBreak * t / c.Weight
 }
 
-func (p *Router) send(now Instant, r *Retrieval, cs ...*cache) Move {
+func (p *Router) send(now Instant, r *Request, cs ...*cache) Move {
 	m := Move{GiveUpAt: now.Add(p.left(now, r)), AskAgain: now.Add(p.slow)}
 	for _, c := range cs {
 		if c.out++; c.out == 1 {
@@ -461,7 +461,7 @@
 	return m
 }
 
-func (p *Router) meet(now Instant, r *Retrieval) { // an unknown grade counts as of the strictest there is
+func (p *Router) meet(now Instant, r *Request) { // an unknown grade counts as of the strictest there is
 	g, at := Grade{SoftLimit: r.HardStop.Since(r.Arrived)}, len(p.rules.Grades)
 	if r.Grade >= 0 && int(r.Grade) < at {
 		g, at = p.rules.Grades[r.Grade], int(r.Grade)
@@ -482,7 +482,7 @@
 	r.memo = memo{true, g, at, key, benefit, cheap / p.cheap, ""}
 }
 
-func (p *Router) Where(now Instant, r *Retrieval) Move {
+func (p *Router) Where(now Instant, r *Request) Move {
 	if r.Over {
 		return Move{}
 	} else if !r.memo.met {
@@ -495,7 +495,7 @@
 }
 
 // further decides on a read whose leg is out long: a copy beside it, if lateness costs more, or calling off.
-func (p *Router) further(now Instant, r *Retrieval, leg int) Move {
+func (p *Router) further(now Instant, r *Request, leg int) Move {
 	to := p.caches[r.Legs[leg].To]
 	origin, soft := to != nil && to == p.origin, r.memo.grade.SoftLimit
 	out, late := now.Since(r.Legs[leg].Sent), max(originLate*p.originTook, soft/2)
@@ -515,7 +515,7 @@
 	return Move{AskAgain: now.Add(p.slow)}
 }
 
-func (p *Router) next(now Instant, r *Retrieval) Move {
+func (p *Router) next(now Instant, r *Request) Move {
 	g, ran := r.memo.grade, len(r.Legs) > 0 && !r.Legs[len(r.Legs)-1].Result.NeverRan()
 	if len(r.Legs) >= p.rules.MostLegs || p.left(now, r) <= p.slow/8 || ran && p.spare < 0 {
 		return p.giveUp(r)
@@ -554,13 +554,13 @@
 	return p.giveUp(r)
 }
 
-func (p *Router) leads(r *Retrieval) bool { // to the origin itself: it has no other's fetch to wait for
+func (p *Router) leads(r *Request) bool { // to the origin itself: it has no other's fetch to wait for
 	f := p.fetches[r.memo.key]
 	return r.Write || f == nil || f == r || f.Over
 }
 
 // toOrigin sends a write, or a read that missed: one fetches a key while others wait, and legs are bounded.
-func (p *Router) toOrigin(now Instant, r *Retrieval) Move {
+func (p *Router) toOrigin(now Instant, r *Request) Move {
 	left := r.memo.grade.SoftLimit - now.Since(r.Arrived)
 	queued := slices.Contains(p.queue, r)
 	if p.origin == nil || !p.lawful(now, r, p.origin) || queued && left <= 0 {
@@ -597,10 +597,10 @@
 }
 
 // dequeue wakes those whose fetch is over, or that the origin has room for: worth most first, then oldest.
-func (p *Router) dequeue(now Instant) (wake []RetrievalID) {
-	done := func(q *Retrieval) bool { return q.Over || slices.ContainsFunc(q.Legs, isOut) }
+func (p *Router) dequeue(now Instant) (wake []RequestID) {
+	done := func(q *Request) bool { return q.Over || slices.ContainsFunc(q.Legs, isOut) }
 	p.queue = slices.DeleteFunc(p.queue, done)
-	most := func(a, b *Retrieval) int { return cmp.Compare(p.wanted[b.memo.key], p.wanted[a.memo.key]) }
+	most := func(a, b *Request) int { return cmp.Compare(p.wanted[b.memo.key], p.wanted[a.memo.key]) }
 	slices.SortStableFunc(p.queue, most)
 	free, unserved := p.free(now), 0.0
 	for _, q := range p.queue {
@@ -618,7 +618,7 @@
 	return wake
 }
 
-func (p *Router) After(now Instant, r *Retrieval, o Outcome) (m Move) {
+func (p *Router) After(now Instant, r *Request, o Outcome) (m Move) {
 	leg, leads := r.Legs[o.Leg], p.fetches[r.memo.key] == r
 	if c := p.caches[leg.To]; c != nil {
 		p.learn(now, c, r, leg, o)
@@ -649,7 +649,7 @@
 	return m
 }
 
-func (p *Router) learn(now Instant, c *cache, r *Retrieval, leg Leg, o Outcome) {
+func (p *Router) learn(now Instant, c *cache, r *Request, leg Leg, o Outcome) {
 	d, at, own, inTime, sign := &p.doors[p.sideOf(c)], r.memo.at, float64(c.out), 0.0, 1.0
 	if (leg.Result == Answered || leg.Result == Missed) && o.Took <= r.memo.grade.SoftLimit {
 		inTime, c.passed = 1, max(c.passed, leg.Sent)
@@ -742,7 +742,7 @@
 				return w*p.cheap*p.cheap < 0.5
 			})
 		}
-		maps.DeleteFunc(p.fetches, func(_ uint64, r *Retrieval) bool { return r.Over })
+		maps.DeleteFunc(p.fetches, func(_ uint64, r *Request) bool { return r.Over })
 	}
 	if d := p.doors[home]; !p.rules.Aside { // as far as can be seen, who loses legs is short of its origin
 		p.short = max(0, d.asked-d.good) / max(1, d.asked)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -24,7 +24,7 @@
 }
 
 func holdersOf(p *Router, key string) (ids []CacheID) {
-	r := &Retrieval{Key: key, HardStop: 1e12}
+	r := &Request{Key: key, HardStop: 1e12}
 	p.meet(0, r)
 	for _, c := range p.holders(0, r, home) {
 		ids = append(ids, c.ID)
@@ -219,7 +219,7 @@
 	}
 }
 
-// Two legs given up after some milliseconds, since their retrievals had no more time, left a cache out.
+// Two legs given up after some milliseconds, since their requests had no more time, left a cache out.
 func TestALegGivenUpSoonIsNoSilence(t *testing.T) {
 	for _, c := range []struct {
 		took time.Duration
@@ -229,7 +229,7 @@
 		first := w.p.caches[holdersOf(w.p, "k")[0]]
 		w.now = w.now.Add(time.Second)
 		for range failsToRest {
-			r := &Retrieval{HardStop: w.now.Add(c.took), Legs: []Leg{{To: first.ID, Sent: w.now, Result: TimedOut}}, Over: true}
+			r := &Request{HardStop: w.now.Add(c.took), Legs: []Leg{{To: first.ID, Sent: w.now, Result: TimedOut}}, Over: true}
 			w.now = w.now.Add(c.took)
 			w.p.After(w.now, r, Outcome{Took: c.took})
 		}
@@ -341,7 +341,7 @@
 		legs += len(r.Legs)
 	}
 	if legs > 200+2*spareMost+10 {
-		t.Errorf("200 retrievals that all fail made %d legs", legs)
+		t.Errorf("200 requests that all fail made %d legs", legs)
 	}
 }
 
@@ -403,7 +403,7 @@
 	}
 }
 
-// A node that sees a retrieval now and then must notice a collapse as soon as one that sees hundreds.
+// A node that sees a request now and then must notice a collapse as soon as one that sees hundreds.
 func TestFewLossesShutTheDoorOfANodeThatSeesFew(t *testing.T) {
 	w := newWorld(t, testRules(), fleet(45, false))
 	w.drive(60, 250*ms, anyKey, always(TimedOut))
@@ -455,7 +455,7 @@
 		rules.SecondCopies, rules.MayCancel = false, false
 		w, in := newWorld(t, rules, fleet(12, false)), 0
 		for i := range 800 {
-			r := &Retrieval{ID: RetrievalID(anyKey(i)), Key: anyKey(i), Arrived: w.now, HardStop: w.now.Add(800 * ms)}
+			r := &Request{ID: RequestID(anyKey(i)), Key: anyKey(i), Arrived: w.now, HardStop: w.now.Add(800 * ms)}
 			if i%5 == 0 {
 				r.HardStop = w.now.Add(c.waits)
 			}
@@ -516,7 +516,7 @@
 	}
 	w.drive(400, 60*ms, anyKey, some)
 	if _, sent := w.drive(100, 60*ms, anyKey, some); sent < 40 {
-		t.Errorf("%d of 100 retrievals went out though four of five caches are idle", sent)
+		t.Errorf("%d of 100 requests went out though four of five caches are idle", sent)
 	}
 }
 
@@ -542,7 +542,7 @@
 
 func TestOneFetchServesAllThatMissed(t *testing.T) {
 	w := asideWorld(t)
-	var rs []*Retrieval
+	var rs []*Request
 	for range 5 {
 		r, _ := w.arrive("k", 0, false)
 		rs = append(rs, r)
@@ -692,7 +692,7 @@
 	w, within := newWorld(t, rules, fleet(12, false)), 0
 	w.now = Instant(5 * time.Second)
 	for range 50 {
-		r := &Retrieval{League: 0, HardStop: w.now.Add(time.Second)}
+		r := &Request{League: 0, HardStop: w.now.Add(time.Second)}
 		if w.p.meet(w.now, r); r.memo.benefit == 1 {
 			within++
 		}
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -66,7 +66,7 @@
 		rules.SecondCopies, rules.MostLegs = rnd.Intn(2) == 0, 1+rnd.Intn(4)
 		rules.Grades[1].Window, rules.Grades[3].Scope = 400*ms, Scope(rnd.Intn(3))
 		w := newWorld(t, rules, fleet(6, false))
-		r := &Retrieval{Grade: GradeID(rnd.Intn(6) - 1), HardStop: Instant(800 * ms), Over: rnd.Intn(9) == 0}
+		r := &Request{Grade: GradeID(rnd.Intn(6) - 1), HardStop: Instant(800 * ms), Over: rnd.Intn(9) == 0}
 		w.p.meet(0, r)
 		for range rnd.Intn(4) {
 			r.Legs = append(r.Legs, Leg{To: CacheID(fmt.Sprintf("cache-%d", rnd.Intn(6))), Sent: Instant(rnd.Intn(300)) * Instant(ms),
--- a/policy/types.go
+++ b/policy/types.go
@@ -1,4 +1,4 @@
-// Package policy decides where retrievals go. This file holds its interface and id types; policy.go
+// Package policy decides where requests go. This file holds its interface and id types; policy.go
 // decides.
 package policy
 
@@ -18,15 +18,15 @@
 
 // The kinds of id. Names are compared and hashed, never read for meaning.
 type (
-	CacheID     string
-	RetrievalID string
-	ZoneID      string
-	GroupID     int64 // caches that remember the same labelled writes
-	GradeID     int   // index into HouseRules.Grades; any other value is an unknown grade
-	LeagueID    int   // index into HouseRules.Leagues; any other value is no league
+	CacheID   string
+	RequestID string
+	ZoneID    string
+	GroupID   int64 // caches that remember the same labelled writes
+	GradeID   int   // index into HouseRules.Grades; any other value is an unknown grade
+	LeagueID  int   // index into HouseRules.Leagues; any other value is no league
 )
 
-// Effect says what a second run of a retrieval would do.
+// Effect says what a second run of a request would do.
 type Effect int
 
 // The zero Effect is the strictest, so that whatever is unknown is treated with most care.
@@ -36,7 +36,7 @@
 	Idempotent
 )
 
-// Scope says which caches drop repeats of a labelled retrieval.
+// Scope says which caches drop repeats of a labelled request.
 type Scope int
 
 // The zero Scope is the narrowest.
@@ -53,7 +53,7 @@
 	Late      float64 // share of the benefit that an answer after the soft limit still has
 	Effect    Effect
 	Scope     Scope
-	Window    time.Duration // how long repeats of a labelled retrieval are dropped
+	Window    time.Duration // how long repeats of a labelled request are dropped
 }
 
 // League is one customer's share.
@@ -71,7 +71,7 @@
 	OriginKind     int
 	MustAsk        bool // the list comes only when asked for
 	ExcessBenefit  float64
-	CrossingPrice  float64 // points off for each leg that crosses zones, as a share of a retrieval
+	CrossingPrice  float64 // points off for each leg that crosses zones, as a share of a request
 	WastePrice     float64
 	MostLegs       int
 	IdleConnection time.Duration // a connection not in use closes after this
@@ -85,7 +85,7 @@
 	ColdFor        time.Duration
 	FallMultiple   float64 // times its capacity that push a cold cache over; 0 if not stated
 	WaitingAt      int     // which report value counts those that wait for a core; -1 for none
-	InFlightAt     int     // which report value counts retrievals in hand; -1 for none
+	InFlightAt     int     // which report value counts requests in hand; -1 for none
 }
 
 // ListForm says how a list is to be read.
@@ -138,7 +138,7 @@
 	return r == TurnedAway || r == Unconnected || r == NeverSent || r == Missed
 }
 
-// Leg is one sending of a retrieval.
+// Leg is one sending of a request.
 type Leg struct {
 	To     CacheID
 	Sent   Instant
@@ -146,10 +146,10 @@
 	Result Result // once it is no longer out
 }
 
-// Retrieval is one in hand. The caller fills in the exported fields, appends a Leg for each sending it was
+// Request is one in hand. The caller fills in the exported fields, appends a Leg for each sending it was
 // told to make, and closes the Leg before it tells of the outcome.
-type Retrieval struct {
-	ID       RetrievalID
+type Request struct {
+	ID       RequestID
 	Key      string
 	Grade    GradeID
 	League   LeagueID
@@ -178,7 +178,7 @@
 	Scrap
 )
 
-// Move is what to do with one retrieval. Several parts may be set at once.
+// Move is what to do with one request. Several parts may be set at once.
 type Move struct {
 	To       []CacheID     // send a leg to each of these, in order
 	GiveUpAt Instant       // when these legs time out
@@ -186,7 +186,7 @@
 	Answer   Answer        // final answer, if any
 	ComeBack time.Duration // told to the client with a dismissal; 0 for none
 	AskAgain Instant       // call Where again then, unless it is over; 0 for no need
-	Wake     []RetrievalID // call Where for these now
+	Wake     []RequestID   // call Where for these now
 }
 
 // ChoreKind is a kind of upkeep.
