--- a/internal/baselines/baselines.go
+++ b/internal/baselines/baselines.go
@@ -17,7 +17,7 @@
 	points  = 64                     // of each cache on the ring: shares differ by an eighth or so
 	holders = 3                      // of a key, as the module has them
 	upkeep  = time.Second            // they have none; the host wants a time
-	spare   = 2 * time.Millisecond   // before the hard stop, for the answer's way
+	spare   = 2 * time.Millisecond   // before the deadline, for the answer's way
 	waits   = 250 * time.Millisecond // for a dismissed client to come back, where it may be told
 )
 
@@ -158,7 +158,7 @@
 		missed = missed || l.Result == policy.Missed
 		mayHaveRun = mayHaveRun || !l.Result.NeverRan()
 	}
-	by := r.HardStop.Add(-spare)
+	by := r.Deadline.Add(-spare)
 	again := !mayHaveRun || g.Effect == policy.Idempotent ||
 		g.Effect == policy.Labelled && g.Scope == policy.AllCaches && now.Since(r.Legs[0].Sent) < g.Window-time.Second
 	if again && by > now && len(r.Legs) < p.rules.MostLegs {
--- a/internal/emulator/client/client.go
+++ b/internal/emulator/client/client.go
@@ -22,7 +22,7 @@
 
 const (
 	connectWithin = time.Second
-	beyond        = 300 * time.Millisecond // over its hard stop that an answer is still looked for: a late one is to be seen
+	beyond        = 300 * time.Millisecond // over its deadline that an answer is still looked for: a late one is to be seen
 	mostIdle      = 512                    // connections kept for one node
 	longOver      = 64 << 10               // bytes from which a node may pass a value on as it comes
 	mostValue     = 4<<20 + 1<<10
@@ -34,7 +34,7 @@
 	Write, Repeat         bool
 	Value                 string
 	Holds                 string        // by HTTP: the value that the client has, and asks whether it still holds
-	Wait                  time.Duration // until the hard stop
+	Wait                  time.Duration // until the deadline
 	Leaves                time.Duration // after which it goes without an answer; 0 for not
 }
 
--- a/internal/emulator/judge/judge.go
+++ b/internal/emulator/judge/judge.go
@@ -125,7 +125,7 @@
 func (j *Judge) Answered(now policy.Instant, id string, how Final) time.Duration {
 	t := j.hand[id]
 	if t == nil {
-		j.breach(1, now, id, -1, "", "an answer to what nobody asked, or long after its hard stop")
+		j.breach(1, now, id, -1, "", "an answer to what nobody asked, or long after its deadline")
 		return 0
 	}
 	if t.gone != 0 { // it crossed the client's leaving
@@ -141,7 +141,7 @@
 	}
 	t.answered, t.final = now, how
 	if now > t.stop.Add(j.terms.Slack) {
-		j.breach(1, now, id, t.node, "", "the final answer came after the hard stop")
+		j.breach(1, now, id, t.node, "", "the final answer came after the deadline")
 	}
 	c, g := &j.Grades[t.grade], &j.terms.Grades[t.grade]
 	took := now.Since(t.sent)
@@ -281,7 +281,7 @@
 	j.breach(4, now, "", -1, server, "pushed over: "+why)
 }
 
-// Advance looks at what is due: requests without an answer at their hard stop.
+// Advance looks at what is due: requests without an answer at their deadline.
 func (j *Judge) Advance(now policy.Instant) {
 	for {
 		id, ok := j.due.Due(now)
@@ -293,7 +293,7 @@
 			continue
 		}
 		if t.answered == 0 && t.gone == 0 {
-			j.breach(1, now, id, t.node, "", "no final answer by its hard stop")
+			j.breach(1, now, id, t.node, "", "no final answer by its deadline")
 			t.answered, t.lost = now, true
 		}
 		j.forget.Put(t.stop.Add(keepFor), id)
@@ -307,7 +307,7 @@
 	}
 }
 
-const keepFor = 5 * time.Second // that a request is watched beyond its hard stop
+const keepFor = 5 * time.Second // that a request is watched beyond its deadline
 
 // Broken counts all breaches.
 func (j *Judge) Broken() (n uint64) {
--- a/internal/emulator/onwire/rig.go
+++ b/internal/emulator/onwire/rig.go
@@ -29,7 +29,7 @@
 	slack      = 50 * time.Millisecond  // that sockets and a busy machine may take before it counts as a breach
 	startsFor  = 20 * time.Second       // that nodes may take until they serve
 	goesOnFor  = 250 * time.Millisecond // that clients still come to a node that was told to end
-	spareToEnd = 2 * time.Second        // over the longest hard stop, until a node that was told to end is ended
+	spareToEnd = 2 * time.Second        // over the longest deadline, until a node that was told to end is ended
 	lookAgain  = 20 * time.Millisecond
 )
 
@@ -156,7 +156,7 @@
 	if err := r.arrivals(ctx, start); err != nil {
 		return nil, err
 	}
-	select { // the last ones have their hard stops still to come
+	select { // the last ones have their deadlines still to come
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	case <-time.After(terms.LongestStop + 2*slack):
@@ -318,8 +318,8 @@
 	now, life := r.now(), m.lives
 	m.figures.open++
 	m.asks[req.ID] = true
-	r.judge.Sent(now, req.ID, m.number, req.Grade, req.Label, now.Add(req.HardStop), isFirst)
-	a := &client.Ask{ID: req.ID, Key: req.Key, Label: req.Label, Grade: g.Name, Write: g.Write, Repeat: req.Try > 1, Wait: req.HardStop, Leaves: req.Leaves}
+	r.judge.Sent(now, req.ID, m.number, req.Grade, req.Label, now.Add(req.Deadline), isFirst)
+	a := &client.Ask{ID: req.ID, Key: req.Key, Label: req.Label, Grade: g.Name, Write: g.Write, Repeat: req.Try > 1, Wait: req.Deadline, Leaves: req.Leaves}
 	if g.Write {
 		a.Value = world.ValueOf(req.Key)
 	}
@@ -353,7 +353,7 @@
 	case got.Left:
 		r.judge.Gone(now, req.ID)
 		return
-	case got.Silent: // the judge counts it as lost at its hard stop
+	case got.Silent: // the judge counts it as lost at its deadline
 		return
 	case got.Final == judge.Cut && m.lives != life || got.Final == judge.Cut && m.killed:
 		r.judge.Excuse(req.ID)
--- a/internal/emulator/script/script.go
+++ b/internal/emulator/script/script.go
@@ -130,7 +130,7 @@
 	Skew      float64 `toml:"skew"`       // exponent of how uneven nodes' traffic is, by their numbers; in virtual time only, 0 for even
 	Leaves    float64 `toml:"leaves"`     // share of tries whose clients go early
 	LeaveMs   float64 `toml:"leave_ms"`   // and after how long at the latest
-	Short     float64 `toml:"short"`      // share of tries whose clients wait less than the hard stop
+	Short     float64 `toml:"short"`      // share of tries whose clients wait less than the deadline
 	ShortMs   float64 `toml:"short_ms"`   // and how long at the most; half of that at the least
 	Protocol  string  `toml:"protocol"`   // of clients
 	LongShare float64 `toml:"long_share"` // of the keys, which have a long value; on sockets only, as virtual time has no bytes
@@ -519,7 +519,7 @@
 // Terms are the grades as the world has them.
 func (s *Script) Terms() (gs []world.Grade) {
 	for _, g := range s.Grades {
-		gs = append(gs, world.Grade{Name: g.Name, Write: g.Write, HardStop: ms(g.HardMs), Work: ms(g.WorkMs), Share: g.Share, Tries: g.Tries,
+		gs = append(gs, world.Grade{Name: g.Name, Write: g.Write, Deadline: ms(g.HardMs), Work: ms(g.WorkMs), Share: g.Share, Tries: g.Tries,
 			Grade: policy.Grade{Benefit: g.Benefit, SoftLimit: ms(g.SoftMs), Effect: effects[g.Effect], Scope: scopes[g.Scope], Window: Span(g.WindowS)}})
 	}
 	return gs
--- a/internal/emulator/virtual/node.go
+++ b/internal/emulator/virtual/node.go
@@ -148,7 +148,7 @@
 	n.hand[v.id] = v
 	n.r.Decided++
 	n.host.Arrived(n.r.now, &policy.Request{ID: v.id, Key: req.Key, Grade: policy.GradeID(req.Grade), League: -1,
-		Write: n.r.traffic.Grades[req.Grade].Write, Arrived: n.r.now, HardStop: n.r.now.Add(req.HardStop)})
+		Write: n.r.traffic.Grades[req.Grade].Write, Arrived: n.r.now, Deadline: n.r.now.Add(req.Deadline)})
 	return v
 }
 
@@ -308,7 +308,7 @@
 		return
 	}
 	j := world.Job{Request: l.v.req.ID, Node: l.n.number, Key: l.v.req.Key, Label: l.v.req.Label, Grade: l.v.req.Grade,
-		Until: l.v.req.Sent.Add(l.v.req.HardStop + slack), Tag: l.tag}
+		Until: l.v.req.Sent.Add(l.v.req.Deadline + slack), Tag: l.tag}
 	r.legs[l.tag] = l
 	if d, ok := r.world.Offer(r.now, l.server, j); !ok {
 		r.served(d)
--- a/internal/emulator/virtual/virtual.go
+++ b/internal/emulator/virtual/virtual.go
@@ -27,7 +27,7 @@
 	epoch      = policy.Instant(time.Second)
 	slack      = 20 * time.Millisecond // that what crosses may take before it counts as a breach: some ways over the network
 	stepsAtOne = 1 << 19               // events within a millisecond that no fleet has
-	settle     = 2 * time.Second       // after the script's end: the longest hard stop is added
+	settle     = 2 * time.Second       // after the script's end: the longest deadline is added
 )
 
 // Maker makes a node's decider.
@@ -336,7 +336,7 @@
 	}
 	n := r.choose()
 	req.Sent = r.now
-	r.judge.Sent(r.now, req.ID, n.number, req.Grade, req.Label, r.now.Add(req.HardStop), isFirst)
+	r.judge.Sent(r.now, req.ID, n.number, req.Grade, req.Label, r.now.Add(req.Deadline), isFirst)
 	life := n.life
 	r.after(r.clientWay(), func() {
 		if n.life != life || n.host == nil { // it died while this was on its way: the client sees a reset
--- a/internal/emulator/virtual/virtual_test.go
+++ b/internal/emulator/virtual/virtual_test.go
@@ -129,7 +129,7 @@
 
 func (w *wrong) Where(now policy.Instant, r *policy.Request) policy.Move {
 	m := w.Decider.Where(now, r)
-	switch by := r.HardStop; {
+	switch by := r.Deadline; {
 	case len(r.Legs) > 0 || r.Over:
 	case w.how == "to one that drains" && !r.Write: // each starts at the first it ever heard of
 		m.To, m.GiveUpAt = w.ids[:1], by
--- a/internal/emulator/world/traffic.go
+++ b/internal/emulator/world/traffic.go
@@ -23,7 +23,7 @@
 	Grade    int
 	Try      int            // from 1
 	Sent     policy.Instant // by the client
-	HardStop time.Duration  // that the client waits
+	Deadline time.Duration  // that the client waits
 	Leaves   time.Duration  // after which it goes all the same; 0 for not
 }
 
@@ -37,9 +37,9 @@
 	Grades    []Grade
 	Seed      uint32
 	Jitter    float64 // of the time after which a client asks again
-	Leaves    float64 // share of tries whose client goes before its hard stop
+	Leaves    float64 // share of tries whose client goes before its deadline
 	LeaveMost time.Duration
-	Short     float64 // share of tries whose client waits less than its grade's hard stop
+	Short     float64 // share of tries whose client waits less than its grade's deadline
 	ShortMost time.Duration
 }
 
@@ -102,7 +102,7 @@
 		r.Key = t.hot
 	}
 	r.ID = t.name()
-	r.HardStop, r.Leaves = t.waits(r.ID, g.HardStop), t.leaves(r.ID)
+	r.Deadline, r.Leaves = t.waits(r.ID, g.Deadline), t.leaves(r.ID)
 	if g.Effect == policy.Labelled {
 		r.Label = "l" + r.ID
 	}
@@ -118,7 +118,7 @@
 	return max(1, time.Duration(of.Next()*float64(t.LeaveMost)))
 }
 
-// waits tells how long the client of a try waits: its grade's hard stop, or half to all of the short time. By the try's id, as above.
+// waits tells how long the client of a try waits: its grade's deadline, or half to all of the short time. By the try's id, as above.
 func (t *Traffic) waits(id string, usual time.Duration) time.Duration {
 	of := keyhash.Source{Seed: ^uint32(keyhash.Text(id))}
 	if of.Next() >= t.Short {
@@ -152,6 +152,6 @@
 	wait += time.Duration(float64(wait) * t.Jitter * t.chance.Next())
 	r.Try++
 	r.ID, r.Sent = t.name(), now.Add(wait)
-	r.HardStop, r.Leaves = t.waits(r.ID, g.HardStop), t.leaves(r.ID)
+	r.Deadline, r.Leaves = t.waits(r.ID, g.Deadline), t.leaves(r.ID)
 	return r, r.Sent, true
 }
--- a/internal/emulator/world/world.go
+++ b/internal/emulator/world/world.go
@@ -15,7 +15,7 @@
 const (
 	demandOver  = 500 * time.Millisecond // over which the work that arrives is averaged
 	fallenFor   = 3 * time.Second        // that a server which was pushed over is gone
-	missesKept  = 20 * time.Second       // that a miss is remembered for the value that the origin may bring: over any hard stop
+	missesKept  = 20 * time.Second       // that a miss is remembered for the value that the origin may bring: over any deadline
 	reportEvery = 500 * time.Millisecond // between load reports: what stands on an answer is as old as that
 	originFast  = 0.25                   // of the usual work that a write refused as a repeat costs
 	missWork    = 0.5                    // of the work of a hit that finding nothing costs
@@ -55,7 +55,7 @@
 	policy.Grade
 	Name     string
 	Write    bool
-	HardStop time.Duration
+	Deadline time.Duration
 	Work     time.Duration // at a cache of speed 1; a write's is done at the origin where caches only store
 	Share    float64       // of first tries
 	Tries    int           // that a client makes in all
@@ -590,7 +590,7 @@
 		key := KeyOf(rank)
 		for range 3 {
 			m := where(now, &policy.Request{ID: "w", Key: key, Grade: policy.GradeID(grade), League: -1, Arrived: now,
-				HardStop: now.Add(time.Hour)})
+				Deadline: now.Add(time.Hour)})
 			for _, id := range m.To {
 				if i, ok := w.byID[id]; ok && w.Servers[i].origin == nil {
 					w.Servers[i].store.put(key)
--- a/internal/emulator/world/world_test.go
+++ b/internal/emulator/world/world_test.go
@@ -218,26 +218,26 @@
 
 // Clients that wait less do so by the try's id: all else is drawn as without them.
 func TestSomeClientsWaitLess(t *testing.T) {
-	grades := []Grade{{Share: 1, HardStop: time.Second, Tries: 2}}
+	grades := []Grade{{Share: 1, Deadline: time.Second, Tries: 2}}
 	plain := NewTraffic(TrafficPlan{PerSecond: 100, Keys: 100, Grades: grades, Seed: 3})
 	hasty := NewTraffic(TrafficPlan{PerSecond: 100, Keys: 100, Grades: grades, Seed: 3, Short: 0.25, ShortMost: 200 * time.Millisecond})
 	short := 0
 	for range 2000 {
 		a, b := plain.Draw(0), hasty.Draw(0)
 		switch {
-		case a.HardStop != time.Second || a.ID != b.ID || a.Key != b.Key:
+		case a.Deadline != time.Second || a.ID != b.ID || a.Key != b.Key:
 			t.Fatalf("%v and %v", a, b)
-		case b.HardStop >= 100*time.Millisecond && b.HardStop <= 200*time.Millisecond:
+		case b.Deadline >= 100*time.Millisecond && b.Deadline <= 200*time.Millisecond:
 			short++
-		case b.HardStop != time.Second:
-			t.Fatalf("one waits %v", b.HardStop)
+		case b.Deadline != time.Second:
+			t.Fatalf("one waits %v", b.Deadline)
 		}
 	}
 	if short < 400 || short > 600 {
 		t.Errorf("%d of 2000 wait less, about 500 should", short)
 	}
 	first := hasty.Draw(0)
-	if again, _, ok := hasty.Again(0, first, true, 0); !ok || again.HardStop > time.Second {
-		t.Errorf("the second try waits %v", again.HardStop)
+	if again, _, ok := hasty.Again(0, first, true, 0); !ok || again.Deadline > time.Second {
+		t.Errorf("the second try waits %v", again.Deadline)
 	}
 }
--- a/internal/fronts/fronts.go
+++ b/internal/fronts/fronts.go
@@ -26,7 +26,7 @@
 const (
 	most       = 16  // fronts: a protocol or two, on a few addresses
 	mostRoutes = 256 // of one front; each request looks at all of them
-	mostMs     = 6e5 // that a request may be waited for: no deployment's hard stop is near it
+	mostMs     = 6e5 // that a request may be waited for: no deployment's deadline is near it
 )
 
 // File is an operator's file.
@@ -76,7 +76,7 @@
 	Methods    []string `toml:"methods"`
 	Grade      string   `toml:"grade"`
 	Tenant     string   `toml:"tenant"`
-	DeadlineMs float64  `toml:"deadline_ms"` // unless the client states one; 0 for the grade's hard stop
+	DeadlineMs float64  `toml:"deadline_ms"` // unless the client states one; 0 for the grade's deadline
 }
 
 // Writes tells whether a method puts a value; the others that may stand in a route read.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -149,10 +149,10 @@
 // Hasten has all in hand answered by a time, if not sooner.
 func (h *Host) Hasten(now, by policy.Instant) {
 	for id, in := range h.hand {
-		if in.HardStop <= by {
+		if in.Deadline <= by {
 			continue
 		}
-		if in.HardStop = by; in.askAt > by {
+		if in.Deadline = by; in.askAt > by {
 			in.askAt = by
 			h.do.Timer(by.Since(now), string(id))
 		}
--- a/internal/houserules/houserules.go
+++ b/internal/houserules/houserules.go
@@ -19,7 +19,7 @@
 	Rules       policy.HouseRules
 	Names       Vocabulary
 	Connect     time.Duration   // a connection that is not up by then never comes up
-	Stops       []time.Duration // hard stops by grade
+	Stops       []time.Duration // deadlines by grade
 	LongestStop time.Duration   // the longest of them
 }
 
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -62,7 +62,7 @@
 		if r.Asked++; time.Since(due) > lateBy {
 			r.Late++
 		}
-		a := &client.Ask{ID: req.ID, Key: req.Key, Label: req.Label, Grade: t.Name, Write: t.Write, Wait: req.HardStop}
+		a := &client.Ask{ID: req.ID, Key: req.Key, Label: req.Label, Grade: t.Name, Write: t.Write, Wait: req.Deadline}
 		if t.Write {
 			a.Value = world.ValueOf(req.Key)
 		}
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -192,7 +192,7 @@
 	c.turns = append(c.turns, turn{done: true, out: out})
 }
 
-// take takes a request in hand. One whose hard stop or grade can't be told is malformed, and so is one with the id
+// take takes a request in hand. One whose deadline or grade can't be told is malformed, and so is one with the id
 // of another in hand: caches could not tell the two apart.
 func (r *Relay) take(c *client, asked *call, at policy.Instant) {
 	grade := r.Terms.Names.Grade(asked.grade)
@@ -232,7 +232,7 @@
 	c.turns = append(c.turns, turn{hand: v.id})
 	r.host.Arrived(r.now(), &policy.Request{ID: token(v.id), Key: string(asked.key),
 		Grade: grade, League: r.Terms.Names.League(asked.league),
-		Write: asked.write, Arrived: at, HardStop: stop})
+		Write: asked.write, Arrived: at, Deadline: stop})
 }
 
 // copyOf keeps a call beyond the buffer that it was read from, but for what it is no longer needed for.
--- a/internal/net/relay/faces.go
+++ b/internal/net/relay/faces.go
@@ -60,7 +60,7 @@
 	bare           bool          // the answer is to have no body
 	last           bool          // the connection ends with the answer
 	idempotent     bool          // by its grade
-	wait           time.Duration // until its hard stop
+	wait           time.Duration // until its deadline
 	sent           time.Time     // when the leg went out that is being answered
 	web            *webCall      // nil for a client of meta commands, and where no cache speaks HTTP
 }
--- a/internal/net/relay/httpface.go
+++ b/internal/net/relay/httpface.go
@@ -31,7 +31,7 @@
 	front    *fronts.Front
 	names    *houserules.Vocabulary
 	labelled map[string]bool          // grades whose repeats are told by their id
-	stops    map[string]time.Duration // the grades' hard stops
+	stops    map[string]time.Duration // the grades' deadlines
 	passes   bool                     // some caches speak HTTP, and are told what a client says beside
 	own      string                   // begins the ids of those who state none: of this listener, in this start of this node
 	n        uint64
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -38,8 +38,8 @@
 	quietFor    = 150 * time.Millisecond      // without a new connection before clients are closed
 	lingerFor   = 50 * time.Millisecond       // for the first command of who has just connected, before it is idle
 	drainEvery  = 10 * time.Millisecond       // between looks for idle clients while draining
-	spareToStop = 500 * time.Millisecond      // over the longest hard stop, by which a node is to have ended
-	mostToStop  = 3 * time.Second             // of the longest hard stop, that who ends a process waits for: by the protocol
+	spareToStop = 500 * time.Millisecond      // over the longest deadline, by which a node is to have ended
+	mostToStop  = 3 * time.Second             // of the longest deadline, that who ends a process waits for: by the protocol
 	lastWords   = 100 * time.Millisecond      // before that, by which all in hand is answered: ten looks for idle clients
 	eventsAtOne = 256                         // events handled between looks at the deadlines
 )
@@ -405,7 +405,7 @@
 	r.drainStep()
 }
 
-// hasten has what is in hand answered while the node can still say it. Guards against hard stops that lie beyond the node's own end, of
+// hasten has what is in hand answered while the node can still say it. Guards against deadlines that lie beyond the node's own end, of
 // which its clients would never have heard.
 func (r *Relay) hasten() {
 	by := r.endBy().Add(-lastWords)
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -390,7 +390,7 @@
 	})
 }
 
-func TestEveryRequestIsAnsweredByItsHardStop(t *testing.T) {
+func TestEveryRequestIsAnsweredByItsDeadline(t *testing.T) {
 	g := newRig(t, 200, func(line string) string { return "" })
 	c, r := g.client()
 	fmt.Fprint(c, "mg k1 v Oa Pc=read,d=1000\r\nmg k1 v Ob Pc=put,d=1000\r\n")
@@ -785,8 +785,8 @@
 	}
 }
 
-// Hard stops that lay beyond the node's own end, or beyond what who ends it waits for, were cut off without a word: on a rough day with a
-// hard stop of 5.3 s a node was still at work when it was killed. Each is answered, as its grade and its legs allow.
+// Deadlines that lay beyond the node's own end, or beyond what who ends it waits for, were cut off without a word: on a rough day with a
+// deadline of 5.3 s a node was still at work when it was killed. Each is answered, as its grade and its legs allow.
 func TestWhatOutlastsADrainingNodeIsAnsweredBeforeItEnds(t *testing.T) {
 	for _, longest := range []time.Duration{0, 500 * time.Millisecond, time.Minute} {
 		t.Run(longest.String(), func(t *testing.T) {
--- a/internal/scale/placement.go
+++ b/internal/scale/placement.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	apartAsked  = 10 * time.Millisecond // between two requests that placement is asked for: none waits for another
-	answersIn   = 2 * time.Millisecond
-	hardStop    = time.Second
-	soonEnough  = 300 * time.Millisecond
-	turnedEvery = 10 // requests, of which one is turned away at its first cache: so few that nobody takes them for full
-	holds       = 3  // caches of a key
+	apartAsked      = 10 * time.Millisecond // between two requests that placement is asked for: none waits for another
+	answersIn       = 2 * time.Millisecond
+	requestDeadline = time.Second
+	soonEnough      = 300 * time.Millisecond
+	turnedEvery     = 10 // requests, of which one is turned away at its first cache: so few that nobody takes them for full
+	holds           = 3  // caches of a key
 )
 
 // Crossings are shares of attempts.
@@ -76,7 +76,7 @@
 		for k := range keys / at.Zones {
 			now = now.Add(apartAsked)
 			key := fmt.Sprintf("key-%d-%d", zone, k) // each is asked for once: none is in demand
-			r := &policy.Request{ID: policy.RequestID(key), Key: key, Arrived: now, HardStop: now.Add(hardStop)}
+			r := &policy.Request{ID: policy.RequestID(key), Key: key, Arrived: now, Deadline: now.Add(requestDeadline)}
 			m := p.Where(now, r)
 			crosses(m.To, &x.First, &first)
 			for leg := 0; len(m.To) > 0 && leg < 2; leg++ {
@@ -90,7 +90,7 @@
 				}
 			}
 			r.Over = true
-			w := &policy.Request{ID: policy.RequestID(key + "-w"), Key: key, Grade: 1, Write: true, Arrived: now, HardStop: now.Add(hardStop)}
+			w := &policy.Request{ID: policy.RequestID(key + "-w"), Key: key, Grade: 1, Write: true, Arrived: now, Deadline: now.Add(requestDeadline)}
 			to := p.Where(now, w).To // a write goes to all holders at once
 			x.Holders = min(x.Holders, len(to))
 			inZone, inRegion := map[int]int{}, map[int]int{}
--- a/internal/simwire/decode.go
+++ b/internal/simwire/decode.go
@@ -156,10 +156,10 @@
 			ID: policy.RequestID(at(1).GetStringBytes()), Key: string(at(6).GetStringBytes()),
 			Grade:  in.names.Grade(at(3).GetStringBytes()),
 			League: in.names.League(at(4).GetStringBytes()),
-			Write:  flags&4 != 0, Arrived: now, HardStop: instant(at(5)),
+			Write:  flags&4 != 0, Arrived: now, Deadline: instant(at(5)),
 		}
-		if r.ID == "" || r.HardStop <= 0 {
-			fmt.Fprintln(s.log, "passed over a request without an id or a hard stop")
+		if r.ID == "" || r.Deadline <= 0 {
+			fmt.Fprintln(s.log, "passed over a request without an id or a deadline")
 			break
 		}
 		in.node.Arrived(now, r)
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -62,7 +62,7 @@
 
 func (w *world) arrive(key string, grade GradeID, write bool) (*Request, Move) {
 	r := &Request{ID: RequestID(fmt.Sprint("r", len(w.hand))), Key: key, Grade: grade, Write: write, Arrived: w.now,
-		HardStop: w.now.Add(800 * ms)}
+		Deadline: w.now.Add(800 * ms)}
 	w.hand = append(w.hand, r)
 	return r, w.apply(r, w.p.Where(w.now, r))
 }
@@ -142,8 +142,8 @@
 			if at, ok := w.due[r]; ok && w.now >= at && !r.Over {
 				w.apply(r, w.p.Where(w.now, r))
 			}
-			if !r.Over && w.now >= r.HardStop {
-				w.t.Fatalf("%v: %v has no answer at its hard stop, legs %v", w.now, r.ID, r.Legs)
+			if !r.Over && w.now >= r.Deadline {
+				w.t.Fatalf("%v: %v has no answer at its deadline, legs %v", w.now, r.ID, r.Legs)
 			}
 		}
 	}
@@ -163,7 +163,7 @@
 // plainAllowed is the plain model of what may be sent: slow, and with nothing taken from the module.
 func plainAllowed(h HouseRules, state map[CacheID]Entry, now Instant, r *Request, to CacheID) bool {
 	e, listed := state[to]
-	if r.Over || !listed || e.State != Ready || len(r.Legs) >= h.MostLegs || now >= r.HardStop {
+	if r.Over || !listed || e.State != Ready || len(r.Legs) >= h.MostLegs || now >= r.Deadline {
 		return false
 	}
 	g := gradeOf(h, r)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -332,9 +332,9 @@
 	return c != nil && p.lawful(now, &r, c)
 }
 
-// left is the time in which a leg can still be answered before the hard stop.
+// left is the time in which a leg can still be answered before the deadline.
 func (p *Router) left(now Instant, r *Request) time.Duration {
-	return r.HardStop.Since(now) - 2*p.rules.Round
+	return r.Deadline.Since(now) - 2*p.rules.Round
 }
 
 var isOut, missed = func(l Leg) bool { return l.Out }, func(l Leg) bool { return l.Result == Missed }
@@ -462,7 +462,7 @@
 }
 
 func (p *Router) meet(now Instant, r *Request) { // an unknown grade counts as of the strictest there is
-	g, at := Grade{SoftLimit: r.HardStop.Since(r.Arrived)}, len(p.rules.Grades)
+	g, at := Grade{SoftLimit: r.Deadline.Since(r.Arrived)}, len(p.rules.Grades)
 	if r.Grade >= 0 && int(r.Grade) < at {
 		g, at = p.rules.Grades[r.Grade], int(r.Grade)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -24,7 +24,7 @@
 }
 
 func holdersOf(p *Router, key string) (ids []CacheID) {
-	r := &Request{Key: key, HardStop: 1e12}
+	r := &Request{Key: key, Deadline: 1e12}
 	p.meet(0, r)
 	for _, c := range p.holders(0, r, home) {
 		ids = append(ids, c.ID)
@@ -229,7 +229,7 @@
 		first := w.p.caches[holdersOf(w.p, "k")[0]]
 		w.now = w.now.Add(time.Second)
 		for range failsToRest {
-			r := &Request{HardStop: w.now.Add(c.took), Legs: []Leg{{To: first.ID, Sent: w.now, Result: TimedOut}}, Over: true}
+			r := &Request{Deadline: w.now.Add(c.took), Legs: []Leg{{To: first.ID, Sent: w.now, Result: TimedOut}}, Over: true}
 			w.now = w.now.Add(c.took)
 			w.p.After(w.now, r, Outcome{Took: c.took})
 		}
@@ -433,7 +433,7 @@
 				in++
 			}
 			if i%5 == 0 {
-				lost[m.To[0]] = r.HardStop // until then nothing is answered there where queues are to blame
+				lost[m.To[0]] = r.Deadline // until then nothing is answered there where queues are to blame
 			} else if r.Legs[0].Out && (c.overtaken || w.now > lost[m.To[0]]) {
 				w.end(r, 0, Answered)
 			}
@@ -455,9 +455,9 @@
 		rules.SecondCopies, rules.MayCancel = false, false
 		w, in := newWorld(t, rules, fleet(12, false)), 0
 		for i := range 800 {
-			r := &Request{ID: RequestID(anyKey(i)), Key: anyKey(i), Arrived: w.now, HardStop: w.now.Add(800 * ms)}
+			r := &Request{ID: RequestID(anyKey(i)), Key: anyKey(i), Arrived: w.now, Deadline: w.now.Add(800 * ms)}
 			if i%5 == 0 {
-				r.HardStop = w.now.Add(c.waits)
+				r.Deadline = w.now.Add(c.waits)
 			}
 			w.hand = append(w.hand, r)
 			m := w.apply(r, w.p.Where(w.now, r))
@@ -635,7 +635,7 @@
 	}
 }
 
-// Legs on connections that had fallen silent held a third of the room at the origin until their hard stop.
+// Legs on connections that had fallen silent held a third of the room at the origin until their deadline.
 func TestALegLostAtTheOriginIsCalledOffForAnother(t *testing.T) {
 	for _, spare := range []float64{5, 0.5} {
 		w := asideWorld(t)
@@ -692,7 +692,7 @@
 	w, within := newWorld(t, rules, fleet(12, false)), 0
 	w.now = Instant(5 * time.Second)
 	for range 50 {
-		r := &Request{League: 0, HardStop: w.now.Add(time.Second)}
+		r := &Request{League: 0, Deadline: w.now.Add(time.Second)}
 		if w.p.meet(w.now, r); r.memo.benefit == 1 {
 			within++
 		}
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -66,7 +66,7 @@
 		rules.SecondCopies, rules.MostLegs = rnd.Intn(2) == 0, 1+rnd.Intn(4)
 		rules.Grades[1].Window, rules.Grades[3].Scope = 400*ms, Scope(rnd.Intn(3))
 		w := newWorld(t, rules, fleet(6, false))
-		r := &Request{Grade: GradeID(rnd.Intn(6) - 1), HardStop: Instant(800 * ms), Over: rnd.Intn(9) == 0}
+		r := &Request{Grade: GradeID(rnd.Intn(6) - 1), Deadline: Instant(800 * ms), Over: rnd.Intn(9) == 0}
 		w.p.meet(0, r)
 		for range rnd.Intn(4) {
 			r.Legs = append(r.Legs, Leg{To: CacheID(fmt.Sprintf("cache-%d", rnd.Intn(6))), Sent: Instant(rnd.Intn(300)) * Instant(ms),
@@ -82,7 +82,7 @@
 		}
 		// The module may be stricter only by the rounds it keeps in hand before a limit.
 		later := w.now.Add(2 * rules.Round)
-		if want && !got && plainAllowed(rules, w.state, later, r, "cache-1") && later < r.HardStop {
+		if want && !got && plainAllowed(rules, w.state, later, r, "cache-1") && later < r.Deadline {
 			t.Errorf("at %v a leg to %v is allowed: %+v", w.now, e, r)
 		}
 		if m := w.p.giveUp(r); !plainAnswer(rules, r, m.Answer) || m.Answer == Scrap && plainAnswer(rules, r, Dismiss) {
--- a/policy/types.go
+++ b/policy/types.go
@@ -155,7 +155,7 @@
 	League   LeagueID
 	Write    bool
 	Arrived  Instant
-	HardStop Instant
+	Deadline Instant
 	Legs     []Leg
 	Over     bool // it has had its final answer
 
--- a/policy/zones_test.go
+++ b/policy/zones_test.go
@@ -41,7 +41,7 @@
 		}
 		far := 0
 		for i := range 60 {
-			r := &Request{Key: anyKey(i), HardStop: Instant(800 * ms)}
+			r := &Request{Key: anyKey(i), Deadline: Instant(800 * ms)}
 			if w.p.doors[away], w.p.spare = (door{evidence, evidence}), spareMost; name == "copy" {
 				r.Legs = []Leg{{To: es[0].ID, Out: true}}
 			}
