--- a/cmd/dahliapin/waiting_clients_test.go
+++ b/cmd/dahliapin/waiting_clients_test.go
@@ -153,7 +153,7 @@
 
 			// these have something in hand all the time
 			var busy sync.WaitGroup
-			var satisfied, dismissed, again, shut, bad atomic.Int64
+			var satisfied, rejected, again, shut, bad atomic.Int64
 			var first atomic.Value
 			for n := range 12 {
 				busy.Add(1)
@@ -202,7 +202,7 @@
 							r.ReadString('\n')
 							satisfied.Add(1)
 						case strings.HasPrefix(said, "SERVER_ERROR busy"):
-							dismissed.Add(1)
+							rejected.Add(1)
 						default:
 							bad.Add(1)
 							first.CompareAndSwap(nil, fmt.Sprintf("%q, %v", said, err))
@@ -264,8 +264,8 @@
 					t.Fatal("nobody new gets in")
 				}
 			}
-			t.Logf("a new client got in in %v; %d satisfied, %d dismissed, %d sent once more, %d new connections shut; operators waited %v at most; %d descriptors at most", time.Since(began),
-				satisfied.Load(), dismissed.Load(), again.Load(), shut.Load(), slowest, most)
+			t.Logf("a new client got in in %v; %d satisfied, %d rejected, %d sent once more, %d new connections shut; operators waited %v at most; %d descriptors at most", time.Since(began),
+				satisfied.Load(), rejected.Load(), again.Load(), shut.Load(), slowest, most)
 			close(over)
 			idle.Wait()
 			busy.Wait()
--- a/internal/baselines/baselines.go
+++ b/internal/baselines/baselines.go
@@ -18,7 +18,7 @@
 	holders = 3                      // of a key, as the module has them
 	upkeep  = time.Second            // they have none; the host wants a time
 	spare   = 2 * time.Millisecond   // before the deadline, for the answer's way
-	waits   = 250 * time.Millisecond // for a dismissed client to come back, where it may be told
+	waits   = 250 * time.Millisecond // for a rejected client to come back, where it may be told
 )
 
 // Maker makes a decider, as the shells of the emulator want it.
@@ -175,7 +175,7 @@
 		}
 	}
 	if !mayHaveRun || g.Effect == policy.Idempotent || g.Effect == policy.Labelled && g.Scope == policy.AllCaches {
-		return policy.Move{Answer: policy.Dismiss, ComeBack: min(p.rules.MaxComeBack, waits)}
+		return policy.Move{Answer: policy.Reject, ComeBack: min(p.rules.MaxComeBack, waits)}
 	}
 	return policy.Move{Answer: policy.Scrap}
 }
--- a/internal/emulator/client/client.go
+++ b/internal/emulator/client/client.go
@@ -289,7 +289,7 @@
 			}
 		}
 	case len(words) >= 2 && words[0] == "SERVER_ERROR" && words[1] == "busy":
-		answer.Final = judge.Dismissed
+		answer.Final = judge.Rejected
 		if len(words) > 2 {
 			back, _ := strconv.Atoi(words[2])
 			answer.ComeBack = time.Duration(back) * time.Millisecond
--- a/internal/emulator/client/http.go
+++ b/internal/emulator/client/http.go
@@ -64,7 +64,7 @@
 			answer.Wrong = "a 304 that was not asked for"
 		}
 	case http.StatusServiceUnavailable:
-		answer.Final = judge.Dismissed
+		answer.Final = judge.Rejected
 		back, _ := strconv.Atoi(said.Header.Get("Retry-After"))
 		answer.ComeBack = time.Duration(back) * time.Second
 	case http.StatusBadGateway, http.StatusGatewayTimeout:
--- a/internal/emulator/judge/judge.go
+++ b/internal/emulator/judge/judge.go
@@ -21,12 +21,12 @@
 
 const (
 	Satisfied Final = iota
-	Dismissed
+	Rejected
 	Scrapped
 	Cut // the connection ended without one
 )
 
-func (f Final) String() string { return [...]string{"satisfied", "dismissed", "scrapped", "cut"}[f] }
+func (f Final) String() string { return [...]string{"satisfied", "rejected", "scrapped", "cut"}[f] }
 
 // Breach is one rule broken once.
 type Breach struct {
@@ -53,8 +53,8 @@
 
 // Tally counts what clients were answered, by grade.
 type Tally struct {
-	Asked, Satisfied, InTime, Dismissed, Scrapped, Cut uint64
-	First, FirstInTime                                 uint64 // first tries, and those of them that a try satisfied within the soft limit
+	Asked, Satisfied, InTime, Rejected, Scrapped, Cut uint64
+	First, FirstInTime                                uint64 // first tries, and those of them that a try satisfied within the soft limit
 }
 
 // Judge is told of one run.
@@ -152,10 +152,10 @@
 		if took <= g.SoftLimit {
 			c.InTime++
 		}
-	case Dismissed:
-		c.Dismissed++
+	case Rejected:
+		c.Rejected++
 		if t.mayHaveRun() && !harmless(g) {
-			j.breach(2, now, id, t.node, "", "dismissed, though a leg of it may have run")
+			j.breach(2, now, id, t.node, "", "rejected, though a leg of it may have run")
 		}
 	case Scrapped:
 		c.Scrapped++
@@ -226,8 +226,8 @@
 	if g.Effect == policy.Irreversible && t.mayHaveRun() {
 		j.breach(2, now, id, t.node, server, "another leg of an irreversible request, though one may have run")
 	}
-	if t.answered != 0 && t.final == Dismissed && !harmless(g) {
-		j.breach(2, now, id, t.node, server, "a leg came after the dismissal")
+	if t.answered != 0 && t.final == Rejected && !harmless(g) {
+		j.breach(2, now, id, t.node, server, "a leg came after the rejection")
 	}
 	t.legs = append(t.legs, leg{server: server, came: now})
 }
@@ -268,8 +268,8 @@
 			name, j.effects[name]))
 	}
 	if t := j.hand[id]; t != nil {
-		if t.ran = true; t.answered != 0 && t.final == Dismissed && !harmless(&j.terms.Grades[grade]) {
-			j.breach(2, now, id, t.node, server, "it ran after it was dismissed")
+		if t.ran = true; t.answered != 0 && t.final == Rejected && !harmless(&j.terms.Grades[grade]) {
+			j.breach(2, now, id, t.node, server, "it ran after it was rejected")
 		}
 	}
 }
--- a/internal/emulator/judge/judge_test.go
+++ b/internal/emulator/judge/judge_test.go
@@ -33,7 +33,7 @@
 		do   func(j *Judge)
 	}{
 		{"answered", 0, func(j *Judge) { sent(j, 0); j.Answered(20*ms, "r", Satisfied); j.Advance(9999 * ms) }},
-		{"answered twice", 1, func(j *Judge) { sent(j, 0); j.Answered(20*ms, "r", Satisfied); j.Answered(21*ms, "r", Dismissed) }},
+		{"answered twice", 1, func(j *Judge) { sent(j, 0); j.Answered(20*ms, "r", Satisfied); j.Answered(21*ms, "r", Rejected) }},
 		{"late", 1, func(j *Judge) { sent(j, 0); j.Answered(111*ms, "r", Satisfied) }},
 		{"within the slack", 0, func(j *Judge) { sent(j, 0); j.Answered(109*ms, "r", Satisfied) }},
 		{"never", 1, func(j *Judge) { sent(j, 0); j.Advance(200 * ms) }},
@@ -61,15 +61,15 @@
 		{"a made-up value", 1, func(j *Judge) { sent(j, 0); j.Wrong(10*ms, "r", "made up") }},
 		{"effect twice", 2, func(j *Judge) { sent(j, 1); j.Effect(10*ms, "r", "l", 1, "c1"); j.Effect(20*ms, "r2", "l", 1, "c2") }},
 		{"two effects of two labels", 0, func(j *Judge) { j.Effect(10*ms, "r", "l", 1, "c1"); j.Effect(20*ms, "r", "m", 1, "c1") }},
-		{"dismissed after a leg that may have run", 2, func(j *Judge) { sent(j, 2); j.Came(5*ms, 5*ms, "r", "c1"); j.Answered(10*ms, "r", Dismissed) }},
-		{"dismissed after one that was turned away", 0, func(j *Judge) {
+		{"rejected after a leg that may have run", 2, func(j *Judge) { sent(j, 2); j.Came(5*ms, 5*ms, "r", "c1"); j.Answered(10*ms, "r", Rejected) }},
+		{"rejected after one that was turned away", 0, func(j *Judge) {
 			sent(j, 2)
 			j.Came(5*ms, 5*ms, "r", "c1")
 			j.Left(6*ms, "r", "c1", true)
-			j.Answered(10*ms, "r", Dismissed)
+			j.Answered(10*ms, "r", Rejected)
 		}},
 		{"scrapped after a leg", 0, func(j *Judge) { sent(j, 2); j.Came(5*ms, 5*ms, "r", "c1"); j.Answered(10*ms, "r", Scrapped) }},
-		{"ran after its dismissal", 2, func(j *Judge) { sent(j, 2); j.Answered(10*ms, "r", Dismissed); j.Effect(12*ms, "r", "", 2, "c1") }},
+		{"ran after its rejection", 2, func(j *Judge) { sent(j, 2); j.Answered(10*ms, "r", Rejected); j.Effect(12*ms, "r", "", 2, "c1") }},
 		{"irreversible sent again", 2, func(j *Judge) {
 			sent(j, 2)
 			j.Came(5*ms, 5*ms, "r", "c1")
--- a/internal/emulator/onwire/onwire_test.go
+++ b/internal/emulator/onwire/onwire_test.go
@@ -255,7 +255,7 @@
 		return "SERVER_ERROR failed\r\n"
 	case s.wrong == "repeats what can't be undone" && pay:
 		well()
-	case s.wrong == "dismisses what ran" && pay:
+	case s.wrong == "rejects what ran" && pay:
 		well()
 		return "SERVER_ERROR busy\r\n"
 	case s.wrong == "repeats a labelled write beyond its window" && mark:
@@ -280,7 +280,7 @@
 // that does all well good.
 func TestBrokenRoutersAreCaughtByTheirRule(t *testing.T) {
 	for wrong, rule := range map[string]int{"": 0, "answers twice": 1, "answers late": 1, "never answers": 1, "makes a value up": 1,
-		"sends on after the answer": 1, "repeats what can't be undone": 2, "dismisses what ran": 2,
+		"sends on after the answer": 1, "repeats what can't be undone": 2, "rejects what ran": 2,
 		"repeats a labelled write beyond its window": 2, "sends a second beside the first": 2, "sends to one that drains": 3,
 		"pushes a cold cache over": 4, "sends on for who has left": 1} {
 		t.Run("who "+wrong, func(t *testing.T) {
--- a/internal/emulator/virtual/node.go
+++ b/internal/emulator/virtual/node.go
@@ -181,7 +181,7 @@
 	r.after(r.clientWay(), func() {
 		r.judge.Answered(r.now, v.req.ID, how)
 		if how != judge.Satisfied {
-			r.again(v.req, v.first, how == judge.Dismissed, comeBack)
+			r.again(v.req, v.first, how == judge.Rejected, comeBack)
 			return
 		}
 		if r.now.Since(v.first) <= r.terms.Rules.Grades[v.req.Grade].SoftLimit {
@@ -460,10 +460,10 @@
 	})
 }
 
-// Dismiss answers that a retry is harmless.
-func (n *node) Dismiss(id policy.RequestID, comeBack time.Duration) {
+// Reject answers that a retry is harmless.
+func (n *node) Reject(id policy.RequestID, comeBack time.Duration) {
 	if v := n.hand[id]; v != nil && !v.answered {
-		n.answer(v, judge.Dismissed, comeBack)
+		n.answer(v, judge.Rejected, comeBack)
 		n.later(v)
 	}
 }
--- a/internal/emulator/virtual/virtual.go
+++ b/internal/emulator/virtual/virtual.go
@@ -377,8 +377,8 @@
 	r.again(req, first, false, 0)
 }
 
-func (r *Run) again(req world.Request, first policy.Instant, dismissed bool, comeBack time.Duration) {
-	if next, at, ok := r.traffic.Again(r.now, req, dismissed, comeBack); ok {
+func (r *Run) again(req world.Request, first policy.Instant, rejected bool, comeBack time.Duration) {
+	if next, at, ok := r.traffic.Again(r.now, req, rejected, comeBack); ok {
 		r.At(at, func() { r.ask(next, first, false) })
 	}
 }
--- a/internal/emulator/world/traffic.go
+++ b/internal/emulator/world/traffic.go
@@ -139,10 +139,10 @@
 func (t *Traffic) Heat(key string, share float64) { t.hot, t.hotBy = key, share }
 
 // Again tells when a client tries again after an answer that did not satisfy it, if it does. A try that failed is made
-// again only where a second run does no harm or is dropped; one that was dismissed never ran.
-func (t *Traffic) Again(now policy.Instant, r Request, dismissed bool, comeBack time.Duration) (Request, policy.Instant, bool) {
+// again only where a second run does no harm or is dropped; one that was rejected never ran.
+func (t *Traffic) Again(now policy.Instant, r Request, rejected bool, comeBack time.Duration) (Request, policy.Instant, bool) {
 	g := &t.Grades[r.Grade]
-	if r.Try >= g.Tries || !dismissed && g.Effect == policy.Irreversible {
+	if r.Try >= g.Tries || !rejected && g.Effect == policy.Irreversible {
 		return r, 0, false
 	}
 	wait := comeBack
--- a/internal/emulator/world/world_test.go
+++ b/internal/emulator/world/world_test.go
@@ -192,7 +192,7 @@
 		}
 		again, _, _ := tr.Again(at, r, true, time.Second)
 		if _, _, ok := tr.Again(at, again, true, 0); ok != (r.Grade == 1) || again.ID == r.ID || again.Sent < at.Add(time.Second) {
-			t.Fatal("repeats after a dismissal", r.Grade, ok)
+			t.Fatal("repeats after a rejection", r.Grade, ok)
 		}
 	}
 	if n < 9700 || n > 10300 || reads < 7300 || reads > 7700 || hot < 3500 || hot > 4000 {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -13,7 +13,7 @@
 type Actions interface {
 	Send(id policy.RequestID, to policy.CacheID, giveUpAt policy.Instant)
 	Cancel(id policy.RequestID, leg int)
-	Dismiss(id policy.RequestID, comeBack time.Duration)
+	Reject(id policy.RequestID, comeBack time.Duration)
 	Scrap(id policy.RequestID)
 	Timer(in time.Duration, token string)
 	Probe(id policy.CacheID)
@@ -186,8 +186,8 @@
 		h.do.Cancel(in.ID, leg)
 	}
 	switch m.Answer {
-	case policy.Dismiss:
-		h.do.Dismiss(in.ID, m.ComeBack)
+	case policy.Reject:
+		h.do.Reject(in.ID, m.ComeBack)
 		in.Over = true
 	case policy.Scrap:
 		h.do.Scrap(in.ID)
--- a/internal/levels/filter.go
+++ b/internal/levels/filter.go
@@ -45,7 +45,7 @@
 		return m, true
 	}
 	*f.count++
-	m.Answer = policy.Dismiss
+	m.Answer = policy.Reject
 	m.ComeBack = time.Duration((1 + f.chance.Next()) / 2 * float64(min(f.rules.MaxComeBack, window)))
 	return m, false
 }
@@ -74,8 +74,8 @@
 }
 
 func (f *Filter) noted(m policy.Move) policy.Move {
-	if m.Answer == policy.Dismiss {
-		f.machine.Dismissed()
+	if m.Answer == policy.Reject {
+		f.machine.Rejected()
 	}
 	return m
 }
--- a/internal/levels/levels.go
+++ b/internal/levels/levels.go
@@ -31,7 +31,7 @@
 	Lost       float64 `toml:"lost"`        // errors, breaks, and no answer in time
 	TurnedAway float64 `toml:"turned_away"` // by caches that are full
 	OriginLate float64 `toml:"origin_late"` // late or lost there, of the legs there
-	Dismissed  float64 `toml:"dismissed"`   // by the module, of the requests that the level lets through
+	Rejected   float64 `toml:"rejected"`    // by the module, of the requests that the level lets through
 }
 
 func (s Shares) each(o Shares, f func(name string, mine, other float64)) {
@@ -39,7 +39,7 @@
 	f("lost", s.Lost, o.Lost)
 	f("turned_away", s.TurnedAway, o.TurnedAway)
 	f("origin_late", s.OriginLate, o.OriginLate)
-	f("dismissed", s.Dismissed, o.Dismissed)
+	f("rejected", s.Rejected, o.Rejected)
 }
 
 // reached tells whether one of the bounds is.
@@ -54,7 +54,7 @@
 	Enter Shares   `toml:"enter"` // one of them reached in two looks enters it
 	Leave Shares   `toml:"leave"` // all of them under this lets what is shed come back
 	StayS float64  `toml:"stay_s"`
-	Shed  []string `toml:"shed"` // grades that are dismissed
+	Shed  []string `toml:"shed"` // grades that are rejected
 }
 
 func (l *Level) stay() time.Duration { return time.Duration(l.StayS * float64(time.Second)) }
@@ -84,7 +84,7 @@
 }
 
 // counted are the legs and requests of a look.
-type counted struct{ legs, late, lost, away, origin, originLate, let, dismissed int }
+type counted struct{ legs, late, lost, away, origin, originLate, let, rejected int }
 
 func (n *counted) shares() (s Shares) {
 	part := func(k, of int) float64 {
@@ -93,7 +93,7 @@
 		}
 		return float64(k) / float64(of)
 	}
-	return Shares{part(n.late, n.legs), part(n.lost, n.legs), part(n.away, n.legs), part(n.originLate, n.origin), part(n.dismissed, n.let)}
+	return Shares{part(n.late, n.legs), part(n.lost, n.legs), part(n.away, n.legs), part(n.originLate, n.origin), part(n.rejected, n.let)}
 }
 
 // Machine is where a node stands.
@@ -143,9 +143,9 @@
 	}
 }
 
-// Let takes a request that is let through, and Dismissed one that the module dismissed.
-func (m *Machine) Let()       { m.n.let++ }
-func (m *Machine) Dismissed() { m.n.dismissed++ }
+// Let takes a request that is let through, and Rejected one that the module rejected.
+func (m *Machine) Let()      { m.n.let++ }
+func (m *Machine) Rejected() { m.n.rejected++ }
 
 // Look moves on, and tells whether the level has changed. A look on few requests would dither at nodes that see few: it waits for more,
 // and for so long only.
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -72,8 +72,8 @@
 	if r.Asked < 150 || g.Asked != r.Asked || g.Silent+g.Cut+g.Scrapped > 0 {
 		t.Fatalf("%+v", r)
 	}
-	if g.Satisfied+g.Dismissed != g.Asked || g.Dismissed < 1 || g.Wrong < 1 {
-		t.Errorf("%d satisfied, %d dismissed, %d wrong of %d", g.Satisfied, g.Dismissed, g.Wrong, g.Asked)
+	if g.Satisfied+g.Rejected != g.Asked || g.Rejected < 1 || g.Wrong < 1 {
+		t.Errorf("%d satisfied, %d rejected, %d wrong of %d", g.Satisfied, g.Rejected, g.Wrong, g.Asked)
 	}
 	slow := 0
 	for _, b := range g.Took.Distribution() {
@@ -110,7 +110,7 @@
 	}))
 	t.Cleanup(s.Close)
 	g := Run(context.Background(), strings.TrimPrefix(s.URL, "http://"), true, reads(200), time.Second).Grades[0]
-	if tenth := g.Asked / 10; g.Asked < 150 || g.Cut+g.Silent > 0 || g.Dismissed < tenth || g.Scrapped < 2*tenth || g.Wrong < tenth || g.Satisfied < 6*tenth {
+	if tenth := g.Asked / 10; g.Asked < 150 || g.Cut+g.Silent > 0 || g.Rejected < tenth || g.Scrapped < 2*tenth || g.Wrong < tenth || g.Satisfied < 6*tenth {
 		t.Errorf("%+v", g)
 	}
 }
--- a/internal/net/counters/sheet.go
+++ b/internal/net/counters/sheet.go
@@ -19,8 +19,8 @@
 
 // GradeSheet counts final answers of one service grade.
 type GradeSheet struct {
-	Name                         string
-	Satisfied, Dismissed, Failed uint64
+	Name                        string
+	Satisfied, Rejected, Failed uint64
 }
 
 // plain keeps a grade's name from ending its field or line.
@@ -38,7 +38,7 @@
 	}
 	for _, g := range s.Grades {
 		line("c", g.Satisfied, "downstream_requests", g.Name, "completed")
-		line("c", g.Dismissed, "downstream_requests", g.Name, "rejected")
+		line("c", g.Rejected, "downstream_requests", g.Name, "rejected")
 		line("c", g.Failed, "downstream_requests", g.Name, "failed")
 	}
 	line("c", s.Legs, "upstream_requests")
--- a/internal/net/meta/answer.go
+++ b/internal/net/meta/answer.go
@@ -121,7 +121,7 @@
 	return append(append(to, receipt...), crlf...)
 }
 
-// AppendBusy writes a dismissal, with the time to come back after unless that is 0.
+// AppendBusy writes a rejection, with the time to come back after unless that is 0.
 func AppendBusy(to []byte, comeBackMs int64) []byte {
 	to = append(to, "SERVER_ERROR busy"...)
 	if comeBackMs > 0 {
--- a/internal/net/ops/ops_test.go
+++ b/internal/net/ops/ops_test.go
@@ -70,7 +70,7 @@
 // Each answer is yes or no for a reason of its own; a loop that hangs is no yes, and no call waits for it.
 func TestCallsAreAnsweredForTheNodeAsItStands(t *testing.T) {
 	n := &standIn{sheet: counters.Sheet{At: time.Now().Add(time.Hour), Takes: true, Phase: "serving", Pending: 3, Members: 2,
-		Grades: []counters.GradeSheet{{Name: "a.b:c|d e\n", Satisfied: 812, Dismissed: 1, Failed: 2}}}}
+		Grades: []counters.GradeSheet{{Name: "a.b:c|d e\n", Satisfied: 812, Rejected: 1, Failed: 2}}}}
 	addr := open(t, n)
 	head := func(method, path string) string { return method + " " + path + " HTTP/1.1\r\nHost: n\r\n" }
 	for text, want := range map[string]int{head("GET", "/status") + "\r\n": 200, head("GET", "/status/metrics") + "\r\n": 200,
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	mostTurns  = 256                    // commands in hand on one connection; more are dismissed
+	mostTurns  = 256                    // commands in hand on one connection; more are rejected
 	mostSaid   = 4 * mostTurns          // answers that may wait on one for those before them; more end it
 	mostWait   = 10 * time.Minute       // that a client may say it waits: no deployment's is near it
 	wholeBy    = 5 * time.Second / 2    // for a command to come whole, and for the first word: a usual one takes milliseconds
@@ -38,7 +38,7 @@
 	usedAt  policy.Instant
 	invited bool           // was told to go on with what has begun
 	closing bool           // nothing more is read; it closes once all is answered
-	excess  bool           // came when there were too many: its requests are dismissed, and it is closed when idle
+	excess  bool           // came when there were too many: its requests are rejected, and it is closed when idle
 	partial int            // bytes of a command that has not come whole
 	since   policy.Instant // when that began, or the connection, while nothing has been said on it; 0 for neither
 	until   policy.Instant
@@ -216,9 +216,9 @@
 	if len(c.turns) >= mostTurns || r.phase == Starting || outlasts || r.turnsAway() || c.excess && r.tooManyClients() ||
 		int64(r.held)+r.eng.Unsent() > r.Memory/shareHeld {
 		r.count.Crowded++
-		r.count.Dismissed++
-		r.byGrade[grade].Dismissed++
-		r.say(c, c.face.dismissed(asked, 0))
+		r.count.Rejected++
+		r.byGrade[grade].Rejected++
+		r.say(c, c.face.rejected(asked, 0))
 		return
 	}
 	c.excess = false
@@ -394,12 +394,12 @@
 	}
 }
 
-// Dismiss answers that a retry is harmless.
-func (r *Relay) Dismiss(id policy.RequestID, comeBack time.Duration) {
+// Reject answers that a retry is harmless.
+func (r *Relay) Reject(id policy.RequestID, comeBack time.Duration) {
 	if v := r.hand.Get(slotOf(id)); v != nil && !v.answered {
-		r.count.Dismissed++
-		r.byGrade[v.grade].Dismissed++
-		r.answer(v, v.face.dismissed(&v.call, comeBack), nil)
+		r.count.Rejected++
+		r.byGrade[v.grade].Rejected++
+		r.answer(v, v.face.rejected(&v.call, comeBack), nil)
 		r.release(v)
 	}
 }
--- a/internal/net/relay/faces.go
+++ b/internal/net/relay/faces.go
@@ -21,7 +21,7 @@
 	head(c *call, r *reply, long int) []byte
 	end() string
 	receipt(c *call, r *reply) []byte
-	dismissed(c *call, comeBack time.Duration) []byte
+	rejected(c *call, comeBack time.Duration) []byte
 	// scrapped also says whether what was asked has not answered, or answered amiss.
 	scrapped(c *call, late bool) []byte
 	refused(why refusal, bare bool) []byte
@@ -142,7 +142,7 @@
 
 func (metaFace) receipt(c *call, r *reply) []byte { return meta.AppendDone(nil, c.id, r.said) }
 
-func (metaFace) dismissed(_ *call, comeBack time.Duration) []byte {
+func (metaFace) rejected(_ *call, comeBack time.Duration) []byte {
 	return meta.AppendBusy(nil, int64((comeBack+time.Millisecond-1)/time.Millisecond))
 }
 
--- a/internal/net/relay/httpface.go
+++ b/internal/net/relay/httpface.go
@@ -246,7 +246,7 @@
 	return append(append(out, text...), '\n')
 }
 
-func (h *httpFace) dismissed(c *call, comeBack time.Duration) []byte {
+func (h *httpFace) rejected(c *call, comeBack time.Duration) []byte {
 	if comeBack <= 0 {
 		return h.bodied(c, 503, "busy")
 	}
--- a/internal/net/relay/leaving_test.go
+++ b/internal/net/relay/leaving_test.go
@@ -118,7 +118,7 @@
 					g.until("it has left", func(n counters.Counters) bool { return n.Left+n.Crowded == 1 })
 					n := g.Counts()
 					if n.Crowded == 1 && place == "at the gate" && n.Ended[policy.NeverSent] == 0 && n.Legs == before {
-						return // it was let in before room for it was heard of, and dismissed, which is no leg either
+						return // it was let in before room for it was heard of, and rejected, which is no leg either
 					}
 					if waited := n.LeftWaiting == 1 || place == "after a miss"; n.Ended[policy.NeverSent] != 1 || !waited {
 						t.Errorf("%d legs not sent on, %d left waiting: %v", n.Ended[policy.NeverSent], n.LeftWaiting, n.Ended)
--- a/internal/net/relay/operators.go
+++ b/internal/net/relay/operators.go
@@ -15,7 +15,7 @@
 const (
 	standbyComing = 350 * time.Millisecond // after the call to stand by, the front still sends new clients: 0.2 s after its next question
 	trialsApart   = time.Second            // between legs to a cache that is only tried: two sooner are its share of the work
-	standbyTakes  = 2 * time.Second        // then, who still keeps a connection busy is dismissed until it falls idle
+	standbyTakes  = 2 * time.Second        // then, who still keeps a connection busy is rejected until it falls idle
 )
 
 // stance hears how the module says that caches stand, and passes all on to the records' book if there is one.
@@ -148,7 +148,7 @@
 	r.due.Put(r.now().Add(drainEvery), due{drain: true})
 }
 
-// turnsAway tells whether what still comes on a kept connection is dismissed while standing by, so that it falls idle.
+// turnsAway tells whether what still comes on a kept connection is rejected while standing by, so that it falls idle.
 func (r *Relay) turnsAway() bool {
 	return r.phase == Standby && r.now().Since(r.stoodBy) >= standbyComing+standbyTakes
 }
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -386,7 +386,7 @@
 	c.Close()
 	wait(t, g.ended)
 	g.until("it has left", func(n counters.Counters) bool {
-		return n.Left == 1 && n.Ended[policy.Cancelled] == 1 && n.Satisfied+n.Dismissed+n.Scrapped == 0
+		return n.Left == 1 && n.Ended[policy.Cancelled] == 1 && n.Satisfied+n.Rejected+n.Scrapped == 0
 	})
 }
 
@@ -827,11 +827,11 @@
 		g.expect(r, "VA 5 Oa", "hello")
 	}
 	if n := g.Counts(); n.RoomClosed == 0 || n.RoomClosed+n.IdleClosed < 50 || n.Crowded > 0 { // a slow machine's are idle for long, too
-		t.Errorf("%d closed to make room, %d when idle, %d dismissed for want of it", n.RoomClosed, n.IdleClosed, n.Crowded)
+		t.Errorf("%d closed to make room, %d when idle, %d rejected for want of it", n.RoomClosed, n.IdleClosed, n.Crowded)
 	}
 }
 
-func TestWithoutRoomRequestsAreDismissedNotCutOff(t *testing.T) {
+func TestWithoutRoomRequestsAreRejectedNotCutOff(t *testing.T) {
 	hold := make(chan bool)
 	g := newRig(t, 64, func(line string) string { <-hold; return value(line) })
 	var rs []*bufio.Reader
@@ -855,7 +855,7 @@
 		}
 	}
 	if served == 0 || busy == 0 || served+busy != len(rs) {
-		t.Errorf("%d served, %d dismissed, of %d", served, busy, len(rs))
+		t.Errorf("%d served, %d rejected, of %d", served, busy, len(rs))
 	}
 }
 
--- a/internal/simwire/encode.go
+++ b/internal/simwire/encode.go
@@ -109,8 +109,8 @@
 	w.end()
 }
 
-// Dismiss answers that a retry is harmless.
-func (w *Writer) Dismiss(id policy.RequestID, comeBack time.Duration) {
+// Reject answers that a retry is harmless.
+func (w *Writer) Reject(id policy.RequestID, comeBack time.Duration) {
 	w.begin("shed")
 	w.text(string(id))
 	w.seconds(comeBack)
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -183,7 +183,7 @@
 	return true
 }
 
-// plainAnswer is the plain model of dismissals: only where a retry is sure to do no harm.
+// plainAnswer is the plain model of rejections: only where a retry is sure to do no harm.
 func plainAnswer(h HouseRules, r *Request, a Answer) bool {
 	g := gradeOf(h, r)
 	return a == Scrap || g.Effect == Idempotent || g.Effect == Labelled && g.Scope == AllCaches ||
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -339,12 +339,12 @@
 
 var isOut, missed = func(l Leg) bool { return l.Out }, func(l Leg) bool { return l.Result == Missed }
 
-// giveUp ends a request at once: with a dismissal where a retry is sure to do no harm.
+// giveUp ends a request at once: with a rejection where a retry is sure to do no harm.
 func (p *Router) giveUp(r *Request) Move {
 	g := r.memo.grade
 	if g.Effect == Idempotent || g.Effect == Labelled && g.Scope == AllCaches ||
 		!slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.Out || !l.Result.NeverRan() }) {
-		return Move{Answer: Dismiss, ComeBack: min(p.rules.MaxComeBack, g.SoftLimit/2)}
+		return Move{Answer: Reject, ComeBack: min(p.rules.MaxComeBack, g.SoftLimit/2)}
 	}
 	return Move{Answer: Scrap}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -285,7 +285,7 @@
 		}
 		c.out = 3
 	}
-	if r, m := w.arrive("k", 0, false); len(m.To) > 0 || m.Answer != Dismiss || w.p.doors[home].asked > evidence {
+	if r, m := w.arrive("k", 0, false); len(m.To) > 0 || m.Answer != Reject || w.p.doors[home].asked > evidence {
 		t.Errorf("sent behind a queue longer than the soft limit, or closed the door for it: %v %v", r, m)
 	}
 	// own work over half the soft limit made idle caches look full, and own legs were taken off a queue that had none
@@ -590,7 +590,7 @@
 		t.Errorf("%d legs are out at an origin of unknown size", out)
 	}
 	w.p.bar = 1e9 // all that waits is worth more, so waiting would be in vain
-	if r, _ := w.arrive("cheap", 0, false); w.end(r, 0, Missed).Answer != Dismiss {
+	if r, _ := w.arrive("cheap", 0, false); w.end(r, 0, Missed).Answer != Reject {
 		t.Error("what is worth too little to be fetched is kept waiting")
 	}
 }
--- a/policy/types.go
+++ b/policy/types.go
@@ -174,7 +174,7 @@
 
 const (
 	Nothing Answer = iota
-	Dismiss
+	Reject
 	Scrap
 )
 
@@ -184,7 +184,7 @@
 	GiveUpAt Instant       // when these legs time out
 	Cancel   []int         // call off these legs
 	Answer   Answer        // final answer, if any
-	ComeBack time.Duration // told to the client with a dismissal; 0 for none
+	ComeBack time.Duration // told to the client with a rejection; 0 for none
 	AskAgain Instant       // call Where again then, unless it is over; 0 for no need
 	Wake     []RequestID   // call Where for these now
 }
