--- a/internal/baselines/baselines.go
+++ b/internal/baselines/baselines.go
@@ -177,7 +177,7 @@
 	if !mayHaveRun || g.Effect == policy.Idempotent || g.Effect == policy.Labelled && g.Scope == policy.AllCaches {
 		return policy.Move{Answer: policy.Reject, ComeBack: min(p.rules.MaxComeBack, waits)}
 	}
-	return policy.Move{Answer: policy.Scrap}
+	return policy.Move{Answer: policy.Fail}
 }
 
 // Still tells whether a leg may go out that has waited for its connection.
--- a/internal/emulator/client/client.go
+++ b/internal/emulator/client/client.go
@@ -273,7 +273,7 @@
 		b := make([]byte, n+2)
 		var late net.Error
 		if _, err = io.ReadFull(r, b); err != nil && n > longOver && !(errors.As(err, &late) && late.Timeout()) {
-			return Answer{Final: judge.Scrapped, last: true}, nil // begun and not whole, as its reader can tell
+			return Answer{Final: judge.Failed, last: true}, nil // begun and not whole, as its reader can tell
 		} else if err != nil {
 			return answer, err
 		}
@@ -296,7 +296,7 @@
 		}
 		return answer, nil
 	default:
-		answer.Final = judge.Scrapped
+		answer.Final = judge.Failed
 		return answer, nil
 	}
 	if id := named(); id != a.ID {
--- a/internal/emulator/client/http.go
+++ b/internal/emulator/client/http.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return answer, err
 	}
-	answer.last, answer.Final = said.Close, judge.Scrapped
+	answer.last, answer.Final = said.Close, judge.Failed
 	switch said.StatusCode {
 	case http.StatusOK:
 		answer.Final, answer.Value = judge.Satisfied, string(body)
--- a/internal/emulator/judge/judge.go
+++ b/internal/emulator/judge/judge.go
@@ -22,11 +22,11 @@
 const (
 	Satisfied Final = iota
 	Rejected
-	Scrapped
+	Failed
 	Cut // the connection ended without one
 )
 
-func (f Final) String() string { return [...]string{"satisfied", "rejected", "scrapped", "cut"}[f] }
+func (f Final) String() string { return [...]string{"satisfied", "rejected", "failed", "cut"}[f] }
 
 // Breach is one rule broken once.
 type Breach struct {
@@ -53,8 +53,8 @@
 
 // Tally counts what clients were answered, by grade.
 type Tally struct {
-	Asked, Satisfied, InTime, Rejected, Scrapped, Cut uint64
-	First, FirstInTime                                uint64 // first tries, and those of them that a try satisfied within the soft limit
+	Asked, Satisfied, InTime, Rejected, Failed, Cut uint64
+	First, FirstInTime                              uint64 // first tries, and those of them that a try satisfied within the soft limit
 }
 
 // Judge is told of one run.
@@ -157,8 +157,8 @@
 		if t.mayHaveRun() && !harmless(g) {
 			j.breach(2, now, id, t.node, "", "rejected, though a leg of it may have run")
 		}
-	case Scrapped:
-		c.Scrapped++
+	case Failed:
+		c.Failed++
 	case Cut:
 		c.Cut++
 		j.breach(1, now, id, t.node, "", "its connection ended without an answer")
--- a/internal/emulator/judge/judge_test.go
+++ b/internal/emulator/judge/judge_test.go
@@ -41,8 +41,8 @@
 		{"never, its node killed", 0, func(j *Judge) { sent(j, 0); j.Excuse("r"); j.Advance(200 * ms) }},
 		{"cut", 1, func(j *Judge) { sent(j, 0); j.Answered(10*ms, "r", Cut) }},
 		{"nobody asked", 1, func(j *Judge) { j.Answered(10*ms, "q", Satisfied) }},
-		{"a leg after the answer", 1, func(j *Judge) { sent(j, 0); j.Answered(20*ms, "r", Scrapped); j.Came(40*ms, 35*ms, "r", "c1") }},
-		{"a leg that crossed the answer", 0, func(j *Judge) { sent(j, 0); j.Answered(20*ms, "r", Scrapped); j.Came(40*ms, 20*ms, "r", "c1") }},
+		{"a leg after the answer", 1, func(j *Judge) { sent(j, 0); j.Answered(20*ms, "r", Failed); j.Came(40*ms, 35*ms, "r", "c1") }},
+		{"a leg that crossed the answer", 0, func(j *Judge) { sent(j, 0); j.Answered(20*ms, "r", Failed); j.Came(40*ms, 20*ms, "r", "c1") }},
 		{"a third attempt that began over 0.1 s after its client had gone", 1, func(j *Judge) { gone(j, sent, 3, 101*ms) }},
 		{"two of them", 0, func(j *Judge) { gone(j, sent, 2, 101*ms) }},
 		{"attempts that crossed their clients' leaving, and an answer", 0, func(j *Judge) {
@@ -68,7 +68,7 @@
 			j.Left(6*ms, "r", "c1", true)
 			j.Answered(10*ms, "r", Rejected)
 		}},
-		{"scrapped after a leg", 0, func(j *Judge) { sent(j, 2); j.Came(5*ms, 5*ms, "r", "c1"); j.Answered(10*ms, "r", Scrapped) }},
+		{"failed after a leg", 0, func(j *Judge) { sent(j, 2); j.Came(5*ms, 5*ms, "r", "c1"); j.Answered(10*ms, "r", Failed) }},
 		{"ran after its rejection", 2, func(j *Judge) { sent(j, 2); j.Answered(10*ms, "r", Rejected); j.Effect(12*ms, "r", "", 2, "c1") }},
 		{"irreversible sent again", 2, func(j *Judge) {
 			sent(j, 2)
--- a/internal/emulator/onwire/figures.go
+++ b/internal/emulator/onwire/figures.go
@@ -29,7 +29,7 @@
 }
 
 // The names by which a node tells each kind of end.
-var endNames = map[judge.Final]string{judge.Satisfied: "completed", judge.Rejected: "rejected", judge.Scrapped: "failed"}
+var endNames = map[judge.Final]string{judge.Satisfied: "completed", judge.Rejected: "rejected", judge.Failed: "failed"}
 
 func (f *figures) ended(grade string, how judge.Final) {
 	name, is := endNames[how]
--- a/internal/emulator/outcome/outcome.go
+++ b/internal/emulator/outcome/outcome.go
@@ -149,7 +149,7 @@
 	InTime   float64 `json:"satisfied_in_time"` // share of first tries
 	Tries    float64 `json:"tries_each"`
 	Rejected uint64  `json:"rejected"`
-	Scrapped uint64  `json:"scrapped"`
+	Failed   uint64  `json:"failed"`
 	Cut      uint64  `json:"cut"`
 	P50      float64 `json:"p50_ms"`
 	P99      float64 `json:"p99_ms"`
@@ -208,7 +208,7 @@
 	asked, got, tries := 0.0, 0.0, uint64(0)
 	for i, g := range s.Terms() {
 		t := &j.Grades[i]
-		row := Grade{Name: g.Name, Asked: t.First, Rejected: t.Rejected, Scrapped: t.Scrapped, Cut: t.Cut}
+		row := Grade{Name: g.Name, Asked: t.First, Rejected: t.Rejected, Failed: t.Failed, Cut: t.Cut}
 		if t.First > 0 {
 			row.InTime = float64(t.FirstInTime) / float64(t.First)
 			row.Tries = float64(t.Asked) / float64(t.First)
@@ -348,9 +348,9 @@
 // Print writes a report for people.
 func (r *Report) Print(to io.Writer) {
 	fmt.Fprintf(to, "%s (seed %d, %s, %s): %d nodes, %d caches, %g s\n", r.Script, r.Seed, r.Shell, r.Decider, r.Nodes, r.Caches, r.Seconds)
-	fmt.Fprintf(to, "%-12s %9s %9s %7s %10s %9s %5s %9s %9s\n", "grade", "asked", "in time", "tries", "rejected", "scrapped", "cut", "p50 ms", "p99 ms")
+	fmt.Fprintf(to, "%-12s %9s %9s %7s %10s %9s %5s %9s %9s\n", "grade", "asked", "in time", "tries", "rejected", "failed", "cut", "p50 ms", "p99 ms")
 	for _, g := range r.Grades {
-		fmt.Fprintf(to, "%-12s %9d %8.2f%% %7.2f %10d %9d %5d %9.1f %9.1f\n", g.Name, g.Asked, 100*g.InTime, g.Tries, g.Rejected, g.Scrapped, g.Cut,
+		fmt.Fprintf(to, "%-12s %9d %8.2f%% %7.2f %10d %9d %5d %9.1f %9.1f\n", g.Name, g.Asked, 100*g.InTime, g.Tries, g.Rejected, g.Failed, g.Cut,
 			g.P50, g.P99)
 	}
 	fmt.Fprintf(to, "benefit in time %.4f; %.3f legs for each request, at most %d a second at the origin\n", r.Gain, r.PerAsked, r.Origin)
--- a/internal/emulator/virtual/node.go
+++ b/internal/emulator/virtual/node.go
@@ -468,10 +468,10 @@
 	}
 }
 
-// Scrap answers that it failed.
-func (n *node) Scrap(id policy.RequestID) {
+// Fail answers that it failed.
+func (n *node) Fail(id policy.RequestID) {
 	if v := n.hand[id]; v != nil && !v.answered {
-		n.answer(v, judge.Scrapped, 0)
+		n.answer(v, judge.Failed, 0)
 		n.later(v)
 	}
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -14,7 +14,7 @@
 	Send(id policy.RequestID, to policy.CacheID, giveUpAt policy.Instant)
 	Cancel(id policy.RequestID, leg int)
 	Reject(id policy.RequestID, comeBack time.Duration)
-	Scrap(id policy.RequestID)
+	Fail(id policy.RequestID)
 	Timer(in time.Duration, token string)
 	Probe(id policy.CacheID)
 	Follow()
@@ -189,8 +189,8 @@
 	case policy.Reject:
 		h.do.Reject(in.ID, m.ComeBack)
 		in.Over = true
-	case policy.Scrap:
-		h.do.Scrap(in.ID)
+	case policy.Fail:
+		h.do.Fail(in.ID)
 		in.Over = true
 	}
 	for _, to := range m.To {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -28,12 +28,12 @@
 
 // Grade is what one grade got.
 type Grade struct {
-	Name                            string
-	Asked, Satisfied, InTime        int64
-	Rejected, Scrapped, Cut, Silent int64
-	Wrong                           int64
-	Took                            *hdrhistogram.Histogram // of those satisfied, from when they were due
-	Bare                            *hdrhistogram.Histogram // the same from when they were sent
+	Name                          string
+	Asked, Satisfied, InTime      int64
+	Rejected, Failed, Cut, Silent int64
+	Wrong                         int64
+	Took                          *hdrhistogram.Histogram // of those satisfied, from when they were due
+	Bare                          *hdrhistogram.Histogram // the same from when they were sent
 }
 
 // Result is what a run got.
@@ -116,7 +116,7 @@
 	case got.Final == judge.Cut:
 		g.Cut++
 	default:
-		g.Scrapped++
+		g.Failed++
 	}
 }
 
@@ -127,12 +127,12 @@
 func (r *Result) Print(to io.Writer) {
 	fmt.Fprintf(to, "%d asked in %.1f s, %.0f a second; times in ms from when each was due\n", r.Asked, r.Long.Seconds(),
 		float64(r.Asked)/r.Long.Seconds())
-	fmt.Fprintf(to, "%-10s %8s %9s %8s %9s %8s %5s %6s %5s %8s %8s %8s %8s %8s\n", "grade", "asked", "satisfied", "in time", "rejected", "scrapped",
+	fmt.Fprintf(to, "%-10s %8s %9s %8s %9s %8s %5s %6s %5s %8s %8s %8s %8s %8s\n", "grade", "asked", "satisfied", "in time", "rejected", "failed",
 		"cut", "silent", "wrong", "p50", "p90", "p99", "p99.9", "most")
 	for _, g := range r.Grades {
 		at := func(q float64) float64 { return float64(g.Took.ValueAtQuantile(q)) / 1e6 }
 		fmt.Fprintf(to, "%-10s %8d %9d %8d %9d %8d %5d %6d %5d %8.2f %8.2f %8.2f %8.2f %8.2f\n", g.Name, g.Asked, g.Satisfied, g.InTime, g.Rejected,
-			g.Scrapped, g.Cut, g.Silent, g.Wrong, at(50), at(90), at(99), at(99.9), float64(g.Took.Max())/1e6)
+			g.Failed, g.Cut, g.Silent, g.Wrong, at(50), at(90), at(99), at(99.9), float64(g.Took.Max())/1e6)
 	}
 	if r.TooBusy() {
 		fmt.Fprintf(to, "this machine was too busy: %d of %d went out over %v late\n", r.Late, r.Asked, lateBy)
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -69,7 +69,7 @@
 	})
 	r := Run(context.Background(), addr, false, reads(200), time.Second)
 	g := r.Grades[0]
-	if r.Asked < 150 || g.Asked != r.Asked || g.Silent+g.Cut+g.Scrapped > 0 {
+	if r.Asked < 150 || g.Asked != r.Asked || g.Silent+g.Cut+g.Failed > 0 {
 		t.Fatalf("%+v", r)
 	}
 	if g.Satisfied+g.Rejected != g.Asked || g.Rejected < 1 || g.Wrong < 1 {
@@ -110,7 +110,7 @@
 	}))
 	t.Cleanup(s.Close)
 	g := Run(context.Background(), strings.TrimPrefix(s.URL, "http://"), true, reads(200), time.Second).Grades[0]
-	if tenth := g.Asked / 10; g.Asked < 150 || g.Cut+g.Silent > 0 || g.Rejected < tenth || g.Scrapped < 2*tenth || g.Wrong < tenth || g.Satisfied < 6*tenth {
+	if tenth := g.Asked / 10; g.Asked < 150 || g.Cut+g.Silent > 0 || g.Rejected < tenth || g.Failed < 2*tenth || g.Wrong < tenth || g.Satisfied < 6*tenth {
 		t.Errorf("%+v", g)
 	}
 }
--- a/internal/net/counters/counters.go
+++ b/internal/net/counters/counters.go
@@ -6,7 +6,7 @@
 // Counters are counted by one loop; a copy may be read anywhere.
 type Counters struct {
 	Clients, Requests, Malformed    uint64 // connections taken, requests taken, commands that were none
-	Satisfied, Rejected, Scrapped   uint64 // final answers
+	Satisfied, Rejected, Failed     uint64 // final answers
 	Crowded, Left, Overdue          uint64 // rejected for want of room; clients that went before the answer, or said nothing whole in time
 	Legs, Dials, Reused, Probes     uint64 // sent; connections opened for them, or used again; caches checked
 	Lists, Reconnects, Moves        uint64 // lists heard; new calls after one that failed; new addresses to call
@@ -28,7 +28,7 @@
 		n    uint64
 	}{
 		{"clients", c.Clients}, {"requests", c.Requests}, {"malformed", c.Malformed},
-		{"satisfied", c.Satisfied}, {"rejected", c.Rejected}, {"scrapped", c.Scrapped},
+		{"satisfied", c.Satisfied}, {"rejected", c.Rejected}, {"failed", c.Failed},
 		{"crowded", c.Crowded}, {"left", c.Left}, {"left_waiting", c.LeftWaiting}, {"overdue", c.Overdue}, {"legs", c.Legs}, {"dials", c.Dials}, {"reused", c.Reused},
 		{"probes", c.Probes}, {"lists", c.Lists}, {"reconnects", c.Reconnects}, {"moves", c.Moves},
 		{"idle_closed", c.IdleClosed}, {"room_closed", c.RoomClosed}, {"strange", c.Strange},
--- a/internal/net/meta/answer.go
+++ b/internal/net/meta/answer.go
@@ -130,5 +130,5 @@
 	return append(to, crlf...)
 }
 
-// AppendFailed writes a scrapping.
+// AppendFailed writes a failure.
 func AppendFailed(to []byte) []byte { return append(to, "SERVER_ERROR failed\r\n"...) }
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -404,12 +404,12 @@
 	}
 }
 
-// Scrap answers that it failed.
-func (r *Relay) Scrap(id policy.RequestID) {
+// Fail answers that it failed.
+func (r *Relay) Fail(id policy.RequestID) {
 	if v := r.hand.Get(slotOf(id)); v != nil && !v.answered {
-		r.count.Scrapped++
+		r.count.Failed++
 		r.byGrade[v.grade].Failed++
-		r.answer(v, v.face.scrapped(&v.call, v.late), nil)
+		r.answer(v, v.face.failed(&v.call, v.late), nil)
 		r.release(v)
 	}
 }
--- a/internal/net/relay/faces.go
+++ b/internal/net/relay/faces.go
@@ -22,8 +22,8 @@
 	end() string
 	receipt(c *call, r *reply) []byte
 	rejected(c *call, comeBack time.Duration) []byte
-	// scrapped also says whether what was asked has not answered, or answered amiss.
-	scrapped(c *call, late bool) []byte
+	// failed also says whether what was asked has not answered, or answered amiss.
+	failed(c *call, late bool) []byte
 	refused(why refusal, bare bool) []byte
 	ready(c *call, p Phase) []byte
 	counts(c *call, n *counters.Counters) []byte
@@ -146,7 +146,7 @@
 	return meta.AppendBusy(nil, int64((comeBack+time.Millisecond-1)/time.Millisecond))
 }
 
-func (metaFace) scrapped(*call, bool) []byte { return meta.AppendFailed(nil) }
+func (metaFace) failed(*call, bool) []byte { return meta.AppendFailed(nil) }
 
 func (metaFace) refused(why refusal, _ bool) []byte { return []byte(metaRefusals[why]) }
 
--- a/internal/net/relay/httpface.go
+++ b/internal/net/relay/httpface.go
@@ -253,7 +253,7 @@
 	return h.bodied(c, 503, "busy", "Retry-After: "+strconv.Itoa(int((comeBack+time.Second-1)/time.Second)))
 }
 
-func (h *httpFace) scrapped(c *call, late bool) []byte {
+func (h *httpFace) failed(c *call, late bool) []byte {
 	if late {
 		return h.bodied(c, 504, "no answer in time")
 	}
--- a/internal/net/relay/operators_test.go
+++ b/internal/net/relay/operators_test.go
@@ -68,7 +68,7 @@
 	back, again := g.client()
 	fmt.Fprint(back, "mn\r\nmg k v Oe Pc=read,d=9000\r\n")
 	g.expect(again, "MN", "VA 5 Oe", "hello")
-	if n := g.Counts(); n.Dials != dials || n.Satisfied != 4 || n.Rejected != 1 || n.Left+n.Scrapped != 0 {
+	if n := g.Counts(); n.Dials != dials || n.Satisfied != 4 || n.Rejected != 1 || n.Left+n.Failed != 0 {
 		t.Errorf("%+v", n)
 	}
 	told(g.Standby, nil)
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -386,7 +386,7 @@
 	c.Close()
 	wait(t, g.ended)
 	g.until("it has left", func(n counters.Counters) bool {
-		return n.Left == 1 && n.Ended[policy.Cancelled] == 1 && n.Satisfied+n.Rejected+n.Scrapped == 0
+		return n.Left == 1 && n.Ended[policy.Cancelled] == 1 && n.Satisfied+n.Rejected+n.Failed == 0
 	})
 }
 
--- a/internal/net/relay/stream.go
+++ b/internal/net/relay/stream.go
@@ -178,7 +178,7 @@
 // that it is told as of any other.
 func (r *Relay) failStream(s *stream) {
 	r.pending--
-	r.count.Scrapped++
+	r.count.Failed++
 	r.byGrade[s.grade].Failed++
 	c := r.clients.Get(s.client)
 	if c == nil {
@@ -190,7 +190,7 @@
 	}
 	t := &c.turns[s.turn-c.first]
 	r.held -= t.bytes()
-	t.done, t.out, t.stream = true, s.face.scrapped(&s.call, false), 0
+	t.done, t.out, t.stream = true, s.face.failed(&s.call, false), 0
 	r.held += t.bytes()
 	r.flush(c)
 }
--- a/internal/net/relay/stream_test.go
+++ b/internal/net/relay/stream_test.go
@@ -79,7 +79,7 @@
 	if got, err := io.ReadAll(r); len(got) > 100<<10 || err != nil && !strings.Contains(err.Error(), "reset") {
 		t.Errorf("%d bytes, %v", len(got), err)
 	}
-	if n := g.Counts(); n.Scrapped != 1 || n.Satisfied != 0 || n.Legs != 1 {
+	if n := g.Counts(); n.Failed != 1 || n.Satisfied != 0 || n.Legs != 1 {
 		t.Errorf("%+v", n)
 	}
 }
--- a/internal/simwire/encode.go
+++ b/internal/simwire/encode.go
@@ -117,8 +117,8 @@
 	w.end()
 }
 
-// Scrap answers that it failed.
-func (w *Writer) Scrap(id policy.RequestID) {
+// Fail answers that it failed.
+func (w *Writer) Fail(id policy.RequestID) {
 	w.begin("surrender")
 	w.text(string(id))
 	w.end()
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -186,6 +186,6 @@
 // plainAnswer is the plain model of rejections: only where a retry is sure to do no harm.
 func plainAnswer(h HouseRules, r *Request, a Answer) bool {
 	g := gradeOf(h, r)
-	return a == Scrap || g.Effect == Idempotent || g.Effect == Labelled && g.Scope == AllCaches ||
+	return a == Fail || g.Effect == Idempotent || g.Effect == Labelled && g.Scope == AllCaches ||
 		!slices.ContainsFunc(r.Legs, mayHaveRun)
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -346,7 +346,7 @@
 		!slices.ContainsFunc(r.Legs, func(l Leg) bool { return l.Out || !l.Result.NeverRan() }) {
 		return Move{Answer: Reject, ComeBack: min(p.rules.MaxComeBack, g.SoftLimit/2)}
 	}
-	return Move{Answer: Scrap}
+	return Move{Answer: Fail}
 }
 
 // turnAway guards against collapse: while far more is asked than answered, by chance, cheaper ones more.
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -85,7 +85,7 @@
 		if want && !got && plainAllowed(rules, w.state, later, r, "cache-1") && later < r.Deadline {
 			t.Errorf("at %v a leg to %v is allowed: %+v", w.now, e, r)
 		}
-		if m := w.p.giveUp(r); !plainAnswer(rules, r, m.Answer) || m.Answer == Scrap && plainAnswer(rules, r, Reject) {
+		if m := w.p.giveUp(r); !plainAnswer(rules, r, m.Answer) || m.Answer == Fail && plainAnswer(rules, r, Reject) {
 			t.Errorf("giving up with %v: %+v", m, r)
 		}
 	})
--- a/policy/types.go
+++ b/policy/types.go
@@ -175,7 +175,7 @@
 const (
 	Nothing Answer = iota
 	Reject
-	Scrap
+	Fail
 )
 
 // Move is what to do with one request. Several parts may be set at once.
