--- a/internal/scale/changes/rig/rig.go
+++ b/internal/scale/changes/rig/rig.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	stdnet "net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -22,6 +21,7 @@
 	"dahliapin/internal/keyhash"
 	net "dahliapin/internal/net/accord"
 	"dahliapin/internal/net/fleet"
+	"dahliapin/internal/ports"
 	"dahliapin/internal/scale/changes/judge"
 	"dahliapin/internal/scale/changes/trace"
 	"dahliapin/policy"
@@ -216,15 +216,6 @@
 	return filepath.Join(r.Dir, fmt.Sprintf(format, args...))
 }
 
-func freeAddr() (string, error) {
-	l, err := stdnet.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // launch starts a process, its output in a file.
 func (r *run) launch(name string, args ...string) (*process, error) {
 	c := exec.Command(r.Program, args...)
@@ -252,8 +243,8 @@
 	for i := range machines {
 		var err error
 		r.region[i] = i * r.Regions / machines
-		if r.peers[i], err = freeAddr(); err == nil {
-			r.nodes[i], err = freeAddr()
+		if r.peers[i], err = ports.Free(); err == nil {
+			r.nodes[i], err = ports.Free()
 		}
 		if err != nil {
 			return err
@@ -334,11 +325,11 @@
 
 // startReal starts a whole node that follows: with listeners, a loop, gossip with nobody, and no list of caches.
 func (r *run) startReal(i int) error {
-	listen, err := freeAddr()
+	listen, err := ports.Free()
 	if err != nil {
 		return err
 	}
-	gossip, err := freeAddr()
+	gossip, err := ports.Free()
 	if err != nil {
 		return err
 	}
