Scripts: what is in virtual time only is refused on sockets, not passed over

traffic.skew, network.late_share and network.lost_share were ignored there without a word, and a script that stands on them met what it expects by chance.

--- a/internal/emulator/onwire/onwire_test.go
+++ b/internal/emulator/onwire/onwire_test.go
@@ -466,3 +466,17 @@
 		}
 	}
 }
+
+// What sockets don't have was passed over without a word, and a script that stands on it met what it expects by chance.
+func TestWhatIsInVirtualTimeOnlyIsRefused(t *testing.T) {
+	for _, more := range []string{"[traffic]\nskew = 0.5\n", "[network]\nlate_share = 0.1\nlate_ms = 5\n", "[network]\nlost_share = 0.1\n"} {
+		section, keys, _ := strings.Cut(more, "\n")
+		text := small + more
+		if strings.Contains(small, section+"\n") {
+			text = strings.Replace(small, section+"\n", section+"\n"+keys, 1)
+		}
+		if _, err := Play(context.Background(), parse(t, text), Embedded{}, nil); err == nil || !strings.Contains(err.Error(), "virtual time only") {
+			t.Errorf("%q: %v", more, err)
+		}
+	}
+}
--- a/internal/emulator/onwire/rig.go
+++ b/internal/emulator/onwire/rig.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"hash/crc32"
 	"sync"
@@ -102,6 +103,9 @@
 // Play plays a script on sockets. A cancelled context ends it early, without a report.
 func Play(ctx context.Context, s *script.Script, runner Runner, tell func(string)) (*outcome.Report, error) {
 	terms, err := s.TermsAt(s.Fleet.Zones[0])
+	if err == nil && s.InVirtualTime() {
+		err = errors.New("uneven traffic of nodes, late connections and lost answers are not there: this script plays in virtual time only")
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/emulator/script/script.go
+++ b/internal/emulator/script/script.go
@@ -245,6 +245,11 @@
 	return slices.ContainsFunc(s.Events, func(e Event) bool { return e.Do == upgrade || e.Do == standby || e.Do == scrape })
 }
 
+// InVirtualTime tells whether a script has what there is in virtual time only.
+func (s *Script) InVirtualTime() bool {
+	return s.Traffic.Skew > 0 || s.Network.LateShare > 0 || s.Network.LostShare > 0
+}
+
 // OnSockets tells whether a script does something to processes or between them, which virtual time does not have: it would pass there
 // whatever nodes do.
 func (s *Script) OnSockets() bool {
