--- a/cmd/dahliapin/scale_changes_test.go
+++ b/cmd/dahliapin/scale_changes_test.go
@@ -8,24 +8,29 @@
 	"dahliapin/internal/scale/changes/rig"
 )
 
-// The rig at its smallest, with all that can befall: packets lost, the leader killed outright and back, a region cut off. What was kept is
-// asked of the judge; times are the machine's, and no matter here.
-func TestTheLogOfChangesAtASmallSize(t *testing.T) {
-	t.Parallel() // its processes wait most of their time
+// playedSmall plays the log of changes by real processes for some 25 s, beside other tests that wait most of their time as well.
+func playedSmall(t *testing.T, args ...string) (r rig.Report) {
+	t.Helper()
+	t.Parallel()
 	if testing.Short() {
-		t.Skip("real processes for 20 s: without the race detector, which they do not have")
+		t.Skip("real processes for 25 s: without the race detector, which they do not have")
 	}
 	dir := t.TempDir()
-	_, code := asked(t, "scale-changes", "--nodes", "9", "--real", "1", "--regions", "3", "--for", "6s", "--kill", "--loss", "0.01", "--plays", "steady,cut", "--cut-for", "2s", "--after", "1s",
-		"--cut-purges", "400", "--cut-configs", "3", "--seed", "5", "--out", dir)
+	_, code := asked(t, append([]string{"scale-changes", "--regions", "3", "--for", "6s", "--kill", "--loss", "0.01", "--after", "1s", "--out", dir}, args...)...)
 	text, err := os.ReadFile(dir + "/report.json")
+	if err == nil {
+		err = json.Unmarshal(text, &r)
+	}
 	if err != nil {
 		t.Fatalf("%v, exit %d", err, code)
 	}
-	var r rig.Report
-	if err := json.Unmarshal(text, &r); err != nil {
-		t.Fatal(err)
-	}
+	return r
+}
+
+// The rig at its smallest, with all that can befall: packets lost, the leader killed outright and back, a region cut off. What was kept is
+// asked of the judge; times are the machine's, and no matter here.
+func TestTheLogOfChangesAtASmallSize(t *testing.T) {
+	r := playedSmall(t, "--nodes", "9", "--real", "1", "--plays", "steady,cut", "--cut-for", "2s", "--cut-purges", "400", "--cut-configs", "3", "--seed", "5")
 	if j := r.Judge; len(j.Breaches) > 0 || j.Entries < 57+6+403+28+20 || j.Applied != j.Entries*9 || j.Presumed > 0 || j.Refused > 0 || r.RealWhole != 1 {
 		t.Errorf("%+v\n%q, real ones with all: %d", j, r.Notes, r.RealWhole)
 	}
@@ -39,20 +44,7 @@
 // Purges at caches, with fills under way, the leader killed outright and back, and a cache that is silent for a while: no value is served that
 // is older than what counts as done, and all is done.
 func TestPurgesAtCachesAtASmallSize(t *testing.T) {
-	if testing.Short() {
-		t.Skip("real processes for 25 s: without the race detector, which they do not have")
-	}
-	dir := t.TempDir()
-	_, code := asked(t, "scale-changes", "--nodes", "3", "--real", "0", "--regions", "3", "--for", "6s", "--kill", "--loss", "0.01", "--plays", "steady,cache-cut", "--cut-for", "3s", "--after", "1s",
-		"--caches", "6", "--fills", "500ms", "--seed", "6", "--out", dir)
-	text, err := os.ReadFile(dir + "/report.json")
-	if err != nil {
-		t.Fatalf("%v, exit %d", err, code)
-	}
-	var r rig.Report
-	if err := json.Unmarshal(text, &r); err != nil {
-		t.Fatal(err)
-	}
+	r := playedSmall(t, "--nodes", "3", "--real", "0", "--plays", "steady,cache-cut", "--cut-for", "3s", "--caches", "6", "--fills", "500ms", "--seed", "6")
 	c := r.Caches
 	if len(r.Judge.Breaches) > 0 || c == nil || len(c.Breaches) > 0 || c.Purges < 57+38 || c.Caches != 6 || c.Deletes < 2*6*c.Purges || c.Served == 0 || r.CacheBack <= 0 {
 		t.Errorf("%+v\n%+v\n%q", r.Judge, c, r.Notes)
