--- a/cmd/dahliapin/start_test.go
+++ b/cmd/dahliapin/start_test.go
@@ -123,6 +123,9 @@
 	const list = `{"generation":7,"reset":true,"instances":[{"instanceId":"c","hostPort":"127.0.0.1:1","lifecycle":"in_service"}]}`
 	for _, how := range []string{"slow", "refuses", "silent"} {
 		t.Run(how, func(t *testing.T) {
+			if testing.Short() { // few enough to be started beside each other's
+				t.Parallel()
+			}
 			nodes, began := nodesAtOnce(), time.Now()
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				fails := time.Since(began) < failsFor
--- a/internal/emulator/onwire/onwire_test.go
+++ b/internal/emulator/onwire/onwire_test.go
@@ -428,7 +428,11 @@
 	if err := r.open(0); err != nil {
 		t.Fatal(err)
 	}
-	defer r.servers[0].shut()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.servers[0].shut()
+	}()
 	r.traffic = world.NewTraffic(s.Asks())
 	r.warm()
 	held := 0
