Figures of the event loop: stalls, the longest iteration, answers after their deadline

Change: an iteration over 150 ms is counted and logged (at most one line a second) with its events and lists; the longest one and final answers after their deadline are counted.

--- a/internal/net/counters/counters.go
+++ b/internal/net/counters/counters.go
@@ -14,6 +14,8 @@
 	Level, Shed                     uint64 // the service level, 0 for normal, and requests that levels turned away
 	Full                            uint64 // connections that a cache had no room for, though it lives
 	LeftWaiting                     uint64 // of the clients that went, those of whose request nothing had been sent on
+	Stalls, LongestIterationMs      uint64 // iterations of the event loop that took too long; the longest one, in milliseconds
+	AnsweredLate                    uint64 // final answers given after their request's deadline
 	Ended                           [policy.Missed + 1]uint64
 }
 
@@ -33,6 +35,7 @@
 		{"probes", c.Probes}, {"lists", c.Lists}, {"reconnects", c.Reconnects}, {"moves", c.Moves},
 		{"idle_closed", c.IdleClosed}, {"room_closed", c.RoomClosed}, {"strange", c.Strange},
 		{"full", c.Full}, {"level", c.Level}, {"shed", c.Shed},
+		{"stalls", c.Stalls}, {"longest_iteration_ms", c.LongestIterationMs}, {"answered_late", c.AnsweredLate},
 	} {
 		f(row.name, row.n)
 	}
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -66,6 +66,7 @@
 	turn     uint64
 	face     face
 	call     call // its parts lie in a copy
+	deadline policy.Instant
 	answered bool // or nobody waits any more
 	late     bool // its last leg to end had not answered in time
 	went     bool // a leg of it was handed to the kernel, if only in part
@@ -223,7 +224,7 @@
 	}
 	c.excess = false
 	asked.idempotent = r.Terms.Rules.Grades[grade].Effect == policy.Idempotent
-	v := &request{grade: grade, client: c.id, turn: c.first + uint64(len(c.turns)), face: c.face}
+	v := &request{grade: grade, deadline: stop, client: c.id, turn: c.first + uint64(len(c.turns)), face: c.face}
 	v.call, v.bytes = copyOf(asked)
 	r.held += v.bytes
 	v.id = r.hand.Add(v)
@@ -252,6 +253,9 @@
 // answer gives a request its one final answer.
 func (r *Relay) answer(v *request, out, long []byte) {
 	v.answered = true
+	if r.now() > v.deadline {
+		r.count.AnsweredLate++
+	}
 	r.pending--
 	c := r.clients.Get(v.client)
 	if c == nil || v.turn < c.first {
--- a/internal/net/relay/discovery.go
+++ b/internal/net/relay/discovery.go
@@ -126,6 +126,7 @@
 		return
 	}
 	r.count.Lists++
+	r.stalls.lists++
 	form, again := r.list.caller.Heard(news.GetInt("generation"), news.GetBool("reset"))
 	if again {
 		r.Log.Info("the list is had again")
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -127,6 +127,7 @@
 	lastCame  policy.Instant // when somebody last connected
 	lookedAt  policy.Instant // when a node that drains last looked for idle clients
 	looksIdle int            // such looks in a row, each on time, since then
+	stalls    stallWatch
 	asks      chan func()
 	done      chan struct{}
 }
@@ -287,7 +288,9 @@
 		if r.Turned != nil {
 			r.Turned()
 		}
-		for i, events := 0, r.eng.Take(); i < len(events); i++ {
+		events := r.eng.Take()
+		r.beginIteration(len(events))
+		for i := range events {
 			r.event(&events[i])
 			if i%eventsAtOne == eventsAtOne-1 {
 				r.deadlines()
@@ -297,8 +300,10 @@
 		for r.eng.Crowded() && r.makeRoom() {
 			r.settle()
 		}
+		now := r.now()
+		r.endIteration(now)
 		if at, ok := r.due.Next(); ok {
-			timer.Reset(at.Since(r.now()))
+			timer.Reset(at.Since(now))
 		}
 		if r.phase == Stopped {
 			break
--- /dev/null
+++ b/internal/net/relay/stalls.go
@@ -0,0 +1,49 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"dahliapin/policy"
+)
+
+const (
+	stallAfter    = 150 * time.Millisecond // an iteration of the loop that takes longer is a stall: deadlines allow for no more
+	stallLogEvery = time.Second            // between two log lines about stalls
+)
+
+// stallWatch observes the iterations of the event loop. Whatever the loop owes waits for the end of an iteration, so a long one explains
+// late answers, and decisions by a list that was out of date.
+type stallWatch struct {
+	began     policy.Instant // when the current iteration began
+	events    int            // taken from the sockets in it
+	lists     int            // lists of caches applied in it
+	loggedAt  policy.Instant // when a stall was last logged; 0 for never
+	notLogged int            // stalls since then
+}
+
+// begin starts an iteration with so many events.
+func (s *stallWatch) begin(now policy.Instant, events int) {
+	s.began, s.events, s.lists = now, events, 0
+}
+
+// beginIteration starts the observation of an iteration of the loop.
+func (r *Relay) beginIteration(events int) { r.stalls.begin(r.now(), events) }
+
+// endIteration counts an iteration that has ended, and logs it if it was a stall.
+func (r *Relay) endIteration(now policy.Instant) {
+	took := now.Since(r.stalls.began)
+	r.count.LongestIterationMs = max(r.count.LongestIterationMs, uint64(took/time.Millisecond))
+	if took < stallAfter {
+		return
+	}
+	r.count.Stalls++
+	if r.stalls.loggedAt != 0 && now.Since(r.stalls.loggedAt) < stallLogEvery {
+		r.stalls.notLogged++
+		return
+	}
+	r.Log.WithFields(logrus.Fields{"took_ms": int64(took / time.Millisecond), "events": r.stalls.events, "lists": r.stalls.lists,
+		"in_hand": r.hand.Len(), "not_logged": r.stalls.notLogged}).Warn("the event loop stalled")
+	r.stalls.loggedAt, r.stalls.notLogged = now, 0
+}
