--- /dev/null
+++ b/cmd/dahliapin/cpu_share_test.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"errors"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	shareLook  = time.Millisecond     // between looks at what a process has taken
+	shareBurst = 2 * time.Millisecond // of processor time that it may take at once
+	shareSaved = 5 * time.Millisecond // of processor time that it may save up while it has nothing to do
+)
+
+// processorTime tells what processor time a process has taken since its start, by the kernel's clock of that process.
+func processorTime(pid int) (time.Duration, error) {
+	const scheduled = 2 // the clock counts time on a core, as clock_getcpuclockid makes it
+	var at unix.Timespec
+	if err := unix.ClockGettime(int32(^pid)<<3|scheduled, &at); err != nil {
+		return 0, err
+	}
+	return time.Duration(at.Nano()), nil
+}
+
+// holdToShare gives a process no more than a share of a core, as a node has beside others, until the function that it returns is called: it is
+// stopped once it has taken more, and goes on when its share has caught up.
+func holdToShare(t *testing.T, pid int, share float64) (release func()) {
+	t.Helper()
+	over, ended := make(chan bool), make(chan bool)
+	signal := func(s syscall.Signal) {
+		if err := syscall.Kill(pid, s); err != nil && !errors.Is(err, syscall.ESRCH) {
+			t.Errorf("the process can't be held to its share: %v", err)
+		}
+	}
+	go func() {
+		defer close(ended)
+		defer signal(syscall.SIGCONT)
+		allowed, last := shareBurst, time.Now()
+		taken, err := processorTime(pid)
+		stopped := false
+		for ; err == nil; time.Sleep(shareLook) {
+			select {
+			case <-over:
+				return
+			default:
+			}
+			now := time.Now()
+			allowed, last = min(shareSaved, allowed+time.Duration(share*float64(now.Sub(last)))), now
+			var all time.Duration
+			if all, err = processorTime(pid); err != nil { // it has ended
+				return
+			}
+			allowed, taken = allowed-(all-taken), all
+			if holds := allowed < 0; holds != stopped {
+				stopped = holds
+				signal(map[bool]syscall.Signal{true: syscall.SIGSTOP, false: syscall.SIGCONT}[holds])
+			}
+		}
+	}()
+	return func() {
+		close(over)
+		<-ended
+	}
+}
--- /dev/null
+++ b/cmd/dahliapin/many_caches_test.go
@@ -0,0 +1,268 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	releaseSteps   = 4                       // versions of the list in a release
+	releaseEvery   = 1200 * time.Millisecond // between two of them
+	drainsAfter    = 100 * time.Millisecond  // a version that changes the set, the next one tells of further caches that drain
+	releaseShare   = 0.2                     // part of the caches that a step replaces
+	nodeShare      = 0.2                     // of a core that the node has
+	requestsPerSec = 120
+	popularKeys    = 20
+	answerGrace    = 500 * time.Millisecond // after that, by which a final answer has to be there all the same
+	drainGrace     = 450 * time.Millisecond // after the list has told of a draining cache, in which requests may still go there
+	originTakes    = 400 * time.Millisecond // so that reads that missed have to wait for room there
+)
+
+// waits are what clients wait for an answer, by turns.
+var waits = [...]time.Duration{464 * time.Millisecond, 1200 * time.Millisecond}
+
+// release is discovery, and caches that are replaced in steps. All caches of one step share a listener, so that it is known of each
+// request to which step's caches it went.
+type release struct {
+	caches int
+	origin string
+	groups []string // where the caches of each step listen; the last group stays
+
+	mu       sync.Mutex
+	versions []listVersion
+	told     [releaseSteps]time.Time // when the node was told that a step's caches drain
+	moved    chan bool               // closed at the next version
+
+	late [releaseSteps + 1]atomic.Int64 // requests that a step's caches got after the grace
+}
+
+// listVersion is one version of the list: whole at first, then what has changed.
+type listVersion struct {
+	rows   []string
+	drains int // the number, from 1, of the step whose caches drain by it; 0 for none
+}
+
+const cacheRow = `{"instanceId":"s-%08x","hostPort":%q,"machineType":"box","lifecycle":%q,"zone":"z","weight":1.0,"startedAtMs":0}`
+
+// newRelease makes the caches of all steps, the origin, and the first list.
+func newRelease(t *testing.T, caches int) *release {
+	r := &release{caches: caches, moved: make(chan bool)}
+	for group := range releaseSteps + 1 {
+		r.groups = append(r.groups, cacheOf(t, func(to net.Conn, line string) error { return r.answer(group, to, line) }))
+	}
+	origin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(originTakes)
+		io.WriteString(w, "hello")
+	}))
+	t.Cleanup(origin.CloseClientConnections)
+	r.origin = origin.Listener.Addr().String()
+	rows := []string{fmt.Sprintf(`{"instanceId":"o","hostPort":%q,"machineType":"origin","lifecycle":"in_service","zone":"z"}`, r.origin)}
+	for i := range caches {
+		rows = append(rows, r.row(i, "in_service"))
+	}
+	r.versions = []listVersion{{rows: rows}}
+	return r
+}
+
+// row is the entry of a cache. Those of each step are next to each other, and the later ones are new.
+func (r *release) row(cache int, state string) string {
+	return fmt.Sprintf(cacheRow, uint32(cache)*2654435761, r.groups[min(releaseSteps, cache/r.perStep())], state)
+}
+
+func (r *release) perStep() int { return int(releaseShare * float64(r.caches)) }
+
+// answer is a cache's: keys that begin with m are not there. It counts what its group gets after the grace.
+func (r *release) answer(group int, to net.Conn, line string) error {
+	f := strings.Fields(line)
+	if len(f) < 4 {
+		return io.EOF
+	}
+	r.mu.Lock()
+	drains := group < releaseSteps && !r.told[group].IsZero() && time.Since(r.told[group]) > drainGrace
+	r.mu.Unlock()
+	if drains {
+		r.late[group].Add(1)
+	}
+	if f[1][0] == 'm' {
+		_, err := fmt.Fprintf(to, "EN %s\r\n", f[3])
+		return err
+	}
+	_, err := fmt.Fprintf(to, "VA 5 %s\r\nhello\r\n", f[3])
+	return err
+}
+
+// step removes the caches that the step before has drained, adds as many new ones, and soon after has its own drain.
+func (r *release) step(n int) {
+	var changed, drained []string
+	for i := range r.perStep() {
+		drained = append(drained, r.row(n*r.perStep()+i, "terminating"))
+		if n > 0 {
+			changed = append(changed, r.row((n-1)*r.perStep()+i, "terminated"), r.row(r.caches+(n-1)*r.perStep()+i, "in_service"))
+		}
+	}
+	r.publish(listVersion{rows: changed})
+	time.Sleep(drainsAfter)
+	r.publish(listVersion{rows: drained, drains: n + 1})
+}
+
+// publish makes a new version of the list.
+func (r *release) publish(v listVersion) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.versions = append(r.versions, v)
+	close(r.moved)
+	r.moved = make(chan bool)
+}
+
+// ServeHTTP is discovery, which tells changes one version at a time.
+func (r *release) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	since, whole := 0, true
+	if at := q.URL.Query().Get("since"); at != "" {
+		fmt.Sscan(at, &since)
+		whole = false
+	}
+	for {
+		r.mu.Lock()
+		versions, moved := r.versions, r.moved
+		r.mu.Unlock()
+		if len(versions) > since {
+			next := versions[since]
+			body := fmt.Sprintf(`{"generation":%d,"reset":%v,"instances":[%s]}`, since+1, whole, strings.Join(next.rows, ","))
+			w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+			io.WriteString(w, body)
+			r.mu.Lock()
+			if next.drains > 0 && r.told[next.drains-1].IsZero() {
+				r.told[next.drains-1] = time.Now()
+			}
+			r.mu.Unlock()
+			return
+		}
+		select {
+		case <-moved:
+		case <-q.Context().Done():
+			return
+		case <-time.After(3 * time.Second):
+			fmt.Fprintf(w, `{"generation":%d,"reset":false,"instances":[]}`, since)
+			return
+		}
+	}
+}
+
+// clientLog is what became of the requests of a test's clients.
+type clientLog struct {
+	mu                    sync.Mutex
+	served, refused, lost int
+	latest                time.Duration // after its deadline that an answer came
+	lostKeys              []string
+}
+
+func (a *clientLog) ended(key, line string, err error, late time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.latest = max(a.latest, late)
+	switch {
+	case err != nil:
+		a.lost++
+		a.lostKeys = append(a.lostKeys, fmt.Sprintf("%s: %v, %v after its deadline", key, err, late.Round(time.Millisecond)))
+	case strings.HasPrefix(line, "VA"):
+		a.served++
+	default:
+		a.refused++
+	}
+}
+
+// ask sends one request on a connection of its own, and waits for its answer as long as one is owed.
+func (a *clientLog) ask(listen, key, id string, wait time.Duration) {
+	c, err := net.DialTimeout("tcp", listen, 3*time.Second)
+	if err != nil {
+		a.ended(key, "", err, 0)
+		return
+	}
+	defer c.Close()
+	began := time.Now()
+	c.SetDeadline(began.Add(wait + answerGrace))
+	fmt.Fprintf(c, "mg %s v O%s Pc=read,d=%d\r\n", key, id, wait.Milliseconds())
+	line, err := bufio.NewReader(c).ReadString('\n')
+	a.ended(key, line, err, time.Since(began)-wait)
+}
+
+// keyOf is the key of the i-th request: some are asked for so often that connections to their caches stay open, and some are nowhere.
+func keyOf(i int) string {
+	switch i % 8 {
+	case 0, 1, 2, 3:
+		return fmt.Sprint("v", i/8%popularKeys)
+	case 4, 5:
+		return fmt.Sprint("v", popularKeys+i)
+	}
+	return fmt.Sprint("m", i)
+}
+
+// Report 60a37a: while a release replaced servers among thousands, requests got no answer, and some went to servers that drained. The
+// placement was computed anew within the loop, for longer than a request waits.
+func TestAReleaseAmongThousandsOfCaches(t *testing.T) {
+	caches := 3200
+	if testing.Short() { // under the race detector, which is some ten times slower
+		caches = 800
+	}
+	r := newRelease(t, caches)
+	s := httptest.NewServer(r)
+	t.Cleanup(s.CloseClientConnections)
+	node := serving(t, t.TempDir(), s.Listener.Addr().String(), `"seed":"1","limits":{"memory_mb":192,"sockets":1024},"settings":{
+"service_grades":[{"name":"read","effect":"idempotent","group":"all","benefit":1,"soft_limit_s":0.4,"hard_stop_s":1.2}],"zone":"z","n_instances":16,
+"kinds":["box","origin"],"round_s":0.005,"bounds":{"most_legs":3,"conn_idle_s":15,"connect_timeout_s":0.25,"cancel":true},
+"family_info":{"mode":"aside","origin_kind":1},"rules":{"cold_from":0.3,"cold_s":5,"overload_factor":3,"overload_for_s":1}}`)
+	listen := node.at(t)
+	for by := time.Now().Add(20 * time.Second); !ready(listen); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(by) {
+			t.Fatalf("not ready; it said:\n%s", node.said())
+		}
+	}
+	release := holdToShare(t, node.Process.Pid, nodeShare)
+	var all sync.WaitGroup
+	var a clientLog
+	began := time.Now()
+	length := releaseEvery * (releaseSteps + 1)
+	for i, step := 0, 0; time.Since(began) < length; i++ {
+		if step < releaseSteps && time.Since(began) >= releaseEvery*time.Duration(step+1)-releaseEvery/2 {
+			go r.step(step)
+			step++
+		}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			a.ask(listen, keyOf(i), fmt.Sprint(i), waits[i%len(waits)])
+		}()
+		time.Sleep(time.Second / requestsPerSec)
+	}
+	all.Wait()
+	release()
+	node.Process.Signal(syscall.SIGUSR1)
+	for by := time.Now().Add(5 * time.Second); !strings.Contains(node.said(), "longest_iteration_ms") && time.Now().Before(by); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Logf("%d caches: %d served, %d refused, %d lost; the latest answer %v after its deadline", caches, a.served, a.refused, a.lost, a.latest.Round(time.Millisecond))
+	if a.lost > 0 {
+		t.Errorf("%d requests got no answer, among them %s", a.lost, strings.Join(a.lostKeys[:min(5, a.lost)], "; "))
+	}
+	for group := range r.late {
+		if n := r.late[group].Load(); n > 0 {
+			t.Errorf("%d requests went to the caches that step %d drained, after the grace", n, group+1)
+		}
+	}
+	if a.served == 0 {
+		t.Error("nothing was served")
+	}
+	if t.Failed() {
+		t.Logf("the node said:\n%s", node.said())
+	}
+}
