Placement in a module of its own, without sorting all pairs of caches and slots

Cause: after a change of the set of caches the first request had the placement computed within the loop: all pairs of a segment's caches and slots were hashed and sorted, 1.5 million at 3,200 caches, 197 to 208 ms of a whole core and 12 MB; a dead slot looked at each other slot. Change: policy/placement.go assigns by rounds of the lowest pairs, with the same result as sorting all (tested against that); left neighbours are computed once.

--- a/internal/keyhash/keyhash.go
+++ b/internal/keyhash/keyhash.go
@@ -15,7 +15,10 @@
 }
 
 // Salted returns one of many independent hashes of h.
-func Salted(h uint64, salt int) uint64 { return Mix(h ^ Mix(uint64(salt+1)*0x9e3779b97f4a7c15)) }
+func Salted(h uint64, salt int) uint64 { return Mix(h ^ Salt(salt)) }
+
+// Salt spreads a salt's number over all bits: Salted(h, n) is Mix(h ^ Salt(n)), for who hashes much by the same salts.
+func Salt(n int) uint64 { return Mix(uint64(n+1) * 0x9e3779b97f4a7c15) }
 
 // Text hashes a name (FNV-1a, mixed).
 func Text(s string) uint64 {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -8,7 +8,6 @@
 	"cmp"
 	"maps"
 	"math"
-	"math/bits"
 	"slices"
 	"time"
 
@@ -72,8 +71,6 @@
 	usedAt, toldAt    Instant // when a connection there was last in use; when it last reported
 }
 
-type placement [segments][]*cache // the design's: a cache for each slot of each segment
-
 type door struct{ asked, good float64 } // of a deal: turned away or ended at a cache; those in time
 
 // Deals: of the home zone's caches (of all, where it has no deal of its own), of all but home's, and of all.
@@ -132,47 +129,6 @@
 	return p
 }
 
-// deal spreads hashed ids evenly over n places, nearest pairs first: by the set alone, and few move.
-func deal(cs []*cache, n, salt int) []int {
-	pairs, place, held := make([]uint64, len(cs)*n), make([]int, len(cs)), make([]int, n)
-	low := uint64(1)<<bits.Len(uint(len(pairs))) - 1 // a pair's number, below its score: they are many
-	for i := range pairs {
-		pairs[i], place[i/n] = keyhash.Salted(cs[i/n].hash, salt+i%n)&^low|uint64(i), -1
-	}
-	slices.Sort(pairs)
-	least, extra := len(cs)/n, len(cs)%n
-	for _, q := range pairs {
-		id, at := int(q&low)/n, int(q&low)%n
-		if place[id] < 0 && (held[at] < least || held[at] == least && extra > 0) {
-			if held[at]++; held[at] > least {
-				extra--
-			}
-			place[id] = at
-		}
-	}
-	return place
-}
-
-// linear is linear hashing (the paper's 3.1.1): the slot of n that holds h.
-func linear(h uint64, n int) int {
-	l := bits.Len(uint(n)) - 1
-	if s := int(h & (1<<(l+1) - 1)); s < n {
-		return s
-	}
-	return int(h & (1<<l - 1))
-}
-
-// leftOf returns the slot next to the left in the key space (Fig. 2), where slots lie by their bits reversed.
-func leftOf(slot, n int) int {
-	at, best := func(s int) uint64 { return bits.Reverse64(uint64(s)) }, slot
-	for s := range n { // distances wrap round
-		if s != slot && (best == slot || at(slot)-at(s) < at(slot)-at(best)) {
-			best = s
-		}
-	}
-	return best
-}
-
 // sort splits the list when its set has changed; deals are made anew when they are asked for.
 func (p *Router) sort() {
 	p.listed, p.deals, p.origin = nil, [2]*placement{}, nil
@@ -187,7 +143,10 @@
 		}
 	}
 	slices.SortFunc(p.listed, func(a, b *cache) int {
-		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.ID, b.ID))
+		if a.hash != b.hash {
+			return cmp.Compare(a.hash, b.hash)
+		}
+		return cmp.Compare(a.ID, b.ID)
 	})
 	p.apart = p.rules.CrossingPrice > 0 && n >= copies && n < len(p.listed)
 }
@@ -208,16 +167,7 @@
 				cs = append(cs, c)
 			}
 		}
-		p.deals[side] = &placement{}
-		for i, s := range deal(cs, segments, 0) {
-			p.deals[side][s] = append(p.deals[side][s], cs[i])
-		}
-		for s, in := range p.deals[side] {
-			p.deals[side][s] = make([]*cache, len(in))
-			for i, slot := range deal(in, max(1, len(in)), segments) {
-				p.deals[side][s][slot] = in[i]
-			}
-		}
+		p.deals[side] = newPlacement(cs)
 	}
 	return p.deals[side]
 }
@@ -363,17 +313,10 @@
 	return true
 }
 
-// locate returns the cache at a segment's location for a key; a dead slot has passed its keys leftward.
+// locate returns the cache at a segment's location for a key; a slot whose cache takes no connection is dead.
 func (p *Router) locate(now Instant, side, seg int, key uint64) *cache {
-	slots := p.deal(min(side, away))[seg]
-	if len(slots) == 0 {
-		return nil
-	}
-	at := linear(keyhash.Salted(key, segments+seg), len(slots))
-	for i := 0; i < len(slots) && slots[at].refused >= failsToRest && now < slots[at].restUntil; i++ {
-		at = leftOf(at, len(slots))
-	}
-	return slots[at]
+	dead := func(c *cache) bool { return c.refused >= failsToRest && now < c.restUntil }
+	return p.deal(min(side, away))[seg].locate(keyhash.Salted(key, segments+seg), dead)
 }
 
 // holders lists a key's caches, first ranked first. One that drains, is silent, fails this grade fast and so
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -17,7 +17,7 @@
 		}
 	}
 	for slot, want := range map[int]int{2: 4, 4: 0, 1: 2, 5: 1, 3: 5, 0: 3} { // the key space runs 0 4 2 1 5 3
-		if got := leftOf(slot, 6); got != want {
+		if got := leftNeighbours(6)[slot]; got != want {
 			t.Errorf("left of %d is %d, want %d", slot, got, want)
 		}
 	}
@@ -37,8 +37,8 @@
 		es := fleet(n, false)
 		whole := newWorld(t, testRules(), es).p
 		for _, s := range whole.deal(home) {
-			if len(s) < n/segments || len(s) > (n+segments-1)/segments {
-				t.Fatalf("%d caches: a segment holds %d", n, len(s))
+			if in := len(s.slots); in < n/segments || in > (n+segments-1)/segments {
+				t.Fatalf("%d caches: a segment holds %d", n, in)
 			}
 		}
 		slices.Reverse(es)
@@ -66,12 +66,12 @@
 
 func TestDeadSlotPassesItsKeysLeftward(t *testing.T) {
 	w := newWorld(t, testRules(), fleet(14, false)) // two slots a segment
-	dead := w.p.deal(home)[0][1]
+	dead := w.p.deal(home)[0].slots[1]
 	for range failsToRest {
 		w.p.failed(0, dead, Unconnected)
 	}
 	for key := range uint64(100) {
-		if w.p.locate(1, home, 0, keyhash.Mix(key)) != w.p.deal(home)[0][0] {
+		if w.p.locate(1, home, 0, keyhash.Mix(key)) != w.p.deal(home)[0].slots[0] {
 			t.Fatal("a key of the dead slot did not pass to the left")
 		}
 	}
