--- /dev/null
+++ b/cmd/dahliapin/held_up_test.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// stop stops a process, and waits until all of it stands.
+func stop(t *testing.T, pid int) {
+	t.Helper()
+	if err := syscall.Kill(pid, syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	tasks := fmt.Sprintf("/proc/%d/task", pid)
+	for by := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		threads, err := os.ReadDir(tasks)
+		if err != nil {
+			t.Fatal(err)
+		}
+		stands := 0
+		for _, thread := range threads {
+			stat, _ := os.ReadFile(tasks + "/" + thread.Name() + "/stat")
+			if _, state, ok := strings.Cut(string(stat), ") "); ok && strings.HasPrefix(state, "T") {
+				stands++
+			}
+		}
+		if stands == len(threads) {
+			return
+		}
+		if time.Now().After(by) {
+			t.Fatalf("only %d of %d threads stand", stands, len(threads))
+		}
+	}
+}
+
+// A process that did not run for longer than the grace finds requests and the list's news together, and may be given them in any order. It sent
+// requests to a cache that drained.
+func TestAProcessThatWasStoppedDecidesByTheNewestList(t *testing.T) {
+	const stoppedFor, stays, connections, keys = 700 * time.Millisecond, 50 * time.Millisecond, 40, 40
+	var late atomic.Int64
+	var drains atomic.Bool
+	cache := func(leaves bool) string {
+		return cacheOf(t, func(to net.Conn, line string) error {
+			f := strings.Fields(line)
+			if len(f) < 4 {
+				return io.EOF
+			}
+			if leaves && drains.Load() {
+				late.Add(1)
+			}
+			_, err := fmt.Fprintf(to, "VA 5 %s\r\nhello\r\n", f[3])
+			return err
+		})
+	}
+	leaving, staying, news := cache(true), cache(false), make(chan bool)
+	const row = `{"instanceId":%q,"hostPort":%q,"lifecycle":%q,"zone":"z"}`
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Query().Get("since") {
+		case "":
+			fmt.Fprintf(w, `{"generation":1,"reset":true,"instances":[`+row+`,`+row+`]}`, "a", leaving, "in_service", "b", staying, "in_service")
+		case "1":
+			select {
+			case <-news:
+				fmt.Fprintf(w, `{"generation":2,"reset":false,"instances":[`+row+`]}`, "a", leaving, "terminating")
+			case <-time.After(3 * time.Second):
+				io.WriteString(w, `{"generation":1,"reset":false,"instances":[]}`)
+			case <-r.Context().Done():
+			}
+		default:
+			<-r.Context().Done()
+		}
+	}))
+	t.Cleanup(s.CloseClientConnections)
+	node := serving(t, t.TempDir(), s.Listener.Addr().String(), `"seed":"1","settings":{"service_grades":[{"name":"read","effect":"idempotent",
+"group":"all","benefit":1,"soft_limit_s":1,"hard_stop_s":3}],"zone":"z","n_instances":1,"bounds":{"most_legs":3,"conn_idle_s":15},"family_info":{"mode":"through"}}`)
+	listen := node.at(t)
+	for by := time.Now().Add(20 * time.Second); !ready(listen); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(by) {
+			t.Fatalf("not ready; it said:\n%s", node.said())
+		}
+	}
+	var clients []net.Conn
+	for range connections {
+		c, err := net.Dial("tcp", listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		clients = append(clients, c)
+	}
+	ask := func(round int) { // one request on each connection
+		for i, c := range clients {
+			fmt.Fprintf(c, "mg k%d v O%d-%d Pc=read,d=3000\r\n", i%keys, round, i)
+		}
+	}
+	answered := func() {
+		var all sync.WaitGroup
+		for _, c := range clients {
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				c.SetReadDeadline(time.Now().Add(5 * time.Second))
+				if n, err := c.Read(make([]byte, 99)); n == 0 {
+					t.Errorf("no answer: %v", err)
+				}
+			}()
+		}
+		all.Wait()
+	}
+	ask(0) // so that connections to both caches are open
+	answered()
+	stop(t, node.Process.Pid)
+	ask(1)
+	time.Sleep(stays)
+	close(news)
+	time.Sleep(stoppedFor - stays)
+	drains.Store(true) // it was told over the grace ago
+	node.Process.Signal(syscall.SIGCONT)
+	answered()
+	if n := late.Load(); n > 0 {
+		t.Errorf("%d of %d requests went to the cache that drains, %v after the node was told", n, connections, stoppedFor-stays)
+	}
+}
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -288,14 +288,12 @@
 		if r.Turned != nil {
 			r.Turned()
 		}
+		if r.heldUp() {
+			r.awaitList()
+		}
 		events := r.eng.Take()
 		r.beginIteration(len(events))
-		for i := range events {
-			r.event(&events[i])
-			if i%eventsAtOne == eventsAtOne-1 {
-				r.deadlines()
-			}
-		}
+		r.handle(events)
 		r.deadlines()
 		for r.eng.Crowded() && r.makeRoom() {
 			r.settle()
@@ -323,6 +321,25 @@
 	close(r.done)
 }
 
+// handle handles events. Those of the call for the list go first: nothing that waits beside news is decided by the list before it.
+func (r *Relay) handle(events []sockets.Event) {
+	for i := range events {
+		ev := &events[i]
+		if ev.Wire != nil && ev.Wire.Out && linkID(ev.Wire.Tag) == r.list.link {
+			r.event(ev)
+			ev.Handled = true
+		}
+	}
+	for i := range events {
+		if !events[i].Handled {
+			r.event(&events[i])
+		}
+		if i%eventsAtOne == eventsAtOne-1 {
+			r.deadlines()
+		}
+	}
+}
+
 // settle does what calls into the host left to do.
 func (r *Relay) settle() {
 	for len(r.later) > 0 {
--- a/internal/net/sockets/sockets.go
+++ b/internal/net/sockets/sockets.go
@@ -54,6 +54,7 @@
 	bytes   []byte
 	Lost    int64 // bytes that were written to a closed connection and not taken by the kernel
 	Orderly bool  // the other side has ended it, and all it sent was read
+	Handled bool  // the loop's to set, where it takes events out of their order
 	from    int
 	long    int
 }
@@ -437,6 +438,24 @@
 	return errors.Is(err, unix.EAGAIN), true
 }
 
+// Unread tells whether there are bytes of the connection, or its end, that have not been handed over yet.
+func (w *Wire) Unread() (is bool) {
+	if !w.mu.TryLock() { // they are being handed over
+		return true
+	}
+	defer w.mu.Unlock()
+	raw, err := w.conn.SyscallConn()
+	if err != nil || w.gone.Load() {
+		return false
+	}
+	_ = raw.Control(func(fd uintptr) {
+		var ahead [1]byte
+		_, _, err := unix.Recvfrom(int(fd), ahead[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		is = err == nil
+	})
+	return is
+}
+
 // Left tells whether the other side has ended the connection, by whatever means, though the loop may not have heard of it: the end
 // stands behind all that came before it, here or in the kernel. An end of sending is an end: who sends it can't be told from who has gone.
 func (w *Wire) Left() (is bool) {
