Soak: random deployments and troubles against node processes, by seed

Two faults of the emulator's own, found by its first seeds, are mended: clients repeated labelled writes that only some caches drop, and two overlapping spells without discovery ended the run.

--- a/cmd/dahliapin/main.go
+++ b/cmd/dahliapin/main.go
@@ -44,7 +44,7 @@
 		c.Flags().StringVar(&charter, "fleet", "", "file by which the node joins the others; without it, it knows of none")
 	}
 	root.AddCommand(server, checking,
-		migrate(), rehearse(), loadCommand(), demo(), opsCommand(), fleetCommand(), nemesis(), controlCommand(), scaleChanges(), scaleCommand(),
+		migrate(), rehearse(), loadCommand(), demo(), opsCommand(), fleetCommand(), nemesis(), soakCommand(), controlCommand(), scaleChanges(), scaleCommand(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "dahliapin", version, built()) }},
 	)
--- /dev/null
+++ b/cmd/dahliapin/soak_test.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"os"
+	"testing"
+	"time"
+
+	"dahliapin/internal/emulator/onwire"
+	"dahliapin/internal/emulator/outcome"
+	"dahliapin/internal/emulator/script"
+)
+
+const (
+	soakFor   = 20 * time.Second
+	soakSeeds = 6 // a minute in all, half of them side by side
+)
+
+// A short soak: the same schedules each time. The long one is started by hand: dahliapin soak.
+func TestShortSoak(t *testing.T) {
+	processes := nodes(t)
+	call := soakCall{first: 1, last: soakSeeds, long: soakFor, atOnce: 2, out: t.TempDir()}
+	if testing.Short() {
+		call.last = 2
+	}
+	var said bytes.Buffer
+	err := call.play(&said, func(s *script.Script) (*outcome.Report, error) {
+		return onwire.Play(context.Background(), s, processes, nil)
+	})
+	t.Logf("%s", said.String())
+	if err != nil {
+		t.Error(err)
+	}
+}
+
+// nodes runs the program in processes of its own: this test's binary is the program where its environment says so.
+func nodes(t *testing.T) *onwire.Processes {
+	t.Setenv(asProgram, "1")
+	return &onwire.Processes{Program: os.Args[0], Dir: t.TempDir()}
+}
+
+// hasty runs nodes that end at once when they are told to, with all that they have in hand.
+type hasty struct{ *onwire.Processes }
+
+type hastyProcess struct{ onwire.Process }
+
+func (p hastyProcess) End() { p.Kill() }
+
+func (h hasty) Start(o onwire.Order) (onwire.Process, error) {
+	p, err := h.Processes.Start(o)
+	if err != nil {
+		return nil, err
+	}
+	return hastyProcess{p}, nil
+}
+
+// A soak is worth something only if it tells a node that ends at once from one that drains.
+func TestSoakTellsANodeThatDoesNotDrain(t *testing.T) {
+	s, err := script.Parse("hasty.toml", []byte(`
+seconds = 10
+[fleet]
+nodes = 2
+caches = 4
+[origin]
+work_ms = 60
+[allowed]
+slack_ms = 200
+late_answer_ms = 500
+[traffic]
+per_second = 200
+keys = 5000
+until_kill = true
+[[grade]]
+name = "read"
+share = 1
+benefit = 1
+soft_ms = 200
+hard_ms = 800
+work_ms = 60
+[[event]]
+at_s = 3
+do = "node_restart"
+nodes = [1]
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, ends := range []bool{true, false} {
+		processes := nodes(t)
+		var runner onwire.Runner = processes
+		if ends {
+			runner = hasty{processes}
+		}
+		r, err := onwire.Play(context.Background(), s, runner, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Busy != "" {
+			t.Logf("not judged: %s", r.Busy)
+			continue
+		}
+		if ends == (r.Rules[0] == 0) {
+			var text bytes.Buffer
+			r.Print(&text)
+			t.Errorf("ends at once %v: rule 1 is broken %d times\n%s", ends, r.Rules[0], text.String())
+		}
+	}
+}
+
+func TestSoakCallsAreChecked(t *testing.T) {
+	for _, args := range [][]string{{"--seeds", "x"}, {"--seeds", "0..3"}, {"--seeds", "5..4"}, {"--seeds", "1..5000"}, {"--for", "1s"}, {"--at-once", "0"},
+		{"--at-once", "99"}, {"more"}, {"--unknown"}} {
+		c := soakCommand()
+		c.SetArgs(args)
+		c.SetOut(io.Discard)
+		c.SetErr(io.Discard)
+		c.SilenceUsage, c.SilenceErrors = true, true
+		if err := c.Execute(); !errors.Is(err, errCall) {
+			t.Errorf("%v: %v", args, err)
+		}
+	}
+}
+
+func TestSoakDrawsTheSameBySeedAndAScriptThatPlays(t *testing.T) {
+	for seed := range int64(300) {
+		s := script.Soak(seed+1, soakFor.Seconds())
+		text, err := s.Text()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := script.Parse(s.Name, text); err != nil {
+			t.Errorf("seed %d: %v", seed+1, err)
+		}
+		if again, _ := script.Soak(seed+1, soakFor.Seconds()).Text(); !bytes.Equal(text, again) {
+			t.Errorf("seed %d draws otherwise the second time", seed+1)
+		}
+	}
+}
--- a/internal/emulator/client/client.go
+++ b/internal/emulator/client/client.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -36,6 +37,7 @@
 	Holds                 string        // by HTTP: the value that the client has, and asks whether it still holds
 	Wait                  time.Duration // until the deadline
 	Leaves                time.Duration // after which it goes without an answer; 0 for not
+	OnlyOpen              bool          // no new connection is made for it
 }
 
 // Answer is what came of it.
@@ -46,6 +48,7 @@
 	Wrong    string // what is not as it should be
 	Silent   bool   // nothing came in time
 	Left     bool   // it went before
+	Nowhere  bool   // it was not sent, or not read: there was no open connection, or the close crossed it, and it may make no new one
 	last     bool   // the node ends the connection
 	Extra    bool   // its connection had brought something that nobody asked for
 	Sent     time.Time
@@ -55,7 +58,8 @@
 // Pool holds the connections to one node.
 type Pool struct {
 	Addr   string
-	HTTP   bool // else by meta commands
+	HTTP   bool          // else by meta commands
+	Beyond time.Duration // over its deadline that an answer is still looked for; 0 for a usual time
 	mu     sync.Mutex
 	idle   []*conn
 	all    map[*conn]bool
@@ -81,6 +85,11 @@
 	if n := len(p.idle); n > 0 {
 		c, p.idle = p.idle[n-1], p.idle[:n-1]
 	}
+	if c == nil && a.OnlyOpen {
+		p.mu.Unlock()
+		go done(Answer{Final: judge.Cut, Nowhere: true, Sent: time.Now(), Got: time.Now()})
+		return
+	}
 	p.wg.Add(1)
 	p.mu.Unlock()
 	go func() {
@@ -88,12 +97,13 @@
 		sent := time.Now()
 		answer, err := p.try(c, a)
 		extra := answer.Extra
-		if err != nil && c != nil && c.used && !errors.Is(err, errSilent) && !errors.Is(err, errLeft) { // the close crossed it: it was not read
+		crossed := err != nil && c != nil && c.used && !errors.Is(err, errSilent) && !errors.Is(err, errLeft) && !errors.Is(err, errUnanswered)
+		if crossed && !a.OnlyOpen {
 			answer, err = p.try(nil, a)
 		}
 		answer.Extra = answer.Extra || extra
 		if answer.Sent, answer.Got = sent, time.Now(); err != nil {
-			answer.Final, answer.Silent, answer.Left = judge.Cut, errors.Is(err, errSilent), errors.Is(err, errLeft)
+			answer.Final, answer.Silent, answer.Left, answer.Nowhere = judge.Cut, errors.Is(err, errSilent), errors.Is(err, errLeft), crossed && a.OnlyOpen
 		}
 		done(answer)
 	}()
@@ -103,8 +113,34 @@
 	errSilent = errors.New("nothing came in time")
 	errLeft   = errors.New("did not wait")
 	errExtra  = errors.New("something came that nobody asked for")
+
+	errUnanswered = errors.New("it was read, and its connection ended without an answer")
 )
 
+// resetBy is how long after an orderly end a reset may take to come, which says that what was sent last had not been read.
+const resetBy = 50 * time.Millisecond
+
+// read tells, after the other side's orderly end, whether it had read what was sent before: if not, or if the end was sent before that came, the
+// kernel over there answers with a reset.
+func (c *conn) read() bool {
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	for by := time.Now().Add(resetBy); time.Now().Before(by); time.Sleep(resetBy / 10) {
+		n, failed := 0, error(nil)
+		if raw.Control(func(fd uintptr) {
+			if n, failed = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR); failed == nil && n != 0 {
+				return
+			}
+			_, _, failed = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		}) != nil || n != 0 || failed != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // unasked tells whether bytes have come on a connection between two tries.
 func (c *conn) unasked() bool {
 	if c.r.Buffered() > 0 {
@@ -146,7 +182,7 @@
 		p.drop(c)
 		return Answer{Extra: true}, errExtra
 	}
-	long := a.Wait + beyond
+	long := a.Wait + cmp.Or(p.Beyond, beyond)
 	if a.Leaves > 0 {
 		long = min(long, a.Leaves)
 	}
@@ -165,6 +201,9 @@
 		}
 	}
 	if err != nil {
+		if c.used && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)) && c.read() {
+			err = errUnanswered
+		}
 		p.drop(c)
 		return answer, err
 	}
@@ -187,6 +226,13 @@
 	p.mu.Unlock()
 }
 
+// HasOpen tells whether a connection is open that nobody uses.
+func (p *Pool) HasOpen() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0
+}
+
 // Close ends all connections and waits for those who ask.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/internal/emulator/course/course.go
+++ b/internal/emulator/course/course.go
@@ -20,34 +20,39 @@
 
 // Rig is the shell: what an event means to connections, nodes and the list.
 type Rig interface {
-	Broke(server int)                           // all connections to it are reset
-	Listed(e policy.Entry)                      // the list has changed
-	Discovery(up bool)                          // the list is told to nodes, or not
-	Registry() *world.Registry                  // what discovery can bear
-	EndNode(node int, orderly bool)             // a node is told to end, or killed
-	StartNode(node int)                         // and started anew
-	UpgradeNode(node int)                       // another process takes its place
-	StandbyNode(node int, by bool)              // operators have it stand by, or back
-	ScrapeNode(node int, until policy.Instant)  // its figures are fetched and held against what its clients saw
-	PauseNode(node int, stop bool)              // its process stands still, or goes on
-	HangNode(node int, yes bool)                // its loop stands still, and all else in it goes on
-	TwinNode(node int)                          // another process with its name is started elsewhere
-	Between(from, to int, f func(*between.Way)) // what goes wrong between two nodes, one way
-	Fault(server int, kind string)              // what goes wrong on its connections; "" for nothing
-	At(at policy.Instant, do func())            // do it then
-	Said(now policy.Instant, what string)       // for the log of the run
+	Broke(server int)                                  // all connections to it are reset
+	Listed(e policy.Entry)                             // the list has changed
+	Discovery(up bool)                                 // the list is told to nodes, or not
+	Registry() *world.Registry                         // what discovery can bear
+	EndNode(node int, orderly bool)                    // a node is told to end, or killed
+	StartNode(node int)                                // and started anew
+	UpgradeNode(node int)                              // another process takes its place
+	StandbyNode(node int, by bool)                     // operators have it stand by, or back
+	ScrapeNode(node int, until policy.Instant)         // its figures are fetched and held against what its clients saw
+	PauseNode(node int, stop bool)                     // its process stands still, or goes on
+	HangNode(node int, yes bool)                       // its loop stands still, and all else in it goes on
+	TwinNode(node int)                                 // another process with its name is started elsewhere
+	CrowdNode(node, clients int, until policy.Instant) // so many clients connect to it, say nothing, and come again when they are closed
+	StallClients(node, clients int)                    // so many clients stop in the middle of a request, and stay
+	ReloadNode(node, times int)                        // it is told so many times in a row to read its configuration again
+	FreezeNode(node int, long time.Duration)           // its process stands still for a moment that the rules allow for
+	Between(from, to int, f func(*between.Way))        // what goes wrong between two nodes, one way
+	Fault(server int, kind string)                     // what goes wrong on its connections; "" for nothing
+	At(at policy.Instant, do func())                   // do it then
+	Said(now policy.Instant, what string)              // for the log of the run
 }
 
 // Course plays one script.
 type Course struct {
-	script  *script.Script
-	world   *world.World
-	traffic *world.Traffic
-	rig     Rig
-	added   int
-	began   policy.Instant
-	First   policy.Instant // when the first event begins
-	Last    policy.Instant // when the last one's end is due
+	script      *script.Script
+	world       *world.World
+	traffic     *world.Traffic
+	rig         Rig
+	added       int
+	discoveryUp int // 0 while it is there, else less by one for each spell without it
+	began       policy.Instant
+	First       policy.Instant // when the first event begins
+	Last        policy.Instant // when the last one's end is due
 }
 
 // Play hangs all events in. began is when the script's time is 0.
@@ -150,8 +155,8 @@
 			c.rig.At(end, func() { w.Slow(end, s, 1) })
 		}
 	case "discovery_down":
-		c.rig.Discovery(false)
-		c.rig.At(end, func() { c.rig.Discovery(true) })
+		c.discovery(-1)
+		c.rig.At(end, func() { c.discovery(1) })
 	case "discovery_slow":
 		c.rig.Registry().Slow(e.Factor)
 		c.rig.At(end, func() { c.rig.Registry().Slow(1) })
@@ -183,6 +188,11 @@
 		for _, n := range c.script.Members(e) {
 			c.rig.TwinNode(n - 1)
 		}
+	case "node_crowd", "node_stall", "node_reload", "node_freeze":
+		members := c.script.Members(e)
+		for i, n := range members {
+			c.spaced(now, e, i, len(members), func(at policy.Instant) { c.disturb(n-1, e, at) })
+		}
 	case "node_pause", "node_hang":
 		still := c.rig.PauseNode
 		if e.Do == "node_hang" {
@@ -218,6 +228,30 @@
 	}
 }
 
+// discovery ends or begins a spell without discovery: it is there while there is none, as spells may overlap.
+func (c *Course) discovery(change int) {
+	was := c.discoveryUp
+	c.discoveryUp += change
+	if (was == 0) != (c.discoveryUp == 0) {
+		c.rig.Discovery(c.discoveryUp == 0)
+	}
+}
+
+// disturb does to a node what it has to bear without any excuse.
+func (c *Course) disturb(node int, e *script.Event, at policy.Instant) {
+	long := script.Span(e.ForS)
+	switch e.Do {
+	case "node_crowd":
+		c.rig.CrowdNode(node, e.Count, at.Add(long))
+	case "node_stall":
+		c.rig.StallClients(node, e.Count)
+	case "node_reload":
+		c.rig.ReloadNode(node, e.Count)
+	case "node_freeze":
+		c.rig.FreezeNode(node, long)
+	}
+}
+
 func when(on bool, x float64) float64 {
 	if on {
 		return x
--- a/internal/emulator/judge/judge.go
+++ b/internal/emulator/judge/judge.go
@@ -3,6 +3,7 @@
 package judge
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -49,6 +50,7 @@
 	SecondCopies bool
 	Grace        time.Duration // after a change of the list is told
 	Slack        time.Duration // that what crosses may take
+	AnswerSlack  time.Duration // after its deadline that a final answer may come; 0 for Slack
 }
 
 // Tally counts what clients were answered, by grade.
@@ -114,13 +116,15 @@
 // Sent tells that a client has handed a request to a node; repeats are tries of their own.
 func (j *Judge) Sent(now policy.Instant, id string, node, grade int, label string, stop policy.Instant, first bool) {
 	j.hand[id] = &taken{node: node, grade: grade, label: label, sent: now, stop: stop}
-	j.due.Put(stop.Add(j.terms.Slack), id)
+	j.due.Put(stop.Add(j.answerSlack()), id)
 	j.Grades[grade].Asked++
 	if first {
 		j.Grades[grade].First++
 	}
 }
 
+func (j *Judge) answerSlack() time.Duration { return cmp.Or(j.terms.AnswerSlack, j.terms.Slack) }
+
 // Answered tells that a client has got an answer whole. It returns the time that took.
 func (j *Judge) Answered(now policy.Instant, id string, how Final) time.Duration {
 	t := j.hand[id]
@@ -140,7 +144,7 @@
 		return 0
 	}
 	t.answered, t.final = now, how
-	if now > t.stop.Add(j.terms.Slack) {
+	if now > t.stop.Add(j.answerSlack()) {
 		j.breach(1, now, id, t.node, "", "the final answer came after the deadline")
 	}
 	c, g := &j.Grades[t.grade], &j.terms.Grades[t.grade]
--- /dev/null
+++ b/internal/emulator/onwire/disturb.go
@@ -0,0 +1,98 @@
+package onwire
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"dahliapin/policy"
+)
+
+const (
+	crowdRests  = 20 * time.Millisecond // before a client of a crowd that was closed comes again
+	crowdDials  = time.Second           // that connecting may take
+	stalledEnds = 3 * time.Second       // by which a client that stopped in the middle of a request is to have its error, or its end
+)
+
+// CrowdNode has clients connect to a node and keep what they have: half of them ask once whether it is ready, the others say nothing. One that is
+// closed comes again; the lock is held.
+func (r *Rig) CrowdNode(number, clients int, until policy.Instant) {
+	addr := r.nodes[number].addr
+	for n := range clients {
+		go func() {
+			for !r.over() && r.now() < until {
+				c, err := net.DialTimeout("tcp", addr, crowdDials)
+				if err == nil {
+					if n%2 == 0 {
+						io.WriteString(c, "mn\r\n")
+					}
+					c.SetReadDeadline(time.Now().Add(until.Since(r.now())))
+					io.Copy(io.Discard, c)
+					c.Close()
+				}
+				time.Sleep(crowdRests)
+			}
+		}()
+	}
+}
+
+// StallClients has clients stop in the middle of a request, and stay. Each is owed an error or its end in time, unless the node has been told to end
+// or was killed meanwhile; the lock is held.
+func (r *Rig) StallClients(number, clients int) {
+	m := r.nodes[number]
+	life := m.life
+	for n := range clients {
+		go func() {
+			c, err := net.DialTimeout("tcp", m.addr, crowdDials)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			io.WriteString(c, "mg k v O"[:2+n%7])
+			slack := max(slack, r.judgeSlack())
+			c.SetReadDeadline(time.Now().Add(stalledEnds + slack))
+			if _, err := c.Read(make([]byte, 1)); err == nil || !isTimeout(err) {
+				return
+			}
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			if m.life == life && !m.ending && !r.closing {
+				r.judge.Wrong(r.now(), "", fmt.Sprintf("a client of %s that stopped in the middle of a request heard nothing for %v", m.name, stalledEnds+slack))
+			}
+		}()
+	}
+}
+
+func isTimeout(err error) bool {
+	late, is := err.(net.Error)
+	return is && late.Timeout()
+}
+
+// ReloadNode tells a node several times in a row to read its configuration again; the lock is held.
+func (r *Rig) ReloadNode(number, times int) {
+	m := r.nodes[number]
+	p, can := m.process.(Reloading)
+	if !can || m.ending {
+		return
+	}
+	for n := range times {
+		r.At(r.now().Add(time.Duration(n)*signalsApart), p.Reload)
+	}
+}
+
+// FreezeNode has a node's process stand still for a moment. Nothing is excused: the rules allow for that; the lock is held.
+func (r *Rig) FreezeNode(number int, long time.Duration) {
+	m := r.nodes[number]
+	p, can := m.process.(Pausing)
+	if !can || m.ending {
+		return
+	}
+	p.Pause(true)
+	r.At(r.now().Add(long), func() { p.Pause(false) })
+}
+
+// judgeSlack is what the script allows what crosses to take.
+func (r *Rig) judgeSlack() time.Duration {
+	return time.Duration(r.script.Allowed.SlackMs * float64(time.Millisecond))
+}
--- a/internal/emulator/onwire/member.go
+++ b/internal/emulator/onwire/member.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dahliapin/internal/emulator/client"
+	"dahliapin/internal/emulator/script"
 	"dahliapin/internal/fronts"
 	"dahliapin/internal/ports"
 	"dahliapin/internal/records"
@@ -30,6 +31,7 @@
 	lives   int             // of these, those that began after the one before had ended: what was in hand then is excused
 	figures figures
 	serving bool // clients come to it
+	parting bool // clients use the connections that they have, and make no new ones
 	killed  bool // by the script: what it had in hand is excused
 	ending  bool // by the script, or since the run is over
 }
@@ -46,9 +48,10 @@
 			return nil, err
 		}
 	}
-	pool := &client.Pool{Addr: addrs[0]}
+	beyond := script.Span(r.script.Allowed.LateAnswerMs / 1000)
+	pool := &client.Pool{Addr: addrs[0], Beyond: beyond}
 	if r.script.Traffic.Protocol == fronts.HTTP {
-		pool = &client.Pool{Addr: addrs[1], HTTP: true}
+		pool = &client.Pool{Addr: addrs[1], HTTP: true, Beyond: beyond}
 	}
 	return &member{r: r, number: number, name: fmt.Sprintf("n%d", number+1), addr: addrs[0], http: addrs[1], agent: a, pool: pool, asks: map[string]bool{}, excused: map[string]bool{}}, nil
 }
@@ -78,7 +81,7 @@
 		<-p.Done()
 		return nil
 	}
-	m.process, m.killed, m.ending = p, false, false
+	m.process, m.killed, m.ending, m.parting = p, false, false, false
 	m.r.views.Truth(m.r.now(), m.name, true, true)
 	if m.life++; !replaces {
 		m.lives++
@@ -110,9 +113,26 @@
 	m.process.End()
 	r.At(r.now().Add(goesOnFor), func() {
 		if m.ending {
-			m.serving = false
+			m.serving, m.parting = false, r.script.Traffic.UntilKill
 		}
 	})
+	if r.script.Traffic.UntilKill {
+		r.killAtTheEarliest(m)
+	}
+}
+
+// killAtTheEarliest kills a node that was told to end, as soon as the protocol allows it, and sends it further signals meanwhile; the lock is held.
+// What its clients have in hand by then is not excused.
+func (r *Rig) killAtTheEarliest(m *member) {
+	process := m.process
+	if p, can := process.(Reloading); can {
+		r.At(r.now().Add(signalsApart), p.Reload)
+		r.At(r.now().Add(2*signalsApart), process.End)
+	}
+	r.At(r.now().Add(min(r.terms.LongestStop, mostToEnd)+killedAfter), func() {
+		m.parting = false
+		process.Kill()
+	})
 }
 
 // StartNode starts it anew once the old one has ended; the lock is held.
--- a/internal/emulator/onwire/rig.go
+++ b/internal/emulator/onwire/rig.go
@@ -32,6 +32,10 @@
 	goesOnFor  = 250 * time.Millisecond // that clients still come to a node that was told to end
 	spareToEnd = 2 * time.Second        // over the longest deadline, until a node that was told to end is ended
 	lookAgain  = 20 * time.Millisecond
+
+	mostToEnd    = 3 * time.Second        // of the longest deadline, that who ends a process waits for: by the protocol
+	killedAfter  = 700 * time.Millisecond // over that, after which a process that was told to end may be killed
+	signalsApart = 20 * time.Millisecond  // between signals in series
 )
 
 // Runner starts nodes.
@@ -63,6 +67,11 @@
 	Hang(stop bool) // its loop only
 }
 
+// Reloading is a process that can be told to read its configuration again.
+type Reloading interface {
+	Reload()
+}
+
 // Rig is one run.
 type Rig struct {
 	script *script.Script
@@ -115,7 +124,7 @@
 		avoids: map[policy.CacheID]map[int]bool{}, upList: up}
 	r.chance.Seed = uint32(s.Seed) ^ 0x0f1ee7
 	r.judge = judge.New(judge.Terms{Grades: terms.Rules.Grades, SecondCopies: s.Allowed.SecondCopies,
-		Grace: script.Span(s.Allowed.GraceMs / 1000), Slack: slack})
+		Grace: script.Span(s.Allowed.GraceMs / 1000), Slack: max(slack, script.Span(s.Allowed.SlackMs/1000)), AnswerSlack: script.Span(s.Allowed.LateAnswerMs / 1000)})
 	r.log = outcome.NewLog(s, epoch)
 	ear := &course.Ear{Judge: r.judge, Log: r.log, Rig: r}
 	r.world = world.New(s.World(ear))
@@ -306,7 +315,7 @@
 	r.log.Asked(req.Sent, isFirst)
 	var up []*member
 	for _, m := range r.nodes {
-		if m.serving {
+		if m.serving || m.parting && m.pool.HasOpen() {
 			up = append(up, m)
 		}
 	}
@@ -323,7 +332,7 @@
 	m.figures.open++
 	m.asks[req.ID] = true
 	r.judge.Sent(now, req.ID, m.number, req.Grade, req.Label, now.Add(req.Deadline), isFirst)
-	a := &client.Ask{ID: req.ID, Key: req.Key, Label: req.Label, Grade: g.Name, Write: g.Write, Repeat: req.Try > 1, Wait: req.Deadline, Leaves: req.Leaves}
+	a := &client.Ask{ID: req.ID, Key: req.Key, Label: req.Label, Grade: g.Name, Write: g.Write, Repeat: req.Try > 1, Wait: req.Deadline, Leaves: req.Leaves, OnlyOpen: !m.serving}
 	if g.Write {
 		a.Value = world.ValueOf(req.Key)
 	}
@@ -350,6 +359,10 @@
 		r.judge.Wrong(now, "", "more came on a connection than one answer for each request")
 	}
 	switch {
+	case got.Nowhere: // it was taken by nobody, and asks another node
+		r.judge.Excuse(req.ID)
+		r.judge.Grades[req.Grade].Cut++
+		return
 	case m.excused[req.ID]:
 		delete(m.excused, req.ID)
 		r.judge.Grades[req.Grade].Cut++
--- a/internal/emulator/onwire/runner.go
+++ b/internal/emulator/onwire/runner.go
@@ -123,6 +123,9 @@
 	p.cmd.Process.Signal(syscall.SIGCONT)
 }
 
+// Reload has it read its configuration again.
+func (p *process) Reload() { p.cmd.Process.Signal(syscall.SIGHUP) }
+
 func (p *process) End()                  { p.cmd.Process.Signal(syscall.SIGTERM) }
 func (p *process) Kill()                 { p.cmd.Process.Kill() }
 func (p *process) Done() <-chan struct{} { return p.done }
--- a/internal/emulator/script/script.go
+++ b/internal/emulator/script/script.go
@@ -117,6 +117,8 @@
 	GraceMs      float64 `toml:"grace_ms"`
 	ConnectMs    float64 `toml:"connect_ms"`
 	WastePrice   float64 `toml:"waste_price"`
+	SlackMs      float64 `toml:"slack_ms"`       // that what crosses may take, on sockets; 0 for a usual time
+	LateAnswerMs float64 `toml:"late_answer_ms"` // after its deadline that a final answer may come; 0 for slack_ms
 }
 
 // Traffic is what clients ask.
@@ -135,6 +137,7 @@
 	Protocol  string  `toml:"protocol"`   // of clients
 	LongShare float64 `toml:"long_share"` // of the keys, which have a long value; on sockets only, as virtual time has no bytes
 	LongKB    int     `toml:"long_kb"`
+	UntilKill bool    `toml:"until_kill"` // clients use open connections until a node that was told to end is killed, at the earliest time; on sockets only
 }
 
 // Grade is one service grade.
@@ -198,7 +201,7 @@
 
 // What an event may do, and what it needs.
 var kinds = map[string]struct {
-	caches, factor, share, nodes, long, pairs, late bool
+	caches, factor, share, nodes, long, pairs, late, count bool
 }{
 	"slow": {caches: true, factor: true, long: true}, "crowd": {caches: true, share: true, long: true},
 	"pause": {caches: true, long: true}, "kill": {caches: true}, "silent": {caches: true}, "restart": {caches: true},
@@ -207,6 +210,7 @@
 	"discovery_slow": {factor: true, long: true}, "node_restart": {nodes: true},
 	cut: {pairs: true, long: true}, loss: {pairs: true, share: true, long: true}, twice: {pairs: true, share: true, long: true},
 	late: {pairs: true, late: true, long: true}, pause: {nodes: true, long: true}, hang: {nodes: true, long: true}, twin: {nodes: true},
+	crowd: {nodes: true, count: true, long: true}, stall: {nodes: true, count: true}, reload: {nodes: true, count: true}, freeze: {nodes: true, long: true},
 	upgrade: {nodes: true}, standby: {nodes: true, long: true}, scrape: {nodes: true, long: true}, "node_kill": {nodes: true}, "fault": {caches: true, long: true}, "errors": {caches: true, share: true, long: true},
 }
 
@@ -218,8 +222,14 @@
 	pause   = "node_pause"
 	hang    = "node_hang"
 	twin    = "node_twin"
+	crowd   = "node_crowd"  // idle clients fill its descriptors
+	stall   = "node_stall"  // clients stop in the middle of a request, and stay
+	reload  = "node_reload" // it is told to read its configuration again, several times in a row
+	freeze  = "node_freeze" // its process stands still for a moment that rules allow for
 )
 
+const longestFreeze = 0.15 // seconds that a process may be held up, with all rules kept
+
 // What goes wrong between nodes.
 const (
 	cut   = "between_cut"
@@ -253,7 +263,9 @@
 // OnSockets tells whether a script does something to processes or between them, which virtual time does not have: it would pass there
 // whatever nodes do.
 func (s *Script) OnSockets() bool {
-	return s.Operated() || s.Together != nil || slices.ContainsFunc(s.Events, func(e Event) bool { return e.Do == pause || e.Do == hang || e.Do == twin })
+	return s.Operated() || s.Together != nil || s.Traffic.UntilKill || slices.ContainsFunc(s.Events, func(e Event) bool {
+		return e.Do == pause || e.Do == hang || e.Do == twin || e.Do == crowd || e.Do == stall || e.Do == reload || e.Do == freeze
+	})
 }
 
 // Faults of the wire.
@@ -336,7 +348,7 @@
 	c.Within(o.FallS, 0, mostSeconds, "origin.fall_s")
 	for path, ms := range map[string]float64{"network.one_way_ms": s.Network.OneWayMs, "network.cross_zone_ms": s.Network.CrossZoneMs,
 		"network.client_ms": s.Network.ClientMs, "network.late_ms": s.Network.LateMs, "allowed.come_back_ms": s.Allowed.ComeBackMs, "allowed.grace_ms": s.Allowed.GraceMs,
-		"allowed.connect_ms": s.Allowed.ConnectMs} {
+		"allowed.connect_ms": s.Allowed.ConnectMs, "allowed.slack_ms": s.Allowed.SlackMs, "allowed.late_answer_ms": s.Allowed.LateAnswerMs} {
 		c.Within(ms, 0, 1e5, path)
 	}
 	c.Within(s.Network.Jitter, 0, 1, "network.jitter")
@@ -437,6 +449,8 @@
 			n, err := strconv.Atoi(strings.TrimPrefix(name, "c"))
 			c.Want(err == nil && strings.HasPrefix(name, "c") && n >= 1 && n <= s.Fleet.Caches+added, at+"caches", "there is no server %q", name)
 		}
+		c.Want(!k.count || e.Count > 0, at+"count", "%s needs how many", e.Do)
+		c.Want(e.Do != freeze || e.ForS <= longestFreeze, at+"for_s", "%s lasts %g s at most", e.Do, longestFreeze)
 		c.Want(!k.nodes || (len(e.Nodes) > 0) != (e.Part > 0), at+"nodes", "%s needs either numbers of nodes or a part of them", e.Do)
 		for _, n := range e.Nodes {
 			c.Want(n >= 1 && n <= s.Fleet.Nodes, at+"nodes", "there is no node %d", n)
--- a/internal/emulator/virtual/virtual.go
+++ b/internal/emulator/virtual/virtual.go
@@ -283,9 +283,13 @@
 func (r *Run) StandbyNode(int, bool)          {}
 func (r *Run) ScrapeNode(int, policy.Instant) {}
 
-// PauseNode, HangNode, TwinNode and Between concern processes and what is between them.
+// PauseNode, HangNode, TwinNode, Between and what disturbs a node concern processes and what is between them.
 func (r *Run) PauseNode(int, bool)                  {}
 func (r *Run) HangNode(int, bool)                   {}
+func (r *Run) CrowdNode(int, int, policy.Instant)   {}
+func (r *Run) StallClients(int, int)                {}
+func (r *Run) ReloadNode(int, int)                  {}
+func (r *Run) FreezeNode(int, time.Duration)        {}
 func (r *Run) TwinNode(int)                         {}
 func (r *Run) Between(int, int, func(*between.Way)) {}
 
--- a/internal/emulator/world/traffic.go
+++ b/internal/emulator/world/traffic.go
@@ -22,6 +22,7 @@
 	Label    string // the same with each try
 	Grade    int
 	Try      int            // from 1
+	First    policy.Instant // when the first try was sent
 	Sent     policy.Instant // by the client
 	Deadline time.Duration  // that the client waits
 	Leaves   time.Duration  // after which it goes all the same; 0 for not
@@ -96,7 +97,7 @@
 		x := t.chance.Next() * cumulated[len(cumulated)-1]
 		return sort.SearchFloat64s(cumulated, x)
 	}
-	r := Request{Grade: pick(t.mix), Key: KeyOf(pick(t.ranks)), Try: 1, Sent: now}
+	r := Request{Grade: pick(t.mix), Key: KeyOf(pick(t.ranks)), Try: 1, First: now, Sent: now}
 	g := &t.Grades[r.Grade]
 	if !g.Write && t.hot != "" && t.chance.Next() < t.hotBy {
 		r.Key = t.hot
@@ -139,10 +140,10 @@
 func (t *Traffic) Heat(key string, share float64) { t.hot, t.hotBy = key, share }
 
 // Again tells when a client tries again after an answer that did not satisfy it, if it does. A try that failed is made
-// again only where a second run does no harm or is dropped; one that was rejected never ran.
+// again only where a second run does no harm, or is dropped by all caches for as long as the client waits for it; one that was rejected never ran.
 func (t *Traffic) Again(now policy.Instant, r Request, rejected bool, comeBack time.Duration) (Request, policy.Instant, bool) {
 	g := &t.Grades[r.Grade]
-	if r.Try >= g.Tries || !rejected && g.Effect == policy.Irreversible {
+	if r.Try >= g.Tries || !rejected && (g.Effect == policy.Irreversible || g.Effect == policy.Labelled && g.Scope != policy.AllCaches) {
 		return r, 0, false
 	}
 	wait := comeBack
@@ -153,5 +154,8 @@
 	r.Try++
 	r.ID, r.Sent = t.name(), now.Add(wait)
 	r.Deadline, r.Leaves = t.waits(r.ID, g.Deadline), t.leaves(r.ID)
+	if g.Effect == policy.Labelled && r.Sent.Add(r.Deadline).Since(r.First) > g.Window {
+		return r, 0, false
+	}
 	return r, r.Sent, true
 }
