--- a/cmd/dahliapin/cpu_share_test.go
+++ b/cmd/dahliapin/cpu_share_test.go
@@ -27,7 +27,7 @@
 
 // holdToShare gives a process no more than a share of a core, as a node has beside others, until the function that it returns is called: it is
 // stopped once it has taken more, and goes on when its share has caught up.
-func holdToShare(t *testing.T, pid int, share float64) (release func()) {
+func holdToShare(t testing.TB, pid int, share float64) (release func()) {
 	t.Helper()
 	over, ended := make(chan bool), make(chan bool)
 	signal := func(s syscall.Signal) {
--- a/cmd/dahliapin/many_caches_test.go
+++ b/cmd/dahliapin/many_caches_test.go
@@ -55,7 +55,7 @@
 const cacheRow = `{"instanceId":"s-%08x","hostPort":%q,"machineType":"box","lifecycle":%q,"zone":"z","weight":1.0,"startedAtMs":0}`
 
 // newRelease makes the caches of all steps, the origin, and the first list.
-func newRelease(t *testing.T, caches int) *release {
+func newRelease(t testing.TB, caches int) *release {
 	r := &release{caches: caches, moved: make(chan bool)}
 	for group := range releaseSteps + 1 {
 		r.groups = append(r.groups, cacheOf(t, func(to net.Conn, line string) error { return r.answer(group, to, line) }))
@@ -207,29 +207,36 @@
 	return fmt.Sprint("m", i)
 }
 
-// Report 60a37a: while a release replaced servers among thousands, requests got no answer, and some went to servers that drained. The
-// placement was computed anew within the loop, for longer than a request waits.
-func TestAReleaseAmongThousandsOfCaches(t *testing.T) {
-	caches := 3200
-	if testing.Short() { // under the race detector, which is some ten times slower
-		caches = 800
-	}
-	r := newRelease(t, caches)
-	s := httptest.NewServer(r)
-	t.Cleanup(s.CloseClientConnections)
-	node := serving(t, t.TempDir(), s.Listener.Addr().String(), `"seed":"1","limits":{"memory_mb":192,"sockets":1024},"settings":{
+// releaseTerms are a node's settings before a release's caches.
+const releaseTerms = `"seed":"1","limits":{"memory_mb":192,"sockets":1024},"settings":{
 "service_grades":[{"name":"read","effect":"idempotent","group":"all","benefit":1,"soft_limit_s":0.4,"hard_stop_s":1.2}],"zone":"z","n_instances":16,
 "kinds":["box","origin"],"round_s":0.005,"bounds":{"most_legs":3,"conn_idle_s":15,"connect_timeout_s":0.25,"cancel":true},
-"family_info":{"mode":"aside","origin_kind":1},"rules":{"cold_from":0.3,"cold_s":5,"overload_factor":3,"overload_for_s":1}}`)
-	listen := node.at(t)
+"family_info":{"mode":"aside","origin_kind":1},"rules":{"cold_from":0.3,"cold_s":5,"overload_factor":3,"overload_for_s":1}}`
+
+// released is what a release among so many caches led to.
+type released struct {
+	clientLog
+	*release
+	node      *served
+	processor time.Duration // taken by the node, from its start to the end of the release
+	resident  float64       // bytes of its memory
+}
+
+// playRelease plays one against a node that has a share of a core.
+func playRelease(tb testing.TB, caches int, share float64) *released {
+	r := &released{release: newRelease(tb, caches)}
+	s := httptest.NewServer(r.release)
+	tb.Cleanup(s.CloseClientConnections)
+	r.node = serving(tb, tb.TempDir(), s.Listener.Addr().String(), releaseTerms)
+	listen := r.node.at(tb)
 	for by := time.Now().Add(20 * time.Second); !ready(listen); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(by) {
-			t.Fatalf("not ready; it said:\n%s", node.said())
+			tb.Fatalf("not ready; it said:\n%s", r.node.said())
 		}
 	}
-	release := holdToShare(t, node.Process.Pid, nodeShare)
+	let := holdToShare(tb, r.node.Process.Pid, share)
+	defer let()
 	var all sync.WaitGroup
-	var a clientLog
 	began := time.Now()
 	length := releaseEvery * (releaseSteps + 1)
 	for i, step := 0, 0; time.Since(began) < length; i++ {
@@ -240,22 +247,33 @@
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			a.ask(listen, keyOf(i), fmt.Sprint(i), waits[i%len(waits)])
+			r.ask(listen, keyOf(i), fmt.Sprint(i), waits[i%len(waits)])
 		}()
 		time.Sleep(time.Second / requestsPerSec)
 	}
 	all.Wait()
-	release()
-	node.Process.Signal(syscall.SIGUSR1)
-	for by := time.Now().Add(5 * time.Second); !strings.Contains(node.said(), "longest_iteration_ms") && time.Now().Before(by); {
+	r.processor, r.resident = spent(tb, r.node.Process.Pid)
+	return r
+}
+
+// Report 60a37a: while a release replaced servers among thousands, requests got no answer, and some went to servers that drained. The
+// placement was computed anew within the loop, for longer than a request waits.
+func TestAReleaseAmongThousandsOfCaches(t *testing.T) {
+	caches := 3200
+	if testing.Short() { // under the race detector, which is some ten times slower
+		caches = 800
+	}
+	a := playRelease(t, caches, nodeShare)
+	a.node.Process.Signal(syscall.SIGUSR1)
+	for by := time.Now().Add(5 * time.Second); !strings.Contains(a.node.said(), "longest_iteration_ms") && time.Now().Before(by); {
 		time.Sleep(10 * time.Millisecond)
 	}
 	t.Logf("%d caches: %d served, %d refused, %d lost; the latest answer %v after its deadline", caches, a.served, a.refused, a.lost, a.latest.Round(time.Millisecond))
 	if a.lost > 0 {
 		t.Errorf("%d requests got no answer, among them %s", a.lost, strings.Join(a.lostKeys[:min(5, a.lost)], "; "))
 	}
-	for group := range r.late {
-		if n := r.late[group].Load(); n > 0 {
+	for group := range a.late {
+		if n := a.late[group].Load(); n > 0 {
 			t.Errorf("%d requests went to the caches that step %d drained, after the grace", n, group+1)
 		}
 	}
@@ -263,6 +281,20 @@
 		t.Error("nothing was served")
 	}
 	if t.Failed() {
-		t.Logf("the node said:\n%s", node.said())
+		t.Logf("the node said:\n%s", a.node.said())
+	}
+}
+
+// BenchmarkRelease is what a release costs a node, by the caches that there are: docs/CAPACITY.md has its slopes.
+func BenchmarkRelease(b *testing.B) {
+	for _, caches := range []int{200, 800, 3200} {
+		b.Run(fmt.Sprint(caches), func(b *testing.B) {
+			for b.Loop() {
+				r := playRelease(b, caches, nodeShare)
+				b.ReportMetric(r.processor.Seconds()*1000, "cpu-ms")
+				b.ReportMetric(r.resident/1e6, "resident-MB")
+				b.ReportMetric(float64(r.served)/float64(r.served+r.refused+r.lost), "share-served")
+			}
+		})
 	}
 }
