Lists of caches in a package of their own, long ones read entry by entry

Cause, found by the release's measurement: the tree of a parsed list takes twenty times its text, 14 MB at 3,200 caches, and stayed for good, twice: the call's parser kept its memory and the configuration's tree was held by its last list. Change: internal/listing reads lists for the relay and for a configuration's last list; from 32 KB on internal/jsonsplit cuts the array and entries are parsed one by one; nothing of either is kept.

--- a/cmd/dahliapin/cpu_share_test.go
+++ b/cmd/dahliapin/cpu_share_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
+	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -25,6 +28,23 @@
 	return time.Duration(at.Nano()), nil
 }
 
+// mostResident tells how many bytes of a process's memory were resident at most since its start.
+func mostResident(tb testing.TB, pid int) float64 {
+	tb.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	for line := range strings.Lines(string(status)) {
+		var kilobytes float64
+		if n, _ := fmt.Sscanf(line, "VmHWM: %f kB", &kilobytes); n == 1 {
+			return kilobytes * 1024
+		}
+	}
+	tb.Fatal("the system does not tell the peak of a process's memory")
+	return 0
+}
+
 // holdToShare gives a process no more than a share of a core, as a node has beside others, until the function that it returns is called: it is
 // stopped once it has taken more, and goes on when its share has caught up.
 func holdToShare(t testing.TB, pid int, share float64) (release func()) {
--- a/cmd/dahliapin/many_caches_test.go
+++ b/cmd/dahliapin/many_caches_test.go
@@ -219,7 +219,7 @@
 	*release
 	node      *served
 	processor time.Duration // taken by the node, from its start to the end of the release
-	resident  float64       // bytes of its memory
+	memory    float64       // bytes that it had resident at most
 }
 
 // playRelease plays one against a node that has a share of a core.
@@ -252,7 +252,8 @@
 		time.Sleep(time.Second / requestsPerSec)
 	}
 	all.Wait()
-	r.processor, r.resident = spent(tb, r.node.Process.Pid)
+	r.processor, _ = spent(tb, r.node.Process.Pid)
+	r.memory = mostResident(tb, r.node.Process.Pid)
 	return r
 }
 
@@ -292,7 +293,7 @@
 			for b.Loop() {
 				r := playRelease(b, caches, nodeShare)
 				b.ReportMetric(r.processor.Seconds()*1000, "cpu-ms")
-				b.ReportMetric(r.resident/1e6, "resident-MB")
+				b.ReportMetric(r.memory/1e6, "peak-MB")
 				b.ReportMetric(float64(r.served)/float64(r.served+r.refused+r.lost), "share-served")
 			}
 		})
--- a/internal/net/relay/discovery.go
+++ b/internal/net/relay/discovery.go
@@ -9,6 +9,7 @@
 
 	"dahliapin/internal/discovery"
 	"dahliapin/internal/houserules"
+	"dahliapin/internal/listing"
 	"dahliapin/internal/net/http1"
 	"dahliapin/policy"
 )
@@ -21,8 +22,8 @@
 var states = map[string]policy.State{"in_service": policy.Ready, "terminating": policy.Draining,
 	"terminated": policy.Gone}
 
-// listing is the one call for the list.
-type listing struct {
+// listCall is the one call for the list.
+type listCall struct {
 	link   linkID
 	call   uint64 // counts calls, so that a deadline knows its own
 	asks   discovery.Call
@@ -30,7 +31,7 @@
 	caller discovery.Caller
 	failed discovery.Failure // how the call that is about to be lost has failed
 	odd    bool              // the last list had entries that cannot be read
-	parser fastjson.Parser
+	reader listing.Reader
 }
 
 // follow starts a call for the list on a new connection. The first asks for the whole list.
@@ -117,21 +118,19 @@
 		r.lose(l, policy.Broken)
 		return
 	}
-	news, err := r.list.parser.ParseBytes(a.Body)
-	// guards against half a list that reads as one without caches
-	if err != nil || !news.Exists("generation") || !isList(news.Get("instances")) ||
-		!r.list.caller.Takes(news.GetInt("generation"), news.GetBool("reset")) {
+	news, err := r.list.reader.Read(a.Body) // refuses half a list, which would read as one without caches
+	if err != nil || !news.HasVersion || !r.list.caller.Takes(news.Version, news.Whole) {
 		r.list.failed = discovery.Unreadable
 		r.lose(l, policy.Broken)
 		return
 	}
 	r.count.Lists++
 	r.stalls.lists++
-	form, again := r.list.caller.Heard(news.GetInt("generation"), news.GetBool("reset"))
+	form, again := r.list.caller.Heard(news.Version, news.Whole)
 	if again {
 		r.Log.Info("the list is had again")
 	}
-	r.hear(news, form)
+	r.hear(&news, form)
 	l.use(size)
 	r.ready()
 	if a.Last {
@@ -143,14 +142,11 @@
 	r.askForList(l)
 }
 
-func isList(v *fastjson.Value) bool { return v != nil && v.Type() == fastjson.TypeArray }
-
 // hear passes a list on, and closes idle connections to caches that are gone or started anew.
-func (r *Relay) hear(news *fastjson.Value, form policy.ListForm) {
-	rows := news.GetArray("instances")
-	entries := make([]policy.Entry, 0, len(rows))
+func (r *Relay) hear(news *listing.List, form policy.ListForm) {
+	entries := make([]policy.Entry, 0, news.Len())
 	named, odd := map[policy.CacheID]bool{}, 0
-	for _, row := range rows {
+	news.Each(func(row *fastjson.Value) {
 		e := policy.Entry{
 			ID: policy.CacheID(row.GetStringBytes("instanceId")), Kind: r.Terms.Names.Kind(row.GetStringBytes("machineType")),
 			State: policy.Draining, Born: r.wall(row.GetFloat64("startedAtMs")),
@@ -160,7 +156,7 @@
 		addr := string(row.GetStringBytes("hostPort"))
 		if e.ID == "" {
 			odd++
-			continue
+			return
 		}
 		if s, ok := states[string(row.GetStringBytes("lifecycle"))]; ok { // nothing new to what is in an unknown state
 			e.State = s
@@ -184,7 +180,7 @@
 				c.carrier = httpCarrier{&r.Operator.Servers, r.Terms.Rules.Aside}
 			}
 		}
-	}
+	})
 	if odd > 0 && !r.list.odd { // each list has them from now on, and a line for each would bury the log
 		r.Log.WithField("entries", odd).Warn("the list has entries that cannot be read; caches that it does not name stay")
 	}
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/valyala/fastjson"
 
 	"dahliapin/internal/discovery"
 	"dahliapin/internal/fronts"
@@ -75,7 +74,7 @@
 	Beside            int   // descriptors that the process has for other things
 	Memory            int64 // bytes it may use in all
 	Terms             houserules.Terms
-	Known             *fastjson.Value // the list as last held, or nil
+	Known             []byte // the list as last held, as discovery writes it, or nil
 	Log               *logrus.Logger
 	Moved             func(Phase)                    // told of each phase; nil for nobody
 	Figures           bool                           // hand out copies of the figures, for operators
@@ -103,7 +102,7 @@
 	came      reply           // the same of servers
 	faces     []face          // by the address that a client came to
 	caches    map[policy.CacheID]*cache
-	list      listing
+	list      listCall
 	kept      keeping.Span
 	chance    keyhash.Source
 	later     []func() // what must not happen within a call into the host
@@ -191,12 +190,7 @@
 	r.host = host.With(r.now(), decider, r, watcher)
 	r.kept = keeping.New(b.Terms.Rules.IdleConnection)
 	r.list.caller, r.chance.Seed = discovery.New(b.Terms.Rules.Nodes), uint32(b.Seed^b.Seed>>32)
-	if b.Known != nil {
-		r.hear(b.Known, policy.LastHeld)
-		if v := b.Known.Get("generation"); v != nil && len(r.caches) > 0 { // what is new since is less than the whole
-			r.list.caller.Hold(v.GetInt())
-		}
-	}
+	r.hearKnown()
 	r.due.Put(r.now().Add(readyBy), due{ready: true})
 	if b.Succeeds != nil {
 		r.succeed()
@@ -208,6 +202,18 @@
 	return r, nil
 }
 
+// hearKnown takes the list as last held, if there is one that can be read. What is new since is less than the whole.
+func (r *Relay) hearKnown() {
+	known, err := r.list.reader.Read(r.Known)
+	r.Known = nil
+	if err != nil {
+		return
+	}
+	if r.hear(&known, policy.LastHeld); known.HasVersion && len(r.caches) > 0 {
+		r.list.caller.Hold(known.Version)
+	}
+}
+
 // decider is the module, behind the operator's service levels if there are any.
 func (r *Relay) decider(watcher host.Watcher) host.Decider {
 	module := policy.New(r.now(), r.Seed, r.Terms.Rules)
--- a/internal/net/relay/relay_test.go
+++ b/internal/net/relay/relay_test.go
@@ -590,7 +590,7 @@
 	up := make(chan bool, 9)
 	again := g.Berth
 	again.Listen, again.Moved = "127.0.0.1:0", func(p Phase) { up <- p == Serving }
-	again.Known = fastjson.MustParse(`{"generation":41,"reset":true,"instances":[
+	again.Known = []byte(`{"generation":41,"reset":true,"instances":[
 {"instanceId":"c","hostPort":"127.0.0.1:1","machineType":"box","lifecycle":"in_service","zone":"z"}]}`)
 	r, err := New(again)
 	if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -104,6 +104,7 @@
 		Memory: p.memory(), Terms: p.terms, Known: p.known, Log: log,
 		Moved: n.moved, Name: p.Name, Records: note,
 	})
+	p.known = nil
 	if err != nil {
 		if n.desk != nil {
 			n.desk.Close()
--- a/node/posting.go
+++ b/node/posting.go
@@ -13,6 +13,7 @@
 	"dahliapin/internal/fleet/charter"
 	"dahliapin/internal/fronts"
 	"dahliapin/internal/houserules"
+	"dahliapin/internal/jsonsplit"
 	"dahliapin/internal/keyhash"
 	"dahliapin/internal/net/accord"
 	"dahliapin/internal/net/fleet"
@@ -26,7 +27,7 @@
 	MemoryMB, Sockets       int
 	Records                 func(Entry, time.Time) // told what the node does to caches, from a goroutine of its own; nil for nobody
 	terms                   houserules.Terms
-	known                   *fastjson.Value
+	known                   []byte // the list as last held, as discovery writes it; until the node has taken it
 	operator                fronts.File
 	charter                 *charter.File                  // by which it joins other nodes; nil for none
 	Trace                   func([]byte)                   // told each line of what it does in the fleet, from a goroutine of its own; nil for nobody
@@ -95,13 +96,20 @@
 
 // ParsePosting reads a posting. What it names wrongly or not at all is told in one line.
 func ParsePosting(text []byte) (*Posting, error) {
+	text, known, err := cutKnown(text)
+	if err != nil {
+		return nil, err
+	}
 	v, err := fastjson.ParseBytes(text)
 	if err != nil || v.Type() != fastjson.TypeObject {
-		return nil, errors.New("the configuration is not a JSON object")
+		return nil, errNoObject
+	}
+	if v.Exists("known") && known == nil {
+		known = v.Get("known").MarshalTo(nil)
 	}
 	p := &Posting{Name: string(v.GetStringBytes("name")), Listen: string(v.GetStringBytes("listen")),
 		Discovery: string(v.GetStringBytes("discovery")), MemoryMB: v.GetInt("limits", "memory_mb"),
-		Sockets: v.GetInt("limits", "sockets"), known: v.Get("known")}
+		Sockets: v.GetInt("limits", "sockets"), known: known}
 	for _, addr := range []string{p.Listen, p.Discovery} {
 		if _, err := netip.ParseAddrPort(addr); err != nil {
 			return nil, fmt.Errorf("the configuration's listen or discovery is not an address and a port: %q", addr)
@@ -126,6 +134,20 @@
 	return p, nil
 }
 
+var errNoObject = errors.New("the configuration is not a JSON object")
+
+// cutKnown takes the list as last held out of a configuration: it may be by far the longest part, and is read as lists are.
+func cutKnown(text []byte) (rest, known []byte, err error) {
+	rest, value, ok := jsonsplit.Member(text, "known")
+	if !ok { // it is not there, or is found by parsing the whole
+		return text, nil, nil
+	}
+	if fastjson.ValidateBytes(value) != nil {
+		return nil, nil, errNoObject
+	}
+	return rest, value, nil
+}
+
 // OpsAt has operators call elsewhere than the configuration says. Two processes may start by one configuration.
 func (p *Posting) OpsAt(addr string) error {
 	p.Ops = addr
