Emulator: who connects to a cache that has vanished is reset once it is back

Change: such connections are reset, as the protocol has it, and so are those whose other side has ended.

--- a/internal/emulator/onwire/servers.go
+++ b/internal/emulator/onwire/servers.go
@@ -23,6 +23,7 @@
 )
 
 const (
+	established = 1                      // a connection's state in the kernel, by RFC 9293
 	mostAnswers = 64                     // that may wait on one connection for a slow reader
 	readAtOnce  = 16 << 10               // bytes of commands read at once
 	mostCommand = 1 << 20                // bytes of a command that has not come whole
@@ -123,7 +124,10 @@
 		r.mu.Lock()
 		awake := s.awake
 		r.mu.Unlock()
-		<-awake // one that has vanished accepts nobody
+		if vanished := waitFor(awake); vanished || over(plain) { // one that has vanished accepts nobody, and resets who came meanwhile once it is back
+			reset(plain)
+			continue
+		}
 		r.mu.Lock()
 		r.log.Now(r.now()).Dials++
 		if s.at != l || !r.world.Connect(r.now(), s.number) {
@@ -144,6 +148,34 @@
 	}
 }
 
+// waitFor waits until a channel is closed, and tells whether it had to.
+func waitFor(awake chan struct{}) (waited bool) {
+	select {
+	case <-awake:
+		return false
+	default:
+		<-awake
+		return true
+	}
+}
+
+// over tells whether the other side has ended a connection: whoever opened it has given up on all that it wrote.
+func over(c net.Conn) (is bool) {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return true
+	}
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		is = err != nil || info.State != established
+	})
+	return is
+}
+
 func reset(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
 		t.SetLinger(0)
