Starts of caches are read by the wall clock of the moment, and bounded

Cause: the list states when a cache started by the wall clock, and the node turned that into its own time by one difference taken at its start. After a step of the clock by an hour back, a cache that started anew counted as warm (rule 4); forward, as cold for an hour.

--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -26,7 +26,7 @@
 	id      policy.CacheID
 	addr    string
 	carrier carrier
-	born    policy.Instant
+	start   start
 	idle    []linkID // the latest used last
 }
 
--- a/internal/net/relay/discovery.go
+++ b/internal/net/relay/discovery.go
@@ -24,14 +24,15 @@
 
 // listCall is the one call for the list.
 type listCall struct {
-	link   linkID
-	call   uint64 // counts calls, so that a deadline knows its own
-	asks   discovery.Call
-	since  policy.Instant // when the call began, its connection among it
-	caller discovery.Caller
-	failed discovery.Failure // how the call that is about to be lost has failed
-	odd    bool              // the last list had entries that cannot be read
-	reader listing.Reader
+	link    linkID
+	call    uint64 // counts calls, so that a deadline knows its own
+	asks    discovery.Call
+	since   policy.Instant // when the call began, its connection among it
+	caller  discovery.Caller
+	failed  discovery.Failure // how the call that is about to be lost has failed
+	heardAt policy.Instant    // when the last answer was taken
+	odd     bool              // the last list had entries that cannot be read
+	reader  listing.Reader
 }
 
 // follow starts a call for the list on a new connection. The first asks for the whole list.
@@ -131,6 +132,7 @@
 		r.Log.Info("the list is had again")
 	}
 	r.hear(&news, form)
+	r.list.heardAt = r.now()
 	l.use(size)
 	r.ready()
 	if a.Last {
@@ -147,9 +149,12 @@
 	entries := make([]policy.Entry, 0, news.Len())
 	named, odd := map[policy.CacheID]bool{}, 0
 	news.Each(func(row *fastjson.Value) {
+		id := policy.CacheID(row.GetStringBytes("instanceId"))
+		c := r.caches[id]
+		began := r.startOf(c, row.GetFloat64("startedAtMs"))
 		e := policy.Entry{
-			ID: policy.CacheID(row.GetStringBytes("instanceId")), Kind: r.Terms.Names.Kind(row.GetStringBytes("machineType")),
-			State: policy.Draining, Born: r.wall(row.GetFloat64("startedAtMs")),
+			ID: id, Kind: r.Terms.Names.Kind(row.GetStringBytes("machineType")),
+			State: policy.Draining, Born: began.at,
 			Zone: policy.ZoneID(row.GetStringBytes("zone")), Group: policy.GroupID(row.GetInt("cell")),
 			Weight: houserules.Number(row.Get("weight")),
 		}
@@ -162,13 +167,12 @@
 			e.State = s
 		}
 		entries, named[e.ID] = append(entries, e), true
-		c := r.caches[e.ID]
-		if c != nil && (e.State == policy.Gone || c.addr != addr || e.Born > c.born) {
+		if c != nil && (e.State == policy.Gone || c.addr != addr || e.Born > c.start.at) {
 			r.forget(c)
 			c = nil
 		}
 		if c == nil && e.State != policy.Gone {
-			c = &cache{id: e.ID, addr: addr, born: e.Born}
+			c = &cache{id: e.ID, addr: addr, start: began}
 			r.caches[e.ID] = c
 		}
 		if c != nil {
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -92,7 +92,8 @@
 	phase     Phase
 	eng       *sockets.Engine
 	host      *host.Host
-	began     time.Time // with the monotonic clock's reading
+	began     time.Time        // with the monotonic clock's reading
+	wallClock func() time.Time // for what the list states by it, and nothing else
 	due       deadlines.Queue[due]
 	clients   slots.Table[clientID, client]
 	links     slots.Table[linkID, link]
@@ -164,7 +165,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{Berth: b, eng: eng, allMemory: b.Memory, began: time.Now(), caches: map[policy.CacheID]*cache{}, taken: map[string]bool{},
+	r := &Relay{Berth: b, eng: eng, allMemory: b.Memory, began: time.Now(), wallClock: time.Now, caches: map[policy.CacheID]*cache{}, taken: map[string]bool{},
 		asks: make(chan func(), 16), done: make(chan struct{})}
 	r.faces = []face{metaFace{}}
 	for i := range b.Operator.Listeners {
@@ -241,14 +242,6 @@
 
 func (r *Relay) at(t time.Time) policy.Instant { return epoch.Add(t.Sub(r.began)) }
 
-// wall turns Unix milliseconds into an instant: always the same for the same start, whatever the clocks do.
-func (r *Relay) wall(ms float64) policy.Instant {
-	if ms == 0 {
-		return 0
-	}
-	return epoch.Add(time.Duration(ms*float64(time.Millisecond))-time.Duration(r.began.UnixNano())) | 1
-}
-
 func (r *Relay) enter(p Phase) {
 	r.phase = p
 	r.publish()
--- /dev/null
+++ b/internal/net/relay/starts_test.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fastjson"
+
+	"dahliapin/internal/houserules"
+	"dahliapin/policy"
+)
+
+// The list states starts by the wall clock, which may be stepped by an hour while the node runs. A cache that started anew after a step back
+// counted as warm for an hour, so that all nodes together would have pushed it over; after a step forward it counted as cold for an hour.
+func TestStartsAfterAStepOfTheWallClock(t *testing.T) {
+	for _, step := range []time.Duration{0, 2 * time.Second, -2 * time.Second, time.Hour, -time.Hour} {
+		rules, err := houserules.Decode(fastjson.MustParse(fmt.Sprintf(terms, false)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		quiet := logrus.New()
+		quiet.SetOutput(io.Discard)
+		r, err := New(Berth{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", Descriptors: 64, Memory: 16 << 20, Terms: rules, Log: quiet})
+		if err != nil {
+			t.Fatal(err)
+		}
+		stepped := time.Duration(0)
+		r.wallClock = func() time.Time { return time.Now().Add(stepped) }
+		stated := func(ago time.Duration) int64 { return r.wallClock().Add(-ago).UnixMilli() }
+		hear := func(form policy.ListForm, startedAt int64) policy.Instant {
+			news, err := r.list.reader.Read(fmt.Appendf(nil, `{"generation":1,"instances":[{"instanceId":"c","hostPort":"127.0.0.1:1","lifecycle":"in_service",
+"zone":"z","startedAtMs":%d}]}`, startedAt))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.hear(&news, form)
+			r.list.heardAt = r.now()
+			return r.caches["c"].start.at
+		}
+		near := func(what string, got policy.Instant, ago time.Duration) {
+			t.Helper()
+			if off := r.now().Since(got) - ago; off < -time.Millisecond || off > time.Second {
+				t.Errorf("%v: %s %v ago, want %v", step, what, r.now().Since(got), ago)
+			}
+		}
+		first := stated(3 * time.Minute)
+		was := hear(policy.Whole, first)
+		near("first start", was, 3*time.Minute)
+		stepped = step
+		old := r.caches["c"]
+		if again := hear(policy.Whole, first); again != was || r.caches["c"] != old {
+			t.Errorf("%v: the same start became another one", step)
+		}
+		near("a start after the step", hear(policy.Changes, stated(500*time.Millisecond)), 500*time.Millisecond)
+		if r.caches["c"] == old {
+			t.Errorf("%v: a start after the step is taken for none", step)
+		}
+		r.End()
+		r.Run()
+	}
+}
+
+// A start that was stated before a step and is told after it is off by the step; what that makes of it is bounded.
+func TestAStartThatIsToldAcrossAStepIsBounded(t *testing.T) {
+	now := epoch.Add(time.Hour)
+	began := time.Now().Add(-now.Since(epoch))
+	for _, step := range []time.Duration{time.Hour, -time.Hour} {
+		r := &Relay{began: began, wallClock: func() time.Time { return time.Now().Add(step) }}
+		r.list.heardAt = now
+		known := &cache{start: start{stated: 5, at: epoch}}
+		got := r.startOf(known, float64(time.Now().Add(-time.Second).UnixMilli())).at
+		if late := r.now().Since(got); late < 0 || late > untoldMost+time.Minute {
+			t.Errorf("%v: it started %v ago", step, late)
+		}
+	}
+}
