Accept: a connection that can't be duplicated gives its descriptor back

Cause: nbio makes its own descriptor of an accepted connection; where that fails for a moment (EMFILE, ENFILE) it closes the connection without a word, which the engine went on counting: after as many failures as there are descriptors nobody was let in any more. Change: the gate makes the connection nbio's itself, and counts it after that.

--- a/internal/net/sockets/sockets.go
+++ b/internal/net/sockets/sockets.go
@@ -567,10 +567,8 @@
 func (g *gate) Accept() (net.Conn, error) {
 	for !g.ended {
 		g.e.waitForTurn()
-		conn, err := g.Listener.Accept()
+		conn, err := g.accept()
 		if err == nil {
-			g.e.open.Add(1)
-			g.e.waitForRoom()
 			return conn, nil
 		}
 		if g.ended = errors.Is(err, net.ErrClosed); !g.ended && !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -586,6 +584,23 @@
 	return nil, net.ErrClosed
 }
 
+// accept lets one in. The connection is made nbio's here: that needs another descriptor for a moment, and where there is none nbio would close the
+// connection without a word, which would stay counted for good.
+func (g *gate) accept() (net.Conn, error) {
+	plain, err := g.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	conn, err := nbio.NBConn(plain)
+	if err != nil {
+		_ = plain.Close()
+		return nil, err
+	}
+	g.e.open.Add(1)
+	g.e.waitForRoom()
+	return conn, nil
+}
+
 func (g *gate) Close() error {
 	close(g.closed)
 	return nil
--- a/internal/net/sockets/sockets_test.go
+++ b/internal/net/sockets/sockets_test.go
@@ -261,3 +261,47 @@
 		t.Errorf("the loop is told that %d bytes never went, the event says %d; %d are counted still", lost, ended.Lost, e.Unsent())
 	}
 }
+
+// failing is a listener whose first calls end as the system's may for a moment: without a connection, or with one that can't be duplicated.
+type failing struct {
+	net.Listener
+	left int
+}
+
+type notDuplicated struct{ net.Conn } // hides what is needed for it
+
+func (l *failing) Accept() (net.Conn, error) {
+	if l.left--; l.left < 0 {
+		return l.Listener.Accept()
+	}
+	if l.left%2 == 0 {
+		return nil, &net.OpError{Op: "accept", Err: []error{syscall.ECONNABORTED, syscall.ENFILE, syscall.EMFILE, syscall.ENOBUFS, syscall.EINTR}[l.left%5]}
+	}
+	here, there := net.Pipe()
+	there.Close()
+	return notDuplicated{here}, nil
+}
+
+// A connection that was let in and couldn't be duplicated stayed counted: after as many as there are descriptors nobody was let in any more.
+func TestFailuresOfAcceptTakeNoDescriptor(t *testing.T) {
+	const descriptors, failures = 60, 200
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := l.Addr().String()
+	e, err := New([]string{at}, descriptors, map[string]net.Listener{at: &failing{Listener: l, left: failures}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Stop)
+	e.Accept(true)
+	c, err := net.Dial("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if until(t, e, Opened); e.open.Load() != 1 {
+		t.Errorf("%d descriptors are counted with one connection", e.open.Load())
+	}
+}
