Dial: a failure for want of something on this machine is not the cache's

Cause: EADDRNOTAVAIL, ENOBUFS and the like while connecting counted as a refusal by the cache, whose slot was dead after two. Change: such failures are told apart, and the attempt was never sent. Result: told apart by error in a test; a real shortage was not played.

--- a/internal/net/relay/caches.go
+++ b/internal/net/relay/caches.go
@@ -261,7 +261,11 @@
 	l := r.links.Get(linkID(ev.Dial))
 	switch {
 	case ev.What == sockets.Refused:
-		if l != nil {
+		switch {
+		case l == nil:
+		case ev.Local && l.does == aLeg: // the cache is not to blame
+			r.lose(l, policy.NeverSent)
+		default:
 			r.refused(l)
 			r.lose(l, policy.Unconnected)
 		}
--- a/internal/net/sockets/sockets.go
+++ b/internal/net/sockets/sockets.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -50,6 +51,7 @@
 	What    What
 	Wire    *Wire
 	Dial    uint64 // whose dialling it was: Connected and Refused
+	Local   bool   // Refused for want of something on this machine: nobody was called
 	At      time.Time
 	bytes   []byte
 	Lost    int64 // bytes that were written to a closed connection and not taken by the kernel
@@ -303,7 +305,7 @@
 		}
 		if err != nil {
 			e.freed()
-			e.hand(Event{What: Refused, Dial: dial}, nil)
+			e.hand(Event{What: Refused, Dial: dial, Local: isLocal(err)}, nil)
 			return
 		}
 		e.dialing.RLock()
@@ -318,6 +320,13 @@
 	return nil
 }
 
+// localErrors are what connecting fails with for want of something on this machine, mostly for a moment.
+var localErrors = []error{unix.EADDRNOTAVAIL, unix.ENOBUFS, unix.ENOMEM, unix.EMFILE, unix.ENFILE, unix.EAGAIN}
+
+func isLocal(err error) bool {
+	return slices.ContainsFunc(localErrors, func(local error) bool { return errors.Is(err, local) })
+}
+
 // Stop closes everything. Nobody is let in or called any more before nbio stops: it counts its connections with a
 // wait group, which one that came up meanwhile would upset.
 func (e *Engine) Stop() {
--- a/internal/net/sockets/sockets_test.go
+++ b/internal/net/sockets/sockets_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -305,3 +306,13 @@
 		t.Errorf("%d descriptors are counted with one connection", e.open.Load())
 	}
 }
+
+// A cache that was never called is not to blame, and not to be left for a while.
+func TestWhatFailsOnThisMachineIsToldApart(t *testing.T) {
+	for err, local := range map[error]bool{syscall.ECONNREFUSED: false, syscall.ETIMEDOUT: false, syscall.EHOSTUNREACH: false, syscall.ENETUNREACH: false,
+		syscall.EADDRNOTAVAIL: true, syscall.ENOBUFS: true, syscall.EMFILE: true, syscall.ENFILE: true} {
+		if is := isLocal(&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", err)}); is != local {
+			t.Errorf("%v: on this machine: %v", err, is)
+		}
+	}
+}
