--- a/policy/policy.go
+++ b/policy/policy.go
@@ -71,9 +71,9 @@
 	usedAt, toldAt    Instant // when a connection there was last in use; when it last reported
 }
 
-type door struct{ asked, good float64 } // of a deal: turned away or ended at a cache; those in time
+type door struct{ asked, good float64 } // of a placement: turned away or ended at a cache; those in time
 
-// Deals: of the home zone's caches (of all, where it has no deal of its own), of all but home's, and of all.
+// Placements: of the home zone's caches (of all, where it has none of its own), of all but home's, and of all.
 const home, away, pool = 0, 1, 2
 
 type memo struct {
@@ -92,7 +92,7 @@
 	chance               keyhash.Source
 	caches               map[CacheID]*cache
 	listed               []*cache            // without the origin
-	deals                [2]*placement       // of home and of all; nil until asked for
+	placements           [2]*placement       // of home and of all; nil until asked for
 	origin               *cache              // nil in through mode
 	room, turns, spurned float64             // legs the origin may have; to rest for; turned away on end
 	fetches              map[uint64]*Request // who fetches a key from the origin; others that miss it wait
@@ -105,9 +105,9 @@
 	slow, patience       time.Duration       // the slow twentieth, and what means silence
 	coldShare, coldMost  float64             // part of what it surely bears sent to a cold cache; longest rest
 	usual, othersLoad    float64             // legs a warm cache of weight 1 answered; mean foreign load
-	doors                [2]door             // as the deals
+	doors                [2]door             // as the placements
 	spare, cheap, asking float64             // second copies saved up; mean cheapness; benefit asked
-	apart                bool                // whether the home zone has a deal of its own
+	apart                bool                // whether the home zone has a placement of its own
 	cut                  map[ZoneID]int      // legs in a row that no cache of a zone took a connection for
 	metered              []Instant           // up to when each league has used its share
 	upkeeps, askFails    int
@@ -129,9 +129,9 @@
 	return p
 }
 
-// sort splits the list when its set has changed; deals are made anew when they are asked for.
+// sort splits the list when its set has changed; placements are made anew when they are asked for.
 func (p *Router) sort() {
-	p.listed, p.deals, p.origin = nil, [2]*placement{}, nil
+	p.listed, p.placements, p.origin = nil, [2]*placement{}, nil
 	n := 0
 	for _, c := range p.caches {
 		if !p.rules.Aside || c.Kind != p.rules.OriginKind {
@@ -158,18 +158,18 @@
 	return home
 }
 
-// deal returns a deal's slots: where the home zone has one, the design holds within it; others' are spares.
-func (p *Router) deal(side int) *placement {
-	if p.deals[side] == nil {
+// placement returns a placement's slots: where the home zone has one, the design holds within it; others' are spares.
+func (p *Router) placement(side int) *placement {
+	if p.placements[side] == nil {
 		var cs []*cache
 		for _, c := range p.listed {
 			if side != home || p.sideOf(c) == home {
 				cs = append(cs, c)
 			}
 		}
-		p.deals[side] = newPlacement(cs)
+		p.placements[side] = newPlacement(cs)
 	}
-	return p.deals[side]
+	return p.placements[side]
 }
 
 func (p *Router) Listed(now Instant, form ListForm, entries []Entry) {
@@ -199,7 +199,7 @@
 			changed = true
 		}
 	}
-	if changed { // a state or a start that changes leaves the deal as it is: it costs most of what news costs
+	if changed { // a state or a start that changes leaves the placement as it is: it costs most of what news costs
 		p.sort()
 	}
 }
@@ -316,7 +316,7 @@
 // locate returns the cache at a segment's location for a key; a slot whose cache takes no connection is dead.
 func (p *Router) locate(now Instant, side, seg int, key uint64) *cache {
 	dead := func(c *cache) bool { return c.refused >= failsToRest && now < c.restUntil }
-	return p.deal(min(side, away))[seg].locate(keyhash.Salted(key, segments+seg), dead)
+	return p.placement(min(side, away))[seg].locate(keyhash.Salted(key, segments+seg), dead)
 }
 
 // holders lists a key's caches, first ranked first. One that drains, is silent, fails this grade fast and so
@@ -367,7 +367,7 @@
 	return best, full && best == nil
 }
 
-// choose picks a holder by a deal; where none can take it, of those away, also beside a leg that is silent.
+// choose picks a holder by a placement; where none can take it, of those away, also beside a leg that is silent.
 func (p *Router) choose(now Instant, r *Request, side int) (c *cache, hs []*cache, full bool) {
 	hs = p.holders(now, r, side)
 	if c, full = p.pick(now, r, hs); c == nil && p.apart && side != away {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -32,11 +32,11 @@
 	return ids
 }
 
-func TestDealIsEvenMovesLittleAndAgrees(t *testing.T) {
+func TestPlacementIsEvenMovesLittleAndAgrees(t *testing.T) {
 	for n := 7; n <= 200; n += 1 + n/15 {
 		es := fleet(n, false)
 		whole := newWorld(t, testRules(), es).p
-		for _, s := range whole.deal(home) {
+		for _, s := range whole.placement(home) {
 			if in := len(s.slots); in < n/segments || in > (n+segments-1)/segments {
 				t.Fatalf("%d caches: a segment holds %d", n, in)
 			}
@@ -66,12 +66,12 @@
 
 func TestDeadSlotPassesItsKeysLeftward(t *testing.T) {
 	w := newWorld(t, testRules(), fleet(14, false)) // two slots a segment
-	dead := w.p.deal(home)[0].slots[1]
+	dead := w.p.placement(home)[0].slots[1]
 	for range failsToRest {
 		w.p.failed(0, dead, Unconnected)
 	}
 	for key := range uint64(100) {
-		if w.p.locate(1, home, 0, keyhash.Mix(key)) != w.p.deal(home)[0].slots[0] {
+		if w.p.locate(1, home, 0, keyhash.Mix(key)) != w.p.placement(home)[0].slots[0] {
 			t.Fatal("a key of the dead slot did not pass to the left")
 		}
 	}
--- a/policy/zones_test.go
+++ b/policy/zones_test.go
@@ -56,19 +56,19 @@
 	}
 }
 
-// Nodes of a zone must agree, and a deal, most of what news costs hundreds of nodes, is made when the set has changed
-// and it is asked for. One zone is dealt as a whole, whatever crossings cost.
-func TestDealsAreMadeWhenTheSetOfCachesChanges(t *testing.T) {
+// Nodes of a zone must agree, and a placement, most of what news costs hundreds of nodes, is made when the set has changed
+// and it is asked for. One zone is placed as a whole, whatever crossings cost.
+func TestPlacementsAreMadeWhenTheSetOfCachesChanges(t *testing.T) {
 	w, es := zoned(t)
-	was, at := holdersOf(w.p, "k"), w.p.deal(home)
+	was, at := holdersOf(w.p, "k"), w.p.placement(home)
 	for i, e := range []Entry{{ID: es[1].ID, Zone: "there", State: Draining}, {ID: es[1].ID, Zone: "there", Born: 7}, {ID: es[1].ID, State: Gone}} {
-		if w.p.Listed(9, Changes, []Entry{e}); (w.p.deal(home) == at) != (i < 2) || w.p.deals[away] != nil {
-			t.Errorf("news %d: dealt anew, or over all unasked, or not", i)
+		if w.p.Listed(9, Changes, []Entry{e}); (w.p.placement(home) == at) != (i < 2) || w.p.placements[away] != nil {
+			t.Errorf("news %d: placed anew, or over all unasked, or not", i)
 		}
 	}
 	slices.Reverse(es)
 	other, whole := newWorld(t, w.rules, es).p, newWorld(t, w.rules, fleet(30, true)).p
 	if !slices.Equal(was, holdersOf(w.p, "k")) || !slices.Equal(was, holdersOf(other, "k")) || whole.apart {
-		t.Error("keys moved at home, or nodes with the same list disagree, or one zone is not dealt as a whole")
+		t.Error("keys moved at home, or nodes with the same list disagree, or one zone is not placed as a whole")
 	}
 }
