--- a/cmd/dahliapin/many_caches_test.go
+++ b/cmd/dahliapin/many_caches_test.go
@@ -22,6 +22,7 @@
 	releaseShare   = 0.2                     // part of the caches that a step replaces
 	nodeShare      = 0.2                     // of a core that the node has
 	requestsPerSec = 120
+	listChunk      = 1000 // bytes
 	popularKeys    = 20
 	answerGrace    = 500 * time.Millisecond // after that, by which a final answer has to be there all the same
 	drainGrace     = 450 * time.Millisecond // after the list has told of a draining cache, in which requests may still go there
@@ -124,6 +125,21 @@
 	r.moved = make(chan bool)
 }
 
+// writeList writes a list whole, or in chunks that come one by one.
+func writeList(w http.ResponseWriter, body string, chunks bool) {
+	if !chunks {
+		w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		io.WriteString(w, body)
+		return
+	}
+	for len(body) > 0 {
+		n := min(listChunk, len(body))
+		io.WriteString(w, body[:n])
+		w.(http.Flusher).Flush()
+		body = body[n:]
+	}
+}
+
 // ServeHTTP is discovery, which tells changes one version at a time.
 func (r *release) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	since, whole := 0, true
@@ -138,8 +154,7 @@
 		if len(versions) > since {
 			next := versions[since]
 			body := fmt.Sprintf(`{"generation":%d,"reset":%v,"instances":[%s]}`, since+1, whole, strings.Join(next.rows, ","))
-			w.Header().Set("Content-Length", fmt.Sprint(len(body)))
-			io.WriteString(w, body)
+			writeList(w, body, next.drains > 0)
 			r.mu.Lock()
 			if next.drains > 0 && r.told[next.drains-1].IsZero() {
 				r.told[next.drains-1] = time.Now()
--- a/internal/net/relay/discovery.go
+++ b/internal/net/relay/discovery.go
@@ -109,6 +109,7 @@
 func (r *Relay) listData(l *link) {
 	a, size, err := l.read.ReadAnswer(l.buf.Unused(), maxList, l.ended)
 	if err == nil && size == 0 {
+		l.buf.Expect(a.Wants)
 		return
 	}
 	if err != nil || a.Status != 200 {
