Figures: operators' copies cost by the caches that are not in use as usual, not by all

Change: quantiles once for all; the figures look at caches that do not stand as usual, and count members as the list changes.

--- a/internal/net/relay/discovery.go
+++ b/internal/net/relay/discovery.go
@@ -197,11 +197,25 @@
 			r.forget(c)
 		}
 	}
+	r.countMembers()
 	if len(entries) > 0 || form != policy.Changes {
 		r.host.Listed(r.now(), form, entries)
 	}
 }
 
+// countMembers counts the caches without the origin, as the list has changed.
+func (r *Relay) countMembers() {
+	r.members = 0
+	for _, c := range r.caches {
+		if _, isOrigin := c.carrier.(originCarrier); !isOrigin {
+			r.members++
+		}
+	}
+	if r.stance != nil {
+		r.stance.keep(func(id policy.CacheID) bool { return r.caches[id] != nil })
+	}
+}
+
 // forget closes what is idle; legs that are out go on.
 func (r *Relay) forget(c *cache) {
 	delete(r.caches, c.id)
--- a/internal/net/relay/operators.go
+++ b/internal/net/relay/operators.go
@@ -33,7 +33,9 @@
 }
 
 func (s *stance) Stands(now policy.Instant, id policy.CacheID, is policy.Standing) {
-	s.of[id] = is
+	if s.of[id] = is; is == policy.InUse {
+		delete(s.of, id)
+	}
 	if s.Watcher != nil {
 		s.Watcher.Stands(now, id, is)
 	}
@@ -58,22 +60,24 @@
 	}
 }
 
-// publish hands out a new copy of the figures.
+// keep forgets the caches that the list does not name any more.
+func (s *stance) keep(listed func(policy.CacheID) bool) {
+	maps.DeleteFunc(s.of, func(id policy.CacheID, _ policy.Standing) bool { return !listed(id) })
+	maps.DeleteFunc(s.sent, func(id policy.CacheID, _ [2]policy.Instant) bool { return !listed(id) })
+}
+
+// publish hands out a new copy of the figures. It is called ten times a second, so it looks only at caches that are not in use as usual: there may
+// be thousands.
 func (r *Relay) publish() {
 	if r.stance == nil {
 		return
 	}
 	s := &counters.Sheet{At: time.Now(), Takes: r.phase == Serving, Phase: r.phase.String(), Grades: slices.Clone(r.byGrade),
 		Legs: r.whole, Pending: r.pending}
-	maps.DeleteFunc(r.stance.of, func(id policy.CacheID, _ policy.Standing) bool { return r.caches[id] == nil })
-	maps.DeleteFunc(r.stance.sent, func(id policy.CacheID, _ [2]policy.Instant) bool { return r.caches[id] == nil })
+	s.Members = r.members
 	now := r.now()
-	for id, c := range r.caches {
-		if _, store := c.carrier.(originCarrier); store {
-			continue
-		}
-		s.Members++
-		if r.stance.avoided(now, id) {
+	for id := range r.stance.of {
+		if r.caches[id] != nil && r.stance.avoided(now, id) {
 			s.Unavailable++
 		}
 	}
--- a/internal/net/relay/relay.go
+++ b/internal/net/relay/relay.go
@@ -103,6 +103,7 @@
 	came      reply           // the same of servers
 	faces     []face          // by the address that a client came to
 	caches    map[policy.CacheID]*cache
+	members   int // of them, those that are not the origin
 	idleLinks idleLinks
 	list      listCall
 	kept      keeping.Span
--- a/policy/bench_test.go
+++ b/policy/bench_test.go
@@ -52,3 +52,16 @@
 	p.meet(now, r)
 	return p, r
 }
+
+// How all caches stand is told ten times a second where operators ask.
+func BenchmarkStandings(b *testing.B) {
+	for _, n := range []int{200, 3200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := New(0, 1, testRules())
+			p.Listed(0, Whole, fleet(n, true))
+			for b.Loop() {
+				p.Standings(Instant(time.Second), func(CacheID, Standing) {})
+			}
+		})
+	}
+}
--- a/policy/standings.go
+++ b/policy/standings.go
@@ -11,6 +11,8 @@
 	for _, g := range p.rules.Grades {
 		soft = max(soft, g.SoftLimit)
 	}
+	pace, alone := p.pace.Quantile(0.5, 0), p.alone.Quantile(0.5, 0) // as for crowded, once for all caches
+	most := float64(max(soft-alone, soft/4))
 	for _, c := range p.listed {
 		s := InUse
 		switch {
@@ -22,7 +24,7 @@
 			s = Quiet
 		case slices.Max(c.erred) >= breaksToRest:
 			s = Erring
-		case p.crowded(p.load(now, c), soft, 1):
+		case p.load(now, c)*float64(pace) > most:
 			s = Crowded
 		case p.warmth(now, c) < 1:
 			s = Warming
