Origin protection: a write that waits is never sent to the cache where its key's fetch put a value

After, in policy.go, did not look whether a waiter writes. Change: only reads are; the plain model of the fuzz test and the emulator's caches say that writes go to the origin where caches only store. Result: a test of the order fails before (the write went to cache-9) and passes now; FuzzRules 15 s.

--- a/internal/emulator/onwire/servers.go
+++ b/internal/emulator/onwire/servers.go
@@ -452,6 +452,9 @@
 		v, _ := meta.Item(items, name)
 		return string(v)
 	}
+	if write && r.script.Allowed.Mode == "aside" && !r.world.IsOrigin(s.number) {
+		r.judge.Wrong(now, id, fmt.Sprintf("a write was sent to %s, which only stores", w.ID))
+	}
 	grade := slices.IndexFunc(r.traffic.Grades, func(g world.Grade) bool { return g.Name == item("c") })
 	wait, err := strconv.ParseFloat(item("d"), 64)
 	if grade < 0 || err != nil || wait <= 0 || r.traffic.Grades[grade].Write != write {
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -166,6 +166,9 @@
 	if r.Over || !listed || e.State != Ready || len(r.Legs) >= h.MostLegs || now >= r.Deadline {
 		return false
 	}
+	if h.Aside && r.Write && e.Kind != h.OriginKind { // caches only store
+		return false
+	}
 	g := gradeOf(h, r)
 	for _, l := range r.Legs {
 		if l.Out && !h.SecondCopies {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -583,7 +583,7 @@
 		delete(p.fetches, r.memo.key)
 		first := slices.IndexFunc(r.Legs, missed) // where the value is kept now
 		for _, q := range p.queue {
-			if q.memo.key == r.memo.key && leg.Result == Answered && first >= 0 {
+			if q.memo.key == r.memo.key && !q.Write && leg.Result == Answered && first >= 0 {
 				q.memo.keptAt = r.Legs[first].To
 			}
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -718,3 +718,21 @@
 		t.Errorf("woken, with room there: %v", m.Wake)
 	}
 }
+
+// A write that waited for room at the origin was sent to the cache where another's fetch had put its key: the effect happened there, and again at the
+// origin with the client's next try (soak, seed 101).
+func TestAWriteThatWaitsGoesToTheOriginOnly(t *testing.T) {
+	w := asideWorld(t)
+	w.p.room = 1
+	read, _ := w.arrive("k", 0, false)
+	w.end(read, 0, Missed) // it fetches, and takes the room
+	write, m := w.arrive("k", 1, true)
+	if len(m.To) > 0 || m.Answer != Nothing {
+		t.Fatalf("the write does not wait: %v", m)
+	}
+	w.now = w.now.Add(20 * ms)
+	w.end(read, 1, Answered)
+	if len(write.Legs) != 1 || write.Legs[0].To != "origin" {
+		t.Errorf("the write went to %v", write.Legs)
+	}
+}
