HTTP requests in chunks are looked at once, too

Change: the reader of requests goes by the same Progress as that of answers, one for each client; its strictness is as before.

--- a/internal/net/http1/progress.go
+++ b/internal/net/http1/progress.go
@@ -5,12 +5,13 @@
 	"strconv"
 )
 
-// Progress is how far the chunks of one answer's body have been looked at, so that each byte of an answer that comes in many pieces is
-// looked at once, and not again with each piece. The zero Progress is that of an answer of which nothing has come.
+// Progress is how far the chunks of one body have been looked at, so that each byte of a request or an answer that comes in many pieces is
+// looked at once, and not again with each piece. The zero Progress is that of a message of which nothing has come.
 type Progress struct {
-	next    int  // where the next chunk's line, or line of the trailer, begins in the body
-	length  int  // bytes of the chunks before
-	trailer bool // the last chunk has come
+	next      int  // where the next chunk's line, or line of the trailer, begins in the body
+	length    int  // bytes of the chunks before
+	trailer   bool // the last chunk has come
+	trailerAt int  // where the trailer begins
 }
 
 // chunks joins a body sent in chunks, of which b holds what has come; n is 0 until it has ended.
--- a/internal/net/http1/request.go
+++ b/internal/net/http1/request.go
@@ -84,7 +84,15 @@
 
 // ReadRequest reads the first request in b, with a body of at most so many bytes. A size of 0 asks for more bytes. Lines
 // end by CR and LF only; empty ones before a request are passed over, as RFC 9112 (2.2) asks.
+// Who reads a request as it comes keeps a Progress instead.
 func ReadRequest(b []byte, maxBody int) (q Request, size int, fault *Fault) {
+	var p Progress
+	return p.ReadRequest(b, maxBody)
+}
+
+// ReadRequest is ReadRequest for a request that comes in pieces: b begins with the same bytes at each call, until a size or a fault is returned.
+// After that the Progress is to be reset for the next request.
+func (p *Progress) ReadRequest(b []byte, maxBody int) (q Request, size int, fault *Fault) {
 	skipped := 0
 	for bytes.HasPrefix(b[skipped:], crlf) {
 		if skipped += 2; skipped > maxTrailer {
@@ -106,7 +114,7 @@
 	}
 	switch {
 	case chunked:
-		body, n, fault := readChunks(b[head:], maxBody)
+		body, n, fault := p.requestChunks(b[head:], maxBody)
 		if n == 0 || fault != nil {
 			q.Continue = expects && len(b) == head
 			return q, 0, fault
@@ -239,60 +247,3 @@
 	}
 	return length, false, nil
 }
-
-// readChunks joins a body sent in chunks; n is 0 until it has ended, trailer and all.
-func readChunks(b []byte, maxBody int) (body []byte, n int, fault *Fault) {
-	for {
-		text, next, fault := requestLine(b, n, maxTrailer, bad("a chunk's line that is too long"))
-		if next == 0 || fault != nil {
-			return nil, 0, fault
-		}
-		digits, _, _ := bytes.Cut(text, []byte(";"))
-		if len(digits) == 0 || len(digits) > 8 { // no spaces, no sign, no 0x: others read these differently
-			return nil, 0, bad("a chunk's length that can't be read")
-		}
-		long := 0
-		for _, c := range digits {
-			v := bytes.IndexByte([]byte("0123456789abcdef"), c|0x20)
-			if v < 0 || c < '0' {
-				return nil, 0, bad("a chunk's length that can't be read")
-			}
-			long = long*16 + v
-		}
-		if len(body)+long > maxBody {
-			return nil, 0, &Fault{413, "a body that is too long"}
-		}
-		if n = next; long == 0 {
-			break
-		}
-		if len(b) < n+long+2 {
-			if len(b) > n+long && b[n+long] != '\r' {
-				return nil, 0, bad("a chunk that does not end where it should")
-			}
-			return nil, 0, nil
-		}
-		body = append(body, b[n:n+long]...)
-		if n += long; b[n] != '\r' || b[n+1] != '\n' {
-			return nil, 0, bad("a chunk that does not end where it should")
-		}
-		n += 2
-	}
-	for from := n; ; {
-		text, next, fault := requestLine(b, n, maxTrailer, bad("a trailer that is too long"))
-		switch {
-		case fault != nil || next == 0:
-			return nil, 0, fault
-		case next-from > maxTrailer:
-			return nil, 0, bad("a trailer that is too long")
-		case len(text) == 0:
-			if body == nil {
-				body = []byte{}
-			}
-			return body, next, nil
-		}
-		if name, _, ok := bytes.Cut(text, []byte(":")); !ok || !isToken(name) {
-			return nil, 0, bad("a trailer that can't be read")
-		}
-		n = next
-	}
-}
--- a/internal/net/http1/request_test.go
+++ b/internal/net/http1/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -94,7 +95,14 @@
 	f.Add([]byte("GET /c HTTP/1.1\nHost: n\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		whole, size, fault := ReadRequest(b, mostBody)
+		var read Progress
 		for n := range b {
+			if kept, got, refused := read.ReadRequest(b[:n], mostBody); got > 0 || refused != nil { // piece by piece it is the same
+				if refused == nil && (got != size || !bytes.Equal(kept.Body, whole.Body)) || refused != nil && fault == nil {
+					t.Fatalf("%q in pieces reads as %d bytes (%v), the whole as %d (%v)", b[:n], got, refused, size, fault)
+				}
+				read = Progress{}
+			}
 			part, got, refused := ReadRequest(b[:n], mostBody)
 			switch {
 			case refused != nil && fault == nil:
@@ -127,3 +135,27 @@
 		}
 	})
 }
+
+// A client that sent 16,000 chunks of one byte, each by itself, took 14 s of the node's core within what a request may take to come.
+func TestARequestsChunksAreLookedAtOnce(t *testing.T) {
+	const chunks, one = 16000, "1\r\nx\r\n"
+	head := "POST /a HTTP/1.1\r\nHost: n\r\nTransfer-Encoding: chunked\r\n\r\n"
+	b := []byte(head + strings.Repeat(one, chunks) + "0\r\n\r\n")
+	var read Progress
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	size := 0
+	for at := len(head) + len(one); size == 0; at = min(at+len(one), len(b)) {
+		q, n, fault := read.ReadRequest(b[:at], 2*chunks)
+		if fault != nil {
+			t.Fatal(fault)
+		}
+		if size = n; size > 0 && (size != len(b) || len(q.Body) != chunks) {
+			t.Fatalf("%d bytes with a body of %d", size, len(q.Body))
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if each := (after.TotalAlloc - before.TotalAlloc) / chunks; each > 1000 {
+		t.Errorf("%d bytes were allocated for each chunk", each)
+	}
+}
--- a/internal/net/relay/clients.go
+++ b/internal/net/relay/clients.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dahliapin/internal/net/buffer"
+	"dahliapin/internal/net/http1"
 	"dahliapin/internal/net/sockets"
 	"dahliapin/policy"
 )
@@ -33,8 +34,9 @@
 	wire    *sockets.Wire
 	face    face
 	buf     buffer.Buffer
-	turns   []turn // one for each command not yet answered, in their order
-	first   uint64 // the number of the first turn
+	read    http1.Progress // of the command that is coming
+	turns   []turn         // one for each command not yet answered, in their order
+	first   uint64         // the number of the first turn
 	usedAt  policy.Instant
 	invited bool           // was told to go on with what has begun
 	closing bool           // nothing more is read; it closes once all is answered
@@ -106,7 +108,7 @@
 	}
 	for !c.closing {
 		a := &r.asked
-		size := c.face.read(c.buf.Unused(), a)
+		size := c.face.read(c.buf.Unused(), a, &c.read)
 		if size == 0 && a.wish != unserved && (a.wish != invited || c.invited) {
 			break
 		}
@@ -125,7 +127,9 @@
 			r.take(c, &a.call, at)
 		}
 		c.closing = c.closing || a.closes
-		c.buf.Use(size)
+		if c.buf.Use(size); size > 0 {
+			c.read = http1.Progress{}
+		}
 		began = at
 		if len(c.turns) >= mostSaid { // else one request that takes long would let anything pile up behind it
 			r.say(c, c.face.refused(tooMany, false))
--- a/internal/net/relay/faces.go
+++ b/internal/net/relay/faces.go
@@ -7,14 +7,16 @@
 	"dahliapin/internal/freshness"
 	"dahliapin/internal/net/buffer"
 	"dahliapin/internal/net/counters"
+	"dahliapin/internal/net/http1"
 	"dahliapin/internal/net/meta"
 )
 
 // face turns the bytes of a client into what it asks, and answers into bytes for it. It keeps nothing and knows no
 // client: the same serves all whose protocol it speaks.
 type face interface {
-	// read reads what a client asks first. A size of 0 asks for more bytes, unless it can't be served.
-	read(b []byte, a *asked) (size int)
+	// read reads what a client asks first. A size of 0 asks for more bytes, unless it can't be served. What was found before of the same
+	// is kept in the progress.
+	read(b []byte, a *asked, p *http1.Progress) (size int)
 	// value writes the answer that serves a value. A long one is not copied: it follows, and then what ends values.
 	value(c *call, r *reply) (out, long []byte)
 	// head writes what stands before a value of so many bytes that is passed on as it comes.
@@ -100,7 +102,7 @@
 var metaRefusals = [...]string{noMemory: "SERVER_ERROR out of memory\r\n", tooMany: "SERVER_ERROR too many commands at once\r\n",
 	tooLate: "CLIENT_ERROR command not whole in time\r\n", sameID: "CLIENT_ERROR id in use\r\n", badCall: meta.BadLine}
 
-func (metaFace) read(b []byte, a *asked) (size int) {
+func (metaFace) read(b []byte, a *asked, _ *http1.Progress) (size int) {
 	command, size, fault := meta.ReadCommand(b)
 	*a = asked{}
 	switch {
--- a/internal/net/relay/httpface.go
+++ b/internal/net/relay/httpface.go
@@ -49,9 +49,9 @@
 	return h
 }
 
-func (h *httpFace) read(b []byte, a *asked) (size int) {
+func (h *httpFace) read(b []byte, a *asked, p *http1.Progress) (size int) {
 	*a = asked{}
-	q, size, fault := http1.ReadRequest(b, mostBody)
+	q, size, fault := p.ReadRequest(b, mostBody)
 	if size == 0 && fault == nil && !q.Continue {
 		return 0
 	}
