Checker: attempts overlap by when they were sent, not by when they arrived

Callers saw nothing; a check was wrong, not the module.

Cause: the check took the order of arrival for that of sending.

Attempts are now compared by when they were sent, and an attempt that the node abandons in transit ends then. As strict: two of the five new cases fail with the old check, one of them a hedge that it missed.

--- a/internal/emulator/checker/attempts.go
+++ b/internal/emulator/checker/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"dahliapin/policy"
 )
@@ -54,7 +55,12 @@
 	if class.Idempotency == policy.IdempotentByKey {
 		c.checkDedupWindow(now, sentAt, id, r, server)
 	}
-	r.attempts = append(r.attempts, attempt{server: server, sentAt: sentAt, arrivedAt: now})
+	r.attempts = append(r.attempts, attempt{
+		server:  server,
+		sentAt:  sentAt,
+		endedAt: r.takeAbandonment(server, sentAt),
+	})
+	c.checkOverlaps(now, id, r)
 }
 
 // checkDedupWindow reports an attempt that was sent after the deduplication window of an earlier attempt that may have
@@ -75,38 +81,56 @@
 	}
 }
 
-// AttemptEnded reports that a server has answered an attempt, or that the node has abandoned or cancelled it.
+// AttemptEnded reports that a server has answered an attempt, or that the node has abandoned or cancelled it. The node
+// may do so while the attempt is in transit: the report then comes before that of the attempt's arrival.
 func (c *Checker) AttemptEnded(now policy.Instant, id string, server policy.EndpointID, notExecuted bool) {
 	r := c.requests[id]
 	if r == nil {
 		return
 	}
-	hedgingAllowed := c.rules.HedgingAllowed && c.rules.Classes[r.class].Idempotency != policy.NotIdempotent
-	for i := range r.attempts {
-		a := &r.attempts[i]
-		if a.server != server || a.endedAt != 0 {
-			continue
-		}
-		a.endedAt = now
-		a.notExecuted = notExecuted
-		if !hedgingAllowed {
-			c.checkOverlap(id, r, i)
-		}
+	i := slices.IndexFunc(r.attempts, func(a attempt) bool { return a.server == server && a.endedAt == 0 })
+	if i < 0 {
+		r.abandoned = append(r.abandoned, abandonment{server: server, at: now})
 		return
 	}
+	r.attempts[i].endedAt = now
+	r.attempts[i].notExecuted = notExecuted
+	for j := range r.attempts {
+		if j != i && r.sentBefore(i, j) {
+			c.checkOverlap(now, id, r, i, j)
+		}
+	}
 }
 
-// checkOverlap reports attempts that arrived while an earlier one was in flight. Overlaps up to the slack are
-// tolerated, as messages may cross in transit.
-func (c *Checker) checkOverlap(id string, r *request, ended int) {
-	for _, later := range r.attempts[ended+1:] {
-		if r.attempts[ended].endedAt.Since(later.arrivedAt) > c.rules.Slack {
-			c.breach(2, later.arrivedAt, id, r.node, later.server,
-				"an attempt arrived while another was in flight, which the settings forbid")
+// checkOverlaps compares the attempt that has just arrived with those that arrived before it. It leaves out a pair of
+// which the attempt that was sent first is in flight: AttemptEnded compares them.
+func (c *Checker) checkOverlaps(now policy.Instant, id string, r *request) {
+	arrived := len(r.attempts) - 1
+	for other := range arrived {
+		first, second := other, arrived
+		if r.sentBefore(arrived, other) {
+			first, second = arrived, other
+		}
+		if r.attempts[first].endedAt != 0 {
+			c.checkOverlap(now, id, r, first, second)
 		}
 	}
 }
 
+// checkOverlap reports an attempt that was sent while an earlier one was in flight, unless hedging is allowed. The order
+// in which they arrived does not matter, as links differ in latency. Overlaps up to the slack are tolerated, since
+// messages may cross in transit.
+func (c *Checker) checkOverlap(now policy.Instant, id string, r *request, first, second int) {
+	if c.rules.HedgingAllowed && c.rules.Classes[r.class].Idempotency != policy.NotIdempotent {
+		return
+	}
+	later := r.attempts[second]
+	if r.attempts[first].endedAt.Since(later.sentAt) > c.rules.Slack {
+		c.breach(2, now, id, r.node, later.server,
+			"an attempt was sent while another was in flight, which the settings forbid")
+	}
+}
+
 // Effect reports that a write has taken effect at a server. The caller must not report repetitions that the server
 // deduplicated.
 func (c *Checker) Effect(now policy.Instant, id, label string, class int, server policy.EndpointID) {
--- a/internal/emulator/checker/checker_test.go
+++ b/internal/emulator/checker/checker_test.go
@@ -165,6 +165,40 @@
 			ch.AttemptArrived(6*ms, 6*ms, "r", "c2")
 			ch.AttemptEnded(9*ms, "r", "c1", false)
 		}},
+		{"attempt that arrives after the next one, abandoned before that was sent", 0, func(ch *Checker) {
+			sent(ch, 0)
+			ch.AttemptEnded(9*ms, "r", "c1", false)
+			ch.AttemptArrived(10*ms, 9*ms, "r", "c2")
+			ch.AttemptArrived(11*ms, 5*ms, "r", "c1")
+			ch.AttemptEnded(40*ms, "r", "c2", false)
+		}},
+		{"attempt that arrives after the next one, abandoned after that was sent", 2, func(ch *Checker) {
+			sent(ch, 0)
+			ch.AttemptArrived(10*ms, 9*ms, "r", "c2")
+			ch.AttemptEnded(20*ms, "r", "c1", false)
+			ch.AttemptArrived(21*ms, 5*ms, "r", "c1")
+			ch.AttemptEnded(40*ms, "r", "c2", false)
+		}},
+		{"hedge that arrives after the end of the first attempt", 2, func(ch *Checker) {
+			sent(ch, 0)
+			ch.AttemptArrived(5*ms, 5*ms, "r", "c1")
+			ch.AttemptEnded(30*ms, "r", "c1", false)
+			ch.AttemptArrived(60*ms, 10*ms, "r", "c2")
+		}},
+		{"hedge that was abandoned while it was in transit", 2, func(ch *Checker) {
+			sent(ch, 0)
+			ch.AttemptArrived(5*ms, 5*ms, "r", "c1")
+			ch.AttemptEnded(12*ms, "r", "c2", false)
+			ch.AttemptArrived(15*ms, 10*ms, "r", "c2")
+			ch.AttemptEnded(30*ms, "r", "c1", false)
+		}},
+		{"two attempts sent at the same time without hedging", 2, func(ch *Checker) {
+			sent(ch, 0)
+			ch.AttemptArrived(5*ms, 5*ms, "r", "c1")
+			ch.AttemptArrived(6*ms, 5*ms, "r", "c2")
+			ch.AttemptEnded(30*ms, "r", "c1", false)
+			ch.AttemptEnded(50*ms, "r", "c2", false)
+		}},
 		{"attempt to a draining server", 3, func(ch *Checker) {
 			ch.Notified(0, 0, "c1", policy.Draining)
 			sent(ch, 0)
--- a/internal/emulator/checker/requests.go
+++ b/internal/emulator/checker/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"dahliapin/policy"
@@ -20,17 +21,44 @@
 	hadEffect  bool
 	overdue    bool // already reported as unanswered
 	attempts   []attempt
+	abandoned  []abandonment // of attempts that have not arrived
 }
 
 // attempt is an attempt that has arrived at a server.
 type attempt struct {
 	server      policy.EndpointID
 	sentAt      policy.Instant
-	arrivedAt   policy.Instant
 	endedAt     policy.Instant // 0 while in flight
 	notExecuted bool           // the server is known not to have executed the request
 }
 
+// abandonment is the end of an attempt that a node has abandoned while it was in transit.
+type abandonment struct {
+	server policy.EndpointID
+	at     policy.Instant
+}
+
+// takeAbandonment removes the abandonment of an attempt that arrives, and returns its time. It returns 0 if the attempt
+// is still in flight.
+func (r *request) takeAbandonment(server policy.EndpointID, sentAt policy.Instant) policy.Instant {
+	i := slices.IndexFunc(r.abandoned, func(a abandonment) bool { return a.server == server && a.at >= sentAt })
+	if i < 0 {
+		return 0
+	}
+	at := r.abandoned[i].at
+	r.abandoned = slices.Delete(r.abandoned, i, i+1)
+	return at
+}
+
+// sentBefore reports whether an attempt, given by its index, was sent before another one. Of two that were sent at the
+// same time, the one that arrived first counts as the earlier one.
+func (r *request) sentBefore(i, j int) bool {
+	if r.attempts[i].sentAt != r.attempts[j].sentAt {
+		return r.attempts[i].sentAt < r.attempts[j].sentAt
+	}
+	return i < j
+}
+
 // mayHaveRun reports whether a server may have executed the request.
 func (r *request) mayHaveRun() bool {
 	for _, a := range r.attempts {
--- a/internal/emulator/simulation/attempt.go
+++ b/internal/emulator/simulation/attempt.go
@@ -143,7 +143,6 @@
 	if !a.outstanding {
 		// The node closed the connection while the request was in transit. A job that is already running runs to its
 		// end; a waiting one is withdrawn.
-		sim.checker.AttemptEnded(sim.now, message.ID, server.ID, false)
 		delete(sim.atServers, a.tag)
 		sim.world.Withdraw(sim.now, a.server, a.tag)
 	}
