Keyed writes: tell servers not to begin after the deduplication window

Callers saw a keyed write take effect twice. With a window shorter than the deadline, a server was told the whole time until the deadline.

Each attempt of a keyed class, the first one too, now carries Decision.ExecuteBy: the earlier of its deadline and the end of the window of the first attempt that may have run, less a timer step. The node tells it as the attempt's time (d) and still waits until the deadline, so that late answers count as before. Then all executions begin while the key of the first effect is remembered, also that of a client's own repeat. A server that ignores d can still execute twice; no node can prevent that.

Failed before: TestKeyedWriteMustBeExecutedWithinItsDedupWindow, the reference model in each test of package policy with keyed classes ("may be executed until 790 ms, the model allows it until 600 ms"), TestEndpointIsToldNoLongerThanTheDedupWindow ("told 889 ms, want at most 400ms"). The wire of the simulator has no message for it and is as before.

--- a/internal/emulator/simulation/attempt.go
+++ b/internal/emulator/simulation/attempt.go
@@ -16,8 +16,9 @@
 	server        int
 	tag           uint64 // identifies the attempt's job at the server; unique in a run
 	startedAt     policy.Instant
-	outstanding   bool // its result has not been reported to the dispatcher
-	written       bool // the request was written to the connection
+	executeBy     policy.Instant // the server is told not to begin later
+	outstanding   bool           // its result has not been reported to the dispatcher
+	written       bool           // the request was written to the connection
 	hasConnection bool
 	resets        uint64 // the server's reset count when the connection was established
 }
--- a/internal/emulator/simulation/io.go
+++ b/internal/emulator/simulation/io.go
@@ -11,7 +11,7 @@
 // This file implements dispatch.Actions in virtual time: attempts, answers, timers and health checks.
 
 // Send starts an attempt at an endpoint, on an idle connection if there is one, and stops it at the deadline.
-func (n *node) Send(id policy.RequestID, to policy.EndpointID, deadline policy.Instant) {
+func (n *node) Send(id policy.RequestID, to policy.EndpointID, deadline, executeBy policy.Instant) {
 	req := n.inFlight[id]
 	sim := n.sim
 	a := &attempt{
@@ -20,6 +20,7 @@
 		request:     req,
 		number:      len(req.attempts),
 		startedAt:   sim.now,
+		executeBy:   executeBy,
 		outstanding: true,
 	}
 	req.attempts = append(req.attempts, a)
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -15,7 +15,8 @@
 	conn          upstreamConnID
 	sentAt        policy.Instant // when the dispatcher requested it
 	deadline      policy.Instant
-	partlyWritten bool // the kernel accepted only part of it when it was written
+	executeBy     policy.Instant // the endpoint is told not to begin later
+	partlyWritten bool           // the kernel accepted only part of it when it was written
 }
 
 // attemptRef identifies an attempt.
@@ -30,13 +31,13 @@
 
 // Send starts an attempt on the most recently used idle connection to the endpoint, or on a new one. It implements
 // dispatch.Actions.
-func (p *Proxy) Send(id policy.RequestID, to policy.EndpointID, deadline policy.Instant) {
+func (p *Proxy) Send(id policy.RequestID, to policy.EndpointID, deadline, executeBy policy.Instant) {
 	req := p.inflight.requests.Get(inflightIDOf(id))
 	if req == nil {
 		return
 	}
 	ref := attemptRef{request: req.id, index: len(req.attempts)}
-	req.attempts = append(req.attempts, attempt{inFlight: true, sentAt: p.now(), deadline: deadline})
+	req.attempts = append(req.attempts, attempt{inFlight: true, sentAt: p.now(), deadline: deadline, executeBy: executeBy})
 	p.metrics.counters.Attempts++
 	endpoint := p.endpoints.byID[to]
 	if endpoint == nil {
@@ -98,7 +99,7 @@
 // so the attempt then ends as ConnectFailed: it was not executed.
 func (p *Proxy) writeAttempt(conn *upstreamConn, req *inflightRequest, index int) {
 	attempt := &req.attempts[index]
-	timeoutMs := max(1, int64(attempt.deadline.Since(p.now())/time.Millisecond))
+	timeoutMs := max(1, int64(attempt.executeBy.Since(p.now())/time.Millisecond))
 	req.anyWritten = true
 	message := conn.endpoint.codec.encodeRequest(&req.parsed, conn.endpoint.addr, timeoutMs)
 	if conn.socket.Write(message) != nil {
--- a/internal/proxy/attempts_test.go
+++ b/internal/proxy/attempts_test.go
@@ -250,6 +250,28 @@
 	}
 }
 
+// An endpoint was told the time until the deadline for a write whose idempotency key is remembered for less. After a
+// pause it could execute the write when a repeat had been executed elsewhere, and its key was forgotten.
+func TestEndpointIsToldNoLongerThanTheDedupWindow(t *testing.T) {
+	const window = 400 * time.Millisecond
+	g := newHarness(t, 200, helloValue, func(config *Config) {
+		classes := slices.Clone(config.Settings.Policy.Classes)
+		classes[config.Settings.Names.Class([]byte("put"))].DedupWindow = window
+		config.Settings.Policy.Classes = classes
+	})
+	c, r := g.client()
+	fmt.Fprint(c, "ms k 1 Ox Pc=put,d=900,k=7\r\nx\r\n")
+	g.expect(r, "HD Ox cfrom-origin")
+	var toldMs int64
+	request := receive(t, g.originRequests)
+	if _, err := fmt.Sscanf(request, "PUT /k x c=put,d=%d,k=7 x", &toldMs); err != nil {
+		t.Fatalf("%q: %v", request, err)
+	}
+	if toldMs <= 0 || toldMs > window.Milliseconds() {
+		t.Errorf("the origin was told %d ms, want at most %v", toldMs, window)
+	}
+}
+
 // If attempts may not be cancelled, the connection of one may be established after its request has been answered. The
 // attempt must not be sent.
 func TestAttemptIsNotSentAfterFinalAnswer(t *testing.T) {
--- a/internal/proxy/dispatch/dispatcher.go
+++ b/internal/proxy/dispatch/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 
 	"dahliapin/policy"
@@ -184,8 +185,9 @@
 		d.actions.Fail(req.ID)
 		req.Finished = true
 	}
+	executeBy := cmp.Or(decision.ExecuteBy, decision.AttemptDeadline)
 	for _, to := range decision.SendTo {
-		d.actions.Send(req.ID, to, decision.AttemptDeadline)
+		d.actions.Send(req.ID, to, decision.AttemptDeadline, executeBy)
 		req.Attempts = append(req.Attempts, policy.Attempt{Endpoint: to, SentAt: now, InFlight: true})
 		if d.observer != nil {
 			d.observer.AttemptSent(now, to)
--- a/internal/proxy/dispatch/dispatcher_test.go
+++ b/internal/proxy/dispatch/dispatcher_test.go
@@ -50,7 +50,7 @@
 	a.done = append(a.done, fmt.Sprintf(format, args...))
 }
 
-func (a *actionRecorder) Send(id policy.RequestID, to policy.EndpointID, _ policy.Instant) {
+func (a *actionRecorder) Send(id policy.RequestID, to policy.EndpointID, _, _ policy.Instant) {
 	a.record("send %s to %s", id, to)
 }
 func (a *actionRecorder) Cancel(id policy.RequestID, attempt int) {
--- a/internal/wire/simwire/writer.go
+++ b/internal/wire/simwire/writer.go
@@ -18,8 +18,9 @@
 	firstAction bool // the part has no action yet
 }
 
-// Send starts an attempt at an endpoint. The attempt times out at timeoutAt, by the clock of the batches.
-func (w *Writer) Send(id policy.RequestID, to policy.EndpointID, timeoutAt monotime.Instant) {
+// Send starts an attempt at an endpoint. The attempt times out at timeoutAt, by the clock of the batches. The wire has
+// no message for the time by which the endpoint has to begin.
+func (w *Writer) Send(id policy.RequestID, to policy.EndpointID, timeoutAt, _ monotime.Instant) {
 	w.beginAction(actionSend)
 	w.text(string(id))
 	w.text(string(to))
--- a/policy/doc.go
+++ b/policy/doc.go
@@ -88,7 +88,9 @@
 //     attempt in flight or an Answer. AttemptDeadline leaves time to send the answer to the client.
 //  2. A request that may have run is not sent again beyond what its class allows, and has at most one attempt in flight
 //     unless the settings allow hedges and its class allows repeats. mayAttempt enforces this, except for the attempts
-//     of a fan-out, which start at the same time: for these shouldFanOut checks the settings and the class.
+//     of a fan-out, which start at the same time: for these shouldFanOut checks the settings and the class. An endpoint
+//     that has an attempt with an idempotency key must not begin to execute it after Decision.ExecuteBy, since the key
+//     of a repeat may be forgotten by then.
 //  3. An endpoint that drains or has left gets no new attempt. mayAttempt enforces this too, and MayStart checks it
 //     again.
 //  4. The nodes together do not overload an endpoint that has just started, nor the origin by the misses that follow.
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -183,6 +183,11 @@
 			h.t.Helper()
 			h.t.Fatalf("%v: the model forbids an attempt at %v after attempts %v", h.now, id, r.Attempts)
 		}
+		if executeBy := modelExecuteBy(h.settings, h.now, r); decision.ExecuteBy > executeBy {
+			h.t.Helper()
+			h.t.Fatalf("%v: an attempt may be executed until %v, the model allows it until %v after attempts %v", h.now,
+				decision.ExecuteBy, executeBy, r.Attempts)
+		}
 		r.Attempts = append(r.Attempts, Attempt{Endpoint: id, SentAt: h.now, InFlight: true})
 		h.deadlines[r] = decision.AttemptDeadline
 	}
--- a/policy/invariants_test.go
+++ b/policy/invariants_test.go
@@ -52,6 +52,23 @@
 		!slices.ContainsFunc(r.Attempts, modelMayHaveRun)
 }
 
+// modelExecuteBy is the reference model of when an endpoint must have begun to execute an attempt that is sent now: by
+// the deadline, and while repeats of the attempt are dropped.
+func modelExecuteBy(settings Settings, now Instant, r *Request) Instant {
+	executeBy := r.Deadline
+	class := modelClass(settings, r)
+	if class.Idempotency != IdempotentByKey || class.DedupWindow <= settings.TickInterval { // no repeat is sent
+		return executeBy
+	}
+	executeBy = min(executeBy, now.Add(class.DedupWindow))
+	for _, attempt := range r.Attempts {
+		if modelMayHaveRun(attempt) {
+			executeBy = min(executeBy, attempt.SentAt.Add(class.DedupWindow))
+		}
+	}
+	return executeBy
+}
+
 func modelMayHaveRun(attempt Attempt) bool {
 	return attempt.InFlight || !slices.Contains([]Result{Rejected, ConnectFailed, NotSent, CacheMiss}, attempt.Result)
 }
--- a/policy/mayattempt.go
+++ b/policy/mayattempt.go
@@ -1,6 +1,9 @@
 package policy
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // mayAttempt reports whether a request may be sent to an endpoint now. It enforces these rules regardless of any other
 // consideration: the request is not finished, and has an attempt and time for an answer left; the endpoint is ready
@@ -40,6 +43,25 @@
 	return class.DedupScope.covers(router.endpoints.byID[earlier.Endpoint], u)
 }
 
+// dedupWindowEnd returns the end of the window in which the execution of an attempt that is sent now is dropped if
+// another attempt of the request takes effect first. An endpoint that began later, because the attempt waited there,
+// would execute the request a second time. This holds for the first attempt, too: the router or the client may repeat
+// the request elsewhere. The result is never reached if there is no such window.
+func (router *Router) dedupWindowEnd(now Instant, r *Request) Instant {
+	class := &r.state.class
+	window := class.DedupWindow - router.settings.TickInterval
+	if class.Idempotency != IdempotentByKey || window <= 0 {
+		return math.MaxInt64
+	}
+	firstSentAt := now
+	for _, attempt := range r.Attempts {
+		if attempt.InFlight || !attempt.Result.NotExecuted() {
+			firstSentAt = min(firstSentAt, attempt.SentAt)
+		}
+	}
+	return firstSentAt.Add(window)
+}
+
 // covers reports whether an endpoint drops the repeat of a request that an earlier endpoint received. earlier is nil if
 // that endpoint has left the list.
 func (s DedupScope) covers(earlier, u *upstream) bool {
--- a/policy/mayattempt_test.go
+++ b/policy/mayattempt_test.go
@@ -109,3 +109,51 @@
 		})
 	}
 }
+
+// If the deduplication window ends before the deadline, an endpoint that executes an attempt late would execute it a
+// second time, as the repeat may have been executed elsewhere and its key forgotten. The window counts from the first
+// attempt that may have run, also for the first attempt itself.
+func TestKeyedWriteMustBeExecutedWithinItsDedupWindow(t *testing.T) {
+	const window = 300 * ms
+	for _, c := range []struct {
+		name    string
+		window  time.Duration
+		class   ClassID
+		results []Result // of attempts that end 100 ms after they were sent
+		want    time.Duration
+	}{
+		{name: "first attempt", window: window, class: keyedClass, want: window},
+		{name: "window longer than the deadline", window: time.Hour, class: keyedClass, want: 800 * ms},
+		{name: "no window", window: 0, class: keyedClass, want: 800 * ms},
+		{name: "idempotent", window: window, class: readClass, want: 800 * ms},
+		{name: "repeat", window: window, class: keyedClass, results: []Result{ConnectionBroken}, want: window},
+		{name: "retry of an attempt that was not executed", window: window, class: keyedClass, results: []Result{Rejected},
+			want: 100*ms + window},
+		{name: "two repeats", window: window, class: keyedClass, results: []Result{ConnectionBroken, ConnectionBroken}, want: window},
+		{name: "repeat after an attempt that was not executed", window: window, class: keyedClass,
+			results: []Result{ConnectFailed, ConnectionBroken}, want: 100*ms + window},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			settings := testSettings()
+			settings.HedgingAllowed = false
+			settings.Classes[keyedClass].DedupWindow = c.window
+			h := newHarness(t, settings, testFleet(12, false))
+			h.now = Instant(time.Second)
+			r, decision := h.arrive("k", c.class, c.class == keyedClass)
+			for _, result := range c.results {
+				h.now = h.now.Add(100 * ms)
+				decision = h.endLast(r, result)
+			}
+			if len(decision.SendTo) == 0 {
+				t.Fatal("no attempt was sent")
+			}
+			got := decision.ExecuteBy.Since(r.ArrivedAt)
+			if got > c.want || got < c.want-2*settings.TickInterval {
+				t.Errorf("must be executed within %v, want %v less at most two timer steps", got, c.want)
+			}
+			if want := r.Deadline.Add(-2 * settings.TickInterval); decision.AttemptDeadline != want {
+				t.Errorf("the attempt times out at %v, want %v", decision.AttemptDeadline, want)
+			}
+		})
+	}
+}
--- a/policy/send.go
+++ b/policy/send.go
@@ -73,6 +73,7 @@
 		AttemptDeadline: now.Add(router.timeLeft(now, r)),
 		ReviewAt:        now.Add(router.latency.slowThreshold),
 	}
+	decision.ExecuteBy = min(decision.AttemptDeadline, router.dedupWindowEnd(now, r))
 	for _, u := range endpoints {
 		router.outliers.recordStart(now, u)
 		router.load.recordStart(now, u)
--- a/policy/types.go
+++ b/policy/types.go
@@ -195,6 +195,7 @@
 type Decision struct {
 	SendTo          []EndpointID  // start an attempt at each of these, in order
 	AttemptDeadline Instant       // when these attempts time out
+	ExecuteBy       Instant       // these endpoints must not begin to execute the request later
 	Cancel          []int         // indices of the attempts to cancel
 	Answer          FinalAnswer   // final answer, if any
 	RetryAfter      time.Duration // sent to the client with a rejection; 0 for none
