Emulator: a server does not begin a request whose time is over

Cause: emulated servers compared the time that an attempt is told with its arrival only. A cache that was paused or had a queue began the request seconds later.

A job that waits, or has come in a pause, is answered busy if its time is over when it would begin. One that has begun goes on. Virtual time uses the time that the attempt was told, counted from its arrival, in place of the deadline plus 20 ms; sockets no longer add 50 ms.

Failed before: TestCacheDoesNotBeginARequestThatIsOver and the six schedules kept in testdata/soak, each in every run.

--- a/internal/emulator/realtime/servers.go
+++ b/internal/emulator/realtime/servers.go
@@ -484,7 +484,7 @@
 		Key:     key,
 		Label:   item("k"),
 		Class:   class,
-		Until:   now.Add(time.Duration(timeoutMs*1e6) + slack),
+		Until:   now.Add(time.Duration(timeoutMs * 1e6)),
 		Tag:     r.lastTag,
 	}
 	if _, ok := r.world.Offer(now, s.number, j); !ok {
@@ -569,16 +569,19 @@
 	tag := r.lastTag
 	r.mu.Unlock()
 	if !accepted {
-		out.Header().Set("X-Rejected", "1")
-		http.Error(out, "busy", http.StatusServiceUnavailable)
+		rejectAtOrigin(out)
 		return
 	}
 	select {
 	case d := <-done:
 		out.Header().Set("X-Call-Id", id)
-		if d.Reply == world.Failed {
+		switch d.Reply {
+		case world.Failed:
 			http.Error(out, "failed", http.StatusInternalServerError)
 			return
+		case world.Busy:
+			rejectAtOrigin(out)
+			return
 		}
 		text := d.Text
 		if d.Reply == world.Value {
@@ -593,3 +596,9 @@
 		r.mu.Unlock()
 	}
 }
+
+// rejectAtOrigin answers that the origin has not executed a request and will not.
+func rejectAtOrigin(out http.ResponseWriter) {
+	out.Header().Set("X-Rejected", "1")
+	http.Error(out, "busy", http.StatusServiceUnavailable)
+}
--- a/internal/emulator/simulation/attempt.go
+++ b/internal/emulator/simulation/attempt.go
@@ -1,11 +1,16 @@
 package simulation
 
 import (
+	"time"
+
 	"dahliapin/internal/emulator/checker"
 	"dahliapin/internal/emulator/world"
 	"dahliapin/policy"
 )
 
+// minToldTime is the least time that a server is told for an attempt: the unit of the protocol.
+const minToldTime = time.Millisecond
+
 // attempt is one attempt of a request at a server. It is outstanding until its one result is reported to the
 // dispatcher. Later events on its connection or at the server do not change that result.
 type attempt struct {
@@ -120,11 +125,11 @@
 	case "silent":
 		return
 	}
-	a.offer(server)
+	a.offer(server, writtenAt)
 }
 
-// offer submits the request to the server as a job.
-func (a *attempt) offer(server *world.Server) {
+// offer submits the request to the server as a job. The server counts the time that it was told from the arrival.
+func (a *attempt) offer(server *world.Server, writtenAt policy.Instant) {
 	sim := a.node.sim
 	message := a.request.message
 	sim.atServers[a.tag] = a
@@ -134,7 +139,7 @@
 		Key:     message.Key,
 		Label:   message.Label,
 		Class:   message.Class,
-		Until:   message.Sent.Add(message.Deadline + networkSlack),
+		Until:   sim.now.Add(max(minToldTime, a.executeBy.Since(writtenAt))),
 		Tag:     a.tag,
 	})
 	if !accepted {
--- /dev/null
+++ b/internal/emulator/simulation/soak_kept_test.go
@@ -0,0 +1,42 @@
+package simulation
+
+import (
+	"path/filepath"
+	"testing"
+
+	"dahliapin/internal/emulator/scenario"
+	"dahliapin/policy"
+)
+
+// runKeptSchedule runs the module with a schedule of testdata/soak, which a soak once drew and in which the module broke
+// a rule.
+func runKeptSchedule(t *testing.T, name string) {
+	t.Helper()
+	s, err := scenario.Read(filepath.Join("testdata", "soak", name+".toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := runSoakSchedule(t, s, func(*policy.Settings) {})
+	if r.Rules != [4]uint64{} {
+		t.Errorf("rules %v are broken: %v", r.Rules, r.Breaches)
+	}
+}
+
+// A cache that was paused, or had a queue, executed a write seconds after the time that it was told for it, when the
+// idempotency key of the write was no longer remembered: the write took effect twice.
+func TestNoCacheExecutesAKeyedWriteThatIsOver(t *testing.T) {
+	for _, name := range []string{
+		"client-retry-while-paused-358", "first-try-while-paused-102", "connection-lost-while-queued-220",
+		"connection-lost-while-paused-189",
+	} {
+		t.Run(name, func(t *testing.T) { runKeptSchedule(t, name) })
+	}
+}
+
+// A cache was told the whole time until the deadline for a write whose idempotency key is remembered for less. It
+// executed the write within that time, after another cache had executed a repeat: the write took effect twice.
+func TestKeyedWriteIsNotExecutedTwiceWithAShortDedupWindow(t *testing.T) {
+	for _, name := range []string{"connection-lost-while-paused-155", "garbage-answer-then-paused-598"} {
+		t.Run(name, func(t *testing.T) { runKeptSchedule(t, name) })
+	}
+}
--- a/internal/emulator/world/queue.go
+++ b/internal/emulator/world/queue.go
@@ -10,8 +10,9 @@
 // speed 1.
 type serverQueue[J any] struct {
 	cores       int
-	queue       int            // maximum number of waiting jobs
-	speed       func() float64 // current work done by each core in a unit of time
+	queue       int                                 // maximum number of waiting jobs
+	speed       func() float64                      // current work done by each core in a unit of time
+	isOver      func(job J, at policy.Instant) bool // whether a job that begins at an instant is dropped instead
 	running     []runningJob[J]
 	waiting     []waitingJob[J]
 	frozenUntil policy.Instant // no job makes progress before then
@@ -22,9 +23,13 @@
 	work time.Duration
 }
 
+// runningJob is a job that has a core. It begins once the server is no longer frozen. A job that is over by then is not
+// executed, and ends as it begins.
 type runningJob[J any] struct {
-	job    J
-	endsAt policy.Instant
+	job      J
+	beginsAt policy.Instant
+	endsAt   policy.Instant
+	isOver   bool
 }
 
 // offer accepts a job, or returns false if the queue is full.
@@ -41,8 +46,17 @@
 }
 
 func (s *serverQueue[J]) start(now policy.Instant, job J, work time.Duration) {
-	from := max(now, s.frozenUntil)
-	s.running = append(s.running, runningJob[J]{job: job, endsAt: from.Add(time.Duration(float64(work) / s.speed()))})
+	beginsAt := max(now, s.frozenUntil)
+	r := runningJob[J]{job: job, beginsAt: beginsAt, endsAt: beginsAt.Add(time.Duration(float64(work) / s.speed()))}
+	s.dropIfOver(&r)
+	s.running = append(s.running, r)
+}
+
+func (s *serverQueue[J]) dropIfOver(r *runningJob[J]) {
+	if s.isOver(r.job, r.beginsAt) {
+		r.isOver = true
+		r.endsAt = r.beginsAt
+	}
 }
 
 // next returns when the next job ends.
@@ -56,7 +70,7 @@
 }
 
 // finish removes one job that has ended by now and starts the next one in its place.
-func (s *serverQueue[J]) finish(now policy.Instant) (job J, ok bool) {
+func (s *serverQueue[J]) finish(now policy.Instant) (ended runningJob[J], ok bool) {
 	first := -1
 	for i, r := range s.running {
 		if r.endsAt <= now && (first < 0 || r.endsAt < s.running[first].endsAt) {
@@ -64,16 +78,16 @@
 		}
 	}
 	if first < 0 {
-		return job, false
+		return ended, false
 	}
-	ended := s.running[first]
+	ended = s.running[first]
 	s.running = append(s.running[:first], s.running[first+1:]...)
 	if len(s.waiting) > 0 {
 		w := s.waiting[0]
 		s.waiting = s.waiting[1:]
 		s.start(ended.endsAt, w.job, w.work)
 	}
-	return ended.job, true
+	return ended, true
 }
 
 // withdraw removes a waiting job; a running job is not interrupted.
@@ -92,8 +106,10 @@
 	apply()
 	factor := before / s.speed()
 	for i := range s.running {
-		if remaining := s.running[i].endsAt.Since(now); remaining > 0 {
-			s.running[i].endsAt = now.Add(time.Duration(float64(remaining) * factor))
+		r := &s.running[i]
+		from := max(now, r.beginsAt)
+		if remaining := r.endsAt.Since(from); remaining > 0 {
+			r.endsAt = from.Add(time.Duration(float64(remaining) * factor))
 		}
 	}
 }
@@ -101,8 +117,15 @@
 // freeze suspends all work until an instant.
 func (s *serverQueue[J]) freeze(now, until policy.Instant) {
 	for i := range s.running {
-		if s.running[i].endsAt > now {
-			s.running[i].endsAt = s.running[i].endsAt.Add(max(0, until.Since(max(now, s.frozenUntil))))
+		r := &s.running[i]
+		if r.endsAt <= now {
+			continue
+		}
+		delay := max(0, until.Since(max(now, s.frozenUntil)))
+		r.endsAt = r.endsAt.Add(delay)
+		if r.beginsAt > now {
+			r.beginsAt = r.beginsAt.Add(delay)
+			s.dropIfOver(r)
 		}
 	}
 	s.frozenUntil = max(s.frozenUntil, until)
--- a/internal/emulator/world/world.go
+++ b/internal/emulator/world/world.go
@@ -77,9 +77,10 @@
 	s.store = newStore(s.Keys)
 	s.idempotencyKeys = &idempotencyKeys{}
 	s.queue = serverQueue[Job]{
-		cores: s.Cores,
-		queue: s.Queue,
-		speed: func() float64 { return w.speed(s) },
+		cores:  s.Cores,
+		queue:  s.Queue,
+		speed:  func() float64 { return w.speed(s) },
+		isOver: func(j Job, at policy.Instant) bool { return at >= j.Until },
 	}
 	number := len(w.Servers)
 	w.byID[s.ID] = number
@@ -159,9 +160,9 @@
 
 func (w *World) finishJobs(at policy.Instant, s *Server, onDone func(Done)) {
 	for {
-		var job Job
+		var ended runningJob[Job]
 		var ok bool
-		finish := func() { job, ok = s.queue.finish(at) }
+		finish := func() { ended, ok = s.queue.finish(at) }
 		if s.origin != nil {
 			s.queue.change(at, finish) // a shorter queue may make the origin faster
 		} else {
@@ -170,7 +171,11 @@
 		if !ok {
 			return
 		}
-		onDone(w.finish(at, s, job))
+		if ended.isOver {
+			onDone(Done{Job: ended.job, Server: ended.job.server, Reply: Busy, Load: s.reportedLoad(at)})
+			continue
+		}
+		onDone(w.finish(at, s, ended.job))
 	}
 }
 
--- a/internal/emulator/world/world_test.go
+++ b/internal/emulator/world/world_test.go
@@ -147,6 +147,49 @@
 	}
 }
 
+// A cache does not begin a request whose time is over, as the protocol has it, however long the request has waited. It
+// used to look at the time on arrival only, and executed writes seconds after the deduplication window of their keys.
+func TestCacheDoesNotBeginARequestThatIsOver(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before func(*World) // what happens before the job arrives
+		after  func(*World) // what happens after that
+		until  policy.Instant
+		want   Reply
+	}{
+		{"begins at once and ends late", func(*World) {}, func(w *World) { w.Slow(ms, 0, 100) }, 2 * ms, Receipt},
+		{"begins at once and is paused", func(*World) {}, func(w *World) { w.Pause(ms, 0, time.Second) }, 2 * ms, Receipt},
+		{"waits for a job", func(w *World) { w.Offer(0, 0, testJob("long", "k")) }, func(*World) {}, 2 * ms, Busy},
+		{"waits for a job, in time", func(w *World) { w.Offer(0, 0, testJob("long", "k")) }, func(*World) {}, 999 * ms,
+			Receipt},
+		{"waits for the end of a pause", func(w *World) { w.Pause(0, 0, 5*time.Millisecond) }, func(*World) {}, 2 * ms,
+			Busy},
+		{"waits for the end of a pause, in time", func(w *World) { w.Pause(0, 0, 5*time.Millisecond) },
+			func(*World) {}, 6 * ms, Receipt},
+		{"waits for the end of a pause that is extended", func(w *World) { w.Pause(0, 0, 5*time.Millisecond) },
+			func(w *World) { w.Pause(2*ms, 0, time.Second) }, 6 * ms, Busy},
+		{"waits for the end of a pause in which the cache becomes slow",
+			func(w *World) { w.Pause(0, 0, 5*time.Millisecond) }, func(w *World) { w.Slow(2*ms, 0, 100) }, 6 * ms, Receipt},
+	} {
+		o := &countingObserver{}
+		w := newTestWorld(o, nil)
+		c.before(w)
+		if _, ok := w.Offer(ms, 0, Job{Request: "r", Key: "k", Label: "l", Class: 1, Until: c.until}); !ok {
+			t.Fatalf("%s: the job was not accepted", c.name)
+		}
+		c.after(w)
+		for _, d := range w.runUntil(1 << 60) {
+			effects := 0
+			if c.want == Receipt {
+				effects = 1
+			}
+			if d.Job.Request == "r" && (d.Reply != c.want || o.effects != effects) {
+				t.Errorf("%s: reply %v and %d effects, want %v", c.name, d.Reply, o.effects, c.want)
+			}
+		}
+	}
+}
+
 // A repeat within the window has no effect and gets the same receipt; beyond it, or with another key, it has an
 // effect.
 func TestIdempotencyKeysHoldForTheirWindow(t *testing.T) {
