Emulator: a server recognizes the repeat of a write as it begins to execute it

Cause: the idempotency key was looked up only as an execution ended.

A write that begins before the first effect and ends after the window has its effect, as before.

--- a/internal/emulator/simulation/soak_kept_test.go
+++ b/internal/emulator/simulation/soak_kept_test.go
@@ -40,3 +40,11 @@
 		t.Run(name, func(t *testing.T) { runKeptSchedule(t, name) })
 	}
 }
+
+// A cache began to execute the repeat of a write while its idempotency key was remembered, and ended after it was
+// forgotten, as the cache was cold or slow. It then applied the write a second time.
+func TestCacheRecognizesARepeatAsItBegins(t *testing.T) {
+	for _, name := range []string{"repeat-begun-in-time-60", "repeat-begun-in-time-481"} {
+		t.Run(name, func(t *testing.T) { runKeptSchedule(t, name) })
+	}
+}
--- a/internal/emulator/world/jobs.go
+++ b/internal/emulator/world/jobs.go
@@ -91,7 +91,7 @@
 		if j.Label == "" {
 			break
 		}
-		if _, isRepeat := w.keysFor(s, class).lookup(int64(w.now), j.Label); isRepeat {
+		if _, isRepeat := w.keysFor(s, class).lookup(w.now, w.now, j.Label); isRepeat {
 			work = time.Duration(float64(work) * repeatWork)
 		}
 	case !class.Write && w.plan.Mode == Aside && !s.store.contains(j.Key):
@@ -108,8 +108,8 @@
 	w.Servers[server].queue.withdraw(func(j Job) bool { return j.Tag == tag })
 }
 
-// finish applies the effect of a completed job and returns its result.
-func (w *World) finish(now policy.Instant, s *Server, j Job) Done {
+// finish applies the effect of a completed job, which has begun at an earlier instant, and returns its result.
+func (w *World) finish(now, begunAt policy.Instant, s *Server, j Job) Done {
 	done := Done{Job: j, Server: j.server, Load: s.reportedLoad(now)}
 	if s.ErrorRate > 0 && w.random.Float64() < s.ErrorRate {
 		done.Reply = Failed
@@ -119,7 +119,7 @@
 	switch {
 	case class.Write:
 		done.Reply = Receipt
-		done.Text = w.write(now, s, class, j)
+		done.Text = w.write(now, begunAt, s, class, j)
 	case s.origin != nil || w.plan.Mode == Through:
 		w.fillMisses(j)
 		done.Reply = Value
@@ -155,17 +155,18 @@
 	}
 }
 
-// write applies a write, unless it repeats one within its deduplication window, and returns the receipt.
-func (w *World) write(now policy.Instant, s *Server, class *Class, j Job) string {
+// write applies a write that has begun at an earlier instant, unless it repeats one within its deduplication window, and
+// returns the receipt.
+func (w *World) write(now, begunAt policy.Instant, s *Server, class *Class, j Job) string {
 	if j.Label != "" {
-		if receipt, isRepeat := w.keysFor(s, class).lookup(int64(now), j.Label); isRepeat {
+		if receipt, isRepeat := w.keysFor(s, class).lookup(now, begunAt, j.Label); isRepeat {
 			return receipt
 		}
 	}
 	w.lastVersion++
 	receipt := strconv.FormatUint(w.lastVersion, 36)
 	if j.Label != "" {
-		w.keysFor(s, class).add(j.Label, receipt, int64(now.Add(class.DedupWindow)))
+		w.keysFor(s, class).add(now, class.DedupWindow, j.Label, receipt)
 	}
 	w.plan.Observer.Effect(now, j.Request, j.Label, j.Class, s.ID)
 	if s.origin == nil {
--- a/internal/emulator/world/world.go
+++ b/internal/emulator/world/world.go
@@ -175,7 +175,7 @@
 			onDone(Done{Job: ended.job, Server: ended.job.server, Reply: Busy, Load: s.reportedLoad(at)})
 			continue
 		}
-		onDone(w.finish(at, s, ended.job))
+		onDone(w.finish(at, ended.beginsAt, s, ended.job))
 	}
 }
 
--- a/internal/emulator/world/world_test.go
+++ b/internal/emulator/world/world_test.go
@@ -213,6 +213,45 @@
 	}
 }
 
+// A server recognizes a repeat that begins while the key is remembered, however long its execution takes, and one that
+// ends while the key is remembered.
+func TestRepeatIsRecognizedAsItBeginsOrEnds(t *testing.T) {
+	const window = 1000 * ms // of the class, from the effect
+	for _, c := range []struct {
+		name    string
+		begins  policy.Instant
+		slow    float64 // factor by which its execution takes longer than a few milliseconds
+		effects int
+	}{
+		{"begins and ends within the window", 500 * ms, 1, 1},
+		{"begins within the window, ends after it", 990 * ms, 1000, 1},
+		{"begins after the window", 1100 * ms, 1, 2},
+		{"begins before the first effect, ends within the window", 0, 10, 1},
+		{"begins before the first effect, ends after the window", 0, 1000, 2},
+	} {
+		o := &countingObserver{}
+		w := New(Plan{
+			Mode:     Through,
+			Caches:   []CacheTraits{{ID: "a", Cores: 1, Queue: 1, Speed: 1, Keys: 1}, {ID: "b", Cores: 1, Queue: 1, Speed: 1, Keys: 1}},
+			Observer: o,
+			Classes: []Class{{Write: true, Work: 4 * time.Millisecond, ServiceClass: policy.ServiceClass{
+				Idempotency: policy.IdempotentByKey, DedupScope: policy.AllCaches, DedupWindow: time.Duration(window),
+			}}},
+		})
+		w.Slow(0, 1, c.slow)
+		write := func(at policy.Instant, server int) {
+			w.Advance(at, func(Done) {})
+			w.Offer(at, server, Job{Request: "r", Label: "l", Until: 1 << 60})
+		}
+		write(0, 0)
+		write(c.begins, 1)
+		w.runUntil(1 << 60)
+		if o.effects != c.effects {
+			t.Errorf("%s: %d effects, want %d", c.name, o.effects, c.effects)
+		}
+	}
+}
+
 // The class's deduplication scope determines which caches share idempotency keys: all, those of a zone, or of a group.
 func TestDeduplicationScopes(t *testing.T) {
 	for scope, effects := range map[policy.DedupScope]int{
