Emulator: load before a slowdown is not judged by the capacity after it

Callers saw that cache fail at once.

Cause: the emulated cache compared all work of the last second with its speed at that moment.

--- a/internal/emulator/simulation/soak_kept_test.go
+++ b/internal/emulator/simulation/soak_kept_test.go
@@ -48,3 +48,10 @@
 		t.Run(name, func(t *testing.T) { runKeptSchedule(t, name) })
 	}
 }
+
+// A fault made a cold cache slower, and the requests that it had received before that counted as an overload at once.
+func TestModuleIsNotBlamedForLoadBeforeASlowdown(t *testing.T) {
+	for _, name := range []string{"cold-cache-becomes-slow-143", "cold-cache-becomes-slow-6"} {
+		t.Run(name, func(t *testing.T) { runKeptSchedule(t, name) })
+	}
+}
--- a/internal/emulator/world/faults.go
+++ b/internal/emulator/world/faults.go
@@ -20,6 +20,7 @@
 func (w *World) change(now policy.Instant, server int, apply func(*Server)) {
 	w.now = now
 	s := w.Servers[server]
+	s.recordSpeed(now, s.FallFor)
 	s.queue.change(now, func() { apply(s) })
 	w.scheduleWake(server)
 }
--- a/internal/emulator/world/server.go
+++ b/internal/emulator/world/server.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"slices"
 	"time"
 
 	"dahliapin/policy"
@@ -36,6 +37,7 @@
 	idempotencyKeys *idempotencyKeys // of the origin; those of caches are in World.sharedKeys
 	slow            float64          // factor by which it is slower than its traits
 	coresTaken      float64          // share of its cores that other programs use
+	earlierSpeeds   []earlierSpeed   // warm speeds before recent changes, the oldest first
 
 	demand          float64 // at the origin: work arriving per unit of time, averaged with demandWindow
 	demandAt        policy.Instant
@@ -48,6 +50,38 @@
 	loadAt         policy.Instant // when load was last measured
 }
 
+// earlierSpeed is the warm speed that a server had until a fault changed it.
+type earlierSpeed struct {
+	until policy.Instant
+	speed float64
+}
+
+// warmSpeed returns the speed that a server has, or would have once it is warm.
+func (s *Server) warmSpeed() float64 { return s.Speed / s.slow * (1 - s.coresTaken) }
+
+// recordSpeed records the warm speed before a change, and forgets those before a span of time.
+func (s *Server) recordSpeed(now policy.Instant, span time.Duration) {
+	s.earlierSpeeds = append(s.earlierSpeeds, earlierSpeed{until: now, speed: s.warmSpeed()})
+	s.earlierSpeeds = slices.DeleteFunc(s.earlierSpeeds, func(e earlierSpeed) bool { return now.Since(e.until) > span })
+}
+
+// meanWarmSpeed returns the mean of the warm speed within a span of time that ends now; for no span, the speed now.
+func (s *Server) meanWarmSpeed(now policy.Instant, span time.Duration) float64 {
+	if span <= 0 {
+		return s.warmSpeed()
+	}
+	from := now.Add(-span)
+	sum := 0.0
+	for _, earlier := range s.earlierSpeeds {
+		if earlier.until > from {
+			sum += earlier.speed * float64(earlier.until.Since(from))
+			from = earlier.until
+		}
+	}
+	sum += s.warmSpeed() * float64(now.Since(from))
+	return sum / float64(span)
+}
+
 // SpeedShare returns a server's speed at an instant as a share of its full speed: less than 1 while it warms up.
 func (s *Server) SpeedShare(now policy.Instant) float64 {
 	if s.StartedAt == 0 || s.ColdFor <= 0 {
@@ -61,7 +95,7 @@
 
 // speed returns the work that each core of a server currently does in a unit of time.
 func (w *World) speed(s *Server) float64 {
-	speed := s.Speed / s.slow * (1 - s.coresTaken)
+	speed := s.warmSpeed()
 	if s.origin == nil {
 		return speed * s.SpeedShare(w.now)
 	}
--- a/internal/emulator/world/world_test.go
+++ b/internal/emulator/world/world_test.go
@@ -317,6 +317,31 @@
 	}
 }
 
+// A cold cache used to fail as soon as a fault made it slower, by requests that had come before. It must fail only if the
+// load goes on, whatever else the fault does.
+func TestSlowedColdCacheFailsOnlyIfTheLoadGoesOn(t *testing.T) {
+	const slowedAt = 2000 * ms
+	fails := func(last policy.Instant) bool {
+		o := &countingObserver{}
+		w := newTestWorld(o, func(c *CacheTraits) { c.FallFor = time.Second })
+		w.Start(1, 0)
+		for at := policy.Instant(1); at < last; at += 20 * ms {
+			if at > slowedAt && at <= slowedAt+20*ms {
+				w.Slow(at, 0, 20)
+			}
+			w.Offer(at, 0, testJob("a", "k"))
+			w.Advance(at, func(Done) {})
+		}
+		return o.overloads > 0
+	}
+	if fails(slowedAt + 100*ms) {
+		t.Error("the cache failed by requests that came before it was slow")
+	}
+	if !fails(slowedAt + 1500*ms) {
+		t.Error("the cache did not fail under a load that went on")
+	}
+}
+
 // Arrivals are open loop at the planned rate, and clients retry only requests whose repetition is harmless.
 func TestTrafficFollowsItsPlan(t *testing.T) {
 	idempotent := policy.ServiceClass{Idempotency: policy.Idempotent}
