Emulator: on sockets, too, a load counts by whether nodes knew of the start

A server on sockets cannot tell which node an attempt comes from. All load counts as informed once any node was sent the server's last start, in an answer of discovery or in the list that a process begins with, or the change is 6 s old with discovery up. The latter moves to runner.Notifications, which both rigs use.

--- a/internal/emulator/realtime/agent.go
+++ b/internal/emulator/realtime/agent.go
@@ -201,6 +201,14 @@
 	for _, e := range entries {
 		r.checker.Notified(r.now(), node, e.ID, e.Lifecycle)
 	}
+	r.noteStarts(entries)
+}
+
+// noteStarts records the starts of servers that a node was sent. Rig.mu must be locked.
+func (r *Rig) noteStarts(entries []policy.Endpoint) {
+	for _, e := range entries {
+		r.notifiedStarts[e.ID] = max(r.notifiedStarts[e.ID], e.StartedAt)
+	}
 }
 
 // instance is the JSON form of an entry of the endpoint list.
--- a/internal/emulator/realtime/member.go
+++ b/internal/emulator/realtime/member.go
@@ -288,6 +288,9 @@
 		}
 	}
 	m.agent.mu.Unlock()
+	m.rig.mu.Lock()
+	m.rig.noteStarts(endpoints)
+	m.rig.mu.Unlock()
 	// The seed differs between scenarios, nodes and processes of a node.
 	seed := m.rig.scenario.Seed*7919 + int64(m.number)*31 + int64(m.incarnation)
 	return json.Marshal(map[string]any{
--- a/internal/emulator/realtime/rig.go
+++ b/internal/emulator/realtime/rig.go
@@ -103,12 +103,14 @@
 	ejectedBy      map[policy.EndpointID]map[int]bool // nodes that have ejected an endpoint
 	discoveryReady chan struct{}                      // closed while discovery is up
 	pendingUpdates []policy.Endpoint                  // changes of the endpoint list while discovery is down
-	failures       []string                           // of nodes and the rig; each fails the run
-	requests       sync.WaitGroup                     // requests without a response
-	forwarder      *netfault.Forwarder                // nil unless nodes are members of a fleet
-	linkAddrs      []map[string]string                // by sender: from a node's address to the forwarder's
-	bootTime       policy.Instant                     // of the machine's boot clock when the run began
-	gossipAddrs    []string                           // of the nodes' gossip listeners, by node
+	notifications  runner.Notifications
+	notifiedStarts map[policy.EndpointID]policy.Instant // the last start of each endpoint that any node was sent
+	failures       []string                             // of nodes and the rig; each fails the run
+	requests       sync.WaitGroup                       // requests without a response
+	forwarder      *netfault.Forwarder                  // nil unless nodes are members of a fleet
+	linkAddrs      []map[string]string                  // by sender: from a node's address to the forwarder's
+	bootTime       policy.Instant                       // of the machine's boot clock when the run began
+	gossipAddrs    []string                             // of the nodes' gossip listeners, by node
 	views          *checker.Views
 	closing        bool // no node may be started
 	stopped        bool // the model of the world must not change
@@ -170,11 +172,13 @@
 		attempts:       map[uint64]*attempt{},
 		ejectedBy:      map[policy.EndpointID]map[int]bool{},
 		discoveryReady: up,
+		notifiedStarts: map[policy.EndpointID]policy.Instant{},
 		random:         keyhash.Source{Seed: uint32(s.Seed) ^ rigSeedMask},
 		log:            report.NewLog(s, epoch),
 		coverage:       coverage.NewTracker(s.Fleet.Nodes),
 		traffic:        world.NewTraffic(s.TrafficPlan()),
 	}
+	r.notifications.SetDiscovery(r.now(), true)
 	r.checker = checker.New(checker.Rules{
 		Classes:        deployment.Policy.Classes,
 		HedgingAllowed: s.Allowed.Hedging,
@@ -499,6 +503,7 @@
 
 // SetDiscovery takes discovery down, or up again, and then publishes the changes since. Rig.mu must be locked.
 func (r *Rig) SetDiscovery(up bool) {
+	r.notifications.SetDiscovery(r.now(), up)
 	if !up {
 		r.discoveryReady = make(chan struct{})
 		return
--- a/internal/emulator/realtime/servers.go
+++ b/internal/emulator/realtime/servers.go
@@ -487,7 +487,7 @@
 		Until:   now.Add(time.Duration(timeoutMs * 1e6)),
 		Tag:     r.lastTag,
 
-		KnewOfStart: true,
+		KnewOfStart: r.startIsKnown(w),
 	}
 	if _, ok := r.world.Offer(now, s.number, j); !ok {
 		r.endAttempt(r.lastTag, policy.Rejected)
@@ -497,6 +497,12 @@
 	return true
 }
 
+// startIsKnown reports whether any node was sent a server's last start, or ought to have been by now. A server cannot
+// tell which node an attempt comes from. Rig.mu must be locked.
+func (r *Rig) startIsKnown(server *world.Server) bool {
+	return server.StartedAt <= r.notifications.Bound(r.now()) || r.notifiedStarts[server.ID] >= server.StartedAt
+}
+
 // resultByReply is the result of an attempt, by the server's reply.
 var resultByReply = [...]policy.Result{
 	world.Value:   policy.Answered,
--- a/internal/emulator/simulation/node.go
+++ b/internal/emulator/simulation/node.go
@@ -101,7 +101,8 @@
 
 // knowsStart reports whether the node's endpoint list has a server's last start, or ought to have it by now.
 func (n *node) knowsStart(server *world.Server) bool {
-	return server.StartedAt <= n.sim.notificationBound() || slices.ContainsFunc(n.endpoints, func(e policy.Endpoint) bool {
+	isOld := server.StartedAt <= n.sim.notifications.Bound(n.sim.now)
+	return isOld || slices.ContainsFunc(n.endpoints, func(e policy.Endpoint) bool {
 		return e.ID == server.ID && e.StartedAt >= server.StartedAt
 	})
 }
--- a/internal/emulator/simulation/rig.go
+++ b/internal/emulator/simulation/rig.go
@@ -28,13 +28,11 @@
 
 // SetDiscovery takes discovery down or up. When it comes up, the changes made while it was down are published.
 func (sim *Simulation) SetDiscovery(up bool) {
+	sim.discoveryUp = up
+	sim.notifications.SetDiscovery(sim.now, up)
 	if !up {
-		sim.notifiedUpTo = sim.notificationBound()
-		sim.discoveryUp = false
 		return
 	}
-	sim.discoveryUp = true
-	sim.discoveryUpSince = sim.now
 	for _, e := range sim.pendingUpdates {
 		sim.EndpointChanged(e)
 	}
@@ -45,15 +43,6 @@
 	sim.pendingLists = nil
 }
 
-// notificationBound returns the instant up to which nodes count as notified of changes, whether or not they have polled
-// for them.
-func (sim *Simulation) notificationBound() policy.Instant {
-	if !sim.discoveryUp || sim.now.Since(sim.discoveryUpSince) < notificationDelay {
-		return sim.notifiedUpTo
-	}
-	return sim.now.Add(-notificationDelay)
-}
-
 // EndpointChanged notifies each node of a change of the endpoint list, after a delay drawn for the node. If nodes poll
 // for the list, it publishes the change at the registry.
 func (sim *Simulation) EndpointChanged(e policy.Endpoint) {
--- a/internal/emulator/simulation/simulation.go
+++ b/internal/emulator/simulation/simulation.go
@@ -30,8 +30,6 @@
 	// settleTime is how long a run continues after the scenario's end and the longest deadline, so that all requests
 	// end.
 	settleTime = 2 * time.Second
-	// notificationDelay is the time with discovery up after which a node counts as notified of a change.
-	notificationDelay = 6 * time.Second
 )
 
 // errNeedsSockets is returned for a scenario with events that only affect real processes or links.
@@ -71,14 +69,13 @@
 	resetCounts []uint64 // by server: how often all connections to it were reset
 	faults      []string // by server, as set by SetFault
 
-	registry         *world.Registry
-	discoveryUp      bool
-	discoveryUpSince policy.Instant
-	notifiedUpTo     policy.Instant    // as of the last outage of discovery, see notificationBound
-	pendingUpdates   []policy.Endpoint // changes while discovery is down, published when it comes up
-	pendingLists     []*node           // nodes that started while discovery is down, and get the list when it comes up
-	changes          []policy.Endpoint // all published changes, if nodes poll; their number is the list's version
-	waitingPolls     []endpointPoll    // polls that wait for a change, in the order of arrival
+	registry       *world.Registry
+	discoveryUp    bool
+	notifications  runner.Notifications
+	pendingUpdates []policy.Endpoint // changes while discovery is down, published when it comes up
+	pendingLists   []*node           // nodes that started while discovery is down, and get the list when it comes up
+	changes        []policy.Endpoint // all published changes, if nodes poll; their number is the list's version
+	waitingPolls   []endpointPoll    // polls that wait for a change, in the order of arrival
 
 	checker       *checker.Checker
 	log           *report.Log
@@ -125,6 +122,7 @@
 		ejections:   map[policy.EndpointID]int{},
 		log:         report.NewLog(s, startOfRun),
 	}
+	sim.notifications.SetDiscovery(sim.now, true)
 	sim.random.Seed = uint32(s.Seed) ^ 0x0f1ee7
 	sim.checker = checker.New(checker.Rules{
 		Classes:        settings.Policy.Classes,
--- a/internal/emulator/simulation/simulation_test.go
+++ b/internal/emulator/simulation/simulation_test.go
@@ -58,31 +58,6 @@
 	}
 }
 
-// A node counts as notified of a change 6 s after discovery had it and was up, even if the node has not polled for it.
-func TestNotificationBound(t *testing.T) {
-	sim := &Simulation{discoveryUp: true, discoveryUpSince: startOfRun}
-	for _, step := range []struct {
-		at, want time.Duration // since the start of the run
-		up       bool
-	}{
-		{at: 5 * time.Second, want: -time.Second, up: true},
-		{at: 8 * time.Second, want: 2 * time.Second, up: true},
-		{at: 9 * time.Second, want: 3 * time.Second, up: false},
-		{at: 20 * time.Second, want: 3 * time.Second, up: false},
-		{at: 21 * time.Second, want: 3 * time.Second, up: true},
-		{at: 26 * time.Second, want: 3 * time.Second, up: true},
-		{at: 28 * time.Second, want: 22 * time.Second, up: true},
-	} {
-		sim.now = startOfRun.Add(step.at)
-		if step.up != sim.discoveryUp {
-			sim.SetDiscovery(step.up)
-		}
-		if got := sim.notificationBound().Since(startOfRun); got != step.want {
-			t.Errorf("at %v: notified of changes up to %v, want %v", step.at, got, step.want)
-		}
-	}
-}
-
 func checkExpectations(t *testing.T, name string) {
 	t.Helper()
 	if r := mustRun(t, loadRehearsal(t, name), "module", Module); !r.Passed() {
