Takeover's fault test: count the Unix sockets once the process offers its listeners

Callers saw nothing. TestTakeoverSyscallFaults failed with "2 Unix sockets are open, 1 before": 1 of 50 runs beside three other tests, 2 of 150 runs in six lanes.

Cause: the baseline was counted when the end of the predecessor was logged, and the process opens its offer right after that line. Evidence: /proc/net/unix and the descriptors at the failure show the listening socket and the connection to the ended predecessor, in the failing process and in the next one alike.

--- a/cmd/dahliapin/syscall_fault_takeover_test.go
+++ b/cmd/dahliapin/syscall_fault_takeover_test.go
@@ -85,10 +85,11 @@
 	if failures := s.replaceBy(next); len(failures) > 0 {
 		t.Fatal(failures)
 	}
-	s.sockets = unixSockets(s.now.Process.Pid)
-	if s.sockets == 0 {
+	// It logs the end of its predecessor before it offers its sockets.
+	if !eventually(recoverWithin, func() bool { return listeningUnixSockets(s.now.Process.Pid) > 0 }) {
 		t.Fatal("the process does not offer its sockets")
 	}
+	s.sockets = unixSockets(s.now.Process.Pid)
 	s.startClients(handoverClients)
 	t.Cleanup(s.end)
 	return s
@@ -199,18 +200,39 @@
 }
 
 // unixSockets returns how many Unix sockets a process has open.
-func unixSockets(pid int) (count int) {
+func unixSockets(pid int) int { return len(unixSocketFlags(pid)) }
+
+// listeningUnixSockets returns how many of the Unix sockets of a process listen.
+func listeningUnixSockets(pid int) (count int) {
+	const acceptsConnections = "00010000"
+	for _, flags := range unixSocketFlags(pid) {
+		if flags == acceptsConnections {
+			count++
+		}
+	}
+	return count
+}
+
+// unixSocketFlags returns the flags of each Unix socket that a process has open, as in /proc/net/unix.
+func unixSocketFlags(pid int) (flags []string) {
+	const flagsColumn, inodeColumn = 3, 6
 	table, _ := os.ReadFile("/proc/net/unix")
+	byInode := map[string]string{}
+	for line := range strings.Lines(string(table)) {
+		if columns := strings.Fields(line); len(columns) > inodeColumn {
+			byInode[columns[inodeColumn]] = columns[flagsColumn]
+		}
+	}
 	directory := fmt.Sprintf("/proc/%d/fd/", pid)
 	entries, _ := os.ReadDir(directory)
 	for _, entry := range entries {
 		link, _ := os.Readlink(directory + entry.Name())
 		inode, isSocket := strings.CutPrefix(strings.TrimSuffix(link, "]"), "socket:[")
-		if isSocket && contains(string(table), " "+inode) {
-			count++
+		if socketFlags, isUnix := byInode[inode]; isSocket && isUnix {
+			flags = append(flags, socketFlags)
 		}
 	}
-	return count
+	return flags
 }
 
 // endsWithin reports whether a process ends before the time has passed.
