--- a/internal/emulator/scenario/soak.go
+++ b/internal/emulator/scenario/soak.go
@@ -24,14 +24,12 @@
 )
 
 // soakKind is what a schedule is drawn for, besides faults that meet each other. Nodes that break the rule in question
-// would hardly ever be found by a deployment that is drawn without it.
+// would hardly ever be found by a deployment that is drawn without it. The zero value is nothing in particular.
 type soakKind int
 
 const (
-	// ordinary schedules are drawn for nothing in particular.
-	ordinary soakKind = iota
 	// coldCaches are schedules in which a cold cache fails if it gets the share of the traffic of a warm one.
-	coldCaches
+	coldCaches soakKind = iota + 1
 	// lateRepeats are schedules in which attempts at writes fail after the deduplication window has ended, and before
 	// the deadline.
 	lateRepeats
