--- a/cmd/dahliapin/main_test.go
+++ b/cmd/dahliapin/main_test.go
@@ -23,9 +23,17 @@
 		main()
 		return
 	}
+	// A process with the race detector sleeps a second before it exits, longer than a drain may last beyond the deadlines.
+	if os.Getenv(raceOptionsEnv) == "" {
+		os.Setenv(raceOptionsEnv, "atexit_sleep_ms=0")
+	}
 	os.Exit(m.Run())
 }
 
+// raceOptionsEnv is the environment variable with the options of the race detector. Processes that the tests start
+// inherit it.
+const raceOptionsEnv = "GORACE"
+
 // startProgram starts the program as a process, and returns a channel with the lines of its log as they are written.
 func startProgram(t testing.TB, name string, args ...string) (*exec.Cmd, chan string) {
 	t.Helper()
