--- a/cmd/dahliapin/main_test.go
+++ b/cmd/dahliapin/main_test.go
@@ -23,7 +23,7 @@
 		main()
 		return
 	}
-	// A process with the race detector sleeps a second before it exits, longer than a drain may last beyond the deadlines.
+	// With the race detector a process sleeps a second before it exits, longer than a drain may last beyond deadlines.
 	if os.Getenv(raceOptionsEnv) == "" {
 		os.Setenv(raceOptionsEnv, "atexit_sleep_ms=0")
 	}
--- a/cmd/dahliapin/syscall_faults_test.go
+++ b/cmd/dahliapin/syscall_faults_test.go
@@ -304,7 +304,8 @@
 			})
 		}
 	})
-	t.Logf("%d of %d points ran, %d failed; no call failed at: %q", count.ran, len(all), count.broken, count.notInjected)
+	t.Logf("%d of %d points ran, %d failed; no call failed at: %q",
+		count.ran, len(all), count.broken, count.notInjected)
 	if count.ran == 0 && !t.Failed() {
 		t.Skip("cannot trace here") // no process may be traced; any other error would have failed the test
 	}
--- a/internal/emulator/checker/attempts.go
+++ b/internal/emulator/checker/attempts.go
@@ -81,8 +81,8 @@
 	}
 }
 
-// AttemptEnded reports that a server has answered an attempt, or that the node has abandoned or cancelled it. The node
-// may do so while the attempt is in transit: the report then comes before that of the attempt's arrival.
+// AttemptEnded reports that a server has answered an attempt, or that the node has abandoned or cancelled it. Each end
+// is reported once. The node may abandon an attempt in transit: the report then comes before that of the arrival.
 func (c *Checker) AttemptEnded(now policy.Instant, id string, server policy.EndpointID, notExecuted bool) {
 	r := c.requests[id]
 	if r == nil {
@@ -117,9 +117,9 @@
 	}
 }
 
-// checkOverlap reports an attempt that was sent while an earlier one was in flight, unless hedging is allowed. The order
-// in which they arrived does not matter, as links differ in latency. Overlaps up to the slack are tolerated, since
-// messages may cross in transit.
+// checkOverlap reports an attempt that was sent while an earlier one was in flight, unless hedging is allowed. The
+// order in which they arrived does not matter, as links differ in latency. Overlaps up to the slack are tolerated,
+// since messages may cross in transit.
 func (c *Checker) checkOverlap(now policy.Instant, id string, r *request, first, second int) {
 	if c.rules.HedgingAllowed && c.rules.Classes[r.class].Idempotency != policy.NotIdempotent {
 		return
--- a/internal/emulator/simulation/attempt.go
+++ b/internal/emulator/simulation/attempt.go
@@ -25,6 +25,7 @@
 	outstanding   bool           // its result has not been reported to the dispatcher
 	written       bool           // the request was written to the connection
 	knewOfStart   bool           // the node knew of the server's last start then
+	endReported   bool           // its end was reported to the checker
 	hasConnection bool
 	resets        uint64 // the server's reset count when the connection was established
 }
@@ -121,7 +122,7 @@
 	sim.checker.AttemptArrived(sim.now, writtenAt, a.request.message.ID, server.ID)
 	switch sim.fault(a.server) {
 	case "reset":
-		sim.checker.AttemptEnded(sim.now, a.request.message.ID, server.ID, true)
+		a.reportEnd(true)
 		sim.after(sim.serverLatency(a.node, a.server), func() { a.connectionLost() })
 		return
 	case "silent":
@@ -199,12 +200,23 @@
 	n.release(a.request)
 }
 
+// reportEnd reports the end of an attempt to the checker, unless it has been reported: the server may still answer an
+// attempt that the node has abandoned.
+func (a *attempt) reportEnd(notExecuted bool) {
+	if a.endReported {
+		return
+	}
+	a.endReported = true
+	sim := a.node.sim
+	sim.checker.AttemptEnded(sim.now, a.request.message.ID, sim.world.Servers[a.server].ID, notExecuted)
+}
+
 // connectionLost ends an attempt whose connection was reset.
 func (a *attempt) connectionLost() {
 	sim := a.node.sim
 	if sim.atServers[a.tag] != nil {
 		delete(sim.atServers, a.tag)
-		sim.checker.AttemptEnded(sim.now, a.request.message.ID, sim.world.Servers[a.server].ID, false)
+		a.reportEnd(false)
 	}
 	a.hasConnection = false
 	a.finish(policy.ConnectionBroken, nil)
@@ -227,7 +239,7 @@
 func (a *attempt) abandon() {
 	sim := a.node.sim
 	a.closeConnection()
-	sim.checker.AttemptEnded(sim.now, a.request.message.ID, sim.world.Servers[a.server].ID, false)
+	a.reportEnd(false)
 	sim.after(sim.serverLatency(a.node, a.server), func() {
 		if sim.atServers[a.tag] != nil {
 			delete(sim.atServers, a.tag)
--- a/internal/emulator/simulation/jobs.go
+++ b/internal/emulator/simulation/jobs.go
@@ -21,7 +21,7 @@
 		return
 	}
 	server := done.Server
-	sim.checker.AttemptEnded(sim.now, a.request.message.ID, sim.world.Servers[server].ID, done.Reply == world.Busy)
+	a.reportEnd(done.Reply == world.Busy)
 	delete(sim.atServers, done.Job.Tag)
 	result := sim.faultyResult(server, done.Reply)
 	toOrigin := sim.world.IsOrigin(server)
--- a/internal/emulator/world/jobs.go
+++ b/internal/emulator/world/jobs.go
@@ -159,8 +159,8 @@
 	}
 }
 
-// write applies a write that has begun at an earlier instant, unless it repeats one within its deduplication window, and
-// returns the receipt.
+// write applies a write that has begun at an earlier instant, unless it repeats one within its deduplication window,
+// and returns the receipt.
 func (w *World) write(now, begunAt policy.Instant, s *Server, class *Class, j Job) string {
 	if j.Label != "" {
 		if receipt, isRepeat := w.keysFor(s, class).lookup(now, begunAt, j.Label); isRepeat {
--- a/internal/emulator/world/queue.go
+++ b/internal/emulator/world/queue.go
@@ -29,7 +29,6 @@
 	job      J
 	beginsAt policy.Instant
 	endsAt   policy.Instant
-	isOver   bool
 }
 
 // offer accepts a job, or returns false if the queue is full.
@@ -54,7 +53,6 @@
 
 func (s *serverQueue[J]) dropIfOver(r *runningJob[J]) {
 	if s.isOver(r.job, r.beginsAt) {
-		r.isOver = true
 		r.endsAt = r.beginsAt
 	}
 }
--- a/internal/emulator/world/world.go
+++ b/internal/emulator/world/world.go
@@ -171,7 +171,7 @@
 		if !ok {
 			return
 		}
-		if ended.isOver {
+		if s.queue.isOver(ended.job, ended.beginsAt) {
 			onDone(Done{Job: ended.job, Server: ended.job.server, Reply: Busy, Load: s.reportedLoad(at)})
 			continue
 		}
--- a/internal/emulator/world/world_test.go
+++ b/internal/emulator/world/world_test.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -160,7 +161,8 @@
 		want   Reply
 	}{
 		{"begins at once and ends late", func(*World) {}, func(w *World) { w.Slow(ms, 0, 100) }, 2 * ms, Receipt},
-		{"begins at once and is paused", func(*World) {}, func(w *World) { w.Pause(ms, 0, time.Second) }, 2 * ms, Receipt},
+		{"begins at once and is paused", func(*World) {}, func(w *World) { w.Pause(ms, 0, time.Second) }, 2 * ms,
+			Receipt},
 		{"waits for a job", func(w *World) { w.Offer(0, 0, testJob("long", "k")) }, func(*World) {}, 2 * ms, Busy},
 		{"waits for a job, in time", func(w *World) { w.Offer(0, 0, testJob("long", "k")) }, func(*World) {}, 999 * ms,
 			Receipt},
@@ -171,7 +173,8 @@
 		{"waits for the end of a pause that is extended", func(w *World) { w.Pause(0, 0, 5*time.Millisecond) },
 			func(w *World) { w.Pause(2*ms, 0, time.Second) }, 6 * ms, Busy},
 		{"waits for the end of a pause in which the cache becomes slow",
-			func(w *World) { w.Pause(0, 0, 5*time.Millisecond) }, func(w *World) { w.Slow(2*ms, 0, 100) }, 6 * ms, Receipt},
+			func(w *World) { w.Pause(0, 0, 5*time.Millisecond) }, func(w *World) { w.Slow(2*ms, 0, 100) }, 6 * ms,
+			Receipt},
 	} {
 		o := &countingObserver{}
 		w := newTestWorld(o, nil)
@@ -180,15 +183,19 @@
 			t.Fatalf("%s: the job was not accepted", c.name)
 		}
 		c.after(w)
+		var replies []Reply
 		for _, d := range w.runUntil(1 << 60) {
-			effects := 0
-			if c.want == Receipt {
-				effects = 1
-			}
-			if d.Job.Request == "r" && (d.Reply != c.want || o.effects != effects) {
-				t.Errorf("%s: reply %v and %d effects, want %v", c.name, d.Reply, o.effects, c.want)
+			if d.Job.Request == "r" {
+				replies = append(replies, d.Reply)
 			}
 		}
+		effects := 0
+		if c.want == Receipt {
+			effects = 1
+		}
+		if !slices.Equal(replies, []Reply{c.want}) || o.effects != effects {
+			t.Errorf("%s: replies %v and %d effects, want %v", c.name, replies, o.effects, c.want)
+		}
 	}
 }
 
@@ -232,9 +239,10 @@
 		{"begins before the first effect, ends after the window", 0, 1000, 2},
 	} {
 		o := &countingObserver{}
+		cache := CacheTraits{Cores: 1, Queue: 1, Speed: 1, Keys: 1}
 		w := New(Plan{
 			Mode:     Through,
-			Caches:   []CacheTraits{{ID: "a", Cores: 1, Queue: 1, Speed: 1, Keys: 1}, {ID: "b", Cores: 1, Queue: 1, Speed: 1, Keys: 1}},
+			Caches:   []CacheTraits{cache, cache},
 			Observer: o,
 			Classes: []Class{{Write: true, Work: 4 * time.Millisecond, ServiceClass: policy.ServiceClass{
 				Idempotency: policy.IdempotentByKey, DedupScope: policy.AllCaches, DedupWindow: time.Duration(window),
@@ -319,8 +327,8 @@
 	}
 }
 
-// A cold cache used to fail as soon as a fault made it slower, by requests that had come before. It must fail only if the
-// load goes on, whatever else the fault does.
+// A cold cache used to fail as soon as a fault made it slower, by requests that had come before. It must fail only if
+// the load goes on.
 func TestSlowedColdCacheFailsOnlyIfTheLoadGoesOn(t *testing.T) {
 	const slowedAt = 2000 * ms
 	fails := func(last policy.Instant) bool {
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -37,7 +37,12 @@
 		return
 	}
 	ref := attemptRef{request: req.id, index: len(req.attempts)}
-	req.attempts = append(req.attempts, attempt{inFlight: true, sentAt: p.now(), deadline: deadline, executeBy: executeBy})
+	req.attempts = append(req.attempts, attempt{
+		inFlight:  true,
+		sentAt:    p.now(),
+		deadline:  deadline,
+		executeBy: executeBy,
+	})
 	p.metrics.counters.Attempts++
 	endpoint := p.endpoints.byID[to]
 	if endpoint == nil {
--- a/internal/proxy/attempts_test.go
+++ b/internal/proxy/attempts_test.go
@@ -202,14 +202,20 @@
 	}
 }
 
+// withDedupWindow sets the deduplication window of writes with an idempotency key.
+func withDedupWindow(window time.Duration) func(*Config) {
+	return func(config *Config) {
+		classes := slices.Clone(config.Settings.Policy.Classes)
+		classes[config.Settings.Names.Class([]byte("put"))].DedupWindow = window
+		config.Settings.Policy.Classes = classes
+	}
+}
+
 // Guards against executing a write with an idempotency key twice: its retry waited for a connection until the
 // deduplication window had passed, and was then sent.
 func TestRetryIsNotSentAfterDedupWindow(t *testing.T) {
 	const window = 400 * time.Millisecond
-	g := newHarness(t, 200, helloValue, func(config *Config) {
-		classes := slices.Clone(config.Settings.Policy.Classes)
-		classes[config.Settings.Names.Class([]byte("put"))].DedupWindow = window
-		config.Settings.Policy.Classes = classes
+	g := newHarness(t, 200, helloValue, withDedupWindow(window), func(config *Config) {
 		config.Settings.ConnectTimeout = testTimeout
 	})
 	l, addr := listenScripted(t)
@@ -254,11 +260,7 @@
 // pause it could execute the write when a repeat had been executed elsewhere, and its key was forgotten.
 func TestEndpointIsToldNoLongerThanTheDedupWindow(t *testing.T) {
 	const window = 400 * time.Millisecond
-	g := newHarness(t, 200, helloValue, func(config *Config) {
-		classes := slices.Clone(config.Settings.Policy.Classes)
-		classes[config.Settings.Names.Class([]byte("put"))].DedupWindow = window
-		config.Settings.Policy.Classes = classes
-	})
+	g := newHarness(t, 200, helloValue, withDedupWindow(window))
 	c, r := g.client()
 	fmt.Fprint(c, "ms k 1 Ox Pc=put,d=900,k=7\r\nx\r\n")
 	g.expect(r, "HD Ox cfrom-origin")
--- a/internal/proxy/dispatch/interfaces.go
+++ b/internal/proxy/dispatch/interfaces.go
@@ -8,9 +8,10 @@
 
 // Actions carries out what a Dispatcher's decisions ask for. None of its methods may call back into the Dispatcher.
 type Actions interface {
-	// Send starts an attempt of a request at an endpoint, which is to end by deadline. The endpoint is told that it must
-	// not begin to execute the request after executeBy, which is deadline or earlier. The attempt's result is reported
-	// through Dispatcher.AttemptDone. The attempts of a request are numbered from 0 in the order in which they were sent.
+	// Send starts an attempt of a request at an endpoint, which is to end by deadline. The endpoint is told that it
+	// must not begin to execute the request after executeBy, which is deadline or earlier. The attempt's result is
+	// reported through Dispatcher.AttemptDone. The attempts of a request are numbered from 0 in the order in which they
+	// were sent.
 	Send(id policy.RequestID, to policy.EndpointID, deadline, executeBy policy.Instant)
 	// Cancel stops an attempt. The attempt's result, which still follows, says whether it may have been executed.
 	Cancel(id policy.RequestID, attempt int)
--- a/policy/mayattempt.go
+++ b/policy/mayattempt.go
@@ -28,8 +28,7 @@
 	if earlier.InFlight && (!router.settings.HedgingAllowed || class.Idempotency == NotIdempotent) {
 		return false
 	}
-	notExecuted := !earlier.InFlight && earlier.Result.NotExecuted()
-	if notExecuted || class.Idempotency == Idempotent {
+	if !mayHaveRun(earlier) || class.Idempotency == Idempotent {
 		return true
 	}
 	if class.Idempotency == NotIdempotent {
@@ -55,7 +54,7 @@
 	}
 	firstSentAt := now
 	for _, attempt := range r.Attempts {
-		if attempt.InFlight || !attempt.Result.NotExecuted() {
+		if mayHaveRun(attempt) {
 			firstSentAt = min(firstSentAt, attempt.SentAt)
 		}
 	}
--- a/policy/mayattempt_test.go
+++ b/policy/mayattempt_test.go
@@ -127,9 +127,10 @@
 		{name: "no window", window: 0, class: keyedClass, want: 800 * ms},
 		{name: "idempotent", window: window, class: readClass, want: 800 * ms},
 		{name: "repeat", window: window, class: keyedClass, results: []Result{ConnectionBroken}, want: window},
-		{name: "retry of an attempt that was not executed", window: window, class: keyedClass, results: []Result{Rejected},
-			want: 100*ms + window},
-		{name: "two repeats", window: window, class: keyedClass, results: []Result{ConnectionBroken, ConnectionBroken}, want: window},
+		{name: "retry of an attempt that was not executed", window: window, class: keyedClass,
+			results: []Result{Rejected}, want: 100*ms + window},
+		{name: "two repeats", window: window, class: keyedClass,
+			results: []Result{ConnectionBroken, ConnectionBroken}, want: window},
 		{name: "repeat after an attempt that was not executed", window: window, class: keyedClass,
 			results: []Result{ConnectFailed, ConnectionBroken}, want: 100*ms + window},
 	} {
--- a/policy/request.go
+++ b/policy/request.go
@@ -55,6 +55,9 @@
 
 func isInFlight(attempt Attempt) bool { return attempt.InFlight }
 
+// mayHaveRun reports whether an endpoint may have executed an attempt, or may still do so.
+func mayHaveRun(attempt Attempt) bool { return attempt.InFlight || !attempt.Result.NotExecuted() }
+
 func isCacheMiss(attempt Attempt) bool { return attempt.Result == CacheMiss }
 
 // tried reports whether the request has already had an attempt at an endpoint.
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -62,10 +62,7 @@
 	class := &r.state.class
 	repeatable := class.Idempotency == Idempotent ||
 		class.Idempotency == IdempotentByKey && class.DedupScope == AllCaches
-	mayHaveRun := slices.ContainsFunc(r.Attempts, func(attempt Attempt) bool {
-		return attempt.InFlight || !attempt.Result.NotExecuted()
-	})
-	if mayHaveRun && !repeatable {
+	if slices.ContainsFunc(r.Attempts, mayHaveRun) && !repeatable {
 		return Decision{Answer: Fail}
 	}
 	return Decision{Answer: Reject, RetryAfter: min(router.settings.MaxRetryAfter, class.LatencyObjective/2)}
