Drain: do not stop while an acceptor holds a connection that the loop does not know of

Callers saw a request on a new connection reset without an answer.

Cause: an acceptor may be held up between accept and the event for the loop, on a busy machine, for a descriptor, or as a call fails for lack of memory. A drain stops after 150 ms without a connection known to the loop, and did not ask whether an acceptor has one.

A check of a drain counts only if no acceptor holds a connection and, while another process accepts the clients, each acceptor has noticed and waits. An acceptor waits only after it has queued what it had, so nothing is missed there. Limits on the drain's length are as before.

--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -4,12 +4,15 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"net"
 	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"dahliapin/internal/proxy/handover"
 	"dahliapin/internal/proxy/metrics"
 )
 
@@ -176,6 +179,60 @@
 	}
 }
 
+// heldListener accepts a connection, and returns it only after release is closed, as on a busy machine.
+type heldListener struct {
+	*net.TCPListener
+	accepted chan bool
+	release  chan bool
+}
+
+func (l heldListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err == nil {
+		l.accepted <- true
+		<-l.release
+	}
+	return c, err
+}
+
+// Guards against a process that hands its clients to another one and stops while its acceptor has a connection that the
+// loop does not know of: the request on it was reset without an answer.
+func TestDrainServesAConnectionThatTheAcceptorHolds(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	held := heldListener{TCPListener: l.(*net.TCPListener), accepted: make(chan bool, 9), release: make(chan bool)}
+	path := filepath.Join(t.TempDir(), "handover.sock")
+	offer, err := handover.Open(path, []net.Listener{l}, func(handover.Stage) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(offer.Close)
+	inherited, err := handover.Inherit(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	inherited.Listeners[l.Addr().String()].Close()
+	inherited.Listeners[l.Addr().String()] = held
+	g := newHarness(t, 200, helloValue, func(config *Config) {
+		config.Listen = l.Addr().String()
+		config.Inherited = inherited
+	})
+	c, r := g.client()
+	fmt.Fprint(c, "mg k v Ox Pc=read,d=900\r\n")
+	receive(t, held.accepted)
+	g.runInLoop(func() {
+		g.takeover.otherProcessAccepts = true
+		g.engine.SetAccepting(false)
+	})
+	g.Shutdown()
+	time.Sleep(2 * drainQuietTime)
+	close(held.release)
+	g.expect(r, "VA 5 Ox", "hello")
+	g.loop.Wait()
+}
+
 // Guards against a second series of idle checks when a node in standby begins to drain while its next check is still
 // due. Checks would run twice as often, so a process that was stalled would pass its seven on-time checks in half the
 // time, and could stop before it accepts the connections in the kernel's queue.
--- a/internal/proxy/sockets/engine.go
+++ b/internal/proxy/sockets/engine.go
@@ -33,6 +33,7 @@
 	openDescriptors     atomic.Int64 // of connections
 	reservedDescriptors int          // not available for connections
 	clientWaiting       atomic.Bool  // a client waits for a descriptor
+	acceptsPending      atomic.Int64 // connections that an acceptor holds and has not queued for the loop
 
 	listeners []*listener
 	wake      chan struct{} // wakes the loop; has a buffer of one
@@ -47,6 +48,8 @@
 	spareArena   []byte     // the bytes of spareEvents
 	stopped      bool
 	acceptPaused bool // no clients are accepted, because another process accepts them
+	// pausedAcceptors is the number of acceptors that hold no connection and wait until clients are accepted again.
+	pausedAcceptors int
 }
 
 // New returns an Engine that listens on all addresses and uses at most the given number of descriptors. Listeners that
--- a/internal/proxy/sockets/listener.go
+++ b/internal/proxy/sockets/listener.go
@@ -30,6 +30,7 @@
 			l.engine.openDescriptors.Add(1)
 			l.engine.waitForDescriptor()
 			c.start()
+			l.engine.acceptsPending.Add(-1)
 		case errors.Is(err, net.ErrClosed):
 			return
 		case !errors.Is(err, os.ErrDeadlineExceeded):
@@ -38,13 +39,14 @@
 	}
 }
 
-// accept accepts a connection. Taking it over needs a second descriptor temporarily, and is retried until there is one:
+// accept accepts a connection, and counts it in acceptsPending unless it fails. Taking it over needs a second descriptor temporarily, and is retried until there is one:
 // a client that has already sent a request would otherwise get no answer.
 func (l *listener) accept() (*Conn, error) {
 	plain, err := l.socket.Accept()
 	if err != nil {
 		return nil, err
 	}
+	l.engine.acceptsPending.Add(1)
 	c, err := l.engine.newConn(plain)
 	for isLocalError(err) && !l.engine.isStopped() {
 		time.Sleep(acceptRetryPause)
@@ -52,6 +54,7 @@
 	}
 	if err != nil {
 		_ = plain.Close()
+		l.engine.acceptsPending.Add(-1)
 		return nil, err
 	}
 	c.Listener = l.index
@@ -92,7 +95,19 @@
 func (e *Engine) waitUntilAccepting() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.pausedAcceptors++
 	for e.acceptPaused && !e.stopped {
 		e.stateChanged.Wait()
 	}
+	e.pausedAcceptors--
+}
+
+// AcceptPending reports whether an acceptor holds a connection for which the event Accepted is not queued yet. While
+// this process accepts no clients, it also reports true until each acceptor has noticed that: one that the kernel has
+// given a connection may not have run since.
+func (e *Engine) AcceptPending() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	mayHaveAccepted := e.acceptPaused && e.pausedAcceptors < len(e.listeners)
+	return mayHaveAccepted || e.acceptsPending.Load() > 0
 }
