--- a/review/3/main.go
+++ b/review/3/main.go
@@ -87,7 +87,7 @@
 		return err
 	}
 	n, err := rig.StartNode("n1", c.Dir+"/n1", agent.Addr, rig.Settings(rig.Kolkata, rig.KolkataGrades()), 192, 1024,
-		list.Complete(), nil)
+		list.Complete())
 	if err != nil {
 		return err
 	}
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -82,9 +82,6 @@
 	return &Conn{Conn: c, in: bufio.NewReaderSize(c, 1<<16)}, nil
 }
 
-// Through makes the connection's reads go through a reader.
-func (c *Conn) Through(r io.Reader) { c.in = bufio.NewReaderSize(r, 1<<16) }
-
 // ReadAnswer reads the answer of a call.
 func (c *Conn) ReadAnswer(call *Call) error {
 	line, err := c.in.ReadString('\n')
--- a/review/rig/discovery.go
+++ b/review/rig/discovery.go
@@ -48,15 +48,6 @@
 	d.changed = make(chan struct{})
 }
 
-// SetLifecycle changes the state of an entry.
-func (d *Discovery) SetLifecycle(id, lifecycle string) {
-	d.mu.Lock()
-	i := *d.instances[id]
-	d.mu.Unlock()
-	i.Lifecycle = lifecycle
-	d.Put(i)
-}
-
 type listing struct {
 	Generation int        `json:"generation"`
 	Reset      bool       `json:"reset"`
@@ -91,61 +82,23 @@
 	return text, len(l.Instances) > 0, d.changed
 }
 
-// Agent serves a list at one address.
+// Agent serves a list at one address, as discovery's agent on a node's machine does.
 type Agent struct {
 	Addr string
 	list *Discovery
-	// Before is called as a call arrives. It may wait, and returns false if the call gets no answer but the end of its
-	// connection. Status, if not 0, is answered instead of the list.
-	Before func(watch bool) (answer bool, status int)
-	// Delay is how long an answer takes once there is one.
-	Delay func() time.Duration
-	// OnAnswer is called as an answer is written, with the version in it.
-	OnAnswer func(version int)
-	server   *http.Server
-	listener net.Listener
-	mu       sync.Mutex
-	conns    map[net.Conn]bool
 }
 
 // Serve serves the list at a free port.
-func (d *Discovery) Serve() (*Agent, error) { return d.ServeAt("127.0.0.1:0") }
-
-// ServeAt serves the list at an address.
-func (d *Discovery) ServeAt(addr string) (*Agent, error) {
-	l, err := net.Listen("tcp", addr)
+func (d *Discovery) Serve() (*Agent, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{Addr: l.Addr().String(), list: d, listener: l, conns: map[net.Conn]bool{}}
-	a.server = &http.Server{Handler: a, ConnState: func(c net.Conn, s http.ConnState) {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		if s == http.StateNew {
-			a.conns[c] = true
-		} else if s == http.StateClosed || s == http.StateHijacked {
-			delete(a.conns, c)
-		}
-	}}
-	go a.server.Serve(l)
+	a := &Agent{Addr: l.Addr().String(), list: d}
+	go http.Serve(l, a)
 	return a, nil
 }
 
-// ResetAll resets all connections to the agent.
-func (a *Agent) ResetAll() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for c := range a.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			t.SetLinger(0)
-		}
-		c.Close()
-	}
-}
-
-// Close ends the agent.
-func (a *Agent) Close() { a.server.Close() }
-
 func (a *Agent) ServeHTTP(out http.ResponseWriter, in *http.Request) {
 	if in.URL.Path != "/registry/instances" {
 		http.NotFound(out, in)
@@ -153,16 +106,6 @@
 	}
 	q := in.URL.Query()
 	isWatch := q.Has("since")
-	if a.Before != nil {
-		answer, status := a.Before(isWatch)
-		if !answer {
-			panic(http.ErrAbortHandler)
-		}
-		if status != 0 {
-			out.WriteHeader(status)
-			return
-		}
-	}
 	var text []byte
 	if isWatch {
 		version, _ := strconv.Atoi(q.Get("since"))
@@ -183,15 +126,6 @@
 			}
 		}
 	}
-	if a.Delay != nil {
-		if d := a.Delay(); d > 0 {
-			select {
-			case <-time.After(d):
-			case <-in.Context().Done():
-				return
-			}
-		}
-	}
 	if isWatch {
 		version, _ := strconv.Atoi(q.Get("since"))
 		text, _, _ = a.list.since(version)
@@ -200,11 +134,5 @@
 	}
 	out.Header().Set("Content-Type", "application/json")
 	out.Header().Set("Content-Length", strconv.Itoa(len(text)))
-	if a.OnAnswer != nil {
-		a.list.mu.Lock()
-		v := a.list.version
-		a.list.mu.Unlock()
-		a.OnAnswer(v)
-	}
 	out.Write(text)
 }
--- a/review/rig/node.go
+++ b/review/rig/node.go
@@ -13,8 +13,6 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -79,8 +77,8 @@
 	return l.Addr().String()
 }
 
-// StartNode writes a configuration and starts a node with it. Lines of its log go to a file in dir.
-func StartNode(name, dir, discovery string, settings map[string]any, memoryMB, sockets int, known []byte, extra map[string]any) (*Node, error) {
+// StartNode writes a configuration and starts a node with it. Its log goes to a file in dir.
+func StartNode(name, dir, discovery string, settings map[string]any, memoryMB, sockets int, known []byte) (*Node, error) {
 	root, err := Root()
 	if err != nil {
 		return nil, err
@@ -98,9 +96,6 @@
 	if known != nil {
 		n.Config["known"] = json.RawMessage(known)
 	}
-	for k, v := range extra {
-		n.Config[k] = v
-	}
 	if err := n.WriteConfig(); err != nil {
 		return nil, err
 	}
@@ -177,25 +172,6 @@
 	}
 }
 
-// MemoryKB returns the resident memory of the process, and its peak.
-func (n *Node) MemoryKB() (now, peak int) {
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.cmd.Process.Pid))
-	for _, line := range strings.Split(string(text), "\n") {
-		f := strings.Fields(line)
-		if len(f) < 2 {
-			continue
-		}
-		v, _ := strconv.Atoi(f[1])
-		switch f[0] {
-		case "VmRSS:":
-			now = v
-		case "VmHWM:":
-			peak = v
-		}
-	}
-	return now, peak
-}
-
 // AwaitReady waits until the node answers mn with MN.
 func (n *Node) AwaitReady(timeout time.Duration) error {
 	deadline := time.Now().Add(timeout)
--- a/review/rig/servers.go
+++ b/review/rig/servers.go
@@ -35,6 +35,7 @@
 	Log    bool // write a line for each attempt
 
 	mu       sync.Mutex
+	caches   []*Cache
 	Attempts []*Attempt
 	byID     map[string][]*Attempt
 	missed   map[string][]*Cache  // by request id
@@ -98,6 +99,18 @@
 	f.Applied[a.Label]++
 }
 
+// dropCopies drops what cache servers keep of a key.
+func (f *Fleet) dropCopies(key string) {
+	f.mu.Lock()
+	caches := f.caches
+	f.mu.Unlock()
+	for _, c := range caches {
+		c.mu.Lock()
+		delete(c.stored, key)
+		c.mu.Unlock()
+	}
+}
+
 // Value is the value of a key as it is made for a request.
 func (f *Fleet) Value(key, id string) []byte {
 	size := 100
@@ -129,18 +142,14 @@
 	mu       sync.Mutex
 	stored   map[string]bool
 	listener net.Listener
-	conns    map[net.Conn]bool
 	HoldAll  bool                                 // it has every key
-	Writes   bool                                 // it carries writes out itself, as where caches pass them to the origin
 	Work     func(key string) time.Duration       // how long a command takes
 	Write    func(c net.Conn, answer []byte) bool // how an answer is written; nil: at once
-	Hang     bool                                 // it takes commands and answers none
-	slot     chan struct{}
 }
 
 // AddCache starts a cache server and lists it.
 func (f *Fleet) AddCache(id string, i Instance) (*Cache, error) {
-	c := &Cache{ID: id, fleet: f, stored: map[string]bool{}, conns: map[net.Conn]bool{}, slot: make(chan struct{}, 64)}
+	c := &Cache{ID: id, fleet: f, stored: map[string]bool{}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -149,6 +158,9 @@
 	c.Addr = l.Addr().String()
 	i.ID, i.HostPort = id, c.Addr
 	f.List.Put(i)
+	f.mu.Lock()
+	f.caches = append(f.caches, c)
+	f.mu.Unlock()
 	go c.accept(l)
 	return c, nil
 }
@@ -160,54 +172,24 @@
 	c.mu.Unlock()
 }
 
-// Drop drops a key.
-func (c *Cache) Drop(key string) {
-	c.mu.Lock()
-	delete(c.stored, key)
-	c.mu.Unlock()
-}
-
 func (c *Cache) has(key string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.HoldAll || c.stored[key]
 }
 
-func (c *Cache) hangs() bool { c.mu.Lock(); defer c.mu.Unlock(); return c.Hang }
-
-// SetHang makes the server take commands and answer none, or ends that.
-func (c *Cache) SetHang(on bool) { c.mu.Lock(); c.Hang = on; c.mu.Unlock() }
-
-// ResetAll resets all connections.
-func (c *Cache) ResetAll() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for k := range c.conns {
-		k.(*net.TCPConn).SetLinger(0)
-		k.Close()
-	}
-}
-
 func (c *Cache) accept(l net.Listener) {
 	for {
 		k, err := l.Accept()
 		if err != nil {
 			return
 		}
-		c.mu.Lock()
-		c.conns[k] = true
-		c.mu.Unlock()
 		go c.serve(k)
 	}
 }
 
 func (c *Cache) serve(k net.Conn) {
-	defer func() {
-		c.mu.Lock()
-		delete(c.conns, k)
-		c.mu.Unlock()
-		k.Close()
-	}()
+	defer k.Close()
 	in := bufio.NewReaderSize(k, 1<<16)
 	for {
 		if _, err := in.Peek(1); err != nil {
@@ -223,9 +205,7 @@
 			return
 		}
 		if words[0] == "mn" {
-			if !c.hangs() {
-				io.WriteString(k, "MN\r\n")
-			}
+			io.WriteString(k, "MN\r\n")
 			continue
 		}
 		if words[0] != "mg" && words[0] != "ms" || len(words) < 3 {
@@ -250,19 +230,11 @@
 		}
 		a.At = time.Now()
 		c.fleet.arrived(a)
-		if c.hangs() {
-			continue
-		}
 		if c.Work != nil {
-			c.slot <- struct{}{}
 			time.Sleep(c.Work(a.Key))
-			<-c.slot
 		}
 		var answer []byte
 		switch {
-		case a.Verb == "ms" && c.Writes:
-			c.fleet.carryOut(a)
-			answer = []byte(fmt.Sprintf("HD O%s cr%08x\r\n", a.ID, rand.Uint32()))
 		case a.Verb == "ms" || !c.has(a.Key):
 			c.fleet.mu.Lock()
 			c.fleet.missed[a.ID] = append(c.fleet.missed[a.ID], c)
@@ -292,10 +264,6 @@
 	fleet *Fleet
 	// Work returns how long a request takes; nil: 20 ms.
 	Work func(a *Attempt) time.Duration
-	// After is called once a request has been carried out and before its answer. It returns false to reset the
-	// connection in place of an answer.
-	After  func(a *Attempt) bool
-	server *http.Server
 }
 
 // AddOrigin starts the origin and lists it.
@@ -305,8 +273,7 @@
 		return nil, err
 	}
 	o := &Origin{ID: id, Addr: l.Addr().String(), fleet: f}
-	o.server = &http.Server{Handler: o}
-	go o.server.Serve(l)
+	go http.Serve(l, o)
 	f.List.Put(Instance{ID: id, HostPort: o.Addr, Zone: zone, Kind: kind, Lifecycle: "in_service", Weight: 1})
 	return o, nil
 }
@@ -330,6 +297,7 @@
 	var body []byte
 	if in.Method == "PUT" || in.Method == "POST" {
 		o.fleet.carryOut(a)
+		o.fleet.dropCopies(a.Key)
 		body = []byte(fmt.Sprintf("r%08x", rand.Uint32()))
 	} else {
 		body = o.fleet.Value(a.Key, a.ID)
@@ -342,16 +310,6 @@
 			}
 		}
 	}
-	if o.After != nil && !o.After(a) {
-		if h, ok := out.(http.Hijacker); ok {
-			if c, _, err := h.Hijack(); err == nil {
-				c.(*net.TCPConn).SetLinger(0)
-				c.Close()
-				return
-			}
-		}
-		panic(http.ErrAbortHandler)
-	}
 	out.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	out.Write(body)
 }
--- a/review/rig/settings.go
+++ b/review/rig/settings.go
@@ -56,28 +56,3 @@
 		{Name: "answer-submit", Benefit: 8, Effect: "deduplicated", Group: "all", Hard: 0.8, Soft: 0.25, TTL: 0.8, Late: 0.3},
 	}
 }
-
-// Siliguri has the figures of siliguri-schools.
-const Siliguri = `{"benefit_basis":"request",
-"bounds":{"cancel":true,"conn_idle_s":15.0,"connect_timeout_s":0.25,"cpu_us_per_request":10.0,"cpu_us_per_s":16000,
-"max_retry_after_s":1.5,"may_tell":false,"most_legs":5,"open_cap":40000,"probes":false,"retry_after":false,
-"second_copies":true,"streams_per_conn":100},
-"clients":{"marks_retry":false},"discovery":"ask","domain_type":"cache","excess_benefit":0.1,
-"failure_domains":["siliguri-hall"],"family_info":{"mode":"through","origin_kind":-1},
-"kinds":["single-core"],"me":0,"n_instances":2,"round_s":0.004,
-"rules":{"ask_within_s":10.0,"cold_from":0.14,"cold_s":23,"grace_to_answer_s":0.02,"overload_factor":2.5,
-"overload_for_s":2.0,"stop_sending_within_s":0.25},
-"scoring_mix":{"whole":0.45,"worst_class":0.2,"worst_tenant":0.0,"worst_window":0.35},
-"tariffs":{"connection":0.0,"cross_zone":0.0,"discovery":0.0,"handshake":0.0,"late_fail":0.12,"moves":0.0,
-"origin":0.0,"peer":0,"probe":0,"waste":0.25},
-"telemetry":{"columns":["utilization","x1"],"how":"answers"},"tenants":[],"tier":0,"tiers":["slide-box"],"weights":"none",
-"zone":"siliguri-hall"}`
-
-// SiliguriGrades are the service grades of siliguri-schools.
-func SiliguriGrades() []Grade {
-	return []Grade{
-		{Name: "slide-fetch", Benefit: 1, Effect: "idempotent", Group: "all", Hard: 0.75, Soft: 0.3, TTL: 5},
-		{Name: "score-submit", Benefit: 10, Effect: "at_most_once", Group: "all", Hard: 0.8, Soft: 0.25, TTL: 5},
-		{Name: "sheet-upload", Benefit: 2, Effect: "deduplicated", Group: "all", Hard: 1.5, Soft: 0.6, TTL: 7.5},
-	}
-}
