Review, case 3: a request that was not written whole does not count as lost

Cause: a long read whose write failed would have counted as cut off, though the node had not taken it: the check was stricter there than the rule. Change: such a read is recorded as not taken.

--- a/review/3/main.go
+++ b/review/3/main.go
@@ -166,6 +166,8 @@
 			strings.HasPrefix(string(call.Value), "value of "+call.Key+" for "+call.ID+" ")
 		switch {
 		case whole, call.Outcome() == "refused", call.Outcome() == "failed":
+		case call.Sent.IsZero(): // not written whole, so not taken
+			c.Line("%s was not taken: %v", call.ID, call.Err)
 		case !killed.IsZero(): // what SIGKILL finds unanswered, and came before SIGTERM, is not lost
 			c.Line("%s was found by SIGKILL", call.ID)
 		default:
