Drain: the log says what is still being delivered as a drain begins and ends

The log could not tell why: streamed values are not requests in flight, so a node with four of them logged in_hand=1, and nothing as it stopped.

'draining' has the field streams, and 'drain ended' tells the clients, requests, streams and unsent bytes that are left; it is a warning if that cuts off answers.

--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"dahliapin/policy"
 )
 
@@ -36,7 +38,10 @@
 		return
 	}
 	p.lifecycle.drainStartedAt = p.now()
-	p.config.Log.WithField("in_hand", p.inflight.requests.Len()).Info("draining")
+	p.config.Log.WithFields(logrus.Fields{
+		"in_hand": p.inflight.requests.Len(),
+		"streams": p.countUndelivered().streams,
+	}).Info("draining")
 	// The phase changes first: OnPhaseChange reads Replaced, which returnToPredecessor changes.
 	p.enterPhase(Draining)
 	p.returnToPredecessor()
@@ -77,17 +82,34 @@
 	if p.takeover.otherProcessAccepts || noMoreClients {
 		p.closeIdleClients()
 		if p.canStop(now) {
-			p.enterPhase(Stopped)
+			p.endDrain()
 			return
 		}
 	}
 	if now >= p.drainDeadline() { // no client waits any longer, even if connections still arrive
-		p.enterPhase(Stopped)
+		p.endDrain()
 		return
 	}
 	p.scheduleIdleClientCheck()
 }
 
+// endDrain stops the node and logs what that cuts off.
+func (p *Proxy) endDrain() {
+	left := p.countUndelivered()
+	log := p.config.Log.WithFields(logrus.Fields{
+		"clients":      p.downstream.conns.Len(),
+		"in_hand":      p.inflight.requests.Len(),
+		"streams":      left.streams,
+		"unsent_bytes": left.unsentBytes,
+	})
+	if left.any() || p.inflight.requests.Len() > 0 {
+		log.Warn("drain ended; unfinished answers are cut off")
+	} else {
+		log.Info("drain ended")
+	}
+	p.enterPhase(Stopped)
+}
+
 // countIdleCheck counts the consecutive checks that were on time and saw no new connection since the one before, nor one
 // that an acceptor still holds. Checks are due every drainCheckInterval; one is on time until half of drainQuietTime, 75
 // ms, after the one before. Late checks reset the count, since a process that was stalled accepted nothing meanwhile:
