Drain: a value that a server still gives is not cut off at the drain's limit

Cause: a draining node stopped at drainDeadline, the longest deadline and 0.5 s, by which each request is answered. An attempt counts as answered with the first byte of a streamed value, so neither canStop nor the capped deadlines saw the rest of it; nor bytes of any answer that a client had not read. Not the clients, which read at once, and not the caches, which saw broken pipes.

Change: past drainDeadline a node stops only once it delivers nothing: no streamed value, and no unsent bytes that go on falling. Both waits end by the limits that hold in service (5 s without a byte from the server, 10 s in which the client reads none). Requests get no more time than before. This is right since the process manager kills the process at drainDeadline and 0.2 s at the earliest, but at any later time too, and a node that ends by itself has lost the answer.

--- a/cmd/dahliapin/upgrade_test.go
+++ b/cmd/dahliapin/upgrade_test.go
@@ -23,6 +23,8 @@
 	t             testing.TB
 	dir, listen   string
 	discovery     string
+	hardStop      float64                            // longest deadline in seconds
+	serveCache    func(c net.Conn, command []string) // answers a command at the cache
 	answered      atomic.Int64
 	lost          atomic.Int64
 	first         atomic.Value // error of the first lost request
@@ -32,7 +34,7 @@
 }
 
 func newUpgradeHarness(t testing.TB) *upgradeHarness {
-	s := &upgradeHarness{t: t, dir: t.TempDir(), done: make(chan bool)}
+	s := &upgradeHarness{t: t, dir: t.TempDir(), done: make(chan bool), hardStop: 3, serveCache: serveHello}
 	cache, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -50,9 +52,7 @@
 					if err != nil {
 						return
 					}
-					f := strings.Fields(line)
-					time.Sleep(5 * time.Millisecond) // so that some requests are in flight whenever a process exits
-					fmt.Fprintf(c, "VA 5 %s\r\nhello\r\n", f[3])
+					s.serveCache(c, strings.Fields(line))
 				}
 			}()
 		}
@@ -71,6 +71,12 @@
 	return s
 }
 
+// serveHello takes some time, so that some requests are in flight whenever a process exits.
+func serveHello(c net.Conn, command []string) {
+	time.Sleep(5 * time.Millisecond)
+	fmt.Fprintf(c, "VA 5 %s\r\nhello\r\n", command[3])
+}
+
 // harnessProcess is one process of the node.
 type harnessProcess struct {
 	*exec.Cmd
@@ -89,10 +95,10 @@
 func (s *upgradeHarness) startHeld() (p *harnessProcess, release func()) {
 	s.t.Helper()
 	file := fmt.Sprintf("%s/%d.json", s.dir, s.starts.Add(1))
-	text := fmt.Sprintf(`{"name":"n","listen":%q,"ops":"127.0.0.1:0","discovery":%q,
+	text := fmt.Sprintf(`{"name":"n","listen":%[1]q,"ops":"127.0.0.1:0","discovery":%[2]q,
 "limits":{"memory_mb":64,"sockets":384},"settings":{"service_grades":[
-{"name":"read","benefit":1,"effect":"idempotent","soft_limit_s":2,"hard_stop_s":3}],
-"bounds":{"most_legs":3,"conn_idle_s":15}}}`, s.listen, s.discovery)
+{"name":"read","benefit":1,"effect":"idempotent","soft_limit_s":%[3]v,"hard_stop_s":%[3]v}],
+"bounds":{"most_legs":3,"conn_idle_s":15}}}`, s.listen, s.discovery, s.hardStop)
 	if err := syscall.Mkfifo(file, 0o600); err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/proxy/doc.go
+++ b/internal/proxy/doc.go
@@ -51,6 +51,9 @@
 // arrive are served. drainStep checks repeatedly whether idle connections may be closed: once no connection has arrived
 // for a while, or at once if another process accepts the connections. The last answer on each connection announces the
 // close, if the protocol supports that. The node stops when no connection and no request is left, or at drainDeadline.
+// After drainDeadline it still waits for answers that it has begun to write, as long as they get on (delivery.go): the
+// process manager may kill the process later than that, and the answers may be complete by then.
+//
 // Run then closes the handover offer and stops the engine, and node.Serve waits until OnEvent of node.Config has
 // received the events of the event log, leaves the fleet and closes the admin server.
 //
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -23,7 +23,7 @@
 	// maxShutdownWait is the longest request deadline for which the process manager delays killing the process, as
 	// agreed with the operators.
 	maxShutdownWait = 3 * time.Second
-	// shutdownMargin is the time after the longest deadline by which the node must have stopped.
+	// shutdownMargin is the time from the longest deadline to drainDeadline.
 	shutdownMargin = 500 * time.Millisecond
 	// answerMargin is how long before drainDeadline the node answers all requests still in flight. It leaves time for
 	// ten idle checks, which close the connections.
@@ -32,7 +32,7 @@
 
 // startDrain begins a graceful shutdown. New connections and requests are served until the load balancer has stopped
 // sending them. Then connections are closed as they become idle, and the node stops once none is left, or at
-// drainDeadline.
+// drainDeadline if it has no answer left to deliver.
 func (p *Proxy) startDrain() {
 	if p.lifecycle.phase == Draining || p.lifecycle.phase == Stopped {
 		return
@@ -49,7 +49,9 @@
 	p.drainStep()
 }
 
-// drainDeadline returns when a draining node stops at the latest: before the process manager kills it.
+// drainDeadline returns when a draining node stops if all that it still has are connections without an answer to
+// deliver: before the process manager may kill it. No request waits for an answer then. An answer that is being written
+// is not cut off: the process manager may kill the process later than that, and the answer may be complete by then.
 func (p *Proxy) drainDeadline() policy.Instant {
 	longest := cmp.Or(p.config.Settings.LongestDeadline, maxShutdownWait)
 	return p.lifecycle.drainStartedAt.Add(min(longest, maxShutdownWait) + shutdownMargin)
@@ -77,6 +79,7 @@
 func (p *Proxy) drainStep() {
 	now := p.now()
 	p.countIdleCheck(now)
+	p.updateDelivery(now)
 	sinceConnected := now.Since(p.downstream.lastConnectedAt)
 	noMoreClients := now.Since(p.lifecycle.drainStartedAt) >= drainAcceptTime && sinceConnected >= drainQuietTime
 	if p.takeover.otherProcessAccepts || noMoreClients {
@@ -86,7 +89,7 @@
 			return
 		}
 	}
-	if now >= p.drainDeadline() { // no client waits any longer, even if connections still arrive
+	if now >= p.drainDeadline() && !p.isDelivering(now) { // no request waits, even if connections still arrive
 		p.endDrain()
 		return
 	}
--- /dev/null
+++ b/internal/proxy/drain_delivery_test.go
@@ -0,0 +1,226 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"dahliapin/internal/proxy/metrics"
+)
+
+// shortestDrain is the limit of a drain in these tests: the node waits no longer for requests that have no answer.
+const shortestDrain = testLongestDeadline + shutdownMargin
+
+const testLongestDeadline = 100 * time.Millisecond
+
+// withShortDrain makes a drain as short as shortestDrain.
+func withShortDrain(config *Config) { config.Settings.LongestDeadline = testLongestDeadline }
+
+// pausedValue is a server that gives half of each value, and the rest once the test calls giveRest.
+type pausedValue struct {
+	value string
+	rest  chan bool
+}
+
+func newPausedValue() *pausedValue {
+	return &pausedValue{value: strings.Repeat("v", 4*streamThreshold), rest: make(chan bool)}
+}
+
+func (s *pausedValue) giveRest() { close(s.rest) }
+
+// serveMeta answers the first command on a connection to a cache, and its further ones with a short value.
+func (s *pausedValue) serveMeta(c net.Conn) {
+	half := len(s.value) / 2
+	lines := bufio.NewReader(c)
+	line, err := lines.ReadString('\n')
+	if err != nil {
+		return
+	}
+	if strings.HasPrefix(line, "mg short ") {
+		io.WriteString(c, helloValue(line))
+		return
+	}
+	fmt.Fprintf(c, "VA %d %s\r\n%s", len(s.value), idFlag(line), s.value[:half])
+	<-s.rest
+	io.WriteString(c, s.value[half:]+"\r\n")
+	lines.ReadString('\n') // until the node closes the connection
+}
+
+// serveHTTP answers the requests to an origin.
+func (s *pausedValue) serveHTTP(w http.ResponseWriter, _ *http.Request) {
+	half := len(s.value) / 2
+	w.Header().Set("Content-Length", fmt.Sprint(len(s.value)))
+	io.WriteString(w, s.value[:half])
+	w.(http.Flusher).Flush()
+	<-s.rest
+	io.WriteString(w, s.value[half:])
+}
+
+// drainCases are the ways in which a drain begins. Each is called in the event loop before startDrain.
+var drainCases = map[string]func(g *harness){
+	"a restart":            func(*harness) {},
+	"replaced":             func(g *harness) { g.takeover.otherProcessAccepts = true },
+	"a restart on standby": func(g *harness) { _ = g.enterStandby() },
+}
+
+// Guards against a node that stops at the limit of its drain while a server still gives a long value: the client's
+// connection ended in the middle of it, before the process manager would have killed the node. This applies to each way
+// in which a drain begins, to each protocol of clients and servers, and to answers that wait behind such a value.
+func TestDrainDeliversValuesThatOutlastItsLimit(t *testing.T) {
+	for name, begin := range drainCases {
+		for _, fromOrigin := range []bool{false, true} {
+			for _, byHTTP := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, from origin %v, by HTTP %v", name, fromOrigin, byHTTP), func(t *testing.T) {
+					t.Parallel()
+					drainDuringStream(t, begin, fromOrigin, byHTTP)
+				})
+			}
+		}
+	}
+}
+
+func drainDuringStream(t *testing.T, begin func(*harness), fromOrigin, byHTTP bool) {
+	server := newPausedValue()
+	miss := func(line string) string { return "EN " + idFlag(line) + "\r\n" }
+	g := newHarness(t, 200, miss, withShortDrain, withHTTPListeners)
+	if fromOrigin {
+		g.moveEndpoint("o", g.listenHTTP(server.serveHTTP))
+	} else {
+		g.moveEndpoint("c", g.listen(server.serveMeta))
+	}
+	want := fmt.Sprintf("VA %d Oa\r\n%s\r\n", len(server.value), server.value)
+	request, addr := "mg k v Oa Pc=read,d=900\r\n", g.addr
+	if byHTTP {
+		request, addr = requestHead("GET /p/k"), g.Addr(1)
+		want = server.value
+	}
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(testTimeout))
+	io.WriteString(c, request)
+	r := bufio.NewReaderSize(c, len(server.value))
+	if _, err := r.Peek(len(server.value) / 2); err != nil {
+		t.Fatal(err)
+	}
+	if !byHTTP && !fromOrigin {
+		fmt.Fprint(c, "mg short v Ob Pc=read,d=900\r\n")
+		g.waitUntil("the short answer waits", func(n metrics.Counters) bool { return n.Satisfied == 1 })
+		want += "VA 5 Ob\r\nhello\r\n"
+	}
+	g.runInLoop(func() {
+		begin(g)
+		g.startDrain()
+	})
+	began := time.Now()
+	time.Sleep(shortestDrain + drainQuietTime)
+	server.giveRest()
+	got, _ := io.ReadAll(r)
+	if !strings.HasSuffix(string(got), want) {
+		t.Errorf("got %d bytes, want %d and a head", len(got), len(want))
+	}
+	g.loop.Wait()
+	if took := time.Since(began); took > shortestDrain+testTimeout/2 {
+		t.Errorf("stopped after %v", took)
+	}
+}
+
+// slowReader sends reads of values below streamThreshold, which the node holds whole, and reads nothing until the test
+// does. It returns the connection and how many bytes it is owed.
+func (g *harness) slowReader(value string) (r *bufio.Reader, owed int) {
+	g.t.Helper()
+	c, r := g.client()
+	g.waitUntil("the client is connected", func(n metrics.Counters) bool { return n.Clients == 1 })
+	shrinkSendBuffer(g.t, c.LocalAddr().String())
+	const reads = 64 // of more bytes than the kernel buffers
+	for n := range reads {
+		fmt.Fprintf(c, "mg k%d v O%02d Pc=read,d=9000\r\n", n, n)
+		owed += len("VA 65536 O00\r\n") + len(value) + len("\r\n")
+	}
+	g.waitUntil("all answers are written", func(n metrics.Counters) bool { return n.Satisfied == reads })
+	if g.engine.Unsent() == 0 {
+		g.t.Fatal("the kernel has accepted all answers")
+	}
+	return r, owed
+}
+
+func answerWith(value string) func(line string) string {
+	return func(line string) string { return fmt.Sprintf("VA %d %s\r\n%s\r\n", len(value), idFlag(line), value) }
+}
+
+// Guards against a node that stops at the limit of its drain while a client still reads answers that the node holds:
+// the kernel had not accepted them, and they were cut off.
+func TestDrainDeliversAnswersToAClientThatReadsSlowly(t *testing.T) {
+	value := strings.Repeat("v", streamThreshold)
+	g := newHarness(t, 200, answerWith(value), withShortDrain)
+	r, owed := g.slowReader(value)
+	g.Shutdown()
+	time.Sleep(shortestDrain + drainQuietTime)
+	got, err := io.ReadAll(r)
+	if len(got) != owed {
+		t.Errorf("got %d of %d bytes, %v", len(got), owed, err)
+	}
+	g.loop.Wait()
+}
+
+// Guards against a drain without end: a client that reads nothing for slowReaderTimeout is given up, even if it goes on
+// sending commands whose answers are queued for it.
+func TestDrainEndsDespiteAClientThatReadsNothing(t *testing.T) {
+	value := strings.Repeat("v", streamThreshold)
+	g := newHarness(t, 200, answerWith(value), withShortDrain)
+	g.slowReader(value)
+	g.Shutdown()
+	time.Sleep(shortestDrain + drainQuietTime)
+	if g.lifecyclePhase() != Draining {
+		t.Fatal("stopped although its client had read nothing for less than slowReaderTimeout")
+	}
+	g.runInLoop(func() { // as if slowReaderTimeout had passed
+		g.lifecycle.delivery.progressAt = g.lifecycle.delivery.progressAt.Add(-slowReaderTimeout)
+		g.downstream.conns.Each(func(_ clientConnID, client *clientConn) {
+			_ = client.socket.Write([]byte("one more answer"))
+		})
+	})
+	g.loop.Wait()
+}
+
+// lifecyclePhase returns the phase as the event loop sees it.
+func (g *harness) lifecyclePhase() Phase {
+	phase := make(chan Phase, 1)
+	if !g.runInLoop(func() { phase <- g.lifecycle.phase }) {
+		return Stopped
+	}
+	return receive(g.t, phase)
+}
+
+// Guards against a drain without end: a server that gives nothing more of a value for streamIdleTimeout is given up.
+func TestDrainEndsDespiteAServerThatStopsInAValue(t *testing.T) {
+	server := newPausedValue()
+	g := newHarness(t, 200, helloValue, withShortDrain)
+	g.moveEndpoint("c", g.listen(server.serveMeta))
+	defer server.giveRest()
+	c, r := g.client()
+	fmt.Fprint(c, "mg k v Oa Pc=read,d=900\r\n")
+	g.expect(r, fmt.Sprintf("VA %d Oa", len(server.value)))
+	g.Shutdown()
+	time.Sleep(shortestDrain + drainQuietTime)
+	if g.lifecyclePhase() != Draining {
+		t.Fatal("stopped before streamIdleTimeout")
+	}
+	g.runInLoop(func() { // as if streamIdleTimeout had passed
+		g.upstream.conns.Each(func(id upstreamConnID, conn *upstreamConn) {
+			if conn.stream != nil {
+				conn.stream.endpointActiveAt = conn.stream.endpointActiveAt.Add(-streamIdleTimeout)
+				conn.stream.checkAt = g.now()
+				g.schedule(g.now(), timerEvent{kind: timerStream, conn: id})
+			}
+		})
+	})
+	g.loop.Wait()
+}
