Drain: the request behind a streamed HTTP value is not dropped unread

What callers saw: an HTTP client that received a long value from a draining node and then sent its next request on that connection got an end instead of an answer, with the request taken.

Cause: the last answer on a connection announces its end by 'Connection: close', and nothing more is read from then on. The head of a streamed value is written before its last byte is due, so the end of one has no head to put that in; the connection counted as announced all the same.

Change: an answer without a head announces nothing.

Test, failed before (no answer within 10 s): TestDrainAnswersTheRequestAfterAStreamedValue.

--- a/internal/proxy/downstream_http.go
+++ b/internal/proxy/downstream_http.go
@@ -184,8 +184,13 @@
 	return h.textResponse(request, 200, strings.TrimSuffix(text.String(), "\n"))
 }
 
+// announceClose adds the header to the head of a response. The end of a streamed response has no head: that was written
+// before.
 func (h *httpDownstream) announceClose(response []byte) ([]byte, bool) {
 	endOfHead := []byte("\r\n\r\n")
 	closing := []byte("\r\nConnection: close\r\n\r\n")
+	if !bytes.Contains(response, endOfHead) {
+		return response, false
+	}
 	return bytes.Replace(response, endOfHead, closing, 1), true
 }
--- a/internal/proxy/drain_delivery_test.go
+++ b/internal/proxy/drain_delivery_test.go
@@ -132,25 +132,33 @@
 	}
 }
 
-// slowReader sends reads of values below streamThreshold, which the node holds whole, and reads nothing until the test
-// does. It returns the connection and how many bytes it is owed.
-func (g *harness) slowReader(value string) (r *bufio.Reader, owed int) {
+// slowReads is how many values below streamThreshold are more than the kernel buffers for a client.
+const slowReads = 64
+
+// slowReader connects to a listener and sends slowReads requests. It reads none of the answers, which the node holds
+// whole, before the test does.
+func (g *harness) slowReader(listener int, request func(n int) string) (r *bufio.Reader) {
 	g.t.Helper()
-	c, r := g.client()
+	c, err := net.Dial("tcp", g.Addr(listener))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(testTimeout))
 	g.waitUntil("the client is connected", func(n metrics.Counters) bool { return n.Clients == 1 })
 	shrinkSendBuffer(g.t, c.LocalAddr().String())
-	const reads = 64 // of more bytes than the kernel buffers
-	for n := range reads {
-		fmt.Fprintf(c, "mg k%d v O%02d Pc=read,d=9000\r\n", n, n)
-		owed += len("VA 65536 O00\r\n") + len(value) + len("\r\n")
+	for n := range slowReads {
+		io.WriteString(c, request(n))
 	}
-	g.waitUntil("all answers are written", func(n metrics.Counters) bool { return n.Satisfied == reads })
+	g.waitUntil("all answers are written", func(n metrics.Counters) bool { return n.Satisfied == slowReads })
 	if g.engine.Unsent() == 0 {
 		g.t.Fatal("the kernel has accepted all answers")
 	}
-	return r, owed
+	return bufio.NewReader(c)
 }
 
+func readOfNumber(n int) string { return fmt.Sprintf("mg k%d v O%02d Pc=read,d=9000\r\n", n, n) }
+
 func answerWith(value string) func(line string) string {
 	return func(line string) string { return fmt.Sprintf("VA %d %s\r\n%s\r\n", len(value), idFlag(line), value) }
 }
@@ -160,11 +168,11 @@
 func TestDrainDeliversAnswersToAClientThatReadsSlowly(t *testing.T) {
 	value := strings.Repeat("v", streamThreshold)
 	g := newHarness(t, 200, answerWith(value), withShortDrain)
-	r, owed := g.slowReader(value)
+	r := g.slowReader(0, readOfNumber)
 	g.Shutdown()
 	time.Sleep(shortestDrain + drainQuietTime)
 	got, err := io.ReadAll(r)
-	if len(got) != owed {
+	if owed := slowReads * len("VA 65536 O00\r\n"+value+"\r\n"); len(got) != owed {
 		t.Errorf("got %d of %d bytes, %v", len(got), owed, err)
 	}
 	g.loop.Wait()
@@ -175,7 +183,7 @@
 func TestDrainEndsDespiteAClientThatReadsNothing(t *testing.T) {
 	value := strings.Repeat("v", streamThreshold)
 	g := newHarness(t, 200, answerWith(value), withShortDrain)
-	g.slowReader(value)
+	g.slowReader(0, readOfNumber)
 	g.Shutdown()
 	time.Sleep(shortestDrain + drainQuietTime)
 	if g.lifecyclePhase() != Draining {
@@ -224,3 +232,64 @@
 	})
 	g.loop.Wait()
 }
+
+// slowHTTPReader sends a GET and reads no more of its value than the node needs to have taken all of it from the cache.
+// It calls meanwhile once the value has begun.
+func (g *harness) slowHTTPReader(request string, meanwhile func()) (c net.Conn, r *bufio.Reader) {
+	g.t.Helper()
+	c, err := net.Dial("tcp", g.Addr(1))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(testTimeout))
+	c.(*net.TCPConn).SetReadBuffer(streamThreshold)
+	g.waitUntil("the client is connected", func(n metrics.Counters) bool { return n.Clients == 1 })
+	shrinkSendBuffer(g.t, c.LocalAddr().String())
+	io.WriteString(c, request)
+	var got strings.Builder
+	if _, err := io.CopyN(&got, c, streamThreshold/8); err != nil {
+		g.t.Fatal(err)
+	}
+	meanwhile()
+	for g.Counters().Satisfied == 0 {
+		if _, err := io.CopyN(&got, c, streamThreshold/8); err != nil {
+			g.t.Fatal(err)
+		}
+	}
+	if g.engine.Unsent() == 0 {
+		g.t.Fatal("the kernel has accepted all of the value")
+	}
+	return c, bufio.NewReader(io.MultiReader(strings.NewReader(got.String()), c))
+}
+
+// readHTTPValue reads a response and returns its status and the size of its body.
+func readHTTPValue(t *testing.T, r *bufio.Reader) (status, size int) {
+	t.Helper()
+	response, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, _ := io.ReadAll(response.Body)
+	return response.StatusCode, len(body)
+}
+
+// Guards against a draining node that reads a request and neither answers it nor resets its connection: the connection
+// was closed after a streamed value, whose head had been written before the drain and so could not announce that.
+func TestDrainAnswersTheRequestAfterAStreamedValue(t *testing.T) {
+	long := strings.Repeat("v", 8*streamThreshold)
+	g := newHarness(t, 200, func(line string) string {
+		if strings.HasPrefix(line, "mg long ") {
+			return answerWith(long)(line)
+		}
+		return helloValue(line)
+	}, withHTTPListeners)
+	c, r := g.slowHTTPReader(requestHead("GET /p/long"), func() { g.Shutdown() })
+	io.WriteString(c, requestHead("GET /p/k"))
+	g.waitUntil("the second request is answered", func(n metrics.Counters) bool { return n.Satisfied == 2 })
+	for _, want := range []int{len(long), len("hello")} {
+		if status, size := readHTTPValue(t, r); status != http.StatusOK || size != want {
+			t.Errorf("status %d with %d bytes, want %d", status, size, want)
+		}
+	}
+}
