Closing connections: the last answer is not cut off while its client still reads it

What callers saw: a client that asked over HTTP with 'Connection: close' (or in HTTP/1.0), or whose command ended its connection, and read slowly, got a cut answer: the node closed the connection a second after the last answer, with bytes of it and of earlier ones still unsent.

Cause: flushTimeout was a limit for the whole of the rest, whether or not the client went on reading.

Change: the node gives up once the client has read nothing for slowReaderTimeout (10 s), as for streams. flushProgress measures that for closing connections and for drains alike: unsent bytes have to fall below their least number so far, so that a client that reads nothing and sends on gains nothing.

--- a/internal/proxy/delivery.go
+++ b/internal/proxy/delivery.go
@@ -25,27 +25,49 @@
 	return left
 }
 
-// deliveryProgress is how a draining node gets on with what is undelivered.
-type deliveryProgress struct {
-	leastUnsent int64          // smallest number of unsent bytes so far; see updateDelivery
-	progressAt  policy.Instant // when it last fell, or a stream was in flight
-	deliveredAt policy.Instant // when the node last waited for something undelivered
+// flushProgress tells whether the kernel goes on accepting unsent bytes, that is, whether clients go on reading. The zero
+// value has not begun.
+type flushProgress struct {
+	leastUnsent int64          // smallest number of unsent bytes so far
+	progressAt  policy.Instant // when it last fell
+}
+
+// hasBegun reports whether begin has been called.
+func (f *flushProgress) hasBegun() bool { return f.progressAt != 0 }
+
+// begin starts to measure, or starts anew.
+func (f *flushProgress) begin(unsent int64, now policy.Instant) {
+	f.leastUnsent = unsent
+	f.progressAt = now
+}
+
+// isStalled reports whether the number of unsent bytes has not fallen below the smallest one so far for
+// slowReaderTimeout. That the number changes is not enough: answers may be added for a client that reads nothing and
+// goes on sending commands.
+func (f *flushProgress) isStalled(unsent int64, now policy.Instant) bool {
+	if unsent < f.leastUnsent {
+		f.begin(unsent, now)
+	}
+	return now.Since(f.progressAt) >= slowReaderTimeout
+}
+
+// delivery is how a draining node gets on with what is undelivered.
+type delivery struct {
+	flush    flushProgress  // over all clients
+	waitedAt policy.Instant // when the node last waited for something undelivered
 }
 
 // updateDelivery is the part of an idle check that looks at what is undelivered. The node waits for streams, which end
-// by streamIdleTimeout and slowReaderTimeout at the latest, and for unsent bytes as long as their number falls below
-// the smallest one so far within slowReaderTimeout. That their number changes is not enough: a client that reads
-// nothing and goes on sending commands would keep the node from stopping. Before drainAnswerDeadline each change counts,
-// since answers are still being added.
+// by streamIdleTimeout and slowReaderTimeout at the latest, and for unsent bytes as long as clients read them. Before
+// drainAnswerDeadline the measurement starts anew each time, since answers are still being added.
 func (p *Proxy) updateDelivery(now policy.Instant) {
 	left := p.countUndelivered()
 	delivery := &p.lifecycle.delivery
-	if left.streams > 0 || left.unsentBytes < delivery.leastUnsent || now < p.drainAnswerDeadline() {
-		delivery.leastUnsent = left.unsentBytes
-		delivery.progressAt = now
+	if left.streams > 0 || now < p.drainAnswerDeadline() {
+		delivery.flush.begin(left.unsentBytes, now)
 	}
-	if left.any() && now.Since(delivery.progressAt) < slowReaderTimeout {
-		delivery.deliveredAt = now
+	if left.any() && !delivery.flush.isStalled(left.unsentBytes, now) {
+		delivery.waitedAt = now
 	}
 }
 
@@ -53,5 +75,5 @@
 // something undelivered, or did so less than answerMargin ago, which leaves time to close that connection as an idle
 // one.
 func (p *Proxy) isDelivering(now policy.Instant) bool {
-	return now.Since(p.lifecycle.delivery.deliveredAt) < answerMargin
+	return now.Since(p.lifecycle.delivery.waitedAt) < answerMargin
 }
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -22,8 +22,6 @@
 	firstCommandGrace = 50 * time.Millisecond
 	// sweepInterval is the interval of sweep, which looks for slow and idle clients.
 	sweepInterval = 100 * time.Millisecond
-	// flushTimeout is how long a closing connection may take until its client has read the last answer.
-	flushTimeout = time.Second
 	// flushCheckInterval is the interval at which the node checks whether the client of a closing connection has read
 	// the last answer.
 	flushCheckInterval = 20 * time.Millisecond
@@ -76,8 +74,7 @@
 	overLimit       bool           // accepted above the client limit; its requests are rejected while that is exceeded
 	incompleteBytes int            // of the current incomplete command
 	incompleteSince policy.Instant // when that command, or a connection without any, began; 0 if neither applies
-	// flushDeadline is when a closing connection is closed even if its client has not read everything; 0 if not set.
-	flushDeadline policy.Instant
+	flush           flushProgress  // of a closing connection whose last answer has been written
 }
 
 // isIdle reports whether nothing is in flight on the connection in either direction.
@@ -262,14 +259,16 @@
 	return false
 }
 
-// closeOnceFlushed closes a connection once the kernel has accepted its last answer, or at its flushDeadline.
+// closeOnceFlushed closes a connection once the kernel has accepted its last answer, or if its client has read nothing
+// for slowReaderTimeout.
 func (p *Proxy) closeOnceFlushed(id clientConnID) {
 	client := p.downstream.conns.Get(id)
 	if client == nil {
 		return
 	}
 	now := p.now()
-	if client.socket.Unsent() == 0 || now >= client.flushDeadline {
+	unsent := client.socket.Unsent()
+	if unsent == 0 || client.flush.isStalled(unsent, now) {
 		p.closeClient(client)
 		return
 	}
--- a/internal/proxy/drain_delivery_test.go
+++ b/internal/proxy/drain_delivery_test.go
@@ -33,22 +33,22 @@
 
 func (s *pausedValue) giveRest() { close(s.rest) }
 
-// serveMeta answers the first command on a connection to a cache, and its further ones with a short value.
+// serveMeta answers commands at a cache: with the value for the key long, otherwise with a short one.
 func (s *pausedValue) serveMeta(c net.Conn) {
 	half := len(s.value) / 2
-	lines := bufio.NewReader(c)
-	line, err := lines.ReadString('\n')
-	if err != nil {
-		return
-	}
-	if strings.HasPrefix(line, "mg short ") {
-		io.WriteString(c, helloValue(line))
-		return
+	for lines := bufio.NewReader(c); ; {
+		line, err := lines.ReadString('\n')
+		if err != nil {
+			return
+		}
+		if !strings.HasPrefix(line, "mg long ") {
+			io.WriteString(c, helloValue(line))
+			continue
+		}
+		fmt.Fprintf(c, "VA %d %s\r\n%s", len(s.value), idFlag(line), s.value[:half])
+		<-s.rest
+		io.WriteString(c, s.value[half:]+"\r\n")
 	}
-	fmt.Fprintf(c, "VA %d %s\r\n%s", len(s.value), idFlag(line), s.value[:half])
-	<-s.rest
-	io.WriteString(c, s.value[half:]+"\r\n")
-	lines.ReadString('\n') // until the node closes the connection
 }
 
 // serveHTTP answers the requests to an origin.
@@ -94,9 +94,9 @@
 		g.moveEndpoint("c", g.listen(server.serveMeta))
 	}
 	want := fmt.Sprintf("VA %d Oa\r\n%s\r\n", len(server.value), server.value)
-	request, addr := "mg k v Oa Pc=read,d=900\r\n", g.addr
+	request, addr := "mg long v Oa Pc=read,d=900\r\n", g.addr
 	if byHTTP {
-		request, addr = requestHead("GET /p/k"), g.Addr(1)
+		request, addr = requestHead("GET /p/long"), g.Addr(1)
 		want = server.value
 	}
 	c, err := net.Dial("tcp", addr)
@@ -111,7 +111,7 @@
 		t.Fatal(err)
 	}
 	if !byHTTP && !fromOrigin {
-		fmt.Fprint(c, "mg short v Ob Pc=read,d=900\r\n")
+		fmt.Fprint(c, "mg k v Ob Pc=read,d=900\r\n")
 		g.waitUntil("the short answer waits", func(n metrics.Counters) bool { return n.Satisfied == 1 })
 		want += "VA 5 Ob\r\nhello\r\n"
 	}
@@ -190,7 +190,8 @@
 		t.Fatal("stopped although its client had read nothing for less than slowReaderTimeout")
 	}
 	g.runInLoop(func() { // as if slowReaderTimeout had passed
-		g.lifecycle.delivery.progressAt = g.lifecycle.delivery.progressAt.Add(-slowReaderTimeout)
+		flush := &g.lifecycle.delivery.flush
+		flush.progressAt = flush.progressAt.Add(-slowReaderTimeout)
 		g.downstream.conns.Each(func(_ clientConnID, client *clientConn) {
 			_ = client.socket.Write([]byte("one more answer"))
 		})
@@ -214,7 +215,7 @@
 	g.moveEndpoint("c", g.listen(server.serveMeta))
 	defer server.giveRest()
 	c, r := g.client()
-	fmt.Fprint(c, "mg k v Oa Pc=read,d=900\r\n")
+	fmt.Fprint(c, "mg long v Oa Pc=read,d=900\r\n")
 	g.expect(r, fmt.Sprintf("VA %d Oa", len(server.value)))
 	g.Shutdown()
 	time.Sleep(shortestDrain + drainQuietTime)
@@ -233,36 +234,6 @@
 	g.loop.Wait()
 }
 
-// slowHTTPReader sends a GET and reads no more of its value than the node needs to have taken all of it from the cache.
-// It calls meanwhile once the value has begun.
-func (g *harness) slowHTTPReader(request string, meanwhile func()) (c net.Conn, r *bufio.Reader) {
-	g.t.Helper()
-	c, err := net.Dial("tcp", g.Addr(1))
-	if err != nil {
-		g.t.Fatal(err)
-	}
-	g.t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(testTimeout))
-	c.(*net.TCPConn).SetReadBuffer(streamThreshold)
-	g.waitUntil("the client is connected", func(n metrics.Counters) bool { return n.Clients == 1 })
-	shrinkSendBuffer(g.t, c.LocalAddr().String())
-	io.WriteString(c, request)
-	var got strings.Builder
-	if _, err := io.CopyN(&got, c, streamThreshold/8); err != nil {
-		g.t.Fatal(err)
-	}
-	meanwhile()
-	for g.Counters().Satisfied == 0 {
-		if _, err := io.CopyN(&got, c, streamThreshold/8); err != nil {
-			g.t.Fatal(err)
-		}
-	}
-	if g.engine.Unsent() == 0 {
-		g.t.Fatal("the kernel has accepted all of the value")
-	}
-	return c, bufio.NewReader(io.MultiReader(strings.NewReader(got.String()), c))
-}
-
 // readHTTPValue reads a response and returns its status and the size of its body.
 func readHTTPValue(t *testing.T, r *bufio.Reader) (status, size int) {
 	t.Helper()
@@ -277,19 +248,78 @@
 // Guards against a draining node that reads a request and neither answers it nor resets its connection: the connection
 // was closed after a streamed value, whose head had been written before the drain and so could not announce that.
 func TestDrainAnswersTheRequestAfterAStreamedValue(t *testing.T) {
-	long := strings.Repeat("v", 8*streamThreshold)
-	g := newHarness(t, 200, func(line string) string {
-		if strings.HasPrefix(line, "mg long ") {
-			return answerWith(long)(line)
-		}
-		return helloValue(line)
-	}, withHTTPListeners)
-	c, r := g.slowHTTPReader(requestHead("GET /p/long"), func() { g.Shutdown() })
+	server := &pausedValue{value: strings.Repeat("v", 2*streamThreshold), rest: make(chan bool)}
+	g := newHarness(t, 200, helloValue, withHTTPListeners)
+	g.moveEndpoint("c", g.listen(server.serveMeta))
+	c, err := net.Dial("tcp", g.Addr(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(testTimeout))
+	g.waitUntil("the client is connected", func(n metrics.Counters) bool { return n.Clients == 1 })
+	shrinkSendBuffer(t, c.LocalAddr().String())
+	io.WriteString(c, requestHead("GET /p/long"))
+	r := bufio.NewReader(c)
+	if _, err := r.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	g.Shutdown()
+	server.giveRest()
+	g.waitUntil("all of the value is taken", func(n metrics.Counters) bool { return n.Satisfied == 1 })
+	if g.engine.Unsent() == 0 {
+		t.Fatal("the kernel has accepted all of the value")
+	}
 	io.WriteString(c, requestHead("GET /p/k"))
 	g.waitUntil("the second request is answered", func(n metrics.Counters) bool { return n.Satisfied == 2 })
-	for _, want := range []int{len(long), len("hello")} {
+	for _, want := range []int{len(server.value), len("hello")} {
 		if status, size := readHTTPValue(t, r); status != http.StatusOK || size != want {
 			t.Errorf("status %d with %d bytes, want %d", status, size, want)
 		}
 	}
 }
+
+// Guards against cutting off a value whose connection closes after it: the node closed it a second after the
+// last byte had come, however much of it the client had yet to read.
+func TestLastValueOnAConnectionReachesAClientThatReadsSlowly(t *testing.T) {
+	value := strings.Repeat("v", streamThreshold)
+	g := newHarness(t, 200, answerWith(value), withHTTPListeners)
+	r := g.slowReader(1, lastIsClose)
+	time.Sleep(time.Second + drainQuietTime)
+	for n := range slowReads {
+		if status, size := readHTTPValue(t, r); status != http.StatusOK || size != len(value) {
+			t.Fatalf("answer %d: status %d with %d bytes, want %d", n, status, size, len(value))
+		}
+	}
+}
+
+// Guards against closing connections that stay for good: one whose client reads nothing of the last answer is closed
+// after slowReaderTimeout.
+func TestClosingConnectionIsClosedIfItsClientReadsNothing(t *testing.T) {
+	g := newHarness(t, 200, answerWith(strings.Repeat("v", streamThreshold)), withHTTPListeners)
+	g.slowReader(1, lastIsClose)
+	closing, open := make(chan bool, 1), make(chan bool, 1)
+	g.runInLoop(func() {
+		g.downstream.conns.Each(func(_ clientConnID, client *clientConn) { closing <- client.closing })
+	})
+	if !receive(t, closing) {
+		t.Fatal("the connection is not closing")
+	}
+	g.waitUntil("the connection is closed", func(metrics.Counters) bool {
+		g.runInLoop(func() {
+			g.downstream.conns.Each(func(_ clientConnID, client *clientConn) { // as if slowReaderTimeout had passed
+				client.flush.begin(client.socket.Unsent(), g.now().Add(-slowReaderTimeout))
+			})
+			open <- g.downstream.conns.Len() > 0
+		})
+		return !<-open
+	})
+}
+
+// lastIsClose returns HTTP requests, of which the last announces the end of the connection.
+func lastIsClose(n int) string {
+	if n == slowReads-1 {
+		return requestHead("GET /p/last", "Connection: close")
+	}
+	return requestHead("GET /p/k")
+}
--- a/internal/proxy/lifecycle.go
+++ b/internal/proxy/lifecycle.go
@@ -36,7 +36,7 @@
 	// idleCheckScheduled is whether the timer for the next idle check is set. It may be left over from a standby that
 	// has ended.
 	idleCheckScheduled bool
-	delivery           deliveryProgress // of a draining node
+	delivery           delivery // of a draining node
 }
 
 func (p *Proxy) enterPhase(phase Phase) {
--- a/internal/proxy/pipeline.go
+++ b/internal/proxy/pipeline.go
@@ -54,8 +54,8 @@
 	if client.overLimit && client.isIdle() && p.tooManyClients() && p.closeIfIdle(client) {
 		return
 	}
-	if client.closing && len(client.pipeline) == 0 && client.flushDeadline == 0 {
-		client.flushDeadline = p.now().Add(flushTimeout)
+	if client.closing && len(client.pipeline) == 0 && !client.flush.hasBegun() {
+		client.flush.begin(client.socket.Unsent(), p.now())
 		p.closeOnceFlushed(client.id)
 	}
 }
--- a/internal/proxy/response_stream.go
+++ b/internal/proxy/response_stream.go
@@ -15,7 +15,8 @@
 	streamWindow = 64 << 10
 	// streamCheckInterval is the interval at which the node checks whether such a client has caught up.
 	streamCheckInterval = 5 * time.Millisecond
-	// slowReaderTimeout is how long a client may read nothing while it occupies an endpoint's connection.
+	// slowReaderTimeout is how long a client may read nothing while it occupies an endpoint's connection, or while its
+	// connection or the node waits for it to read the last answer.
 	slowReaderTimeout = 10 * time.Second
 	// streamIdleTimeout is how long an endpoint may send nothing while the client is ready to read.
 	streamIdleTimeout = 5 * time.Second
