HTTP: content of a client's GET or HEAD reaches no server as a request of its own

Cause: httpDownstream.fillRequest kept the content of a read as the value, which is meant for writes, and AppendRequest writes no Content-Length for a GET, so the server read the content as the next request on that connection. Its answer came unasked; with the next request waiting there by then, it was taken for that one's, and so were those after it. Evidence: what AppendRequest writes for a GET with a body of 48 bytes reads as a request of 34 bytes and a rest, and the server of the test receives 'GET /k', 'PUT /smuggled hello' where a client has sent a GET with content.

Change, each half enough for this fault: content of a read is not kept (it has no meaning, RFC 9110, 9.3.1; the read is served as one without), and whatever is written with a body has its length, so no caller can cause it anew.

--- a/internal/proxy/downstream_http_route.go
+++ b/internal/proxy/downstream_http_route.go
@@ -61,7 +61,9 @@
 		return badRequest("a key that is none")
 	}
 	filled.key = []byte(key)
-	filled.value = request.Body
+	if filled.write { // content of a read has no meaning (RFC 9110, 9.3.1), and endpoints get none of it
+		filled.value = request.Body
+	}
 	if rejection := h.fillClass(request, route, filled); rejection != nil {
 		return rejection
 	}
--- a/internal/wire/http1/write.go
+++ b/internal/wire/http1/write.go
@@ -15,7 +15,8 @@
 	upperHexDigits = "0123456789ABCDEF"
 )
 
-// AppendRequest appends a request. The headers are complete lines with their line ends.
+// AppendRequest appends a request. The headers are complete lines with their line ends. A body always has a length: one
+// without would be read as the next request on the connection. An empty one has a length if the method expects a body.
 func AppendRequest(to []byte, method string, path []byte, host string, headers, body []byte) []byte {
 	to = append(to, method...)
 	to = append(to, ' ')
@@ -24,7 +25,7 @@
 	to = append(to, host...)
 	to = append(to, lineEnd...)
 	to = append(to, headers...)
-	if method != http.MethodGet {
+	if len(body) > 0 || method != http.MethodGet {
 		to = appendLength(to, len(body))
 	}
 	to = append(to, lineEnd...)
