Drain: a request that comes late is answered whole, not by a value that may be cut off

What callers may see: a read sent on a kept connection over 0.7 s after SIGTERM gets the head of a long value, and SIGKILL ends it.

Cause: with the first byte of a streamed value its request has no deadline any more, so the deadlines that a drain caps, by which each request is answered before SIGKILL is due, do not hold for it.

Change: requests that arrive 0.5 s after a drain began or later are not streamed. Requests that came before are streamed, and waited for, as before.

Test, failed before: TestDrainAnswersLateRequestsForLongValuesWhole (2 of 2: a head at once with the rest not due, where 'busy' was due by the deadline; and a head before the value was whole).

--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -25,6 +25,9 @@
 	maxShutdownWait = 3 * time.Second
 	// shutdownMargin is the time from the longest deadline to drainDeadline.
 	shutdownMargin = 500 * time.Millisecond
+	// drainStreamTime is how long after a drain has begun requests may arrive whose values are streamed. As agreed with
+	// the operators, the process manager may leave requests unanswered that arrived up to 0.7 s after its signal.
+	drainStreamTime = 500 * time.Millisecond
 	// answerMargin is how long before drainDeadline the node answers all requests still in flight. It leaves time for
 	// ten idle checks, which close the connections.
 	answerMargin = 100 * time.Millisecond
@@ -75,6 +78,14 @@
 	})
 }
 
+// mustAnswerWhole reports whether a request's value must not be streamed, because the request arrived more than
+// drainStreamTime after a drain had begun. Once a stream has begun, the request has no deadline any more, and the process
+// manager may kill the node in the middle of the value. That is accepted for requests that arrived by then, but not for
+// later ones: those get a whole answer by drainAnswerDeadline.
+func (p *Proxy) mustAnswerWhole(req *inflightRequest) bool {
+	return p.lifecycle.phase == Draining && req.arrivedAt >= p.lifecycle.drainStartedAt.Add(drainStreamTime)
+}
+
 // drainStep is one idle check of a draining node.
 func (p *Proxy) drainStep() {
 	now := p.now()
--- a/internal/proxy/drain_delivery_test.go
+++ b/internal/proxy/drain_delivery_test.go
@@ -323,3 +323,42 @@
 	}
 	return requestHead("GET /p/k")
 }
+
+// Guards against a long value that is begun for a request which arrived late in a drain, and cut off when the process
+// manager kills the node: unlike one that arrived before, such a request must be answered by then. It must get its value
+// whole before the node's end, or an answer that it gets none.
+func TestDrainAnswersLateRequestsForLongValuesWhole(t *testing.T) {
+	for _, inTime := range []bool{true, false} {
+		t.Run(fmt.Sprintf("the value is whole in time: %v", inTime), func(t *testing.T) {
+			t.Parallel()
+			server := newPausedValue()
+			g := newHarness(t, 200, helloValue)
+			g.moveEndpoint("c", g.listen(server.serveMeta))
+			c, r := g.client()
+			fmt.Fprint(c, "mg long v ") // so that the connection is not idle
+			g.Shutdown()
+			g.Counters() // waits until the loop has handled the shutdown
+			time.Sleep(drainStreamTime)
+			sent := time.Now()
+			fmt.Fprint(c, "Oa Pc=read,d=9000\r\n")
+			want := "SERVER_ERROR busy"
+			if inTime {
+				want = fmt.Sprintf("VA %d Oa", len(server.value))
+				time.AfterFunc(drainQuietTime, server.giveRest)
+			} else {
+				defer server.giveRest()
+			}
+			got, err := r.ReadString('\n')
+			if !strings.HasPrefix(got, want) {
+				t.Fatalf("got %q (%v), want %q", got, err, want)
+			}
+			if took := time.Since(sent); inTime && took < drainQuietTime {
+				t.Errorf("the answer began after %v, before it was whole", took)
+			}
+			if inTime {
+				g.expect(r, server.value)
+			}
+			g.loop.Wait()
+		})
+	}
+}
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -34,6 +34,7 @@
 	client              clientConnID
 	slot                uint64 // the number of its pipeline slot
 	codec               downstreamCodec
+	arrivedAt           policy.Instant
 	parsed              clientRequest // a copy that does not refer to the read buffer
 	deadline            policy.Instant
 	answered            bool // or its client has disconnected
@@ -86,11 +87,12 @@
 	client.overLimit = false
 	request.idempotent = p.config.Settings.Policy.Classes[class].Idempotency == policy.Idempotent
 	req := &inflightRequest{
-		class:    class,
-		deadline: deadline,
-		client:   client.id,
-		slot:     client.firstSlot + uint64(len(client.pipeline)),
-		codec:    client.codec,
+		class:     class,
+		deadline:  deadline,
+		client:    client.id,
+		slot:      client.firstSlot + uint64(len(client.pipeline)),
+		codec:     client.codec,
+		arrivedAt: at,
 	}
 	req.parsed, req.size = cloneRequest(request)
 	p.inflight.bufferedBytes += req.size
