Emulator: one read in eight over HTTP has content, and servers report a read that brings some

No test, soak or rehearsal could see that content of a client's read reached servers as a request: emulated HTTP clients never sent any. Its content has the form of a write now, and emulated caches and origins report content of a read.

--- a/internal/emulator/client/http.go
+++ b/internal/emulator/client/http.go
@@ -22,6 +22,10 @@
 	IdempotencyKeyHeader = "Idempotency-Key"
 )
 
+// ReadContent is content for a read. It has the form of a write that no client sends: a server that carries it out
+// reports an attempt that matches no client request.
+const ReadContent = "PUT /content-of-a-read HTTP/1.1\r\nHost: n\r\n" + IDHeader + ": content\r\nContent-Length: 0\r\n\r\n"
+
 // ETag returns the entity tag that caches assign to a value.
 func ETag(value string) string { return strconv.Quote(value) }
 
@@ -33,7 +37,7 @@
 	header(IDHeader, r.ID)
 	header(ClassHeader, r.Class)
 	header(TimeoutHeader, max(1, r.Timeout.Milliseconds()))
-	if r.Write {
+	if r.Write || r.Value != "" {
 		header("Content-Length", len(r.Value))
 	}
 	if r.IdempotencyKey != "" {
--- a/internal/emulator/client/request.go
+++ b/internal/emulator/client/request.go
@@ -14,7 +14,7 @@
 	Class          string // name of the service class
 	Write          bool
 	Retry          bool          // the client sends the request again
-	Value          string        // of a write
+	Value          string        // of a write; HTTP only: the content of a read, which no server may get
 	CachedValue    string        // HTTP only: makes the request conditional on this value; empty for none
 	Timeout        time.Duration // until the deadline
 	AbandonAfter   time.Duration // time after which the client stops waiting for a response; 0 for never
--- a/internal/emulator/realtime/httpcache.go
+++ b/internal/emulator/realtime/httpcache.go
@@ -14,11 +14,19 @@
 // Emulated HTTP/1.1 caches follow RFC 9111: they serve a stored value with its age, and answer an only-if-cached
 // request that misses with 504. A cache with the fault "stale" serves responses whose age exceeds their max-age.
 const (
-	maxAgeSeconds   = 60 // of stored responses
-	staleBody       = "what may not be served any more"
-	revalidateOneIn = 8 // one read in 8, by a hash of its ID, revalidates a value that its client has
+	maxAgeSeconds = 60 // of stored responses
+	staleBody     = "what may not be served any more"
 )
 
+// The variants of reads by HTTP. The others are plain.
+const (
+	variantRevalidation = iota // revalidates a value that the client has
+	variantContent             // has content
+	httpVariants        = 8
+)
+
+const readContentArrived = "content of a client's read reached a server"
+
 // handleHTTPRequest handles the first request in the received bytes and returns its size, or 0 if it is incomplete or
 // invalid.
 func (c *serverConn) handleHTTPRequest(unparsed []byte) (size int) {
@@ -56,6 +64,9 @@
 	items := fmt.Sprintf("c=%s,d=%s,k=%s",
 		q.Header(client.ClassHeader), q.Header(client.TimeoutHeader), q.Header(client.IdempotencyKeyHeader))
 	isWrite := string(q.Method) != http.MethodGet
+	if !isWrite && len(q.Body) > 0 {
+		r.checker.WrongAnswer(now, id, readContentArrived)
+	}
 	received := &attempt{conn: c, etag: string(q.Header("If-None-Match"))}
 	if !r.offerAttempt(server, id, target, []byte(items), isWrite, received) {
 		c.queueAnswer(httpAnswer(http.StatusServiceUnavailable, "", "busy"))
--- a/internal/emulator/realtime/rig.go
+++ b/internal/emulator/realtime/rig.go
@@ -418,8 +418,8 @@
 	if g.Write {
 		request.Value = world.ValueOf(req.Key)
 	}
-	if m.pool.HTTP && !g.Write && crc32.ChecksumIEEE([]byte(req.ID))%revalidateOneIn == 0 {
-		request.CachedValue = world.ValueOf(req.Key)
+	if m.pool.HTTP && !g.Write {
+		addHTTPVariant(request)
 	}
 	r.requests.Add(1)
 	m.pool.Send(request, func(response client.Response) {
@@ -430,6 +430,17 @@
 	})
 }
 
+// addHTTPVariant makes some reads by HTTP conditional on a value that their client has, and gives others content, by a
+// hash of their ID.
+func addHTTPVariant(read *client.Request) {
+	switch crc32.ChecksumIEEE([]byte(read.ID)) % httpVariants {
+	case variantRevalidation:
+		read.CachedValue = world.ValueOf(read.Key)
+	case variantContent:
+		read.Value = client.ReadContent
+	}
+}
+
 // onResponse records the response to a try, and schedules the client's retry. Rig.mu must be locked.
 func (r *Rig) onResponse(
 	m *member, startsAtSend int, req world.Request, first policy.Instant, response client.Response,
--- a/internal/emulator/realtime/servers.go
+++ b/internal/emulator/realtime/servers.go
@@ -566,13 +566,17 @@
 		return
 	}
 	key, err := url.PathUnescape(strings.TrimPrefix(in.URL.EscapedPath(), "/"))
-	if _, readErr := io.Copy(io.Discard, io.LimitReader(in.Body, maxCommandSize)); err != nil || readErr != nil {
+	bodySize, readErr := io.Copy(io.Discard, io.LimitReader(in.Body, maxCommandSize))
+	if err != nil || readErr != nil {
 		http.Error(out, "what came can't be read", http.StatusBadRequest)
 		return
 	}
 	done, id := make(chan world.Done, 1), in.Header.Get("X-Call-Id")
 	r.mu.Lock()
 	items := []byte(in.Header.Get("X-Call-Info"))
+	if in.Method == http.MethodGet && bodySize > 0 {
+		r.checker.WrongAnswer(r.now(), id, readContentArrived)
+	}
 	accepted := r.offerAttempt(s, id, key, items, in.Method == http.MethodPut, &attempt{done: done})
 	tag := r.lastTag
 	r.mu.Unlock()
