--- a/internal/proxy/downstream_http.go
+++ b/internal/proxy/downstream_http.go
@@ -154,7 +154,7 @@
 
 func (h *httpDownstream) failed(request *clientRequest, timedOut bool) []byte {
 	if timedOut {
-		return h.textResponse(request, 504, "no answer in time")
+		return h.textResponse(request, 504, "upstream timed out")
 	}
 	return h.textResponse(request, 502, "failed")
 }
@@ -162,13 +162,13 @@
 func (h *httpDownstream) refusal(reason refusalReason, headOnly bool) []byte {
 	switch reason {
 	case refusedTimeout:
-		return h.textResponse(&clientRequest{closesConn: true}, 408, "not whole in time")
+		return h.textResponse(&clientRequest{closesConn: true}, 408, "request timed out")
 	case refusedDuplicateID:
-		return h.textResponse(&clientRequest{headOnly: headOnly}, 409, "the same is in hand")
+		return h.textResponse(&clientRequest{headOnly: headOnly}, 409, "request id is in use")
 	case refusedMalformed:
-		return h.textResponse(&clientRequest{headOnly: headOnly}, 400, "nothing that can be taken in hand")
+		return h.textResponse(&clientRequest{headOnly: headOnly}, 400, "missing deadline or unknown service class")
 	}
-	return h.textResponse(&clientRequest{closesConn: true}, 503, "too much at once")
+	return h.textResponse(&clientRequest{closesConn: true}, 503, "overloaded")
 }
 
 func (h *httpDownstream) readiness(request *clientRequest, phase Phase) []byte {
--- a/internal/proxy/downstream_http_route.go
+++ b/internal/proxy/downstream_http_route.go
@@ -22,7 +22,7 @@
 func (h *httpDownstream) route(request *http1.Request, parsed *parsedRequest) *httpRejection {
 	target, ok := freshness.CacheKey(nil, request.Target)
 	if !ok {
-		return badRequest("a target that can't be read")
+		return badRequest("invalid request target")
 	}
 	path := target[strings.IndexByte(target, '/'):]
 	method := string(request.Method)
@@ -37,10 +37,10 @@
 	route, pathKnown := h.listener.Route(method, path)
 	if route == nil && pathKnown {
 		allow := "Allow: " + strings.Join(h.listener.AllowedMethods(path), ", ")
-		return &httpRejection{status: 405, reason: "this can't be done here", headers: []string{allow}}
+		return &httpRejection{status: 405, reason: "method not allowed", headers: []string{allow}}
 	}
 	if route == nil {
-		return &httpRejection{status: 404, reason: "nothing is here"}
+		return &httpRejection{status: 404, reason: "not found"}
 	}
 	parsed.write = listeners.IsWrite(method)
 	if rejection := h.fillRequest(request, route, path[len(route.Path):], &parsed.clientRequest); rejection != nil {
@@ -58,7 +58,7 @@
 		key = sortQuery(key)
 	}
 	if !meta.IsKey([]byte(key)) {
-		return badRequest("a key that is none")
+		return badRequest("invalid key")
 	}
 	filled.key = []byte(key)
 	if filled.write { // content of a read has no meaning (RFC 9110, 9.3.1), and endpoints get none of it
@@ -70,7 +70,7 @@
 	conditional := isConditional(request)
 	if filled.write && (conditional || request.Header("Content-Range") != nil) {
 		// Without this check, the write would be executed regardless of its condition.
-		return &httpRejection{status: 501, reason: "a write with a condition or of a part"}
+		return &httpRejection{status: 501, reason: "conditional and partial writes are not supported"}
 	}
 	if h.forwardsHeaders {
 		filled.http = &httpRequestDetails{
@@ -131,7 +131,7 @@
 	class := headerOr(request, h.listener.ClassHeader, route.Class)
 	tenant := headerOr(request, h.listener.TenantHeader, route.Tenant)
 	if h.names.Class([]byte(class)) < 0 || tenant != "" && h.names.Tenant([]byte(tenant)) < 0 {
-		return badRequest("a grade or tenant that is none here")
+		return badRequest("unknown service class or tenant")
 	}
 	filled.class = []byte(class)
 	filled.tenant = []byte(tenant)
@@ -153,7 +153,7 @@
 	}
 	ms, isNumber := meta.ParseDecimal([]byte(stated))
 	if !isNumber || ms <= 0 {
-		return badRequest("a deadline that is none")
+		return badRequest("invalid deadline")
 	}
 	filled.timeout = timeoutOfMs(ms)
 	return nil
@@ -165,11 +165,11 @@
 	key := strings.Trim(string(request.Header(idempotencyKeyHeader)), `"`)
 	id := headerOr(request, h.listener.IDHeader, "")
 	if !isValidID(key) || !isValidID(id) {
-		return badRequest("an id that can't be one")
+		return badRequest("invalid request id or idempotency key")
 	}
 	if key == "" && filled.write && h.needsKey[string(filled.class)] {
 		// Without a key, endpoints could not tell a retry from a new write.
-		return badRequest("this needs an " + idempotencyKeyHeader)
+		return badRequest("missing header " + idempotencyKeyHeader)
 	}
 	filled.id = []byte(id)
 	if id == "" {
--- a/internal/proxy/downstream_http_test.go
+++ b/internal/proxy/downstream_http_test.go
@@ -33,8 +33,8 @@
 		requestHead("HEAD /p/k") + requestHead("HEAD /q/k") + requestHead("GET /q/k") +
 		requestHead("DELETE /p/k") + requestHead("GET /up")
 	g.expectResponses(ask(pipelined, "GET", "GET", "HEAD", "HEAD", "GET", "DELETE", "GET"),
-		"200 hello 5", "200 hello 5", "200  5", "404  16", "404 nothing is here 16",
-		"405 this can't be done here 24", "200 serving 8")
+		"200 hello 5", "200 hello 5", "200  5", "404  10", "404 not found 10",
+		"405 method not allowed 19", "200 serving 8")
 	g.expectResponses(other("", "GET"), "200 hello 5")
 	commands := receive(t, g.cacheCommands) + receive(t, g.cacheCommands) + receive(t, g.cacheCommands)
 	for _, want := range []string{"mg slow v Oh", "mg k?a=1&a=0&b=2 v Oh", " Pc=read,d="} {
--- a/internal/proxy/downstream_test.go
+++ b/internal/proxy/downstream_test.go
@@ -48,7 +48,7 @@
 			t.Errorf("not closed: %v", err)
 		}
 	}
-	g.expectResponses(receive(t, late), "408 not whole in time 18 close", "ended")
+	g.expectResponses(receive(t, late), "408 request timed out 18 close", "ended")
 	if n := g.Counters(); n.ClientTimeouts != 3 {
 		t.Errorf("%d connections counted as overdue, want 3", n.ClientTimeouts)
 	}
