Drain: the warning about cut answers counts requests without an answer only

The table of requests also holds answered ones whose attempts are still out; with one of those and nothing to deliver the log warned of answers that are cut off. It goes by the number of requests without a complete answer now. Tests of drains passed.

--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -116,7 +116,7 @@
 		"streams":      left.streams,
 		"unsent_bytes": left.unsentBytes,
 	})
-	if left.any() || p.inflight.requests.Len() > 0 {
+	if left.any() || p.inflight.pending > 0 {
 		log.Warn("drain ended; unfinished answers are cut off")
 	} else {
 		log.Info("drain ended")
