Drain: long values of late requests on one connection do not close it

Four reads of almost 2 MiB each, sent on one connection 0.5 s after a drain began to a client that reads nothing for 0.3 s, ended in the middle of a value; streamed, they do not.

So SIGKILL can still cut off late values above 2 MiB, or behind others.

Found by reading the change once more.

Also mended in tests: the upgrade harness had given its older tests a soft limit of 3 s for 2 s; they have 2 s again. The test of content asks once more on the client's own connection.

--- a/cmd/dahliapin/upgrade_stream_test.go
+++ b/cmd/dahliapin/upgrade_stream_test.go
@@ -28,6 +28,7 @@
 	const hardStop = 1
 	const drainLimit = 1500 * time.Millisecond // hardStop and half a second
 	s := newUpgradeHarness(t)
+	s.softLimit = hardStop
 	s.hardStop = hardStop
 	long := strings.Repeat("v", 1<<20)
 	rest := make(chan bool)
--- a/cmd/dahliapin/upgrade_test.go
+++ b/cmd/dahliapin/upgrade_test.go
@@ -23,6 +23,7 @@
 	t             testing.TB
 	dir, listen   string
 	discovery     string
+	softLimit     float64                            // latency objective in seconds
 	hardStop      float64                            // longest deadline in seconds
 	serveCache    func(c net.Conn, command []string) // answers a command at the cache
 	answered      atomic.Int64
@@ -34,7 +35,8 @@
 }
 
 func newUpgradeHarness(t testing.TB) *upgradeHarness {
-	s := &upgradeHarness{t: t, dir: t.TempDir(), done: make(chan bool), hardStop: 3, serveCache: serveHello}
+	s := &upgradeHarness{t: t, dir: t.TempDir(), done: make(chan bool), softLimit: 2, hardStop: 3}
+	s.serveCache = serveHello
 	cache, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -97,8 +99,8 @@
 	file := fmt.Sprintf("%s/%d.json", s.dir, s.starts.Add(1))
 	text := fmt.Sprintf(`{"name":"n","listen":%[1]q,"ops":"127.0.0.1:0","discovery":%[2]q,
 "limits":{"memory_mb":64,"sockets":384},"settings":{"service_grades":[
-{"name":"read","benefit":1,"effect":"idempotent","soft_limit_s":%[3]v,"hard_stop_s":%[3]v}],
-"bounds":{"most_legs":3,"conn_idle_s":15}}}`, s.listen, s.discovery, s.hardStop)
+{"name":"read","benefit":1,"effect":"idempotent","soft_limit_s":%[3]v,"hard_stop_s":%[4]v}],
+"bounds":{"most_legs":3,"conn_idle_s":15}}}`, s.listen, s.discovery, s.softLimit, s.hardStop)
 	if err := syscall.Mkfifo(file, 0o600); err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/emulator/client/http.go
+++ b/internal/emulator/client/http.go
@@ -24,7 +24,8 @@
 
 // ReadContent is content for a read. It has the form of a write that no client sends: a server that carries it out
 // reports an attempt that matches no client request.
-const ReadContent = "PUT /content-of-a-read HTTP/1.1\r\nHost: n\r\n" + IDHeader + ": content\r\nContent-Length: 0\r\n\r\n"
+const ReadContent = "PUT /content-of-a-read HTTP/1.1\r\n" +
+	"Host: n\r\n" + IDHeader + ": content\r\nContent-Length: 0\r\n\r\n"
 
 // ETag returns the entity tag that caches assign to a value.
 func ETag(value string) string { return strconv.Quote(value) }
--- a/internal/proxy/delivery.go
+++ b/internal/proxy/delivery.go
@@ -25,8 +25,8 @@
 	return left
 }
 
-// flushProgress tells whether the kernel goes on accepting unsent bytes, that is, whether clients go on reading. The zero
-// value has not begun.
+// flushProgress tells whether the kernel goes on accepting unsent bytes, that is, whether clients go on reading. The
+// zero value has not begun.
 type flushProgress struct {
 	leastUnsent int64          // smallest number of unsent bytes so far
 	progressAt  policy.Instant // when it last fell
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"dahliapin/internal/proxy/sockets"
 	"dahliapin/policy"
 )
 
@@ -78,12 +79,17 @@
 	})
 }
 
-// mustAnswerWhole reports whether a request's value must not be streamed, because the request arrived more than
-// drainStreamTime after a drain had begun. Once a stream has begun, the request has no deadline any more, and the process
-// manager may kill the node in the middle of the value. That is accepted for requests that arrived by then, but not for
-// later ones: those get a whole answer by drainAnswerDeadline.
-func (p *Proxy) mustAnswerWhole(req *inflightRequest) bool {
-	return p.lifecycle.phase == Draining && req.arrivedAt >= p.lifecycle.drainStartedAt.Add(drainStreamTime)
+// mustAnswerWhole reports whether a value must not be streamed, because its request arrived more than drainStreamTime
+// after a drain had begun. Once a stream has begun, the request has no deadline any more, and the process manager may
+// kill the node in the middle of the value. That is accepted for requests that arrived by then, but not for later ones:
+// those get a whole answer by drainAnswerDeadline.
+//
+// A whole value is written at once, and the connection would be closed if it held more than MaxUnsentBytes then. So
+// values above half of that are streamed all the same, and so are those that wait behind other answers.
+func (p *Proxy) mustAnswerWhole(req *inflightRequest, client *clientConn, valueSize int) bool {
+	isLate := p.lifecycle.phase == Draining && req.arrivedAt >= p.lifecycle.drainStartedAt.Add(drainStreamTime)
+	isAlone := req.slot == client.firstSlot && client.socket.Unsent() == 0
+	return isLate && isAlone && valueSize <= sockets.MaxUnsentBytes/2
 }
 
 // drainStep is one idle check of a draining node.
--- a/internal/proxy/drain_delivery_test.go
+++ b/internal/proxy/drain_delivery_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"dahliapin/internal/proxy/metrics"
+	"dahliapin/internal/proxy/sockets"
 )
 
 // shortestDrain is the limit of a drain in these tests: the node waits no longer for requests that have no answer.
@@ -328,8 +329,8 @@
 }
 
 // Guards against a long value that is begun for a request which arrived late in a drain, and cut off when the process
-// manager kills the node: unlike one that arrived before, such a request must be answered by then. It must get its value
-// whole before the node's end, or an answer that it gets none.
+// manager kills the node: unlike one that arrived before, such a request must be answered by then. It must get its
+// value whole before the node's end, or an answer that it gets none.
 func TestDrainAnswersLateRequestsForLongValuesWhole(t *testing.T) {
 	for _, inTime := range []bool{true, false} {
 		t.Run(fmt.Sprintf("the value is whole in time: %v", inTime), func(t *testing.T) {
@@ -365,3 +366,30 @@
 		})
 	}
 }
+
+// Guards against a connection that a draining node closes by itself, because several long values for late requests are
+// written to it at once: more than a connection may buffer for a client that does not read all of it immediately.
+func TestDrainDeliversLateLongValuesOnOneConnection(t *testing.T) {
+	const reads = 4
+	value := strings.Repeat("v", sockets.MaxUnsentBytes/2-streamThreshold)
+	g := newHarness(t, 200, answerWith(value), withLongDrain)
+	c, r := g.client()
+	fmt.Fprint(c, "mg k v ") // so that the connection is not idle
+	g.waitUntil("the client is connected", func(n metrics.Counters) bool { return n.Clients == 1 })
+	shrinkSendBuffer(t, c.LocalAddr().String())
+	g.Shutdown()
+	g.Counters() // waits until the loop has handled the shutdown
+	time.Sleep(drainStreamTime)
+	fmt.Fprint(c, "O0 Pc=read,d=9000\r\n")
+	for n := 1; n < reads; n++ {
+		fmt.Fprintf(c, "mg k v O%d Pc=read,d=9000\r\n", n)
+	}
+	time.Sleep(2 * drainQuietTime) // in which the client reads nothing
+	for n := range reads {
+		g.expect(r, fmt.Sprintf("VA %d O%d", len(value), n))
+		got, err := r.ReadString('\n')
+		if got != value+"\r\n" {
+			t.Fatalf("answer %d: %d of %d bytes, %v", n, len(got), len(value), err)
+		}
+	}
+}
--- a/internal/proxy/read_content_test.go
+++ b/internal/proxy/read_content_test.go
@@ -15,7 +15,7 @@
 // smuggledRequest is content that a server would carry out if it read it as a request.
 const smuggledRequest = "PUT /smuggled HTTP/1.1\r\nHost: o\r\nX-Call-Id: s\r\nContent-Length: 5\r\n\r\nhello"
 
-// readsWithContent are reads by HTTP whose content has the form of a request, by the way in which the content is framed.
+// readsWithContent are reads by HTTP whose content has the form of a request, by the way in which it is framed.
 func readsWithContent(method string) map[string]string {
 	length := fmt.Sprint("Content-Length: ", len(smuggledRequest))
 	chunk := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(smuggledRequest), smuggledRequest)
@@ -116,6 +116,7 @@
 	if !strings.HasPrefix(responses[0], want) {
 		t.Errorf("the read with content got %q, want %q", responses[0], want)
 	}
+	g.expectResponses(ask(requestHead("GET /p/next"), "GET"), "200 "+value("next")+fmt.Sprint(" ", len(value("next"))))
 	for n := range 3 {
 		key := fmt.Sprint(n)
 		g.expectResponses(g.httpClient(2)(requestHead("GET /p/"+key), "GET"), "200 "+value(key)+" 5")
@@ -123,7 +124,7 @@
 	c, r := g.client()
 	fmt.Fprint(c, "mg m v Oa Pc=read,d=9000\r\n")
 	g.expect(r, "VA 5 Oa", value("m"))
-	wantKeys := []string{"k", "0", "1", "2", "m"}
+	wantKeys := []string{"k", "next", "0", "1", "2", "m"}
 	if server == "meta cache" {
 		wantKeys = nil
 	}
--- a/internal/proxy/response_stream.go
+++ b/internal/proxy/response_stream.go
@@ -53,7 +53,10 @@
 func (p *Proxy) startStream(conn *upstreamConn, req *inflightRequest, response *upstreamResponse, totalSize int) bool {
 	client := p.downstream.conns.Get(req.client)
 	isLong := response.headSize > 0 && response.valueSize > streamThreshold
-	if !isLong || req.answered || req.parsed.headOnly || client == nil || p.mustAnswerWhole(req) {
+	if !isLong || req.answered || req.parsed.headOnly || client == nil {
+		return false
+	}
+	if p.mustAnswerWhole(req, client, response.valueSize) {
 		return false
 	}
 	report := p.parseLoadReport(response.loadReport)
--- a/internal/proxy/sockets/engine.go
+++ b/internal/proxy/sockets/engine.go
@@ -15,9 +15,9 @@
 	// readBufferSize is the size of one read, in bytes. Most values fit into one.
 	readBufferSize = 64 << 10
 
-	// maxUnsentBytes is the number of bytes that a connection may buffer for a slow reader: a few of the longest
+	// MaxUnsentBytes is the number of bytes that a connection may buffer for a slow reader: a few of the longest
 	// values.
-	maxUnsentBytes = 4 << 20
+	MaxUnsentBytes = 4 << 20
 )
 
 // Engine manages all TCP connections of a node. It is one struct because the queue, the descriptors and the listeners
@@ -71,7 +71,7 @@
 		}
 	}
 	var err error
-	if e.poller, err = poller.Start(readBufferSize, maxUnsentBytes); err != nil {
+	if e.poller, err = poller.Start(readBufferSize, MaxUnsentBytes); err != nil {
 		e.closeListeners()
 		return nil, fmt.Errorf("cannot poll connections: %w", err)
 	}
