--- a/review/standins/registry.go
+++ b/review/standins/registry.go
@@ -34,7 +34,8 @@
 
 // Registry is discovery: the whole list, and watches on changes. It answers at once with what it has.
 type Registry struct {
-	Addr string
+	Addr   string
+	OnCall func(call string, refused bool) // may be nil; set it before the first call
 
 	mu         sync.Mutex
 	generation int
@@ -42,6 +43,8 @@
 	changedAt  map[string]int // generation of an instance's last change
 	changed    chan struct{}
 	silent     bool
+	refuse     int           // calls that are turned away from now on
+	delay      time.Duration // from a call to its answer
 	server     *http.Server
 }
 
@@ -86,6 +89,13 @@
 	r.silent = silent
 }
 
+// SetCrowded has the registry turn away so many calls, and answer the others no sooner than after a delay.
+func (r *Registry) SetCrowded(refuse int, delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refuse, r.delay = refuse, delay
+}
+
 // Whole returns the whole list.
 func (r *Registry) Whole() List {
 	r.mu.Lock()
@@ -104,6 +114,27 @@
 }
 
 func (r *Registry) serve(w http.ResponseWriter, q *http.Request) {
+	r.mu.Lock()
+	delay, refused := r.delay, r.refuse > 0
+	if refused {
+		r.refuse--
+	}
+	onCall := r.OnCall
+	r.mu.Unlock()
+	if onCall != nil {
+		onCall(q.URL.String(), refused)
+	}
+	if refused {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-q.Context().Done():
+			return
+		}
+	}
 	version := -1
 	if text := q.URL.Query().Get("since"); text != "" {
 		version, _ = strconv.Atoi(text)
