Review: a case whose output nobody reads ends its processes all the same

Cause: a driver that lost the reader of its output died of SIGPIPE and left its node running, seen once while the cases were made. Change: review/standins/process.go ignores SIGPIPE.

--- a/review/standins/process.go
+++ b/review/standins/process.go
@@ -48,6 +48,7 @@
 func OpenRecord() *Record {
 	file, err := os.Create(os.Getenv("RECORD"))
 	Must(err)
+	signal.Ignore(syscall.SIGPIPE) // a reader of the output that leaves must not leave processes behind
 	ended := make(chan os.Signal, 1)
 	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
 	go func() { // the case took too long
