--- a/review/6/main.go
+++ b/review/6/main.go
@@ -33,9 +33,7 @@
 func run() int {
 	defer s.KillAll()
 	rec := s.OpenRecord()
-	dir, err := os.MkdirTemp("", "case-6-")
-	s.Must(err)
-	defer os.RemoveAll(dir)
+	dir := s.Folder()
 
 	// 14 pack boxes of 3 cores, whose work is 75 to 140 ms, and the question bank.
 	fabric := s.NewFabric()
@@ -44,6 +42,9 @@
 		c := fabric.NewCache(fmt.Sprintf("s-%08x", rand.Uint32()), 3,
 			func() time.Duration { return time.Duration(75+rand.Intn(66)) * time.Millisecond })
 		c.Size = valueSize
+		c.OnAnswer = func(call s.Call, word string) {
+			rec.Line("cache %s answers %s %s with %s after %v", c.ID, call.Key, call.ID, word, time.Since(call.At))
+		}
 		for i := range commands {
 			c.Store(fmt.Sprintf("pack:k%d", i))
 		}
@@ -60,8 +61,7 @@
 
 	settings := s.Settings(2, s.Class("pack-fetch", "idempotent", "all", .8, 3, 5, 1),
 		s.Class("score-submit", "deduplicated", "all", 1, 2.5, 5, 10))
-	bounds := settings["bounds"].(map[string]any)
-	bounds["second_copies"], bounds["most_legs"], bounds["connect_timeout_s"] = false, 5, 0.25
+	s.Jalpaiguri(settings)
 	config := &s.NodeConfig{Name: "n1", Listen: s.FreePort(), Discovery: registry.Addr, Settings: settings,
 		Seed:   fmt.Sprintf("%016x", rand.Uint64()),
 		Limits: map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}}
--- a/review/7/main.go
+++ b/review/7/main.go
@@ -29,9 +29,7 @@
 func run() int {
 	defer s.KillAll()
 	rec := s.OpenRecord()
-	dir, err := os.MkdirTemp("", "case-7-")
-	s.Must(err)
-	defer os.RemoveAll(dir)
+	dir := s.Folder()
 
 	fabric := s.NewFabric()
 	var list []s.Instance
@@ -42,7 +40,7 @@
 		caches = append(caches, c)
 		list = append(list, c.Instance(0))
 	}
-	origin := fabric.NewOrigin(8, func() time.Duration { return 100 * time.Millisecond })
+	origin := fabric.NewOrigin(8, func() time.Duration { return 50 * time.Millisecond })
 	list = append(list, origin.Instance())
 	registry := s.NewRegistry(list...)
 	known := registry.Whole()
@@ -80,7 +78,7 @@
 				}
 				id := s.NewID()
 				a := pool.Read(fmt.Sprintf("obj:k%d", rand.Intn(300)), id, "round-read", 800*time.Millisecond)
-				rec.Line("client %s %s", id, a.Kind())
+				rec.Line("client asked %s, answer after %v: %s", id, a.Took, a.Kind())
 				answers[map[string]int{"served": 0, "refused": 1, "failed": 2, "none": 3}[a.Kind()]].Add(1)
 			}
 		})
@@ -127,12 +125,12 @@
 	close(stop)
 	clients.Wait()
 
-	// Between the first telling and the yes the old process answers for the node; after it, the new one has 2 s.
+	// Up to the start of the new process the old one answers for the node; after the yes, the new one has 2 s.
 	early, late := 0, 0
 	mu.Lock()
 	for _, at := range calls {
 		switch {
-		case at.After(firstTold.Add(grace+slack)) && at.Before(yes):
+		case at.After(firstTold.Add(grace+slack)) && at.Before(started):
 			early++
 		case at.After(yes.Add(toldIn + grace + slack)):
 			late++
@@ -141,7 +139,7 @@
 	mu.Unlock()
 	rec.Say("answers: %d served, %d refused, %d failed, %d none", answers[0].Load(), answers[1].Load(), answers[2].Load(),
 		answers[3].Load())
-	rec.Say("new calls at the draining server: %d between the first grace and the yes, %d later than 2.45 s after the yes "+
+	rec.Say("new calls at the draining server: %d between the first grace and the upgrade, %d later than 2.45 s after the yes "+
 		"(discovery back %.2f s after it)", early, late, back.Sub(yes).Seconds())
 	if early+late > 0 {
 		return s.Broken
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -27,9 +26,7 @@
 func run() int {
 	defer s.KillAll()
 	rec := s.OpenRecord()
-	dir, err := os.MkdirTemp("", "case-8-")
-	s.Must(err)
-	defer os.RemoveAll(dir)
+	dir := s.Folder()
 
 	var peers, nodes []string
 	machines := ""
@@ -57,16 +54,16 @@
 		start(i, fmt.Sprintf("control-%d.log", i), flags)
 	}
 	publish := func(key string) bool {
-		out, err := exec.Command("bin/dahliapin", "fleet", "publish", "--at", at, "--label", label, "--purge", key).CombinedOutput()
-		rec.Line("publish %s: %s %v", key, strings.TrimSpace(string(out)), err)
-		return err == nil
+		out, ok := s.Output(dir, "bin/dahliapin fleet publish --at "+at+" --label "+label+" --purge "+key)
+		rec.Line("publish %s: %s, exit 0: %t", key, strings.TrimSpace(out), ok)
+		return ok
 	}
 	for i := range 20 {
 		if !publish(fmt.Sprintf("pub:%d", i)) {
 			return s.NotRun
 		}
 	}
-	if !reaches(rec, at, 20, 5*time.Second) {
+	if !reaches(rec, dir, at, 20, 5*time.Second) {
 		rec.Say("the learner did not get the log at first")
 		return s.NotRun
 	}
@@ -98,10 +95,13 @@
 			break
 		}
 	}
-	has := reaches(rec, at, 21, 5*time.Second)
+	has := reaches(rec, dir, at, 21, 5*time.Second)
 	rec.Say("the learner ended by itself %d times, lives: %t, has the log: %t", ends, running[learner].Alive(), has)
-	if ends > 0 || !has {
+	switch {
+	case ends > 0:
 		return s.Broken
+	case !has: // the page sets no time for that, so it is not judged
+		return s.NotRun
 	}
 	return s.Held
 }
@@ -109,9 +109,9 @@
 func folder(dir string, i int) string { return filepath.Join(dir, fmt.Sprintf("data-%d", i)) }
 
 // reaches reports whether the learner, heard just now, has the log up to an index within some time.
-func reaches(rec *s.Record, at string, index int, within time.Duration) bool {
+func reaches(rec *s.Record, dir, at string, index int, within time.Duration) bool {
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
-		out, _ := exec.Command("bin/dahliapin", "fleet", "changes", "--json", "--at", at, "--label", label).Output()
+		out, _ := s.Output(dir, "bin/dahliapin fleet changes --json --at "+at+" --label "+label+" 2>/dev/null")
 		var overview struct {
 			Machines []struct {
 				ID     int     `json:"id"`
@@ -119,7 +119,7 @@
 				HeardS float64 `json:"heard_s"`
 			} `json:"machines"`
 		}
-		if json.Unmarshal(out, &overview) != nil {
+		if json.Unmarshal([]byte(out), &overview) != nil {
 			continue
 		}
 		for _, m := range overview.Machines {
--- a/review/standins/process.go
+++ b/review/standins/process.go
@@ -83,6 +83,8 @@
 var (
 	processesMu sync.Mutex
 	processes   []*Process
+	ending      bool // no process is started any more
+	folders     []string
 )
 
 // Process is one of the project's programs.
@@ -100,11 +102,18 @@
 	c.Env = append(os.Environ(), env...)
 	c.Stdout = log
 	c.Stderr = log
-	Must(c.Start())
 	p := &Process{Cmd: c, Done: make(chan struct{})}
+	// Under the lock: KillAll must see each process that has been started.
 	processesMu.Lock()
-	processes = append(processes, p)
+	if ending {
+		processesMu.Unlock()
+		select {} // the case is being ended
+	}
+	if err = c.Start(); err == nil {
+		processes = append(processes, p)
+	}
 	processesMu.Unlock()
+	Must(err)
 	go func() {
 		p.Err = c.Wait()
 		_ = log.Close()
@@ -126,10 +135,37 @@
 	}
 }
 
-// KillAll ends all processes that the case has started.
+// Output runs one of the project's commands to its end and returns what it wrote and whether it exited with 0.
+func Output(dir, command string) (text string, ok bool) {
+	log, err := os.CreateTemp(dir, "output-")
+	Must(err)
+	_ = log.Close()
+	p := Start("exec "+command, log.Name())
+	<-p.Done
+	b, _ := os.ReadFile(log.Name())
+	return string(b), p.Err == nil
+}
+
+// Folder returns a new temporary folder, which KillAll removes.
+func Folder() string {
+	dir, err := os.MkdirTemp("", "case-")
+	Must(err)
+	processesMu.Lock()
+	folders = append(folders, dir)
+	processesMu.Unlock()
+	return dir
+}
+
+// KillAll ends all processes that the case has started, and removes its folders.
 func KillAll() {
 	processesMu.Lock()
 	defer processesMu.Unlock()
+	ending = true
+	defer func() {
+		for _, dir := range folders {
+			_ = os.RemoveAll(dir)
+		}
+	}()
 	for _, p := range processes {
 		if p.Alive() {
 			p.Signal(syscall.SIGCONT)
--- a/review/standins/settings.go
+++ b/review/standins/settings.go
@@ -29,3 +29,26 @@
 		"tiers": []string{"pack-cache"}, "weights": "nominal", "zone": "salt-lake",
 	}
 }
+
+// Jalpaiguri changes settings to those of jalpaiguri-league that the cases touch: its rules, legs and connections. One
+// hall, no tenants and no load reports are left of it.
+func Jalpaiguri(settings map[string]any) {
+	bounds := settings["bounds"].(map[string]any)
+	bounds["second_copies"], bounds["most_legs"], bounds["connect_timeout_s"] = false, 5, 0.25
+	bounds["streams_per_conn"], bounds["max_retry_after_s"] = 128, 1.5
+	rules := settings["rules"].(map[string]any)
+	rules["stop_sending_within_s"], rules["overload_factor"], rules["overload_for_s"], rules["cold_s"] = 2.0, 4.0, 3.0, 8.8
+	settings["discovery"] = "ask"
+}
+
+// Siliguri changes settings to those of siliguri-schools that the cases touch. Load reports are left out.
+func Siliguri(settings map[string]any) {
+	bounds := settings["bounds"].(map[string]any)
+	bounds["probes"], bounds["retry_after"], bounds["most_legs"] = false, false, 5
+	bounds["streams_per_conn"], bounds["conn_idle_s"], bounds["max_retry_after_s"] = 32, 30.0, 0.0
+	rules := settings["rules"].(map[string]any)
+	rules["stop_sending_within_s"], rules["cold_from"], rules["cold_s"] = 0.25, 0.14, 23.0
+	rules["overload_factor"], rules["overload_for_s"] = 2.5, 2.0
+	settings["discovery"] = "ask"
+	settings["family_info"] = map[string]any{"mode": "through", "origin_kind": -1}
+}
