Test of idle checks: its node has an idle timeout, so it holds on arm64 too

Cause: the test set an idle timeout in the settings, which the proxy does not read there; its zero timeout is 0/0, and what a conversion of NaN to a duration gives differs: on x86-64 the smallest number, whose overflow looked like a time far ahead, on arm64 0. Change: the timeout itself is set. Nothing is relaxed: the next check must still be at least a second away.

--- a/internal/proxy/upstream_test.go
+++ b/internal/proxy/upstream_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"dahliapin/internal/idletimeout"
 	"dahliapin/internal/proxy/metrics"
 	"dahliapin/policy"
 )
@@ -75,7 +76,7 @@
 // no event was handled meanwhile, and eight requests were lost. The next check must be a whole idle timeout away.
 func TestConnInUseAtItsIdleCheckIsCheckedLater(t *testing.T) {
 	p := &Proxy{clock: clock{startedAt: time.Now()}}
-	p.config.Settings.Policy.IdleTimeout = 10 * time.Second
+	p.upstream.idleTimeout = idletimeout.New(10 * time.Second)
 	conn := &upstreamConn{
 		purpose:     purposeAttempt,
 		lastUsedAt:  policy.Instant(-time.Hour),
