Answers that wait for a slow one no longer cost their client its connection

Cause: flushPipeline wrote all ready answers at once. What the kernel did not take was buffered up to 4 MiB a connection, and the write beyond that closed it, however well the client read. Nothing was logged. Change: flush.go writes only while at most 64 KiB are unsent, long values in parts; the rest waits in the pipeline, and is written as the client reads. So the limit is not reached, whatever waits. What bounds memory in its place: - answers that wait, over all connections, take a quarter of the memory limit; a longer one beyond that is answered as rejected (a read that may be repeated) or failed, at once. Drains count answers that wait as undelivered. The write that can't fit stays logged. Two tests got another way to let time pass, as fields moved.

--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -227,12 +227,27 @@
 		p.returnToPool(conn)
 	}
 	if isAnswer {
-		p.metrics.countSatisfied(req.class)
-		p.completeRequest(req, head, value)
+		p.answerRequest(req, head, value)
 	}
 	p.endAttempt(req, index, response.result, report)
 }
 
+// answerRequest gives a request the answer of an endpoint. If the memory for answers is used up, it gives it a short
+// answer instead: that the request may be retried or, if repeating it could do harm, that it has failed.
+func (p *Proxy) answerRequest(req *inflightRequest, response, value []byte) {
+	switch {
+	case !p.exceedsAnswerMemory(req, response, value):
+		p.metrics.countSatisfied(req.class)
+		p.completeRequest(req, response, value)
+		return
+	case req.parsed.idempotent:
+		p.Reject(policyRequestID(req.id), 0)
+	default:
+		p.Fail(policyRequestID(req.id))
+	}
+	p.metrics.counters.NotAccepted++
+}
+
 // parseLoadReport parses a load report, a list of names and values. Only the columns in the settings are used.
 func (p *Proxy) parseLoadReport(report []byte) []float64 {
 	if len(report) == 0 {
--- a/internal/proxy/delivery.go
+++ b/internal/proxy/delivery.go
@@ -2,10 +2,10 @@
 
 import "dahliapin/policy"
 
-// undelivered is what the node still has to write of answers that it has begun to write, over all clients.
+// undelivered is what the node still has to write of answers that are ready or streamed, over all clients.
 type undelivered struct {
 	streams     int   // streamed values that are not complete
-	unsentBytes int64 // written bytes that the kernel has not accepted, because clients read slowly
+	unsentBytes int64 // of answers that are complete, which the kernel has not accepted
 }
 
 // any reports whether the end of the process would cut off an answer.
@@ -17,24 +17,24 @@
 	p.downstream.conns.Each(func(_ clientConnID, client *clientConn) {
 		left.unsentBytes += client.socket.Unsent()
 		for i := range client.pipeline {
-			if client.pipeline[i].streamConn != 0 {
+			slot := &client.pipeline[i]
+			switch {
+			case slot.streamConn != 0:
 				left.streams++
+			case slot.answered:
+				left.unsentBytes += int64(slot.unwrittenBytes())
 			}
 		}
 	})
 	return left
 }
 
-// flushProgress tells whether the kernel goes on accepting unsent bytes, that is, whether clients go on reading. The
-// zero value has not begun.
+// flushProgress tells whether the kernel goes on accepting unsent bytes, that is, whether clients go on reading.
 type flushProgress struct {
 	leastUnsent int64          // smallest number of unsent bytes so far
 	progressAt  policy.Instant // when it last fell
 }
 
-// hasBegun reports whether begin has been called.
-func (f *flushProgress) hasBegun() bool { return f.progressAt != 0 }
-
 // begin starts to measure, or starts anew.
 func (f *flushProgress) begin(unsent int64, now policy.Instant) {
 	f.leastUnsent = unsent
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -70,7 +70,7 @@
 	overLimit       bool           // accepted above the client limit; its requests are rejected while that is exceeded
 	incompleteBytes int            // of the current incomplete command
 	incompleteSince policy.Instant // when that command, or a connection without any, began; 0 if neither applies
-	flush           flushProgress  // of a closing connection whose last answer has been written
+	reading         readProgress   // while something is left to write or unsent
 }
 
 // isIdle reports whether nothing is in flight on the connection in either direction.
--- a/internal/proxy/downstream_close.go
+++ b/internal/proxy/downstream_close.go
@@ -3,13 +3,8 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 )
 
-// flushCheckInterval is the interval at which the node checks whether the client of a closing connection has read
-// the last answer.
-const flushCheckInterval = 20 * time.Millisecond
-
 // compareByUse orders clients by the number of commands answered on their connections, capped at maxCount, and then by
 // last use, the least recent first.
 func compareByUse(maxCount uint64) func(a, b *clientConn) int {
@@ -53,22 +48,6 @@
 	return false
 }
 
-// closeOnceFlushed closes a connection once the kernel has accepted its last answer, or if its client has read nothing
-// for slowReaderTimeout.
-func (p *Proxy) closeOnceFlushed(id clientConnID) {
-	client := p.downstream.conns.Get(id)
-	if client == nil {
-		return
-	}
-	now := p.now()
-	unsent := client.socket.Unsent()
-	if unsent == 0 || client.flush.isStalled(unsent, now) {
-		p.closeClient(client)
-		return
-	}
-	p.schedule(now.Add(flushCheckInterval), timerEvent{kind: timerFlush, client: id})
-}
-
 // closeIfIdle closes a connection between commands, and reports whether it did. It keeps one whose next command has
 // reached the socket but not the event loop: the command would be lost.
 func (p *Proxy) closeIfIdle(client *clientConn) bool {
@@ -96,7 +75,7 @@
 	p.downstream.incompleteBytes -= client.incompleteBytes
 	for i := range client.pipeline {
 		slot := &client.pipeline[i]
-		p.inflight.bufferedBytes -= slot.size()
+		p.discardAnswer(slot)
 		if conn := p.upstream.conns.Get(slot.streamConn); conn != nil { // the stream's only client
 			p.inflight.pending--
 			p.metrics.counters.ClientsGone++
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -84,8 +84,8 @@
 // kill the node in the middle of the value. That is accepted for requests that arrived by then, but not for later ones:
 // those get a whole answer by drainAnswerDeadline.
 //
-// A whole value is written at once, and the connection would be closed if it held more than MaxUnsentBytes then. So
-// values above half of that are streamed all the same, and so are those that wait behind other answers.
+// A whole value takes memory until its client has read it. So values above half of MaxUnsentBytes are streamed all the
+// same, and so are those that wait behind other answers.
 func (p *Proxy) mustAnswerWhole(req *inflightRequest, client *clientConn, valueSize int) bool {
 	isLate := p.lifecycle.phase == Draining && req.arrivedAt >= p.lifecycle.drainStartedAt.Add(drainStreamTime)
 	isAlone := req.slot == client.firstSlot && client.socket.Unsent() == 0
--- a/internal/proxy/drain_delivery_test.go
+++ b/internal/proxy/drain_delivery_test.go
@@ -311,9 +311,7 @@
 	}
 	g.waitUntil("the connection is closed", func(metrics.Counters) bool {
 		g.runInLoop(func() {
-			g.downstream.conns.Each(func(_ clientConnID, client *clientConn) { // as if slowReaderTimeout had passed
-				client.flush.begin(client.socket.Unsent(), g.now().Add(-slowReaderTimeout))
-			})
+			g.expireReading()
 			open <- g.downstream.conns.Len() > 0
 		})
 		return !<-open
--- /dev/null
+++ b/internal/proxy/flush.go
@@ -0,0 +1,213 @@
+package proxy
+
+import (
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"dahliapin/internal/proxy/sockets/poller"
+	"dahliapin/policy"
+)
+
+const (
+	// unsentWindow is how many bytes may be unsent on a client's connection when more are written to it. The rest of
+	// its answers waits in the pipeline, so that a connection never reaches sockets.MaxUnsentBytes, at which it is
+	// closed.
+	unsentWindow = 64 << 10
+	// flushCheckInterval is the interval at which the node checks whether a client has read what is unsent.
+	flushCheckInterval = 20 * time.Millisecond
+	// pipelineCheckInterval is that interval if answers wait in the pipeline. It limits how fast such a client is
+	// served to what the kernel buffers and unsentWindow in each interval.
+	pipelineCheckInterval = 5 * time.Millisecond
+)
+
+// readProgress tells whether a client goes on reading what is written to it. The zero value has not begun.
+type readProgress struct {
+	acceptedBytes  int64          // bytes that the kernel had accepted at progressAt
+	progressAt     policy.Instant // when that number was last seen to grow
+	checkScheduled bool           // the timer for the next check is set
+}
+
+// isStalled updates the progress by the number of bytes that the kernel has accepted, and reports whether that number
+// has not grown for slowReaderTimeout.
+func (r *readProgress) isStalled(acceptedBytes int64, now policy.Instant) bool {
+	if r.progressAt == 0 || acceptedBytes != r.acceptedBytes {
+		r.acceptedBytes = acceptedBytes
+		r.progressAt = now
+	}
+	return now.Since(r.progressAt) >= slowReaderTimeout
+}
+
+// flushPipeline writes the answers that are ready, up to the first unanswered command, as far as the client reads them.
+// It checks again until the client has read everything, and closes a connection whose last answer has been read.
+func (p *Proxy) flushPipeline(client *clientConn) {
+	answeredBefore := client.firstSlot
+	if !p.writeReadyAnswers(client) {
+		return
+	}
+	if client.firstSlot > answeredBefore {
+		p.resumeFirstStream(client)
+	}
+	if client.overLimit && client.isIdle() && p.tooManyClients() && p.closeIfIdle(client) {
+		return
+	}
+	if client.closing && len(client.pipeline) == 0 && client.socket.Unsent() == 0 {
+		p.closeClient(client)
+		return
+	}
+	p.watchReading(client)
+}
+
+// watchReading schedules the next check of a connection on which something is left to write or unsent. It closes one
+// whose client has read nothing for slowReaderTimeout, and reports whether the connection is still open. Otherwise the
+// answers would fill the memory for as long as the client stays.
+func (p *Proxy) watchReading(client *clientConn) (open bool) {
+	isReady := client.isAnswered(0)
+	if client.socket.Unsent() == 0 && !isReady && !(client.closing && len(client.pipeline) == 0) {
+		client.reading.progressAt = 0
+		return true
+	}
+	now := p.now()
+	if client.reading.isStalled(client.socket.Accepted(), now) {
+		p.metrics.counters.ClientTimeouts++
+		p.closeClient(client)
+		return false
+	}
+	if client.reading.checkScheduled {
+		return true
+	}
+	interval := flushCheckInterval
+	if isReady {
+		interval = pipelineCheckInterval
+	}
+	client.reading.checkScheduled = true
+	p.schedule(now.Add(interval), timerEvent{kind: timerFlush, client: client.id})
+	return true
+}
+
+// onFlushTimer is the check that watchReading has scheduled.
+func (p *Proxy) onFlushTimer(id clientConnID) {
+	client := p.downstream.conns.Get(id)
+	if client == nil {
+		return
+	}
+	client.reading.checkScheduled = false
+	p.flushPipeline(client)
+}
+
+// isAnswered reports whether the slot at an index of the pipeline has its answer.
+func (c *clientConn) isAnswered(index int) bool {
+	return index < len(c.pipeline) && c.pipeline[index].answered
+}
+
+// writeReadyAnswers writes the answers that are ready as far as the client reads them, and reports whether the
+// connection is still open.
+func (p *Proxy) writeReadyAnswers(client *clientConn) (open bool) {
+	for client.isAnswered(0) && client.socket.Unsent() <= unsentWindow {
+		piece := p.takeReadyAnswers(client)
+		if len(piece) > 0 && !p.writeToClient(client, piece) {
+			return false
+		}
+	}
+	return true
+}
+
+// takeReadyAnswers takes the next bytes to write from the answers that are ready, and removes the slots of which
+// everything has been taken. Short answers are joined; long values are taken in parts and not copied.
+func (p *Proxy) takeReadyAnswers(client *clientConn) (piece []byte) {
+	taken := 0
+	for more := true; more && client.isAnswered(taken) && len(piece) < unsentWindow; {
+		slot := &client.pipeline[taken]
+		if !slot.begun && taken == len(client.pipeline)-1 {
+			p.announceClose(client, slot)
+		}
+		slot.begun = true
+		piece, more = slot.takeNext(piece, client.codec.valueTrailer())
+		if slot.unwrittenBytes() == 0 {
+			p.countIfLate(slot)
+			p.discardAnswer(slot)
+			taken++
+		}
+	}
+	client.advance(taken)
+	client.lastUsedAt = p.now()
+	return piece
+}
+
+// takeNext takes the next bytes of an answer, and appends them to a piece. more is false if nothing may be appended to
+// the new piece: it ends where a long value begins, or is a part of one.
+func (s *pipelineSlot) takeNext(piece []byte, valueTrailer string) (next []byte, more bool) {
+	if len(s.response) == 0 && len(s.value) > 0 {
+		if len(piece) > 0 {
+			return piece, false
+		}
+		size := min(len(s.value), unsentWindow)
+		next = s.value[:size]
+		s.value = s.value[size:]
+		if len(s.value) == 0 {
+			s.response = []byte(valueTrailer)
+		}
+		return next, false
+	}
+	size := min(len(s.response), unsentWindow)
+	next = s.response[:size:size]
+	s.response = s.response[size:]
+	if len(piece) > 0 {
+		next = append(piece, next...)
+	}
+	return next, true
+}
+
+// countIfLate counts an answer of which the end is written after its request's deadline.
+func (p *Proxy) countIfLate(slot *pipelineSlot) {
+	if slot.deadline != 0 && p.now() > slot.deadline {
+		p.metrics.counters.AnsweredLate++
+	}
+}
+
+// resumeFirstStream resumes a streamed value that has waited for earlier answers.
+func (p *Proxy) resumeFirstStream(client *clientConn) {
+	if len(client.pipeline) == 0 || client.pipeline[0].streamConn == 0 {
+		return
+	}
+	conn := p.upstream.conns.Get(client.pipeline[0].streamConn)
+	if conn == nil {
+		return
+	}
+	p.deferCall(func() {
+		if conn.stream != nil && p.upstream.conns.Get(conn.id) == conn {
+			p.forwardStream(conn)
+		}
+	})
+}
+
+// announceClose makes the last answer on a connection announce that the connection closes, if the node is draining or
+// in standby and the protocol supports it. Otherwise a command that the client sends while the connection is being
+// closed would be lost. Whether an answer is the last one is known only when it is written, since it may have waited
+// for others.
+func (p *Proxy) announceClose(client *clientConn, slot *pipelineSlot) {
+	leaving := p.lifecycle.phase == Draining || p.lifecycle.phase == Standby
+	if !leaving || client.incompleteBytes > 0 || client.closing {
+		return
+	}
+	if idle, _ := client.socket.Idle(); idle {
+		slot.response, client.closing = client.codec.announceClose(slot.response)
+	}
+}
+
+// writeToClient writes bytes of answers. It reports whether the connection is still open.
+func (p *Proxy) writeToClient(client *clientConn, b []byte) (open bool) {
+	err := client.socket.Write(b)
+	if err == nil {
+		return true
+	}
+	if errors.Is(err, poller.ErrTooManyUnsent) {
+		p.config.Log.WithFields(logrus.Fields{
+			"unanswered": len(client.pipeline),
+			"bytes":      len(b),
+		}).Warn("client connection closed; too many bytes wait for it to read")
+	}
+	p.onClientClosed(client.id)
+	return false
+}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -250,7 +250,7 @@
 	g.t.Helper()
 	for by := time.Now().Add(testTimeout); !ok(g.Counters()); {
 		if time.Now().After(by) {
-			g.t.Fatalf("timed out waiting until %s", what)
+			g.t.Fatalf("timed out waiting until %s: %+v", what, g.Counters())
 		}
 	}
 }
@@ -451,3 +451,14 @@
 	},
 	"half-close": func(c *net.TCPConn) { c.CloseWrite() },
 }
+
+// advanceReading makes all clients look as if they had read nothing for a time longer than now. It must be called in the
+// event loop.
+func (g *harness) advanceReading(by time.Duration) {
+	g.downstream.conns.Each(func(_ clientConnID, client *clientConn) {
+		client.reading.progressAt = client.reading.progressAt.Add(-by)
+	})
+}
+
+// expireReading makes all clients look as if they had read nothing for slowReaderTimeout.
+func (g *harness) expireReading() { g.advanceReading(slowReaderTimeout) }
--- a/internal/proxy/pipeline.go
+++ b/internal/proxy/pipeline.go
@@ -12,18 +12,40 @@
 	request    inflightID     // 0 for a command that is not a request in flight
 	deadline   policy.Instant // of a request that was accepted, otherwise 0
 	answered   bool
-	response   []byte
+	begun      bool           // some of the answer has been written; only in the first slot
 	streamConn upstreamConnID // the connection that the value is streamed from, or 0
-	value      []byte         // a long value, written uncopied after the response and before the trailer
+	response   []byte         // what is left to write before the value, or in place of one
+	value      []byte         // what is left to write of a long value, which is not copied; the trailer follows it
+	// bufferedBytes is the size of the answer as counted in inflightTable. It is counted until all of the answer has
+	// been written, because the parts of a value share its memory.
+	bufferedBytes int
 }
 
-// size returns the number of bytes of the answer that are queued.
-func (s *pipelineSlot) size() int { return len(s.response) + len(s.value) }
+// unwrittenBytes returns the number of bytes of the answer that have not been written yet, without the trailer.
+func (s *pipelineSlot) unwrittenBytes() int { return len(s.response) + len(s.value) }
+
+// setAnswer sets the bytes of a slot's answer, and counts them.
+func (p *Proxy) setAnswer(slot *pipelineSlot, response, value []byte) {
+	p.discardAnswer(slot)
+	slot.response = response
+	slot.value = value
+	slot.bufferedBytes = slot.unwrittenBytes()
+	p.inflight.bufferedBytes += slot.bufferedBytes
+}
+
+// discardAnswer releases the bytes of a slot's answer.
+func (p *Proxy) discardAnswer(slot *pipelineSlot) {
+	p.inflight.bufferedBytes -= slot.bufferedBytes
+	slot.bufferedBytes = 0
+	slot.response = nil
+	slot.value = nil
+}
 
 // respond queues the answer to a command that is not a request in flight.
 func (p *Proxy) respond(client *clientConn, response []byte) {
-	p.inflight.bufferedBytes += len(response)
-	client.pipeline = append(client.pipeline, pipelineSlot{answered: true, response: response})
+	slot := pipelineSlot{answered: true}
+	p.setAnswer(&slot, response, nil)
+	client.pipeline = append(client.pipeline, slot)
 }
 
 // slotOf returns the slot with the given number. The answer of that slot must not have been written yet.
@@ -37,85 +59,6 @@
 	c.pipeline = c.pipeline[:left]
 }
 
-// flushPipeline writes the answers that are ready, up to the first unanswered command.
-func (p *Proxy) flushPipeline(client *clientConn) {
-	pieces, last, count := p.readyAnswers(client)
-	if count > 0 {
-		client.advance(count)
-		client.lastUsedAt = p.now()
-		for _, piece := range append(pieces, last) {
-			if len(piece) > 0 && client.socket.Write(piece) != nil {
-				p.onClientClosed(client.id)
-				return
-			}
-		}
-		p.resumeFirstStream(client)
-	}
-	if client.overLimit && client.isIdle() && p.tooManyClients() && p.closeIfIdle(client) {
-		return
-	}
-	if client.closing && len(client.pipeline) == 0 && !client.flush.hasBegun() {
-		client.flush.begin(client.socket.Unsent(), p.now())
-		p.closeOnceFlushed(client.id)
-	}
-}
-
-// readyAnswers returns the bytes of the answers that are ready, and the number of these answers. Short answers are
-// joined into one piece; long values are not copied.
-func (p *Proxy) readyAnswers(client *clientConn) (pieces [][]byte, last []byte, count int) {
-	now := p.now()
-	for ; count < len(client.pipeline) && client.pipeline[count].answered; count++ {
-		slot := &client.pipeline[count]
-		p.inflight.bufferedBytes -= slot.size()
-		if slot.deadline != 0 && now > slot.deadline {
-			p.metrics.counters.AnsweredLate++
-		}
-		if count == len(client.pipeline)-1 {
-			p.announceClose(client, slot)
-		}
-		if last == nil {
-			last = slot.response
-		} else {
-			last = append(last, slot.response...)
-		}
-		if slot.value != nil {
-			pieces = append(pieces, last, slot.value)
-			last = []byte(client.codec.valueTrailer())
-		}
-	}
-	return pieces, last, count
-}
-
-// resumeFirstStream resumes a streamed value that has waited for earlier answers.
-func (p *Proxy) resumeFirstStream(client *clientConn) {
-	if len(client.pipeline) == 0 || client.pipeline[0].streamConn == 0 {
-		return
-	}
-	conn := p.upstream.conns.Get(client.pipeline[0].streamConn)
-	if conn == nil {
-		return
-	}
-	p.deferCall(func() {
-		if conn.stream != nil && p.upstream.conns.Get(conn.id) == conn {
-			p.forwardStream(conn)
-		}
-	})
-}
-
-// announceClose makes the last answer on a connection announce that the connection closes, if the node is draining or
-// in standby and the protocol supports it. Otherwise a command that the client sends while the connection is being
-// closed would be lost. Whether an answer is the last one is known only when it is written, since it may have waited
-// for others.
-func (p *Proxy) announceClose(client *clientConn, slot *pipelineSlot) {
-	leaving := p.lifecycle.phase == Draining || p.lifecycle.phase == Standby
-	if !leaving || client.incompleteBytes > 0 || client.closing {
-		return
-	}
-	if idle, _ := client.socket.Idle(); idle {
-		slot.response, client.closing = client.codec.announceClose(slot.response)
-	}
-}
-
 // completeRequest gives a request its only final answer. A long value is written after the response without being
 // copied.
 func (p *Proxy) completeRequest(req *inflightRequest, response, value []byte) {
@@ -127,10 +70,8 @@
 	}
 	slot := client.slotOf(req.slot)
 	slot.answered = true
-	slot.response = response
-	slot.value = value
 	slot.request = 0
-	p.inflight.bufferedBytes += slot.size()
+	p.setAnswer(slot, response, value)
 	p.deferCall(func() {
 		if p.downstream.conns.Get(client.id) != nil {
 			p.flushPipeline(client)
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -14,6 +14,9 @@
 	// bufferedDivisor limits buffered requests and answers to the memory limit divided by it. The rest is for other
 	// state, which grows with them.
 	bufferedDivisor = 8
+	// answersDivisor limits answers that wait for their client to read, or for earlier ones, to the memory limit divided
+	// by it. Those of requests accepted below the limit of bufferedDivisor can exceed that one.
+	answersDivisor = 4
 )
 
 type inflightID uint64
@@ -130,12 +133,29 @@
 // cannotAccept reports whether the node lacks the capacity for another request of a client, or accepts none in its
 // current phase.
 func (p *Proxy) cannotAccept(client *clientConn) bool {
-	buffered := int64(p.inflight.bufferedBytes) + p.engine.Unsent()
 	return p.lifecycle.phase == Starting ||
 		p.rejectsInStandby() ||
 		len(client.pipeline) >= maxPipelined ||
 		client.overLimit && p.tooManyClients() ||
-		buffered > p.config.MemoryLimit/bufferedDivisor
+		p.bufferedBytes() > p.config.MemoryLimit/bufferedDivisor
+}
+
+// bufferedBytes returns the size of buffered requests and answers, and of what clients have not read yet.
+func (p *Proxy) bufferedBytes() int64 { return int64(p.inflight.bufferedBytes) + p.engine.Unsent() }
+
+// exceedsAnswerMemory reports whether an answer must not be kept because the answers that wait take too much memory.
+// This does not apply to a short answer, nor to one that is written at once to a client that has read everything.
+func (p *Proxy) exceedsAnswerMemory(req *inflightRequest, response, value []byte) bool {
+	size := len(response) + len(value)
+	client := p.downstream.conns.Get(req.client)
+	if client == nil || size <= minIncompleteBytes {
+		return false
+	}
+	isNext := req.slot == client.firstSlot && client.socket.Unsent() == 0
+	if isNext && len(value) <= unsentWindow {
+		return false
+	}
+	return p.bufferedBytes()+int64(size) > p.config.MemoryLimit/answersDivisor
 }
 
 // cloneRequest copies the parts of a request that are still needed out of the read buffer, in one allocation. It also
--- a/internal/proxy/response_stream.go
+++ b/internal/proxy/response_stream.go
@@ -11,12 +11,9 @@
 	// streamThreshold is the size in bytes above which a value is streamed. It is the maximum size of the values that
 	// clients write, so those are buffered.
 	streamThreshold = 64 << 10
-	// streamWindow is how many bytes may be queued for a slow client before the node stops reading from the endpoint.
-	streamWindow = 64 << 10
 	// streamCheckInterval is the interval at which the node checks whether such a client has caught up.
 	streamCheckInterval = 5 * time.Millisecond
-	// slowReaderTimeout is how long a client may read nothing while it occupies an endpoint's connection, or while its
-	// connection or the node waits for it to read the last answer.
+	// slowReaderTimeout is how long a client may read nothing while something is left to write to it.
 	slowReaderTimeout = 10 * time.Second
 	// streamIdleTimeout is how long an endpoint may send nothing while the client is ready to read.
 	streamIdleTimeout = 5 * time.Second
@@ -37,8 +34,6 @@
 	paused           bool           // the endpoint is not read: the client is slow, or earlier answers are pending
 	checkAt          policy.Instant // when its timer fires; 0 if not set
 	endpointActiveAt policy.Instant // when a byte was last forwarded, or the stream was paused; see streamIdleTimeout
-	unsent           int64          // bytes queued for the client at the last check
-	lastReadAt       policy.Instant // when the client last read a byte, or nothing was queued for it
 }
 
 // isComplete reports whether all of the value has been received.
@@ -74,9 +69,8 @@
 	conn.input.buf.Consume(response.headSize)
 	slot := client.slotOf(req.slot)
 	slot.request = 0
-	slot.response = head
 	slot.streamConn = conn.id
-	p.inflight.bufferedBytes += slot.size()
+	p.setAnswer(slot, head, nil)
 	req.answered = true
 	conn.purpose = purposeStream
 	conn.stream = stream
@@ -94,23 +88,16 @@
 		p.dropConn(conn)
 		return
 	}
-	if stream.isNextFor(client) && client.socket.Unsent() <= streamWindow {
+	if stream.isNextFor(client) && client.socket.Unsent() <= unsentWindow {
 		used, more := p.writeStream(conn, client, conn.input.buf.Unread())
 		if !more {
 			return
 		}
 		conn.input.buf.Consume(used)
 	}
-	mustPause := !stream.isNextFor(client) || client.socket.Unsent() > streamWindow
+	mustPause := !stream.isNextFor(client) || client.socket.Unsent() > unsentWindow
 	p.setPaused(conn, mustPause)
-	unsent := client.socket.Unsent()
-	if !mustPause || !stream.isNextFor(client) || unsent != stream.unsent {
-		stream.unsent = unsent
-		stream.lastReadAt = p.now()
-	} else if p.now().Since(stream.lastReadAt) >= slowReaderTimeout {
-		// A client that no longer reads would otherwise occupy its endpoint's connection forever.
-		p.metrics.counters.ClientTimeouts++
-		p.closeClient(client)
+	if stream.isNextFor(client) && !p.watchReading(client) {
 		return
 	}
 	p.scheduleStreamCheck(conn)
@@ -170,15 +157,14 @@
 	if !stream.started && !p.writeStreamHead(stream, client) {
 		return 0, false
 	}
-	for stream.remaining > 0 && len(data) > used && client.socket.Unsent() <= streamWindow {
+	for stream.remaining > 0 && len(data) > used && client.socket.Unsent() <= unsentWindow {
 		piece := data[used:]
-		piece = piece[:min(len(piece), stream.remaining, streamWindow)]
+		piece = piece[:min(len(piece), stream.remaining, unsentWindow)]
 		stream.remaining -= len(piece)
 		used += len(piece)
 		client.lastUsedAt = p.now()
 		stream.endpointActiveAt = p.now()
-		if client.socket.Write(piece) != nil { // what the kernel does not accept is copied
-			p.onClientClosed(client.id)
+		if !p.writeToClient(client, piece) { // what the kernel does not accept is copied
 			return 0, false
 		}
 	}
@@ -195,15 +181,11 @@
 // writeStreamHead writes what precedes a value, and reports whether the client is still connected.
 func (p *Proxy) writeStreamHead(stream *responseStream, client *clientConn) bool {
 	slot := &client.pipeline[0]
-	p.inflight.bufferedBytes -= slot.size()
 	head := slot.response
-	slot.response = nil
+	p.discardAnswer(slot)
+	slot.begun = true
 	stream.started = true
-	if client.socket.Write(head) != nil {
-		p.onClientClosed(client.id)
-		return false
-	}
-	return true
+	return p.writeToClient(client, head)
 }
 
 // completeStream ends a stream whose value has been received completely. If the trailer is invalid, it fails the stream
@@ -252,16 +234,14 @@
 		return
 	}
 	slot := client.slotOf(stream.slot)
-	p.inflight.bufferedBytes -= slot.size()
 	p.answerSlot(client, slot, stream.codec.failed(&stream.parsed, false))
 }
 
 // answerSlot stores the end of a streamed answer in its slot, and writes the answers that are ready.
 func (p *Proxy) answerSlot(client *clientConn, slot *pipelineSlot, response []byte) {
 	slot.answered = true
-	slot.response = response
 	slot.streamConn = 0
-	p.inflight.bufferedBytes += slot.size()
+	p.setAnswer(slot, response, nil)
 	p.flushPipeline(client)
 }
 
--- a/internal/proxy/response_stream_test.go
+++ b/internal/proxy/response_stream_test.go
@@ -67,7 +67,7 @@
 	g.expect(others, "VA 5 Oshort", "hello")
 	close(rest)
 	g.expect(r, first[half:], fmt.Sprintf("VA %d Ob", len(second)), second, "MN")
-	if n := g.Counters(); n.Satisfied != 3 || n.Attempts != 3 || g.upstream.incompleteBytes > 2*streamWindow {
+	if n := g.Counters(); n.Satisfied != 3 || n.Attempts != 3 || g.upstream.incompleteBytes > 2*unsentWindow {
 		t.Errorf("%+v, %d incomplete bytes still counted", n, g.upstream.incompleteBytes)
 	}
 }
@@ -104,7 +104,7 @@
 		g.runInLoop(func() {
 			g.upstream.conns.Each(func(_ upstreamConnID, l *upstreamConn) {
 				if l.stream != nil && l.stream.paused && l.stream.started { // as if slowReaderTimeout had passed
-					l.stream.lastReadAt = l.stream.lastReadAt.Add(-slowReaderTimeout)
+					g.expireReading()
 				}
 			})
 			stuck <- g.downstream.conns.Len() == 1
--- a/internal/proxy/sockets/conn.go
+++ b/internal/proxy/sockets/conn.go
@@ -29,6 +29,7 @@
 	orderly     atomic.Bool  // the peer has closed the connection, and everything that it sent has been read
 
 	// Writing and closing.
+	written         int64        // bytes passed to Write; used by the loop only
 	unsent          atomic.Int64 // written bytes that the kernel has not accepted yet
 	discardMu       sync.Mutex
 	discardedBytes  int64       // bytes that the kernel never accepted; guarded by discardMu
@@ -79,6 +80,7 @@
 // Write writes b. Bytes that the kernel does not accept immediately are buffered and written later. An error means that
 // at least the last byte was not accepted and never will be.
 func (c *Conn) Write(b []byte) error {
+	c.written += int64(len(b))
 	c.unsent.Add(int64(len(b)))
 	c.engine.unsent.Add(int64(len(b)))
 	err := c.socket.Write(b)
@@ -91,6 +93,10 @@
 // Unsent returns the number of written bytes that the kernel has not accepted yet.
 func (c *Conn) Unsent() int64 { return c.unsent.Load() }
 
+// Accepted returns the number of written bytes that the kernel has accepted so far. It is valid until the connection is
+// closed.
+func (c *Conn) Accepted() int64 { return c.written - c.unsent.Load() }
+
 // Close closes the connection; the event Closed follows. It returns the number of written bytes that the kernel never
 // accepted and never will.
 func (c *Conn) Close() (unsentBytes int64) {
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -15,7 +15,7 @@
 	timerUpstreamConn                     // a connect, a health check or an idle connection may have timed out
 	timerPoll                             // a poll of the endpoint list has timed out, or its backoff has ended
 	timerStream                           // a streamed response may have stalled
-	timerFlush                            // the client of a closing connection may have read everything
+	timerFlush                            // a client may have read what is unsent
 	timerSweep                            // sweep is due
 	timerIdleCheck                        // the idle check of a draining node or one in standby is due
 	timerLastKnownList                    // no list has arrived yet: the last known one is used
@@ -68,7 +68,7 @@
 	case timerStream:
 		p.onStreamTimer(event.conn)
 	case timerFlush:
-		p.closeOnceFlushed(event.client)
+		p.onFlushTimer(event.client)
 	case timerSweep:
 		p.sweep()
 	case timerLastKnownList:
