Control servers: a learner that lost its data gets the log from the same leader

Cause: raft's leader remembers what a learner has acknowledged, and never lowers that: a rejection of entries below it counts as old. It sends commit indexes up to there, which panic at a log that ends before. Change (incarnation.go): each process of a learner has an incarnation, a random number. The leader forgets the learner's progress when that changes: the learner leaves raft's members and joins again, in the leader's memory only; no majority depends on a learner. Raft messages to a learner name the incarnation that they were made for, and it drops others; its own are dropped if they are of an earlier process. So neither an old heartbeat nor an old acknowledgement counts. It states the number again with each report, as a late hello may replace it. An older copy of a learner's folder is covered too. Voters are as before: one that lost its disk is refused. Recorded frames: two more, the others unchanged.

--- a/cmd/dahliapin/changes_test.go
+++ b/cmd/dahliapin/changes_test.go
@@ -156,6 +156,75 @@
 	}
 }
 
+// Guards against a learner that ends at each start after it has lost its disk. It is killed each time, as by a loss of
+// power, and must have the log again, without a change of the leader.
+func TestKilledLearnerStartsWithoutItsDisk(t *testing.T) {
+	const learner, losses = 3, 3
+	f := newControlFleet(t)
+	var server *exec.Cmd
+	var log chan string
+	for i := range f.peers {
+		var flags []string
+		if i != learner {
+			flags = append(flags, "--new")
+		}
+		server, log = f.start(t, i, flags...)
+		waitForLine(t, log, "control server listening")
+	}
+	f.publish(t, "1\n2\n", "a", "b")
+	f.waitForLearner(t, log, 2)
+	before := f.overview(t)
+	for loss := range losses {
+		killAndWait(server)
+		if err := os.RemoveAll(fmt.Sprintf("%s/%d", f.dir, learner)); err != nil {
+			t.Fatal(err)
+		}
+		server, log = f.start(t, learner)
+		index := loss + 3
+		f.publish(t, fmt.Sprintf("%d\n", index), fmt.Sprint("after ", loss))
+		f.waitForLearner(t, log, index)
+	}
+	after := f.overview(t)
+	for i := range learner {
+		if before.Servers[i].Term != after.Servers[i].Term {
+			t.Errorf("control server %d is in term %d, before in %d", i+1, after.Servers[i].Term, before.Servers[i].Term)
+		}
+	}
+}
+
+// overview returns what the control servers report.
+func (f *controlFleet) overview(t *testing.T) (o controlclient.Overview) {
+	t.Helper()
+	out, _ := runProgram(t, "fleet", "changes", "--at", strings.Join(f.nodes, ","), "--label", "l", "--json")
+	if err := json.Unmarshal([]byte(out), &o); err != nil || len(o.Servers) != len(f.nodes) {
+		t.Fatalf("%q: %v", out, err)
+	}
+	return o
+}
+
+// waitForLearner waits until the learner itself reports that it has the log up to an index. It fails the test if the
+// learner's log ends.
+func (f *controlFleet) waitForLearner(t *testing.T, log chan string, index int) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); {
+		out, _ := runProgram(t, "fleet", "changes", "--at", f.nodes[len(f.nodes)-1], "--label", "l", "--json")
+		var o controlclient.Overview
+		if json.Unmarshal([]byte(out), &o) == nil && int(o.Last) == index {
+			for _, server := range o.Servers {
+				if server.Learner && int(server.Last) == index {
+					return
+				}
+			}
+		}
+		for len(log) > 0 {
+			if line := <-log; strings.Contains(line, "stopping") {
+				t.Fatalf("the learner has ended: %s", line)
+			}
+		}
+	}
+	t.Fatalf("the learner does not have the log up to %d", index)
+}
+
 // formatChanges returns the text that the changes command shows to operators.
 func formatChanges(t *testing.T, o controlclient.Overview) string {
 	t.Helper()
--- a/internal/control/controlserver/loop.go
+++ b/internal/control/controlserver/loop.go
@@ -38,7 +38,7 @@
 // raftLoop runs raft. Its goroutine (run) owns node and the fields after it.
 type raftLoop struct {
 	server     *Server
-	messages   chan *pb.Message  // from other control servers
+	messages   chan peerMessage  // from other control servers
 	publishes  chan *publishCall // from clients
 	functions  chan func()       // from other goroutines, see call
 	leadership atomic.Pointer[leadership]
@@ -61,7 +61,7 @@
 	}
 	l := &raftLoop{
 		server:       s,
-		messages:     make(chan *pb.Message, inboxMessages),
+		messages:     make(chan peerMessage, inboxMessages),
 		publishes:    make(chan *publishCall, inboxPublishes),
 		functions:    make(chan func(), inboxMessages),
 		storage:      storage,
@@ -107,7 +107,7 @@
 			proposals = l.queue.retry()
 			l.leaderDuties()
 		case message := <-l.messages:
-			l.step(message)
+			l.receive(message)
 		case call := <-l.publishes:
 			proposals = l.queue.add(call)
 		case f := <-l.functions:
@@ -123,6 +123,7 @@
 				return
 			}
 		}
+		l.updateIncarnations()
 		l.updateLeadership()
 	}
 }
@@ -133,7 +134,7 @@
 	for range maxLoopInputs {
 		select {
 		case message := <-l.messages:
-			l.step(message)
+			l.receive(message)
 		case call := <-l.publishes:
 			proposals = append(proposals, l.queue.add(call)...)
 		case f := <-l.functions:
--- a/internal/control/controlserver/peers.go
+++ b/internal/control/controlserver/peers.go
@@ -24,15 +24,19 @@
 type peer struct {
 	fleetconfig.ControlServer
 	server *Server
-	outbox chan *pb.Message
+	outbox chan outgoingMessage
 	random keyhash.Source // jitter of the backoff
+
+	// The loop owns these incarnations, which are 0 for a voter, and while they are unknown.
+	incarnation       uint64 // names the process that messages are for and from
+	statedIncarnation uint64 // the last one stated; see updateIncarnations
 }
 
 func startPeer(s *Server, other fleetconfig.ControlServer) *peer {
 	p := &peer{
 		ControlServer: other,
 		server:        s,
-		outbox:        make(chan *pb.Message, outboxMessages),
+		outbox:        make(chan outgoingMessage, outboxMessages),
 		random:        keyhash.Source{Seed: uint32(keyhash.Salted(s.id, int(other.ID)))},
 	}
 	s.goroutines.Go(p.run)
@@ -42,7 +46,7 @@
 // send queues a message, or drops it if the queue is full. Only the loop may call it.
 func (p *peer) send(message *pb.Message) {
 	select {
-	case p.outbox <- message:
+	case p.outbox <- outgoingMessage{Message: message, incarnation: p.incarnation}:
 	default:
 		p.reportLost(message)
 	}
@@ -80,8 +84,7 @@
 		if !p.server.connections.add(stream.Conn) {
 			return
 		}
-		hello := controlwire.Message{Kind: controlwire.KindHello, Index: p.server.id}
-		if _, err := stream.Send(hello, controlwire.HandshakeTimeout); err == nil {
+		if _, err := stream.Send(p.server.peerHello(), controlwire.HandshakeTimeout); err == nil {
 			attempt = 0
 			p.sendUntilBroken(stream)
 		}
@@ -96,7 +99,7 @@
 		began := time.Now()
 		select {
 		case message := <-p.outbox:
-			p.server.loop.call(func() { p.reportLost(message) })
+			p.server.loop.call(func() { p.reportLost(message.Message) })
 		case <-time.After(delay):
 		case <-p.server.closed:
 			return false
@@ -123,7 +126,7 @@
 		case first := <-p.outbox:
 			err = p.sendRaft(stream, first)
 		case <-ticker.C:
-			err = p.sendFrame(stream, p.server.status.ownTable(), controlwire.WriteTimeout)
+			err = p.sendStatus(stream)
 		case <-broken:
 			return
 		case <-p.server.closed:
@@ -135,19 +138,32 @@
 	}
 }
 
+// sendStatus sends this server's reports. A learner states its incarnation again, because a late message of its earlier
+// process may have replaced it.
+func (p *peer) sendStatus(stream *controlwire.Stream) error {
+	if p.server.incarnation != 0 {
+		if err := p.sendFrame(stream, p.server.peerHello(), controlwire.WriteTimeout); err != nil {
+			return err
+		}
+	}
+	return p.sendFrame(stream, p.server.status.ownTable(), controlwire.WriteTimeout)
+}
+
 // sendRaft sends a message together with those queued behind it. It reports to raft the messages that were lost, and
-// the snapshots that were sent.
-func (p *peer) sendRaft(stream *controlwire.Stream, first *pb.Message) error {
-	messages := []*pb.Message{first}
-	size := dataBytes(first)
+// the snapshots that were sent. If the messages are for different processes of a learner, those for the earlier ones
+// are dropped.
+func (p *peer) sendRaft(stream *controlwire.Stream, first outgoingMessage) error {
+	messages := []outgoingMessage{first}
+	size := dataBytes(first.Message)
 	for size < maxRaftFrameBytes && len(p.outbox) > 0 && len(messages) < maxLoopInputs {
 		message := <-p.outbox
-		size += dataBytes(message)
+		size += dataBytes(message.Message)
 		messages = append(messages, message)
 	}
-	frame := controlwire.Message{Kind: controlwire.KindRaft}
+	messages = forLatestIncarnation(messages)
+	frame := controlwire.Message{Kind: controlwire.KindRaft, Incarnation: messages[0].incarnation}
 	for _, message := range messages {
-		if encoded, err := proto.Marshal(message); err == nil {
+		if encoded, err := proto.Marshal(message.Message); err == nil {
 			frame.RaftMessages = append(frame.RaftMessages, encoded)
 		}
 	}
@@ -158,7 +174,7 @@
 	err := p.sendFrame(stream, frame, timeout)
 	for _, message := range messages {
 		if err != nil {
-			p.server.loop.call(func() { p.reportLost(message) })
+			p.server.loop.call(func() { p.reportLost(message.Message) })
 		} else if message.GetType() == pb.MsgSnap {
 			p.server.loop.call(func() { p.server.loop.node.ReportSnapshot(p.ID, raft.SnapshotFinish) })
 		}
@@ -192,7 +208,10 @@
 		s.status.invalid.Add(1)
 		return
 	}
-	from := hello.Index
+	from := peerMessage{from: hello.Index, incarnation: hello.Incarnation}
+	if !s.passToLoop(from) {
+		return
+	}
 	for {
 		message, size, err := stream.Receive(peerTimeout)
 		if err != nil {
@@ -201,9 +220,13 @@
 		s.status.bytesIn.Add(uint64(size))
 		switch message.Kind {
 		case controlwire.KindStatusTable:
-			s.status.mergePeerTable(from, message)
+			s.status.mergePeerTable(from.from, message)
+		case controlwire.KindHello:
+			if !s.passToLoop(from) {
+				return
+			}
 		case controlwire.KindRaft:
-			if !s.receiveRaft(from, message.RaftMessages) {
+			if !s.receiveRaft(from, message) {
 				return
 			}
 		}
@@ -212,21 +235,35 @@
 
 // receiveRaft passes raft messages to the loop, and returns false when the server stops. A message that is not for this
 // server, or not from the stream's sender, is counted and dropped. Proposals are exempt from the check of the sender,
-// because they are forwarded with the id of the server that made them.
-func (s *Server) receiveRaft(from uint64, encoded [][]byte) bool {
-	for _, one := range encoded {
+// because they are forwarded with the id of the server that made them. Messages for an earlier process of this learner
+// are not for this server.
+func (s *Server) receiveRaft(from peerMessage, frame controlwire.Message) bool {
+	if frame.Incarnation != 0 && frame.Incarnation != s.incarnation {
+		s.status.invalid.Add(uint64(len(frame.RaftMessages)))
+		return true
+	}
+	for _, one := range frame.RaftMessages {
 		message := &pb.Message{}
 		err := proto.Unmarshal(one, message)
-		forged := message.GetFrom() != from && message.GetType() != pb.MsgProp
+		forged := message.GetFrom() != from.from && message.GetType() != pb.MsgProp
 		if err != nil || message.GetTo() != s.id || forged || raft.IsLocalMsg(message.GetType()) {
 			s.status.invalid.Add(1)
 			continue
 		}
-		select {
-		case s.loop.messages <- message:
-		case <-s.closed:
+		from.message = message
+		if !s.passToLoop(from) {
 			return false
 		}
 	}
 	return true
 }
+
+// passToLoop passes a message of another control server to the loop, and returns false when the server stops.
+func (s *Server) passToLoop(message peerMessage) bool {
+	select {
+	case s.loop.messages <- message:
+		return true
+	case <-s.closed:
+		return false
+	}
+}
--- a/internal/control/controlserver/peers_test.go
+++ b/internal/control/controlserver/peers_test.go
@@ -21,7 +21,7 @@
 	server := &Server{lifecycle: newLifecycle()}
 	server.status = newStatusTable(server)
 	server.loop = &raftLoop{server: server, functions: make(chan func(), len(queued)+1)}
-	p := &peer{server: server, outbox: make(chan *pb.Message, len(queued))}
+	p := &peer{server: server, outbox: make(chan outgoingMessage, len(queued))}
 	for _, message := range queued {
 		p.send(message)
 	}
@@ -29,7 +29,9 @@
 	defer near.Close()
 	defer far.Close()
 	sent := make(chan error, 1)
-	go func() { sent <- p.sendRaft(controlwire.NewStream(near, controlwire.MaxPeerFrameBytes), first) }()
+	go func() {
+		sent <- p.sendRaft(controlwire.NewStream(near, controlwire.MaxPeerFrameBytes), outgoingMessage{Message: first})
+	}()
 	frame, _, err := controlwire.NewStream(far, controlwire.MaxPeerFrameBytes).Receive(5 * time.Second)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/control/controlserver/server.go
+++ b/internal/control/controlserver/server.go
@@ -16,6 +16,7 @@
 type Server struct {
 	Config
 	id             uint64
+	incarnation    uint64 // of a learner, otherwise 0; see incarnation.go
 	sharedLog      *sharedLog
 	loop           *raftLoop
 	peers          map[uint64]*peer // the other control servers; not changed after Open
@@ -35,6 +36,7 @@
 	s := &Server{
 		Config:       config,
 		id:           config.File.Self().ID,
+		incarnation:  newIncarnation(config.File.Self()),
 		peers:        map[uint64]*peer{},
 		catchUpPacer: &pacer{bytesPerSecond: config.File.Bounds.PaceMB * (1 << 20)},
 		connections:  newConnections(),
--- a/internal/control/controlwire/golden_test.go
+++ b/internal/control/controlwire/golden_test.go
@@ -39,6 +39,8 @@
 			}},
 		},
 		{Kind: KindRaft, RaftMessages: [][]byte{{1, 2}, {3}}},
+		{Kind: KindHello, Index: 4, Incarnation: 77},
+		{Kind: KindRaft, RaftMessages: [][]byte{{1, 2}}, Incarnation: 77},
 	}
 	var got bytes.Buffer
 	peer, follower, client := Preface(StreamPeer, "fleet"), Preface(StreamFollower, "fleet"), Preface(StreamClient, "")
--- a/internal/control/controlwire/message.go
+++ b/internal/control/controlwire/message.go
@@ -16,7 +16,7 @@
 
 // The kinds of messages.
 const (
-	KindHello         MessageKind = 1  // node: its NodeReport, LogID and Fresh; control server: its id in Index
+	KindHello         MessageKind = 1  // node: its NodeReport, LogID and Fresh; control server: see peers.go there
 	KindStart         MessageKind = 2  // to a node: the index at which it starts, and the configuration in force there
 	KindEntries       MessageKind = 3  // to a node: entries in order; without entries it is a heartbeat
 	KindProgress      MessageKind = 4  // from a node: its NodeReport
@@ -64,6 +64,9 @@
 	Servers      []ServerReport    `cbor:"13,keyasint,omitempty"`
 	LogID        uint64            `cbor:"14,keyasint,omitempty"` // Start, a node's Hello: the log of the indexes
 	Caches       []purge.Progress  `cbor:"15,keyasint,omitempty"` // purges at caches, by control server
+	// Incarnation is the learner's in its Hello to another control server, and in a frame of raft messages to a learner
+	// the last one that the sender knows; 0 if there is none. A learner's incarnation differs in each of its processes.
+	Incarnation uint64 `cbor:"16,keyasint,omitempty"`
 }
 
 // NodeReport is a node's own report of how far it has applied the replicated log. Control servers fill in Server and
