--- a/internal/control/controlserver/harness_test.go
+++ b/internal/control/controlserver/harness_test.go
@@ -360,12 +360,17 @@
 
 // follow starts a node.
 func (c *cluster) follow(name string, seed uint32) *testNode {
+	return c.followServers(name, seed, c.nodeAddrs())
+}
+
+// followServers starts a node that follows the servers with these addresses only.
+func (c *cluster) followServers(name string, seed uint32, addrs []string) *testNode {
 	n := &testNode{}
 	n.started = &startRecorder{Applier: replicatedlog.NewApplier(n)}
 	n.Follower = logfollower.Start(logfollower.Config{
 		Name:       name,
 		Label:      testLabel,
-		Servers:    c.nodeAddrs(),
+		Servers:    addrs,
 		Seed:       seed,
 		StaleAfter: time.Second,
 		Applier:    n.started,
--- a/internal/control/controlserver/incarnation_test.go
+++ b/internal/control/controlserver/incarnation_test.go
@@ -139,6 +139,28 @@
 	}
 }
 
+// A node that follows only the learner must have each entry once and in order, although the learner has lost them
+// meanwhile, and begin nowhere else.
+func TestNodeOfAnEmptiedLearnerHasEachEntryOnce(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil, nil)
+	n := c.followServers("n", 0, []string{nodeAddr(learnerServer)})
+	waitStarted(t, n.started)
+	first, last := newPurges(0, 20), newPurges(1000, 3)
+	c.publish(first)
+	c.waitApplied(n, 20)
+	for range 2 {
+		c.emptyLearner()
+		c.start(learnerServer, false)
+	}
+	c.publish(last)
+	c.waitApplied(n, 23)
+	n.expectApplied(t, 1, bodiesOf(first, last)...)
+	if status := n.Status(); status.Gaps != 0 || len(n.starts) != 1 {
+		t.Errorf("%d starting points, %+v", len(n.starts), status)
+	}
+}
+
 // expectSameLogs checks that the learner and the leader retain the same entries up to the learner's newest.
 func (c *cluster) expectSameLogs() {
 	c.t.Helper()
