Test: processes that end deliver answers that waited for a slow one

Change: the test of long values at the end of a process is split into steps, and a second one uses them: 200 reads of 64 KiB wait behind a slow one as the process is told to end, alone, as a predecessor or as a successor, and the client reads nothing until past the limit.

--- a/cmd/dahliapin/upgrade_stream_test.go
+++ b/cmd/dahliapin/upgrade_stream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -25,11 +26,7 @@
 }
 
 func endDuringLongValue(t *testing.T, ending string) {
-	const hardStop = 1
-	const drainLimit = 1500 * time.Millisecond // hardStop and half a second
-	s := newUpgradeHarness(t)
-	s.softLimit = hardStop
-	s.hardStop = hardStop
+	s := newEndingHarness(t)
 	long := strings.Repeat("v", 1<<20)
 	rest := make(chan bool)
 	s.serveCache = func(c net.Conn, command []string) {
@@ -41,62 +38,165 @@
 		<-rest
 		io.WriteString(c, long[len(long)/2:]+"\r\n")
 	}
-	ended := s.start()
-	s.waitForLine(ended, "msg=serving")
-	var other *harnessProcess
-	if ending == "successor" {
-		other = ended
-		ended = s.start()
-		s.waitForLine(ended, "msg=serving")
-		s.waitForLine(other, "successor process is serving")
-	}
-	c, err := net.Dial("tcp", s.listen)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(20 * time.Second))
+	e := s.startEnding(ending)
+	c, r := s.connect()
 	fmt.Fprint(c, "mg long v Olong Pc=read,d=1000\r\n")
-	r := bufio.NewReaderSize(c, len(long))
-	if _, err := r.Peek(len(long) / 2); err != nil {
+	if _, err := r.Peek(4 << 10); err != nil {
 		t.Fatal(err)
 	}
-	if ending == "predecessor" {
-		other = s.start()
-		s.waitForLine(other, "msg=serving")
-	}
-	ended.Process.Signal(syscall.SIGTERM)
-	s.waitForLine(ended, "msg=draining")
-	time.Sleep(drainLimit + 300*time.Millisecond)
-	if other != nil {
-		s.expectServed()
-	}
+	e.terminate(s)
+	time.Sleep(pastDrainLimit)
+	e.expectOtherServes(s)
 	close(rest)
 	got, _ := io.ReadAll(r)
 	if want := fmt.Sprintf("VA %d Olong\r\n%s\r\n", len(long), long); string(got) != want {
 		t.Errorf("got %d of %d bytes", len(got), len(want))
 	}
-	s.waitForLine(ended, "counters, stopped")
-	switch ending {
-	case "predecessor":
-		s.waitForLine(other, "predecessor process has exited; using the full limits")
-	case "successor":
-		s.waitForLine(other, "successor process has exited; accepting connections again")
+	e.expectEnded(s)
+}
+
+// Guards against a process that is told to end, with or without another one in its place, and loses requests whose
+// answers wait for a slow one on the same connection: as they became ready, they were more than a connection may buffer,
+// and the process closed it. The client reads nothing until well after the limit of the drain.
+func TestProcessesThatEndDeliverAnswersThatWaited(t *testing.T) {
+	for _, ending := range []string{"alone", "predecessor", "successor"} {
+		t.Run(ending, func(t *testing.T) {
+			t.Parallel()
+			endWhileAnswersWait(t, ending)
+		})
 	}
-	if other != nil {
-		s.expectServed()
+}
+
+func endWhileAnswersWait(t *testing.T, ending string) {
+	const reads = 200 // more than a connection may buffer
+	s := newEndingHarness(t)
+	s.sockets = 1024 // shared by two processes, as the memory; each read takes one
+	s.memoryMB = 192
+	value := strings.Repeat("v", 64<<10)
+	slow := make(chan bool)
+	var answered atomic.Int64
+	s.serveCache = func(c net.Conn, command []string) {
+		switch command[1] {
+		case "slow":
+			<-slow
+			serveHello(c, command)
+		case "waits":
+			fmt.Fprintf(c, "VA %d %s\r\n%s\r\n", len(value), command[3], value)
+			answered.Add(1)
+		default:
+			serveHello(c, command)
+		}
+	}
+	e := s.startEnding(ending)
+	c, r := s.connect()
+	commands := "mg slow v Oslow Pc=read,d=1000\r\n"
+	want := "VA 5 Oslow\r\nhello\r\n"
+	for n := range reads {
+		commands += fmt.Sprintf("mg waits v Ow%d Pc=read,d=1000\r\n", n)
+		want += fmt.Sprintf("VA %d Ow%d\r\n%s\r\n", len(value), n, value)
+	}
+	io.WriteString(c, commands)
+	for by := time.Now().Add(10 * time.Second); answered.Load() < reads; time.Sleep(time.Millisecond) {
+		if time.Now().After(by) {
+			t.Fatalf("the cache has answered %d of %d", answered.Load(), reads)
+		}
+	}
+	e.terminate(s)
+	close(slow)
+	time.Sleep(pastDrainLimit)
+	e.expectOtherServes(s)
+	got, err := io.ReadAll(r)
+	if string(got) != want {
+		t.Errorf("got %d of %d bytes, %v", len(got), len(want), err)
 	}
+	e.expectEnded(s)
 }
 
-// expectServed sends a request on a new connection and expects its value.
-func (s *upgradeHarness) expectServed() {
+const (
+	endingHardStop = 1 // in seconds
+	// pastDrainLimit is longer than a process drains that has nothing to deliver: endingHardStop and half a second.
+	pastDrainLimit = 1800 * time.Millisecond
+)
+
+// newEndingHarness returns a harness with endingHardStop, in which no request is retried.
+func newEndingHarness(t *testing.T) *upgradeHarness {
+	s := newUpgradeHarness(t)
+	s.softLimit = endingHardStop
+	s.hardStop = endingHardStop
+	return s
+}
+
+// connect connects to the process that accepts connections.
+func (s *upgradeHarness) connect() (net.Conn, *bufio.Reader) {
 	s.t.Helper()
 	c, err := net.Dial("tcp", s.listen)
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	s.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c, bufio.NewReader(c)
+}
+
+// endingProcess is a process that is told to end: alone, or as the predecessor or the successor of another one.
+type endingProcess struct {
+	ending  string
+	process *harnessProcess
+	other   *harnessProcess // nil if it is alone, and for a predecessor before terminate
+}
+
+// startEnding starts the process, and the predecessor of a successor.
+func (s *upgradeHarness) startEnding(ending string) *endingProcess {
+	s.t.Helper()
+	e := &endingProcess{ending: ending, process: s.start()}
+	s.waitForLine(e.process, "msg=serving")
+	if ending == "successor" {
+		e.other = e.process
+		e.process = s.start()
+		s.waitForLine(e.process, "msg=serving")
+		s.waitForLine(e.other, "successor process is serving")
+	}
+	return e
+}
+
+// terminate tells the process to end, after it has started the successor of a predecessor.
+func (e *endingProcess) terminate(s *upgradeHarness) {
+	s.t.Helper()
+	if e.ending == "predecessor" {
+		e.other = s.start()
+		s.waitForLine(e.other, "msg=serving")
+	}
+	e.process.Process.Signal(syscall.SIGTERM)
+	s.waitForLine(e.process, "msg=draining")
+}
+
+// expectOtherServes expects that the other process, if there is one, serves requests.
+func (e *endingProcess) expectOtherServes(s *upgradeHarness) {
+	s.t.Helper()
+	if e.other != nil {
+		s.expectServed()
+	}
+}
+
+// expectEnded waits until the process has ended, and the other one serves with the full limits.
+func (e *endingProcess) expectEnded(s *upgradeHarness) {
+	s.t.Helper()
+	s.waitForLine(e.process, "counters, stopped")
+	switch e.ending {
+	case "predecessor":
+		s.waitForLine(e.other, "predecessor process has exited; using the full limits")
+	case "successor":
+		s.waitForLine(e.other, "successor process has exited; accepting connections again")
+	}
+	e.expectOtherServes(s)
+}
+
+// expectServed sends a request on a new connection and expects its value.
+func (s *upgradeHarness) expectServed() {
+	s.t.Helper()
+	c, r := s.connect()
 	defer c.Close()
-	if err := s.request(c, bufio.NewReader(c)); err != nil {
+	if err := s.request(c, r); err != nil {
 		s.t.Error(err)
 	}
 }
--- a/cmd/dahliapin/upgrade_test.go
+++ b/cmd/dahliapin/upgrade_test.go
@@ -25,6 +25,8 @@
 	discovery     string
 	softLimit     float64                            // latency objective in seconds
 	hardStop      float64                            // longest deadline in seconds
+	sockets       int                                // the node's limit
+	memoryMB      int                                // the node's limit
 	serveCache    func(c net.Conn, command []string) // answers a command at the cache
 	answered      atomic.Int64
 	lost          atomic.Int64
@@ -35,7 +37,7 @@
 }
 
 func newUpgradeHarness(t testing.TB) *upgradeHarness {
-	s := &upgradeHarness{t: t, dir: t.TempDir(), done: make(chan bool), softLimit: 2, hardStop: 3}
+	s := &upgradeHarness{t: t, dir: t.TempDir(), done: make(chan bool), softLimit: 2, hardStop: 3, sockets: 384, memoryMB: 64}
 	s.serveCache = serveHello
 	cache, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -98,9 +100,9 @@
 	s.t.Helper()
 	file := fmt.Sprintf("%s/%d.json", s.dir, s.starts.Add(1))
 	text := fmt.Sprintf(`{"name":"n","listen":%[1]q,"ops":"127.0.0.1:0","discovery":%[2]q,
-"limits":{"memory_mb":64,"sockets":384},"settings":{"service_grades":[
+"limits":{"memory_mb":%[6]d,"sockets":%[5]d},"settings":{"service_grades":[
 {"name":"read","benefit":1,"effect":"idempotent","soft_limit_s":%[3]v,"hard_stop_s":%[4]v}],
-"bounds":{"most_legs":3,"conn_idle_s":15}}}`, s.listen, s.discovery, s.softLimit, s.hardStop)
+"bounds":{"most_legs":3,"conn_idle_s":15}}}`, s.listen, s.discovery, s.softLimit, s.hardStop, s.sockets, s.memoryMB)
 	if err := syscall.Mkfifo(file, 0o600); err != nil {
 		s.t.Fatal(err)
 	}
