--- a/internal/control/controlserver/incarnation_test.go
+++ b/internal/control/controlserver/incarnation_test.go
@@ -235,8 +235,8 @@
 	eventually(t, 5*time.Second, "the message is dropped", isDropped)
 }
 
-// Guards against late messages from the time before a learner lost its data: a heartbeat for its earlier process, with a
-// commit index beyond its log, and an acknowledgement of that process, which would restore its progress at the leader.
+// Guards against late messages from the time before a learner lost its data: a heartbeat for its earlier process, with
+// a commit index beyond its log, and an acknowledgement of that process, which would restore its progress.
 func TestLateMessagesOfAnEarlierProcessOfALearnerAreDropped(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, nil, nil)
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -452,8 +452,8 @@
 	"half-close": func(c *net.TCPConn) { c.CloseWrite() },
 }
 
-// advanceReading makes all clients look as if they had read nothing for a time longer than now. It must be called in the
-// event loop.
+// advanceReading makes all clients look as if they had read nothing for some more time. It must be called in the event
+// loop.
 func (g *harness) advanceReading(by time.Duration) {
 	g.downstream.conns.Each(func(_ clientConnID, client *clientConn) {
 		client.reading.progressAt = client.reading.progressAt.Add(-by)
