Control servers: a stream's hello is passed on whole, in place of a partly set message

Cause: servePeer kept the sender in a message without content, whose name said little. Change: the hello is passed to receiveRaft, and the statement of an incarnation has its own name. No change of what it does. Measured: go test ./internal/control/controlserver passes.

--- a/internal/control/controlserver/peers.go
+++ b/internal/control/controlserver/peers.go
@@ -208,8 +208,8 @@
 		s.status.invalid.Add(1)
 		return
 	}
-	from := peerMessage{from: hello.Index, incarnation: hello.Incarnation}
-	if !s.passToLoop(from) {
+	statement := peerMessage{from: hello.Index, incarnation: hello.Incarnation}
+	if !s.passToLoop(statement) {
 		return
 	}
 	for {
@@ -220,13 +220,13 @@
 		s.status.bytesIn.Add(uint64(size))
 		switch message.Kind {
 		case controlwire.KindStatusTable:
-			s.status.mergePeerTable(from.from, message)
+			s.status.mergePeerTable(hello.Index, message)
 		case controlwire.KindHello:
-			if !s.passToLoop(from) {
+			if !s.passToLoop(statement) {
 				return
 			}
 		case controlwire.KindRaft:
-			if !s.receiveRaft(from, message) {
+			if !s.receiveRaft(hello, message) {
 				return
 			}
 		}
@@ -234,10 +234,10 @@
 }
 
 // receiveRaft passes raft messages to the loop, and returns false when the server stops. A message that is not for this
-// server, or not from the stream's sender, is counted and dropped. Proposals are exempt from the check of the sender,
-// because they are forwarded with the id of the server that made them. Messages for an earlier process of this learner
-// are not for this server.
-func (s *Server) receiveRaft(from peerMessage, frame controlwire.Message) bool {
+// server, or not from the server that opened the stream with hello, is counted and dropped. Proposals are exempt from
+// the check of the sender, because they are forwarded with the id of the server that made them. Messages for an earlier
+// process of this learner are not for this server.
+func (s *Server) receiveRaft(hello, frame controlwire.Message) bool {
 	if frame.Incarnation != 0 && frame.Incarnation != s.incarnation {
 		s.status.invalid.Add(uint64(len(frame.RaftMessages)))
 		return true
@@ -245,13 +245,13 @@
 	for _, one := range frame.RaftMessages {
 		message := &pb.Message{}
 		err := proto.Unmarshal(one, message)
-		forged := message.GetFrom() != from.from && message.GetType() != pb.MsgProp
+		forged := message.GetFrom() != hello.Index && message.GetType() != pb.MsgProp
 		if err != nil || message.GetTo() != s.id || forged || raft.IsLocalMsg(message.GetType()) {
 			s.status.invalid.Add(1)
 			continue
 		}
-		from.message = message
-		if !s.passToLoop(from) {
+		received := peerMessage{from: hello.Index, incarnation: hello.Incarnation, message: message}
+		if !s.passToLoop(received) {
 			return false
 		}
 	}
