Tests of an emptied learner share their beginning

Cause: two tests began with the same seven lines. Change: newEmptiedCluster; a late hello comes on a stream that the earlier process had opened, as it would.

--- a/internal/control/controlserver/incarnation_test.go
+++ b/internal/control/controlserver/incarnation_test.go
@@ -207,10 +207,15 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { stream.Close() })
-	send(t, stream, controlwire.Message{Kind: controlwire.KindHello, Index: id, Incarnation: incarnation})
+	send(t, stream, helloAs(id, incarnation))
 	return stream
 }
 
+// helloAs returns another control server's hello.
+func helloAs(id, incarnation uint64) controlwire.Message {
+	return controlwire.Message{Kind: controlwire.KindHello, Index: id, Incarnation: incarnation}
+}
+
 func send(t *testing.T, stream *controlwire.Stream, message controlwire.Message) {
 	t.Helper()
 	if _, err := stream.Send(message, time.Second); err != nil {
@@ -235,19 +240,27 @@
 	eventually(t, 5*time.Second, "the message is dropped", isDropped)
 }
 
-// Guards against late messages from the time before a learner lost its data: a heartbeat for its earlier process, with
-// a commit index beyond its log, and an acknowledgement of that process, which would restore its progress.
-func TestLateMessagesOfAnEarlierProcessOfALearnerAreDropped(t *testing.T) {
-	t.Parallel()
-	c := newCluster(t, nil, nil)
+// newEmptiedCluster starts a cluster whose learner has lost its data. It returns the leader, which knows the learner's
+// new process, the incarnation of the earlier one, and a stream to the leader that the earlier one has opened.
+func newEmptiedCluster(t *testing.T) (c *cluster, leader *Server, earlier uint64, late *controlwire.Stream) {
+	t.Helper()
+	c = newCluster(t, nil, nil)
 	c.publish(newPurges(0, 20))
 	c.waitLearner(20)
-	leader := c.servers[c.leader()]
-	earlier := c.learner().incarnation
-	late := connectAs(t, learnerID, earlier, leader)
+	leader = c.servers[c.leader()]
+	earlier = c.learner().incarnation
+	late = connectAs(t, learnerID, earlier, leader)
 	c.emptyLearner()
 	c.start(learnerServer, false)
 	c.waitIncarnation(leader)
+	return c, leader, earlier, late
+}
+
+// Guards against late messages from the time before a learner lost its data: a heartbeat for its earlier process, with
+// a commit index beyond its log, and an acknowledgement of that process, which would restore its progress.
+func TestLateMessagesOfAnEarlierProcessOfALearnerAreDropped(t *testing.T) {
+	t.Parallel()
+	c, leader, earlier, late := newEmptiedCluster(t)
 	term := leader.loop.leadership.Load().term
 	heartbeat := &pb.Message{
 		Type:   pb.MsgHeartbeat.Enum(),
@@ -277,15 +290,8 @@
 // at the leader, whose messages it therefore drops.
 func TestLearnerStatesItsIncarnationAgain(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, nil, nil)
-	c.publish(newPurges(0, 20))
-	c.waitLearner(20)
-	leader := c.servers[c.leader()]
-	earlier := c.learner().incarnation
-	c.emptyLearner()
-	c.start(learnerServer, false)
-	c.waitIncarnation(leader)
-	connectAs(t, learnerID, earlier, leader)
+	c, _, earlier, late := newEmptiedCluster(t)
+	send(t, late, helloAs(learnerID, earlier))
 	eventually(t, 5*time.Second, "messages for the earlier process arrive", func() bool {
 		return c.learner().status.invalid.Load() > 0
 	})
