--- a/cmd/dahliapin/scale_caches_test.go
+++ b/cmd/dahliapin/scale_caches_test.go
@@ -28,7 +28,7 @@
 		err = json.Unmarshal(text, &report)
 	}
 	if err != nil || len(report.Days) != 4 {
-		t.Fatalf("%v: %s", err, text)
+		t.Fatalf("%v: %s%s", err, text, errs)
 	}
 	for i, day := range report.Days {
 		first := report.Days[i/2*2].Figures
