Slow readers: a suspended process counts no time against them; what reading again found

Cause: the whole change was read again. A process suspended for over 10 s could close clients that read: its check may come before the kernel's report. What a drain counts of answers that wait had no test: without it all tests passed.

--- a/cmd/dahliapin/changes_test.go
+++ b/cmd/dahliapin/changes_test.go
@@ -186,8 +186,8 @@
 	}
 	after := f.overview(t)
 	for i := range learner {
-		if before.Servers[i].Term != after.Servers[i].Term {
-			t.Errorf("control server %d is in term %d, before in %d", i+1, after.Servers[i].Term, before.Servers[i].Term)
+		if got, want := after.Servers[i].Term, before.Servers[i].Term; got != want {
+			t.Errorf("control server %d is in term %d, before in %d", i+1, got, want)
 		}
 	}
 }
--- a/cmd/dahliapin/upgrade_stream_test.go
+++ b/cmd/dahliapin/upgrade_stream_test.go
@@ -62,8 +62,8 @@
 }
 
 // Guards against a process that is told to end, with or without another one in its place, and loses requests whose
-// answers wait for a slow one on the same connection: as they became ready, they were more than a connection may buffer,
-// and the process closed it. The client reads nothing until well after the limit of the drain.
+// answers wait for a slow one on the same connection: as they became ready, they were more than a connection may
+// buffer, and the process closed it. The client reads nothing until well after the limit of the drain.
 func TestProcessesThatEndDeliverAnswersThatWaited(t *testing.T) {
 	for _, ending := range []string{"alone", "predecessor", "successor"} {
 		t.Run(ending, func(t *testing.T) {
--- a/cmd/dahliapin/upgrade_test.go
+++ b/cmd/dahliapin/upgrade_test.go
@@ -37,7 +37,9 @@
 }
 
 func newUpgradeHarness(t testing.TB) *upgradeHarness {
-	s := &upgradeHarness{t: t, dir: t.TempDir(), done: make(chan bool), softLimit: 2, hardStop: 3, sockets: 384, memoryMB: 64}
+	s := &upgradeHarness{t: t, dir: t.TempDir(), done: make(chan bool)}
+	s.softLimit, s.hardStop = 2, 3
+	s.sockets, s.memoryMB = 384, 64
 	s.serveCache = serveHello
 	cache, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/proxy/flush.go
+++ b/internal/proxy/flush.go
@@ -12,21 +12,23 @@
 
 const (
 	// unsentWindow is how many bytes may be unsent on a client's connection when more are written to it. The rest of
-	// its answers waits in the pipeline, so that a connection never reaches sockets.MaxUnsentBytes, at which it is
-	// closed.
+	// its answers waits in the pipeline, and the endpoint of a streamed value is not read meanwhile. So a connection
+	// never reaches sockets.MaxUnsentBytes, at which it is closed.
 	unsentWindow = 64 << 10
 	// flushCheckInterval is the interval at which the node checks whether a client has read what is unsent.
 	flushCheckInterval = 20 * time.Millisecond
-	// pipelineCheckInterval is that interval if answers wait in the pipeline. It limits how fast such a client is
+	// slowReaderCheckInterval is that interval if more is ready to be written. It limits how fast such a client is
 	// served to what the kernel buffers and unsentWindow in each interval.
-	pipelineCheckInterval = 5 * time.Millisecond
+	slowReaderCheckInterval = 5 * time.Millisecond
+	// slowReaderTimeout is how long a client may read nothing while something is left to write to it.
+	slowReaderTimeout = 10 * time.Second
 )
 
 // readProgress tells whether a client goes on reading what is written to it. The zero value has not begun.
 type readProgress struct {
-	acceptedBytes  int64          // bytes that the kernel had accepted at progressAt
-	progressAt     policy.Instant // when that number was last seen to grow
-	checkScheduled bool           // the timer for the next check is set
+	acceptedBytes int64          // bytes that the kernel had accepted at progressAt
+	progressAt    policy.Instant // when that number was last seen to grow; 0 if nothing is left to write
+	checkAt       policy.Instant // when the timer for the next check fires; 0 if not set
 }
 
 // isStalled updates the progress by the number of bytes that the kernel has accepted, and reports whether that number
@@ -39,6 +41,15 @@
 	return now.Since(r.progressAt) >= slowReaderTimeout
 }
 
+// beginCheck begins the check that was due at checkAt. The time by which it is late does not count as time without
+// progress: in a process that was suspended, the kernel's reports on what clients have read wait as well.
+func (r *readProgress) beginCheck(now policy.Instant) {
+	if r.progressAt != 0 {
+		r.progressAt = r.progressAt.Add(now.Since(r.checkAt))
+	}
+	r.checkAt = 0
+}
+
 // flushPipeline writes the answers that are ready, up to the first unanswered command, as far as the client reads them.
 // It checks again until the client has read everything, and closes a connection whose last answer has been read.
 func (p *Proxy) flushPipeline(client *clientConn) {
@@ -60,8 +71,8 @@
 }
 
 // watchReading schedules the next check of a connection on which something is left to write or unsent. It closes one
-// whose client has read nothing for slowReaderTimeout, and reports whether the connection is still open. Otherwise the
-// answers would fill the memory for as long as the client stays.
+// whose client has read nothing for slowReaderTimeout, and reports whether the connection is still open. Otherwise such
+// a client would keep the memory of its answers, and its endpoint's connection, for as long as it stays.
 func (p *Proxy) watchReading(client *clientConn) (open bool) {
 	isReady := client.isAnswered(0)
 	if client.socket.Unsent() == 0 && !isReady && !(client.closing && len(client.pipeline) == 0) {
@@ -74,15 +85,15 @@
 		p.closeClient(client)
 		return false
 	}
-	if client.reading.checkScheduled {
+	if client.reading.checkAt != 0 {
 		return true
 	}
 	interval := flushCheckInterval
 	if isReady {
-		interval = pipelineCheckInterval
+		interval = slowReaderCheckInterval
 	}
-	client.reading.checkScheduled = true
-	p.schedule(now.Add(interval), timerEvent{kind: timerFlush, client: client.id})
+	client.reading.checkAt = now.Add(interval)
+	p.schedule(client.reading.checkAt, timerEvent{kind: timerFlush, client: client.id})
 	return true
 }
 
@@ -92,7 +103,7 @@
 	if client == nil {
 		return
 	}
-	client.reading.checkScheduled = false
+	client.reading.beginCheck(p.now())
 	p.flushPipeline(client)
 }
 
--- a/internal/proxy/flush_test.go
+++ b/internal/proxy/flush_test.go
@@ -323,6 +323,35 @@
 	}
 }
 
+// Guards against a drain that ends although a client goes on reading, slowly and for longer than slowReaderTimeout: what
+// is unsent on its connection stays the same, as answers that wait take the place of those that it has read.
+func TestDrainGoesOnForAClientThatReadsSlowly(t *testing.T) {
+	const timeouts, readsInEach = 4, 8
+	value := strings.Repeat("v", streamThreshold)
+	g := newHarness(t, 400, answerWith(value), withShortDrain, withMemory(256<<20))
+	proceed := g.blockWrites(value)
+	c := g.startPipeline(pipelinedReads, false)
+	g.shrinkSendBuffers(c)
+	g.waitUntilBuffered(c)
+	g.Shutdown()
+	proceed()
+	time.Sleep(shortestDrain + drainQuietTime)
+	c.expectReceipt(t)
+	for n := range c.reads {
+		if n < timeouts*readsInEach {
+			g.runInLoop(func() { // as if a part of slowReaderTimeout had passed
+				flush := &g.lifecycle.delivery.flush
+				flush.progressAt = flush.progressAt.Add(-slowReaderTimeout / readsInEach)
+			})
+			time.Sleep(2 * flushCheckInterval)
+		}
+		if status, size := c.readAnswer(t, n); status != http.StatusOK || size != len(value) {
+			t.Fatalf("answer %d: %d with %d bytes", n, status, size)
+		}
+	}
+	g.loop.Wait()
+}
+
 // Guards against memory that grows with the answers that wait: many clients send reads behind a slow one. Each read
 // must be answered, with its value or with an error, and the answers that wait must stay a part of the memory.
 func TestAnswersThatWaitTakeOnlyPartOfMemory(t *testing.T) {
@@ -411,3 +440,35 @@
 		t.Errorf("%+v", n)
 	}
 }
+
+// Guards against closing clients that read, because the process was suspended for longer than slowReaderTimeout: as it
+// goes on, a check may come before the kernel's report on what they have read.
+func TestSuspensionIsNoTimeWithoutProgress(t *testing.T) {
+	const interval = flushCheckInterval
+	for _, test := range []struct {
+		late    time.Duration // of each check
+		checks  int
+		stalled bool
+	}{
+		{0, int(slowReaderTimeout/interval) + 1, true},
+		{interval / 2, int(slowReaderTimeout/interval) + 1, true},
+		{0, int(slowReaderTimeout/interval) - 1, false},
+		{2 * slowReaderTimeout, 3, false},
+	} {
+		now := clockEpoch
+		var reading readProgress
+		stalled := reading.isStalled(100, now)
+		for range test.checks {
+			reading.checkAt = now.Add(interval)
+			now = reading.checkAt.Add(test.late)
+			reading.beginCheck(now)
+			stalled = reading.isStalled(100, now)
+		}
+		if stalled != test.stalled {
+			t.Errorf("%d checks, late by %v: stalled %v, want %v", test.checks, test.late, stalled, test.stalled)
+		}
+		if reading.isStalled(101, now) {
+			t.Errorf("%d checks, late by %v: stalled although more was accepted", test.checks, test.late)
+		}
+	}
+}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -456,7 +456,9 @@
 // loop.
 func (g *harness) advanceReading(by time.Duration) {
 	g.downstream.conns.Each(func(_ clientConnID, client *clientConn) {
-		client.reading.progressAt = client.reading.progressAt.Add(-by)
+		if client.reading.progressAt != 0 {
+			client.reading.progressAt = client.reading.progressAt.Add(-by)
+		}
 	})
 }
 
--- a/internal/proxy/metrics/counters.go
+++ b/internal/proxy/metrics/counters.go
@@ -11,13 +11,13 @@
 	Malformed         uint64 // commands that could not be parsed, and requests that could not be used
 	ClientsGone       uint64 // requests whose client disconnected before the response
 	ClientsGoneUnsent uint64 // requests of ClientsGone of which nothing had been sent to a server
-	ClientTimeouts    uint64 // connections closed because a command or the reading of a response took too long
+	ClientTimeouts    uint64 // connections closed because a command or the reading of responses took too long
 
 	// Responses.
 	Satisfied    uint64 // requests answered with a result
 	Rejected     uint64 // requests rejected: not executed, or safe to repeat
 	Failed       uint64 // requests that failed
-	NotAccepted  uint64 // requests refused for lack of capacity or by phase; incomplete messages dropped for memory
+	NotAccepted  uint64 // requests refused for lack of capacity or by phase; messages and answers dropped for memory
 	AnsweredLate uint64 // requests whose answer, or the end of it, was written after their deadline
 	Level        uint64 // current degradation level, not a count; 0 is normal operation
 	Shed         uint64 // requests shed by the degradation level
--- a/internal/proxy/response_stream.go
+++ b/internal/proxy/response_stream.go
@@ -11,10 +11,6 @@
 	// streamThreshold is the size in bytes above which a value is streamed. It is the maximum size of the values that
 	// clients write, so those are buffered.
 	streamThreshold = 64 << 10
-	// streamCheckInterval is the interval at which the node checks whether such a client has caught up.
-	streamCheckInterval = 5 * time.Millisecond
-	// slowReaderTimeout is how long a client may read nothing while something is left to write to it.
-	slowReaderTimeout = 10 * time.Second
 	// streamIdleTimeout is how long an endpoint may send nothing while the client is ready to read.
 	streamIdleTimeout = 5 * time.Second
 )
@@ -123,7 +119,7 @@
 	stream := conn.stream
 	wait := streamIdleTimeout
 	if stream.paused {
-		wait = streamCheckInterval
+		wait = slowReaderCheckInterval
 	}
 	at := p.now().Add(wait)
 	if stream.checkAt == 0 || at < stream.checkAt {
