--- a/cmd/dahliapin/upgrade_stream_test.go
+++ b/cmd/dahliapin/upgrade_stream_test.go
@@ -39,7 +39,7 @@
 	e := s.startEnding(ending)
 	c, r := s.connect()
 	fmt.Fprint(c, "mg long v Olong Pc=read,d=1000\r\n")
-	if _, err := r.Peek(4 << 10); err != nil {
+	if _, err := r.Peek(len(long) / 2); err != nil {
 		t.Fatal(err)
 	}
 	e.terminate(s)
@@ -97,7 +97,7 @@
 	e := s.startEnding(ending)
 	c, r := s.connect()
 	fmt.Fprint(c, "mg long v Olong Pc=read,d=1000\r\n")
-	if _, err := r.Peek(4 << 10); err != nil {
+	if _, err := r.Peek(len(long) / 2); err != nil {
 		t.Fatal(err)
 	}
 	for n := range reads {
@@ -145,6 +145,8 @@
 	endingHardStop = 1 // in seconds
 	// pastDrainLimit is longer than a process drains that has nothing to deliver: endingHardStop and half a second.
 	pastDrainLimit = 1800 * time.Millisecond
+	// connectBufferBytes is how much of an answer a test can wait for without taking it.
+	connectBufferBytes = 1 << 20
 )
 
 // newEndingHarness returns a harness with endingHardStop, in which no request is retried.
@@ -164,7 +166,7 @@
 	}
 	s.t.Cleanup(func() { c.Close() })
 	c.SetDeadline(time.Now().Add(20 * time.Second))
-	return c, bufio.NewReader(c)
+	return c, bufio.NewReaderSize(c, connectBufferBytes)
 }
 
 // endingProcess is a process that is told to end: alone, or as the predecessor or the successor of another one.
