A process that takes over gets its predecessor's endpoint list

Cause: a takeover passed on the listening sockets and nothing else. The new process served by the list of the configuration, which is as old as the file. All that the node had been told since was forgotten: drains, removed and new caches, and how long ago cold ones had started.

Change: the successor requests the predecessor's list over the handover socket and gets it at once and after each change, with its version, the discovery that the version belongs to, removals, and ages by the monotonic clock. The predecessor announces that it answers by a newline at the end of the addresses, which earlier successors ignore; to an earlier predecessor nothing is sent that it does not know. A successor without an answer from either waits for discovery, up to 5 s, before it serves by the configuration.

--- a/internal/discovery/poller.go
+++ b/internal/discovery/poller.go
@@ -75,6 +75,12 @@
 // SetVersion records that the node holds a list of this version from before, so that requests for changes suffice.
 func (p *Poller) SetVersion(version int) { p.version = version }
 
+// Version returns the version of the list that the node holds. ok is false if there is none.
+func (p *Poller) Version() (version int, ok bool) { return p.version, p.version != noVersion }
+
+// RequestComplete makes the next poll request the complete list.
+func (p *Poller) RequestComplete() { p.versionInDoubt = true }
+
 // OnAddressChange records that polls go to another discovery from now on, which has versions of its own.
 func (p *Poller) OnAddressChange() { *p = New(p.nodes) }
 
--- a/internal/proxy/endpoint_watch.go
+++ b/internal/proxy/endpoint_watch.go
@@ -82,6 +82,8 @@
 	}
 	p.config.Discovery = addr
 	p.endpoints.watch.poller.OnAddressChange()
+	p.endpoints.history.onAddressChange()
+	p.sendEndpointsToSuccessor() // its version does not hold any more
 	p.metrics.counters.DiscoveryChanges++
 	if conn := p.upstream.conns.Get(p.endpoints.watch.conn); conn != nil {
 		p.dropConn(conn)
@@ -138,7 +140,8 @@
 		return
 	}
 	list, err := watch.reader.Read(answer.Body) // rejects a truncated list, which would read as one without endpoints
-	if err != nil || !list.HasVersion || !watch.poller.Accepts(list.Version, list.Complete) {
+	isComplete := list.Complete || watch.poll.Complete
+	if err != nil || !list.HasVersion || !watch.poller.Accepts(list.Version, isComplete) {
 		watch.failure = discovery.Unreadable
 		p.failConn(conn, policy.ConnectionBroken)
 		return
@@ -159,10 +162,11 @@
 	watch := &p.endpoints.watch
 	p.metrics.counters.EndpointUpdates++
 	p.stalls.lists++
-	kind, recovered := watch.poller.OnUpdate(list.Version, list.Complete)
+	kind, recovered := watch.poller.OnUpdate(list.Version, list.Complete || watch.poll.Complete)
 	if recovered {
 		p.config.Log.Info("endpoint list received again after failed polls; applying it")
 	}
+	p.endpoints.history.setNewest(list.Version)
 	p.applyEndpointList(list, kind)
 	watch.updatedAt = p.now()
 }
--- a/internal/proxy/endpoints.go
+++ b/internal/proxy/endpoints.go
@@ -18,12 +18,15 @@
 	byID    map[policy.EndpointID]*knownEndpoint
 	members int // number of endpoints in byID without the origin
 	watch   endpointWatch
+	history endpointHistory
 }
 
 // knownEndpoint is what the list states about an endpoint, and the idle connections to it.
 type knownEndpoint struct {
 	id        policy.EndpointID
 	addr      string
+	kind      string // the list's name of its kind
+	entry     policy.Endpoint
 	codec     upstreamCodec
 	start     processStart
 	idleConns []upstreamConnID // the most recently used last
@@ -54,19 +57,29 @@
 	}
 }
 
-// applyEndpointList applies an update of the list to the table, and passes it on to the dispatcher. Idle connections to
-// endpoints that were removed or restarted are closed; attempts in flight to them continue.
+// applyEndpointList applies an update of the list to the table, and passes it on to the dispatcher and to a successor.
+// Idle connections to endpoints that were removed or restarted are closed; attempts in flight to them continue.
 func (p *Proxy) applyEndpointList(list *endpointlist.List, kind policy.UpdateKind) {
+	p.applyEntries(list, kind, func(*fastjson.Value) bool { return true })
+}
+
+// applyEntries is applyEndpointList for those entries of a list that are to be applied.
+func (p *Proxy) applyEntries(
+	list *endpointlist.List, kind policy.UpdateKind, applies func(row *fastjson.Value) bool,
+) {
 	entries := make([]policy.Endpoint, 0, list.Len())
 	listed := map[policy.EndpointID]bool{}
 	unreadable := 0
 	list.Each(func(row *fastjson.Value) {
 		id := policy.EndpointID(row.GetStringBytes("instanceId"))
-		start := p.processStartOf(p.endpoints.byID[id], endpointlist.StartMs(row.GetFloat64("startedAtMs")))
 		if id == "" {
 			unreadable++
 			return
 		}
+		if !applies(row) {
+			return
+		}
+		start := p.readStart(list, row, id)
 		entry := p.readEntry(row, id, start)
 		entries = append(entries, entry)
 		listed[id] = true
@@ -84,6 +97,17 @@
 	if len(entries) > 0 || kind != policy.DeltaUpdate {
 		p.dispatcher.UpdateEndpoints(p.now(), kind, entries)
 	}
+	p.sendEndpointsToSuccessor()
+}
+
+// readStart returns the start of an endpoint that a row of the list states. A snapshot also states how long ago that
+// was, which does not depend on the wall clock.
+func (p *Proxy) readStart(list *endpointlist.List, row *fastjson.Value, id policy.EndpointID) processStart {
+	statedMs := endpointlist.StartMs(row.GetFloat64("startedAtMs"))
+	if age, ok := endpointlist.Age(row); ok && list.Source != "" && statedMs != 0 {
+		return processStart{statedMs: statedMs, at: p.now().Add(-age) | 1} // never 0
+	}
+	return p.processStartOf(p.endpoints.byID[id], statedMs)
 }
 
 // readEntry converts a row of the list to the terms of package policy. An endpoint of an unknown lifecycle counts as
@@ -110,18 +134,28 @@
 	addr := string(row.GetStringBytes("hostPort"))
 	isRemoved := entry.Lifecycle == policy.Removed
 	endpoint := p.endpoints.byID[entry.ID]
+	if endpoint != nil && isRemoved { // the entry need not state when the process started
+		start.statedMs = max(start.statedMs, endpoint.start.statedMs)
+	}
 	if endpoint != nil && (isRemoved || endpoint.addr != addr || entry.StartedAt > endpoint.start.at) {
 		p.removeEndpoint(endpoint)
 		endpoint = nil
 	}
 	if isRemoved {
+		p.endpoints.history.recordRemoval(p.now(), entry.ID, start.statedMs)
 		return
 	}
+	delete(p.endpoints.history.removed, entry.ID)
 	if endpoint == nil {
 		endpoint = &knownEndpoint{id: entry.ID, addr: addr, start: start}
 		p.endpoints.byID[entry.ID] = endpoint
 	}
-	endpoint.codec = p.codecFor(entry.Kind, string(row.GetStringBytes("machineType")))
+	if entry.StartedAt != 0 {
+		endpoint.start = start
+	}
+	endpoint.entry = *entry
+	endpoint.kind = string(row.GetStringBytes("machineType"))
+	endpoint.codec = p.codecFor(entry.Kind, endpoint.kind)
 }
 
 // codecFor returns the codec for endpoints of a kind.
@@ -149,6 +183,7 @@
 	for id, endpoint := range p.endpoints.byID {
 		if !listed[id] {
 			p.removeEndpoint(endpoint)
+			p.endpoints.history.recordRemoval(p.now(), id, endpoint.start.statedMs)
 		}
 	}
 }
--- a/internal/proxy/handover/doc.go
+++ b/internal/proxy/handover/doc.go
@@ -7,5 +7,10 @@
 //
 // The running process opens an Offer. The successor calls Inherit, which requests and receives the sockets with their
 // addresses. Once the successor serves clients, it calls Inherited.NotifyServing, and the old process stops accepting
-// clients; it drains when it receives SIGTERM. The protocol is the same in all versions that may replace each other.
+// clients; it drains when it receives SIGTERM.
+//
+// The successor also requests the state of the running process: what that has learned since it read its configuration.
+// The running process sends it with Offer.SendState, at first and after each change; Inherited.Wait receives it. A
+// process of an earlier version sends none (Inherited.SendsState). Otherwise the protocol is the same in all versions
+// that may replace each other.
 package handover
--- a/internal/proxy/handover/golden_test.go
+++ b/internal/proxy/handover/golden_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"path/filepath"
 	"strings"
@@ -41,6 +42,16 @@
 	text, sockets := receiveSockets(t, c)
 	answer := strings.ReplaceAll(text, listener.Addr().String(), "ADDRESS")
 	fmt.Fprintf(&got, "successor %q, answer %q with %d sockets, stage %d\n", socketRequest, answer, sockets, <-stages)
+	if _, err := c.Write([]byte(stateRequest)); err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(&got, "successor %q, stage %d", stateRequest, <-stages)
+	offer.SendState([]byte("STATE"))
+	state := make([]byte, len("5\nSTATE"))
+	if _, err := io.ReadFull(c, state); err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(&got, ", answer %q\n", state)
 	if _, err := c.Write([]byte(servingNotice)); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/proxy/handover/handover_test.go
+++ b/internal/proxy/handover/handover_test.go
@@ -69,6 +69,7 @@
 	for range 2 {
 		successor := inherit(t, path)
 		expectStage(t, stages, SocketsSent)
+		expectStage(t, stages, StateRequested)
 		if third, err := Inherit(path); err == nil {
 			t.Error("a third process received the sockets while there was a successor", third)
 		}
@@ -87,6 +88,7 @@
 	successor := inherit(t, path)
 	defer successor.Close()
 	expectStage(t, stages, SocketsSent)
+	expectStage(t, stages, StateRequested)
 	successor.NotifyServing()
 	expectStage(t, stages, SuccessorServing)
 
@@ -97,7 +99,7 @@
 	defer c.Close()
 	gone := make(chan bool)
 	go func() {
-		successor.Wait()
+		successor.Wait(func([]byte) {})
 		close(gone)
 	}()
 	listener.Close()
--- a/internal/proxy/handover/inherit.go
+++ b/internal/proxy/handover/inherit.go
@@ -1,8 +1,10 @@
 package handover
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"net"
 	"os"
@@ -20,12 +22,15 @@
 	errOtherUser  = errors.New("handover socket belongs to a process of another user")
 	errNoSockets  = errors.New("old process sent no sockets")
 	errMismatched = errors.New("sockets do not match the addresses that the old process sent with them")
+
+	errMalformedState = errors.New("old process sent a malformed state")
 )
 
 // Inherited holds the listeners received from the process that this one replaces, and the connection to it.
 type Inherited struct {
-	Listeners map[string]net.Listener // by listening address; the caller removes those that it uses
-	conn      *net.UnixConn
+	Listeners  map[string]net.Listener // by listening address; the caller removes those that it uses
+	SendsState bool                    // the old process sends its state; one of an earlier version does not
+	conn       *net.UnixConn
 }
 
 // Inherit receives the sockets that a process offers at path. It returns nil without an error if there is no such
@@ -74,9 +79,17 @@
 	if err != nil {
 		return err
 	}
-	err = i.addListeners(fds, strings.Fields(string(text[:textSize])))
+	addresses := string(text[:textSize])
+	if err := i.addListeners(fds, strings.Fields(addresses)); err != nil {
+		return err
+	}
+	if strings.HasSuffix(addresses, stateAnnouncement) {
+		// A failed request is no reason not to take over: the node then has the state of its configuration only.
+		_, err := i.conn.Write([]byte(stateRequest))
+		i.SendsState = err == nil
+	}
 	_ = i.conn.SetDeadline(time.Time{})
-	return err
+	return nil
 }
 
 // addListeners turns descriptors into listeners and stores each under the address at the same position. If one listens
@@ -114,19 +127,35 @@
 	return err
 }
 
-// Wait returns once the old process has ended or closed the connection. A read that fails because the system lacks
-// memory does not mean that, so it is repeated.
-func (i *Inherited) Wait() {
-	buffer := make([]byte, len(socketRequest))
+// Wait returns once the old process has ended or closed the connection. It calls onState with each state that the old
+// process sends.
+func (i *Inherited) Wait(onState func(state []byte)) {
+	reader := bufio.NewReader(persistentReader{i.conn})
 	for {
-		_, err := i.conn.Read(buffer)
-		switch {
-		case err == nil:
-		case errors.Is(err, syscall.ENOMEM), errors.Is(err, syscall.ENOBUFS):
-			time.Sleep(transientErrorPause)
-		default:
+		state, err := readState(reader)
+		if errors.Is(err, errMalformedState) || errors.Is(err, bufio.ErrBufferFull) {
+			_, _ = io.Copy(io.Discard, reader) // its end still means that the old process has ended
 			return
 		}
+		if err != nil {
+			return
+		}
+		onState(state)
+	}
+}
+
+// persistentReader repeats reads that fail because the system lacks memory. Such a failure does not mean that the other
+// process has ended.
+type persistentReader struct{ conn *net.UnixConn }
+
+// Read reads from the connection.
+func (r persistentReader) Read(b []byte) (int, error) {
+	for {
+		n, err := r.conn.Read(b)
+		if n > 0 || !lacksMemory(err) {
+			return n, err
+		}
+		time.Sleep(transientErrorPause)
 	}
 }
 
--- a/internal/proxy/handover/offer.go
+++ b/internal/proxy/handover/offer.go
@@ -18,6 +18,7 @@
 // The stages, in their order.
 const (
 	SocketsSent      Stage = iota // the successor has received the sockets
+	StateRequested                // the successor has requested the state; see SendState
 	SuccessorServing              // the successor serves clients
 	SuccessorGone                 // the successor has ended or returned the sockets; this process continues to serve
 )
@@ -31,6 +32,7 @@
 
 	mu        sync.Mutex
 	successor *net.UnixConn // nil if there is none
+	states    chan []byte   // the state that the successor is sent next; nil if it has not requested any
 	closed    bool
 }
 
@@ -92,6 +94,10 @@
 	_ = c.Close()
 	o.mu.Lock()
 	o.successor = nil
+	if o.states != nil {
+		close(o.states)
+		o.states = nil
+	}
 	notify := sent && !o.closed
 	o.mu.Unlock()
 	if notify {
@@ -118,23 +124,64 @@
 		if err != nil {
 			return true
 		}
-		if line == servingNotice {
+		switch line {
+		case stateRequest:
+			o.startSendingStates(c)
+			o.onStage(StateRequested)
+		case servingNotice:
 			o.onStage(SuccessorServing)
 		}
 	}
 }
 
-// sendSockets sends the listeners' descriptors together with their addresses, one per line.
+// startSendingStates starts a goroutine that sends the successor each state of SendState. It ends with the connection.
+func (o *Offer) startSendingStates(c *net.UnixConn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.states != nil {
+		return
+	}
+	states := make(chan []byte, 1)
+	o.states = states
+	go func() {
+		for state := range states {
+			if writeState(c, state) != nil {
+				_ = c.Close() // the successor cannot know what it lacks
+				return
+			}
+		}
+	}()
+}
+
+// SendState sends the successor a state, which replaces one that waits to be sent. It does not block, and does nothing
+// if there is no successor that has requested states.
+func (o *Offer) SendState(state []byte) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.states == nil {
+		return
+	}
+	select {
+	case <-o.states:
+	default:
+	}
+	o.states <- state // cannot block: only this method sends, under the lock
+}
+
+// sendSockets sends the listeners' descriptors together with their addresses, one per line, and stateAnnouncement.
 func (o *Offer) sendSockets(c *net.UnixConn) error {
 	var addresses []string
 	for _, listener := range o.listeners {
 		addresses = append(addresses, listener.Addr().String())
 	}
-	text := strings.Join(addresses, "\n")
-	return withDescriptors(o.listeners, nil, func(fds []int) error {
-		_, _, err := c.WriteMsgUnix([]byte(text), unix.UnixRights(fds...), nil)
-		return err
-	})
+	text := strings.Join(addresses, "\n") + stateAnnouncement
+	return withDescriptors(o.listeners, nil, func(fds []int) error { return sendWithRights(c, text, fds) })
+}
+
+// sendWithRights sends a text together with descriptors.
+func sendWithRights(c *net.UnixConn, text string, fds []int) error {
+	_, _, err := c.WriteMsgUnix([]byte(text), unix.UnixRights(fds...), nil)
+	return err
 }
 
 // Close ends the offer. It removes the socket unless there is a successor, which may offer its sockets at the same
--- a/internal/proxy/handover/protocol.go
+++ b/internal/proxy/handover/protocol.go
@@ -1,11 +1,15 @@
 package handover
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -14,12 +18,17 @@
 	"dahliapin/internal/keyhash"
 )
 
-// The messages that the successor sends.
+// The messages that the successor sends. A process of an earlier version ignores all but the first and the last.
 const (
 	socketRequest = "dahliapin handover 1\n" // requests the sockets; the number is the version of the protocol
+	stateRequest  = "state\n"                // requests the old process's state, now and after each change
 	servingNotice = "serving\n"              // announces that the successor serves clients
 )
 
+// stateAnnouncement at the end of the list of addresses announces that the old process answers a stateRequest. A
+// successor of an earlier version ignores it, since it splits the list at white space.
+const stateAnnouncement = "\n"
+
 const (
 	// responseTimeout bounds the wait for the other process, which answers outside of its event loop.
 	responseTimeout = 500 * time.Millisecond
@@ -31,9 +40,44 @@
 	maxPathSize    = 107     // maximum length of a Unix socket's path, in bytes
 	maxSockets     = 64      // maximum number of sockets passed: the node's and those of the operator's file
 	maxAddressSize = 8 << 10 // maximum size of the list of their addresses, in bytes
+	maxStateSize   = 8 << 20 // maximum size of a state, in bytes
 	socketMode     = 0o600
 )
 
+// writeState writes a state, preceded by a line with its size. A write that fails because the system lacks memory is
+// repeated.
+func writeState(w io.Writer, state []byte) error {
+	left := append(fmt.Appendf(nil, "%d\n", len(state)), state...)
+	for {
+		n, err := w.Write(left)
+		left = left[n:]
+		if err == nil || !lacksMemory(err) {
+			return err
+		}
+		time.Sleep(transientErrorPause)
+	}
+}
+
+// lacksMemory reports whether a call failed because the system lacks memory, so that it may succeed later.
+func lacksMemory(err error) bool {
+	return errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.ENOBUFS)
+}
+
+// readState reads what writeState has written.
+func readState(r *bufio.Reader) ([]byte, error) {
+	line, err := r.ReadSlice('\n')
+	if err != nil {
+		return nil, err
+	}
+	size, err := strconv.Atoi(strings.TrimSuffix(string(line), "\n"))
+	if err != nil || size < 0 || size > maxStateSize {
+		return nil, errMalformedState
+	}
+	state := make([]byte, size)
+	_, err = io.ReadFull(r, state)
+	return state, err
+}
+
 // Path returns the path of the handover socket, in dir, of the node that listens on the address listen.
 func Path(dir, listen string) string {
 	return filepath.Join(dir, fmt.Sprintf("dahliapin-%016x.sock", keyhash.String(listen)))
--- a/internal/proxy/lifecycle.go
+++ b/internal/proxy/lifecycle.go
@@ -68,6 +68,13 @@
 	p.schedule(p.now().Add(drainCheckInterval), timerEvent{kind: timerIdleCheck})
 }
 
+// serveAfterDelay starts serving by the last known list, if lastKnownListDelay has passed without a newer one.
+func (p *Proxy) serveAfterDelay() {
+	if !p.takeover.awaitsEndpoints && p.now().Since(clockEpoch) >= lastKnownListDelay {
+		p.serveIfReady()
+	}
+}
+
 // serveIfReady starts serving once any endpoint is known.
 func (p *Proxy) serveIfReady() {
 	if p.lifecycle.phase != Starting || len(p.endpoints.byID) == 0 {
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -1,11 +1,23 @@
 package proxy
 
-import "dahliapin/internal/proxy/handover"
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"dahliapin/internal/proxy/handover"
+	"dahliapin/policy"
+)
 
 // sharedLimitDivisor divides the node's limits while two of its processes share them: until the other process has ended
 // or, in the predecessor, the successor has returned the sockets.
 const sharedLimitDivisor = 2
 
+// inheritedStateTimeout is how long a successor waits for an endpoint list from its predecessor or from discovery before
+// it serves by the last known list, which is older than the list that the predecessor serves by. Operators expect the
+// successor to serve within 6 s.
+const inheritedStateTimeout = 5 * time.Second
+
 // takeover is the state of a process that replaces another one, or is replaced. Only the event loop writes it.
 type takeover struct {
 	totalMemory         int64           // memory limit in bytes of all processes of the node
@@ -13,6 +25,10 @@
 	otherProcessAccepts bool            // another process accepts connections: the successor, or the predecessor again
 	predecessorExited   bool            // the predecessor has exited
 	predecessorNotified bool            // NotifyServing has been called
+	// awaitsEndpoints is whether a running predecessor serves by a list that this process has not received yet.
+	awaitsEndpoints bool
+	// successorHasState is whether a successor has requested the state of this process.
+	successorHasState bool
 }
 
 // startAsSuccessor starts a process that has inherited its listeners. Until the predecessor has exited, this process
@@ -22,16 +38,84 @@
 		_ = listener.Close()
 	}
 	p.setSharedLimits(true)
+	p.takeover.awaitsEndpoints = true
+	p.schedule(p.now().Add(inheritedStateTimeout), timerEvent{kind: timerInheritedState})
+	if !p.config.Inherited.SendsState {
+		p.config.Log.Warn("predecessor process is of an earlier version; it passes on no endpoint list")
+	}
 	go func() {
-		p.config.Inherited.Wait()
+		p.config.Inherited.Wait(func(state []byte) {
+			p.runInLoop(func() { p.applyInheritedEndpoints(state) })
+		})
 		p.runInLoop(p.onPredecessorExit)
 	}()
 }
 
+// applyInheritedEndpoints applies the list that the predecessor holds, if it is newer than the list of this process.
+// Versions of different discoveries cannot be compared: then the list is used only until discovery has answered.
+func (p *Proxy) applyInheritedEndpoints(state []byte) {
+	watch := &p.endpoints.watch
+	list, err := watch.reader.Read(state)
+	if err != nil {
+		p.config.Log.WithError(err).Warn("predecessor's endpoint list is unreadable")
+		return
+	}
+	isComparable := list.HasVersion && list.Source == p.config.Discovery
+	hasPolled := watch.updatedAt != 0
+	isNewer := isComparable && list.Version > p.endpoints.history.newest
+	if list.Len() > 0 && (isNewer || !hasPolled) {
+		p.config.Log.WithFields(logrus.Fields{"endpoints": list.Len(), "version": list.Version}).
+			Info("applying the predecessor's endpoint list")
+		p.applyEndpointList(&list, policy.LastKnownUpdate)
+		if isComparable {
+			p.followInheritedVersion(list.Version)
+		}
+	}
+	p.stopAwaitingEndpoints()
+}
+
+// followInheritedVersion polls for updates since the version of the predecessor's list. A poll that is under way is
+// repeated if it waits for a later version: the list of the configuration may be that of another discovery, whose
+// versions are higher.
+func (p *Proxy) followInheritedVersion(version int) {
+	watch := &p.endpoints.watch
+	watch.poller.SetVersion(version)
+	p.endpoints.history.setNewest(version)
+	conn := p.upstream.conns.Get(watch.conn)
+	if conn != nil && !watch.poll.Complete && watch.poll.SinceVersion > version {
+		p.dropConn(conn)
+		p.startWatch()
+	}
+}
+
+// stopAwaitingEndpoints lets a successor serve by the list that it has.
+func (p *Proxy) stopAwaitingEndpoints() {
+	if !p.takeover.awaitsEndpoints {
+		return
+	}
+	p.takeover.awaitsEndpoints = false
+	p.serveAfterDelay()
+}
+
+// sendEndpointsToSuccessor sends the list to a successor that has requested it.
+func (p *Proxy) sendEndpointsToSuccessor() {
+	if !p.takeover.successorHasState {
+		return
+	}
+	snapshot := p.snapshotEndpoints()
+	state, err := snapshot.Marshal()
+	if err != nil {
+		p.config.Log.WithError(err).Warn("endpoint list cannot be passed on to the successor process")
+		return
+	}
+	p.takeover.offer.SendState(state)
+}
+
 func (p *Proxy) onPredecessorExit() {
 	if p.takeover.otherProcessAccepts { // the predecessor took over again
 		return
 	}
+	p.stopAwaitingEndpoints()
 	p.config.Log.Info("predecessor process has exited; using the full limits")
 	p.takeover.predecessorExited = true
 	p.setSharedLimits(false)
@@ -81,6 +165,9 @@
 	case handover.SocketsSent:
 		p.config.Log.Info("successor process received the listeners; sharing the limits with it")
 		p.setSharedLimits(true)
+	case handover.StateRequested:
+		p.takeover.successorHasState = true
+		p.sendEndpointsToSuccessor()
 	case handover.SuccessorServing:
 		p.config.Log.Info("successor process is serving; no longer accepting connections")
 		p.takeover.otherProcessAccepts = true
@@ -88,6 +175,7 @@
 	case handover.SuccessorGone:
 		p.config.Log.Warn("successor process has exited; accepting connections again")
 		p.takeover.otherProcessAccepts = false
+		p.takeover.successorHasState = false
 		p.setSharedLimits(false)
 		p.engine.SetAccepting(true)
 	}
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -19,6 +19,7 @@
 	timerSweep                            // sweep is due
 	timerIdleCheck                        // the idle check of a draining node or one in standby is due
 	timerLastKnownList                    // no list has arrived yet: the last known one is used
+	timerInheritedState                   // the predecessor has not sent its list in time
 )
 
 // timerEvent is what happens when a timer fires. It is a small value, so that scheduling one allocates nothing. Timers
@@ -72,7 +73,9 @@
 	case timerSweep:
 		p.sweep()
 	case timerLastKnownList:
-		p.serveIfReady()
+		p.serveAfterDelay()
+	case timerInheritedState:
+		p.stopAwaitingEndpoints()
 	case timerIdleCheck:
 		p.idleClientCheck()
 	}
--- a/internal/wire/endpointlist/reader.go
+++ b/internal/wire/endpointlist/reader.go
@@ -13,6 +13,9 @@
 	keyEntries  = "instances"
 	keyVersion  = "generation"
 	keyComplete = "reset" // the list is complete, not a change to one
+
+	// keySource is not part of discovery's format: only lists that Append has written have it.
+	keySource = "source"
 )
 
 // streamedSize is the minimum size, in bytes, of a list that is parsed entry by entry.
@@ -25,7 +28,8 @@
 type List struct {
 	Version    int
 	HasVersion bool
-	Complete   bool // the list has all endpoints
+	Complete   bool   // the list has all endpoints
+	Source     string // address of the discovery that the version belongs to; empty if it is not stated
 
 	reader *Reader
 	tree   []*fastjson.Value // the entries of a short list
@@ -52,6 +56,7 @@
 	list.Version = object.GetInt(keyVersion)
 	list.HasVersion = object.Exists(keyVersion)
 	list.Complete = object.GetBool(keyComplete)
+	list.Source = string(object.GetStringBytes(keySource))
 	if list.texts == nil {
 		list.tree = entries.GetArray()
 	}
--- a/internal/wire/endpointlist/start.go
+++ b/internal/wire/endpointlist/start.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/valyala/fastjson"
 )
 
 // maxStartMs is the latest start time that can be stated, in Unix milliseconds: a later one does not fit into a
@@ -18,3 +20,13 @@
 	}
 	return 0
 }
+
+// Age returns the time since the start of an endpoint's process, as an entry of a Snapshot states it. ok is false if the
+// entry states none.
+func Age(entry *fastjson.Value) (age time.Duration, ok bool) {
+	stated := entry.GetFloat64("ageMs")
+	if !entry.Exists("ageMs") || StartMs(stated) != stated {
+		return 0, false
+	}
+	return time.Duration(stated * float64(time.Millisecond)), true
+}
