Older news from discovery puts no cache back into service

Cause: only updates of older versions were rejected. That makes the node ask for the complete list, which was applied whatever its version.

Change: a complete list of an older version may make the node send less to a cache, but not more, and what it does not name stays. Once discovery has caught up the complete list is requested and holds. A discovery that has lost its data and counts its versions anew is believed after a minute.

--- a/internal/proxy/endpoint_history.go
+++ b/internal/proxy/endpoint_history.go
@@ -3,11 +3,16 @@
 import (
 	"time"
 
+	"github.com/valyala/fastjson"
+
 	"dahliapin/internal/wire/endpointlist"
 	"dahliapin/policy"
 )
 
 const (
+	// maxOutdatedTime is how long discovery may state older versions than the node has, before the node takes them for
+	// the versions of a discovery that has lost its data and counts anew.
+	maxOutdatedTime = time.Minute
 	// removalRetention is how long a removal is remembered, if there are maxRemovals of them.
 	removalRetention = 10 * time.Minute
 	// maxRemovals limits the removals that are remembered. It is more than the caches of the largest fleet.
@@ -18,9 +23,10 @@
 // must not undo it: discovery may come back after a failure with a list that is older than the one that the node, or
 // the process that it replaced, has received.
 type endpointHistory struct {
-	newest    int  // the version last received from the present discovery; only valid if hasNewest
-	hasNewest bool // a list has been received from the present discovery, by this process or its predecessor
-	removed   map[policy.EndpointID]removal
+	newest        int            // the newest version received from the present discovery; only valid if hasNewest
+	hasNewest     bool           // a list has been received from it, by this process or its predecessor
+	outdatedSince policy.Instant // since when discovery has stated older versions; 0 if it has not
+	removed       map[policy.EndpointID]removal
 }
 
 // removal is the removal of an endpoint from the list.
@@ -59,11 +65,50 @@
 func (h *endpointHistory) setNewest(version int) {
 	h.newest = version
 	h.hasNewest = true
+	h.outdatedSince = 0
 }
 
 // onAddressChange records that the versions of another discovery follow.
 func (h *endpointHistory) onAddressChange() {
 	h.hasNewest = false
+	h.outdatedSince = 0
+}
+
+// receive records the version of a list from discovery. outdated reports that the list is older than one received
+// before. caughtUp reports that the lists before it were outdated and this one is not: then the complete list is needed,
+// because endpoints that the outdated ones did not name have been kept.
+func (h *endpointHistory) receive(now policy.Instant, version int) (outdated, caughtUp bool) {
+	if h.hasNewest && version < h.newest {
+		if h.outdatedSince == 0 {
+			h.outdatedSince = now
+		}
+		if now.Since(h.outdatedSince) < maxOutdatedTime {
+			return true, false
+		}
+	}
+	caughtUp = h.outdatedSince != 0
+	h.setNewest(version)
+	return false, caughtUp
+}
+
+// applyOutdatedList applies a list that is older than one received before. It may make the node send less to an
+// endpoint, but not more: an endpoint that is draining, has been removed or has restarted since stays so, and one that
+// the list does not name is kept.
+func (p *Proxy) applyOutdatedList(list *endpointlist.List) {
+	p.applyEntries(list, policy.DeltaUpdate, func(row *fastjson.Value) bool { return !p.isSuperseded(row) })
+}
+
+// isSuperseded reports whether a row of an outdated list states what a newer list has replaced.
+func (p *Proxy) isSuperseded(row *fastjson.Value) bool {
+	id := policy.EndpointID(row.GetStringBytes("instanceId"))
+	statedMs := endpointlist.StartMs(row.GetFloat64("startedAtMs"))
+	if known := p.endpoints.byID[id]; known != nil {
+		isSameProcess := statedMs == known.start.statedMs
+		isReady := string(row.GetStringBytes("lifecycle")) == lifecycleName(policy.Ready)
+		return statedMs < known.start.statedMs || isSameProcess && isReady
+	}
+	removed, wasRemoved := p.endpoints.history.removed[id]
+	return wasRemoved && statedMs <= removed.statedMs
 }
 
 // lifecycleName returns the list's name of a lifecycle.
--- a/internal/proxy/endpoint_watch.go
+++ b/internal/proxy/endpoint_watch.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"dahliapin/internal/discovery"
 	"dahliapin/internal/keyhash"
 	"dahliapin/internal/wire/endpointlist"
@@ -166,10 +168,28 @@
 	if recovered {
 		p.config.Log.Info("endpoint list received again after failed polls; applying it")
 	}
-	p.endpoints.history.setNewest(list.Version)
-	p.applyEndpointList(list, kind)
+	wasOutdated := p.endpoints.history.outdatedSince != 0
+	outdated, caughtUp := p.endpoints.history.receive(p.now(), list.Version)
+	if caughtUp && kind == policy.DeltaUpdate {
+		watch.poller.RequestComplete()
+	}
+	if outdated {
+		p.logOutdatedList(list.Version, wasOutdated)
+		p.applyOutdatedList(list)
+	} else {
+		p.applyEndpointList(list, kind)
+	}
 	watch.updatedAt = p.now()
 }
 
+// logOutdatedList logs the first of consecutive lists that are older than one received before.
+func (p *Proxy) logOutdatedList(version int, wasOutdated bool) {
+	if wasOutdated {
+		return
+	}
+	p.config.Log.WithFields(logrus.Fields{"version": version, "newest": p.endpoints.history.newest}).
+		Warn("endpoint list is older than the one received before; it puts no endpoint back into service")
+}
+
 // PollEndpoints does nothing, since the list is always followed. It implements dispatch.Actions.
 func (p *Proxy) PollEndpoints() {}
