A write does not run again under its id after its client has left

Cause: an id was free as soon as its request was removed from the table of requests in flight: once the client had left and the attempt was cancelled, or once it had its answer. That the attempt may have been executed was forgotten.

The id of a request that cannot have run, because each attempt was rejected or never written, is free at once, and reads may come again.

--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -163,6 +163,7 @@
 func (p *Proxy) endAttempt(req *inflightRequest, index int, result policy.Result, report []float64) {
 	attempt := &req.attempts[index]
 	attempt.inFlight = false
+	req.mayHaveRun = req.mayHaveRun || !result.NotExecuted()
 	if attempt.partlyWritten && result != policy.ConnectFailed && result != policy.NotSent {
 		p.metrics.attemptsSent++
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -11,6 +11,7 @@
 	"dahliapin/internal/proxy/dispatch"
 	"dahliapin/internal/proxy/eventlog"
 	"dahliapin/internal/proxy/metrics"
+	"dahliapin/internal/proxy/requestids"
 	"dahliapin/internal/proxy/sockets"
 	"dahliapin/internal/timerqueue"
 	"dahliapin/policy"
@@ -55,12 +56,15 @@
 		return nil, err
 	}
 	p := &Proxy{
-		config:    config,
-		clock:     clock{startedAt: time.Now(), wall: time.Now},
-		engine:    engine,
-		tasks:     taskQueue{commands: make(chan func(), maxQueuedCommands), done: make(chan struct{})},
-		takeover:  takeover{totalMemory: config.MemoryLimit},
-		inflight:  inflightTable{ids: map[string]bool{}},
+		config:   config,
+		clock:    clock{startedAt: time.Now(), wall: time.Now},
+		engine:   engine,
+		tasks:    taskQueue{commands: make(chan func(), maxQueuedCommands), done: make(chan struct{})},
+		takeover: takeover{totalMemory: config.MemoryLimit},
+		inflight: inflightTable{
+			ids:       map[string]bool{},
+			recentIDs: requestids.NewRecent(config.MemoryLimit / recentIDsDivisor),
+		},
 		endpoints: endpointTable{byID: map[policy.EndpointID]*knownEndpoint{}},
 	}
 	p.downstream.codecs = p.newDownstreamCodecs()
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"time"
 
+	"dahliapin/internal/proxy/requestids"
 	"dahliapin/internal/slotmap"
 	"dahliapin/policy"
 )
@@ -17,16 +18,21 @@
 	// answersDivisor limits answers that wait for their client to read, or for earlier ones, to the memory limit divided
 	// by it. Those of requests accepted below the limit of bufferedDivisor can exceed that one.
 	answersDivisor = 4
+	// recentIDsDivisor limits the memory for the ids of requests that must not run again to the memory limit divided by
+	// it.
+	recentIDsDivisor = 64
 )
 
 type inflightID uint64
 
 // inflightTable holds the requests in flight. Only the event loop writes it.
 type inflightTable struct {
-	requests      slotmap.Table[inflightID, inflightRequest]
-	ids           map[string]bool // the ids that clients gave them
-	pending       int             // accepted requests without a complete final answer, including streamed ones
-	bufferedBytes int             // of requests, and of answers queued behind earlier ones
+	requests slotmap.Table[inflightID, inflightRequest]
+	ids      map[string]bool // the ids that clients gave them
+	// recentIDs are the ids of requests that have ended, may have run, and must not run again.
+	recentIDs     *requestids.Recent
+	pending       int // accepted requests without a complete final answer, including streamed ones
+	bufferedBytes int // of requests, and of answers queued behind earlier ones
 }
 
 // inflightRequest is an accepted request. It is kept until it has been answered and none of its attempts is in flight.
@@ -43,6 +49,7 @@
 	answered            bool // or its client has disconnected
 	lastAttemptTimedOut bool
 	anyWritten          bool      // at least one attempt has been written to a socket, completely or in part
+	mayHaveRun          bool      // an attempt that has ended may have been executed
 	size                int       // in bytes
 	attempts            []attempt // indexed like the dispatcher's: each Send appends to both
 }
@@ -65,7 +72,8 @@
 
 // acceptRequest registers a request as in flight and passes it to the dispatcher, or refuses it at once. A request
 // without a deadline or with an unknown service class is malformed. So is one whose id is already in flight: an
-// endpoint could not tell the two apart, and would answer one of them with the value of the other.
+// endpoint could not tell the two apart, and would answer one of them with the value of the other. A request that is not
+// idempotent is also refused if an earlier one with its id may have run, whether or not the client has got an answer.
 func (p *Proxy) acceptRequest(client *clientConn, request *clientRequest, at policy.Instant) {
 	class := p.config.Settings.Names.Class(request.class)
 	if request.timeout <= 0 || class < 0 {
@@ -73,7 +81,8 @@
 		p.respond(client, client.codec.refusal(refusedMalformed, request.headOnly))
 		return
 	}
-	if p.inflight.ids[string(request.id)] {
+	request.idempotent = p.config.Settings.Policy.Classes[class].Idempotency == policy.Idempotent
+	if p.inflight.ids[string(request.id)] || !request.idempotent && p.hasRecentID(request.id) {
 		p.metrics.counters.Malformed++
 		p.respond(client, client.codec.refusal(refusedDuplicateID, request.headOnly))
 		return
@@ -88,7 +97,6 @@
 		return
 	}
 	client.overLimit = false
-	request.idempotent = p.config.Settings.Policy.Classes[class].Idempotency == policy.Idempotent
 	req := &inflightRequest{
 		class:     class,
 		deadline:  deadline,
@@ -114,6 +122,19 @@
 	})
 }
 
+// hasRecentID reports whether an earlier request with this id, which must not run again, may have run.
+func (p *Proxy) hasRecentID(id []byte) bool {
+	return p.inflight.recentIDs.Contains(requestids.DigestOf(id), time.Now())
+}
+
+// releaseID makes the id of a request that has ended available again, unless the request must not run again.
+func (p *Proxy) releaseID(req *inflightRequest) {
+	delete(p.inflight.ids, string(req.parsed.id))
+	if req.mayHaveRun && !req.parsed.idempotent {
+		p.inflight.recentIDs.Add(requestids.DigestOf(req.parsed.id), time.Now())
+	}
+}
+
 // capDeadline returns the deadline of a request that arrived at the given time. While the node drains, no deadline is
 // later than the node's end. mustReject reports whether to reject the request: its deadline was cut and it is not
 // idempotent, or less time than its latency objective is left. All other requests are accepted with the earlier
@@ -205,7 +226,7 @@
 	}
 	if req.answered && p.inflight.requests.Get(req.id) != nil {
 		p.inflight.requests.Remove(req.id)
-		delete(p.inflight.ids, string(req.parsed.id))
+		p.releaseID(req)
 		p.inflight.bufferedBytes -= req.size
 	}
 }
