A write does not run at both processes of an upgrade

Cause: each process knew the ids of its own requests only.

Change: the two processes exchange the ids of requests that are not idempotent, over a pair of descriptors which the predecessor passes on. Each sends an id to the other before it attempts the request and then reads what the other has sent, so at least one of two that attempt the same id at the same time sees it; neither waits for the other. What was used before is sent as the successor begins to serve; what a process had claimed stays known after its end. While that cannot be told, because the other process does not read, such requests are rejected at once; reads are served.

Recorded file: handover's conversation has the channel, by intent.

--- a/internal/proxy/handover/doc.go
+++ b/internal/proxy/handover/doc.go
@@ -11,6 +11,7 @@
 //
 // The successor also requests the state of the running process: what that has learned since it read its configuration.
 // The running process sends it with Offer.SendState, at first and after each change; Inherited.Wait receives it. A
-// process of an earlier version sends none (Inherited.SendsState). Otherwise the protocol is the same in all versions
+// process of an earlier version sends none (Inherited.SendsState). Before the first state it sends a descriptor for
+// package requestids (Offer.TakeChannel, Inherited.TakeChannel). Otherwise the protocol is the same in all versions
 // that may replace each other.
 package handover
--- a/internal/proxy/handover/golden_test.go
+++ b/internal/proxy/handover/golden_test.go
@@ -39,19 +39,20 @@
 	if _, err := c.Write([]byte(socketRequest)); err != nil {
 		t.Fatal(err)
 	}
-	text, sockets := receiveSockets(t, c)
-	answer := strings.ReplaceAll(text, listener.Addr().String(), "ADDRESS")
+	addresses, sockets := receiveSockets(t, c)
+	answer := strings.ReplaceAll(addresses, listener.Addr().String(), "ADDRESS")
 	fmt.Fprintf(&got, "successor %q, answer %q with %d sockets, stage %d\n", socketRequest, answer, sockets, <-stages)
 	if _, err := c.Write([]byte(stateRequest)); err != nil {
 		t.Fatal(err)
 	}
-	fmt.Fprintf(&got, "successor %q, stage %d", stateRequest, <-stages)
+	text, channels := receiveSockets(t, c)
+	fmt.Fprintf(&got, "successor %q, answer %q with %d sockets, stage %d\n", stateRequest, text, channels, <-stages)
 	offer.SendState([]byte("STATE"))
 	state := make([]byte, len("5\nSTATE"))
 	if _, err := io.ReadFull(c, state); err != nil {
 		t.Fatal(err)
 	}
-	fmt.Fprintf(&got, ", answer %q\n", state)
+	fmt.Fprintf(&got, "state %q\n", state)
 	if _, err := c.Write([]byte(servingNotice)); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/proxy/handover/inherit.go
+++ b/internal/proxy/handover/inherit.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"dahliapin/internal/proxy/requestids"
 )
 
 const descriptorSize = 4 // size of a descriptor in a control message, in bytes
@@ -30,6 +32,7 @@
 type Inherited struct {
 	Listeners  map[string]net.Listener // by listening address; the caller removes those that it uses
 	SendsState bool                    // the old process sends its state; one of an earlier version does not
+	channel    *os.File                // to the old process, for package requestids; nil if there is none, or it was taken
 	conn       *net.UnixConn
 }
 
@@ -65,33 +68,69 @@
 	if _, err := i.conn.Write([]byte(socketRequest)); err != nil {
 		return err
 	}
-	text := make([]byte, maxAddressSize)
-	rights := make([]byte, unix.CmsgSpace(descriptorSize*maxSockets))
-	textSize, rightsSize, _, _, err := i.conn.ReadMsgUnix(text, rights)
+	addresses, fds, err := receiveWithRights(i.conn, maxAddressSize)
 	if err != nil {
 		return fmt.Errorf("cannot receive sockets from the old process: %w", err)
 	}
-	messages, err := unix.ParseSocketControlMessage(rights[:rightsSize])
-	if err != nil || len(messages) != 1 {
+	if len(fds) == 0 {
 		return errNoSockets
 	}
-	fds, err := unix.ParseUnixRights(&messages[0])
-	if err != nil {
-		return err
-	}
-	addresses := string(text[:textSize])
 	if err := i.addListeners(fds, strings.Fields(addresses)); err != nil {
 		return err
 	}
 	if strings.HasSuffix(addresses, stateAnnouncement) {
-		// A failed request is no reason not to take over: the node then has the state of its configuration only.
-		_, err := i.conn.Write([]byte(stateRequest))
-		i.SendsState = err == nil
+		// A failure is no reason not to take over: the node then has the state of its configuration only.
+		i.SendsState = i.requestState() == nil
 	}
 	_ = i.conn.SetDeadline(time.Time{})
 	return nil
 }
 
+// requestState requests the old process's state, and receives the channel.
+func (i *Inherited) requestState() error {
+	if _, err := i.conn.Write([]byte(stateRequest)); err != nil {
+		return err
+	}
+	text, fds, err := receiveWithRights(i.conn, len(channelMessage))
+	for lacksMemory(err) {
+		time.Sleep(transientErrorPause)
+		text, fds, err = receiveWithRights(i.conn, len(channelMessage))
+	}
+	for n, fd := range fds {
+		if n > 0 || text != channelMessage || unix.SetNonblock(fd, true) != nil {
+			_ = unix.Close(fd)
+			continue
+		}
+		i.channel = requestids.NewFile(fd)
+	}
+	if err == nil && text != channelMessage {
+		return errMalformedState
+	}
+	return err
+}
+
+// receiveWithRights receives a text of up to maxSize bytes and the descriptors that come with it.
+func receiveWithRights(c *net.UnixConn, maxSize int) (text string, fds []int, err error) {
+	buffer := make([]byte, maxSize)
+	rights := make([]byte, unix.CmsgSpace(descriptorSize*maxSockets))
+	textSize, rightsSize, _, _, err := c.ReadMsgUnix(buffer, rights)
+	if err != nil {
+		return "", nil, err
+	}
+	messages, err := unix.ParseSocketControlMessage(rights[:rightsSize])
+	if err != nil {
+		return "", nil, err
+	}
+	for n := range messages {
+		received, err := unix.ParseUnixRights(&messages[n])
+		if err != nil {
+			return "", nil, err
+		}
+		fds = append(fds, received...)
+	}
+	return string(buffer[:textSize]), fds, nil
+}
+
 // addListeners turns descriptors into listeners and stores each under the address at the same position. If one listens
 // on another address, all are still stored, so that Close closes them. Those without an address, or with one that
 // another listener has already, are closed immediately.
@@ -159,10 +198,20 @@
 	}
 }
 
-// Close closes the listeners that were not used, and the connection to the old process.
+// TakeChannel returns the channel to the old process, which the caller then owns; nil if there is none.
+func (i *Inherited) TakeChannel() *os.File {
+	channel := i.channel
+	i.channel = nil
+	return channel
+}
+
+// Close closes the listeners and the channel, if they were not used, and the connection to the old process.
 func (i *Inherited) Close() {
 	for _, listener := range i.Listeners {
 		_ = listener.Close()
 	}
+	if i.channel != nil {
+		_ = i.channel.Close()
+	}
 	_ = i.conn.Close()
 }
--- a/internal/proxy/handover/offer.go
+++ b/internal/proxy/handover/offer.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"dahliapin/internal/proxy/requestids"
 )
 
 // Stage is the progress of the process that replaces this one.
@@ -33,6 +35,7 @@
 	mu        sync.Mutex
 	successor *net.UnixConn // nil if there is none
 	states    chan []byte   // the state that the successor is sent next; nil if it has not requested any
+	channel   *os.File      // this process's end of the channel to the successor; nil if there is none, or it was taken
 	closed    bool
 }
 
@@ -98,6 +101,7 @@
 		close(o.states)
 		o.states = nil
 	}
+	o.closeChannel()
 	notify := sent && !o.closed
 	o.mu.Unlock()
 	if notify {
@@ -126,14 +130,52 @@
 		}
 		switch line {
 		case stateRequest:
-			o.startSendingStates(c)
-			o.onStage(StateRequested)
+			if o.sendChannel(c) == nil {
+				o.startSendingStates(c)
+				o.onStage(StateRequested)
+			}
 		case servingNotice:
 			o.onStage(SuccessorServing)
 		}
 	}
 }
 
+// sendChannel creates a pair of descriptors and sends one of them to the successor.
+func (o *Offer) sendChannel(c *net.UnixConn) error {
+	local, remote, err := requestids.NewPair()
+	if err != nil {
+		return sendWithRights(c, channelMessage, nil)
+	}
+	err = sendWithRights(c, channelMessage, []int{remote})
+	_ = unix.Close(remote)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err != nil || o.channel != nil {
+		_ = local.Close()
+		return err
+	}
+	o.channel = local
+	return nil
+}
+
+// TakeChannel returns this process's end of the channel to the successor, which the caller then owns; nil if there is
+// none.
+func (o *Offer) TakeChannel() *os.File {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	channel := o.channel
+	o.channel = nil
+	return channel
+}
+
+// closeChannel closes this process's end of the channel, unless it was taken. The caller holds the lock.
+func (o *Offer) closeChannel() {
+	if o.channel != nil {
+		_ = o.channel.Close()
+		o.channel = nil
+	}
+}
+
 // startSendingStates starts a goroutine that sends the successor each state of SendState. It ends with the connection.
 func (o *Offer) startSendingStates(c *net.UnixConn) {
 	o.mu.Lock()
@@ -180,7 +222,11 @@
 
 // sendWithRights sends a text together with descriptors.
 func sendWithRights(c *net.UnixConn, text string, fds []int) error {
-	_, _, err := c.WriteMsgUnix([]byte(text), unix.UnixRights(fds...), nil)
+	var rights []byte
+	if len(fds) > 0 {
+		rights = unix.UnixRights(fds...)
+	}
+	_, _, err := c.WriteMsgUnix([]byte(text), rights, nil)
 	return err
 }
 
--- a/internal/proxy/handover/protocol.go
+++ b/internal/proxy/handover/protocol.go
@@ -25,6 +25,10 @@
 	servingNotice = "serving\n"              // announces that the successor serves clients
 )
 
+// channelMessage is the answer to a stateRequest. A descriptor comes with it, over which the two processes exchange the
+// ids of requests (package requestids), unless the old process could not create one.
+const channelMessage = "channel\n"
+
 // stateAnnouncement at the end of the list of addresses announces that the old process answers a stateRequest. A
 // successor of an earlier version ignores it, since it splits the list at white space.
 const stateAnnouncement = "\n"
--- a/internal/proxy/inherited_endpoints_test.go
+++ b/internal/proxy/inherited_endpoints_test.go
@@ -210,6 +210,26 @@
 	return p
 }
 
+// offerWithoutProcess offers listeners without a process that serves them or answers requests for its state.
+func (s *successionTest) offerWithoutProcess() *handover.Offer {
+	s.t.Helper()
+	var offered []net.Listener
+	for _, addr := range s.listen {
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.t.Cleanup(func() { l.Close() })
+		offered = append(offered, l)
+	}
+	offer, err := handover.Open(s.path, offered, func(handover.Stage) {})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(offer.Close)
+	return offer
+}
+
 // inLoop returns the result of a function that is called in a process's event loop.
 func inLoop[T any](t *testing.T, p *Proxy, f func() T) T {
 	t.Helper()
@@ -384,16 +404,7 @@
 			t.Parallel()
 			s := newSuccessionTest(t)
 			s.discovery.set(true, toldVersion, s.toldEntries()...)
-			l, err := net.Listen("tcp", s.listen[0])
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { l.Close() })
-			offer, err := handover.Open(s.path, []net.Listener{l}, func(handover.Stage) {})
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(offer.Close)
+			offer := s.offerWithoutProcess()
 			p := s.start() // its request for the state is not answered
 			if p.config.Inherited == nil {
 				t.Fatal("nothing inherited")
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -65,6 +65,7 @@
 		p.takeover.offer.Close()
 	}
 	p.engine.Stop()
+	p.endExchange()
 	close(p.tasks.done)
 }
 
--- a/internal/proxy/request_ids_test.go
+++ b/internal/proxy/request_ids_test.go
@@ -22,6 +22,7 @@
 	read     func(id string) string
 	refused  string // how an answer begins that refuses an id in use
 	served   string // how an answer begins that serves a request
+	busy     string // how an answer begins that rejects a request
 }
 
 var requestWriters = map[string]requestWriter{
@@ -29,7 +30,7 @@
 		pay:     func(id string) string { return fmt.Sprintf("ms k 2 O%s Pc=pay,d=900\r\nhi\r\n", id) },
 		put:     func(id string) string { return fmt.Sprintf("ms k 2 O%s Pc=put,d=900,k=key\r\nhi\r\n", id) },
 		read:    func(id string) string { return fmt.Sprintf("mg k v O%s Pc=read,d=900\r\n", id) },
-		refused: "CLIENT_ERROR", served: "HD ",
+		refused: "CLIENT_ERROR", served: "HD ", busy: "SERVER_ERROR busy",
 	},
 	"HTTP": {
 		listener: 1,
@@ -40,7 +41,7 @@
 			return requestHead("PUT /p/k", "X-Id: "+id, "X-Wait: 900", "Idempotency-Key: key", "Content-Length: 2") + "hi"
 		},
 		read:    func(id string) string { return requestHead("GET /p/k", "X-Id: "+id, "X-Wait: 900") },
-		refused: "HTTP/1.1 409", served: "HTTP/1.1 200",
+		refused: "HTTP/1.1 409", served: "HTTP/1.1 200", busy: "HTTP/1.1 503",
 	},
 }
 
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -96,6 +96,19 @@
 		p.respond(client, client.codec.rejected(request, 0))
 		return
 	}
+	if !request.idempotent {
+		switch p.claimID(request.id) {
+		case claimedByOther:
+			p.metrics.counters.Malformed++
+			p.respond(client, client.codec.refusal(refusedDuplicateID, request.headOnly))
+			return
+		case claimUnavailable:
+			p.metrics.counters.NotAccepted++
+			p.metrics.countRejected(class)
+			p.respond(client, client.codec.rejected(request, 0))
+			return
+		}
+	}
 	client.overLimit = false
 	req := &inflightRequest{
 		class:     class,
@@ -130,8 +143,14 @@
 // releaseID makes the id of a request that has ended available again, unless the request must not run again.
 func (p *Proxy) releaseID(req *inflightRequest) {
 	delete(p.inflight.ids, string(req.parsed.id))
-	if req.mayHaveRun && !req.parsed.idempotent {
-		p.inflight.recentIDs.Add(requestids.DigestOf(req.parsed.id), time.Now())
+	if req.parsed.idempotent {
+		return
+	}
+	id := requestids.DigestOf(req.parsed.id)
+	if req.mayHaveRun {
+		p.inflight.recentIDs.Add(id, time.Now())
+	} else if p.takeover.requests.claims {
+		p.takeover.requests.exchange.Release(id)
 	}
 }
 
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -29,6 +29,7 @@
 	awaitsEndpoints bool
 	// successorHasState is whether a successor has requested the state of this process.
 	successorHasState bool
+	requests          requestExchange
 }
 
 // startAsSuccessor starts a process that has inherited its listeners. Until the predecessor has exited, this process
@@ -116,6 +117,7 @@
 		return
 	}
 	p.stopAwaitingEndpoints()
+	p.endExchange()
 	p.config.Log.Info("predecessor process has exited; using the full limits")
 	p.takeover.predecessorExited = true
 	p.setSharedLimits(false)
@@ -167,6 +169,7 @@
 		p.setSharedLimits(true)
 	case handover.StateRequested:
 		p.takeover.successorHasState = true
+		p.startExchange(p.takeover.offer.TakeChannel())
 		p.sendEndpointsToSuccessor()
 	case handover.SuccessorServing:
 		p.config.Log.Info("successor process is serving; no longer accepting connections")
@@ -176,6 +179,7 @@
 		p.config.Log.Warn("successor process has exited; accepting connections again")
 		p.takeover.otherProcessAccepts = false
 		p.takeover.successorHasState = false
+		p.endExchangeIfOver()
 		p.setSharedLimits(false)
 		p.engine.SetAccepting(true)
 	}
@@ -199,6 +203,9 @@
 		return
 	}
 	p.takeover.predecessorNotified = true
+	if !p.takeover.predecessorExited {
+		p.startExchangeAsSuccessor()
+	}
 	p.engine.SetAccepting(true)
 	if err := p.config.Inherited.NotifyServing(); err != nil {
 		p.config.Log.WithError(err).Info("predecessor process has exited before the handover completed; continuing")
