Test of memory for answers that wait: connects may take as long as the test

Traced: the test wants each rejection to come from the memory limit. In failed runs the rest are the outcome "connect failed" (61, 145, 8 and 224 of them, index 4 of the outcomes), and the event loop's longest iteration took 1.2 to 3.5 s: under the race detector it opens 774 connections and reads 50 MB in few iterations, and the settings of the test give a connect 1 s. So the connections were late, and the node rejected what it could not forward in time. The test's caches answered; nothing was rejected that the node could have served in its limits.

Its checks and bounds are unchanged, all rejections must still come from the memory limit.

--- a/internal/proxy/flush_test.go
+++ b/internal/proxy/flush_test.go
@@ -24,6 +24,10 @@
 	return func(config *Config) { config.MemoryLimit = limit }
 }
 
+// withPatientConnects keeps attempts from failing because their connections are late: the event loop of a slow machine
+// may take seconds to open hundreds at once.
+func withPatientConnects(config *Config) { config.Settings.ConnectTimeout = testTimeout }
+
 // receipt is the origin's answer to a write.
 const receipt = "stored"
 
@@ -359,7 +363,7 @@
 	value := strings.Repeat("v", streamThreshold)
 	for _, byHTTP := range []bool{false, true} {
 		t.Run(fmt.Sprintf("by HTTP %v", byHTTP), func(t *testing.T) {
-			g := newHarness(t, 2000, answerWith(value), withHTTPListeners, withMemory(limit))
+			g := newHarness(t, 2000, answerWith(value), withHTTPListeners, withMemory(limit), withPatientConnects)
 			proceed := g.blockWrites(value)
 			clients := g.startPipelines(clientCount, pipelinedReads, byHTTP)
 			g.waitUntilBuffered(clients...)
