A keyed write is not repeated in the group of a cache that was replaced under its id

Cause: the scope of the first attempt was looked up by the endpoint's id as the list has it now, not as it was when the attempt was sent.

Change: an entry whose process started after the attempt was sent says nothing about it, like one that has left the list.

Measured: TestKeyedWriteIsNotRepeatedInTheGroupOfARestartedCache fails before (retry at cache-9) and passes.

--- a/policy/mayattempt.go
+++ b/policy/mayattempt.go
@@ -39,7 +39,17 @@
 	if now.Since(earlier.SentAt) >= class.DedupWindow-router.settings.TickInterval {
 		return false
 	}
-	return class.DedupScope.covers(router.endpoints.byID[earlier.Endpoint], u)
+	return class.DedupScope.covers(router.attempted(earlier), u)
+}
+
+// attempted returns the endpoint that an attempt was sent to. It returns nil if that has left the list, or if its entry
+// describes a process that started after the attempt was sent, which may belong to another group or zone.
+func (router *Router) attempted(attempt Attempt) *upstream {
+	u := router.endpoints.byID[attempt.Endpoint]
+	if u != nil && u.StartedAt > attempt.SentAt {
+		return nil
+	}
+	return u
 }
 
 // dedupWindowEnd returns the end of the window in which the execution of an attempt that is sent now is dropped if
--- a/policy/retry_test.go
+++ b/policy/retry_test.go
@@ -1,6 +1,9 @@
 package policy
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // Retries must not multiply the load when all attempts fail.
 func TestRetryBudgetBoundsRetriesWhenAllAttemptsFail(t *testing.T) {
@@ -55,3 +58,28 @@
 		})
 	}
 }
+
+// Guards against a keyed write that takes effect twice because its cache's process was replaced by one of another group
+// under the same id: the group of the entry, to which the write was never sent, was taken for the one that drops its
+// repeat. The retry may go nowhere then, as the old group is not known any more.
+func TestKeyedWriteIsNotRepeatedInTheGroupOfARestartedCache(t *testing.T) {
+	for _, restarts := range []bool{false, true} {
+		h := newReadThroughHarness(t)
+		h.advance(time.Second)
+		r, first := h.arrive("k", keyedInGroupClass, true)
+		if len(first.SendTo) != 1 {
+			t.Fatalf("first attempts at %v", first.SendTo)
+		}
+		h.advance(10 * ms)
+		if restarts {
+			entry := h.listed[first.SendTo[0]]
+			entry.Group = 1 - entry.Group
+			entry.StartedAt = h.now
+			h.update(DeltaUpdate, entry)
+		}
+		retry := h.end(r, 0, ConnectionBroken)
+		if restarts == (len(retry.SendTo) > 0) {
+			t.Errorf("restarts: %v, retry at %v", restarts, retry.SendTo)
+		}
+	}
+}
