Memory: hundreds of slow clients no longer take a node over its limit

Seen by callers: hundreds of clients write slowly, stop in a request or read slowly, and the process passes its memory limit and is killed.

Cause: the limits on what is buffered, and the garbage collector's, were shares of the whole limit, although the program itself takes 18 MB of it; streamed values counted nowhere, up to 64 KiB a connection on both sides; and each read after a pause took 64 KiB more.

Change: shares are of the limit less the program. Streamed values count; reads are short while those take much; the window of unsent bytes is divided among the clients; the read-ahead follows each new connection; reads after a pause run four at a time; a request counts what it takes besides its bytes.

--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -26,7 +26,7 @@
 	DescriptorLimit int
 	// ReservedDescriptors is how many file descriptors the process uses for its other parts.
 	ReservedDescriptors int
-	// MemoryLimit is how many bytes of memory the process may use in total.
+	// MemoryLimit is how many bytes of memory the process may use for data, beside the program itself.
 	MemoryLimit int64
 	// Settings are the deployment's settings.
 	Settings settings.Settings
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -184,7 +184,7 @@
 	now := p.now()
 	p.schedule(now.Add(sweepInterval), timerEvent{kind: timerSweep})
 	p.publishMetrics()
-	p.engine.SetReadAhead(p.config.MemoryLimit / readAheadDivisor / int64(1+p.upstream.conns.Len()))
+	p.limitReadAhead()
 	var idle []*clientConn
 	p.downstream.conns.Each(func(_ clientConnID, client *clientConn) {
 		overdue := client.incompleteSince != 0 && now.Since(client.incompleteSince) >= commandTimeout
--- a/internal/proxy/flush.go
+++ b/internal/proxy/flush.go
@@ -11,19 +11,30 @@
 )
 
 const (
-	// unsentWindow is how many bytes may be unsent on a client's connection when more are written to it. The rest of
-	// its answers waits in the pipeline, and the endpoint of a streamed value is not read meanwhile. So a connection
-	// never reaches sockets.MaxUnsentBytes, at which it is closed.
-	unsentWindow = 64 << 10
+	// maxUnsentWindow is how many bytes may be unsent on a client's connection at most when more are written to it. The
+	// rest of its answers waits in the pipeline, and the endpoint of a streamed value is not read meanwhile. So a
+	// connection never reaches sockets.MaxUnsentBytes, at which it is closed.
+	maxUnsentWindow = 64 << 10
+	// minUnsentWindow is how many bytes may always be unsent, however many clients there are.
+	minUnsentWindow = 4 << 10
+	// unsentDivisor limits the unsent bytes of all clients together to about the memory limit divided by it.
+	unsentDivisor = 8
 	// flushCheckInterval is the interval at which the node checks whether a client has read what is unsent.
 	flushCheckInterval = 20 * time.Millisecond
 	// slowReaderCheckInterval is that interval if more is ready to be written. It limits how fast such a client is
-	// served to what the kernel buffers and unsentWindow in each interval.
+	// served to what the kernel buffers and maxUnsentWindow in each interval.
 	slowReaderCheckInterval = 5 * time.Millisecond
 	// slowReaderTimeout is how long a client may read nothing while something is left to write to it.
 	slowReaderTimeout = 10 * time.Second
 )
 
+// unsentWindow returns how many bytes may be unsent on a client's connection when more are written to it, and how many
+// are written at a time. It is smaller with many clients, all of which may read slowly.
+func (p *Proxy) unsentWindow() int {
+	share := p.config.MemoryLimit / unsentDivisor / int64(1+p.downstream.conns.Len())
+	return int(min(max(share, minUnsentWindow), maxUnsentWindow))
+}
+
 // readProgress tells whether a client goes on reading what is written to it. The zero value has not begun.
 type readProgress struct {
 	acceptedBytes int64          // bytes that the kernel had accepted at progressAt
@@ -115,7 +126,7 @@
 // writeReadyAnswers writes the answers that are ready as far as the client reads them, and reports whether the
 // connection is still open.
 func (p *Proxy) writeReadyAnswers(client *clientConn) (open bool) {
-	for client.isAnswered(0) && client.socket.Unsent() <= unsentWindow {
+	for client.isAnswered(0) && client.socket.Unsent() <= int64(p.unsentWindow()) {
 		piece := p.takeReadyAnswers(client)
 		if len(piece) > 0 && !p.writeToClient(client, piece) {
 			return false
@@ -128,13 +139,14 @@
 // everything has been taken. Short answers are joined; long values are taken in parts and not copied.
 func (p *Proxy) takeReadyAnswers(client *clientConn) (piece []byte) {
 	taken := 0
-	for more := true; more && client.isAnswered(taken) && len(piece) < unsentWindow; {
+	window := p.unsentWindow()
+	for more := true; more && client.isAnswered(taken) && len(piece) < window; {
 		slot := &client.pipeline[taken]
 		if !slot.begun && taken == len(client.pipeline)-1 {
 			p.announceClose(client, slot)
 		}
 		slot.begun = true
-		piece, more = slot.takeNext(piece, client.codec.valueTrailer())
+		piece, more = slot.takeNext(piece, window, client.codec.valueTrailer())
 		if slot.unwrittenBytes() == 0 {
 			p.countIfLate(slot)
 			p.discardAnswer(slot)
@@ -146,14 +158,14 @@
 	return piece
 }
 
-// takeNext takes the next bytes of an answer, and appends them to a piece. more is false if nothing may be appended to
-// the new piece: it ends where a long value begins, or is a part of one.
-func (s *pipelineSlot) takeNext(piece []byte, valueTrailer string) (next []byte, more bool) {
+// takeNext takes the next bytes of an answer, window at most, and appends them to a piece. more is false if nothing may be
+// appended to the new piece: it ends where a long value begins, or is a part of one.
+func (s *pipelineSlot) takeNext(piece []byte, window int, valueTrailer string) (next []byte, more bool) {
 	if len(s.response) == 0 && len(s.value) > 0 {
 		if len(piece) > 0 {
 			return piece, false
 		}
-		size := min(len(s.value), unsentWindow)
+		size := min(len(s.value), window)
 		next = s.value[:size]
 		s.value = s.value[size:]
 		if len(s.value) == 0 {
@@ -161,7 +173,7 @@
 		}
 		return next, false
 	}
-	size := min(len(s.response), unsentWindow)
+	size := min(len(s.response), window)
 	next = s.response[:size:size]
 	s.response = s.response[size:]
 	if len(piece) > 0 {
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -18,6 +18,8 @@
 	// answersDivisor limits answers that wait for their client to read, or for earlier ones, to the memory limit divided
 	// by it. Those of requests accepted below the limit of bufferedDivisor can exceed that one.
 	answersDivisor = 4
+	// requestOverhead is about how much memory a request takes beside its bytes, with one attempt.
+	requestOverhead = 1 << 10
 	// recentIDsDivisor limits the memory for the ids of requests that must not run again to the memory limit divided by
 	// it.
 	recentIDsDivisor = 64
@@ -180,8 +182,11 @@
 		p.bufferedBytes() > p.config.MemoryLimit/bufferedDivisor
 }
 
-// bufferedBytes returns the size of buffered requests and answers, and of what clients have not read yet.
-func (p *Proxy) bufferedBytes() int64 { return int64(p.inflight.bufferedBytes) + p.engine.Unsent() }
+// bufferedBytes returns the size of buffered requests and answers, of streamed values that wait for their clients, and of
+// what clients have not read yet.
+func (p *Proxy) bufferedBytes() int64 {
+	return int64(p.inflight.bufferedBytes+p.upstream.streamBytes) + p.engine.Unsent()
+}
 
 // exceedsAnswerMemory reports whether an answer must not be kept because the answers that wait take too much memory.
 // This does not apply to a short answer, nor to one that is written at once to a client that has read everything.
@@ -192,7 +197,7 @@
 		return false
 	}
 	isNext := req.slot == client.firstSlot && client.socket.Unsent() == 0
-	if isNext && len(value) <= unsentWindow {
+	if isNext && len(value) <= maxUnsentWindow {
 		return false
 	}
 	return p.bufferedBytes()+int64(size) > p.config.MemoryLimit/answersDivisor
@@ -214,7 +219,7 @@
 	clone.value = copyBytes(request.value)
 	clone.class = nil
 	clone.tenant = nil
-	return clone, size + len(request.httpDetails().headers)
+	return clone, requestOverhead + size + len(request.httpDetails().headers)
 }
 
 // abandonRequest ends a request whose client has disconnected. Its attempts are cancelled if the settings allow it, or
--- a/internal/proxy/response_stream.go
+++ b/internal/proxy/response_stream.go
@@ -84,14 +84,15 @@
 		p.dropConn(conn)
 		return
 	}
-	if stream.isNextFor(client) && client.socket.Unsent() <= unsentWindow {
+	if stream.isNextFor(client) && client.socket.Unsent() <= int64(p.unsentWindow()) {
 		used, more := p.writeStream(conn, client, conn.input.buf.Unread())
 		if !more {
 			return
 		}
 		conn.input.buf.Consume(used)
+		p.updateStreamBytes(conn)
 	}
-	mustPause := !stream.isNextFor(client) || client.socket.Unsent() > unsentWindow
+	mustPause := !stream.isNextFor(client) || client.socket.Unsent() > int64(p.unsentWindow())
 	p.setPaused(conn, mustPause)
 	if stream.isNextFor(client) && !p.watchReading(client) {
 		return
@@ -153,9 +154,10 @@
 	if !stream.started && !p.writeStreamHead(stream, client) {
 		return 0, false
 	}
-	for stream.remaining > 0 && len(data) > used && client.socket.Unsent() <= unsentWindow {
+	window := p.unsentWindow()
+	for stream.remaining > 0 && len(data) > used && client.socket.Unsent() <= int64(window) {
 		piece := data[used:]
-		piece = piece[:min(len(piece), stream.remaining, unsentWindow)]
+		piece = piece[:min(len(piece), stream.remaining, window)]
 		stream.remaining -= len(piece)
 		used += len(piece)
 		client.lastUsedAt = p.now()
@@ -195,6 +197,8 @@
 	}
 	conn.input.buf.Consume(stream.trailerSize)
 	conn.stream = nil
+	conn.purpose = purposeIdle
+	p.updateStreamBytes(conn)
 	if !conn.endpoint.codec.canAttributeResponses() {
 		conn.unattributedAt = p.now()
 	}
--- a/internal/proxy/response_stream_test.go
+++ b/internal/proxy/response_stream_test.go
@@ -67,7 +67,7 @@
 	g.expect(others, "VA 5 Oshort", "hello")
 	close(rest)
 	g.expect(r, first[half:], fmt.Sprintf("VA %d Ob", len(second)), second, "MN")
-	if n := g.Counters(); n.Satisfied != 3 || n.Attempts != 3 || g.upstream.incompleteBytes > 2*unsentWindow {
+	if n := g.Counters(); n.Satisfied != 3 || n.Attempts != 3 || g.upstream.incompleteBytes > 2*maxUnsentWindow {
 		t.Errorf("%+v, %d incomplete bytes still counted", n, g.upstream.incompleteBytes)
 	}
 }
--- a/internal/proxy/sockets/engine.go
+++ b/internal/proxy/sockets/engine.go
@@ -28,6 +28,10 @@
 
 	// readAhead is the number of bytes of one connection that may wait for the loop.
 	readAhead atomic.Int64
+	// readSize is the number of bytes that one read may return.
+	readSize atomic.Int64
+	// backgroundReads holds an element for each background read that is under way.
+	backgroundReads chan struct{}
 
 	descriptorLimit     atomic.Int64 // for connections
 	openDescriptors     atomic.Int64 // of connections
@@ -58,12 +62,14 @@
 func New(addrs []string, descriptors int, inherited map[string]net.Listener) (*Engine, error) {
 	e := &Engine{
 		wake:                make(chan struct{}, 1),
+		backgroundReads:     make(chan struct{}, maxBackgroundReads),
 		acceptPaused:        len(inherited) > 0,
 		reservedDescriptors: ownDescriptors + len(addrs) - 1,
 	}
 	e.stateChanged = sync.NewCond(&e.mu)
 	e.SetDescriptorLimit(descriptors)
 	e.SetReadAhead(maxReadAhead)
+	e.SetShortReads(false)
 	for _, addr := range addrs {
 		if err := e.listen(addr, inherited); err != nil {
 			e.closeListeners()
@@ -120,6 +126,16 @@
 	e.readAhead.Store(min(max(bytes, minReadAhead), maxReadAhead))
 }
 
+// SetShortReads makes reads return little at a time while memory is short: what is left of a read when its connection
+// is paused takes memory until the connection is resumed.
+func (e *Engine) SetShortReads(short bool) {
+	size := int64(readBufferSize)
+	if short {
+		size = minReadSize
+	}
+	e.readSize.Store(size)
+}
+
 // Stop closes all connections and listeners, and waits until no client is accepted and no event of the poller is handled
 // any more.
 func (e *Engine) Stop() {
--- a/internal/proxy/sockets/read.go
+++ b/internal/proxy/sockets/read.go
@@ -10,10 +10,16 @@
 
 const (
 	// minReadAhead is the number of bytes of one connection that may always wait for the loop.
-	minReadAhead = 16 << 10
+	minReadAhead = 4 << 10
 
 	// maxReadAhead is the largest useful read-ahead of a connection: two reads.
 	maxReadAhead = 128 << 10
+
+	// minReadSize is the size of a read while memory is short.
+	minReadSize = 4 << 10
+
+	// maxBackgroundReads is the number of connections that readInBackground reads at a time. Each needs a buffer.
+	maxBackgroundReads = 4
 )
 
 // stateEstablished is TCP_ESTABLISHED, the state of an open connection (RFC 9293), in the kernel's TCP_INFO.
@@ -38,7 +44,7 @@
 		if (c.readPaused.Load() || c.stallIfAhead()) && !c.peerClosedWhilePaused() {
 			return
 		}
-		n, err := c.socket.Read(buffer)
+		n, err := c.socket.Read(buffer[:min(len(buffer), int(c.engine.readSize.Load()))])
 		switch {
 		case errors.Is(err, syscall.EINTR):
 		case errors.Is(err, syscall.EAGAIN):
@@ -97,6 +103,8 @@
 // It uses a separate goroutine because reading may wait for the loop, which is the caller.
 func (c *Conn) readInBackground() {
 	go func() {
+		c.engine.backgroundReads <- struct{}{}
+		defer func() { <-c.engine.backgroundReads }()
 		buffer := readBuffers.Get().(*[]byte)
 		c.readAvailable(*buffer)
 		readBuffers.Put(buffer)
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -20,6 +20,9 @@
 	duplicateResponseWindow = 10 * time.Millisecond
 	// incompleteResponseDivisor limits incomplete responses to the memory limit divided by it.
 	incompleteResponseDivisor = 4
+	// shortReadsDivisor makes reads short while streamed values that wait for their clients exceed the memory limit
+	// divided by it.
+	shortReadsDivisor = 16
 	// minIncompleteBytes is the size up to which an incomplete response is not dropped: responses of that size on all
 	// connections together stay below the limit.
 	minIncompleteBytes = 4 << 10
@@ -35,6 +38,7 @@
 	idleTimeout     idletimeout.Timeout // how long an idle connection is kept
 	response        upstreamResponse    // the last response read; its memory is reused
 	incompleteBytes int                 // of incomplete responses, over all connections
+	streamBytes     int                 // of streamed values that have been received and not forwarded, likewise
 }
 
 // connPurpose is what a connection is currently used for.
@@ -73,6 +77,7 @@
 	progress        http1.Progress // in parsing the current response
 	eof             bool           // the other side has closed the connection in order: no more data follows
 	incompleteBytes int            // of the current incomplete response, as counted in upstream
+	streamBytes     int            // of the current streamed value, as counted in upstream
 }
 
 // consume removes a response that has been read. What follows belongs to the next one.
@@ -141,9 +146,15 @@
 		return err
 	}
 	p.schedule(conn.deadline, timerEvent{kind: timerUpstreamConn, conn: conn.id})
+	p.limitReadAhead()
 	return nil
 }
 
+// limitReadAhead divides the memory for data that has been read ahead among the connections to endpoints.
+func (p *Proxy) limitReadAhead() {
+	p.engine.SetReadAhead(p.config.MemoryLimit / readAheadDivisor / int64(1+p.upstream.conns.Len()))
+}
+
 // dial opens a connection, and closes an idle one for it if necessary. Connections to endpoints never use the clients'
 // share of the descriptors: new clients could not be accepted then, and the requests that they had already sent would
 // be lost. The endpoint list's connection is reserved: it may be opened at any time.
@@ -292,6 +303,8 @@
 	p.upstream.idle.remove(conn)
 	p.upstream.incompleteBytes -= conn.input.incompleteBytes
 	conn.input.incompleteBytes = 0
+	p.upstream.streamBytes -= conn.input.streamBytes
+	conn.input.streamBytes = 0
 	if conn.socket != nil {
 		unsent = conn.socket.Close()
 	}
@@ -377,6 +390,7 @@
 // updateIncompleteResponse updates the count of incomplete response bytes. It drops the response if all incomplete ones
 // together exceed their share of the memory limit, which is not the endpoint's fault.
 func (p *Proxy) updateIncompleteResponse(conn *upstreamConn) {
+	p.updateStreamBytes(conn)
 	unread := len(conn.input.buf.Unread())
 	if conn.purpose == purposeStream { // each is bounded by the data that may wait for the event loop
 		unread = 0
@@ -390,6 +404,18 @@
 	}
 }
 
+// updateStreamBytes updates the count of bytes of streamed values, and makes reads short while those exceed their share
+// of the memory limit. Other responses are better read at once: short reads would make more of them incomplete.
+func (p *Proxy) updateStreamBytes(conn *upstreamConn) {
+	unread := 0
+	if conn.purpose == purposeStream {
+		unread = len(conn.input.buf.Unread())
+	}
+	p.upstream.streamBytes += unread - conn.input.streamBytes
+	conn.input.streamBytes = unread
+	p.engine.SetShortReads(int64(p.upstream.streamBytes) > p.config.MemoryLimit/shortReadsDivisor)
+}
+
 // readUpstream handles the data received on a connection according to its purpose.
 func (p *Proxy) readUpstream(conn *upstreamConn) {
 	switch conn.purpose {
--- a/node/limits.go
+++ b/node/limits.go
@@ -21,10 +21,20 @@
 const (
 	defaultMemoryMB = 192 // if no limit is configured
 
-	// heapShare is the fraction of the memory limit that is set as the limit of the Go runtime, beyond which the
+	// programMemory is the resident memory in bytes that the program itself takes: its code and what the runtime needs
+	// without any connection. It is part of the memory limit, so only the rest is available for data.
+	programMemory = 18 << 20
+
+	// minDataDivisor gives data at least the memory limit divided by it, however low that limit is.
+	minDataDivisor = 4
+
+	// heapShare is the fraction of the memory limit that is set as the limit of the Go runtime at most, beyond which the
 	// garbage collector works harder. The rest is for stacks and sockets.
 	heapShare = 0.6
 
+	// dataHeapShare is the same fraction of the memory that is available for data.
+	dataHeapShare = 0.85
+
 	// gcPercent is the growth of the heap between collections, in percent. It is this high because the heap is small,
 	// so that a single long value is a considerable part of it.
 	gcPercent = 200
@@ -44,7 +54,7 @@
 
 // limitMemory sets the memory limit of the process, which is halved while two processes share the node's limits.
 func (c *Config) limitMemory(shared bool) {
-	limit := heapShare * float64(c.memory())
+	limit := min(heapShare*float64(c.memory()), dataHeapShare*float64(c.dataMemory()))
 	if shared {
 		limit /= 2
 	}
@@ -54,6 +64,15 @@
 // memory returns the memory limit in bytes.
 func (c *Config) memory() int64 { return int64(cmp.Or(c.MemoryMB, defaultMemoryMB)) << 20 }
 
+// dataMemory returns how many bytes of the memory limit are available for data: all of it in a process that shares its
+// memory with other parts than the node, which then states a limit for the node alone.
+func (c *Config) dataMemory() int64 {
+	if !c.limitsApplied {
+		return c.memory()
+	}
+	return max(c.memory()-programMemory, c.memory()/minDataDivisor)
+}
+
 // proxyDescriptors returns the number of descriptors for the proxy: all but otherDescriptors.
 func (c *Config) proxyDescriptors() int {
 	return cmp.Or(c.Sockets, defaultSockets) - c.otherDescriptors()
--- a/node/node.go
+++ b/node/node.go
@@ -95,7 +95,7 @@
 	c := n.config
 	config := proxy.Config{
 		Name: c.Name, Listen: c.Listen, Listeners: c.listeners, Discovery: c.Discovery, Seed: c.Seed,
-		DescriptorLimit: c.proxyDescriptors(), ReservedDescriptors: c.otherDescriptors(), MemoryLimit: c.memory(),
+		DescriptorLimit: c.proxyDescriptors(), ReservedDescriptors: c.otherDescriptors(), MemoryLimit: c.dataMemory(),
 		Settings: c.settings, LastKnownEndpoints: c.lastList, Log: n.log, PublishMetrics: n.admin != nil,
 		Inherited: inherited, HandoverPath: handoverPath,
 		OnSharedLimits: n.onSharedLimits, OnPhaseChange: n.onPhaseChange,
