--- a/internal/proxy/client_gone_test.go
+++ b/internal/proxy/client_gone_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -227,3 +229,54 @@
 		}
 	}
 }
+
+// Guards against requests that are sent on after their client has closed its connection with many of them unread: the
+// node goes on reading what the kernel has queued. Nothing may begin later than goneSendLimit after the close, whatever
+// waits, by both protocols.
+func TestUnreadRequestsOfGoneClientAreNotForwarded(t *testing.T) {
+	const requests = 2500
+	const goneSendLimit = 150 * time.Millisecond
+	for protocol, writer := range requestWriters {
+		for way, leave := range closeMethods {
+			for _, after := range []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s, by %s after %v", protocol, way, after), func(t *testing.T) {
+					t.Parallel()
+					var mu sync.Mutex
+					var last time.Time
+					g := newHarness(t, 400, func(line string) string {
+						mu.Lock()
+						last = time.Now()
+						mu.Unlock()
+						time.Sleep(20 * time.Millisecond)
+						return helloValue(line)
+					}, withHTTPListeners)
+					var text strings.Builder
+					for n := range requests {
+						text.WriteString(writer.read(fmt.Sprintf("r%d", n)))
+					}
+					c, err := net.Dial("tcp", g.Addr(writer.listener))
+					if err != nil {
+						t.Fatal(err)
+					}
+					c.SetDeadline(time.Now().Add(testTimeout))
+					go io.WriteString(c, text.String()) // the rest stays unread
+					g.waitUntil("the first request is accepted", func(n metrics.Counters) bool { return n.Requests > 0 })
+					time.Sleep(after)
+					leave(c.(*net.TCPConn))
+					left := time.Now()
+					g.waitUntil("the client is gone", func(metrics.Counters) bool {
+						gone := make(chan bool, 1)
+						g.runInLoop(func() { gone <- g.downstream.conns.Len() == 0 })
+						return receive(t, gone)
+					})
+					time.Sleep(2 * goneSendLimit)
+					mu.Lock()
+					defer mu.Unlock()
+					if late := last.Sub(left); late > goneSendLimit {
+						t.Errorf("a request reached the cache %v after its client had left", late)
+					}
+				})
+			}
+		}
+	}
+}
