--- a/cmd/dahliapin/upgrade_test.go
+++ b/cmd/dahliapin/upgrade_test.go
@@ -23,6 +23,7 @@
 	t             testing.TB
 	dir, listen   string
 	discovery     string
+	known         string                             // the list in the configuration; empty for none
 	softLimit     float64                            // latency objective in seconds
 	hardStop      float64                            // longest deadline in seconds
 	sockets       int                                // the node's limit
@@ -101,7 +102,11 @@
 func (s *upgradeHarness) startHeld() (p *harnessProcess, release func()) {
 	s.t.Helper()
 	file := fmt.Sprintf("%s/%d.json", s.dir, s.starts.Add(1))
-	text := fmt.Sprintf(`{"name":"n","listen":%[1]q,"ops":"127.0.0.1:0","discovery":%[2]q,
+	known := ""
+	if s.known != "" {
+		known = `"known":` + s.known + ","
+	}
+	text := fmt.Sprintf(`{"name":"n","listen":%[1]q,"ops":"127.0.0.1:0","discovery":%[2]q,`+known+`
 "limits":{"memory_mb":%[6]d,"sockets":%[5]d},"settings":{"service_grades":[
 {"name":"read","benefit":1,"effect":"idempotent","soft_limit_s":%[3]v,"hard_stop_s":%[4]v}],
 "bounds":{"most_legs":3,"conn_idle_s":15}}}`, s.listen, s.discovery, s.softLimit, s.hardStop, s.sockets, s.memoryMB)
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -79,35 +79,28 @@
 func (p *Proxy) acceptRequest(client *clientConn, request *clientRequest, at policy.Instant) {
 	class := p.config.Settings.Names.Class(request.class)
 	if request.timeout <= 0 || class < 0 {
-		p.metrics.counters.Malformed++
-		p.respond(client, client.codec.refusal(refusedMalformed, request.headOnly))
+		p.refuse(client, request, refusedMalformed)
 		return
 	}
 	request.idempotent = p.config.Settings.Policy.Classes[class].Idempotency == policy.Idempotent
 	if p.inflight.ids[string(request.id)] || !request.idempotent && p.hasRecentID(request.id) {
-		p.metrics.counters.Malformed++
-		p.respond(client, client.codec.refusal(refusedDuplicateID, request.headOnly))
+		p.refuse(client, request, refusedDuplicateID)
 		return
 	}
 	p.metrics.counters.Requests++
 	deadline := at.Add(min(request.timeout, maxClientTimeout))
 	deadline, mustReject := p.capDeadline(class, at, deadline)
 	if mustReject || p.cannotAccept(client) {
-		p.metrics.counters.NotAccepted++
-		p.metrics.countRejected(class)
-		p.respond(client, client.codec.rejected(request, 0))
+		p.rejectUnaccepted(client, request, class)
 		return
 	}
 	if !request.idempotent {
 		switch p.claimID(request.id) {
 		case claimedByOther:
-			p.metrics.counters.Malformed++
-			p.respond(client, client.codec.refusal(refusedDuplicateID, request.headOnly))
+			p.refuse(client, request, refusedDuplicateID)
 			return
 		case claimUnavailable:
-			p.metrics.counters.NotAccepted++
-			p.metrics.countRejected(class)
-			p.respond(client, client.codec.rejected(request, 0))
+			p.rejectUnaccepted(client, request, class)
 			return
 		}
 	}
@@ -137,6 +130,19 @@
 	})
 }
 
+// refuse answers a request that is not valid.
+func (p *Proxy) refuse(client *clientConn, request *clientRequest, reason refusalReason) {
+	p.metrics.counters.Malformed++
+	p.respond(client, client.codec.refusal(reason, request.headOnly))
+}
+
+// rejectUnaccepted answers a request that the node does not accept that the client may retry it.
+func (p *Proxy) rejectUnaccepted(client *clientConn, request *clientRequest, class policy.ClassID) {
+	p.metrics.counters.NotAccepted++
+	p.metrics.countRejected(class)
+	p.respond(client, client.codec.rejected(request, 0))
+}
+
 // hasRecentID reports whether an earlier request with this id, which must not run again, may have run.
 func (p *Proxy) hasRecentID(id []byte) bool {
 	return p.inflight.recentIDs.Contains(requestids.DigestOf(id), time.Now())
