A successor whose predecessor ends before it serves closes the channel for request ids

Cause: the channel was taken only as the process began to serve with a predecessor. Start is sent until the other process reads it.

--- a/cmd/dahliapin/peak_memory_test.go
+++ b/cmd/dahliapin/peak_memory_test.go
@@ -87,8 +87,8 @@
 	}
 }
 
-// startMemoryDiscovery starts discovery, whose list has one cache. The cache answers each read of a key that begins with
-// "long" with a value of longValueSize, and any other command with a short answer.
+// startMemoryDiscovery starts discovery, whose list has one cache. The cache answers each read of a key that begins
+// with "long" with a value of longValueSize, and any other command with a short answer.
 func startMemoryDiscovery(t *testing.T) (addr string) {
 	t.Helper()
 	cache, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/proxy/doc.go
+++ b/internal/proxy/doc.go
@@ -43,6 +43,15 @@
 // (endpoints.go) applies it to the table and, in the same call, passes it to the dispatcher and so to package policy:
 // the next decision uses the new list. Events of the list's connection are handled before all others of their batch.
 //
+// A process that takes over applies its predecessor's list (inherited_endpoints.go), at first and after each change,
+// and serves only once it has that or its own from discovery. A list of an older version than the newest received may
+// only make the node send less (endpoint_history.go).
+//
+// # Request ids
+//
+// A request that is not idempotent is refused if another one with its id is in flight or may have run (requests.go).
+// While two processes of a node run, each claims the ids of such requests (request_exchange.go).
+//
 // # Shutdown
 //
 // On SIGTERM the process calls Shutdown, and the loop runs startDrain (drain.go). The phase becomes Draining, which
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -130,10 +130,10 @@
 	p.enterPhase(Stopped)
 }
 
-// countIdleCheck counts the consecutive checks that were on time and saw no new connection since the one before, nor one
-// that an acceptor still holds. Checks are due every drainCheckInterval; one is on time until half of drainQuietTime, 75
-// ms, after the one before. Late checks reset the count, since a process that was stalled accepted nothing meanwhile:
-// connections may wait in the kernel's queue although none was seen for drainQuietTime.
+// countIdleCheck counts the consecutive checks that were on time and saw no new connection since the one before, nor
+// one that an acceptor still holds. Checks are due every drainCheckInterval; one is on time until half of
+// drainQuietTime, 75 ms, after the one before. Late checks reset the count, since a process that was stalled accepted
+// nothing meanwhile: connections may wait in the kernel's queue although none was seen for drainQuietTime.
 func (p *Proxy) countIdleCheck(now policy.Instant) {
 	last := p.lifecycle.lastIdleCheckAt
 	p.lifecycle.onTimeIdleChecks++
--- a/internal/proxy/endpoint_history.go
+++ b/internal/proxy/endpoint_history.go
@@ -75,8 +75,8 @@
 }
 
 // receive records the version of a list from discovery. outdated reports that the list is older than one received
-// before. caughtUp reports that the lists before it were outdated and this one is not: then the complete list is needed,
-// because endpoints that the outdated ones did not name have been kept.
+// before. caughtUp reports that the lists before it were outdated and this one is not: then the complete list is
+// needed, because endpoints that the outdated ones did not name have been kept.
 func (h *endpointHistory) receive(now policy.Instant, version int) (outdated, caughtUp bool) {
 	if h.hasNewest && version < h.newest {
 		if h.outdatedSince == 0 {
--- a/internal/proxy/flush.go
+++ b/internal/proxy/flush.go
@@ -158,8 +158,8 @@
 	return piece
 }
 
-// takeNext takes the next bytes of an answer, window at most, and appends them to a piece. more is false if nothing may be
-// appended to the new piece: it ends where a long value begins, or is a part of one.
+// takeNext takes the next bytes of an answer, window at most, and appends them to a piece. more is false if nothing may
+// be appended to the new piece: it ends where a long value begins, or is a part of one.
 func (s *pipelineSlot) takeNext(piece []byte, window int, valueTrailer string) (next []byte, more bool) {
 	if len(s.response) == 0 && len(s.value) > 0 {
 		if len(piece) > 0 {
--- a/internal/proxy/inherited_endpoints.go
+++ b/internal/proxy/inherited_endpoints.go
@@ -8,9 +8,9 @@
 	"dahliapin/policy"
 )
 
-// inheritedStateTimeout is how long a successor waits for an endpoint list from its predecessor or from discovery before
-// it serves by the last known list, which is older than the list that the predecessor serves by. Operators expect the
-// successor to serve within 6 s.
+// inheritedStateTimeout is how long a successor waits for an endpoint list from its predecessor or from discovery
+// before it serves by the last known list, which is older than the list that the predecessor serves by. Operators
+// expect the successor to serve within 6 s.
 const inheritedStateTimeout = 5 * time.Second
 
 // applyInheritedEndpoints applies the list that the predecessor holds, if it is newer than the list of this process.
--- a/internal/proxy/request_exchange.go
+++ b/internal/proxy/request_exchange.go
@@ -11,8 +11,8 @@
 // Only the event loop writes it.
 type requestExchange struct {
 	exchange *requestids.Exchange // nil unless there is another process that takes part
-	// claims is whether this process claims the ids of its requests: the successor always does, the predecessor once the
-	// successor is about to serve.
+	// claims is whether this process claims the ids of its requests: the successor always does, the predecessor once
+	// the successor is about to serve.
 	claims bool
 	// awaitsIDs is whether the predecessor has not sent all ids yet that it had used before.
 	awaitsIDs bool
@@ -35,8 +35,8 @@
 	p.takeover.requests.exchange = exchange
 }
 
-// startExchangeAsSuccessor starts the exchange, and requests the ids that the predecessor has used. The successor calls it
-// as it begins to accept connections, so that the predecessor claims no ids for a successor that never serves.
+// startExchangeAsSuccessor starts the exchange, and requests the ids that the predecessor has used. The successor calls
+// it as it begins to accept connections, so that the predecessor claims no ids for a successor that never serves.
 func (p *Proxy) startExchangeAsSuccessor() {
 	p.startExchange(p.config.Inherited.TakeChannel())
 	requests := &p.takeover.requests
@@ -45,9 +45,7 @@
 	}
 	requests.claims = true
 	requests.awaitsIDs = true
-	if err := requests.exchange.Start(); err != nil {
-		p.config.Log.WithError(err).Warn("request ids of the predecessor cannot be requested")
-	}
+	requests.exchange.Start()
 }
 
 // sendUsedIDs sends the successor the ids of all requests that must not run again, and claims further ones from now on.
--- a/internal/proxy/request_exchange_test.go
+++ b/internal/proxy/request_exchange_test.go
@@ -44,8 +44,8 @@
 }
 
 // Guards against a write that runs at both processes of an upgrade: its client leaves one of them, where the first
-// attempt is still out or may have run, and sends it again to the other one (16 of 20 ran twice, by meta commands and by
-// HTTP alike).
+// attempt is still out or may have run, and sends it again to the other one (16 of 20 ran twice, by meta commands and
+// by HTTP alike).
 func TestWriteDoesNotRunAtBothProcessesOfAnUpgrade(t *testing.T) {
 	for protocol, writer := range requestWriters {
 		for _, firstAt := range []string{"predecessor", "successor", "predecessor, before the successor starts"} {
@@ -120,8 +120,8 @@
 	}
 }
 
-// A successor that is reverted goes on serving its clients until it has drained, and the predecessor accepts new ones: a
-// write must still not run at both. Afterwards the predecessor serves alone, and can be replaced again.
+// A successor that is reverted goes on serving its clients until it has drained, and the predecessor accepts new ones:
+// a write must still not run at both. Afterwards the predecessor serves alone, and can be replaced again.
 func TestWriteDoesNotRunAtBothProcessesOfARevertedUpgrade(t *testing.T) {
 	writer := requestWriters["meta"]
 	s := newSuccessionTest(t)
--- a/internal/proxy/request_ids_test.go
+++ b/internal/proxy/request_ids_test.go
@@ -158,7 +158,8 @@
 	expectPrefix(t, r, writer.served)
 }
 
-// An id is free again if its request cannot have run, because the origin rejected it, or if running it twice is harmless.
+// An id is free again if its request cannot have run, because the origin rejected it, or if running it twice is
+// harmless.
 func TestIDOfRequestThatMayRunAgainIsAccepted(t *testing.T) {
 	for protocol, writer := range requestWriters {
 		t.Run(protocol, func(t *testing.T) {
--- a/internal/proxy/requestids/exchange.go
+++ b/internal/proxy/requestids/exchange.go
@@ -69,9 +69,9 @@
 	failedReads int     // in a row
 }
 
-// NewExchange starts an Exchange on one descriptor of a pair, which it owns from then on. It takes about memory bytes at
-// most. onStart is called when the other process is about to accept requests; the caller then calls SendUsed. onEnd is
-// called when the other process has closed its descriptor, or cannot be read any more.
+// NewExchange starts an Exchange on one descriptor of a pair, which it owns from then on. It takes about memory bytes
+// at most. onStart is called when the other process is about to accept requests; the caller then calls SendUsed. onEnd
+// is called when the other process has closed its descriptor, or cannot be read any more.
 func NewExchange(file *os.File, memory int64, onStart, onEnd func()) (*Exchange, error) {
 	raw, err := file.SyscallConn()
 	if err != nil {
@@ -168,7 +168,8 @@
 	}
 }
 
-// Claim claims an id. It reports whether the other process has claimed it, and returns ErrUnavailable if it cannot tell.
+// Claim claims an id. It reports whether the other process has claimed it, and returns ErrUnavailable if it cannot
+// tell.
 func (x *Exchange) Claim(id Digest) (claimedByOther bool, err error) {
 	sendErr := x.send(claimMessage, id)
 	isKnown := false
@@ -186,7 +187,8 @@
 func (x *Exchange) Release(id Digest) { _ = x.send(releaseMessage, id) }
 
 // Start asks the other process for the ids that it has used. They have been received once IsComplete returns true.
-func (x *Exchange) Start() error { return x.send(startMessage) }
+// It does not wait.
+func (x *Exchange) Start() { go x.sendPatiently(startMessage) }
 
 // HasEnded reports whether the other process has closed its descriptor, and all that it has sent has been read.
 func (x *Exchange) HasEnded() (ended bool) {
@@ -201,8 +203,9 @@
 	return complete
 }
 
-// SendUsed sends the ids that this process has used, and then tells the other process that these were all. It waits while
-// the other process does not read, so it must be called from a goroutine of its own. Claims may be sent meanwhile.
+// SendUsed sends the ids that this process has used, and then tells the other process that these were all. It waits
+// while the other process does not read, so it must be called from a goroutine of its own. Claims may be sent
+// meanwhile.
 func (x *Exchange) SendUsed(ids []Digest) {
 	for len(ids) > 0 {
 		batch := ids[:min(len(ids), maxDigestsPerMessage)]
--- a/internal/proxy/requestids/recent.go
+++ b/internal/proxy/requestids/recent.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Retention is how long an id is remembered after its request has ended. It exceeds the longest deadline by far: a client
-// that sends a request again does so at once or after its own timeout.
+// Retention is how long an id is remembered after its request has ended. It exceeds the longest deadline by far: a
+// client that sends a request again does so at once or after its own timeout.
 const Retention = time.Minute
 
 // digestSize is large enough that no client can find two ids with the same digest.
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -15,8 +15,8 @@
 	// bufferedDivisor limits buffered requests and answers to the memory limit divided by it. The rest is for other
 	// state, which grows with them.
 	bufferedDivisor = 8
-	// answersDivisor limits answers that wait for their client to read, or for earlier ones, to the memory limit divided
-	// by it. Those of requests accepted below the limit of bufferedDivisor can exceed that one.
+	// answersDivisor limits answers that wait for their client to read, or for earlier ones, to the memory limit
+	// divided by it. Those of requests accepted below the limit of bufferedDivisor can exceed that one.
 	answersDivisor = 4
 	// requestOverhead is about how much memory a request takes beside its bytes, with one attempt.
 	requestOverhead = 1 << 10
@@ -74,8 +74,9 @@
 
 // acceptRequest registers a request as in flight and passes it to the dispatcher, or refuses it at once. A request
 // without a deadline or with an unknown service class is malformed. So is one whose id is already in flight: an
-// endpoint could not tell the two apart, and would answer one of them with the value of the other. A request that is not
-// idempotent is also refused if an earlier one with its id may have run, whether or not the client has got an answer.
+// endpoint could not tell the two apart, and would answer one of them with the value of the other. A request that is
+// not idempotent is also refused if an earlier one with its id may have run, whether or not the client has got an
+// answer.
 func (p *Proxy) acceptRequest(client *clientConn, request *clientRequest, at policy.Instant) {
 	class := p.config.Settings.Names.Class(request.class)
 	if request.timeout <= 0 || class < 0 {
@@ -188,8 +189,8 @@
 		p.bufferedBytes() > p.config.MemoryLimit/bufferedDivisor
 }
 
-// bufferedBytes returns the size of buffered requests and answers, of streamed values that wait for their clients, and of
-// what clients have not read yet.
+// bufferedBytes returns the size of buffered requests and answers, of streamed values that wait for their clients, and
+// of what clients have not read yet.
 func (p *Proxy) bufferedBytes() int64 {
 	return int64(p.inflight.bufferedBytes+p.upstream.streamBytes) + p.engine.Unsent()
 }
--- a/internal/proxy/sockets/engine.go
+++ b/internal/proxy/sockets/engine.go
@@ -136,8 +136,8 @@
 	e.readSize.Store(size)
 }
 
-// Stop closes all connections and listeners, and waits until no client is accepted and no event of the poller is handled
-// any more.
+// Stop closes all connections and listeners, and waits until no client is accepted and no event of the poller is
+// handled any more.
 func (e *Engine) Stop() {
 	e.mu.Lock()
 	e.stopped = true
--- a/internal/proxy/sockets/listener.go
+++ b/internal/proxy/sockets/listener.go
@@ -10,8 +10,8 @@
 // acceptRetryPause is the pause after a failed accept. It prevents a busy loop.
 const acceptRetryPause = 5 * time.Millisecond
 
-// listener accepts clients. It waits while no descriptor is free or another process accepts the clients, which meanwhile
-// wait in the kernel's queue.
+// listener accepts clients. It waits while no descriptor is free or another process accepts the clients, which
+// meanwhile wait in the kernel's queue.
 type listener struct {
 	socket net.Listener
 	engine *Engine
@@ -39,8 +39,9 @@
 	}
 }
 
-// accept accepts a connection, and counts it in acceptsPending unless it fails. Taking it over needs a second descriptor temporarily, and is retried until there is one:
-// a client that has already sent a request would otherwise get no answer.
+// accept accepts a connection, and counts it in acceptsPending unless it fails. Taking it over needs a second
+// descriptor temporarily, and is retried until there is one: a client that has already sent a request would otherwise
+// get no answer.
 func (l *listener) accept() (*Conn, error) {
 	plain, err := l.socket.Accept()
 	if err != nil {
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -44,6 +44,9 @@
 	if p.takeover.otherProcessAccepts { // the predecessor took over again
 		return
 	}
+	if channel := p.config.Inherited.TakeChannel(); channel != nil { // it exited before this process served
+		_ = channel.Close()
+	}
 	p.stopAwaitingEndpoints()
 	p.endExchange()
 	p.config.Log.Info("predecessor process has exited; using the full limits")
--- a/internal/wire/endpointlist/start.go
+++ b/internal/wire/endpointlist/start.go
@@ -21,8 +21,8 @@
 	return 0
 }
 
-// Age returns the time since the start of an endpoint's process, as an entry of a Snapshot states it. ok is false if the
-// entry states none.
+// Age returns the time since the start of an endpoint's process, as an entry of a Snapshot states it. ok is false if
+// the entry states none.
 func Age(entry *fastjson.Value) (age time.Duration, ok bool) {
 	stated := entry.GetFloat64("ageMs")
 	if !entry.Exists("ageMs") || StartMs(stated) != stated {
