Tests of answers that wait: connects may take as long as the test

Four tests open some 128 connections at once, and under the race detector on a busy machine the goroutines that open them may run later than the settings' 1 s (one of 1.2 s was traced). They check what becomes of answers that wait, not connects: a rejected read there says nothing about a drain. As TestAnswersThatWaitTakeOnlyPartOfMemory they now give connects 10 s. Checks and bounds are unchanged: each value must still reach its client.

--- a/internal/proxy/flush_test.go
+++ b/internal/proxy/flush_test.go
@@ -224,7 +224,7 @@
 	for _, clientCount := range []int{1, 3} {
 		for _, byHTTP := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%d clients, by HTTP %v", clientCount, byHTTP), func(t *testing.T) {
-				g := newHarness(t, 1000, answerWith(value), withHTTPListeners, withMemory(256<<20))
+				g := newHarness(t, 1000, answerWith(value), withHTTPListeners, withMemory(256<<20), withPatientConnects)
 				proceed := g.blockWrites(value)
 				clients := g.startPipelines(clientCount, pipelinedReads, byHTTP)
 				g.waitUntilBuffered(clients...)
@@ -310,7 +310,8 @@
 		for _, byHTTP := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, by HTTP %v", name, byHTTP), func(t *testing.T) {
 				t.Parallel()
-				g := newHarness(t, 400, answerWith(value), withHTTPListeners, withShortDrain, withMemory(256<<20))
+				g := newHarness(t, 400, answerWith(value), withHTTPListeners, withShortDrain, withMemory(256<<20),
+					withPatientConnects)
 				proceed := g.blockWrites(value)
 				c := g.startPipeline(pipelinedReads, byHTTP)
 				g.waitUntilBuffered(c)
@@ -332,7 +333,7 @@
 func TestDrainGoesOnForAClientThatReadsSlowly(t *testing.T) {
 	const timeouts, readsInEach = 4, 8
 	value := strings.Repeat("v", streamThreshold)
-	g := newHarness(t, 400, answerWith(value), withShortDrain, withMemory(256<<20))
+	g := newHarness(t, 400, answerWith(value), withShortDrain, withMemory(256<<20), withPatientConnects)
 	proceed := g.blockWrites(value)
 	c := g.startPipeline(pipelinedReads, false)
 	g.shrinkSendBuffers(c)
@@ -401,7 +402,7 @@
 	for name, reads := range map[string]int{"answers wait": pipelinedReads, "all are written": slowReads} {
 		for _, byHTTP := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, by HTTP %v", name, byHTTP), func(t *testing.T) {
-				g := newHarness(t, 400, answerWith(value), withHTTPListeners, withMemory(256<<20))
+				g := newHarness(t, 400, answerWith(value), withHTTPListeners, withMemory(256<<20), withPatientConnects)
 				proceed := g.blockWrites(value)
 				c := g.startPipeline(reads, byHTTP)
 				g.shrinkSendBuffers(c)
