Rehearsals: a process that replaces another has an old list in its configuration

Cause: the rig wrote the newest list into the configuration of each new process, which no deployment does.

Change: a process that replaces another gets the list of the run's beginning. The test plays a short form with real processes.

--- a/cmd/dahliapin/rehearse_test.go
+++ b/cmd/dahliapin/rehearse_test.go
@@ -148,6 +148,33 @@
 	}
 }
 
+// Guards against a rehearsal that hides what an upgrade forgets: the new process had the newest list in its configuration.
+// It must learn from its predecessor that a cache drains, since discovery does not answer and the configured list is as
+// old as the run.
+func TestRehearsalUpgradesWithoutDiscovery(t *testing.T) {
+	text, _, _ := strings.Cut(shortScenario, "[[event]]")
+	text = strings.Replace(text, "seconds = 5", "seconds = 7", 1) + `[[event]]
+at_s = 0.5
+do = "drain"
+caches = ["c1"]
+for_s = 6.4
+[[event]]
+at_s = 1.5
+do = "discovery_down"
+for_s = 5
+[[event]]
+at_s = 2
+do = "node_upgrade"
+nodes = [1, 2]
+[expect]
+satisfied={read=0.5}
+`
+	out, code, left := runProgramInTempDir(t, nil, "rehearse", scriptFile(t, text))
+	if code != 0 || len(left) > 0 || !strings.Contains(out, noRuleBroken) {
+		t.Errorf("exit %d, left %v: %s", code, left, out)
+	}
+}
+
 // TestInvalidCommandLinesFailWithOneLine checks that an invalid call prints one line, exits with the right code, and
 // runs nothing.
 func TestInvalidCommandLinesFailWithOneLine(t *testing.T) {
--- a/internal/emulator/realtime/agent.go
+++ b/internal/emulator/realtime/agent.go
@@ -29,6 +29,8 @@
 	latest  map[policy.EndpointID]policy.Endpoint
 	order   []policy.EndpointID // of all endpoints, in order of their first change
 	changed chan struct{}       // closed at the next change
+
+	initial []policy.Endpoint // the list as it was when the run began
 }
 
 func (r *Rig) newAgent(node int) (*agent, error) {
@@ -47,6 +49,7 @@
 	for i := range r.world.Servers {
 		a.addChange(runner.EndpointOf(r.world, i))
 	}
+	a.initial = a.list()
 	a.server = &http.Server{Handler: a}
 	go a.server.Serve(l)
 	return a, nil
@@ -165,12 +168,30 @@
 		answer.entries = a.changes[poll.since:]
 		return answer
 	}
+	answer.entries = a.list()
+	return answer
+}
+
+// list returns the complete list. agent.mu must be locked, unless the agent is not used yet.
+func (a *agent) list() (endpoints []policy.Endpoint) {
 	for _, id := range a.order {
 		if e := a.latest[id]; e.Lifecycle != policy.Removed {
-			answer.entries = append(answer.entries, e)
+			endpoints = append(endpoints, e)
 		}
 	}
-	return answer
+	return endpoints
+}
+
+// configuredList returns the list in the configuration of a new process. One that replaces another process has the list
+// of the deployment, which is as old as the run: what has changed since it must get from its predecessor or from
+// discovery. Any other process has the present list, since it can get none from discovery while that is down.
+func (a *agent) configuredList(replaces bool) []policy.Endpoint {
+	if replaces {
+		return a.initial
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.list()
 }
 
 // discoveryUp returns a channel that is closed while discovery is up.
--- a/internal/emulator/realtime/member.go
+++ b/internal/emulator/realtime/member.go
@@ -72,8 +72,7 @@
 	}, nil
 }
 
-// start starts a process of the node, with the endpoint list that its agent has. replaces states that the node's
-// former process still runs and is to be replaced.
+// start starts a process of the node. replaces states that the node's former process still runs and is to be replaced.
 func (m *member) start(replaces bool) error {
 	if m.rig.scenario.HasOperatorCalls() {
 		var err error
@@ -81,7 +80,7 @@
 			return err
 		}
 	}
-	configuration, err := m.configuration(m.addr)
+	configuration, err := m.configuration(m.addr, m.agent.configuredList(replaces))
 	if err != nil {
 		return err
 	}
@@ -273,21 +272,12 @@
 	}
 }
 
-// configuration encodes the configuration of a process that listens on an address. It contains the endpoint list that
-// the node's agent has.
-func (m *member) configuration(listen string) ([]byte, error) {
+// configuration encodes the configuration of a process that listens on an address, with an endpoint list as known.
+func (m *member) configuration(listen string, endpoints []policy.Endpoint) ([]byte, error) {
 	adminAddr := m.adminAddr
 	if listen != m.addr { // a duplicate process needs no admin listener
 		adminAddr = ""
 	}
-	var endpoints []policy.Endpoint
-	m.agent.mu.Lock()
-	for _, id := range m.agent.order {
-		if e := m.agent.latest[id]; e.Lifecycle != policy.Removed {
-			endpoints = append(endpoints, e)
-		}
-	}
-	m.agent.mu.Unlock()
 	m.rig.mu.Lock()
 	m.rig.noteStarts(endpoints)
 	m.rig.mu.Unlock()
--- a/internal/emulator/realtime/membership.go
+++ b/internal/emulator/realtime/membership.go
@@ -149,7 +149,7 @@
 	if err != nil {
 		return nil, err
 	}
-	configuration, err := m.configuration(listenAddr)
+	configuration, err := m.configuration(listenAddr, m.agent.configuredList(false))
 	if err != nil {
 		return nil, err
 	}
