Emulated servers keep their port while they are down

Beside three other runs TestNodeBreaksNoRuleThroughFaults failed once in 16 with "a server received an invalid request: 400 a version that can't be read": a request of another rig, which speaks meta. Cause: a killed cache closed its listener, and the kernel gave the port to a server of another test process.

Change: package freeport reserves a port by a bound socket that never listens; the rig's servers and the zones of scale caches listen at reserved addresses. The node that scale caches starts gets a port below the ephemeral range, as other processes that are told their address.

--- a/internal/emulator/realtime/agent.go
+++ b/internal/emulator/realtime/agent.go
@@ -259,7 +259,7 @@
 	r.mu.Lock()
 	for _, e := range entries {
 		if i, ok := r.world.Find(e.ID); ok && i < len(r.servers) && r.servers[i] != nil {
-			instances = append(instances, r.instanceOf(e, r.servers[i].addr))
+			instances = append(instances, r.instanceOf(e, r.servers[i].address.Addr()))
 		}
 	}
 	r.mu.Unlock()
--- a/internal/emulator/realtime/rig_test.go
+++ b/internal/emulator/realtime/rig_test.go
@@ -485,7 +485,7 @@
 	found := 0
 	send := func(line string) string {
 		t.Helper()
-		c, err := net.DialTimeout("tcp", r.servers[0].addr, time.Second)
+		c, err := net.DialTimeout("tcp", r.servers[0].address.Addr(), time.Second)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/emulator/realtime/servers.go
+++ b/internal/emulator/realtime/servers.go
@@ -17,6 +17,7 @@
 	"dahliapin/internal/config/listeners"
 	"dahliapin/internal/emulator/cachestub"
 	"dahliapin/internal/emulator/world"
+	"dahliapin/internal/freeport"
 	"dahliapin/internal/wire/meta"
 	"dahliapin/policy"
 )
@@ -36,7 +37,7 @@
 type server struct {
 	rig            *Rig
 	number         int
-	addr           string
+	address        *freeport.Reservation
 	listener       net.Listener // nil while connections are refused
 	conns          map[*serverConn]bool
 	fault          string        // of its connections, set by SetFault; "" for none
@@ -67,11 +68,15 @@
 	responsive := make(chan struct{})
 	close(responsive)
 	s := &server{rig: r, number: number, conns: map[*serverConn]bool{}, responsive: responsive}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	var err error
+	if s.address, err = freeport.Reserve(); err != nil {
+		return fmt.Errorf("cannot open emulated server %d: %w", number, err)
+	}
+	l, err := s.address.Listen()
 	if err != nil {
+		s.address.Close()
 		return fmt.Errorf("cannot open a listener for emulated server %d: %w", number, err)
 	}
-	s.addr = l.Addr().String()
 	for len(r.servers) <= number {
 		r.servers = append(r.servers, nil)
 	}
@@ -92,8 +97,8 @@
 	s := r.servers[number]
 	switch liveness := r.world.Servers[number].Liveness; {
 	case liveness == world.Up && s.listener == nil && s.fault != "refuse" && !r.stopped:
-		l, err := net.Listen("tcp", s.addr)
-		if err != nil { // another process uses the port for a connection
+		l, err := s.address.Listen()
+		if err != nil {
 			r.At(r.now().Add(relistenDelay), func() { r.updateListener(number) })
 			return
 		}
@@ -223,7 +228,7 @@
 	}
 	for range 3 { // one for the pending accept, two for a backlog of size 0
 		go func() {
-			if c, err := net.DialTimeout("tcp", s.addr, backlogFillTimeout); err == nil {
+			if c, err := net.DialTimeout("tcp", s.address.Addr(), backlogFillTimeout); err == nil {
 				s.rig.mu.Lock()
 				s.backlogFillers = append(s.backlogFillers, c)
 				s.rig.mu.Unlock()
@@ -268,6 +273,7 @@
 		s.listener.Close()
 		s.listener = nil
 	}
+	s.address.Close()
 	for c := range s.conns {
 		c.disconnect(false)
 	}
--- a/internal/scale/cachegrowth/caches.go
+++ b/internal/scale/cachegrowth/caches.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"dahliapin/internal/freeport"
 )
 
 const (
@@ -32,7 +34,12 @@
 func newFleet(count int) (*fleet, error) {
 	f := &fleet{count: count}
 	for zone := range f.zones {
-		f.zones[zone] = &zoneListener{fleet: f, address: "127.0.0.1:0"}
+		address, err := freeport.Reserve()
+		if err != nil {
+			f.close()
+			return nil, err
+		}
+		f.zones[zone] = &zoneListener{fleet: f, address: address}
 		if err := f.zones[zone].open(); err != nil {
 			f.close()
 			return nil, err
@@ -45,6 +52,7 @@
 	for _, zone := range f.zones {
 		if zone != nil {
 			zone.close()
+			zone.address.Close()
 		}
 	}
 }
@@ -55,7 +63,7 @@
 	zone := number % zoneCount
 	return instance{
 		ID:          fmt.Sprintf("cache-%d", number),
-		Address:     f.zones[zone].address,
+		Address:     f.zones[zone].address.Addr(),
 		MachineType: cacheMachine,
 		Lifecycle:   lifecycle,
 		Zone:        zoneName(zone),
@@ -133,7 +141,7 @@
 // zoneListener is the listener shared by all caches of a zone.
 type zoneListener struct {
 	fleet   *fleet
-	address string
+	address *freeport.Reservation
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -142,13 +150,12 @@
 
 // open starts to listen, after a close at the same address as before.
 func (z *zoneListener) open() error {
-	l, err := net.Listen("tcp", z.address)
+	l, err := z.address.Listen()
 	if err != nil {
 		return err
 	}
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	z.address = l.Addr().String()
 	z.listener = l
 	z.conns = map[net.Conn]bool{}
 	go z.accept(l)
--- a/internal/scale/cachegrowth/fleet_test.go
+++ b/internal/scale/cachegrowth/fleet_test.go
@@ -91,7 +91,7 @@
 		t.Fatal(err)
 	}
 	defer f.close()
-	address := f.zones[lostZone].address
+	address := f.zones[lostZone].address.Addr()
 	c, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/scale/cachegrowth/node.go
+++ b/internal/scale/cachegrowth/node.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"dahliapin/internal/freeport"
 	"dahliapin/internal/scale"
 )
 
@@ -51,14 +52,11 @@
 
 // configure chooses the node's listen address and writes its configuration file.
 func (n *nodeProcess) configure(discovery string, nodes int) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	listen, err := freeport.Free()
 	if err != nil {
 		return err
 	}
-	n.listen = l.Addr().String()
-	if err := l.Close(); err != nil {
-		return err
-	}
+	n.listen = listen
 	text, err := json.Marshal(map[string]any{
 		"name":      "measured",
 		"listen":    n.listen,
