The rig judges a standby by its connections only while it lasts

Trace: n1 was on standby for 1.01 s from 5.37 s on, while nine caches were silent, and took requests again after that; the node serves what comes on its connections for the first 2 s of a standby. So the rig asked for an empty connection table of a node in service.

Change: the check ends with the standby.

--- a/internal/emulator/realtime/member.go
+++ b/internal/emulator/realtime/member.go
@@ -38,6 +38,8 @@
 	// freshStarts is the number of starts after the former process had ended. A request whose connection was reset is
 	// excused if it was sent before the latest of them.
 	freshStarts int
+	// standbyEnded is closed when the node's standby ends; nil while it is not on standby.
+	standbyEnded chan struct{}
 	// termNextStart is the delay after which the next process is asked to terminate; 0 for never.
 	termNextStart time.Duration
 }
--- a/internal/emulator/realtime/operations.go
+++ b/internal/emulator/realtime/operations.go
@@ -87,7 +87,7 @@
 }
 
 // StandbyNode puts a node on standby or makes it active again. It checks the answer to the admin call, the node's
-// readiness, and that a node on standby closes its client connections. Rig.mu must be locked.
+// readiness, and that a node which stays on standby closes its client connections. Rig.mu must be locked.
 func (r *Rig) StandbyNode(number int, standby bool) {
 	m := r.nodes[number]
 	r.views.RecordProcess(r.now(), m.name, !standby, false) // a node on standby is not a member
@@ -96,6 +96,7 @@
 	} else {
 		r.coverage.PhaseChanged(number, coverage.Serving)
 	}
+	standbyEnded := m.recordStandby(standby)
 	go func() {
 		path, startedAt := "/active", time.Now()
 		if standby {
@@ -114,9 +115,34 @@
 		r.mu.Lock()
 		m.serving = !standby
 		r.mu.Unlock()
-		hasNoConns := func() bool { return m.pool.OpenConns() == 0 }
-		if standby && !m.waitUntil(connsClosedTimeout-time.Since(startedAt), hasNoConns) {
+		if standby && !m.closesConns(connsClosedTimeout-time.Since(startedAt), standbyEnded) {
 			m.fail(fmt.Sprintf("still has client connections %v after PUT %s", connsClosedTimeout, path))
 		}
 	}()
 }
+
+// recordStandby returns the channel that is closed when the node's standby ends. Rig.mu must be locked.
+func (m *member) recordStandby(standby bool) (ended <-chan struct{}) {
+	if standby && m.standbyEnded == nil {
+		m.standbyEnded = make(chan struct{})
+	}
+	ended = m.standbyEnded
+	if !standby && m.standbyEnded != nil {
+		close(m.standbyEnded)
+		m.standbyEnded = nil
+	}
+	return ended
+}
+
+// closesConns waits until a node on standby has closed its client connections, and reports whether it has done so
+// within the timeout. A node that is made active before may keep those that it still has, and gets new ones.
+func (m *member) closesConns(timeout time.Duration, standbyEnded <-chan struct{}) bool {
+	return m.waitUntil(timeout, func() bool {
+		select {
+		case <-standbyEnded:
+			return true
+		default:
+			return m.pool.OpenConns() == 0
+		}
+	})
+}
