Bound the keys whose demand is tracked

Cause: popularity keeps an entry for each key until the next decay, a second away. A heap profile in the flood shows 9.3 of 10.2 MB in popularity.record.

Change: at most 32,768 keys are tracked. One more makes the demand decay at once, so that hot keys stay hot and the memory is about 1 MB.

--- a/policy/popularity.go
+++ b/policy/popularity.go
@@ -10,10 +10,12 @@
 	minKeysToDecay = 50
 	// minTrackedRequests is the number of requests below which a key is dropped.
 	minTrackedRequests = 0.5
+	// maxTrackedKeys limits the memory for the demand, some 1 MB, whatever keys clients send.
+	maxTrackedKeys = 1 << 15
 )
 
 // popularity measures the demand for keys: the sum of the priority weights of the requests for a key, halved each
-// second while more than minKeysToDecay keys are tracked. The raw preference (admission) is the inverse square root of
+// second while more than minKeysToDecay keys are tracked, and sooner if maxTrackedKeys are. The raw preference (admission) is the inverse square root of
 // the priority, so the square of its mean is about 1 divided by the mean priority, and the demand multiplied by that
 // square is about the number of requests.
 type popularity struct {
@@ -21,10 +23,17 @@
 	total  float64            // over all keys, including those dropped meanwhile; halved like demand
 }
 
-// record counts a request.
-func (p *popularity) record(key uint64, priority float64) {
-	p.demand[key] += priority
+// record counts a request. If a new key would be one too many, it first lets the demand decay. A key for which there is
+// no room even then is counted in the total only: each decay brings the other keys closer to being dropped.
+func (p *popularity) record(key uint64, priority, meanRawPreference float64) {
 	p.total += priority
+	if _, isTracked := p.demand[key]; !isTracked && len(p.demand) >= maxTrackedKeys {
+		p.decay(meanRawPreference)
+		if len(p.demand) >= maxTrackedKeys {
+			return
+		}
+	}
+	p.demand[key] += priority
 }
 
 // demandFor returns the demand for a key.
--- a/policy/request.go
+++ b/policy/request.go
@@ -36,7 +36,7 @@
 	}
 	router.extraAttempts.recordRequest()
 	router.shortage.recordRequest()
-	router.popularity.record(key, priority)
+	router.popularity.record(key, priority, router.admission.meanRawPreference)
 }
 
 // classOf returns the class of a request and its index. An unknown class gets the strictest treatment: it is not
