Drop timers whose requests have ended

Cause: timers are not cancelled, and stay until they are due, which the client's time decides. A heap profile shows 10.9 of 12 MB in the timer queue.

Change: when the number of timers has doubled, and is above 1,024, those whose request, attempt or connection is gone are dropped. Each push still costs the same on average.

The queue's fuzz test ran 5 s. Packages below internal/proxy pass.

--- a/internal/proxy/dispatch/dispatcher.go
+++ b/internal/proxy/dispatch/dispatcher.go
@@ -165,6 +165,16 @@
 	}
 }
 
+// NeedsTimer reports whether OnTimer would do anything for a timer that is due at the given time, unless the request is
+// reviewed before. It lets the caller drop timers of requests that have ended.
+func (d *Dispatcher) NeedsTimer(at policy.Instant, token string) bool {
+	if token == tickToken {
+		return true
+	}
+	req := d.inflight[policy.RequestID(token)]
+	return req != nil && req.reviewAt != 0 && at >= req.reviewAt
+}
+
 // review asks the decider about a request again and executes the decision.
 func (d *Dispatcher) review(now policy.Instant, req *trackedRequest) {
 	req.reviewAt = 0
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -13,7 +13,6 @@
 	"dahliapin/internal/proxy/metrics"
 	"dahliapin/internal/proxy/requestids"
 	"dahliapin/internal/proxy/sockets"
-	"dahliapin/internal/timerqueue"
 	"dahliapin/policy"
 )
 
@@ -28,7 +27,7 @@
 	clock      clock
 	engine     *sockets.Engine
 	dispatcher *dispatch.Dispatcher
-	timers     timerqueue.Queue[timerEvent]
+	timers     timerTable
 	tasks      taskQueue
 	lifecycle  lifecycle
 	takeover   takeover
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dahliapin/internal/timerqueue"
 	"dahliapin/policy"
 )
 
@@ -22,6 +23,15 @@
 	timerInheritedState                   // the predecessor has not sent its list in time
 )
 
+// minTimersToDrop is the number of timers up to which none is dropped, although its reason may not apply any more.
+const minTimersToDrop = 1024
+
+// timerTable holds the timers that have been set.
+type timerTable struct {
+	timerqueue.Queue[timerEvent]
+	dropAt int // number of timers at which the obsolete ones are dropped
+}
+
 // timerEvent is what happens when a timer fires. It is a small value, so that scheduling one allocates nothing. Timers
 // are not cancelled: each handler checks whether its reason still applies.
 type timerEvent struct {
@@ -33,7 +43,34 @@
 	pollNumber uint64         // timerPoll
 }
 
-func (p *Proxy) schedule(at policy.Instant, event timerEvent) { p.timers.Push(at, event) }
+// schedule sets a timer. Most timers outlive their reason, those of requests by as much as clients may wait, so the
+// obsolete ones are dropped when the number of timers has doubled.
+func (p *Proxy) schedule(at policy.Instant, event timerEvent) {
+	if p.timers.Len() >= max(minTimersToDrop, p.timers.dropAt) {
+		p.timers.DeleteFunc(func(at policy.Instant, event timerEvent) bool { return !p.isTimerNeeded(at, &event) })
+		p.timers.dropAt = 2 * p.timers.Len()
+	}
+	p.timers.Push(at, event)
+}
+
+// isTimerNeeded reports whether the reason for a timer may still apply. It is exact only for the kinds that are set for
+// each request or connection.
+func (p *Proxy) isTimerNeeded(at policy.Instant, event *timerEvent) bool {
+	switch event.kind {
+	case timerDispatcher:
+		return p.dispatcher.NeedsTimer(at, event.token)
+	case timerAttemptDeadline:
+		req := p.inflight.requests.Get(event.attempt.request)
+		return req != nil && req.attempts[event.attempt.index].inFlight
+	case timerUpstreamConn, timerStream:
+		return p.upstream.conns.Get(event.conn) != nil
+	case timerFlush:
+		return p.downstream.conns.Get(event.client) != nil
+	case timerPoll:
+		return event.pollNumber == p.endpoints.watch.pollNumber
+	}
+	return true
+}
 
 // SetTimer makes the event loop call the dispatcher's OnTimer with a token after a delay. It implements
 // dispatch.Actions.
--- a/internal/timerqueue/queue.go
+++ b/internal/timerqueue/queue.go
@@ -1,10 +1,15 @@
 // Package timerqueue provides a priority queue for timers.
 package timerqueue
 
-import "dahliapin/internal/monotime"
+import (
+	"slices"
 
-// Queue returns events ordered by time, and events with equal times in the order in which they were pushed. Events
-// cannot be cancelled: the caller ignores those that are no longer valid. The zero Queue is empty and ready for use.
+	"dahliapin/internal/monotime"
+)
+
+// Queue returns events ordered by time, and events with equal times in the order in which they were pushed. Single
+// events cannot be cancelled: the caller ignores those that are no longer valid, and calls DeleteFunc when there may be
+// many of them. The zero Queue is empty and ready for use.
 type Queue[E any] struct {
 	heap   []entry[E] // binary heap, earliest event first
 	pushes uint64     // number of pushes so far
@@ -25,7 +30,26 @@
 func (q *Queue[E]) Push(at monotime.Instant, event E) {
 	q.pushes++
 	q.heap = append(q.heap, entry[E]{at: at, push: q.pushes, event: event})
-	for i := len(q.heap) - 1; i > 0; {
+	q.siftUp(len(q.heap) - 1)
+}
+
+// Len returns the number of events.
+func (q *Queue[E]) Len() int { return len(q.heap) }
+
+// DeleteFunc removes the events for which del returns true, and releases their memory. It takes time in proportion to
+// the number of events.
+func (q *Queue[E]) DeleteFunc(del func(at monotime.Instant, event E) bool) {
+	kept := slices.DeleteFunc(q.heap, func(e entry[E]) bool { return del(e.at, e.event) })
+	q.heap = make([]entry[E], 0, 2*len(kept))
+	for i := range kept {
+		q.heap = append(q.heap, kept[i])
+		q.siftUp(i)
+	}
+}
+
+// siftUp restores the heap order after an entry was added at an index.
+func (q *Queue[E]) siftUp(i int) {
+	for i > 0 {
 		parent := (i - 1) / 2
 		if !q.heap[i].before(&q.heap[parent]) {
 			break
--- a/internal/timerqueue/queue_test.go
+++ b/internal/timerqueue/queue_test.go
@@ -32,3 +32,34 @@
 		}
 	})
 }
+
+// Events that are deleted are not returned, and the others stay in order.
+func FuzzRemainingEventsAreOrdered(f *testing.F) {
+	f.Add([]byte{3, 1, 2, 1, 255, 0}, uint8(2))
+	f.Fuzz(func(t *testing.T, times []byte, divisor uint8) {
+		var q Queue[int]
+		var order []int
+		isDeleted := func(i int) bool { return i%(int(divisor)+1) == 0 }
+		for i, at := range times {
+			q.Push(monotime.Instant(at), i)
+			if !isDeleted(i) {
+				order = append(order, i)
+			}
+		}
+		q.DeleteFunc(func(at monotime.Instant, i int) bool {
+			if at != monotime.Instant(times[i]) {
+				t.Errorf("event %d is due at %d, want %d", i, at, times[i])
+			}
+			return isDeleted(i)
+		})
+		if q.Len() != len(order) {
+			t.Fatalf("%d events, want %d", q.Len(), len(order))
+		}
+		slices.SortStableFunc(order, func(a, b int) int { return int(times[a]) - int(times[b]) })
+		for _, want := range order {
+			if got, ok := q.PopDue(monotime.Instant(times[want])); !ok || got != want {
+				t.Fatalf("got %d, want %d", got, want)
+			}
+		}
+	})
+}
