Drop timers whose check was moved, not only those of closed connections

A second reading of the change: timers of a stream or a connection were kept for as long as it was open. A stream sets an early check when its client stops reading, and leaves the later one: a client that stops and goes on piles up timers that last as long as a stream may be idle.

Change: such a timer is kept only if it is due when its check is, and one of a connection only if its deadline has passed or its idle check is due by then.

With all timers dropped the test of a waiting request fails.

--- a/cmd/dahliapin/rehearse_test.go
+++ b/cmd/dahliapin/rehearse_test.go
@@ -82,8 +82,8 @@
 // machineTooBusy is in the output of a rehearsal that is inconclusive because the machine was too busy.
 const machineTooBusy = "not judged: the machine was too busy"
 
-// expectRehearsalKeepsRules runs a scenario with node processes, again if the machine was too busy for a verdict. It must
-// meet its expectations, break no rule and leave no file.
+// expectRehearsalKeepsRules runs a scenario with node processes, again if the machine was too busy for a verdict. It
+// must meet its expectations, break no rule and leave no file.
 func expectRehearsalKeepsRules(t *testing.T, text string) {
 	t.Helper()
 	script := scriptFile(t, text)
@@ -160,9 +160,9 @@
 	expectRehearsalKeepsRules(t, text)
 }
 
-// Guards against a rehearsal that hides what an upgrade forgets: the new process had the newest list in its configuration.
-// It must learn from its predecessor that a cache drains, since discovery does not answer and the configured list is as
-// old as the run.
+// Guards against a rehearsal that hides what an upgrade forgets: the new process had the newest list in its
+// configuration. It must learn from its predecessor that a cache drains, since discovery does not answer and the
+// configured list is as old as the run.
 func TestRehearsalUpgradesWithoutDiscovery(t *testing.T) {
 	text, _, _ := strings.Cut(shortScenario, "[[event]]")
 	text = strings.Replace(text, "seconds = 5", "seconds = 7", 1) + `[[event]]
--- a/internal/emulator/realtime/operations_test.go
+++ b/internal/emulator/realtime/operations_test.go
@@ -10,8 +10,8 @@
 )
 
 // Guards against a verdict on a node that was made active again before it had to have closed its connections: a soak
-// reported such a node, 4 s after the beginning of a standby of 1 s. A node that stays on standby is still reported, and
-// so is one whose next standby has begun.
+// reported such a node, 4 s after the beginning of a standby of 1 s. A node that stays on standby is still reported,
+// and so is one whose next standby has begun.
 func TestOnlyANodeThatStaysOnStandbyMustCloseItsConns(t *testing.T) {
 	const timeout = 200 * time.Millisecond
 	m := &member{rig: newRig(parse(t, baseScenario), settings.Settings{}, nil, nil), pool: poolWithOpenConn(t)}
--- a/internal/emulator/realtime/servers.go
+++ b/internal/emulator/realtime/servers.go
@@ -71,7 +71,7 @@
 	switch liveness := r.world.Servers[number].Liveness; {
 	case liveness == world.Up && s.listener == nil && s.fault != "refuse" && !r.stopped:
 		l, err := s.address.Listen()
-		if err != nil {
+		if err != nil { // for lack of descriptors or memory: the port is reserved
 			r.At(r.now().Add(relistenDelay), func() { r.updateListener(number) })
 			return
 		}
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -53,8 +53,8 @@
 	p.timers.Push(at, event)
 }
 
-// isTimerNeeded reports whether the reason for a timer may still apply. It is exact only for the kinds that are set for
-// each request or connection.
+// isTimerNeeded reports whether the handler of a timer may still have to do something. A request, connection or stream
+// whose timer was set anew needs only the later one, or only the earlier one if that was moved forward.
 func (p *Proxy) isTimerNeeded(at policy.Instant, event *timerEvent) bool {
 	switch event.kind {
 	case timerDispatcher:
@@ -62,10 +62,15 @@
 	case timerAttemptDeadline:
 		req := p.inflight.requests.Get(event.attempt.request)
 		return req != nil && req.attempts[event.attempt.index].inFlight
-	case timerUpstreamConn, timerStream:
-		return p.upstream.conns.Get(event.conn) != nil
+	case timerUpstreamConn:
+		conn := p.upstream.conns.Get(event.conn)
+		return conn != nil && (conn.deadline.hasPassed(at) || conn.idleCheckAt != 0 && at >= conn.idleCheckAt)
+	case timerStream:
+		conn := p.upstream.conns.Get(event.conn)
+		return conn != nil && conn.stream != nil && at == conn.stream.checkAt
 	case timerFlush:
-		return p.downstream.conns.Get(event.client) != nil
+		client := p.downstream.conns.Get(event.client)
+		return client != nil && at == client.reading.checkAt
 	case timerPoll:
 		return event.pollNumber == p.endpoints.watch.pollNumber
 	}
--- a/internal/proxy/timers_test.go
+++ b/internal/proxy/timers_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"dahliapin/internal/idletimeout"
 	"dahliapin/internal/proxy/metrics"
+	"dahliapin/policy"
 )
 
 // Guards against memory that grows with the requests of one client, by as much as they may wait: their timers remained
@@ -58,8 +60,8 @@
 	}
 }
 
-// A timer that is still needed is kept when others are dropped: a read that its cache does not answer is answered by its
-// deadline, after thousands of others whose timers were due later.
+// A timer that is still needed is kept when others are dropped: a read that its cache does not answer is answered by
+// its deadline, although thousands of timers were dropped meanwhile.
 func TestTimerOfAWaitingRequestIsKept(t *testing.T) {
 	proceed := make(chan bool)
 	t.Cleanup(func() { close(proceed) })
@@ -82,3 +84,49 @@
 		t.Errorf("%q after %v: %v", line, took, err)
 	}
 }
+
+// Guards against timers that pile up while a stream lasts: each time that its client stops reading, an earlier check is
+// set, and the later one is no longer needed.
+func TestObsoleteTimersOfAStreamAreDropped(t *testing.T) {
+	p := &Proxy{clock: clock{startedAt: time.Now()}}
+	conn := &upstreamConn{stream: &responseStream{}}
+	conn.id = p.upstream.conns.Add(conn)
+	for range 5 * minTimersToDrop {
+		conn.stream.paused = false
+		p.scheduleStreamCheck(conn)
+		conn.stream.paused = true
+		p.scheduleStreamCheck(conn)
+		conn.stream.checkAt = 0 // as when the check begins
+	}
+	if n := p.timers.Len(); n > 2*minTimersToDrop {
+		t.Errorf("%d timers are set for one stream", n)
+	}
+}
+
+// A connection keeps the timers by which its connect is given up and its idle time ends.
+func TestTimersOfAConnAreKept(t *testing.T) {
+	p := &Proxy{clock: clock{startedAt: time.Now()}}
+	p.upstream.idleTimeout = idletimeout.New(10 * time.Second)
+	conn := &upstreamConn{}
+	conn.id = p.upstream.conns.Add(conn)
+	p.setConnDeadline(conn)
+	p.scheduleIdleCheck(conn, p.now())
+	for at, want := range map[policy.Instant]bool{
+		conn.deadline.at.Add(-1):                   false,
+		conn.deadline.at:                           true,
+		conn.deadline.at.Add(overdueCheckInterval): true,
+		conn.idleCheckAt:                           true,
+	} {
+		if got := p.isTimerNeeded(at, &timerEvent{kind: timerUpstreamConn, conn: conn.id}); got != want {
+			t.Errorf("%v after the deadline: needed %v, want %v", at.Since(conn.deadline.at), got, want)
+		}
+	}
+	conn.deadline = connDeadline{}
+	if p.isTimerNeeded(conn.idleCheckAt.Add(-1), &timerEvent{kind: timerUpstreamConn, conn: conn.id}) {
+		t.Error("a timer before the idle check is needed, though there is no deadline")
+	}
+	p.upstream.conns.Remove(conn.id)
+	if p.isTimerNeeded(conn.idleCheckAt, &timerEvent{kind: timerUpstreamConn, conn: conn.id}) {
+		t.Error("a timer of a closed connection is needed")
+	}
+}
--- a/internal/proxy/upstream_deadline.go
+++ b/internal/proxy/upstream_deadline.go
@@ -12,8 +12,8 @@
 	// overdueCheckInterval is the interval between checks whether the events that had been queued by a deadline have
 	// been handled.
 	overdueCheckInterval = time.Millisecond
-	// overdueIterations is the number of iterations of the event loop after which that is certain: the one under way may
-	// have taken its events long ago, and the next one takes all that were queued.
+	// overdueIterations is the number of iterations of the event loop after which that is certain: the one under way
+	// may have taken its events long ago, and the next one takes all that were queued.
 	overdueIterations = 2
 )
 
@@ -41,8 +41,8 @@
 	p.schedule(conn.deadline.at, timerEvent{kind: timerUpstreamConn, conn: conn.id})
 }
 
-// onConnDeadline fails a connect or a health check whose deadline has passed, once the event loop has handled all events
-// that were queued by then. After a stall the result is often among them: the endpoint has answered in time, and it is
+// onConnDeadline fails a connect or a health check whose deadline has passed, once the event loop has handled all
+// events that were queued by then. After a stall the result is often among them: the endpoint has answered in time, and it is
 // this process that is late. Failed at once, an established connection would count against its endpoint.
 func (p *Proxy) onConnDeadline(conn *upstreamConn) {
 	deadline := &conn.deadline
--- a/policy/popularity.go
+++ b/policy/popularity.go
@@ -15,9 +15,9 @@
 )
 
 // popularity measures the demand for keys: the sum of the priority weights of the requests for a key, halved each
-// second while more than minKeysToDecay keys are tracked, and sooner if maxTrackedKeys are. The raw preference (admission) is the inverse square root of
-// the priority, so the square of its mean is about 1 divided by the mean priority, and the demand multiplied by that
-// square is about the number of requests.
+// second while more than minKeysToDecay keys are tracked, and sooner if maxTrackedKeys are. The raw preference
+// (admission) is the inverse square root of the priority, so the square of its mean is about 1 divided by the mean
+// priority, and the demand multiplied by that square is about the number of requests.
 type popularity struct {
 	demand map[uint64]float64 // by key hash
 	total  float64            // over all keys, including those dropped meanwhile; halved like demand
--- a/policy/popularity_test.go
+++ b/policy/popularity_test.go
@@ -21,8 +21,8 @@
 	}
 }
 
-// Guards against memory that grows with the keys which clients invent: between two decays, each new key of a client that
-// sends at full speed was tracked. A hot key must stay hot meanwhile, and the demand for it a share of the total.
+// Guards against memory that grows with the keys which clients invent: between two decays, each new key of a client
+// that sends at full speed was tracked. A hot key must stay hot meanwhile, and the demand for it a share of the total.
 func TestTrackedKeysAreBounded(t *testing.T) {
 	const hotKey, hotInterval = 1, 10
 	for _, priority := range []float64{0.1, 1, 20} {
@@ -38,7 +38,8 @@
 			}
 		}
 		share := p.demandFor(hotKey) / p.total
-		if limit := p.replicaLimit(hotKey, meanRawPreference, 90); limit != segmentCount || share < 0.05 || share > 0.2 {
+		limit := p.replicaLimit(hotKey, meanRawPreference, 90)
+		if limit != segmentCount || share < 0.05 || share > 0.2 {
 			t.Errorf("priority %v: the hot key has %d replicas, and a share of %v", priority, limit, share)
 		}
 	}
