--- a/internal/proxy/upstream_deadline.go
+++ b/internal/proxy/upstream_deadline.go
@@ -42,8 +42,8 @@
 }
 
 // onConnDeadline fails a connect or a health check whose deadline has passed, once the event loop has handled all
-// events that were queued by then. After a stall the result is often among them: the endpoint has answered in time, and it is
-// this process that is late. Failed at once, an established connection would count against its endpoint.
+// events that were queued by then. After a stall the result is often among them: the endpoint has answered in time, and
+// it is this process that is late. Failed at once, an established connection would count against its endpoint.
 func (p *Proxy) onConnDeadline(conn *upstreamConn) {
 	deadline := &conn.deadline
 	if !deadline.overdue {
