Test of streamed values: the loop's state is read in the loop

Traced: the test read upstream.incompleteBytes while the loop wrote it, as a poll of the list failed (dropConn). The program reads it in the loop only.

Change: the test reads it in the loop. What it checks is unchanged; the other tests of the package that look at the loop's state by a field were read, and do so in the loop or by atomics.

The race itself was seen once and not provoked again.

--- a/internal/proxy/response_stream_test.go
+++ b/internal/proxy/response_stream_test.go
@@ -67,8 +67,11 @@
 	g.expect(others, "VA 5 Oshort", "hello")
 	close(rest)
 	g.expect(r, first[half:], fmt.Sprintf("VA %d Ob", len(second)), second, "MN")
-	if n := g.Counters(); n.Satisfied != 3 || n.Attempts != 3 || g.upstream.incompleteBytes > 2*maxUnsentWindow {
-		t.Errorf("%+v, %d incomplete bytes still counted", n, g.upstream.incompleteBytes)
+	counted := make(chan int, 1)
+	g.runInLoop(func() { counted <- g.upstream.incompleteBytes })
+	incomplete := receive(t, counted)
+	if n := g.Counters(); n.Satisfied != 3 || n.Attempts != 3 || incomplete > 2*maxUnsentWindow {
+		t.Errorf("%+v, %d incomplete bytes still counted", n, incomplete)
 	}
 }
 
